--- /dev/null
+++ b/Makefile
@@ -0,0 +1,40 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/core packages/daemon packages/cli fakes
+DEPLOYMENT ?= zwojex
+SEED ?= 1
+PYTEST_ARGS ?= -n 4
+
+.PHONY: install lint format test ci demo measure clean
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock $(addsuffix /pyproject.toml,$(PACKAGES))
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --requirement requirements.lock
+	$(BIN)/pip install --quiet --no-deps --no-build-isolation $(addprefix --editable ,$(PACKAGES))
+	touch $@
+
+format: install
+	$(BIN)/ruff check --fix --quiet .
+	$(BIN)/ruff format --quiet .
+
+lint: install
+	$(BIN)/ruff format --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/flake8
+
+test: install
+	$(BIN)/pytest $(PYTEST_ARGS)
+
+ci: lint test
+
+demo: install
+	$(BIN)/python -m dotterelweir_fakes demo --deployment $(DEPLOYMENT) --seed $(SEED)
+
+measure: install
+	$(BIN)/python -m dotterelweir_fakes measure $(if $(SEEDS),--seeds "$(SEEDS)") $(if $(SCENARIO),--scenario $(SCENARIO))
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins, load tool, demo and measurement; never shipped."""
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' client of dotterelweir."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of dotterelweir, free of I/O."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Idempotency claims, folded from the claim streams."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Delivery of generated tokens to callers, once and in order."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -0,0 +1,165 @@
+"""The closed list of error kinds and the answer that each one gets."""
+
+import enum
+
+import attrs
+
+
+class Execution(enum.StrEnum):
+    """Whether a request has run at a target."""
+
+    NOT_RUN = 'not run'
+    RAN = 'ran'
+    UNKNOWN = 'unknown'
+
+
+class ErrorKind(enum.StrEnum):
+    """Every kind of error that a caller or an operator can be told of.
+
+    The value is the stable code in problem documents.
+    """
+
+    MALFORMED_REQUEST = 'malformed-request'
+    BODY_TOO_LARGE = 'body-too-large'
+    HEADERS_TOO_LARGE = 'headers-too-large'
+    ORGANISATION_MISSING = 'organisation-missing'
+    ROUTE_NOT_FOUND = 'route-not-found'
+    POOL_EMPTY = 'pool-empty'
+    QUEUE_FULL = 'queue-full'
+    QUEUE_TIMEOUT = 'queue-timeout'
+    ORGANISATION_LIMIT = 'organisation-limit'
+    TOO_LARGE_FOR_POOL = 'too-large-for-pool'
+    REQUEST_TIMEOUT = 'request-timeout'
+    TARGET_UNREACHABLE = 'target-unreachable'
+    TARGET_REFUSED = 'target-refused'
+    TARGET_FAILED = 'target-failed'
+    GENERATION_LOST = 'generation-lost'
+    RESUME_INVALID = 'resume-invalid'
+    RESUME_FORBIDDEN = 'resume-forbidden'
+    RESUME_EXPIRED = 'resume-expired'
+    CLAIMS_UNAVAILABLE = 'claims-unavailable'
+    CLAIM_IN_PROGRESS = 'claim-in-progress'
+    CLAIM_MISMATCH = 'claim-mismatch'
+    CLAIM_OUTCOME_UNAVAILABLE = 'claim-outcome-unavailable'
+    IDEMPOTENCY_KEY_INVALID = 'idempotency-key-invalid'
+    IDEMPOTENCY_KEY_EXPIRED = 'idempotency-key-expired'
+    NOT_READY = 'not-ready'
+    SHUTTING_DOWN = 'shutting-down'
+    EDIT_REJECTED = 'edit-rejected'
+    LOG_UNAVAILABLE = 'log-unavailable'
+    LOG_GAP = 'log-gap'
+    PEER_REJECTED = 'peer-rejected'
+    SETTINGS_INVALID = 'settings-invalid'
+    INTERNAL = 'internal'
+
+
+@attrs.frozen
+class Answer:
+    """The HTTP answer to one kind of error.
+
+    Attributes:
+        status: HTTP status code.
+        title: One line for people.
+        retryable: Whether the answer carries a Retry-After header.
+    """
+
+    status: int
+    title: str
+    retryable: bool = False
+
+
+ANSWERS: dict[ErrorKind, Answer] = {
+    ErrorKind.MALFORMED_REQUEST: Answer(400, 'The request is malformed'),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, 'The request body is too large'),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, 'The headers are too large'),
+    ErrorKind.ORGANISATION_MISSING: Answer(
+        401, 'The request names no organisation'
+    ),
+    ErrorKind.ROUTE_NOT_FOUND: Answer(404, 'No route matches the request'),
+    ErrorKind.POOL_EMPTY: Answer(503, 'The pool has no usable target', True),
+    ErrorKind.QUEUE_FULL: Answer(429, 'The queue is full', True),
+    ErrorKind.QUEUE_TIMEOUT: Answer(
+        503, 'No target had room for the request in time', True
+    ),
+    ErrorKind.ORGANISATION_LIMIT: Answer(
+        429, 'The organisation is over its limit', True
+    ),
+    ErrorKind.TOO_LARGE_FOR_POOL: Answer(
+        413, 'No target can hold a request of this size'
+    ),
+    ErrorKind.REQUEST_TIMEOUT: Answer(504, 'The request timed out', True),
+    ErrorKind.TARGET_UNREACHABLE: Answer(
+        503, 'No target could be reached', True
+    ),
+    ErrorKind.TARGET_REFUSED: Answer(
+        503, 'The targets refused the request', True
+    ),
+    ErrorKind.TARGET_FAILED: Answer(502, 'The target failed', True),
+    ErrorKind.GENERATION_LOST: Answer(
+        502, 'The generation ended before its answer was complete', True
+    ),
+    ErrorKind.RESUME_INVALID: Answer(400, 'The event id is not valid'),
+    ErrorKind.RESUME_FORBIDDEN: Answer(
+        403, 'The event id belongs to another organisation'
+    ),
+    ErrorKind.RESUME_EXPIRED: Answer(
+        410, 'The generation is no longer available'
+    ),
+    ErrorKind.CLAIMS_UNAVAILABLE: Answer(
+        503, 'The idempotency key cannot be claimed now', True
+    ),
+    ErrorKind.CLAIM_IN_PROGRESS: Answer(
+        409, 'A call with this idempotency key has not ended', True
+    ),
+    ErrorKind.CLAIM_MISMATCH: Answer(
+        422, 'The idempotency key was used for another request'
+    ),
+    ErrorKind.CLAIM_OUTCOME_UNAVAILABLE: Answer(
+        409, 'The call ended and its answer was not kept'
+    ),
+    ErrorKind.IDEMPOTENCY_KEY_INVALID: Answer(
+        400, 'The idempotency key does not have the required form'
+    ),
+    ErrorKind.IDEMPOTENCY_KEY_EXPIRED: Answer(
+        410, 'The idempotency key is older than the claim window'
+    ),
+    ErrorKind.NOT_READY: Answer(503, 'The instance is not ready', True),
+    ErrorKind.SHUTTING_DOWN: Answer(
+        503, 'The instance is shutting down', True
+    ),
+    ErrorKind.EDIT_REJECTED: Answer(409, 'The edit was rejected'),
+    ErrorKind.LOG_UNAVAILABLE: Answer(503, 'The log is unavailable', True),
+    ErrorKind.LOG_GAP: Answer(503, 'The log has a gap', True),
+    ErrorKind.PEER_REJECTED: Answer(403, 'The peer request was rejected'),
+    ErrorKind.SETTINGS_INVALID: Answer(500, 'The settings are not valid'),
+    ErrorKind.INTERNAL: Answer(500, 'Internal error'),
+}
+
+
+class DotterelweirError(Exception):
+    """An expected error with a kind, told to its caller in one line.
+
+    Attributes:
+        kind: The kind, which is also the stable code.
+        detail: One line for people.
+        execution: Whether the request ran.
+        retry_after_s: When to come back, in seconds, if that makes sense.
+    """
+
+    def __init__(
+        self,
+        kind: ErrorKind,
+        detail: str = '',
+        execution: Execution = Execution.NOT_RUN,
+        retry_after_s: float | None = None,
+    ) -> None:
+        super().__init__(f'{kind.value}: {detail or ANSWERS[kind].title}')
+        self.kind = kind
+        self.detail = detail or ANSWERS[kind].title
+        self.execution = execution
+        self.retry_after_s = retry_after_s
+
+    @property
+    def answer(self) -> Answer:
+        """The answer that this error gets."""
+        return ANSWERS[self.kind]
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -0,0 +1,171 @@
+"""The catalogue of numbered log events.
+
+A line is logged with ``events.log(logger, EVENT, field=value)``. Every event
+is listed in docs/events.md; a test compares the two.
+"""
+
+import logging
+
+import attrs
+
+
+@attrs.frozen
+class Event:
+    """One kind of log line.
+
+    Attributes:
+        number: The stable number; never reused.
+        name: The stable name.
+        level: A level of the logging module.
+        text: What the line means, one sentence.
+    """
+
+    number: int
+    name: str
+    level: int
+    text: str
+
+
+CATALOGUE: dict[int, Event] = {}
+
+
+def _event(number: int, name: str, level: int, text: str) -> Event:
+    event = Event(number, name, level, text)
+    if number in CATALOGUE:
+        raise ValueError(f'event number {number} is used twice')
+    CATALOGUE[number] = event
+    return event
+
+
+def log(logger: logging.Logger, event: Event, **fields: object) -> None:
+    """Logs one event with its fields.
+
+    Args:
+        logger: The logger of the calling module.
+        event: The event, from the catalogue.
+        **fields: Structured fields; names carry their unit as a suffix.
+    """
+    if logger.isEnabledFor(event.level):
+        logger.log(
+            event.level,
+            event.name,
+            extra={'event': event.number, 'fields': fields},
+        )
+
+
+# 1xx: process life cycle.
+INSTANCE_STARTING = _event(
+    100, 'instance-starting', logging.INFO, 'The instance is starting.'
+)
+INSTANCE_READY = _event(
+    101, 'instance-ready', logging.INFO, 'The instance accepts requests.'
+)
+INSTANCE_DRAINING = _event(
+    102,
+    'instance-draining',
+    logging.INFO,
+    'The instance accepts no new requests and finishes those in flight.',
+)
+INSTANCE_STOPPED = _event(
+    103, 'instance-stopped', logging.INFO, 'The instance has stopped.'
+)
+# 2xx: requests and routing decisions.
+ROUTE_CHOSEN = _event(
+    200, 'route-chosen', logging.INFO, 'A route was chosen for a request.'
+)
+TARGET_CHOSEN = _event(
+    201,
+    'target-chosen',
+    logging.INFO,
+    'A target was chosen for a request, with the candidates considered.',
+)
+REQUEST_REFUSED = _event(
+    202, 'request-refused', logging.INFO, 'A request was refused.'
+)
+REQUEST_ENDED = _event(203, 'request-ended', logging.INFO, 'A request ended.')
+ATTEMPT_FAILED = _event(
+    204,
+    'attempt-failed',
+    logging.WARNING,
+    'An attempt at a target failed.',
+)
+GENERATION_RESUMED = _event(
+    205,
+    'generation-resumed',
+    logging.INFO,
+    'A running generation was resumed at its engine.',
+)
+ANSWER_REJECTED = _event(
+    206,
+    'answer-rejected',
+    logging.ERROR,
+    'An answer did not belong to its request or was out of sequence.',
+)
+UNEXPECTED_ERROR = _event(
+    299,
+    'unexpected-error',
+    logging.ERROR,
+    'An unexpected error ended a request; this is a fault to report.',
+)
+# 3xx: configuration.
+EDIT_ACCEPTED = _event(
+    300, 'edit-accepted', logging.INFO, 'An edit of the tables took effect.'
+)
+EDIT_REJECTED = _event(
+    301, 'edit-rejected', logging.INFO, 'An edit of the tables was rejected.'
+)
+RECORD_SKIPPED = _event(
+    302,
+    'record-skipped',
+    logging.WARNING,
+    'A log record could not be read and was skipped.',
+)
+CHECKPOINT_WRITTEN = _event(
+    303, 'checkpoint-written', logging.INFO, 'A checkpoint was appended.'
+)
+CHECKPOINT_MISMATCH = _event(
+    304,
+    'checkpoint-mismatch',
+    logging.ERROR,
+    'A checkpoint does not match the state folded here.',
+)
+LOG_UNREACHABLE = _event(
+    305,
+    'log-unreachable',
+    logging.WARNING,
+    'The log cannot be read; the newest known tables stay in force.',
+)
+LOG_REACHABLE = _event(
+    306, 'log-reachable', logging.INFO, 'The log can be read again.'
+)
+LOG_GAP = _event(
+    307,
+    'log-gap',
+    logging.ERROR,
+    'The log has a gap after the last record that was read.',
+)
+TABLES_RESTORED = _event(
+    308,
+    'tables-restored',
+    logging.INFO,
+    'The tables were restored from a checkpoint or from a peer.',
+)
+# 4xx: targets.
+TARGET_STATE_CHANGED = _event(
+    400,
+    'target-state-changed',
+    logging.INFO,
+    'A target became live, leaving or gone.',
+)
+TARGET_HEALTH_CHANGED = _event(
+    401,
+    'target-health-changed',
+    logging.INFO,
+    'The health of a target as seen by this instance changed.',
+)
+INSTANCE_LIST_UNREACHABLE = _event(
+    402,
+    'instance-list-unreachable',
+    logging.WARNING,
+    'The instance list cannot be read; the last one stays in use.',
+)
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/leases/__init__.py
@@ -0,0 +1,1 @@
+"""Leases with fencing numbers, folded from the control stream."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Failure detection and dissemination between instances."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Desired state of targets and its reconciliation."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/__init__.py
@@ -0,0 +1,1 @@
+"""Placement, admission, queueing and limits."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/targets/__init__.py
@@ -0,0 +1,1 @@
+"""What one instance knows of targets."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/timers.py
@@ -0,0 +1,159 @@
+"""The timer service: the only source of time for all other modules."""
+
+import abc
+import heapq
+import itertools
+import random
+import typing
+
+import attrs
+
+Callback = typing.Callable[[], None]
+
+
+class TimerHandle(abc.ABC):
+    """A scheduled call that can be cancelled."""
+
+    @abc.abstractmethod
+    def cancel(self) -> None:
+        """Cancels the call; a second cancel has no effect."""
+
+
+class TimerService(abc.ABC):
+    """Tells the time and runs callbacks later."""
+
+    @abc.abstractmethod
+    def monotonic_s(self) -> float:
+        """Seconds of a clock that never goes back."""
+
+    @abc.abstractmethod
+    def wall_s(self) -> float:
+        """Seconds since the epoch."""
+
+    @abc.abstractmethod
+    def call_after(self, delay_s: float, callback: Callback) -> TimerHandle:
+        """Runs a callback once.
+
+        Args:
+            delay_s: Seconds from now; at least 0.
+            callback: A function without arguments.
+        """
+
+    def subscribe(
+        self,
+        period_s: float,
+        callback: Callback,
+        jitter_ratio: float = 0.0,
+        rng: random.Random | None = None,
+    ) -> TimerHandle:
+        """Runs a callback periodically until its handle is cancelled.
+
+        Args:
+            period_s: Seconds between two calls.
+            callback: A function without arguments.
+            jitter_ratio: Each period is spread by up to this part of it,
+                so that instances do not act in step.
+            rng: Random source of the jitter; needed when it is not 0.
+        """
+        subscription = _Subscription(
+            self, period_s, callback, jitter_ratio, rng
+        )
+        subscription.schedule()
+        return subscription
+
+
+class _Subscription(TimerHandle):
+    def __init__(
+        self,
+        service: TimerService,
+        period_s: float,
+        callback: Callback,
+        jitter_ratio: float,
+        rng: random.Random | None,
+    ) -> None:
+        if period_s <= 0:
+            raise ValueError(f'period_s must be above 0, not {period_s}')
+        if jitter_ratio and rng is None:
+            raise ValueError('jitter needs a random source')
+        self._service = service
+        self._period_s = period_s
+        self._callback = callback
+        self._jitter_ratio = jitter_ratio
+        self._rng = rng
+        self._handle: TimerHandle | None = None
+        self._cancelled = False
+
+    def schedule(self) -> None:
+        """Schedules the next call."""
+        delay_s = self._period_s
+        if self._rng is not None and self._jitter_ratio:
+            spread = self._rng.uniform(-self._jitter_ratio, self._jitter_ratio)
+            delay_s *= 1.0 + spread
+        self._handle = self._service.call_after(delay_s, self._run)
+
+    def cancel(self) -> None:
+        self._cancelled = True
+        if self._handle is not None:
+            self._handle.cancel()
+
+    def _run(self) -> None:
+        if self._cancelled:
+            return
+        try:
+            self._callback()
+        finally:
+            if not self._cancelled:
+                self.schedule()
+
+
+@attrs.define(eq=False)
+class _VirtualHandle(TimerHandle):
+    callback: Callback | None
+
+    def cancel(self) -> None:
+        self.callback = None
+
+
+class VirtualTimerService(TimerService):
+    """Virtual time for tests and measurement; moves only by ``advance``."""
+
+    def __init__(self, start_s: float = 0.0, wall_s: float = 1.8e9) -> None:
+        self._now_s = start_s
+        self._wall_offset_s = wall_s - start_s
+        self._sequence = itertools.count()
+        self._heap: list[tuple[float, int, _VirtualHandle]] = []
+
+    def monotonic_s(self) -> float:
+        return self._now_s
+
+    def wall_s(self) -> float:
+        return self._now_s + self._wall_offset_s
+
+    def call_after(self, delay_s: float, callback: Callback) -> TimerHandle:
+        handle = _VirtualHandle(callback)
+        due_s = self._now_s + max(0.0, delay_s)
+        heapq.heappush(self._heap, (due_s, next(self._sequence), handle))
+        return handle
+
+    def next_due_s(self) -> float | None:
+        """The time of the next call, in seconds, or None."""
+        while self._heap and self._heap[0][2].callback is None:
+            heapq.heappop(self._heap)
+        return self._heap[0][0] if self._heap else None
+
+    def advance(self, seconds: float) -> None:
+        """Moves time forward and runs the calls that fall due, in order."""
+        self.advance_to(self._now_s + seconds)
+
+    def advance_to(self, end_s: float) -> None:
+        """Moves time forward to a point and runs the calls due by then."""
+        while True:
+            due_s = self.next_due_s()
+            if due_s is None or due_s > end_s:
+                break
+            _, _, handle = heapq.heappop(self._heap)
+            self._now_s = max(self._now_s, due_s)
+            callback, handle.callback = handle.callback, None
+            if callback is not None:
+                callback()
+        self._now_s = max(self._now_s, end_s)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/__init__.py
@@ -0,0 +1,1 @@
+"""The entry instance of dotterelweir."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface for callers."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the daemon's binary."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/dispatch.py
@@ -0,0 +1,194 @@
+"""Connects requests with the scheduler."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.targets import model as targets_model
+
+LOG = logging.getLogger(__name__)
+
+HedgeCallback = Callable[[policy_api.Placement], None]
+
+
+class Dispatcher:
+    """Waits for placements on behalf of requests.
+
+    Each request calls ``place`` once per attempt and then reports the
+    progress and the end of that attempt.
+    """
+
+    def __init__(
+        self, scheduler: policy_api.Scheduler, timer: timers.TimerService
+    ) -> None:
+        self._scheduler = scheduler
+        self._timer = timer
+        self._waiting: dict[
+            str, tuple[policy_api.WorkItem, asyncio.Future]
+        ] = {}
+        self._hedges: dict[str, HedgeCallback] = {}
+        self._wakeup: timers.TimerHandle | None = None
+        self._attempts_running = 0
+
+    @property
+    def attempts_running(self) -> int:
+        """Attempts that were placed and have not ended."""
+        return self._attempts_running
+
+    @property
+    def requests_waiting(self) -> int:
+        """Requests that wait for a placement."""
+        return len(self._waiting)
+
+    def explain(self, item: policy_api.WorkItem) -> policy_api.Explanation:
+        """What the scheduler would decide for a request now."""
+        return self._scheduler.explain(item, self._timer.monotonic_s())
+
+    async def place(
+        self,
+        item: policy_api.WorkItem,
+        on_hedge: HedgeCallback | None = None,
+    ) -> policy_api.Placement:
+        """Waits until the request is placed.
+
+        Args:
+            item: The request.
+            on_hedge: Called if a second, parallel attempt is wanted later.
+
+        Raises:
+            DotterelweirError: The request is refused; it did not run.
+        """
+        future = asyncio.get_running_loop().create_future()
+        self._waiting[item.request_id] = (item, future)
+        if on_hedge is not None:
+            self._hedges[item.request_id] = on_hedge
+        self._scheduler.submit(item, self._timer.monotonic_s())
+        self._run()
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self._abandon(item.request_id, future)
+            raise
+        finally:
+            self._waiting.pop(item.request_id, None)
+
+    def set_targets(
+        self, pool: str, targets: tuple[targets_model.Target, ...]
+    ) -> None:
+        """Sets the targets of a pool that may get new work."""
+        self._scheduler.set_targets(pool, targets, self._timer.monotonic_s())
+        self._run()
+
+    def record_report(self, report: targets_model.LoadReport) -> None:
+        """Passes a load report to the scheduler."""
+        self._scheduler.record_report(report, self._timer.monotonic_s())
+        self._run()
+
+    def record_first_token(self, request_id: str, target_id: str) -> None:
+        """Takes note of the first token of an attempt."""
+        self._hedges.pop(request_id, None)
+        self._scheduler.record_first_token(
+            request_id, target_id, self._timer.monotonic_s()
+        )
+
+    def record_tokens(
+        self, request_id: str, target_id: str, count: int
+    ) -> None:
+        """Takes note of further tokens of an attempt."""
+        self._scheduler.record_tokens(
+            request_id, target_id, count, self._timer.monotonic_s()
+        )
+
+    def record_end(
+        self, request_id: str, target_id: str, end: policy_api.AttemptEnd
+    ) -> None:
+        """Takes note of the end of an attempt."""
+        self._hedges.pop(request_id, None)
+        self._attempts_running -= 1
+        self._scheduler.record_end(
+            request_id, target_id, end, self._timer.monotonic_s()
+        )
+        self._run()
+
+    def _abandon(self, request_id: str, future: asyncio.Future) -> None:
+        self._hedges.pop(request_id, None)
+        if future.done() and not future.cancelled():
+            # Placed in the same turn of the loop as the cancellation.
+            if future.exception() is None:
+                placement = future.result()
+                self.record_end(
+                    request_id,
+                    placement.target_id,
+                    policy_api.AttemptEnd.CANCELLED,
+                )
+            return
+        self._scheduler.cancel(request_id, self._timer.monotonic_s())
+
+    def _run(self) -> None:
+        for decision in self._scheduler.decide(self._timer.monotonic_s()):
+            match decision:
+                case policy_api.Placement():
+                    self._take_placement(decision)
+                case policy_api.Refusal():
+                    self._take_refusal(decision)
+        self._schedule_wakeup()
+
+    def _take_placement(self, placement: policy_api.Placement) -> None:
+        self._attempts_running += 1
+        events.log(
+            LOG,
+            events.TARGET_CHOSEN,
+            request_id=placement.request_id,
+            target_id=placement.target_id,
+            engine_priority=placement.engine_priority,
+            reason=placement.reason,
+            hedge=placement.hedge,
+            candidates=[
+                f'{candidate.target_id} {candidate.score:.3f} '
+                f'{candidate.reason}'
+                for candidate in placement.candidates
+            ],
+        )
+        on_hedge = self._hedges.get(placement.request_id)
+        if placement.hedge and on_hedge is not None:
+            on_hedge(placement)
+            return
+        _, future = self._waiting.get(placement.request_id, (None, None))
+        if placement.hedge or future is None or future.done():
+            # Nobody waits for it any more; frees what the scheduler holds.
+            self._attempts_running -= 1
+            self._scheduler.record_end(
+                placement.request_id,
+                placement.target_id,
+                policy_api.AttemptEnd.CANCELLED,
+                self._timer.monotonic_s(),
+            )
+            return
+        future.set_result(placement)
+
+    def _take_refusal(self, refusal: policy_api.Refusal) -> None:
+        self._hedges.pop(refusal.request_id, None)
+        _, future = self._waiting.get(refusal.request_id, (None, None))
+        if future is None or future.done():
+            return
+        future.set_exception(
+            errors.DotterelweirError(
+                refusal.kind,
+                refusal.detail,
+                errors.Execution.NOT_RUN,
+                refusal.retry_after_s,
+            )
+        )
+
+    def _schedule_wakeup(self) -> None:
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+            self._wakeup = None
+        due_s = self._scheduler.next_wakeup_s()
+        if due_s is not None:
+            delay_s = max(0.0, due_s - self._timer.monotonic_s())
+            self._wakeup = self._timer.call_after(delay_s, self._run)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Communication between instances."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to the platform: log, instance list and weight store."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the daemon: model, loading and checking."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/settings/model.py
@@ -0,0 +1,231 @@
+"""The settings of one instance. docs/settings.md describes each key."""
+
+import attrs
+
+
+def _positive(
+    instance: object, attribute: attrs.Attribute, value: float
+) -> None:
+    if value <= 0:
+        raise ValueError(f'must be above 0, not {value}')
+
+
+def _not_negative(
+    instance: object, attribute: attrs.Attribute, value: float
+) -> None:
+    if value < 0:
+        raise ValueError(f'must be at least 0, not {value}')
+
+
+def _port(instance: object, attribute: attrs.Attribute, value: int) -> None:
+    if not 0 <= value <= 65535:
+        raise ValueError(f'must be a port from 0 to 65535, not {value}')
+
+
+def _filled(instance: object, attribute: attrs.Attribute, value: str) -> None:
+    if not value:
+        raise ValueError('must not be empty')
+
+
+@attrs.frozen
+class Address:
+    """An IP address and a port.
+
+    Attributes:
+        host: IP address.
+        port: Port; 0 lets the system choose.
+    """
+
+    host: str = attrs.field(default='127.0.0.1', validator=_filled)
+    port: int = attrs.field(default=0, validator=_port)
+
+
+@attrs.frozen
+class Callers:
+    """The callers' side.
+
+    Attributes:
+        listen: Address of the callers' HTTP port.
+        organisation_header: Header that the balancer sets.
+        default_organisation: Organisation of requests without the header;
+            None refuses them.
+        body_max_bytes: Largest accepted body.
+        header_max_bytes: Largest accepted header field.
+    """
+
+    listen: Address = attrs.field(factory=Address)
+    organisation_header: str = attrs.field(
+        default='X-Organisation', validator=_filled
+    )
+    default_organisation: str | None = None
+    body_max_bytes: int = attrs.field(default=4_194_304, validator=_positive)
+    header_max_bytes: int = attrs.field(default=8_190, validator=_positive)
+
+
+@attrs.frozen
+class Platform:
+    """The platform's services.
+
+    Attributes:
+        log_url: Base URL of the log service.
+        instances_url: Base URL of the instance list.
+        weights_url: Base URL of the weight store.
+        instances_period_s: Time between two reads of the instance list.
+        log_wait_s: How long one read of the log may wait for records.
+        log_timeout_s: Bound on one request to the log.
+        log_retention_s: How long the log keeps records.
+        config_stream: Stream of the two tables.
+        control_stream: Stream of leases.
+        claim_stream_prefix: Prefix of the claim streams.
+        claim_partitions: Number of claim streams.
+    """
+
+    log_url: str = attrs.field(validator=_filled)
+    instances_url: str = attrs.field(validator=_filled)
+    weights_url: str = ''
+    instances_period_s: float = attrs.field(default=1.0, validator=_positive)
+    log_wait_s: float = attrs.field(default=5.0, validator=_positive)
+    log_timeout_s: float = attrs.field(default=2.0, validator=_positive)
+    log_retention_s: float = attrs.field(
+        default=604_800.0, validator=_positive
+    )
+    config_stream: str = attrs.field(default='config', validator=_filled)
+    control_stream: str = attrs.field(default='control', validator=_filled)
+    claim_stream_prefix: str = attrs.field(
+        default='claims-', validator=_filled
+    )
+    claim_partitions: int = attrs.field(default=1, validator=_positive)
+
+
+@attrs.frozen
+class Claims:
+    """Idempotency claims.
+
+    Attributes:
+        window_s: How long a claim lives; below the log's retention.
+        append_interval_s: Least time between two appends.
+        decision_timeout_s: How long a call waits for its claim.
+        dispatch_limit_s: Most time from the claim's append to dispatch.
+        outcome_max_bytes: Largest body that is kept with an outcome.
+    """
+
+    window_s: float = attrs.field(default=86_400.0, validator=_positive)
+    append_interval_s: float = attrs.field(default=0.05, validator=_positive)
+    decision_timeout_s: float = attrs.field(default=5.0, validator=_positive)
+    dispatch_limit_s: float = attrs.field(default=30.0, validator=_positive)
+    outcome_max_bytes: int = attrs.field(default=16_384, validator=_positive)
+
+
+@attrs.frozen
+class Delivery:
+    """Attempts and streams.
+
+    Attributes:
+        connect_timeout_s: Bound on connecting to a target.
+        first_token_timeout_s: Bound on the wait for a first token at one
+            engine.
+        stall_timeout_s: Time without progress after which a stream is
+            resumed on a fresh connection.
+        resume_attempts: Resumes without progress before a generation is
+            given up.
+        resume_window_s: How long an engine keeps a generation for a reader
+            that has gone.
+        stream_buffer_bytes: Most bytes buffered for a slow reader.
+        retry_ratio: Retries allowed per request, on average.
+    """
+
+    connect_timeout_s: float = attrs.field(default=1.0, validator=_positive)
+    first_token_timeout_s: float = attrs.field(
+        default=30.0, validator=_positive
+    )
+    stall_timeout_s: float = attrs.field(default=5.0, validator=_positive)
+    resume_attempts: int = attrs.field(default=4, validator=_positive)
+    resume_window_s: float = attrs.field(default=30.0, validator=_positive)
+    stream_buffer_bytes: int = attrs.field(default=65_536, validator=_positive)
+    retry_ratio: float = attrs.field(default=0.2, validator=_not_negative)
+
+
+@attrs.frozen
+class Peers:
+    """Communication between instances.
+
+    Attributes:
+        listen: UDP address; the peer HTTP port has the same number.
+        keys: Secrets of the keyed digest. The first signs, all verify.
+        period_s: Time between two probes.
+        seeds: Addresses of peers that are tried besides the instance list.
+    """
+
+    listen: Address = attrs.field(factory=Address)
+    keys: tuple[str, ...] = ()
+    period_s: float = attrs.field(default=0.5, validator=_positive)
+    seeds: tuple[Address, ...] = ()
+
+    @keys.validator
+    def _check_keys(
+        self, attribute: attrs.Attribute, value: tuple[str, ...]
+    ) -> None:
+        if not value:
+            raise ValueError('needs at least one key')
+        if any(not 16 <= len(key.encode()) <= 64 for key in value):
+            raise ValueError('each key must have 16 to 64 bytes')
+
+
+@attrs.frozen
+class Targets:
+    """Observation of targets.
+
+    Attributes:
+        load_period_s: Time between two load reports of one target.
+        load_timeout_s: Bound on reading one load report.
+        watchers_per_target: Instances that poll each target; 0 for all.
+    """
+
+    load_period_s: float = attrs.field(default=1.0, validator=_positive)
+    load_timeout_s: float = attrs.field(default=1.0, validator=_positive)
+    watchers_per_target: int = attrs.field(default=0, validator=_not_negative)
+
+
+@attrs.frozen
+class Limits:
+    """Admission.
+
+    Attributes:
+        queue_max_requests: Most requests that wait in this instance.
+        queue_timeout_s: Most time that a request waits.
+        limit_instances_min: Least number of instances that share the
+            organisations' limits.
+    """
+
+    queue_max_requests: int = attrs.field(default=1_000, validator=_positive)
+    queue_timeout_s: float = attrs.field(default=30.0, validator=_positive)
+    limit_instances_min: int = attrs.field(default=1, validator=_positive)
+
+
+@attrs.frozen
+class Settings:
+    """All settings of one instance.
+
+    Attributes:
+        instance_id: Name of the instance; unique.
+        zone: Availability zone of the instance.
+        admin_listen: Address of the operators' HTTP port.
+        drain_deadline_s: Time from SIGTERM to the platform's own stop; None
+            lets streams run to their end.
+        log_level: Least level of the log lines.
+        seed: Seed of all random choices; None takes one from the system.
+    """
+
+    instance_id: str = attrs.field(validator=_filled)
+    zone: str = attrs.field(validator=_filled)
+    platform: Platform
+    peers: Peers
+    callers: Callers = attrs.field(factory=Callers)
+    admin_listen: Address = attrs.field(factory=Address)
+    claims: Claims = attrs.field(factory=Claims)
+    delivery: Delivery = attrs.field(factory=Delivery)
+    targets: Targets = attrs.field(factory=Targets)
+    limits: Limits = attrs.field(factory=Limits)
+    drain_deadline_s: float | None = None
+    log_level: str = 'INFO'
+    seed: int | None = None
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/targets/__init__.py
@@ -0,0 +1,1 @@
+"""Adapters to targets: engines and plain services."""
