Add calls of plain services and their stand-in

A call on a route that is not repeatable goes out once on a fresh connection. Another target is tried only when no connection was made; "not run" is reported for that case and for a 429 or 503 problem document which says so. A repeatable call is retried on another target within a budget, and keeps an earlier attempt's "unknown" when a later one did not run.

aiohttp repeats GET, PUT, DELETE and other idempotent methods by itself after a cut connection, even on a fresh one. A client middleware turns the cause into an error that it does not retry; its own switch is private, so that was ruled out.

--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/service.py
@@ -0,0 +1,233 @@
+"""A plain service, such as a shop or a sheets app, that counts executions.
+
+Each call of any path is one execution, counted by ``X-Request-Id`` and by
+business key: the header ``X-Business-Key``, else the field ``key`` of a JSON
+body. ``PUT /faults`` sets faults, ``PUT /state`` the state, and
+``GET /counts`` reads the counts.
+"""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import enum
+import os
+
+from aiohttp import web
+import attrs
+import click
+import orjson
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+BUSINESS_KEY_HEADER = 'X-Business-Key'
+STATE_HEADER = 'X-Target-State'
+
+
+class Fault(enum.StrEnum):
+    """What goes wrong with one call."""
+
+    CUT_BEFORE = 'cut-before'
+    CUT_AFTER = 'cut-after'
+    CUT_IN_ANSWER = 'cut-in-answer'
+    CRASH_BEFORE = 'crash-before'
+    CRASH_AFTER = 'crash-after'
+    REFUSE = 'refuse'
+    UNAVAILABLE = 'unavailable'
+    WRONG_ECHO = 'wrong-echo'
+
+
+@attrs.define
+class ServiceState:
+    """What one running service holds.
+
+    Attributes:
+        target_id: Name of the target.
+        incarnation: Number of this run.
+        state: ``live`` or ``leaving``.
+        delay_s: Time that each call takes before it executes, in seconds.
+        faults: Faults of the next calls, the first one first.
+        by_request_id: Executions by request id.
+        by_business_key: Executions by business key.
+        running: Calls in progress.
+        gate: Holds calls before they execute; for use in one process.
+        on_crash: Ends the process; in-process users replace it.
+    """
+
+    target_id: str = 'service-1'
+    incarnation: int = 1
+    state: str = 'live'
+    delay_s: float = 0.0
+    faults: collections.deque[Fault] = attrs.field(factory=collections.deque)
+    by_request_id: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    by_business_key: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+    running: int = 0
+    gate: asyncio.Event | None = None
+    on_crash: Callable[[], None] = lambda: os._exit(70)
+
+
+STATE = web.AppKey('state', ServiceState)
+
+
+def create_app(state: ServiceState) -> web.Application:
+    """The service as an application, for tests in one process."""
+    app = web.Application()
+    app[STATE] = state
+    app.router.add_get('/v1/load', _load)
+    app.router.add_get('/counts', _counts)
+    app.router.add_put('/faults', _set_faults)
+    app.router.add_put('/state', _set_state)
+    app.router.add_route('*', '/{path:.*}', _call)
+    return app
+
+
+async def _load(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    return _json(
+        state,
+        {
+            'incarnation': state.incarnation,
+            'state': state.state,
+            'running': state.running,
+            'waiting': 0,
+        },
+    )
+
+
+async def _counts(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    return _json(
+        state,
+        {
+            'by_request_id': state.by_request_id,
+            'by_business_key': state.by_business_key,
+        },
+    )
+
+
+async def _set_faults(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    wanted = orjson.loads(await request.read())
+    state.delay_s = float(wanted.get('delay_s', 0.0))
+    state.faults = collections.deque(
+        Fault(name) for name in wanted.get('faults', [])
+    )
+    return _json(state, {})
+
+
+async def _set_state(request: web.Request) -> web.Response:
+    state = request.app[STATE]
+    state.state = orjson.loads(await request.read())['state']
+    return _json(state, {})
+
+
+async def _call(request: web.Request) -> web.StreamResponse:
+    state = request.app[STATE]
+    fault = state.faults.popleft() if state.faults else None
+    state.running += 1
+    try:
+        body = await request.read()
+        if state.delay_s:
+            await asyncio.sleep(state.delay_s)
+        if state.gate is not None:
+            await state.gate.wait()
+        return await _execute(state, request, body, fault)
+    finally:
+        state.running -= 1
+
+
+async def _execute(
+    state: ServiceState,
+    request: web.Request,
+    body: bytes,
+    fault: Fault | None,
+) -> web.StreamResponse:
+    match fault:
+        case Fault.CRASH_BEFORE:
+            state.on_crash()
+            return _cut(request)
+        case Fault.CUT_BEFORE:
+            return _cut(request)
+        case Fault.REFUSE:
+            return _json(
+                state,
+                {'title': 'Busy', 'status': 503, 'execution': 'not run'},
+                503,
+                'application/problem+json',
+            )
+    request_id = request.headers.get(REQUEST_ID_HEADER, '')
+    business_key = _business_key(request, body)
+    state.by_request_id[request_id] += 1
+    state.by_business_key[business_key] += 1
+    answer = {
+        'key': business_key,
+        'execution_number': state.by_business_key[business_key],
+        'target_id': state.target_id,
+    }
+    match fault:
+        case Fault.CRASH_AFTER:
+            state.on_crash()
+            return _cut(request)
+        case Fault.CUT_AFTER:
+            return _cut(request)
+        case Fault.CUT_IN_ANSWER:
+            return await _cut_in_answer(request)
+        case Fault.UNAVAILABLE:
+            return _json(state, {'title': 'Overloaded'}, 503)
+    response = _json(state, answer)
+    response.headers[REQUEST_ID_HEADER] = (
+        'another' if fault is Fault.WRONG_ECHO else request_id
+    )
+    return response
+
+
+def _business_key(request: web.Request, body: bytes) -> str:
+    if BUSINESS_KEY_HEADER in request.headers:
+        return request.headers[BUSINESS_KEY_HEADER]
+    try:
+        parsed = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return ''
+    return str(parsed.get('key', '')) if isinstance(parsed, dict) else ''
+
+
+def _cut(request: web.Request) -> web.Response:
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+async def _cut_in_answer(request: web.Request) -> web.StreamResponse:
+    response = web.StreamResponse(headers={'Content-Length': '1000'})
+    await response.prepare(request)
+    await response.write(b'{"key"')
+    if request.transport is not None:
+        request.transport.close()
+    return response
+
+
+def _json(
+    state: ServiceState,
+    value: object,
+    status: int = 200,
+    content_type: str = 'application/json',
+) -> web.Response:
+    return web.Response(
+        status=status,
+        body=orjson.dumps(value),
+        content_type=content_type,
+        headers={STATE_HEADER: state.state},
+    )
+
+
+@click.command('service')
+@click.option('--host', default='127.0.0.1', show_default=True)
+@click.option('--port', default=0, show_default=True)
+@click.option('--target-id', default='service-1', show_default=True)
+@click.option('--incarnation', default=1, show_default=True)
+def command(host: str, port: int, target_id: str, incarnation: int) -> None:
+    """Runs a plain service that counts its executions."""
+    state = ServiceState(target_id, incarnation)
+    web.run_app(create_app(state), host=host, port=port)
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -150,6 +150,13 @@
     logging.INFO,
     'The tables were restored from a checkpoint or from a peer.',
 )
+# 35x: service calls, claims, leases and orders.
+SERVICE_ATTEMPT_FAILED = _event(
+    350,
+    'service-attempt-failed',
+    logging.WARNING,
+    'An attempt to call a plain service failed.',
+)
 # 4xx: targets.
 TARGET_STATE_CHANGED = _event(
     400,
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/targets/headers.py
@@ -0,0 +1,37 @@
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+
+from collections.abc import Iterable
+
+HOP_BY_HOP = frozenset(
+    {
+        'connection',
+        'keep-alive',
+        'proxy-authenticate',
+        'proxy-authorization',
+        'proxy-connection',
+        'te',
+        'trailer',
+        'transfer-encoding',
+        'upgrade',
+    }
+)
+
+
+def end_to_end(
+    headers: Iterable[tuple[str, str]], also_removed: frozenset[str]
+) -> tuple[tuple[str, str], ...]:
+    """Removes the headers that must not be passed on.
+
+    Args:
+        headers: Names and values, in order; names may repeat.
+        also_removed: Further names to remove, in lower case.
+
+    Returns:
+        The remaining headers, in order.
+    """
+    pairs = tuple(headers)
+    removed = HOP_BY_HOP | also_removed
+    for name, value in pairs:
+        if name.lower() == 'connection':
+            removed |= {token.strip().lower() for token in value.split(',')}
+    return tuple(pair for pair in pairs if pair[0].lower() not in removed)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/targets/service.py
@@ -0,0 +1,204 @@
+"""The adapter to plain services, over aiohttp."""
+
+import types
+
+import aiohttp
+from aiohttp import typedefs
+import multidict
+import orjson
+import yarl
+
+from dotterelweir_core import errors
+from dotterelweir_core.targets import model
+from dotterelweird.targets import api
+from dotterelweird.targets import headers
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+STATE_HEADER = 'X-Target-State'
+# Set anew for each attempt. The whole body is at hand, so there is nothing
+# to wait for with Expect.
+_SET_HERE = frozenset(
+    {'host', 'content-length', 'expect', REQUEST_ID_HEADER.lower()}
+)
+_REMOVED_FROM_RESPONSE = frozenset({'content-length', STATE_HEADER.lower()})
+# Only these statuses can say that the target refused before running.
+_REFUSAL_STATUSES = frozenset({429, 503})
+_PROBLEM_TYPE = 'application/problem+json'
+
+
+class _AttemptError(Exception):
+    """Hides the cause from aiohttp, which repeats some failed requests."""
+
+
+async def _raise_once(
+    request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
+) -> aiohttp.ClientResponse:
+    # aiohttp sends GET, PUT, DELETE and other idempotent methods a second
+    # time after a cut connection, even on a fresh one.
+    try:
+        return await handler(request)
+    except (aiohttp.ClientError, OSError) as error:
+        raise _AttemptError(str(error) or type(error).__name__) from error
+
+
+async def _mark_connected(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    parameters: object,
+) -> None:
+    context.trace_request_ctx['connected'] = True
+
+
+class AiohttpServiceClient(api.ServiceClient):
+    """Calls plain services.
+
+    Calls that are not repeatable use a connection of their own, so that a
+    connection which the service is closing cannot make the result unknown.
+    """
+
+    def __init__(self, connect_timeout_s: float) -> None:
+        """Creates the sessions; needs a running event loop.
+
+        Args:
+            connect_timeout_s: Bound on connecting, in seconds.
+        """
+        self._connect_timeout_s = connect_timeout_s
+        self._pooled = self._session(force_close=False)
+        self._single = self._session(force_close=True)
+
+    async def close(self) -> None:
+        """Closes all connections."""
+        await self._pooled.close()
+        await self._single.close()
+
+    async def call(
+        self, target: model.Target, request: api.ServiceRequest
+    ) -> api.ServiceResponse:
+        progress = {'connected': False}
+        session = self._pooled if request.repeatable else self._single
+        try:
+            async with session.request(
+                request.method,
+                yarl.URL(
+                    target.base_url + request.path_and_query, encoded=True
+                ),
+                data=request.body or None,
+                headers=_request_headers(request),
+                allow_redirects=False,
+                timeout=aiohttp.ClientTimeout(
+                    total=request.timeout_s,
+                    sock_connect=self._connect_timeout_s,
+                ),
+                trace_request_ctx=progress,
+            ) as response:
+                body = await response.read()
+        except (_AttemptError, aiohttp.ClientError, OSError) as error:
+            # TimeoutError is an OSError.
+            raise _failure(target, error, progress['connected']) from error
+        _check_echo(target, request, response)
+        _check_refusal(target, response, body)
+        return api.ServiceResponse(
+            status=response.status,
+            headers=headers.end_to_end(
+                response.headers.items(), _REMOVED_FROM_RESPONSE
+            ),
+            body=body,
+            state=_state(response),
+        )
+
+    def _session(self, force_close: bool) -> aiohttp.ClientSession:
+        trace = aiohttp.TraceConfig()
+        trace.on_connection_create_end.append(_mark_connected)
+        trace.on_connection_reuseconn.append(_mark_connected)
+        return aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0, force_close=force_close),
+            cookie_jar=aiohttp.DummyCookieJar(),
+            auto_decompress=False,
+            skip_auto_headers=(
+                'Accept',
+                'Accept-Encoding',
+                'Content-Type',
+                'User-Agent',
+            ),
+            trace_configs=[trace],
+            middlewares=(_raise_once,),
+        )
+
+
+def _request_headers(request: api.ServiceRequest) -> typedefs.LooseHeaders:
+    passed_on = headers.end_to_end(request.headers, _SET_HERE)
+    return multidict.CIMultiDict(
+        (*passed_on, (REQUEST_ID_HEADER, request.request_id))
+    )
+
+
+def _failure(
+    target: model.Target, error: Exception, connected: bool
+) -> errors.DotterelweirError:
+    reason = str(error) or type(error).__name__
+    if connected:
+        return errors.DotterelweirError(
+            errors.ErrorKind.TARGET_FAILED,
+            f'The call of {target.target_id} broke off: {reason}',
+            errors.Execution.UNKNOWN,
+        )
+    return errors.DotterelweirError(
+        errors.ErrorKind.TARGET_UNREACHABLE,
+        f'No connection to {target.target_id}: {reason}',
+        errors.Execution.NOT_RUN,
+    )
+
+
+def _check_echo(
+    target: model.Target,
+    request: api.ServiceRequest,
+    response: aiohttp.ClientResponse,
+) -> None:
+    """Rejects the answer to another request.
+
+    A service that echoes no request id is accepted.
+    """
+    echo = response.headers.get(REQUEST_ID_HEADER)
+    if echo is not None and echo != request.request_id:
+        raise errors.DotterelweirError(
+            errors.ErrorKind.TARGET_FAILED,
+            f'{target.target_id} answered another request',
+            errors.Execution.UNKNOWN,
+        )
+
+
+def _check_refusal(
+    target: model.Target, response: aiohttp.ClientResponse, body: bytes
+) -> None:
+    if (
+        response.status not in _REFUSAL_STATUSES
+        or response.content_type != _PROBLEM_TYPE
+    ):
+        return
+    try:
+        problem = orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return
+    if (
+        not isinstance(problem, dict)
+        or problem.get('execution') != errors.Execution.NOT_RUN
+    ):
+        return
+    raise errors.DotterelweirError(
+        errors.ErrorKind.TARGET_REFUSED,
+        f'{target.target_id} refused the call with {response.status}',
+        errors.Execution.NOT_RUN,
+        _seconds(response.headers.get('Retry-After', '')),
+    )
+
+
+def _seconds(value: str) -> float | None:
+    # Retry-After may also hold a date, which is not used here.
+    return float(value) if value.isascii() and value.isdigit() else None
+
+
+def _state(response: aiohttp.ClientResponse) -> model.TargetState:
+    try:
+        return model.TargetState(response.headers.get(STATE_HEADER, ''))
+    except ValueError:
+        return model.TargetState.LIVE
--- /dev/null
+++ b/packages/daemon/tests/callers/conftest.py
@@ -0,0 +1,215 @@
+"""A project of one entry instance and several plain services."""
+
+import socket
+
+from aiohttp import test_utils
+from aiohttp import web
+import attrs
+import pytest_asyncio
+
+from dotterelweir_core import errors
+from dotterelweir_core import timers
+from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_core.targets import model as targets_model
+from dotterelweir_fakes import service as fake_service
+from dotterelweird import claims_api
+from dotterelweird import dispatch
+from dotterelweird.callers import retry_budget
+from dotterelweird.callers import service_calls
+from dotterelweird.targets import service as service_adapter
+
+
+class FirstFitScheduler(policy_api.Scheduler):
+    """Places each request at once on the first target not excluded."""
+
+    def __init__(self, target_ids: list[str]) -> None:
+        self.target_ids = target_ids
+        self.waiting: list[policy_api.WorkItem] = []
+        self.ends: list[tuple[str, policy_api.AttemptEnd]] = []
+
+    def set_targets(self, pool, targets, now_s):
+        """Not used."""
+
+    def submit(self, item, now_s):
+        self.waiting.append(item)
+
+    def cancel(self, request_id, now_s):
+        self.waiting = [
+            item for item in self.waiting if item.request_id != request_id
+        ]
+
+    def decide(self, now_s):
+        items, self.waiting = self.waiting, []
+        return [self._decide(item) for item in items]
+
+    def _decide(self, item):
+        for target_id in self.target_ids:
+            if target_id not in item.excluded:
+                return policy_api.Placement(
+                    item.request_id, target_id, 5, 'first'
+                )
+        return policy_api.Refusal(
+            item.request_id, errors.ErrorKind.POOL_EMPTY, 1.0, 'none left'
+        )
+
+    def next_wakeup_s(self):
+        return None
+
+    def explain(self, item, now_s):
+        return policy_api.Explanation(self._decide(item), ())
+
+    def record_report(self, report, now_s):
+        """Not used."""
+
+    def record_first_token(self, request_id, target_id, now_s):
+        """Not used."""
+
+    def record_tokens(self, request_id, target_id, count, now_s):
+        """Not used."""
+
+    def record_end(self, request_id, target_id, end, now_s):
+        self.ends.append((target_id, end))
+
+
+class NoClaims(claims_api.Claims):
+    """Fails a test that claims a key where none is needed."""
+
+    async def claim(self, request):
+        raise AssertionError('no claim expected')
+
+
+@attrs.define
+class ServiceOutcome:
+    """What a call led to.
+
+    Attributes:
+        response: The answer, if there is one.
+        error: The error, if there is one.
+        executions: Executions over all services, by business key.
+        per_request: Executions by attempt.
+        ends: How each attempt ended.
+        states: What the targets said of themselves.
+    """
+
+    response: web.Response | None
+    error: errors.DotterelweirError | None
+    executions: dict[str, int]
+    per_request: dict[str, int]
+    ends: list[tuple[str, policy_api.AttemptEnd]]
+    states: list[targets_model.TargetState]
+
+
+@attrs.define
+class ServiceProject:
+    """One entry instance with plain services behind it."""
+
+    states: list[fake_service.ServiceState]
+    calls: service_calls.ServiceCalls
+    scheduler: FirstFitScheduler
+    seen_states: list[targets_model.TargetState]
+    timer: timers.VirtualTimerService
+
+    async def call(
+        self,
+        route: tables_model.Route,
+        request: service_calls.CallerRequest,
+        timeout_s: float = 30.0,
+        request_id: str = 'r1',
+    ) -> ServiceOutcome:
+        """Makes one call and waits for its end."""
+        now_s = self.timer.monotonic_s()
+        item = policy_api.WorkItem(
+            request_id=request_id,
+            route=route.name,
+            pool=route.pool,
+            organisation='acme',
+            priority=5,
+            prompt_tokens=0,
+            max_output_tokens=None,
+            prefix_hashes=(),
+            arrived_s=now_s,
+            deadline_s=now_s + timeout_s,
+            repeatable=route.repeatable,
+        )
+        response, error = None, None
+        try:
+            response = await self.calls.handle(route, item, request)
+        except errors.DotterelweirError as caught:
+            error = caught
+        executions: dict[str, int] = {}
+        per_request: dict[str, int] = {}
+        for state in self.states:
+            for key, count in state.by_business_key.items():
+                executions[key] = executions.get(key, 0) + count
+            for name, count in state.by_request_id.items():
+                per_request[name] = per_request.get(name, 0) + count
+        return ServiceOutcome(
+            response,
+            error,
+            executions,
+            per_request,
+            self.scheduler.ends,
+            self.seen_states,
+        )
+
+
+def _closed_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return probe.getsockname()[1]
+
+
+@pytest_asyncio.fixture
+async def service_project():
+    """Makes a project from the faults of each service.
+
+    The faults ``None`` stand for a service that refuses connections.
+    """
+    servers: list[test_utils.TestServer] = []
+    clients: list[service_adapter.AiohttpServiceClient] = []
+
+    async def make(
+        *faults: list[str] | None,
+        retry_ratio: float = 1.0,
+        claims: claims_api.Claims | None = None,
+    ) -> ServiceProject:
+        targets, states = {}, []
+        for number, names in enumerate(faults):
+            target_id = f'shop-{number}'
+            if names is None:
+                port = _closed_port()
+            else:
+                state = fake_service.ServiceState(
+                    target_id, on_crash=lambda: None
+                )
+                state.faults.extend(fake_service.Fault(name) for name in names)
+                server = test_utils.TestServer(fake_service.create_app(state))
+                await server.start_server()
+                servers.append(server)
+                states.append(state)
+                port = server.port
+            targets[target_id] = targets_model.Target(
+                target_id, 1, 'dealer-shop', 'poznan-a', '127.0.0.1', port
+            )
+        timer = timers.VirtualTimerService()
+        scheduler = FirstFitScheduler(list(targets))
+        client = service_adapter.AiohttpServiceClient(1.0)
+        clients.append(client)
+        seen: list[targets_model.TargetState] = []
+        calls = service_calls.ServiceCalls(
+            dispatch.Dispatcher(scheduler, timer),
+            client,
+            targets,
+            claims or NoClaims(),
+            timer,
+            retry_budget.RetryBudget(retry_ratio),
+            lambda target, state: seen.append(state),
+        )
+        return ServiceProject(states, calls, scheduler, seen, timer)
+
+    yield make
+    for client in clients:
+        await client.close()
+    for server in servers:
+        await server.close()
--- /dev/null
+++ b/packages/daemon/tests/callers/test_service_calls.py
@@ -0,0 +1,160 @@
+"""Tests of calls to plain services, with faults of the services."""
+
+import asyncio
+
+import pytest
+
+from dotterelweir_core import errors
+from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_core.targets import model as targets_model
+from dotterelweird.callers import retry_budget
+from dotterelweird.callers import service_calls
+
+ONCE = tables_model.Route(
+    'book', tables_model.Match('/book'), 'shop', repeatable=False
+)
+REPEATABLE = tables_model.Route(
+    'stock', tables_model.Match('/stock'), 'shop', repeatable=True
+)
+NOT_RUN = errors.Execution.NOT_RUN
+UNKNOWN = errors.Execution.UNKNOWN
+REFUSED = None
+
+
+def _request(method='POST', headers=()):
+    return service_calls.CallerRequest(
+        method, '/book?seat=1%2F2', tuple(headers), b'{"key": "k1"}'
+    )
+
+
+async def _until(condition):
+    for _ in range(100_000):
+        if condition():
+            return
+        await asyncio.sleep(0)
+    raise AssertionError('the condition never held')
+
+
+@pytest.mark.parametrize(
+    ('method', 'faults', 'kind', 'execution', 'executions'),
+    [
+        ('POST', [[]], None, None, 1),
+        ('POST', [REFUSED, []], None, None, 1),
+        ('POST', [REFUSED], 'target-unreachable', NOT_RUN, 0),
+        ('POST', [['cut-before'], []], 'target-failed', UNKNOWN, 0),
+        ('POST', [['cut-after'], []], 'target-failed', UNKNOWN, 1),
+        ('GET', [['cut-after'], []], 'target-failed', UNKNOWN, 1),
+        ('PUT', [['cut-after'], []], 'target-failed', UNKNOWN, 1),
+        ('DELETE', [['cut-after'], []], 'target-failed', UNKNOWN, 1),
+        ('POST', [['cut-in-answer'], []], 'target-failed', UNKNOWN, 1),
+        ('POST', [['crash-before'], []], 'target-failed', UNKNOWN, 0),
+        ('POST', [['crash-after'], []], 'target-failed', UNKNOWN, 1),
+        ('POST', [['wrong-echo'], []], 'target-failed', UNKNOWN, 1),
+        ('POST', [['refuse'], []], 'target-refused', NOT_RUN, 0),
+        ('POST', [['unavailable'], []], None, None, 1),
+    ],
+)
+async def test_a_call_that_is_not_repeatable_runs_at_most_once(
+    service_project, method, faults, kind, execution, executions
+):
+    """Guards against a second execution and against a false "not run".
+
+    The methods GET, PUT and DELETE guard against aiohttp's own retry.
+    """
+    project = await service_project(*faults)
+    outcome = await project.call(ONCE, _request(method))
+    assert outcome.executions.get('k1', 0) == executions
+    if kind is None:
+        assert outcome.error is None
+    else:
+        assert outcome.error.kind == kind
+        assert outcome.error.execution is execution
+
+
+@pytest.mark.parametrize(
+    ('faults', 'kind', 'execution'),
+    [
+        ([['cut-after'], []], None, None),
+        ([['refuse'], []], None, None),
+        ([REFUSED, ['cut-before'], []], None, None),
+        ([['cut-after'], REFUSED], 'target-failed', UNKNOWN),
+        ([['refuse'], REFUSED], 'target-unreachable', NOT_RUN),
+        ([['cut-before']], 'target-failed', UNKNOWN),
+    ],
+)
+async def test_a_repeatable_call_is_retried_on_other_targets(
+    service_project, faults, kind, execution
+):
+    """Guards against a "not run" that forgets an earlier attempt."""
+    project = await service_project(*faults)
+    outcome = await project.call(REPEATABLE, _request('GET'))
+    assert max(outcome.per_request.values(), default=0) <= 1
+    if kind is None:
+        assert outcome.response.status == 200
+    else:
+        assert outcome.error.kind == kind
+        assert outcome.error.execution is execution
+
+
+async def test_retries_stop_when_the_budget_is_used_up(service_project):
+    """Guards against retries that multiply the load during an outage."""
+    burst = int(retry_budget.BURST_RETRIES)
+    faults = [['cut-before']] * (burst + 3)
+    project = await service_project(*faults, retry_ratio=0.0)
+    outcome = await project.call(REPEATABLE, _request())
+    assert outcome.error.kind is errors.ErrorKind.TARGET_FAILED
+    assert len(outcome.ends) == burst + 1
+
+
+async def test_headers_of_one_connection_are_not_passed_on(service_project):
+    """Guards against a caller's framing headers reaching the service."""
+    project = await service_project([])
+    outcome = await project.call(
+        ONCE,
+        _request(
+            headers=[
+                ('Connection', 'X-Internal, close'),
+                ('X-Internal', '1'),
+                ('Transfer-Encoding', 'chunked'),
+                ('Expect', '100-continue'),
+                ('X-Request-Id', 'from-the-caller'),
+                ('X-Business-Key', 'passed-on'),
+            ]
+        ),
+    )
+    assert outcome.executions == {'passed-on': 1}
+    assert outcome.per_request == {'r1.1': 1}
+    assert 'X-Target-State' not in outcome.response.headers
+
+
+async def test_a_leaving_service_is_noticed(service_project):
+    """Guards against new work for a service that says it is leaving."""
+    project = await service_project([])
+    project.states[0].state = 'leaving'
+    outcome = await project.call(ONCE, _request())
+    assert outcome.states == [targets_model.TargetState.LEAVING]
+    assert outcome.ends == [('shop-0', policy_api.AttemptEnd.COMPLETE)]
+
+
+async def test_a_slow_call_ends_at_its_deadline_with_unknown(service_project):
+    """Guards against "not run" for a call that runs on after a timeout."""
+    project = await service_project([])
+    project.states[0].delay_s = 60.0
+    outcome = await project.call(ONCE, _request(), timeout_s=0.05)
+    assert outcome.error.execution is UNKNOWN
+
+
+async def test_a_disconnected_caller_leaves_the_call_to_its_end(
+    service_project,
+):
+    """Guards against a call that is abandoned with its outcome lost."""
+    project = await service_project([])
+    gate = project.states[0].gate = asyncio.Event()
+    task = asyncio.create_task(project.call(ONCE, _request()))
+    await _until(lambda: project.states[0].running)
+    task.cancel()
+    gate.set()
+    await _until(lambda: project.scheduler.ends)
+    assert project.states[0].by_business_key == {'k1': 1}
+    assert project.scheduler.ends[0][1] is policy_api.AttemptEnd.COMPLETE
