--- /dev/null
+++ b/packages/daemon/src/dotterelweird/lifecycle.py
@@ -0,0 +1,67 @@
+"""The life cycle of an instance."""
+
+from collections.abc import Callable
+import logging
+
+import transitions
+
+from dotterelweir_core import events
+
+LOG = logging.getLogger(__name__)
+
+_STATE_EVENTS = {
+    'starting': events.INSTANCE_STARTING,
+    'ready': events.INSTANCE_READY,
+    'draining': events.INSTANCE_DRAINING,
+    'stopped': events.INSTANCE_STOPPED,
+}
+
+
+class Lifecycle:
+    """States of an instance: starting, ready, draining, stopped.
+
+    ``mark_ready``, ``drain`` and ``stop`` are the transitions; a repeated
+    one has no effect.
+    """
+
+    def __init__(self) -> None:
+        self._listeners: list[Callable[[str], None]] = []
+        self._machine = transitions.Machine(
+            model=self,
+            states=list(_STATE_EVENTS),
+            initial='starting',
+            auto_transitions=False,
+            ignore_invalid_triggers=True,
+            after_state_change='_notify',
+            transitions=[
+                {
+                    'trigger': 'mark_ready',
+                    'source': 'starting',
+                    'dest': 'ready',
+                },
+                {
+                    'trigger': 'drain',
+                    'source': ['starting', 'ready'],
+                    'dest': 'draining',
+                },
+                {
+                    'trigger': 'stop',
+                    'source': ['starting', 'ready', 'draining'],
+                    'dest': 'stopped',
+                },
+            ],
+        )
+
+    def subscribe(self, listener: Callable[[str], None]) -> None:
+        """Calls a function with each new state."""
+        self._listeners.append(listener)
+
+    @property
+    def accepts_requests(self) -> bool:
+        """Whether new requests are taken."""
+        return self.state == 'ready'
+
+    def _notify(self) -> None:
+        events.log(LOG, _STATE_EVENTS[self.state])
+        for listener in self._listeners:
+            listener(self.state)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/settings/loader.py
@@ -0,0 +1,252 @@
+"""Loading of the settings file, with every error at once."""
+
+from collections.abc import Callable
+import functools
+import pathlib
+import re
+import types
+import typing
+
+import attrs
+import cattrs
+import cattrs.gen
+import json5
+
+from dotterelweir_core import errors
+from dotterelweird.settings import model
+
+_PATH_STEP = re.compile(r'\.([^.\[]+)|\[(\d+)\]')
+
+
+@attrs.frozen
+class SettingsProblem:
+    """One wrong key.
+
+    Attributes:
+        file: Name of the settings file.
+        key: Path of the key, such as ``peers.listen.port``.
+        expected: What was expected.
+        found: What the file has.
+    """
+
+    file: str
+    key: str
+    expected: str
+    found: str
+
+    def __str__(self) -> str:
+        return (
+            f'{self.file}: {self.key}: expected {self.expected}, '
+            f'found {self.found}'
+        )
+
+
+class SettingsError(errors.DotterelweirError):
+    """The settings cannot be used.
+
+    Attributes:
+        problems: Every wrong key.
+    """
+
+    def __init__(self, problems: tuple[SettingsProblem, ...]) -> None:
+        super().__init__(
+            errors.ErrorKind.SETTINGS_INVALID,
+            '\n'.join(str(problem) for problem in problems),
+        )
+        self.problems = problems
+
+
+def load(path: pathlib.Path) -> model.Settings:
+    """Reads and checks a settings file in JSON with comments.
+
+    Args:
+        path: The file.
+
+    Returns:
+        The settings.
+
+    Raises:
+        SettingsError: The file cannot be read or some keys are wrong.
+    """
+    file_name = path.name
+    try:
+        text = path.read_text(encoding='utf-8')
+        document = json5.loads(text, allow_duplicate_keys=False)
+    except OSError as exc:
+        raise _single(file_name, 'a readable file', exc.strerror) from exc
+    except UnicodeDecodeError as exc:
+        raise _single(file_name, 'text in UTF-8', exc.reason) from exc
+    except ValueError as exc:
+        found = ' '.join(str(exc).split())
+        raise _single(file_name, 'JSON with comments', found) from exc
+    return structure(document, file_name)
+
+
+def structure(document: object, file_name: str) -> model.Settings:
+    """Turns a parsed document into settings.
+
+    Raises:
+        SettingsError: Some keys are wrong.
+    """
+    if not isinstance(document, dict):
+        raise _single(file_name, 'an object', _show(document))
+    try:
+        return _converter().structure(document, model.Settings)
+    except cattrs.BaseValidationError as exc:
+        lines = cattrs.transform_error(
+            exc, path='$', format_exception=_format_exception
+        )
+        problems = tuple(_problem(line, document, file_name) for line in lines)
+        raise SettingsError(problems) from exc
+
+
+def _single(file_name: str, expected: str, found: object) -> SettingsError:
+    problem = SettingsProblem(file_name, '(file)', expected, str(found))
+    return SettingsError((problem,))
+
+
+@functools.cache
+def _converter() -> cattrs.Converter:
+    converter = cattrs.Converter(
+        forbid_extra_keys=True, detailed_validation=True
+    )
+    for kind, expected in (
+        (bool, 'true or false'),
+        (int, 'a whole number'),
+        (float, 'a number'),
+        (str, 'a string'),
+    ):
+        converter.register_structure_hook(kind, _scalar_hook(kind, expected))
+    converter.register_structure_hook_func(
+        _is_optional_scalar, functools.partial(_structure_optional, converter)
+    )
+    converter.register_structure_hook_factory(
+        attrs.has, functools.partial(_class_hook, converter)
+    )
+    converter.register_structure_hook_factory(
+        _is_tuple, functools.partial(_tuple_hook, converter)
+    )
+    return converter
+
+
+def _is_optional_scalar(kind: object) -> bool:
+    return isinstance(kind, types.UnionType) and type(None) in kind.__args__
+
+
+def _is_tuple(kind: object) -> bool:
+    return typing.get_origin(kind) is tuple
+
+
+def _structure_optional(
+    converter: cattrs.Converter, value: object, kind: types.UnionType
+) -> object:
+    if value is None:
+        return None
+    inner = next(arg for arg in kind.__args__ if arg is not type(None))
+    return converter.structure(value, inner)
+
+
+def _scalar_hook(kind: type, expected: str) -> Callable:
+    def hook(value: object, _: type) -> object:
+        fits = isinstance(value, kind) and not (
+            kind is not bool and isinstance(value, bool)
+        )
+        if kind is float and type(value) is int:
+            return float(value)
+        if not fits:
+            raise TypeError(expected)
+        return value
+
+    return hook
+
+
+def _tuple_hook(converter: cattrs.Converter, kind: type) -> Callable:
+    item_kind = typing.get_args(kind)[0]
+    list_kind = list[item_kind]
+
+    def hook(value: object, _: type) -> tuple:
+        if not isinstance(value, list):
+            raise TypeError('a list')
+        return tuple(converter.structure(value, list_kind))
+
+    return hook
+
+
+def _class_hook(converter: cattrs.Converter, kind: type) -> Callable:
+    overrides = {
+        field.name: cattrs.gen.override(
+            struct_hook=_field_hook(converter, field)
+        )
+        for field in attrs.fields(attrs.resolve_types(kind))
+    }
+    inner = cattrs.gen.make_dict_structure_fn(
+        kind,
+        converter,
+        _cattrs_forbid_extra_keys=True,
+        _cattrs_detailed_validation=True,
+        **overrides,
+    )
+
+    def hook(value: object, target: type) -> object:
+        if not isinstance(value, dict):
+            raise TypeError('an object')
+        return inner(value, target)
+
+    return hook
+
+
+def _field_hook(
+    converter: cattrs.Converter, field: attrs.Attribute
+) -> Callable:
+    # Validators run here as well as in the class, because an error raised
+    # by the class's own constructor would not name the key.
+    def hook(value: object, kind: type) -> object:
+        structured = converter.structure(value, kind)
+        if field.validator is not None:
+            field.validator(None, field, structured)
+        return structured
+
+    return hook
+
+
+def _format_exception(exc: BaseException, kind: type | None) -> str:
+    match exc:
+        case KeyError():
+            return f'the key {exc.args[0]!r}'
+        case cattrs.ForbiddenExtraKeysError():
+            unknown = ', '.join(sorted(exc.extra_fields))
+            known = ', '.join(field.name for field in attrs.fields(exc.cl))
+            return f'only the keys {known}\0unknown: {unknown}'
+        case _:
+            return str(exc).removeprefix('must be ')
+
+
+def _problem(line: str, document: object, file_name: str) -> SettingsProblem:
+    message, _, path = line.rpartition(' @ ')
+    expected, _, found = message.partition('\0')
+    if not found:
+        expected, separator, value = expected.rpartition(', not ')
+        found = value if separator else _show(_lookup(document, path))
+        expected = expected if separator else value
+    key = path.removeprefix('$').lstrip('.') or '(top level)'
+    return SettingsProblem(file_name, key, expected, found)
+
+
+_MISSING = object()
+
+
+def _lookup(document: object, path: str) -> object:
+    value = document
+    for name, index in _PATH_STEP.findall(path):
+        try:
+            value = value[name] if name else value[int(index)]
+        except (KeyError, IndexError, TypeError):
+            return _MISSING
+    return value
+
+
+def _show(value: object) -> str:
+    if value is _MISSING:
+        return 'nothing'
+    text = json5.dumps(value, quote_keys=True, trailing_commas=False)
+    return text if len(text) <= 60 else text[:57] + '...'
--- a/packages/daemon/src/dotterelweird/settings/model.py
+++ b/packages/daemon/src/dotterelweird/settings/model.py
@@ -27,6 +27,21 @@
         raise ValueError('must not be empty')
 
 
+def _check_keys(
+    instance: object, attribute: attrs.Attribute, value: tuple[str, ...]
+) -> None:
+    if not value:
+        raise ValueError('at least one key, not []')
+    if any(not 16 <= len(key.encode()) <= 64 for key in value):
+        raise ValueError('keys of 16 to 64 bytes, not a shorter or longer one')
+
+
+def _level(instance: object, attribute: attrs.Attribute, value: str) -> None:
+    levels = ('DEBUG', 'INFO', 'WARNING', 'ERROR')
+    if value not in levels:
+        raise ValueError(f'one of {", ".join(levels)}, not {value}')
+
+
 @attrs.frozen
 class Address:
     """An IP address and a port.
@@ -150,26 +165,18 @@
     """Communication between instances.
 
     Attributes:
+        keys: Secrets of the keyed digest, of 16 to 64 bytes. The first
+            signs, all verify.
         listen: UDP address; the peer HTTP port has the same number.
-        keys: Secrets of the keyed digest. The first signs, all verify.
         period_s: Time between two probes.
         seeds: Addresses of peers that are tried besides the instance list.
     """
 
+    keys: tuple[str, ...] = attrs.field(validator=_check_keys)
     listen: Address = attrs.field(factory=Address)
-    keys: tuple[str, ...] = ()
     period_s: float = attrs.field(default=0.5, validator=_positive)
     seeds: tuple[Address, ...] = ()
 
-    @keys.validator
-    def _check_keys(
-        self, attribute: attrs.Attribute, value: tuple[str, ...]
-    ) -> None:
-        if not value:
-            raise ValueError('needs at least one key')
-        if any(not 16 <= len(key.encode()) <= 64 for key in value):
-            raise ValueError('each key must have 16 to 64 bytes')
-
 
 @attrs.frozen
 class Targets:
@@ -227,5 +234,5 @@
     targets: Targets = attrs.field(factory=Targets)
     limits: Limits = attrs.field(factory=Limits)
     drain_deadline_s: float | None = None
-    log_level: str = 'INFO'
+    log_level: str = attrs.field(default='INFO', validator=_level)
     seed: int | None = None
