Add the load tool: callers that verify order, origin and outcome

Cause: the demo has to count broken answers and repeated tokens from the caller's side, not from the system's own counters. Ruled out: a load generator from a package; none checks that every token comes once, in order and from one generation.

--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/load/__init__.py
@@ -0,0 +1,1 @@
+"""Load tool: callers that verify what they receive."""
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/load/caller.py
@@ -0,0 +1,298 @@
+"""Callers that check every token and every answer."""
+
+import asyncio
+import re
+import time
+
+import aiohttp
+import attrs
+import orjson
+
+from dotterelweir_fakes.load import balancer as balancer_module
+from dotterelweir_fakes.load import tally
+
+_RESUME_ATTEMPTS = 5
+_RESUME_PAUSE_S = 0.3
+_TOKEN_TEXT = re.compile(r'^(?P<generation>[^:]+):(?P<index>\d+) ?$')
+
+
+@attrs.define
+class StreamChecker:
+    """Checks the events of one answer: order, origin and repeats.
+
+    Attributes:
+        last_id: Id of the last event.
+        tokens: Tokens received.
+        duplicated_tokens: Tokens received again.
+        finished: Whether the end mark arrived.
+        fault: What was wrong first, one line.
+        problem: The problem document of an error event.
+        handover: Whether the instance asked to resume elsewhere.
+    """
+
+    last_id: str = ''
+    tokens: int = 0
+    duplicated_tokens: int = 0
+    finished: bool = False
+    fault: str = ''
+    problem: dict | None = None
+    handover: bool = False
+    _generation: str = ''
+
+    def event(self, event_id: str, name: str, data: str) -> None:
+        """Checks one event."""
+        if name == 'error':
+            self.problem = orjson.loads(data)
+            return
+        if name == 'handover':
+            self.handover = True
+            return
+        if data == '[DONE]':
+            self.finished = True
+            return
+        if event_id:
+            self.last_id = event_id
+        text = _content(orjson.loads(data))
+        if text:
+            self._check_token(text)
+
+    def _check_token(self, text: str) -> None:
+        match = _TOKEN_TEXT.match(text)
+        if match is None:
+            self.fault = self.fault or f'unexpected token {text[:40]!r}'
+            return
+        generation, index = match['generation'], int(match['index'])
+        self._generation = self._generation or generation
+        if generation != self._generation:
+            self.fault = self.fault or 'tokens of two generations'
+        elif index < self.tokens:
+            self.duplicated_tokens += 1
+        elif index > self.tokens:
+            self.fault = self.fault or (
+                f'token {index} arrived in place of {self.tokens}'
+            )
+        else:
+            self.tokens += 1
+
+
+def _content(chunk: dict) -> str:
+    choices = chunk.get('choices') or [{}]
+    choice = choices[0]
+    if 'delta' in choice:
+        return choice['delta'].get('content') or ''
+    return choice.get('text') or ''
+
+
+class Caller:
+    """Sends requests through the balancer and checks the answers."""
+
+    def __init__(
+        self,
+        http: aiohttp.ClientSession,
+        balancer: balancer_module.Balancer,
+    ) -> None:
+        self._http = http
+        self._balancer = balancer
+
+    async def stream(self, organisation: str, body: dict) -> tally.CallResult:
+        """Asks for a streamed chat completion; resumes a broken stream."""
+        started_s = time.monotonic()
+        checker = StreamChecker()
+        url = self._balancer.pick()
+        if url is None:
+            return _nobody_ready()
+        first_token_s: float | None = None
+        resumes = 0
+        while True:
+            try:
+                response = await self._open(url, organisation, body, checker)
+                if response.status != 200:
+                    return await _refusal(response, checker, resumes)
+                async for event in _events(response):
+                    checker.event(*event)
+                    if first_token_s is None and checker.tokens:
+                        first_token_s = time.monotonic() - started_s
+            except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+                checker.handover = bool(checker.last_id)
+                detail = type(exc).__name__
+            else:
+                detail = 'the stream ended without its end mark'
+            if checker.finished or checker.problem or checker.fault:
+                return _ended(checker, first_token_s, resumes)
+            if not checker.last_id or resumes >= _RESUME_ATTEMPTS:
+                return tally.CallResult(
+                    tally.Outcome.BROKEN,
+                    resumes=resumes,
+                    duplicated_tokens=checker.duplicated_tokens,
+                    detail=detail,
+                )
+            resumes += 1
+            await asyncio.sleep(_RESUME_PAUSE_S)
+            url = self._balancer.pick(avoid=url) or url
+
+    async def complete(
+        self, organisation: str, body: dict
+    ) -> tally.CallResult:
+        """Asks for a chat completion that is not streamed."""
+        url = self._balancer.pick()
+        if url is None:
+            return _nobody_ready()
+        headers = {'X-Organisation': organisation}
+        try:
+            async with self._http.post(
+                f'{url}/v1/chat/completions', json=body, headers=headers
+            ) as response:
+                if response.status != 200:
+                    return await _refusal(response, None, 0)
+                answer = await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            return tally.CallResult(
+                tally.Outcome.BROKEN, detail=type(exc).__name__
+            )
+        checker = StreamChecker()
+        content = answer['choices'][0]['message']['content']
+        for text in content.split():
+            checker.event('', '', _as_chunk(text))
+        wanted = body.get('max_tokens')
+        checker.finished = checker.tokens > 0 and (
+            wanted is None or checker.tokens <= wanted
+        )
+        return _ended(checker, None, 0)
+
+    async def call(
+        self,
+        organisation: str,
+        path: str,
+        body: dict,
+        business_key: str,
+        idempotency_key: str | None,
+    ) -> tally.CallResult:
+        """Calls a plain service once, without a retry of its own."""
+        url = self._balancer.pick()
+        if url is None:
+            return _nobody_ready(business_key)
+        headers = {'X-Organisation': organisation}
+        if idempotency_key is not None:
+            headers['Idempotency-Key'] = idempotency_key
+        try:
+            async with self._http.post(
+                f'{url}{path}', json=body, headers=headers
+            ) as response:
+                if response.status >= 400:
+                    result = await _refusal(response, None, 0)
+                    return attrs.evolve(result, business_key=business_key)
+                answer = await response.json()
+        except (aiohttp.ClientError, TimeoutError, OSError) as exc:
+            return tally.CallResult(
+                tally.Outcome.BROKEN,
+                detail=type(exc).__name__,
+                business_key=business_key,
+            )
+        own = answer.get('key') == business_key
+        return tally.CallResult(
+            tally.Outcome.WHOLE if own else tally.Outcome.BROKEN,
+            detail='' if own else 'the answer belongs to another request',
+            business_key=business_key,
+        )
+
+    async def _open(
+        self,
+        url: str,
+        organisation: str,
+        body: dict,
+        checker: StreamChecker,
+    ) -> aiohttp.ClientResponse:
+        headers = {'X-Organisation': organisation}
+        if checker.last_id:
+            headers['Last-Event-ID'] = checker.last_id
+            return await self._http.get(f'{url}/v1/streams', headers=headers)
+        return await self._http.post(
+            f'{url}/v1/chat/completions',
+            json={**body, 'stream': True},
+            headers=headers,
+        )
+
+
+def _as_chunk(text: str) -> str:
+    return orjson.dumps({'choices': [{'delta': {'content': text}}]}).decode()
+
+
+def _nobody_ready(business_key: str = '') -> tally.CallResult:
+    return tally.CallResult(
+        tally.Outcome.REFUSED,
+        execution='not run',
+        code='balancer-no-instance',
+        business_key=business_key,
+    )
+
+
+def _ended(
+    checker: StreamChecker, first_token_s: float | None, resumes: int
+) -> tally.CallResult:
+    problem = checker.problem or {}
+    if checker.fault:
+        outcome = tally.Outcome.BROKEN
+    elif problem:
+        outcome = tally.Outcome.INCOMPLETE
+    else:
+        outcome = (
+            tally.Outcome.WHOLE if checker.finished else tally.Outcome.BROKEN
+        )
+    return tally.CallResult(
+        outcome,
+        execution=str(problem.get('execution', '')),
+        code=str(problem.get('code', '')),
+        duplicated_tokens=checker.duplicated_tokens,
+        first_token_s=first_token_s,
+        resumes=resumes,
+        detail=checker.fault or str(problem.get('detail', '')),
+    )
+
+
+async def _refusal(
+    response: aiohttp.ClientResponse,
+    checker: StreamChecker | None,
+    resumes: int,
+) -> tally.CallResult:
+    body = await response.read()
+    duplicated = checker.duplicated_tokens if checker else 0
+    if response.content_type != 'application/problem+json':
+        return tally.CallResult(
+            tally.Outcome.BROKEN,
+            duplicated_tokens=duplicated,
+            resumes=resumes,
+            detail=f'status {response.status} without a problem document',
+        )
+    problem = orjson.loads(body)
+    outcome = tally.Outcome.REFUSED
+    if checker is not None and checker.last_id:
+        outcome = tally.Outcome.INCOMPLETE
+    return tally.CallResult(
+        outcome,
+        execution=str(problem.get('execution', '')),
+        code=str(problem.get('code', '')),
+        duplicated_tokens=duplicated,
+        resumes=resumes,
+        detail=str(problem.get('detail', '')),
+    )
+
+
+async def _events(response: aiohttp.ClientResponse):
+    """Yields (id, event name, data) of each server-sent event."""
+    event_id, name, data = '', '', []
+    async for raw in response.content:
+        line = raw.decode().rstrip('\r\n')
+        if not line:
+            if data:
+                yield event_id, name, '\n'.join(data)
+            event_id, name, data = '', '', []
+            continue
+        field, _, value = line.partition(':')
+        value = value.removeprefix(' ')
+        match field:
+            case 'id':
+                event_id = value
+            case 'event':
+                name = value
+            case 'data':
+                data.append(value)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/load/tally.py
@@ -0,0 +1,100 @@
+"""Counts of what callers received."""
+
+import enum
+
+import attrs
+
+
+class Outcome(enum.StrEnum):
+    """How one request ended for its caller."""
+
+    WHOLE = 'whole'
+    REFUSED = 'refused'
+    INCOMPLETE = 'incomplete'
+    BROKEN = 'broken'
+
+
+@attrs.frozen
+class CallResult:
+    """The result of one request.
+
+    Attributes:
+        outcome: How it ended.
+        execution: What the caller was told of its execution; empty for a
+            whole answer.
+        code: Code of the problem document, if there was one.
+        duplicated_tokens: Tokens that arrived more than once.
+        first_token_s: Time to the first token; None for plain calls.
+        resumes: How often the caller resumed a broken stream.
+        detail: What was wrong, one line.
+        business_key: Key that the plain service counts executions by.
+    """
+
+    outcome: Outcome
+    execution: str = ''
+    code: str = ''
+    duplicated_tokens: int = 0
+    first_token_s: float | None = None
+    resumes: int = 0
+    detail: str = ''
+    business_key: str = ''
+
+
+@attrs.define
+class Tally:
+    """Counts over many requests."""
+
+    results: list[CallResult] = attrs.field(factory=list)
+
+    def add(self, result: CallResult) -> None:
+        """Takes note of one result."""
+        self.results.append(result)
+
+    def count(self, outcome: Outcome) -> int:
+        """Requests with an outcome."""
+        return sum(1 for result in self.results if result.outcome is outcome)
+
+    def not_run_keys(self) -> set[str]:
+        """Business keys of calls that were told ``not run``."""
+        return {
+            result.business_key
+            for result in self.results
+            if result.business_key and result.execution == 'not run'
+        }
+
+    def summary(self, executions: dict[str, int]) -> dict[str, object]:
+        """The counts as one object.
+
+        Args:
+            executions: Executions by business key, as the plain services
+                counted them.
+        """
+        codes: dict[str, int] = {}
+        for result in self.results:
+            if result.code:
+                codes[result.code] = codes.get(result.code, 0) + 1
+        waits = sorted(
+            result.first_token_s
+            for result in self.results
+            if result.first_token_s is not None
+        )
+        median = round(waits[len(waits) // 2], 4) if waits else None
+        return {
+            'requests': len(self.results),
+            'whole': self.count(Outcome.WHOLE),
+            'refused': self.count(Outcome.REFUSED),
+            'incomplete': self.count(Outcome.INCOMPLETE),
+            'broken': self.count(Outcome.BROKEN),
+            'duplicated_tokens': sum(
+                result.duplicated_tokens for result in self.results
+            ),
+            'executed_twice': sum(
+                1 for count in executions.values() if count > 1
+            ),
+            'ran_despite_not_run': sum(
+                1 for key in self.not_run_keys() if executions.get(key, 0)
+            ),
+            'resumes': sum(result.resumes for result in self.results),
+            'first_token_p50_s': median,
+            'refusals_by_code': codes,
+        }
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/load/workload.py
@@ -0,0 +1,150 @@
+"""Seeded mixed load of the two deployments."""
+
+import asyncio
+import random
+
+import attrs
+
+from dotterelweir_fakes.load import caller as caller_module
+from dotterelweir_fakes.load import tally
+
+_LONG_MEDIAN_TOKENS = 120
+_LONG_SPREAD = 0.8
+_LONG_MAX_TOKENS = 1_500
+_SHORT_MAX_TOKENS = 12
+
+
+@attrs.frozen
+class Deployment:
+    """Names and sizes of one deployment.
+
+    Attributes:
+        name: Name of the deployment.
+        zones: Availability zones.
+        engine_service: Service of the model engines.
+        plain_service: Service of the plain targets.
+        model: Model that callers name.
+        booking_path: Path of the calls that may not be repeated.
+        lookup_path: Path of the calls that may be repeated.
+        engines: Number of engines.
+        plain_targets: Number of plain targets.
+        organisations: Names and weights of the organisations.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    engine_service: str
+    plain_service: str
+    model: str
+    booking_path: str
+    lookup_path: str
+    engines: int = 7
+    plain_targets: int = 3
+    organisations: tuple[tuple[str, float], ...] = tuple(
+        (f'org-{index}', 6.0 if index < 3 else 1.0) for index in range(10)
+    )
+
+
+DEPLOYMENTS = {
+    'zwojex': Deployment(
+        name='zwojex',
+        zones=('poznan-a', 'poznan-b', 'kalisz'),
+        engine_service='guide-llm',
+        plain_service='dealer-shop',
+        model='guide',
+        booking_path='/shop/orders',
+        lookup_path='/shop/stock',
+    ),
+    'tierraviva': Deployment(
+        name='tierraviva',
+        zones=('quito-a', 'quito-b', 'ibarra-c'),
+        engine_service='weir-models',
+        plain_service='sheets-app',
+        model='report',
+        booking_path='/sheets/certificates',
+        lookup_path='/sheets/search',
+    ),
+}
+
+
+class Workload:
+    """Starts requests at random times and collects their results."""
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        caller: caller_module.Caller,
+        rng: random.Random,
+        requests_per_s: float,
+    ) -> None:
+        self._deployment = deployment
+        self._caller = caller
+        self._rng = rng
+        self._requests_per_s = requests_per_s
+        self._sequence = 0
+        self.tally = tally.Tally()
+
+    async def run(self, duration_s: float) -> None:
+        """Sends requests for a time and waits for every answer."""
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + duration_s
+        tasks: set[asyncio.Task] = set()
+        while loop.time() < end_s:
+            tasks.add(asyncio.create_task(self._one()))
+            await asyncio.sleep(self._rng.expovariate(self._requests_per_s))
+        await asyncio.gather(*tasks)
+
+    async def _one(self) -> None:
+        self._sequence += 1
+        names, weights = zip(*self._deployment.organisations, strict=True)
+        organisation = self._rng.choices(names, weights)[0]
+        draw = self._rng.random()
+        if draw < 0.35:
+            result = await self._caller.stream(organisation, self._long())
+        elif draw < 0.55:
+            result = await self._caller.stream(organisation, self._short())
+        elif draw < 0.65:
+            result = await self._caller.complete(organisation, self._short())
+        else:
+            result = await self._plain(organisation, draw < 0.9)
+        self.tally.add(result)
+
+    async def _plain(
+        self, organisation: str, booking: bool
+    ) -> tally.CallResult:
+        key = f'call-{self._rng.getrandbits(48):012x}-{self._sequence}'
+        path = (
+            self._deployment.booking_path
+            if booking
+            else self._deployment.lookup_path
+        )
+        keyed = booking and self._rng.random() < 0.5
+        result = await self._caller.call(
+            organisation, path, {'key': key}, key, key if keyed else None
+        )
+        if keyed and self._rng.random() < 0.4:
+            # A caller that lost its answer repeats the call elsewhere.
+            self.tally.add(result)
+            result = await self._caller.call(
+                organisation, path, {'key': key}, key, key
+            )
+        return result
+
+    def _long(self) -> dict:
+        tokens = int(
+            _LONG_MEDIAN_TOKENS * self._rng.lognormvariate(0.0, _LONG_SPREAD)
+        )
+        return self._body('long', max(8, min(tokens, _LONG_MAX_TOKENS)))
+
+    def _short(self) -> dict:
+        return self._body('short', self._rng.randint(2, _SHORT_MAX_TOKENS))
+
+    def _body(self, kind: str, tokens: int) -> dict:
+        words = ' '.join(
+            f'{kind}{self._rng.randint(0, 999)}' for _ in range(40)
+        )
+        return {
+            'model': f'{self._deployment.model}-{kind}',
+            'messages': [{'role': 'user', 'content': words}],
+            'max_tokens': tokens,
+        }
