Add the registry and the monitor of targets

Ruled out: ordering incarnations by number (the list only promises that they differ between runs), so evidence decides: an own answer wins over the list, the list replaces an incarnation only after 3 s without an answer, and a replaced one returns only by a newer own answer. Dropping a target that the list omits at once was ruled out because the list lags. Conclusion: the monitor reads the list, polls the watched targets (all, or those chosen by rendezvous hashing) and keeps the dispatcher's pools right.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -169,3 +169,15 @@
     logging.WARNING,
     'The instance list cannot be read; the last one stays in use.',
 )
+INSTANCE_LIST_REACHABLE = _event(
+    403,
+    'instance-list-reachable',
+    logging.INFO,
+    'The instance list can be read again.',
+)
+LOAD_REPORT_FAILED = _event(
+    404,
+    'load-report-failed',
+    logging.DEBUG,
+    'The load report of a target could not be read.',
+)
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/targets/registry.py
@@ -0,0 +1,376 @@
+"""What one instance knows of the targets.
+
+Four sources are merged: the instance list, the targets' own answers, load
+reports and peers. An incarnation that was once said to be leaving stays so,
+whatever a later or lagging source says.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import enum
+
+import attrs
+
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_core.targets import model
+
+# An incarnation that answered within this time is not replaced on the word
+# of the list alone, because the list may lag behind the target.
+CONFIRMED_S = 3.0
+# A target that the list omits is kept this long after its last answer; a
+# plain service without load reports answers only when it is called.
+UNLISTED_GRACE_S = 10.0
+# News of old incarnations outlives every lagging list and peer.
+RETENTION_S = 3600.0
+# Bounds the memory of news on unknown incarnations to about 1 MB.
+NEWS_MAX = 4096
+
+
+class Source(enum.StrEnum):
+    """Where news of a target came from."""
+
+    LIST = 'list'
+    ANSWER = 'answer'
+    PEER = 'peer'
+
+
+@attrs.frozen
+class TargetStatus:
+    """What is known of one incarnation of a target.
+
+    Attributes:
+        target: The target.
+        state: Whether it takes new work.
+        report: Its newest load report, if there is one.
+        leaving_source: Who said first that it is leaving.
+    """
+
+    target: model.Target
+    state: model.TargetState
+    report: model.LoadReport | None = None
+    leaving_source: Source | None = None
+
+
+@attrs.frozen
+class Change:
+    """A target whose state changed.
+
+    Attributes:
+        target: The target.
+        state: Its new state.
+        source: Where the news came from.
+    """
+
+    target: model.Target
+    state: model.TargetState
+    source: Source
+
+
+Subscriber = Callable[[Change], None]
+
+
+@attrs.define
+class _Entry:
+    target: model.Target
+    adopted_s: float
+    listed: bool = False
+    listed_s: float | None = None
+    answered_s: float | None = None
+    report: model.LoadReport | None = None
+    gone: bool = False
+
+
+@attrs.frozen
+class _Leaving:
+    source: Source
+    learned_s: float
+
+
+class TargetRegistry:
+    """Merges the news of targets. Times are monotonic seconds."""
+
+    def __init__(self) -> None:
+        self._current: dict[str, _Entry] = {}
+        self._leaving: dict[tuple[str, int], _Leaving] = {}
+        # Entries that another incarnation replaced, with the time of it.
+        self._replaced: dict[tuple[str, int], tuple[_Entry, float]] = {}
+        self._subscribers: list[Subscriber] = []
+
+    def subscribe(self, subscriber: Subscriber) -> Callable[[], None]:
+        """Calls a function at every change; returns how to end that."""
+        self._subscribers.append(subscriber)
+        return lambda: self._subscribers.remove(subscriber)
+
+    # Queries.
+
+    def get(
+        self, target_id: str, incarnation: int | None = None
+    ) -> model.Target | None:
+        """A live or leaving target.
+
+        Args:
+            target_id: Name of the target.
+            incarnation: The incarnation wanted; the current one if None. A
+                replaced one is found while it may still finish its work.
+        """
+        entry = self._current.get(target_id)
+        if incarnation is not None and (
+            entry is None or entry.target.incarnation != incarnation
+        ):
+            entry, _ = self._replaced.get(
+                (target_id, incarnation), (None, 0.0)
+            )
+        return None if entry is None or entry.gone else entry.target
+
+    def all(self) -> tuple[model.Target, ...]:
+        """Every live or leaving target, by name."""
+        return tuple(
+            entry.target
+            for _, entry in sorted(self._current.items())
+            if not entry.gone
+        )
+
+    def status(self, target_id: str) -> TargetStatus | None:
+        """What is known of the current incarnation of a target."""
+        entry = self._current.get(target_id)
+        return None if entry is None else self._status(entry)
+
+    def statuses(self) -> tuple[TargetStatus, ...]:
+        """What is known of every target, by name."""
+        return tuple(
+            self._status(entry) for _, entry in sorted(self._current.items())
+        )
+
+    def leaving(self) -> tuple[tuple[str, int], ...]:
+        """Names and incarnations of everything known to be leaving."""
+        return tuple(self._leaving)
+
+    def targets_for(self, pool: tables_model.Pool) -> tuple[model.Target, ...]:
+        """The targets of a pool that may get new work, by name."""
+        return tuple(
+            entry.target
+            for _, entry in sorted(self._current.items())
+            if self._state(entry) is model.TargetState.LIVE
+            and _belongs(entry, pool)
+        )
+
+    # Commands.
+
+    def record_list(
+        self,
+        rows: Iterable[tuple[model.Target, model.TargetState]],
+        now_s: float,
+    ) -> None:
+        """Takes a whole instance list, which may lag."""
+        listed: dict[tuple[str, int], model.Target] = {}
+        for target, state in rows:
+            key = (target.target_id, target.incarnation)
+            listed[key] = target
+            if state is not model.TargetState.LIVE:
+                self._mark_leaving(key, Source.LIST, now_s)
+        # Leaving incarnations first, so that a live one replaces them when
+        # the list shows both.
+        for key, target in sorted(
+            listed.items(), key=lambda row: row[0] not in self._leaving
+        ):
+            if self._list_may_adopt(key, target, now_s):
+                self._adopt(target, Source.LIST, now_s)
+        for entry in list(self._current.values()):
+            entry.listed = _key(entry.target) in listed
+            if entry.listed:
+                entry.listed_s = now_s
+        self.expire(now_s)
+
+    def record_report(
+        self,
+        target: model.Target,
+        report: model.LoadReport,
+        asked_s: float,
+        now_s: float,
+        source: Source = Source.ANSWER,
+    ) -> None:
+        """Takes a load report.
+
+        Args:
+            target: The target that was asked.
+            report: Its report; a report of another target is ignored,
+                because then the address has passed to that one.
+            asked_s: When the request was sent.
+            now_s: The time.
+            source: ANSWER for an own request, PEER for a peer's.
+        """
+        if report.target_id != target.target_id:
+            return
+        known = self._current.get(target.target_id)
+        if (
+            source is Source.PEER
+            and known is not None
+            and known.report is not None
+            and report.measured_at_s <= known.report.measured_at_s
+        ):
+            # A delayed datagram; still good for news of leaving.
+            if report.state is not model.TargetState.LIVE:
+                self.record_leaving(
+                    report.target_id, report.incarnation, now_s
+                )
+            return
+        self.record_answer(
+            attrs.evolve(target, incarnation=report.incarnation),
+            report.state,
+            asked_s,
+            now_s,
+            source,
+        )
+        entry = self._current.get(target.target_id)
+        if (
+            entry is not None
+            and entry.target.incarnation == report.incarnation
+            and (
+                entry.report is None
+                or entry.report.measured_at_s <= report.measured_at_s
+            )
+        ):
+            entry.report = report
+
+    def record_answer(
+        self,
+        target: model.Target,
+        state: model.TargetState,
+        asked_s: float,
+        now_s: float,
+        source: Source = Source.ANSWER,
+    ) -> None:
+        """Takes a target's own answer, with the incarnation that gave it.
+
+        An answer to a request that was sent before another incarnation
+        became known here does not bring the old one back.
+        """
+        key = _key(target)
+        if state is not model.TargetState.LIVE:
+            self._mark_leaving(key, source, now_s)
+        entry = self._current.get(target.target_id)
+        if entry is None or entry.target.incarnation != target.incarnation:
+            if key in self._replaced and source is not Source.ANSWER:
+                return
+            if entry is not None and asked_s < entry.adopted_s:
+                return
+            entry = self._adopt(target, source, now_s)
+        entry.answered_s = max(asked_s, entry.answered_s or asked_s)
+        if entry.gone:
+            entry.gone = False
+            self._notify(entry, source)
+
+    def record_leaving(
+        self, target_id: str, incarnation: int, now_s: float
+    ) -> None:
+        """Takes a peer's news that an incarnation is leaving."""
+        self._mark_leaving((target_id, incarnation), Source.PEER, now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Drops targets that are neither listed nor answering."""
+        for entry in list(self._current.values()):
+            if entry.listed:
+                continue
+            last_s = max(
+                entry.adopted_s,
+                entry.answered_s or 0.0,
+                entry.listed_s or 0.0,
+            )
+            if not entry.gone and now_s - last_s > UNLISTED_GRACE_S:
+                entry.gone = True
+                self._notify(entry, Source.LIST)
+            if entry.gone and now_s - last_s > RETENTION_S:
+                del self._current[entry.target.target_id]
+        for key, (_, replaced_s) in list(self._replaced.items()):
+            if now_s - replaced_s > RETENTION_S:
+                del self._replaced[key]
+        self._forget_old_news(now_s)
+
+    def _list_may_adopt(
+        self, key: tuple[str, int], target: model.Target, now_s: float
+    ) -> bool:
+        entry = self._current.get(target.target_id)
+        if entry is None:
+            return True
+        if entry.target.incarnation == target.incarnation:
+            if entry.gone:
+                entry.gone = False
+                self._notify(entry, Source.LIST)
+            return False
+        if key in self._replaced:
+            return False
+        moved = entry.target.base_url != target.base_url
+        if moved and _key(entry.target) in self._leaving:
+            return True
+        answered = entry.report is not None and entry.answered_s is not None
+        return not answered or now_s - entry.answered_s > CONFIRMED_S
+
+    def _adopt(
+        self, target: model.Target, source: Source, now_s: float
+    ) -> _Entry:
+        old = self._current.get(target.target_id)
+        if old is not None:
+            self._replaced[_key(old.target)] = (old, now_s)
+        self._replaced.pop(_key(target), None)
+        entry = _Entry(target, now_s)
+        self._current[target.target_id] = entry
+        self._notify(entry, source)
+        return entry
+
+    def _mark_leaving(
+        self, key: tuple[str, int], source: Source, now_s: float
+    ) -> None:
+        if key in self._leaving:
+            return
+        self._leaving[key] = _Leaving(source, now_s)
+        entry = self._current.get(key[0])
+        if entry is not None and _key(entry.target) == key:
+            self._notify(entry, source)
+
+    def _forget_old_news(self, now_s: float) -> None:
+        known = {_key(entry.target) for entry in self._current.values()}
+        unknown = [key for key in self._leaving if key not in known]
+        excess = len(unknown) - NEWS_MAX
+        for position, key in enumerate(unknown):
+            age_s = now_s - self._leaving[key].learned_s
+            if position < excess or age_s > RETENTION_S:
+                del self._leaving[key]
+
+    def _state(self, entry: _Entry) -> model.TargetState:
+        if entry.gone:
+            return model.TargetState.GONE
+        if _key(entry.target) in self._leaving:
+            return model.TargetState.LEAVING
+        return model.TargetState.LIVE
+
+    def _status(self, entry: _Entry) -> TargetStatus:
+        leaving = self._leaving.get(_key(entry.target))
+        return TargetStatus(
+            entry.target,
+            self._state(entry),
+            entry.report,
+            None if leaving is None else leaving.source,
+        )
+
+    def _notify(self, entry: _Entry, source: Source) -> None:
+        change = Change(entry.target, self._state(entry), source)
+        for subscriber in list(self._subscribers):
+            subscriber(change)
+
+
+def _key(target: model.Target) -> tuple[str, int]:
+    return (target.target_id, target.incarnation)
+
+
+def _belongs(entry: _Entry, pool: tables_model.Pool) -> bool:
+    target = entry.target
+    if target.service != pool.service:
+        return False
+    if pool.zones and target.zone not in pool.zones:
+        return False
+    if pool.target_ids and target.target_id not in pool.target_ids:
+        return False
+    loaded = entry.report.models if entry.report is not None else ()
+    # An engine that names its models and lacks the pool's would fail the
+    # request; one that names none is given the benefit of the doubt.
+    return not (pool.model and loaded and pool.model not in loaded)
--- /dev/null
+++ b/packages/core/tests/targets/test_registry.py
@@ -0,0 +1,255 @@
+"""Tests of the registry of targets."""
+
+import attrs
+import pytest
+
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_core.targets import model
+from dotterelweir_core.targets import registry
+from dotterelweir_core.targets import watchers
+
+LIVE = model.TargetState.LIVE
+LEAVING = model.TargetState.LEAVING
+POOL = tables_model.Pool('llm', model.TargetKind.ENGINE, 'guide-llm')
+
+
+def target(incarnation=7, host='127.0.0.1', target_id='e1', zone='a'):
+    return model.Target(target_id, incarnation, 'guide-llm', zone, host, 80)
+
+
+def report(incarnation=7, state=LIVE, measured_at_s=0.0, **fields):
+    return model.LoadReport(
+        'e1', incarnation, state, measured_at_s=measured_at_s, **fields
+    )
+
+
+def usable(known):
+    return [t.incarnation for t in known.targets_for(POOL)]
+
+
+def listing(incarnation, state=LIVE, host='127.0.0.1'):
+    return lambda known, now_s: known.record_list(
+        [(target(incarnation, host), state)], now_s
+    )
+
+
+def empty_list(known, now_s):
+    known.record_list([], now_s)
+
+
+def answer(incarnation, state=LIVE, asked_ago_s=0.1):
+    return lambda known, now_s: known.record_report(
+        target(),
+        report(incarnation, state, now_s),
+        now_s - asked_ago_s,
+        now_s,
+    )
+
+
+def peer(incarnation, state=LIVE, measured_at_s=0.0):
+    return lambda known, now_s: known.record_report(
+        target(),
+        report(incarnation, state, measured_at_s),
+        now_s,
+        now_s,
+        registry.Source.PEER,
+    )
+
+
+def peer_leaving(incarnation):
+    return lambda known, now_s: known.record_leaving('e1', incarnation, now_s)
+
+
+# Each case: what it guards against, steps of (time, news), the incarnations
+# that may get new work at the end.
+CASES = [
+    (
+        'lagging list revives a target that said it is leaving',
+        [(0, listing(7)), (1, answer(7, LEAVING)), (2, listing(7))],
+        [],
+    ),
+    (
+        'own answer revives a target that the list shows as leaving',
+        [(0, listing(7, LEAVING)), (1, answer(7)), (2, listing(7))],
+        [],
+    ),
+    (
+        'peer news is lost when it precedes the list',
+        [(0, peer_leaving(7)), (1, listing(7)), (2, answer(7))],
+        [],
+    ),
+    (
+        'leaving of the old incarnation hits the new one',
+        [(0, listing(7)), (1, peer_leaving(7)), (2, answer(8))],
+        [8],
+    ),
+    (
+        'lagging list brings an old incarnation back',
+        [(0, listing(7)), (1, answer(8)), (2, listing(7)), (8, listing(7))],
+        [8],
+    ),
+    (
+        'lagging list brings an old incarnation back after a silence',
+        [(0, listing(7)), (1, answer(8)), (2, listing(7)), (60, listing(7))],
+        [],
+    ),
+    (
+        'list of an unknown incarnation replaces one that just answered',
+        [(0, listing(7)), (1, answer(8)), (2, listing(6))],
+        [8],
+    ),
+    (
+        'new incarnation in the list is ignored for ever',
+        [(0, listing(7)), (1, answer(7)), (5, listing(8))],
+        [8],
+    ),
+    (
+        'late answer of the old incarnation replaces the new one',
+        [(0, listing(7)), (4, listing(8)), (4.5, answer(7, LIVE, 1.0))],
+        [8],
+    ),
+    (
+        'delayed peer report brings an old incarnation back',
+        [(0, listing(8)), (1, answer(8)), (2, peer(7, LIVE, 0.5))],
+        [8],
+    ),
+    (
+        'peer report of a new incarnation is ignored',
+        [(0, listing(7)), (1, peer(7, LIVE, 1.0)), (2, peer(8, LIVE, 2.0))],
+        [8],
+    ),
+    (
+        'target missing from the list is dropped while it answers',
+        [(0, listing(7)), (1, empty_list), (9, answer(7)), (18, empty_list)],
+        [7],
+    ),
+    (
+        'target missing from the list and silent is kept',
+        [(0, listing(7)), (1, empty_list), (18, empty_list)],
+        [],
+    ),
+    (
+        'target that left the list and came back stays gone',
+        [(0, listing(7)), (1, empty_list), (18, empty_list), (19, listing(7))],
+        [7],
+    ),
+    (
+        'leaving target that left the list comes back live',
+        [
+            (0, listing(7, LEAVING)),
+            (1, empty_list),
+            (18, empty_list),
+            (19, listing(7)),
+        ],
+        [],
+    ),
+    (
+        'replacement at another address waits for a leaving target',
+        [
+            (0, listing(7)),
+            (1, answer(7, LEAVING)),
+            (1.5, listing(8, LIVE, '127.0.0.2')),
+        ],
+        [8],
+    ),
+    (
+        'one silent hour forgets that an incarnation in the list left',
+        [(0, listing(7, LEAVING)), (4000, listing(7)), (8000, listing(7))],
+        [],
+    ),
+]
+
+
+@pytest.mark.parametrize(
+    ('steps', 'expected'),
+    [case[1:] for case in CASES],
+    ids=[case[0] for case in CASES],
+)
+def test_news(steps, expected):
+    """Guards against the failure that the case is named after."""
+    known = registry.TargetRegistry()
+    for now_s, news in steps:
+        news(known, now_s)
+    assert usable(known) == expected
+
+
+def test_both_incarnations_in_one_list():
+    """Guards against the order of rows deciding which one is current."""
+    rows = [(target(8), LIVE), (target(7), LEAVING)]
+    for order in (rows, rows[::-1]):
+        known = registry.TargetRegistry()
+        known.record_list(order, 0.0)
+        assert usable(known) == [8]
+        assert known.get('e1', 7).incarnation == 7
+
+
+def test_report_of_another_target_at_the_address_is_ignored():
+    """Guards against a reused address that speaks for its predecessor."""
+    known = registry.TargetRegistry()
+    known.record_list([(target(), LIVE)], 0.0)
+    other = attrs.evolve(report(9, LEAVING), target_id='e2')
+    known.record_report(target(), other, 0.5, 1.0)
+    assert usable(known) == [7]
+
+
+@pytest.mark.parametrize(
+    ('fields', 'loaded', 'expected'),
+    [
+        ({'zones': ('b',)}, (), []),
+        ({'zones': ('a',)}, (), [7]),
+        ({'target_ids': ('e2',)}, (), []),
+        ({'service': 'other'}, (), []),
+        ({'model': 'm'}, ('n',), []),
+        ({'model': 'm'}, ('m', 'n'), [7]),
+        ({'model': 'm'}, (), [7]),
+    ],
+)
+def test_pool_membership(fields, loaded, expected):
+    """Guards against work for a target outside its pool."""
+    known = registry.TargetRegistry()
+    known.record_list([(target(), LIVE)], 0.0)
+    known.record_report(target(), report(models=loaded), 0.5, 1.0)
+    pool = attrs.evolve(POOL, **fields)
+    assert [t.incarnation for t in known.targets_for(pool)] == expected
+
+
+def test_subscribers_see_each_change_once():
+    """Guards against repeated or missing notifications."""
+    known = registry.TargetRegistry()
+    seen = []
+    end = known.subscribe(lambda change: seen.append(change.state.value))
+    for now_s in range(3):
+        known.record_list([(target(), LIVE)], now_s)
+        known.record_leaving('e1', 6, now_s)
+    for now_s in range(3, 6):
+        known.record_leaving('e1', 7, now_s)
+    assert seen == ['live', 'leaving']
+    end()
+    known.record_list([(target(8), LIVE)], 20.0)
+    assert len(seen) == 2
+
+
+def test_news_of_unknown_targets_is_bounded():
+    """Guards against memory that grows with every incarnation heard of."""
+    known = registry.TargetRegistry()
+    for incarnation in range(registry.NEWS_MAX + 100):
+        known.record_leaving('e1', incarnation, 0.0)
+    known.expire(1.0)
+    assert len(known.leaving()) == registry.NEWS_MAX
+    known.expire(registry.RETENTION_S + 2.0)
+    assert known.leaving() == ()
+
+
+def test_watchers_move_little():
+    """Guards against a restart that moves most targets to other watchers."""
+    instances = [f'i{n}' for n in range(53)]
+    names = [f'e{n}' for n in range(243)]
+    before = {n: watchers.choose_watchers(n, instances, 2) for n in names}
+    after = {
+        n: watchers.choose_watchers(n, reversed(instances[1:]), 2)
+        for n in names
+    }
+    moved = [n for n in names if before[n] != after[n]]
+    assert all('i0' in before[n] for n in moved)
+    assert 0 < len(moved) < 40
+    assert len(watchers.choose_watchers('e1', instances, 0)) == 53
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/targets/monitor.py
@@ -0,0 +1,256 @@
+"""Keeps the registry and the dispatcher informed about targets."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_core.targets import model
+from dotterelweir_core.targets import registry as target_registry
+from dotterelweir_core.targets import watchers
+from dotterelweird import dispatch
+from dotterelweird.platform import api as platform_api
+from dotterelweird.settings import model as settings_model
+from dotterelweird.targets import api as targets_api
+
+LOG = logging.getLogger(__name__)
+
+# Entry instances are in the instance list under this service.
+INSTANCE_SERVICE = 'dotterelweir'
+# Polls are spread over this many ticks of one load period.
+TICKS_PER_PERIOD = 10
+
+ListSubscriber = Callable[[tuple[platform_api.ListedInstance, ...]], None]
+
+
+class TargetMonitor:
+    """Reads the instance list and polls the load of watched targets."""
+
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        rng: random.Random,
+        settings: settings_model.Settings,
+        instance_list: platform_api.InstanceList,
+        load_client: targets_api.LoadClient,
+        registry: target_registry.TargetRegistry,
+        dispatcher: dispatch.Dispatcher,
+        tables: Callable[[], tables_model.Tables],
+        live_instances: Callable[[str], tuple[str, ...]],
+        on_list: ListSubscriber | None = None,
+        on_report: Callable[[model.LoadReport], None] | None = None,
+    ) -> None:
+        """Wires the monitor; ``start`` begins its work.
+
+        Args:
+            timer: Source of time.
+            rng: Random source of the jitter.
+            settings: Settings of this instance.
+            instance_list: The platform's list.
+            load_client: Reader of load reports.
+            registry: What this instance knows of targets.
+            dispatcher: Gets the targets of each pool and the reports.
+            tables: Query of the current tables.
+            live_instances: Query of the live instances of a zone; of all
+                zones for an empty name.
+            on_list: Told the rows of entry instances at each read.
+            on_report: Told each report that this instance has read.
+        """
+        self._timer = timer
+        self._rng = rng
+        self._settings = settings
+        self._list = instance_list
+        self._load_client = load_client
+        self._registry = registry
+        self._dispatcher = dispatcher
+        self._tables = tables
+        self._live_instances = live_instances
+        self._on_list = on_list
+        self._on_report = on_report
+        self._pools: dict[str, tuple[model.Target, ...]] = {}
+        self._due_s: dict[str, float] = {}
+        self._polls: dict[str, asyncio.Task] = {}
+        self._read: asyncio.Task | None = None
+        self._list_failed = False
+        self._handles: list[timers.TimerHandle] = []
+        self._unsubscribe: Callable[[], None] | None = None
+
+    def start(self) -> None:
+        """Begins to read and to poll, on the running event loop."""
+        self._unsubscribe = self._registry.subscribe(self._target_changed)
+        self._read_list()
+        self._handles = [
+            self._timer.subscribe(
+                self._settings.platform.instances_period_s,
+                self._read_list,
+                0.1,
+                self._rng,
+            ),
+            self._timer.subscribe(
+                self._settings.targets.load_period_s / TICKS_PER_PERIOD,
+                self._poll_due,
+            ),
+        ]
+
+    async def stop(self) -> None:
+        """Ends all reads and polls."""
+        for handle in self._handles:
+            handle.cancel()
+        if self._unsubscribe is not None:
+            self._unsubscribe()
+            self._unsubscribe = None
+        tasks = list(self._polls.values())
+        if self._read is not None:
+            tasks.append(self._read)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def refresh(self) -> None:
+        """Passes the targets of every pool on, where they changed."""
+        pools = self._tables().pools
+        for name in list(self._pools):
+            if name not in pools:
+                del self._pools[name]
+                self._dispatcher.set_targets(name, ())
+        for name, pool in pools.items():
+            targets = self._registry.targets_for(pool)
+            if self._pools.get(name) != targets:
+                self._pools[name] = targets
+                self._dispatcher.set_targets(name, targets)
+
+    def record_peer_report(self, report: model.LoadReport) -> None:
+        """Takes a load report that a peer has read."""
+        target = self._registry.get(report.target_id)
+        if target is not None:
+            self._take_report(target, report, target_registry.Source.PEER)
+
+    def watches(self, target: model.Target) -> bool:
+        """Whether this instance polls a target."""
+        count = self._settings.targets.watchers_per_target
+        if not count:
+            return True
+        # A zone without a live instance is watched from the others.
+        instances = self._live_instances(target.zone) or self._live_instances(
+            ''
+        )
+        own = self._settings.instance_id
+        if target.zone == self._settings.zone or not instances:
+            instances = tuple({*instances, own})
+        chosen = watchers.choose_watchers(target.target_id, instances, count)
+        return own in chosen
+
+    def _target_changed(self, change: target_registry.Change) -> None:
+        events.log(
+            LOG,
+            events.TARGET_STATE_CHANGED,
+            target_id=change.target.target_id,
+            incarnation=change.target.incarnation,
+            state=change.state.value,
+            source=change.source.value,
+        )
+        self.refresh()
+
+    def _read_list(self) -> None:
+        if self._read is None or self._read.done():
+            self._read = asyncio.get_running_loop().create_task(
+                self._read_list_once()
+            )
+
+    async def _read_list_once(self) -> None:
+        try:
+            rows = await self._list.fetch()
+        except errors.DotterelweirError as error:
+            if not self._list_failed:
+                self._list_failed = True
+                events.log(
+                    LOG, events.INSTANCE_LIST_UNREACHABLE, reason=str(error)
+                )
+            return
+        if self._list_failed:
+            self._list_failed = False
+            events.log(LOG, events.INSTANCE_LIST_REACHABLE)
+        self._registry.record_list(
+            (
+                (row.target, row.state)
+                for row in rows
+                if row.target.service != INSTANCE_SERVICE
+            ),
+            self._timer.monotonic_s(),
+        )
+        self.refresh()
+        if self._on_list is not None:
+            self._on_list(
+                tuple(
+                    row
+                    for row in rows
+                    if row.target.service == INSTANCE_SERVICE
+                )
+            )
+
+    def _poll_due(self) -> None:
+        now_s = self._timer.monotonic_s()
+        period_s = self._settings.targets.load_period_s
+        known = self._registry.all()
+        for gone in self._due_s.keys() - {t.target_id for t in known}:
+            del self._due_s[gone]
+        for target in known:
+            name = target.target_id
+            due_s = self._due_s.setdefault(
+                name, now_s + self._rng.uniform(0.0, period_s / 2)
+            )
+            if due_s > now_s or name in self._polls:
+                continue
+            self._due_s[name] = max(due_s + period_s, now_s + period_s / 2)
+            if self.watches(target):
+                self._polls[name] = asyncio.get_running_loop().create_task(
+                    self._poll(target)
+                )
+        self.refresh()
+
+    async def _poll(self, target: model.Target) -> None:
+        asked_s = self._timer.monotonic_s()
+        try:
+            report = await self._load_client.load(
+                target, self._settings.targets.load_timeout_s
+            )
+        except errors.DotterelweirError as error:
+            events.log(
+                LOG,
+                events.LOAD_REPORT_FAILED,
+                target_id=target.target_id,
+                reason=str(error),
+            )
+            return
+        finally:
+            self._polls.pop(target.target_id, None)
+        self._take_report(
+            target, report, target_registry.Source.ANSWER, asked_s
+        )
+        if self._on_report is not None and report.target_id == (
+            target.target_id
+        ):
+            self._on_report(report)
+
+    def _take_report(
+        self,
+        target: model.Target,
+        report: model.LoadReport,
+        source: target_registry.Source,
+        asked_s: float | None = None,
+    ) -> None:
+        now_s = self._timer.monotonic_s()
+        self._registry.record_report(
+            target,
+            report,
+            now_s if asked_s is None else asked_s,
+            now_s,
+            source,
+        )
+        current = self._registry.get(target.target_id)
+        if current is not None and current.incarnation == report.incarnation:
+            self._dispatcher.record_report(report)
