Add the admin interface and reference pages rendered from the code

Cause: operators need status, explain and watch on each instance, and pages of events and settings that cannot differ from the code. Ruled out: pages kept by hand; a test found no way to hold them together.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 SEED ?= 1
 PYTEST_ARGS ?= -n 4
 
-.PHONY: install lint format test ci demo measure clean
+.PHONY: install lint format test ci demo measure docs clean
 
 install: $(VENV)/.installed
 
@@ -36,5 +36,8 @@
 measure: install
 	$(BIN)/python -m dotterelweir_fakes measure $(if $(SEEDS),--seeds "$(SEEDS)") $(if $(SCENARIO),--scenario $(SCENARIO))
 
+docs: install
+	$(BIN)/python -m dotterelweir_fakes docs
+
 clean:
 	rm -rf $(VENV)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/pages/__init__.py
@@ -0,0 +1,1 @@
+"""Reference pages that are rendered from the code."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/admin/server.py
@@ -0,0 +1,111 @@
+"""The operators' HTTP interface."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+import cattrs
+import orjson
+
+from dotterelweird import lifecycle as lifecycle_module
+from dotterelweird.admin import api
+from dotterelweird.admin import feed as feed_module
+
+_KEEPALIVE_S = 10.0
+
+RenderMetrics = Callable[[str], tuple[bytes, dict[str, str]]]
+
+
+class AdminServer:
+    """Handlers of the operators' port."""
+
+    def __init__(
+        self,
+        queries: api.AdminQueries,
+        lifecycle: lifecycle_module.Lifecycle,
+        feed: feed_module.ChangeFeed,
+        render_metrics: RenderMetrics,
+    ) -> None:
+        self._queries = queries
+        self._lifecycle = lifecycle
+        self._feed = feed
+        self._render_metrics = render_metrics
+        self._converter = cattrs.Converter(forbid_extra_keys=True)
+
+    def app(self) -> web.Application:
+        """The aiohttp application."""
+        app = web.Application()
+        app.add_routes(
+            [
+                web.get('/healthz', self._healthz),
+                web.get('/readyz', self._readyz),
+                web.get('/metrics', self._metrics),
+                web.get('/admin/v1/status', self._status),
+                web.get('/admin/v1/tables', self._tables),
+                web.post('/admin/v1/explain', self._explain),
+                web.get('/admin/v1/watch', self._watch),
+            ]
+        )
+        return app
+
+    async def _healthz(self, request: web.Request) -> web.Response:
+        return web.json_response({'state': self._lifecycle.state})
+
+    async def _readyz(self, request: web.Request) -> web.Response:
+        ready = self._lifecycle.accepts_requests
+        return web.json_response(
+            {'state': self._lifecycle.state}, status=200 if ready else 503
+        )
+
+    async def _metrics(self, request: web.Request) -> web.Response:
+        accept = request.headers.get('Accept', '*/*')
+        body, headers = self._render_metrics(accept)
+        return web.Response(body=body, headers=headers)
+
+    async def _status(self, request: web.Request) -> web.Response:
+        return _json(self._queries.status())
+
+    async def _tables(self, request: web.Request) -> web.Response:
+        return _json(self._queries.tables())
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        try:
+            document = orjson.loads(await request.read())
+            query = self._converter.structure(document, api.ExplainQuery)
+        except (ValueError, cattrs.BaseValidationError) as exc:
+            detail = ' '.join(str(exc).split())
+            return _json({'detail': detail}, status=400)
+        return _json(self._queries.explain(query))
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-store',
+            }
+        )
+        await response.prepare(request)
+        queue = self._feed.open()
+        try:
+            while True:
+                try:
+                    async with asyncio.timeout(_KEEPALIVE_S):
+                        change = await queue.get()
+                except TimeoutError:
+                    await response.write(b': keep-alive\n\n')
+                    continue
+                data = orjson.dumps(change, default=str)
+                await response.write(b'data: ' + data + b'\n\n')
+        except ConnectionError:
+            pass
+        finally:
+            self._feed.close_watcher(queue)
+        return response
+
+
+def _json(document: object, status: int = 200) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(document, default=str),
+        status=status,
+        content_type='application/json',
+    )
