Add the stand-in of a model engine

Tokens follow from the generation id and the index, so a load tool can verify order and origin without asking the engine.

Weight loading only takes a configured time; the engine does not read the weight store.

--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/engine/__init__.py
@@ -0,0 +1,1 @@
+"""A stand-in for a batching model engine."""
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/engine/batch.py
@@ -0,0 +1,221 @@
+"""Continuous batching with a limited token memory."""
+
+from collections.abc import Callable
+import itertools
+import random
+
+import attrs
+
+from dotterelweir_core import timers
+from dotterelweir_fakes.engine import cache
+from dotterelweir_fakes.engine import tokens
+
+
+@attrs.frozen
+class EngineOptions:
+    """Speed, memory and reporting of one engine.
+
+    Attributes:
+        memory_tokens: Size of the token memory.
+        max_batch: Most generations in the batch.
+        step_s: Time of a step with an empty batch, in seconds.
+        step_per_sequence_s: Added to a step per generation, in seconds.
+        prefill_per_token_s: Added to a step per prompt token that is not
+            cached, in seconds.
+        cache_tokens: Size of the prefix cache.
+        cache_lag_s: How late cache events are published.
+        cache_gap_ratio: Part of the cache events that are lost.
+        report_lag_s: Age of the figures in a load report.
+        median_output_tokens: Median output length of a request that does
+            not set it.
+        longest_output_tokens: Bound on the output length.
+        load_s: Time that loading of models and adapters takes.
+        checks_fencing: Whether an order with an old number is refused.
+        checks_expiry: Whether an expired order is refused.
+        seed: Seed of lengths and gaps.
+    """
+
+    memory_tokens: int = 65_536
+    max_batch: int = 64
+    step_s: float = 0.002
+    step_per_sequence_s: float = 0.0001
+    prefill_per_token_s: float = 0.000002
+    cache_tokens: int = 32_768
+    cache_lag_s: float = 0.2
+    cache_gap_ratio: float = 0.0
+    report_lag_s: float = 0.2
+    median_output_tokens: int = 64
+    longest_output_tokens: int = 16_384
+    load_s: float = 0.0
+    checks_fencing: bool = True
+    checks_expiry: bool = True
+    seed: int = 1
+
+
+@attrs.define(eq=False)
+class Generation:
+    """One generation and its events so far.
+
+    Attributes:
+        generation_id: Name of the generation.
+        request_id: The request's X-Request-Id.
+        priority: 0 is the most urgent.
+        prompt_tokens: Size of the prompt.
+        prefix_hashes: Hashes of the prompt's prefixes.
+        output_tokens: Number of tokens that will be produced.
+        finish_reason: Reason in the last event.
+        writer: Writes the events.
+        order: Position by arrival.
+        events: Events so far; the last one has the finish reason.
+        produced: Tokens so far.
+        done: Whether all events are there.
+        cancelled: Whether it was cancelled.
+        listeners: Called whenever there is something new.
+    """
+
+    generation_id: str
+    request_id: str
+    priority: int
+    prompt_tokens: int
+    prefix_hashes: tuple[int, ...]
+    output_tokens: int
+    finish_reason: str
+    writer: tokens.EventWriter
+    order: int = 0
+    events: list[bytes] = attrs.field(factory=list)
+    produced: int = 0
+    done: bool = False
+    cancelled: bool = False
+    listeners: set[Callable[[], None]] = attrs.field(factory=set)
+
+    @property
+    def held_tokens(self) -> int:
+        """Tokens that it holds in memory while it is in the batch."""
+        return self.prompt_tokens + self.produced
+
+    def notify(self) -> None:
+        """Wakes the readers."""
+        for listener in tuple(self.listeners):
+            listener()
+
+
+class Batcher:
+    """Runs generations step by step; each step gives each one a token."""
+
+    def __init__(
+        self,
+        options: EngineOptions,
+        timer: timers.TimerService,
+        prefix_cache: cache.PrefixCache,
+    ) -> None:
+        self._options = options
+        self._timer = timer
+        self._cache = prefix_cache
+        self._rng = random.Random(options.seed)
+        self._order = itertools.count()
+        self._step: timers.TimerHandle | None = None
+        self._stopped = False
+        self.running: list[Generation] = []
+        self.waiting: list[Generation] = []
+        self.preemptions = 0
+        self.tokens_produced = 0
+        self.slow_factor = 1.0
+
+    @property
+    def memory_used_tokens(self) -> int:
+        """Tokens held by the generations in the batch."""
+        return sum(generation.held_tokens for generation in self.running)
+
+    def draw_length(self) -> int:
+        """Output length of a request that does not set it."""
+        return tokens.draw_length(
+            self._rng,
+            self._options.median_output_tokens,
+            self._options.longest_output_tokens,
+        )
+
+    def add(self, generation: Generation) -> None:
+        """Adds a generation to the queue."""
+        generation.order = next(self._order)
+        self.waiting.append(generation)
+        if self._step is None and not self._stopped:
+            self._step = self._timer.call_after(0.0, self._run_step)
+
+    def remove(self, generation: Generation) -> None:
+        """Takes a generation out, wherever it is."""
+        if generation in self.running:
+            self.running.remove(generation)
+        if generation in self.waiting:
+            self.waiting.remove(generation)
+
+    def stop(self) -> None:
+        """Stops all work at once."""
+        self._stopped = True
+        if self._step is not None:
+            self._step.cancel()
+
+    def _run_step(self) -> None:
+        self._step = None
+        if self._stopped:
+            return
+        new_tokens = self._admit()
+        self._preempt()
+        if not self.running:
+            return
+        step_s = (
+            self._options.step_s
+            + self._options.step_per_sequence_s * len(self.running)
+            + self._options.prefill_per_token_s * new_tokens
+        ) * self.slow_factor
+        self._step = self._timer.call_after(step_s, self._finish_step)
+
+    def _finish_step(self) -> None:
+        for generation in tuple(self.running):
+            self._produce(generation)
+        self._run_step()
+
+    def _produce(self, generation: Generation) -> None:
+        index = generation.produced
+        generation.events.append(generation.writer.token(index))
+        generation.produced += 1
+        self.tokens_produced += 1
+        if generation.produced >= generation.output_tokens:
+            generation.events.append(
+                generation.writer.finish(
+                    generation.produced, generation.finish_reason
+                )
+            )
+            generation.done = True
+            self.running.remove(generation)
+        generation.notify()
+
+    def _admit(self) -> int:
+        """Takes waiting generations in; returns the tokens to prefill."""
+        self.waiting.sort(key=lambda g: (g.priority, g.order))
+        free = self._options.memory_tokens - self.memory_used_tokens
+        new_tokens = 0
+        while self.waiting and len(self.running) < self._options.max_batch:
+            # A reserve for the running ones avoids admission that is
+            # followed by preemption in the same step.
+            need = self.waiting[0].held_tokens + len(self.running) + 1
+            if need > free and self.running:
+                break
+            generation = self.waiting.pop(0)
+            free -= generation.held_tokens
+            cached = self._cache.cached_tokens(generation.prefix_hashes)
+            self._cache.store(generation.prefix_hashes)
+            new_tokens += max(1, generation.held_tokens - cached)
+            self.running.append(generation)
+        return new_tokens
+
+    def _preempt(self) -> None:
+        """Frees memory for this step, from the least urgent, newest on."""
+        limit = self._options.memory_tokens
+        while (
+            len(self.running) > 1
+            and self.memory_used_tokens + len(self.running) > limit
+        ):
+            victim = max(self.running, key=lambda g: (g.priority, g.order))
+            self.running.remove(victim)
+            self.waiting.append(victim)
+            self.preemptions += 1
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/engine/tokens.py
@@ -0,0 +1,68 @@
+"""Tokens that follow from the generation's id and the token's index."""
+
+import random
+
+import orjson
+import xxhash
+
+
+def token_text(generation_id: str, index: int) -> str:
+    """The text of one token, so that its order and origin can be checked."""
+    digest = xxhash.xxh32_hexdigest(f'{generation_id}:{index}'.encode())
+    return f' {index}-{digest[:4]}'
+
+
+def answer_text(generation_id: str, count: int) -> str:
+    """The text of a whole answer."""
+    return ''.join(token_text(generation_id, i) for i in range(count))
+
+
+def draw_length(rng: random.Random, median: int, longest: int) -> int:
+    """Draws an output length from a heavy-tailed distribution.
+
+    Args:
+        rng: Random source.
+        median: Median length, in tokens.
+        longest: Bound on the length, in tokens.
+    """
+    drawn = median * rng.lognormvariate(0.0, 1.0)
+    return max(1, min(longest, round(drawn)))
+
+
+class EventWriter:
+    """Writes the server-sent events of one generation."""
+
+    def __init__(self, generation_id: str, model: str, chat: bool) -> None:
+        self._generation_id = generation_id
+        self._chat = chat
+        kind = 'chat.completion.chunk' if chat else 'text_completion'
+        self._head = (
+            b'{"id":'
+            + orjson.dumps(generation_id)
+            + b',"object":"'
+            + kind.encode()
+            + b'","created":0,"model":'
+            + orjson.dumps(model)
+            + b',"choices":[{"index":0,'
+        )
+
+    def token(self, index: int) -> bytes:
+        """The event of one token."""
+        text = orjson.dumps(token_text(self._generation_id, index))
+        if self._chat:
+            choice = b'"delta":{"content":' + text + b'}'
+        else:
+            choice = b'"text":' + text
+        return self._event(index, choice + b',"finish_reason":null')
+
+    def finish(self, index: int, reason: str) -> bytes:
+        """The event after the last token, which has the finish reason."""
+        choice = b'"delta":{}' if self._chat else b'"text":""'
+        end = b',"finish_reason":' + orjson.dumps(reason)
+        return self._event(index, choice + end)
+
+    def _event(self, index: int, choice: bytes) -> bytes:
+        return b'id: %d\ndata: %s%s}]}\n\n' % (index, self._head, choice)
+
+
+END_MARK = b'data: [DONE]\n\n'
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/delivery/prompts.py
@@ -0,0 +1,66 @@
+"""Estimates of a prompt's size and hashes of its prefixes.
+
+The instance has no tokenizer: it counts four bytes as one token.
+"""
+
+import typing
+
+import xxhash
+
+BYTES_PER_TOKEN = 4
+BLOCK_TOKENS = 64
+MAX_BLOCKS = 32
+
+_BLOCK_BYTES = BLOCK_TOKENS * BYTES_PER_TOKEN
+
+
+def prompt_bytes(body: dict[str, typing.Any]) -> bytes:
+    """The text of a request's prompt.
+
+    Args:
+        body: The decoded JSON body of a chat or a completion request.
+
+    Raises:
+        ValueError: The body has neither a prompt nor messages.
+    """
+    prompt = body.get('prompt')
+    if isinstance(prompt, str):
+        return prompt.encode()
+    if isinstance(prompt, list) and all(isinstance(p, str) for p in prompt):
+        return '\n'.join(prompt).encode()
+    messages = body.get('messages')
+    if not isinstance(messages, list) or not messages:
+        raise ValueError('needs "messages" or "prompt"')
+    parts = []
+    for message in messages:
+        if not isinstance(message, dict):
+            raise ValueError('each message must be an object')
+        parts.append(f'{message.get("role")}\n{_content(message)}\n')
+    return ''.join(parts).encode()
+
+
+def prompt_tokens(prompt: bytes) -> int:
+    """Estimated number of tokens of a prompt; at least 1."""
+    return max(1, len(prompt) // BYTES_PER_TOKEN)
+
+
+def prefix_hashes(prompt: bytes) -> tuple[int, ...]:
+    """Hashes of the first 1, 2, 3 ... whole blocks, shortest first."""
+    state = xxhash.xxh3_64()
+    hashes = []
+    end = min(len(prompt) // _BLOCK_BYTES, MAX_BLOCKS) * _BLOCK_BYTES
+    for start in range(0, end, _BLOCK_BYTES):
+        state.update(prompt[start : start + _BLOCK_BYTES])
+        hashes.append(state.intdigest())
+    return tuple(hashes)
+
+
+def _content(message: dict[str, typing.Any]) -> str:
+    content = message.get('content')
+    if isinstance(content, list):
+        return ''.join(
+            str(part.get('text', ''))
+            for part in content
+            if isinstance(part, dict)
+        )
+    return '' if content is None else str(content)
