Add the demo's cluster, scenario and the docs command

Cause: the whole path has to run as separate processes with counts taken by callers and stand-ins. Ruled out: counting inside the system under test.

--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -2,7 +2,9 @@
 
 import click
 
+from dotterelweir_fakes.demo import command as demo_command
 from dotterelweir_fakes.engine import command as engine_command
+from dotterelweir_fakes.pages import command as pages_command
 
 
 @click.group()
@@ -10,7 +12,9 @@
     """Stand-ins, load tool, demo and measurement for dotterelweir."""
 
 
+main.add_command(demo_command.demo)
 main.add_command(engine_command.engine)
+main.add_command(pages_command.docs)
 
 if __name__ == '__main__':
     main()
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A whole deployment as separate processes on one machine."""
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/demo/cluster.py
@@ -0,0 +1,261 @@
+"""Starts the platform, the targets and the instances of a deployment."""
+
+import pathlib
+
+import aiohttp
+import attrs
+import orjson
+
+from dotterelweir_fakes.demo import processes
+from dotterelweir_fakes.load import workload
+
+_PEER_KEY = 'demo-key-0123456789abcdef'
+INSTANCES = 6
+
+
+@attrs.define
+class Instance:
+    """One entry instance.
+
+    Attributes:
+        instance_id: Its name.
+        zone: Its availability zone.
+        caller_url: Base URL of its callers' port.
+        admin_url: Base URL of its operators' port.
+        child: Its process.
+    """
+
+    instance_id: str
+    zone: str
+    caller_url: str
+    admin_url: str
+    child: processes.ChildProcess
+
+
+class Cluster:
+    """All processes of one deployment."""
+
+    def __init__(
+        self,
+        deployment: workload.Deployment,
+        group: processes.ProcessGroup,
+        http: aiohttp.ClientSession,
+        seed: int,
+    ) -> None:
+        self.deployment = deployment
+        self.platform_url = ''
+        self.instances: list[Instance] = []
+        self.service_urls: list[str] = []
+        self.engine_urls: list[str] = []
+        self._group = group
+        self._http = http
+        self._seed = seed
+        self._incarnations = 0
+
+    async def start(self) -> None:
+        """Starts the platform, all targets and all instances."""
+        await self.start_platform()
+        for index in range(self.deployment.engines):
+            await self.start_engine(index)
+        for index in range(self.deployment.plain_targets):
+            await self.start_service(index)
+        for index in range(INSTANCES):
+            await self.start_instance(f'entry-{index + 1}', index)
+
+    async def start_platform(self) -> None:
+        """Starts the stand-in of the platform."""
+        (port,) = processes.free_ports(1)
+        child = await self._group.start(
+            'platform', 'dotterelweir_fakes', 'platform', '--port', str(port)
+        )
+        await processes.wait_for_port(port, child)
+        self.platform_url = f'http://127.0.0.1:{port}'
+
+    async def start_engine(self, index: int) -> processes.ChildProcess:
+        """Starts an engine and puts it into the instance list."""
+        name = f'{self.deployment.engine_service}-{index + 1}'
+        child, port = await self._start_target(
+            name,
+            self.deployment.engine_service,
+            index,
+            'engine',
+            ('--seed', str(self._seed * 100 + index)),
+        )
+        self.engine_urls.append(f'http://127.0.0.1:{port}')
+        return child
+
+    async def start_service(self, index: int) -> processes.ChildProcess:
+        """Starts a plain service and puts it into the instance list."""
+        name = f'{self.deployment.plain_service}-{index + 1}'
+        child, port = await self._start_target(
+            name, self.deployment.plain_service, index, 'service', ()
+        )
+        self.service_urls.append(f'http://127.0.0.1:{port}')
+        return child
+
+    async def start_instance(
+        self,
+        instance_id: str,
+        index: int,
+        overrides: dict[str, object] | None = None,
+    ) -> Instance:
+        """Starts an entry instance.
+
+        Args:
+            instance_id: Its name.
+            index: Chooses the zone.
+            overrides: Top-level settings to replace.
+        """
+        caller_port, admin_port, peer_port = processes.free_ports(3)
+        zone = self._zone(index)
+        settings = {
+            'instance_id': instance_id,
+            'zone': zone,
+            'platform': {
+                'log_url': self.platform_url,
+                'instances_url': self.platform_url,
+                'weights_url': self.platform_url,
+            },
+            'peers': {
+                'keys': [_PEER_KEY],
+                'listen': {'port': peer_port},
+            },
+            'callers': {'listen': {'port': caller_port}},
+            'admin_listen': {'port': admin_port},
+            'seed': self._seed * 1000 + index,
+            **(overrides or {}),
+        }
+        path = self._group.directory / f'{instance_id}.json5'
+        path.write_bytes(orjson.dumps(settings, option=orjson.OPT_INDENT_2))
+        child = await self._group.start(
+            instance_id, 'dotterelweird', str(path)
+        )
+        await processes.wait_for_port(caller_port, child)
+        instance = Instance(
+            instance_id,
+            zone,
+            f'http://127.0.0.1:{caller_port}',
+            f'http://127.0.0.1:{admin_port}',
+            child,
+        )
+        self.instances.append(instance)
+        await self.register(instance_id, 'dotterelweir', zone, peer_port)
+        return instance
+
+    async def register(
+        self, target_id: str, service: str, zone: str, port: int
+    ) -> None:
+        """Puts a process into the instance list."""
+        self._incarnations += 1
+        row = {
+            'target_id': target_id,
+            'service': service,
+            'zone': zone,
+            'host': '127.0.0.1',
+            'port': port,
+            'state': 'live',
+            'incarnation': self._incarnations,
+        }
+        url = f'{self.platform_url}/v1/instances/{target_id}'
+        async with self._http.put(url, json=row) as response:
+            response.raise_for_status()
+
+    async def executions(self) -> dict[str, int]:
+        """Executions by business key, over all plain services."""
+        counts: dict[str, int] = {}
+        for url in self.service_urls:
+            async with self._http.get(f'{url}/counts') as response:
+                document = await response.json()
+            for key, count in document['by_business_key'].items():
+                counts[key] = counts.get(key, 0) + count
+        return counts
+
+    def write_tables(self, directory: pathlib.Path) -> pathlib.Path:
+        """Writes the deployment's routes and pools for ``apply``."""
+        path = directory / 'tables.json5'
+        document = {'routes': self._routes(), 'pools': self._pools()}
+        path.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2))
+        return path
+
+    def _routes(self) -> dict[str, object]:
+        deployment = self.deployment
+        return {
+            'short': {
+                'match': {
+                    'path_prefix': '/v1/',
+                    'models': [f'{deployment.model}-short'],
+                },
+                'pool': 'models',
+                'priority': 1,
+                'timeout_s': 60.0,
+            },
+            'long': {
+                'match': {
+                    'path_prefix': '/v1/',
+                    'models': [f'{deployment.model}-long'],
+                },
+                'pool': 'models',
+                'priority': 5,
+                'timeout_s': 600.0,
+            },
+            'booking': {
+                'match': {'path_prefix': deployment.booking_path},
+                'pool': 'plain',
+                'priority': 2,
+                'timeout_s': 30.0,
+                'repeatable': False,
+            },
+            'lookup': {
+                'match': {'path_prefix': deployment.lookup_path},
+                'pool': 'plain',
+                'priority': 3,
+                'timeout_s': 30.0,
+            },
+        }
+
+    def _pools(self) -> dict[str, object]:
+        return {
+            'models': {
+                'kind': 'engine',
+                'service': self.deployment.engine_service,
+            },
+            'plain': {
+                'kind': 'service',
+                'service': self.deployment.plain_service,
+            },
+        }
+
+    async def _start_target(
+        self,
+        name: str,
+        service: str,
+        index: int,
+        command: str,
+        arguments: tuple[str, ...],
+    ) -> tuple[processes.ChildProcess, int]:
+        (port,) = processes.free_ports(1)
+        zone = self._zone(index)
+        incarnation = self._incarnations + 1
+        child = await self._group.start(
+            name,
+            'dotterelweir_fakes',
+            command,
+            '--port',
+            str(port),
+            '--target-id',
+            name,
+            '--service',
+            service,
+            '--zone',
+            zone,
+            '--incarnation',
+            str(incarnation),
+            *arguments,
+        )
+        await processes.wait_for_port(port, child)
+        await self.register(name, service, zone, port)
+        return child, port
+
+    def _zone(self, index: int) -> str:
+        zones = self.deployment.zones
+        return zones[index % len(zones)]
--- a/fakes/src/dotterelweir_fakes/load/caller.py
+++ b/fakes/src/dotterelweir_fakes/load/caller.py
@@ -1,19 +1,18 @@
 """Callers that check every token and every answer."""
 
 import asyncio
-import re
 import time
 
 import aiohttp
 import attrs
 import orjson
 
+from dotterelweir_fakes.engine import tokens as engine_tokens
 from dotterelweir_fakes.load import balancer as balancer_module
 from dotterelweir_fakes.load import tally
 
 _RESUME_ATTEMPTS = 5
 _RESUME_PAUSE_S = 0.3
-_TOKEN_TEXT = re.compile(r'^(?P<generation>[^:]+):(?P<index>\d+) ?$')
 
 
 @attrs.define
@@ -21,6 +20,7 @@
     """Checks the events of one answer: order, origin and repeats.
 
     Attributes:
+        expected_tokens: Length of the whole answer.
         last_id: Id of the last event.
         tokens: Tokens received.
         duplicated_tokens: Tokens received again.
@@ -30,6 +30,7 @@
         handover: Whether the instance asked to resume elsewhere.
     """
 
+    expected_tokens: int
     last_id: str = ''
     tokens: int = 0
     duplicated_tokens: int = 0
@@ -49,30 +50,46 @@
             return
         if data == '[DONE]':
             self.finished = True
+            self._check_length()
             return
         if event_id:
             self.last_id = event_id
-        text = _content(orjson.loads(data))
+        chunk = orjson.loads(data)
+        text = _content(chunk)
         if text:
-            self._check_token(text)
+            self._check_token(chunk['id'], text)
 
-    def _check_token(self, text: str) -> None:
-        match = _TOKEN_TEXT.match(text)
-        if match is None:
-            self.fault = self.fault or f'unexpected token {text[:40]!r}'
-            return
-        generation, index = match['generation'], int(match['index'])
+    def whole_text(self, generation: str, text: str) -> None:
+        """Checks an answer that was not streamed."""
+        wanted = engine_tokens.answer_text(generation, self.expected_tokens)
+        self.finished = True
+        if text != wanted:
+            self.fault = 'the text is not the answer of its generation'
+
+    def _check_token(self, generation: str, text: str) -> None:
         self._generation = self._generation or generation
         if generation != self._generation:
             self.fault = self.fault or 'tokens of two generations'
-        elif index < self.tokens:
+        elif text == engine_tokens.token_text(generation, self.tokens):
+            self.tokens += 1
+        elif self._seen_before(generation, text):
             self.duplicated_tokens += 1
-        elif index > self.tokens:
+        else:
             self.fault = self.fault or (
-                f'token {index} arrived in place of {self.tokens}'
+                f'{text!r} arrived in place of token {self.tokens}'
+            )
+
+    def _seen_before(self, generation: str, text: str) -> bool:
+        return any(
+            text == engine_tokens.token_text(generation, index)
+            for index in range(self.tokens)
+        )
+
+    def _check_length(self) -> None:
+        if self.tokens != self.expected_tokens:
+            self.fault = self.fault or (
+                f'{self.tokens} tokens instead of {self.expected_tokens}'
             )
-        else:
-            self.tokens += 1
 
 
 def _content(chunk: dict) -> str:
@@ -97,7 +114,7 @@
     async def stream(self, organisation: str, body: dict) -> tally.CallResult:
         """Asks for a streamed chat completion; resumes a broken stream."""
         started_s = time.monotonic()
-        checker = StreamChecker()
+        checker = StreamChecker(_expected_tokens(body))
         url = self._balancer.pick()
         if url is None:
             return _nobody_ready()
@@ -149,13 +166,9 @@
             return tally.CallResult(
                 tally.Outcome.BROKEN, detail=type(exc).__name__
             )
-        checker = StreamChecker()
-        content = answer['choices'][0]['message']['content']
-        for text in content.split():
-            checker.event('', '', _as_chunk(text))
-        wanted = body.get('max_tokens')
-        checker.finished = checker.tokens > 0 and (
-            wanted is None or checker.tokens <= wanted
+        checker = StreamChecker(_expected_tokens(body))
+        checker.whole_text(
+            answer['id'], answer['choices'][0]['message']['content']
         )
         return _ended(checker, None, 0)
 
@@ -213,8 +226,8 @@
         )
 
 
-def _as_chunk(text: str) -> str:
-    return orjson.dumps({'choices': [{'delta': {'content': text}}]}).decode()
+def _expected_tokens(body: dict) -> int:
+    return body['metadata']['output_tokens']
 
 
 def _nobody_ready(business_key: str = '') -> tally.CallResult:
--- a/fakes/src/dotterelweir_fakes/load/workload.py
+++ b/fakes/src/dotterelweir_fakes/load/workload.py
@@ -146,5 +146,6 @@
         return {
             'model': f'{self._deployment.model}-{kind}',
             'messages': [{'role': 'user', 'content': words}],
-            'max_tokens': tokens,
+            # The engine fake ends the answer here; nobody else looks at it.
+            'metadata': {'output_tokens': tokens},
         }
--- a/fakes/tests/pages/test_render.py
+++ b/fakes/tests/pages/test_render.py
@@ -18,4 +18,6 @@
 )
 def test_page_agrees_with_the_code(name, text):
     """Guards against an event or a setting that its page does not have."""
-    assert (DOCS / name).read_text() == text, 'run make docs'
+    assert (DOCS / name).read_text() == text, (
+        'render it again: python -m dotterelweir_fakes docs'
+    )
