Add the deterministic fold of the configuration log

Ruled out: - Coercion of JSON types by cattrs: it takes "false" for true, and its hook for str takes any string for an enumeration of strings. Strict hooks reject both. - Validation of all rows for each edit: only the rows that an edit puts and the routes to the pools that it deletes can become wrong. - An edit whose read_offset is not below its own offset is rejected as invalid: the floor stops late repeats only if read_offset is below the offset of the first copy.

--- /dev/null
+++ b/packages/core/src/dotterelweir_core/tables/fold.py
@@ -0,0 +1,345 @@
+"""The deterministic fold of the configuration log.
+
+Every instance folds the same records in the order of their offsets with this
+module, so that all decide alike which edits are accepted.
+"""
+
+import collections
+import enum
+import functools
+
+import attrs
+
+from dotterelweir_core.tables import model
+from dotterelweir_core.tables import records
+
+# The results that are kept for repeated edits. At 850 changes a day an edit
+# can be repeated for more than a day and still get its first result.
+RESULT_WINDOW = 1_024
+# Results are part of every checkpoint, so their texts are bounded.
+DETAILS_MAX = 8
+DETAIL_MAX_CHARS = 200
+
+
+class Table(enum.StrEnum):
+    """Name of a table."""
+
+    ROUTE = 'route'
+    POOL = 'pool'
+
+
+class Reason(enum.StrEnum):
+    """Why an edit was accepted or rejected."""
+
+    ACCEPTED = 'accepted'
+    TOO_OLD = 'too-old'
+    CONFLICT = 'conflict'
+    INVALID = 'invalid'
+
+
+@attrs.frozen(order=True)
+class RowKey:
+    """The key of a row.
+
+    Attributes:
+        table: Name of the table.
+        name: Name of the row.
+    """
+
+    table: Table
+    name: str
+
+    def __str__(self) -> str:
+        return f'{self.table.value} {self.name!r}'
+
+
+@attrs.frozen
+class Decision:
+    """The result of an edit, as it is kept for repeats.
+
+    Attributes:
+        edit_id: Unique name of the edit.
+        offset: Offset at which the edit was decided.
+        reason: Why it was accepted or rejected.
+        details: What was wrong, one line each; bounded.
+    """
+
+    edit_id: str
+    offset: int
+    reason: Reason
+    details: tuple[str, ...] = ()
+
+    @property
+    def accepted(self) -> bool:
+        """Whether the edit took effect."""
+        return self.reason is Reason.ACCEPTED
+
+
+@attrs.frozen
+class StandingRow:
+    """A row that an edit touches, as it stands after that edit.
+
+    Attributes:
+        key: Table and name.
+        row: The row; None if it is absent.
+        revision: Offset of its last change; -1 if none is known.
+    """
+
+    key: RowKey
+    row: model.Route | model.Pool | None
+    revision: int
+
+
+@attrs.frozen
+class EditResult:
+    """What became of one record with an edit.
+
+    Attributes:
+        offset: Offset of the record.
+        decision: The result; that of the first record in case of a repeat.
+        rows: The rows that the edit names, as they stand now.
+    """
+
+    offset: int
+    decision: Decision
+    rows: tuple[StandingRow, ...]
+
+    @property
+    def repeated(self) -> bool:
+        """Whether the edit had been decided before."""
+        return self.decision.offset != self.offset
+
+
+@attrs.frozen
+class SkippedRecord:
+    """A record that could not be read.
+
+    Attributes:
+        offset: Offset of the record.
+        detail: What is wrong with it.
+    """
+
+    offset: int
+    detail: str
+
+
+@attrs.define
+class TablesState:
+    """Everything that decides the fate of later edits.
+
+    Attributes:
+        offset: Last record that was folded; -1 for none.
+        tables: The tables in force.
+        revisions: Offset of the last change of each present row.
+        tombstones: Offset of the deletion of each absent row.
+        decisions: Results of the last edits by id, oldest first.
+        floor: Offset of the newest edit whose result was dropped; -1 for
+            none.
+    """
+
+    offset: int = -1
+    tables: model.Tables = attrs.field(factory=model.Tables)
+    revisions: dict[RowKey, int] = attrs.field(factory=dict)
+    tombstones: dict[RowKey, int] = attrs.field(factory=dict)
+    decisions: dict[str, Decision] = attrs.field(factory=dict)
+    floor: int = -1
+
+    @property
+    def last_decided_offset(self) -> int:
+        """Offset of the newest edit that was decided; -1 for none."""
+        if not self.decisions:
+            return -1
+        return self.decisions[next(reversed(self.decisions))].offset
+
+    def standing(self, key: RowKey) -> StandingRow:
+        """A row as it stands now."""
+        if key.table is Table.ROUTE:
+            row = self.tables.routes.get(key.name)
+        else:
+            row = self.tables.pools.get(key.name)
+        return StandingRow(key, row, self._changed_offset(key))
+
+    def _changed_offset(self, key: RowKey) -> int:
+        return self.revisions.get(key, self.tombstones.get(key, -1))
+
+
+def fold(
+    state: TablesState, offset: int, data: bytes
+) -> EditResult | SkippedRecord | records.CheckpointRecord:
+    """Folds one record of the log, of any kind.
+
+    A checkpoint changes nothing: its writer may have been paused, so its
+    state can be older than this one.
+
+    Args:
+        state: The state after the record before; changed in place.
+        offset: Offset of the record; one above the state's.
+        data: The record's bytes.
+
+    Returns:
+        What became of the record.
+    """
+    try:
+        record = records.decode(data)
+    except records.UnreadableRecordError as error:
+        _move(state, offset)
+        return SkippedRecord(offset, str(error)[:DETAIL_MAX_CHARS])
+    if isinstance(record, records.CheckpointRecord):
+        _move(state, offset)
+        return record
+    return apply(state, offset, record)
+
+
+def apply(
+    state: TablesState, offset: int, edit: records.EditRecord
+) -> EditResult:
+    """Decides one edit and changes the state in place.
+
+    The tables are replaced, never changed, so a reader may keep them.
+
+    Args:
+        state: The state after the record before.
+        offset: Offset of the edit's record; one above the state's.
+        edit: The edit.
+    """
+    _move(state, offset)
+    touched = _touched(edit)
+    decision = state.decisions.get(edit.edit_id)
+    if decision is None:
+        decision, tables = _decide(state, offset, edit, touched)
+        if tables is not None:
+            _take(state, tables, touched, offset)
+        _remember(state, decision)
+    rows = tuple(state.standing(key) for key in dict.fromkeys(touched))
+    return EditResult(offset, decision, rows)
+
+
+def _move(state: TablesState, offset: int) -> None:
+    if offset != state.offset + 1:
+        raise ValueError(
+            f'record {offset} does not follow record {state.offset}'
+        )
+    state.offset = offset
+
+
+def _touched(edit: records.EditRecord) -> tuple[RowKey, ...]:
+    return (
+        *(RowKey(Table.ROUTE, route.name) for route in edit.put_routes),
+        *(RowKey(Table.POOL, pool.name) for pool in edit.put_pools),
+        *(RowKey(Table.ROUTE, name) for name in edit.delete_routes),
+        *(RowKey(Table.POOL, name) for name in edit.delete_pools),
+    )
+
+
+def _decide(
+    state: TablesState,
+    offset: int,
+    edit: records.EditRecord,
+    touched: tuple[RowKey, ...],
+) -> tuple[Decision, model.Tables | None]:
+    reject = functools.partial(_reject, edit.edit_id, offset)
+    if edit.read_offset < state.floor:
+        text = (
+            f'read_offset {edit.read_offset} is below {state.floor}; the '
+            'result of an earlier copy of this edit is not known any more'
+        )
+        return reject(Reason.TOO_OLD, (text,))
+    if edit.read_offset >= offset:
+        # An author cannot have read its own record. The floor rejects late
+        # repeats only if read_offset is below the first copy's offset.
+        text = f'read_offset {edit.read_offset} is not below {offset}'
+        return reject(Reason.INVALID, (text,))
+    conflicts = tuple(
+        f'{standing.key} was changed at {standing.revision}, after '
+        f'read_offset {edit.read_offset}'
+        for standing in map(state.standing, dict.fromkeys(touched))
+        if standing.revision > edit.read_offset
+    )
+    if conflicts:
+        return reject(Reason.CONFLICT, conflicts)
+    problems = _shape_problems(touched)
+    tables = _edited(state.tables, edit, offset)
+    problems += tuple(map(str, _problems(tables, edit)))
+    if problems:
+        return reject(Reason.INVALID, problems)
+    return Decision(edit.edit_id, offset, Reason.ACCEPTED), tables
+
+
+def _reject(
+    edit_id: str, offset: int, reason: Reason, details: tuple[str, ...]
+) -> tuple[Decision, None]:
+    kept = tuple(text[:DETAIL_MAX_CHARS] for text in details[:DETAILS_MAX])
+    if len(details) > DETAILS_MAX:
+        kept += (f'{len(details) - DETAILS_MAX} more',)
+    return Decision(edit_id, offset, reason, kept), None
+
+
+def _shape_problems(touched: tuple[RowKey, ...]) -> tuple[str, ...]:
+    if not touched:
+        return ('the edit changes no row',)
+    counts = collections.Counter(touched)
+    twice = sorted(key for key, count in counts.items() if count > 1)
+    return tuple(f'the edit names {key} more than once' for key in twice)
+
+
+def _problems(
+    tables: model.Tables, edit: records.EditRecord
+) -> tuple[model.FieldProblem, ...]:
+    # The tables before the edit are valid, so only the rows that it puts and
+    # the routes to pools that it deletes can be wrong. Checking all of 2,500
+    # rows for each edit would make a start from the log take seconds.
+    routes = {route.name for route in edit.put_routes}
+    deleted = set(edit.delete_pools)
+    if deleted:
+        routes.update(
+            name
+            for name, route in tables.routes.items()
+            if route.pool in deleted
+        )
+    pools = [pool.name for pool in edit.put_pools]
+    return model.validate_rows(tables, routes, pools)
+
+
+def _edited(
+    tables: model.Tables, edit: records.EditRecord, offset: int
+) -> model.Tables:
+    routes = dict(tables.routes)
+    pools = dict(tables.pools)
+    for name in edit.delete_routes:
+        routes.pop(name, None)
+    for name in edit.delete_pools:
+        pools.pop(name, None)
+    routes.update({route.name: route for route in edit.put_routes})
+    pools.update({pool.name: pool for pool in edit.put_pools})
+    return model.Tables(routes, pools, revision=offset)
+
+
+def _take(
+    state: TablesState,
+    tables: model.Tables,
+    touched: tuple[RowKey, ...],
+    offset: int,
+) -> None:
+    state.tables = tables
+    for key in touched:
+        rows = tables.routes if key.table is Table.ROUTE else tables.pools
+        if key.name in rows:
+            state.tombstones.pop(key, None)
+            state.revisions[key] = offset
+        else:
+            state.revisions.pop(key, None)
+            state.tombstones[key] = offset
+
+
+def _remember(state: TablesState, decision: Decision) -> None:
+    state.decisions[decision.edit_id] = decision
+    while len(state.decisions) > RESULT_WINDOW:
+        oldest = state.decisions.pop(next(iter(state.decisions)))
+        state.floor = oldest.offset
+        expired = [
+            key
+            for key, deleted in state.tombstones.items()
+            if deleted <= state.floor
+        ]
+        for key in expired:
+            del state.tombstones[key]
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/tables/records.py
@@ -0,0 +1,211 @@
+"""Records of the configuration log, in versioned JSON.
+
+A record is ``{"version": 1, "kind": "edit" | "checkpoint", ...}``. All
+instances must read or skip the same records, so a change to the form or to
+the validation of rows needs a new version number.
+"""
+
+import base64
+import binascii
+from collections.abc import Callable
+import enum
+from typing import Any
+
+import attrs
+import cattrs
+from cattrs import gen
+from cattrs import v as cattrs_v
+import orjson
+
+from dotterelweir_core.tables import model
+
+VERSION = 1
+EDIT_ID_MAX_CHARS = 128
+
+
+class UnreadableRecordError(ValueError):
+    """A log record that every instance skips."""
+
+
+@attrs.frozen
+class EditRecord:
+    """One atomic change of both tables.
+
+    Attributes:
+        edit_id: Unique name of the edit; the same in every repeat of it.
+        read_offset: Last offset that its author had read; -1 for none.
+        put_routes: Routes to add or replace.
+        put_pools: Pools to add or replace.
+        delete_routes: Names of routes to delete.
+        delete_pools: Names of pools to delete.
+    """
+
+    edit_id: str
+    read_offset: int
+    put_routes: tuple[model.Route, ...] = ()
+    put_pools: tuple[model.Pool, ...] = ()
+    delete_routes: tuple[str, ...] = ()
+    delete_pools: tuple[str, ...] = ()
+
+
+@attrs.frozen
+class CheckpointRecord:
+    """The state of the tables after one offset.
+
+    Attributes:
+        covers_offset: Last record that the state includes.
+        digest: Digest of the offset and the state, in hexadecimal.
+        state: The encoded state, compressed.
+    """
+
+    covers_offset: int
+    digest: str
+    state: bytes
+
+
+Record = EditRecord | CheckpointRecord
+
+_KINDS: dict[str, type] = {
+    'edit': EditRecord,
+    'checkpoint': CheckpointRecord,
+}
+
+
+def encode(record: Record) -> bytes:
+    """Encodes a record for the log."""
+    kind = 'edit' if isinstance(record, EditRecord) else 'checkpoint'
+    document = {'version': VERSION, 'kind': kind}
+    document.update(CONVERTER.unstructure(record))
+    return orjson.dumps(document)
+
+
+def decode(data: bytes) -> Record:
+    """Decodes a record from the log.
+
+    Raises:
+        UnreadableRecordError: The record is corrupt or of an unknown
+            version or kind. The message names every wrong field.
+    """
+    try:
+        document = orjson.loads(data)
+    except orjson.JSONDecodeError as error:
+        raise UnreadableRecordError(f'not JSON: {error}') from error
+    if not isinstance(document, dict):
+        raise UnreadableRecordError('not a JSON object')
+    version = document.pop('version', None)
+    if type(version) is not int or version != VERSION:
+        raise UnreadableRecordError(f'unknown version {version!r}')
+    kind = document.pop('kind', None)
+    if not isinstance(kind, str) or kind not in _KINDS:
+        raise UnreadableRecordError(f'unknown kind {kind!r}')
+    record = structure(document, _KINDS[kind])
+    _check(record)
+    return record
+
+
+def structure(document: Any, cls: type) -> Any:
+    """Makes a data class of decoded JSON, without any coercion of types.
+
+    Raises:
+        UnreadableRecordError: The message names every wrong field.
+    """
+    try:
+        return CONVERTER.structure(document, cls)
+    except (cattrs.BaseValidationError, ValueError, TypeError) as error:
+        problems = '; '.join(
+            cattrs.transform_error(error, format_exception=_text)
+        )
+        raise UnreadableRecordError(problems) from error
+    except RecursionError as error:
+        raise UnreadableRecordError('nested too deeply') from error
+
+
+def _check(record: Record) -> None:
+    if isinstance(record, CheckpointRecord):
+        if record.covers_offset < 0:
+            raise UnreadableRecordError('covers_offset is below 0')
+        return
+    if not 1 <= len(record.edit_id) <= EDIT_ID_MAX_CHARS:
+        raise UnreadableRecordError(
+            f'edit_id must have 1 to {EDIT_ID_MAX_CHARS} characters'
+        )
+    if record.read_offset < -1:
+        raise UnreadableRecordError('read_offset is below -1')
+
+
+class _FieldError(ValueError):
+    """A field of the wrong type; the message says what is wrong."""
+
+
+def _text(error: BaseException, cls: type | None) -> str:
+    if isinstance(error, _FieldError):
+        return str(error)
+    return cattrs_v.format_exception(error, cls)
+
+
+def _strict(expected: type) -> Callable[[Any, type], Any]:
+    def hook(value: Any, _: type) -> Any:
+        # Coercion would hide mistakes: bool('false') is true.
+        if type(value) is not expected:
+            raise _FieldError(
+                f'must be {expected.__name__}, not {type(value).__name__}'
+            )
+        return value
+
+    return hook
+
+
+def _float(value: Any, _: type) -> float:
+    if type(value) not in (int, float):
+        raise _FieldError(f'must be a number, not {type(value).__name__}')
+    try:
+        return float(value)
+    except OverflowError as error:
+        raise _FieldError('is too large') from error
+
+
+def _bytes(value: Any, _: type) -> bytes:
+    try:
+        return base64.b64decode(value, validate=True)
+    except (binascii.Error, TypeError, ValueError) as error:
+        raise _FieldError('must be base64') from error
+
+
+def _enum(value: Any, cls: type[enum.StrEnum]) -> enum.StrEnum:
+    if type(value) is not str or value not in list(cls):
+        raise _FieldError(f'must be one of {", ".join(cls)}, not {value!r}')
+    return cls(value)
+
+
+def _names(value: Any, _: type) -> tuple[str, ...]:
+    if type(value) is not list or any(type(item) is not str for item in value):
+        raise _FieldError('must be a list of strings')
+    return tuple(value)
+
+
+def _make_converter() -> cattrs.Converter:
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for primitive in (str, int, bool):
+        converter.register_structure_hook(primitive, _strict(primitive))
+    converter.register_structure_hook(float, _float)
+    # Without its own hook, an enumeration of strings would take any string.
+    converter.register_structure_hook(enum.StrEnum, _enum)
+    converter.register_structure_hook(bytes, _bytes)
+    converter.register_structure_hook_func(
+        lambda cls: cls == tuple[str, ...], _names
+    )
+    converter.register_unstructure_hook(
+        bytes, lambda value: base64.b64encode(value).decode('ascii')
+    )
+    for row in (model.Match, model.Route, model.Pool):
+        # Rows are mostly defaults; leaving them out keeps records small.
+        converter.register_unstructure_hook(
+            row,
+            gen.make_dict_unstructure_fn(
+                row, converter, _cattrs_omit_if_default=True
+            ),
+        )
+    return converter
+
+
+CONVERTER = _make_converter()
