--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -1,15 +1,21 @@
-"""Command line of the stand-ins: ``python -m dotterelweir_fakes``."""
+"""Command line of the fakes: one subcommand per module."""
 
 import click
 
 from dotterelweir_fakes import service
+from dotterelweir_fakes.demo import command as demo_command
+from dotterelweir_fakes.engine import command as engine_command
+from dotterelweir_fakes.pages import command as pages_command
 
 
 @click.group()
 def main() -> None:
-    """Stand-ins, load tool, demo and measurement."""
+    """Stand-ins, load tool, demo and measurement for dotterelweir."""
 
 
+main.add_command(demo_command.demo)
+main.add_command(engine_command.engine)
+main.add_command(pages_command.docs)
 main.add_command(service.command)
 
 if __name__ == '__main__':
--- a/fakes/src/dotterelweir_fakes/service.py
+++ b/fakes/src/dotterelweir_fakes/service.py
@@ -224,10 +224,20 @@
 
 @click.command('service')
 @click.option('--host', default='127.0.0.1', show_default=True)
-@click.option('--port', default=0, show_default=True)
-@click.option('--target-id', default='service-1', show_default=True)
-@click.option('--incarnation', default=1, show_default=True)
-def command(host: str, port: int, target_id: str, incarnation: int) -> None:
-    """Runs a plain service that counts its executions."""
+@click.option('--port', type=int, default=0, help='0: chosen by the system.')
+@click.option('--target-id', required=True)
+@click.option('--service', 'service_name', required=True)
+@click.option('--zone', required=True)
+@click.option('--incarnation', type=int, default=1, show_default=True)
+def command(
+    host: str,
+    port: int,
+    target_id: str,
+    service_name: str,
+    zone: str,
+    incarnation: int,
+) -> None:
+    """Runs a plain service that counts its executions, until SIGTERM."""
+    click.echo(f'{service_name} {target_id} in {zone} listens on {port}')
     state = ServiceState(target_id, incarnation)
-    web.run_app(create_app(state), host=host, port=port)
+    web.run_app(create_app(state), host=host, port=port, print=None)
