--- a/fakes/src/dotterelweir_fakes/demo/scenario.py
+++ b/fakes/src/dotterelweir_fakes/demo/scenario.py
@@ -94,9 +94,7 @@
         probing.cancel()
         changing.cancel()
     summary = load.tally.summary(await cluster.executions())
-    faults = [
-        result.detail for result in load.tally.results if result.detail
-    ]
+    faults = [result.detail for result in load.tally.results if result.detail]
     for fault in faults[:5]:
         say(f'caller saw: {fault}')
     return {
@@ -147,9 +145,7 @@
     }
 
 
-async def _wait_ready(
-    balancer: balancer_module.Balancer, count: int
-) -> None:
+async def _wait_ready(balancer: balancer_module.Balancer, count: int) -> None:
     try:
         async with asyncio.timeout(_READY_TIMEOUT_S):
             while balancer.ready_count < count:
--- a/packages/core/src/dotterelweir_core/claims/keys.py
+++ b/packages/core/src/dotterelweir_core/claims/keys.py
@@ -84,4 +84,4 @@
 
 def partition(hashed_key: str, partitions: int) -> int:
     """The number of the claim stream that a key belongs to."""
-    return xxhash.xxh64_intdigest(hashed_key) % partitions
+    return xxhash.xxh64_intdigest(hashed_key.encode()) % partitions
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/claims/records.py
@@ -0,0 +1,92 @@
+"""Records of the claim streams."""
+
+import attrs
+import cattrs
+from cattrs import strategies
+from cattrs.preconf import orjson as orjson_converter
+
+from dotterelweir_core import errors
+
+
+def _filled(instance: object, attribute: attrs.Attribute, value: str) -> None:
+    if not value:
+        raise ValueError('must not be empty')
+
+
+@attrs.frozen
+class Claim:
+    """An instance wants to run the call of a key.
+
+    Attributes:
+        claim_id: Unique name of the claim; repeated appends share it.
+        key_hash: Hash of organisation, route and key.
+        request_hash: Hash of the request.
+        key_time_s: Time that the key carries, in wall seconds, if any.
+    """
+
+    claim_id: str = attrs.field(validator=_filled)
+    key_hash: str = attrs.field(validator=_filled)
+    request_hash: str
+    key_time_s: float | None = None
+
+
+@attrs.frozen
+class Release:
+    """The claimed call has not run and will not; the key is free again.
+
+    Attributes:
+        claim_id: Name of the claim.
+        key_hash: Hash of the claim's key.
+    """
+
+    claim_id: str = attrs.field(validator=_filled)
+    key_hash: str = attrs.field(validator=_filled)
+
+
+@attrs.frozen
+class Outcome:
+    """The claimed call has ended.
+
+    Attributes:
+        claim_id: Name of the claim.
+        key_hash: Hash of the claim's key.
+        execution: Whether it ran.
+        status: HTTP status; None if there is no answer.
+        headers: Headers of the answer.
+        body: Body of the answer; None if it was not kept.
+    """
+
+    claim_id: str = attrs.field(validator=_filled)
+    key_hash: str = attrs.field(validator=_filled)
+    execution: errors.Execution
+    status: int | None = None
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes | None = None
+
+
+ClaimRecord = Claim | Release | Outcome
+
+_CONVERTER = orjson_converter.make_converter()
+strategies.configure_tagged_union(
+    ClaimRecord,
+    _CONVERTER,
+    tag_name='kind',
+    tag_generator=lambda record_type: record_type.__name__.lower(),
+)
+
+
+def encode(record: ClaimRecord) -> bytes:
+    """The bytes of a record: JSON with a ``kind`` field."""
+    return _CONVERTER.dumps(record, unstructure_as=ClaimRecord)
+
+
+def decode(data: bytes) -> ClaimRecord:
+    """Reads a record; unknown fields are ignored.
+
+    Raises:
+        ValueError: The record cannot be read.
+    """
+    try:
+        return _CONVERTER.loads(data, ClaimRecord)
+    except (cattrs.BaseValidationError, KeyError, TypeError) as error:
+        raise ValueError(f'not a claim record: {error}') from error
--- /dev/null
+++ b/packages/core/tests/claims/test_fold.py
@@ -0,0 +1,117 @@
+"""Tests of the fold of a claim stream."""
+
+import pytest
+
+from dotterelweir_core import errors
+from dotterelweir_core.claims import fold
+from dotterelweir_core.claims import keys
+from dotterelweir_core.claims import records
+
+WINDOW_S = 100.0
+V = fold.Verdict
+
+
+def _claim(claim_id, request='r', key='k', key_time_s=None):
+    return records.Claim(claim_id, key, request, key_time_s)
+
+
+def _ended(claim_id, execution=errors.Execution.RAN):
+    return records.Outcome(claim_id, 'k', execution)
+
+
+def _release(claim_id):
+    return records.Release(claim_id, 'k')
+
+
+@pytest.mark.parametrize(
+    ('timed_records', 'verdict'),
+    [
+        ([(0, _claim('a'))], V.GRANTED),
+        ([(0, _claim('a')), (1, _claim('b'))], V.IN_PROGRESS),
+        ([(0, _claim('a')), (1, _claim('a'))], None),
+        ([(0, _claim('a')), (1, _claim('b', 'other'))], V.MISMATCH),
+        ([(0, _claim('a')), (1, _claim('b', key='other'))], V.GRANTED),
+        ([(0, _claim('a')), (1, _ended('a')), (2, _claim('b'))], V.ENDED),
+        (
+            [(0, _claim('a')), (1, _ended('a')), (2, _claim('b', 'other'))],
+            V.MISMATCH,
+        ),
+        ([(0, _claim('a')), (1, _release('a')), (2, _claim('b'))], V.GRANTED),
+        (
+            [(0, _claim('a')), (1, _release('b')), (2, _claim('c'))],
+            V.IN_PROGRESS,
+        ),
+        (
+            [
+                (0, _claim('a')),
+                (1, _ended('a')),
+                (2, _release('a')),
+                (3, _claim('b')),
+            ],
+            V.ENDED,
+        ),
+        (
+            [(0, _claim('a')), (1, _ended('b')), (2, _claim('c'))],
+            V.IN_PROGRESS,
+        ),
+        ([(0, _claim('a')), (WINDOW_S, _claim('b'))], V.IN_PROGRESS),
+        ([(0, _claim('a')), (WINDOW_S + 1, _claim('b'))], V.GRANTED),
+        ([(0, _claim('a', key_time_s=-WINDOW_S - 1))], V.KEY_EXPIRED),
+        (
+            [(0, _claim('a', key_time_s=keys.FUTURE_TOLERANCE_S + 1))],
+            V.KEY_IN_FUTURE,
+        ),
+        (
+            [
+                (0, _claim('a', key_time_s=50.0)),
+                (WINDOW_S + 50, _claim('b', key_time_s=50.0)),
+            ],
+            V.IN_PROGRESS,
+        ),
+        (
+            [
+                (0, _claim('a', key_time_s=50.0)),
+                (WINDOW_S + 51, _claim('b', key_time_s=50.0)),
+            ],
+            V.KEY_EXPIRED,
+        ),
+        ([(5, _claim('a')), (0, _claim('b'))], V.IN_PROGRESS),
+    ],
+)
+def test_the_first_live_claim_of_a_key_wins(timed_records, verdict):
+    """Guards against a second grant while a claim lives."""
+    table = fold.ClaimTable(WINDOW_S)
+    decision = None
+    for offset, (time_s, record) in enumerate(timed_records):
+        decision = table.apply(offset, time_s, record)
+    assert (decision and decision.verdict) == verdict
+
+
+def test_the_first_outcome_is_the_one_to_replay():
+    """Guards against a repeat that gets a later, different answer."""
+    table = fold.ClaimTable(WINDOW_S)
+    table.apply(7, 0.0, _claim('a'))
+    table.apply(8, 0.0, _ended('a'))
+    table.apply(9, 0.0, _ended('a', errors.Execution.UNKNOWN))
+    decision = table.apply(10, 0.0, _claim('b'))
+    assert decision.outcome_offset == 8
+    assert decision.execution is errors.Execution.RAN
+
+
+def test_memory_is_bounded_by_the_window():
+    """Guards against claims or expiries that pile up."""
+    table = fold.ClaimTable(WINDOW_S)
+    for number in range(5_000):
+        claim = _claim(f'c{number}', key=f'k{number}')
+        table.apply(2 * number, number, claim)
+        if number % 2:
+            table.apply(
+                2 * number + 1,
+                number,
+                records.Release(claim.claim_id, claim.key_hash),
+            )
+        assert len(table) <= WINDOW_S / 2 + 2
+    for _ in range(5_000):
+        table.apply(0, 5_000.0, _claim('x'))
+        table.apply(0, 5_000.0, _release('x'))
+    assert len(table._expiries) < 2_000
