--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/admin.py
@@ -0,0 +1,71 @@
+"""Client of an instance's admin port."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+import orjson
+
+from dotterelweir_cli import exits
+
+_TIMEOUT_S = 5.0
+
+
+class AdminClient:
+    """Asks one instance."""
+
+    def __init__(self, base_url: str, timeout_s: float = _TIMEOUT_S) -> None:
+        self._base_url = base_url.rstrip('/')
+        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+
+    async def get(self, path: str) -> dict:
+        """Reads one document.
+
+        Raises:
+            CommandError: The instance cannot be reached or refuses.
+        """
+        return await self._request('GET', path, None)
+
+    async def post(self, path: str, document: dict) -> dict:
+        """Sends one query with a body. Raises as ``get`` does."""
+        return await self._request('POST', path, document)
+
+    async def watch(self) -> AsyncIterator[dict]:
+        """Yields changes until the instance ends the feed."""
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=30.0)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as http,
+                http.get(f'{self._base_url}/admin/v1/watch') as response,
+            ):
+                async for line in response.content:
+                    if line.startswith(b'data: '):
+                        yield orjson.loads(line.removeprefix(b'data: '))
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            raise self._unreachable(exc) from exc
+
+    async def _request(
+        self, method: str, path: str, document: dict | None
+    ) -> dict:
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=self._timeout) as http,
+                http.request(
+                    method, f'{self._base_url}{path}', json=document
+                ) as response,
+            ):
+                body = orjson.loads(await response.read())
+                if response.status != 200:
+                    raise exits.CommandError(
+                        exits.ExitCode.USAGE,
+                        str(body.get('detail', response.reason)),
+                    )
+                return body
+        except (aiohttp.ClientError, TimeoutError, ValueError) as exc:
+            raise self._unreachable(exc) from exc
+
+    def _unreachable(self, exc: BaseException) -> exits.CommandError:
+        reason = str(exc) or type(exc).__name__
+        return exits.CommandError(
+            exits.ExitCode.UNREACHABLE,
+            f'instance at {self._base_url} is unreachable: {reason}',
+        )
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""The commands of the operators' client, one module each."""
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/commands/apply.py
@@ -0,0 +1,82 @@
+"""The ``apply`` command."""
+
+import pathlib
+
+import click
+
+from dotterelweir_cli import context
+from dotterelweir_cli import editing
+from dotterelweir_cli import exits
+from dotterelweir_cli import rows
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import model
+from dotterelweir_core.tables import records
+
+
+@click.command()
+@click.argument(
+    'file', type=click.Path(path_type=pathlib.Path, dir_okay=False)
+)
+@click.option(
+    '--prune', is_flag=True, help='Delete the rows that FILE does not have.'
+)
+@editing.edit_options
+@context.pass_context
+def apply(
+    ctx: context.Context,
+    file: pathlib.Path,
+    prune: bool,
+    dry_run: bool,
+    expect_revision: int | None,
+    edit_id: str | None,
+) -> None:
+    """Applies the routes and pools of FILE as one atomic edit.
+
+    FILE is JSON with comments: {"routes": {NAME: {...}}, "pools": {...}}.
+    """
+    document = rows.load_document(file)
+    unknown = sorted(set(document) - {'routes', 'pools'})
+    if unknown:
+        raise exits.CommandError(
+            exits.ExitCode.USAGE,
+            f'{file.name}: unknown keys: {", ".join(unknown)}',
+        )
+    routes = _rows(document.get('routes', {}), model.Route)
+    pools = _rows(document.get('pools', {}), model.Pool)
+
+    def make_edit(state: fold.TablesState) -> records.EditRecord:
+        tables = state.tables
+        return rows.make_edit(
+            state,
+            edit_id,
+            expect_revision,
+            put_routes=_changed(routes, tables.routes),
+            put_pools=_changed(pools, tables.pools),
+            delete_routes=_absent(routes, tables.routes) if prune else (),
+            delete_pools=_absent(pools, tables.pools) if prune else (),
+        )
+
+    editing.run_edit(ctx, make_edit, dry_run)
+
+
+def _rows(document: dict, kind: type[rows.Row]) -> dict[str, rows.Row]:
+    return {
+        name: rows.structure_row(name, fields, kind)
+        for name, fields in document.items()
+    }
+
+
+def _changed(
+    wanted: dict[str, rows.Row], present: dict[str, rows.Row]
+) -> tuple[rows.Row, ...]:
+    changed = tuple(
+        row for name, row in wanted.items() if present.get(name) != row
+    )
+    # An edit has to name a row; a file that changes nothing puts them all.
+    return changed or tuple(wanted.values())
+
+
+def _absent(
+    wanted: dict[str, rows.Row], present: dict[str, rows.Row]
+) -> tuple[str, ...]:
+    return tuple(sorted(set(present) - set(wanted)))
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/commands/table.py
@@ -0,0 +1,154 @@
+"""The commands that ``route`` and ``pool`` share."""
+
+import pathlib
+
+import click
+
+from dotterelweir_cli import context
+from dotterelweir_cli import editing
+from dotterelweir_cli import exits
+from dotterelweir_cli import output
+from dotterelweir_cli import rows
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import model
+
+
+def present_rows(
+    state: fold.TablesState, kind: type[rows.Row]
+) -> dict[str, rows.Row]:
+    """The rows of one table."""
+    return state.tables.routes if kind is model.Route else state.tables.pools
+
+
+def put_command(kind: type[rows.Row]) -> click.Command:
+    """Makes the ``put`` command of a table."""
+    label = kind.__name__.lower()
+
+    @click.command('put', help=f'Adds or replaces a {label} from FILE.')
+    @click.argument('name')
+    @click.argument(
+        'file', type=click.Path(path_type=pathlib.Path, dir_okay=False)
+    )
+    @editing.edit_options
+    @context.pass_context
+    def put(
+        ctx: context.Context,
+        name: str,
+        file: pathlib.Path,
+        dry_run: bool,
+        expect_revision: int | None,
+        edit_id: str | None,
+    ) -> None:
+        row = rows.structure_row(name, rows.load_document(file), kind)
+        changes = {f'put_{label}s': (row,)}
+        editing.run_edit(
+            ctx,
+            lambda state: rows.make_edit(
+                state, edit_id, expect_revision, **changes
+            ),
+            dry_run,
+        )
+
+    return put
+
+
+def delete_command(kind: type[rows.Row]) -> click.Command:
+    """Makes the ``delete`` command of a table."""
+    label = kind.__name__.lower()
+
+    @click.command('delete', help=f'Deletes a {label}.')
+    @click.argument('name')
+    @editing.edit_options
+    @context.pass_context
+    def delete(
+        ctx: context.Context,
+        name: str,
+        dry_run: bool,
+        expect_revision: int | None,
+        edit_id: str | None,
+    ) -> None:
+        def make_edit(state: fold.TablesState):
+            # A repeat by name may come after its first copy took effect.
+            if edit_id is None and name not in present_rows(state, kind):
+                raise _not_found(label, name)
+            return rows.make_edit(
+                state,
+                edit_id,
+                expect_revision,
+                **{f'delete_{label}s': (name,)},
+            )
+
+        editing.run_edit(ctx, make_edit, dry_run)
+
+    return delete
+
+
+def get_command(kind: type[rows.Row]) -> click.Command:
+    """Makes the ``get`` command of a table."""
+    label = kind.__name__.lower()
+
+    @click.command('get', help=f'Shows a {label}.')
+    @click.argument('name')
+    @context.pass_context
+    def get(ctx: context.Context, name: str) -> None:
+        state = editing.read_state(ctx)
+        row = present_rows(state, kind).get(name)
+        if row is None:
+            raise _not_found(label, name)
+        key = fold.RowKey(fold.Table(label), name)
+        revision = state.standing(key).revision
+        document = rows.unstructure_row(row)
+        if ctx.as_json:
+            output.print_json({'row': document, 'revision': revision})
+        else:
+            output.print_fields({**document, 'revision': revision})
+
+    return get
+
+
+def list_command(
+    kind: type[rows.Row], headers: tuple[str, ...]
+) -> click.Command:
+    """Makes the ``list`` command of a table.
+
+    Args:
+        kind: Route or Pool.
+        headers: Fields that the table for people shows.
+    """
+    label = kind.__name__.lower()
+
+    @click.command('list', help=f'Lists all {label}s.')
+    @context.pass_context
+    def list_rows(ctx: context.Context) -> None:
+        state = editing.read_state(ctx)
+        present = sorted(present_rows(state, kind).items())
+        if ctx.as_json:
+            output.print_json(
+                {
+                    f'{label}s': {
+                        name: rows.unstructure_row(row)
+                        for name, row in present
+                    },
+                    'revision': state.tables.revision,
+                }
+            )
+            return
+        output.print_table(
+            headers,
+            [[_cell(row, field) for field in headers] for _, row in present],
+        )
+
+    return list_rows
+
+
+def _cell(row: rows.Row, field: str) -> object:
+    value = row
+    for name in field.split('.'):
+        value = getattr(value, name)
+    return ', '.join(value) if isinstance(value, tuple) else value
+
+
+def _not_found(label: str, name: str) -> exits.CommandError:
+    return exits.CommandError(
+        exits.ExitCode.NOT_FOUND, f'there is no {label} {name!r}'
+    )
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/commands/watch.py
@@ -0,0 +1,45 @@
+"""The ``watch`` command."""
+
+import time
+
+import click
+import orjson
+
+from dotterelweir_cli import admin
+from dotterelweir_cli import context
+
+
+@click.command()
+@click.option(
+    '--count',
+    type=click.IntRange(min=1),
+    help='Stop after this many changes.',
+)
+@context.pass_context
+def watch(ctx: context.Context, count: int | None) -> None:
+    """Prints changes of one instance as they happen."""
+    context.run(_watch(ctx, count))
+
+
+async def _watch(ctx: context.Context, count: int | None) -> None:
+    seen = 0
+    async for change in admin.AdminClient(ctx.admin_url).watch():
+        _print_change(ctx, change)
+        seen += 1
+        if count is not None and seen >= count:
+            return
+
+
+def _print_change(ctx: context.Context, change: dict) -> None:
+    if ctx.as_json:
+        click.echo(orjson.dumps(change).decode())
+        return
+    fields = dict(change)
+    clock = time.strftime('%H:%M:%S', time.localtime(fields.pop('time_s')))
+    name = fields.pop('name')
+    number = fields.pop('event')
+    lost = fields.pop('lost', 0)
+    rest = ' '.join(f'{key}={value}' for key, value in fields.items())
+    click.echo(f'{clock} {number} {name} {rest}'.rstrip())
+    if lost:
+        click.echo(f'({lost} changes were not shown)')
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/context.py
@@ -0,0 +1,50 @@
+"""Options that every command shares."""
+
+import asyncio
+from collections.abc import Coroutine
+import enum
+import typing
+
+import attrs
+import click
+
+Result = typing.TypeVar('Result')
+
+
+class OutputFormat(enum.StrEnum):
+    """How results are printed."""
+
+    TABLE = 'table'
+    JSON = 'json'
+
+
+@attrs.frozen
+class Context:
+    """Shared options.
+
+    Attributes:
+        log_url: Base URL of the platform's log.
+        stream: Name of the configuration stream.
+        admin_url: Base URL of an instance's admin port.
+        output: How results are printed.
+        timeout_s: Bound on an edit and its confirmation.
+    """
+
+    log_url: str
+    stream: str
+    admin_url: str
+    output: OutputFormat
+    timeout_s: float
+
+    @property
+    def as_json(self) -> bool:
+        """Whether results are printed as JSON."""
+        return self.output is OutputFormat.JSON
+
+
+pass_context = click.make_pass_decorator(Context)
+
+
+def run(coroutine: Coroutine[typing.Any, typing.Any, Result]) -> Result:
+    """Runs the asynchronous part of a command."""
+    return asyncio.run(coroutine)
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/editing.py
@@ -0,0 +1,138 @@
+"""The common part of the commands that read or edit tables."""
+
+from collections.abc import Callable
+import random
+import typing
+
+import aiohttp
+import click
+
+from dotterelweir_cli import context
+from dotterelweir_cli import edits
+from dotterelweir_cli import exits
+from dotterelweir_cli import output
+from dotterelweir_core import errors
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import records
+from dotterelweir_platform import http as platform_http
+
+EditFactory = Callable[[fold.TablesState], records.EditRecord]
+Function = typing.TypeVar('Function', bound=Callable)
+
+_EXIT_CODES = {
+    edits.EditOutcome.ACCEPTED: exits.ExitCode.ACCEPTED,
+    edits.EditOutcome.REJECTED: exits.ExitCode.REJECTED,
+    edits.EditOutcome.UNKNOWN: exits.ExitCode.UNKNOWN,
+}
+
+
+def edit_options(function: Function) -> Function:
+    """Adds the options that every editing command has."""
+    for option in (
+        click.option(
+            '--dry-run',
+            is_flag=True,
+            help='Show what the edit would do now; change nothing.',
+        ),
+        click.option(
+            '--expect-revision',
+            type=int,
+            help='Reject the edit if a row it names changed after this '
+            'revision. Default: the revision that the command reads.',
+        ),
+        click.option(
+            '--edit-id',
+            help='Name of the edit. Repeat an edit whose result is unknown '
+            'with the same name and the same --expect-revision.',
+        ),
+    ):
+        function = option(function)
+    return function
+
+
+def read_state(ctx: context.Context) -> fold.TablesState:
+    """Reads the newest state of the tables.
+
+    Raises:
+        CommandError: The log cannot be read.
+    """
+    return context.run(_read_state(ctx))
+
+
+def run_edit(
+    ctx: context.Context,
+    make_edit: EditFactory,
+    dry_run: bool,
+) -> None:
+    """Reads the tables, makes an edit, submits it and prints the result.
+
+    Raises:
+        CommandError: The log cannot be read.
+    """
+    report = context.run(_run_edit(ctx, make_edit, dry_run))
+    _print_report(ctx, report, dry_run)
+    raise SystemExit(int(_EXIT_CODES[report.outcome]))
+
+
+async def _read_state(ctx: context.Context) -> fold.TablesState:
+    async with aiohttp.ClientSession() as http:
+        return await _guarded_read(ctx, _editor(ctx, http))
+
+
+async def _run_edit(
+    ctx: context.Context, make_edit: EditFactory, dry_run: bool
+) -> edits.EditReport:
+    async with aiohttp.ClientSession() as http:
+        editor = _editor(ctx, http)
+        state = await _guarded_read(ctx, editor)
+        edit = make_edit(state)
+        if dry_run:
+            return editor.dry_run(state, edit)
+        return await editor.submit(state, edit)
+
+
+def _editor(
+    ctx: context.Context, http: aiohttp.ClientSession
+) -> edits.TablesEditor:
+    log = platform_http.HttpLogClient(http, ctx.log_url, ctx.timeout_s)
+    return edits.TablesEditor(log, ctx.stream, ctx.timeout_s, random.Random())
+
+
+async def _guarded_read(
+    ctx: context.Context, editor: edits.TablesEditor
+) -> fold.TablesState:
+    try:
+        return await editor.read()
+    except errors.DotterelweirError as exc:
+        raise exits.CommandError(
+            exits.ExitCode.UNREACHABLE, f'log at {ctx.log_url}: {exc.detail}'
+        ) from exc
+
+
+def _print_report(
+    ctx: context.Context, report: edits.EditReport, dry_run: bool
+) -> None:
+    if ctx.as_json:
+        document = records.CONVERTER.unstructure(report)
+        output.print_json({**document, 'dry_run': dry_run})
+        return
+    prefix = 'dry run: ' if dry_run else ''
+    click.echo(
+        f'{prefix}{report.outcome.value}'
+        + (f' at offset {report.offset}' if report.offset is not None else '')
+        + (f', revision {report.revision}' if report.revision else '')
+    )
+    for detail in report.details:
+        click.echo(f'  {detail}')
+    match report.outcome:
+        case edits.EditOutcome.REJECTED:
+            for row in report.standing:
+                stands = 'absent' if row.row is None else 'present'
+                click.echo(
+                    f'  now: {row.key} is {stands} at revision {row.revision}'
+                )
+        case edits.EditOutcome.UNKNOWN:
+            click.echo(
+                f'  repeat with --edit-id {report.edit_id} '
+                f'--expect-revision {report.read_offset}'
+            )
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/output.py
@@ -0,0 +1,39 @@
+"""Output as tables for people or as JSON for programs."""
+
+from collections.abc import Sequence
+
+import click
+import orjson
+import tabulate
+
+
+def print_json(document: object) -> None:
+    """Prints one JSON document."""
+    text = orjson.dumps(
+        document, option=orjson.OPT_INDENT_2 | orjson.OPT_SORT_KEYS
+    )
+    click.echo(text.decode())
+
+
+def print_table(
+    headers: Sequence[str], rows: Sequence[Sequence[object]]
+) -> None:
+    """Prints rows under headers; cells that are None stay empty."""
+    if not rows:
+        click.echo('(none)')
+        return
+    click.echo(
+        tabulate.tabulate(
+            [['' if cell is None else cell for cell in row] for row in rows],
+            headers=headers,
+            tablefmt='simple',
+            disable_numparse=True,
+        )
+    )
+
+
+def print_fields(fields: dict[str, object]) -> None:
+    """Prints one field a line."""
+    width = max((len(name) for name in fields), default=0)
+    for name, value in fields.items():
+        click.echo(f'{name:<{width}}  {"" if value is None else value}')
