Relay generations from engines to callers

Callers' server, completions (streamed or not), resume by event id, and the engine adapter. Retries before the first token stay within a budget and follow what is known of the execution; after it only the same generation at the same incarnation is resumed.

The relay rewrites whole chunks; a stalled link is found by a timer that is scheduled once per period instead of once per chunk. The execution in an error covers all attempts of a request, not only the last one. The first chunk of a generation can hold several events: the report of tokens counted it as one until a test with a resume before the first token showed 1 of 7.

Resume at another instance, shutdown, limits and golden sessions have no tests yet; the CPU cost is not measured yet.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -101,6 +101,18 @@
     logging.ERROR,
     'An answer did not belong to its request or was out of sequence.',
 )
+CANCEL_FAILED = _event(
+    207,
+    'cancel-failed',
+    logging.WARNING,
+    'A generation that nobody can resume could not be cancelled.',
+)
+STREAM_CUT = _event(
+    208,
+    'stream-cut',
+    logging.WARNING,
+    'A stream ended before its answer was complete, by an error or handover.',
+)
 UNEXPECTED_ERROR = _event(
     299,
     'unexpected-error',
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/attempts.py
@@ -0,0 +1,288 @@
+"""Finds an engine that produces the first token of a request."""
+
+import asyncio
+import logging
+
+import attrs
+
+from dotterelweir_core import backoff
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core.delivery import resume
+from dotterelweir_core.policy import api as policy_api
+from dotterelweird import scopes
+from dotterelweird import timers
+from dotterelweird.callers import api
+from dotterelweird.callers import reader as reader_module
+from dotterelweird.targets import api as targets_api
+
+LOG = logging.getLogger(__name__)
+
+
+@attrs.define(eq=False)
+class Opened:
+    """A generation that has produced its first token.
+
+    Attributes:
+        target_id: The engine's name.
+        reader: Reads the rest.
+        first: The first events for the caller.
+    """
+
+    target_id: str
+    reader: reader_module.GenerationReader
+    first: bytes
+
+
+class Attempts:
+    """The attempts of one request up to its first token.
+
+    Args:
+        parts: The parts of the callers' side.
+        item: The request.
+        path: Path of the request at the engine.
+        body: Body of the request for the engine.
+        streamed: Whether the caller can resume the generation.
+
+    Attributes:
+        handed_over: A generation without a token that the caller can
+            resume elsewhere, when the instance stops.
+    """
+
+    def __init__(
+        self,
+        parts: api.CallerParts,
+        item: policy_api.WorkItem,
+        path: str,
+        body: bytes,
+        streamed: bool,
+    ) -> None:
+        self._parts = parts
+        self._timer = parts.timer
+        self._delivery = parts.settings.delivery
+        self._item = item
+        self._path = path
+        self._body = body
+        self._streamed = streamed
+        self._number = 0
+        # Attempts that run, or ended without certainty that nothing ran.
+        self._uncertain = 0
+        self._produced = False
+        self._abandoned: list[asyncio.Task[Opened]] = []
+        self._outcomes: asyncio.Queue[asyncio.Task[Opened]] = asyncio.Queue()
+        self._tasks: dict[asyncio.Task[Opened], policy_api.Placement] = {}
+        self.handed_over: reader_module.GenerationReader | None = None
+
+    @property
+    def execution(self) -> errors.Execution:
+        """What is known of the execution of the request."""
+        if self._produced:
+            return errors.Execution.RAN
+        if self._uncertain:
+            return errors.Execution.UNKNOWN
+        return errors.Execution.NOT_RUN
+
+    async def open(self) -> Opened:
+        """Waits for the first token.
+
+        Raises:
+            DotterelweirError: No engine has produced one; ``execution``
+                tells what is known of the request.
+        """
+        self._parts.retry_budget.record_request()
+        delays = backoff.Backoff(self._parts.rng, first_s=0.02, cap_s=0.5)
+        failure: errors.DotterelweirError | None = None
+        try:
+            while True:
+                try:
+                    placement = await self._parts.dispatcher.place(
+                        self._item, on_hedge=self._spawn
+                    )
+                except errors.DotterelweirError as refusal:
+                    # The failure of an attempt says more than the refusal
+                    # of its retry.
+                    raise failure or refusal from refusal
+                self._spawn(placement)
+                try:
+                    return await self._first_outcome()
+                except errors.DotterelweirError as error:
+                    if not self._may_retry(error):
+                        raise
+                    failure = error
+                await timers.sleep(self._timer, delays.next_delay_s() or 0)
+        finally:
+            self._abandon_all()
+
+    async def wait_abandoned(self) -> None:
+        """Waits until the attempts that were given up have ended."""
+        await asyncio.gather(*self._abandoned, return_exceptions=True)
+
+    def final(
+        self, error: errors.DotterelweirError
+    ) -> errors.DotterelweirError:
+        """The error with what all attempts together say of execution."""
+        execution = self.execution
+        if execution is errors.Execution.NOT_RUN:
+            execution = error.execution
+        return errors.DotterelweirError(
+            error.kind, error.detail, execution, error.retry_after_s
+        )
+
+    def _may_retry(self, error: errors.DotterelweirError) -> bool:
+        if error.kind is errors.ErrorKind.MALFORMED_REQUEST:
+            return False
+        certain = self.execution is errors.Execution.NOT_RUN
+        if not certain and not self._item.repeatable:
+            return False
+        return self._parts.retry_budget.take()
+
+    def _spawn(self, placement: policy_api.Placement) -> None:
+        """Starts an attempt; also called when a hedge is placed."""
+        task = asyncio.get_running_loop().create_task(self._attempt(placement))
+        self._tasks[task] = placement
+        task.add_done_callback(self._outcomes.put_nowait)
+
+    async def _first_outcome(self) -> Opened:
+        failure: Exception | None = None
+        while self._tasks:
+            task = await self._outcomes.get()
+            if self._tasks.pop(task, None) is None:
+                continue
+            error = task.exception()
+            if error is None:
+                opened = task.result()
+                self._produced = True
+                self._parts.dispatcher.record_first_token(
+                    self._item.request_id, opened.target_id
+                )
+                return opened
+            if not isinstance(error, errors.DotterelweirError):
+                raise error
+            failure = error
+        raise failure or errors.DotterelweirError(errors.ErrorKind.INTERNAL)
+
+    def _abandon_all(self) -> None:
+        """Ends the attempts that lost, or whose caller has gone."""
+        for task, placement in self._tasks.items():
+            if not task.done():
+                task.cancel()
+                self._abandoned.append(task)
+            elif not task.cancelled() and task.exception() is None:
+                self._discard(placement, task.result().reader)
+        self._tasks.clear()
+
+    def _discard(
+        self,
+        placement: policy_api.Placement,
+        reader: reader_module.GenerationReader | None,
+    ) -> None:
+        if reader is not None:
+            reader.close()
+            stopping = self._parts.in_flight.handing_over
+            if stopping and self._streamed and self.handed_over is None:
+                self.handed_over = reader
+            else:
+                reader.cancel_generation()
+        self._record_end(placement, policy_api.AttemptEnd.CANCELLED)
+
+    def _record_end(
+        self, placement: policy_api.Placement, end: policy_api.AttemptEnd
+    ) -> None:
+        record_end(
+            self._parts, self._item.request_id, placement.target_id, end
+        )
+
+    async def _attempt(self, placement: policy_api.Placement) -> Opened:
+        reader = None
+        self._uncertain += 1
+        try:
+            with scopes.deadline(
+                self._timer,
+                self._delivery.first_token_timeout_s,
+                errors.DotterelweirError(
+                    errors.ErrorKind.TARGET_FAILED,
+                    'no first token in time',
+                    errors.Execution.UNKNOWN,
+                ),
+            ):
+                reader = await self._start(placement)
+                first = await reader.read()
+        except errors.DotterelweirError as error:
+            self._note_failure(placement, reader, error)
+            raise
+        except BaseException:
+            # Cancelled, or a fault in this code.
+            self._discard(placement, reader)
+            raise
+        return Opened(placement.target_id, reader, first)
+
+    async def _start(
+        self, placement: policy_api.Placement
+    ) -> reader_module.GenerationReader:
+        target = self._parts.find_target(placement.target_id, None)
+        if target is None:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.TARGET_UNREACHABLE, 'the target has gone'
+            )
+        self._number += 1
+        stream = await self._parts.engines.start(
+            target,
+            targets_api.GenerationRequest(
+                f'{self._item.request_id}-{self._number}',
+                self._path,
+                self._body,
+                placement.engine_priority,
+                self._delivery.resume_window_s,
+                self._delivery.first_token_timeout_s,
+            ),
+        )
+        ref = resume.GenerationRef(
+            target.target_id, stream.incarnation, stream.generation_id
+        )
+        token = self._parts.codec.token(ref, self._item.organisation)
+        reader = reader_module.reader_for(
+            self._parts, target, stream, token, self._item.request_id
+        )
+        if self._item.repeatable:
+            # Another engine is the better choice before the first token.
+            reader.limit_resumes(1)
+        return reader
+
+    def _note_failure(
+        self,
+        placement: policy_api.Placement,
+        reader: reader_module.GenerationReader | None,
+        error: errors.DotterelweirError,
+    ) -> None:
+        if error.execution is errors.Execution.NOT_RUN:
+            self._uncertain -= 1
+        if reader is not None:
+            reader.close()
+            reader.cancel_generation()
+        end = policy_api.AttemptEnd.FAILED
+        if error.kind is errors.ErrorKind.TARGET_REFUSED:
+            end = policy_api.AttemptEnd.REFUSED
+        self._record_end(placement, end)
+        self._item = attrs.evolve(
+            self._item, excluded=self._item.excluded | {placement.target_id}
+        )
+        events.log(
+            LOG,
+            events.ATTEMPT_FAILED,
+            request_id=self._item.request_id,
+            target_id=placement.target_id,
+            kind=error.kind.value,
+            execution=error.execution.value,
+            detail=error.detail,
+        )
+
+
+def record_end(
+    parts: api.CallerParts,
+    request_id: str,
+    target_id: str,
+    end: policy_api.AttemptEnd,
+) -> None:
+    """Reports the end of an attempt."""
+    parts.dispatcher.record_end(request_id, target_id, end)
+    parts.metrics.attempts.inc({'target': target_id, 'end': end.value})
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/collect.py
@@ -0,0 +1,108 @@
+"""Builds the answer of a request that is not streamed from the events."""
+
+import typing
+
+import orjson
+
+from dotterelweir_core.delivery import sse
+
+
+class Collector:
+    """Merges the chunks of one generation into one document.
+
+    Args:
+        chat: Whether it is a chat completion.
+    """
+
+    def __init__(self, chat: bool) -> None:
+        self._chat = chat
+        self._head: dict[str, typing.Any] = {}
+        self._choices: dict[int, dict[str, typing.Any]] = {}
+        self._usage: typing.Any = None
+
+    def add(self, out: bytes) -> None:
+        """Takes whole events.
+
+        Raises:
+            ValueError: An event has another form than a chunk.
+        """
+        whole, _ = sse.split_events(out)
+        for event in whole:
+            data = sse.event_data(event)
+            if data == b'[DONE]':
+                continue
+            chunk = orjson.loads(data)
+            if not isinstance(chunk, dict):
+                raise ValueError('a chunk must be an object')
+            if not self._head:
+                self._head = chunk
+            self._usage = chunk.get('usage') or self._usage
+            for choice in chunk.get('choices') or ():
+                self._add_choice(choice)
+
+    def document(self) -> bytes:
+        """The JSON document of the whole answer."""
+        members = {
+            key: value
+            for key, value in self._head.items()
+            if key not in ('choices', 'usage', 'object')
+        }
+        members['object'] = (
+            'chat.completion' if self._chat else 'text_completion'
+        )
+        members['choices'] = [
+            choice for _, choice in sorted(self._choices.items())
+        ]
+        if self._usage is not None:
+            members['usage'] = self._usage
+        return orjson.dumps(members)
+
+    def _add_choice(self, choice: dict[str, typing.Any]) -> None:
+        index = choice.get('index', 0)
+        body = {'message': {'role': 'assistant', 'content': ''}}
+        merged = self._choices.setdefault(
+            index,
+            {'index': index}
+            | (body if self._chat else {'text': ''})
+            | {'finish_reason': None},
+        )
+        if self._chat:
+            _merge(merged['message'], choice.get('delta') or {})
+        else:
+            merged['text'] += choice.get('text') or ''
+        if choice.get('finish_reason') is not None:
+            merged['finish_reason'] = choice['finish_reason']
+        if choice.get('logprobs') is not None:
+            _merge(merged.setdefault('logprobs', {}), choice['logprobs'])
+
+
+def _merge(into: dict[str, typing.Any], delta: dict[str, typing.Any]) -> None:
+    """Adds a delta: texts and lists grow, lists of parts merge by index."""
+    for key, value in delta.items():
+        known = into.get(key)
+        if key in ('role', 'id', 'type', 'index') or known is None:
+            into[key] = value
+        elif isinstance(value, str) and isinstance(known, str):
+            into[key] = known + value
+        elif isinstance(value, dict) and isinstance(known, dict):
+            _merge(known, value)
+        elif isinstance(value, list) and isinstance(known, list):
+            _merge_lists(known, value)
+        elif value is not None:
+            into[key] = value
+
+
+def _merge_lists(known: list, added: list) -> None:
+    for part in added:
+        same = [
+            other
+            for other in known
+            if isinstance(part, dict)
+            and isinstance(other, dict)
+            and 'index' in part
+            and other.get('index') == part['index']
+        ]
+        if same:
+            _merge(same[0], part)
+        else:
+            known.append(part)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/completions.py
@@ -0,0 +1,243 @@
+"""Chat and completion requests, streamed and not streamed."""
+
+from collections.abc import Iterator
+import contextlib
+import logging
+
+from aiohttp import web
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import model as tables_model
+from dotterelweird import scopes
+from dotterelweird.callers import api
+from dotterelweird.callers import attempts as attempts_module
+from dotterelweird.callers import collect
+from dotterelweird.callers import problems
+from dotterelweird.callers import relay as relay_module
+from dotterelweird.callers import requests
+
+LOG = logging.getLogger(__name__)
+
+# The first token is reported on its own; the chunk that brings it may have
+# more.
+_FIRST_TOKEN = 1
+
+_CANCELLING = frozenset(
+    {errors.ErrorKind.REQUEST_TIMEOUT, errors.ErrorKind.SHUTTING_DOWN}
+)
+
+
+async def handle(
+    parts: api.CallerParts,
+    request: web.Request,
+    route: tables_model.Route,
+    item: policy_api.WorkItem,
+    completion: requests.Completion,
+    body: bytes,
+) -> web.StreamResponse:
+    """Answers one completion request.
+
+    Raises:
+        DotterelweirError: There is no answer and no stream was begun.
+    """
+    engine_body = completion.engine_body(body, item.max_output_tokens)
+    answer = _Answer(
+        parts,
+        request,
+        item,
+        attempts_module.Attempts(
+            parts, item, request.path, engine_body, completion.streamed
+        ),
+    )
+    if completion.streamed:
+        return await answer.stream()
+    return await answer.whole(completion.chat)
+
+
+@attrs.define(eq=False)
+class _Answer:
+    """The answer to one request."""
+
+    _parts: api.CallerParts
+    _request: web.Request
+    _item: policy_api.WorkItem
+    _attempts: attempts_module.Attempts
+    _opened: attempts_module.Opened | None = None
+    _ended: bool = False
+
+    async def stream(self) -> web.StreamResponse:
+        """Answers with server-sent events."""
+        relay = relay_module.StreamRelay(
+            self._parts, self._request, self._item.request_id
+        )
+        error = None
+        try:
+            with self._bounds():
+                opened = await self._open()
+                await relay.start()
+                await relay.run(
+                    opened.reader,
+                    opened.first,
+                    self._record_tokens,
+                    _FIRST_TOKEN,
+                )
+        except errors.DotterelweirError as exc:
+            error = self._attempts.final(exc)
+        except ConnectionError:
+            # The caller has gone and may resume within the window.
+            self._end(policy_api.AttemptEnd.CANCELLED)
+            return relay.response
+        except Exception:
+            if self._opened is None:
+                raise
+            error = self._attempts.final(
+                problems.unexpected(self._item.request_id)
+            )
+        except BaseException:
+            self._end(policy_api.AttemptEnd.CANCELLED)
+            raise
+        if self._opened is None:
+            return await self._end_without_token(relay, error)
+        await self._end_stream(relay, self._opened, error)
+        return relay.response
+
+    async def whole(self, chat: bool) -> web.Response:
+        """Answers with one JSON document."""
+        collector = collect.Collector(chat)
+        try:
+            with self._bounds():
+                opened = await self._open()
+                await self._read_whole(opened, collector)
+        except errors.DotterelweirError as exc:
+            error = self._attempts.final(exc)
+            self._end(_attempt_end(error), cancel=error.kind in _CANCELLING)
+            raise error from exc
+        except BaseException:
+            # Nobody can resume an answer that is not streamed.
+            self._end(policy_api.AttemptEnd.CANCELLED, cancel=True)
+            raise
+        self._end(policy_api.AttemptEnd.COMPLETE, close=False)
+        self._parts.in_flight.run_in_background(opened.reader.settle())
+        return web.Response(
+            body=collector.document(),
+            content_type='application/json',
+            headers={requests.REQUEST_ID_HEADER: self._item.request_id},
+        )
+
+    @contextlib.contextmanager
+    def _bounds(self) -> Iterator[None]:
+        left_s = self._item.deadline_s - self._parts.timer.monotonic_s()
+        late = errors.DotterelweirError(
+            errors.ErrorKind.REQUEST_TIMEOUT,
+            'the answer was not complete in time',
+        )
+        with self._parts.in_flight.interruptible():
+            with scopes.deadline(self._parts.timer, left_s, late):
+                yield
+
+    async def _open(self) -> attempts_module.Opened:
+        self._opened = await self._attempts.open()
+        self._parts.metrics.first_token_s.observe(
+            {'route': self._item.route},
+            self._parts.timer.monotonic_s() - self._item.arrived_s,
+        )
+        return self._opened
+
+    async def _read_whole(
+        self, opened: attempts_module.Opened, collector: collect.Collector
+    ) -> None:
+        reader = opened.reader
+        reader.watch_stalls()
+        out = opened.first
+        reported = _FIRST_TOKEN
+        while out:
+            try:
+                collector.add(out)
+            except ValueError as exc:
+                raise errors.DotterelweirError(
+                    errors.ErrorKind.TARGET_FAILED,
+                    f'the engine sent a malformed chunk: {exc}',
+                    errors.Execution.RAN,
+                ) from exc
+            out = await reader.read()
+            if reader.cursor.next_sequence > reported:
+                self._record_tokens(reader.cursor.next_sequence - reported)
+                reported = reader.cursor.next_sequence
+
+    async def _end_without_token(
+        self,
+        relay: relay_module.StreamRelay,
+        error: errors.DotterelweirError,
+    ) -> web.StreamResponse:
+        await self._attempts.wait_abandoned()
+        reader = self._attempts.handed_over
+        if error.kind is not errors.ErrorKind.SHUTTING_DOWN or reader is None:
+            raise error
+        await relay.start()
+        await relay.end(reader, error)
+        return relay.response
+
+    async def _end_stream(
+        self,
+        relay: relay_module.StreamRelay,
+        opened: attempts_module.Opened,
+        error: errors.DotterelweirError | None,
+    ) -> None:
+        if error is None:
+            self._end(policy_api.AttemptEnd.COMPLETE, close=False)
+        else:
+            timed_out = error.kind is errors.ErrorKind.REQUEST_TIMEOUT
+            self._end(_attempt_end(error), cancel=timed_out)
+            events.log(
+                LOG,
+                events.STREAM_CUT,
+                request_id=self._item.request_id,
+                target_id=opened.target_id,
+                kind=error.kind.value,
+                next_sequence=opened.reader.cursor.next_sequence,
+                detail=error.detail,
+            )
+        try:
+            await relay.end(opened.reader, error)
+            if error is None:
+                await opened.reader.settle()
+        except ConnectionError:
+            # The caller has gone after its last token.
+            pass
+        finally:
+            opened.reader.close()
+
+    def _record_tokens(self, count: int) -> None:
+        self._parts.dispatcher.record_tokens(
+            self._item.request_id, self._opened.target_id, count
+        )
+
+    def _end(
+        self,
+        end: policy_api.AttemptEnd,
+        cancel: bool = False,
+        close: bool = True,
+    ) -> None:
+        opened = self._opened
+        if opened is None or self._ended:
+            return
+        self._ended = True
+        if close:
+            opened.reader.close()
+        if cancel:
+            opened.reader.cancel_generation()
+        attempts_module.record_end(
+            self._parts, self._item.request_id, opened.target_id, end
+        )
+        self._parts.metrics.tokens.add(
+            {'route': self._item.route}, opened.reader.cursor.next_sequence
+        )
+
+
+def _attempt_end(error: errors.DotterelweirError) -> policy_api.AttemptEnd:
+    if error.kind in _CANCELLING:
+        return policy_api.AttemptEnd.CANCELLED
+    return policy_api.AttemptEnd.FAILED
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/inflight.py
@@ -0,0 +1,87 @@
+"""The requests that are being answered, for a graceful shutdown."""
+
+import asyncio
+from collections.abc import Coroutine
+from collections.abc import Iterator
+import contextlib
+
+from dotterelweir_core import errors
+from dotterelweird import scopes
+
+
+class InFlight:
+    """Counts requests and can hand them over before a deadline.
+
+    Attributes:
+        count: Requests that are being answered.
+        handing_over: Whether ``hand_over`` was called.
+    """
+
+    def __init__(self) -> None:
+        self._scopes: set[scopes.Scope] = set()
+        self._tasks: set[asyncio.Task] = set()
+        self._empty = asyncio.Event()
+        self._empty.set()
+        self.count = 0
+        self.handing_over = False
+
+    @contextlib.contextmanager
+    def track(self) -> Iterator[None]:
+        """Counts the request that the block answers."""
+        self.count += 1
+        self._empty.clear()
+        try:
+            yield
+        finally:
+            self.count -= 1
+            if self.count == 0:
+                self._empty.set()
+
+    @contextlib.contextmanager
+    def interruptible(self) -> Iterator[None]:
+        """Runs the part of an answer that ``hand_over`` ends.
+
+        Raises:
+            DotterelweirError: SHUTTING_DOWN when it was ended; its
+                ``execution`` is for the caller of this to set.
+        """
+        if self.handing_over:
+            raise _stopped()
+        with scopes.Scope() as scope:
+            self._scopes.add(scope)
+            try:
+                yield
+            finally:
+                self._scopes.discard(scope)
+
+    def run_in_background(self, coroutine: Coroutine) -> None:
+        """Runs the clean-up after a request without delaying its answer."""
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def hand_over(self) -> None:
+        """Ends every request; to be called shortly before the deadline.
+
+        A stream ends with a ``handover`` event; a request that has no
+        stream is refused with what is known of its execution.
+        """
+        self.handing_over = True
+        for scope in tuple(self._scopes):
+            scope.interrupt(_stopped())
+
+    async def wait_empty(self) -> None:
+        """Waits until no request is being answered."""
+        await self._empty.wait()
+
+    async def close(self) -> None:
+        """Waits for the clean-up of requests that have ended."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+
+def _stopped() -> errors.DotterelweirError:
+    return errors.DotterelweirError(
+        errors.ErrorKind.SHUTTING_DOWN,
+        'the instance stops before the answer is complete',
+        retry_after_s=0.0,
+    )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/reader.py
@@ -0,0 +1,260 @@
+"""Reads one generation over as many links to its engine as it takes."""
+
+from collections.abc import AsyncIterator
+import logging
+
+import attrs
+
+from dotterelweir_core import backoff
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers as core_timers
+from dotterelweir_core.delivery import sse
+from dotterelweir_core.targets import model as targets_model
+from dotterelweird import scopes
+from dotterelweird import timers
+from dotterelweird.callers import api
+from dotterelweird.targets import api as targets_api
+
+LOG = logging.getLogger(__name__)
+
+# The caller's next request on its connection waits for this.
+_SETTLE_S = 0.1
+
+
+class GenerationReader:
+    """Reads the events of one generation, each one once and in order.
+
+    A broken or stalled link is replaced by another one to the same
+    generation at the same incarnation of the engine.
+
+    Args:
+        parts: The parts of the callers' side.
+        target: The engine, with the incarnation that runs the generation.
+        stream: The open stream.
+        cursor: Checks the sequence.
+        request_id: Name of the request, for log lines.
+
+    Attributes:
+        target: The engine.
+        generation_id: The engine's name of the generation.
+        cursor: The sequence check.
+    """
+
+    def __init__(
+        self,
+        parts: api.CallerParts,
+        target: targets_model.Target,
+        stream: targets_api.EngineStream,
+        cursor: sse.GenerationCursor,
+        request_id: str,
+    ) -> None:
+        self._parts = parts
+        self._timer = parts.timer
+        self._delivery = parts.settings.delivery
+        self._stream = stream
+        self._chunks: AsyncIterator[bytes] = aiter(stream.chunks())
+        self._request_id = request_id
+        self._backoff = self._new_backoff(self._delivery.resume_attempts)
+        self._progressed = False
+        self._waiting_since_s: float | None = None
+        self._watchdog: core_timers.TimerHandle | None = None
+        self.target = target
+        self.generation_id = stream.generation_id
+        self.cursor = cursor
+
+    async def read(self) -> bytes:
+        """The next events for the caller; empty after the end mark.
+
+        Raises:
+            DotterelweirError: GENERATION_LOST when the generation cannot be
+                resumed.
+        """
+        cursor = self.cursor
+        while not cursor.complete:
+            self._waiting_since_s = self._timer.monotonic_s()
+            try:
+                chunk = await anext(self._chunks, b'')
+            except errors.DotterelweirError as error:
+                await self._resume(error.detail)
+                continue
+            finally:
+                self._waiting_since_s = None
+            if not chunk:
+                await self._resume('the link ended before the end mark')
+                continue
+            out = cursor.feed(chunk)
+            if cursor.fault is not None:
+                # What precedes the fault is in order and goes out first;
+                # the closed link makes the next read resume.
+                self._reject()
+            if out:
+                self._progressed = True
+                return out
+        return b''
+
+    def watch_stalls(self) -> None:
+        """Replaces the link when it makes no progress from now on.
+
+        Not used before the first token, when the engine may queue the
+        request for long.
+        """
+        if self._watchdog is None:
+            self._schedule_watchdog(self._delivery.stall_timeout_s)
+
+    async def settle(self) -> None:
+        """Reads the end of the body so that the connection can be reused.
+
+        Anything but a prompt and clean end closes the connection.
+        """
+        late = errors.DotterelweirError(errors.ErrorKind.TARGET_FAILED)
+        try:
+            with scopes.deadline(self._timer, _SETTLE_S, late):
+                await anext(self._chunks, b'')
+        except errors.DotterelweirError:
+            # The caller has its whole answer; only the connection is lost.
+            pass
+        finally:
+            self.close()
+
+    def close(self) -> None:
+        """Closes the link; the engine keeps the generation."""
+        if self._watchdog is not None:
+            self._watchdog.cancel()
+            self._watchdog = None
+        self._stream.close()
+
+    def cancel_generation(self) -> None:
+        """Tells the engine that nobody can resume the generation."""
+        self._parts.in_flight.run_in_background(self._cancel())
+
+    async def _cancel(self) -> None:
+        try:
+            await self._parts.engines.cancel(self.target, self.generation_id)
+        except errors.DotterelweirError as error:
+            events.log(
+                LOG,
+                events.CANCEL_FAILED,
+                request_id=self._request_id,
+                target_id=self.target.target_id,
+                detail=error.detail,
+            )
+
+    def limit_resumes(self, attempts: int) -> None:
+        """Bounds the resumes until there is progress."""
+        self._backoff = self._new_backoff(attempts)
+
+    def _new_backoff(self, attempts: int) -> backoff.Backoff:
+        return backoff.Backoff(
+            self._parts.rng,
+            first_s=min(0.05, self._delivery.stall_timeout_s),
+            cap_s=1.0,
+            attempts=attempts,
+        )
+
+    async def _resume(self, reason: str) -> None:
+        self._stream.close()
+        if self._progressed:
+            self.limit_resumes(self._delivery.resume_attempts)
+            self._progressed = False
+        detail = reason
+        while True:
+            delay_s = self._backoff.next_delay_s()
+            if delay_s is None:
+                raise self._lost(detail)
+            await timers.sleep(self._timer, delay_s)
+            try:
+                stream = await self._parts.engines.resume(
+                    self.target,
+                    self.generation_id,
+                    self.cursor.next_sequence - 1,
+                    self._delivery.stall_timeout_s,
+                )
+            except errors.DotterelweirError as error:
+                detail = error.detail
+                if error.kind is errors.ErrorKind.RESUME_EXPIRED:
+                    raise self._lost(detail) from error
+                continue
+            break
+        self._stream = stream
+        self._chunks = aiter(stream.chunks())
+        self.cursor.start_link()
+        self._parts.metrics.resumes.inc({'target': self.target.target_id})
+        events.log(
+            LOG,
+            events.GENERATION_RESUMED,
+            request_id=self._request_id,
+            target_id=self.target.target_id,
+            generation_id=self.generation_id,
+            next_sequence=self.cursor.next_sequence,
+            reason=reason,
+        )
+
+    def _lost(self, detail: str) -> errors.DotterelweirError:
+        return errors.DotterelweirError(
+            errors.ErrorKind.GENERATION_LOST,
+            f'the generation cannot be resumed: {detail}',
+            errors.Execution.RAN
+            if self.cursor.next_sequence
+            else errors.Execution.UNKNOWN,
+        )
+
+    def _reject(self) -> None:
+        events.log(
+            LOG,
+            events.ANSWER_REJECTED,
+            request_id=self._request_id,
+            target_id=self.target.target_id,
+            generation_id=self.generation_id,
+            next_sequence=self.cursor.next_sequence,
+            fault=self.cursor.fault,
+        )
+        self._stream.close()
+        self._chunks = _nothing()
+
+    def _schedule_watchdog(self, delay_s: float) -> None:
+        if self._watchdog is not None:
+            self._watchdog.cancel()
+        self._watchdog = self._timer.call_after(delay_s, self._check_stall)
+
+    def _check_stall(self) -> None:
+        # Scheduled once per period, not per event; a stall is found after
+        # one to two periods at most, because the rest is waited out.
+        stall_s = self._delivery.stall_timeout_s
+        left_s = stall_s
+        if self._waiting_since_s is not None:
+            waited_s = self._timer.monotonic_s() - self._waiting_since_s
+            left_s = stall_s - waited_s
+            if left_s <= 0:
+                self._stream.close()
+                left_s = stall_s
+        self._schedule_watchdog(left_s)
+
+
+async def _nothing() -> AsyncIterator[bytes]:
+    """The chunks of a link that must not be read any further."""
+    return
+    yield b''
+
+
+def reader_for(
+    parts: api.CallerParts,
+    target: targets_model.Target,
+    stream: targets_api.EngineStream,
+    token: str,
+    request_id: str,
+    next_sequence: int = 0,
+) -> GenerationReader:
+    """Makes a reader of a stream that was just opened.
+
+    Args:
+        parts: The parts of the callers' side.
+        target: The engine that was asked.
+        stream: The stream.
+        token: TOKEN of the event ids.
+        request_id: Name of the request.
+        next_sequence: The sequence number that comes next.
+    """
+    cursor = sse.GenerationCursor(f'{token}.'.encode(), next_sequence)
+    engine = attrs.evolve(target, incarnation=stream.incarnation)
+    return GenerationReader(parts, engine, stream, cursor, request_id)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/relay.py
@@ -0,0 +1,112 @@
+"""Sends the events of a generation to the caller."""
+
+from collections.abc import Callable
+
+from aiohttp import web
+
+from dotterelweir_core import errors
+from dotterelweird.callers import api
+from dotterelweird.callers import problems
+from dotterelweird.callers import reader as reader_module
+
+# Tokens are reported to the scheduler at this interval at most: it needs
+# progress per target, not per token.
+REPORT_INTERVAL_S = 0.05
+
+TokenCallback = Callable[[int], None]
+
+
+class StreamRelay:
+    """The caller's side of one event stream.
+
+    Args:
+        parts: The parts of the callers' side.
+        request: The caller's request.
+        request_id: Name of the request.
+    """
+
+    def __init__(
+        self, parts: api.CallerParts, request: web.Request, request_id: str
+    ) -> None:
+        self._timer = parts.timer
+        self._request = request
+        self._request_id = request_id
+        # The engine's side may hold the other half.
+        self._buffer_bytes = parts.settings.delivery.stream_buffer_bytes // 2
+        self.response = web.StreamResponse(
+            headers={
+                'Content-Type': 'text/event-stream',
+                'Cache-Control': 'no-cache',
+                'X-Request-Id': request_id,
+            }
+        )
+
+    async def start(self) -> None:
+        """Sends the response headers."""
+        await self.response.prepare(self._request)
+        if self._request.transport is not None:
+            self._request.transport.set_write_buffer_limits(
+                high=self._buffer_bytes
+            )
+
+    async def run(
+        self,
+        reader: reader_module.GenerationReader,
+        first: bytes,
+        on_tokens: TokenCallback,
+        reported: int = 0,
+    ) -> None:
+        """Relays everything up to the end mark.
+
+        Args:
+            reader: The generation.
+            first: Events that were read already.
+            on_tokens: Told the number of events since the last call.
+            reported: Events that were reported already.
+
+        Raises:
+            DotterelweirError: The answer is not complete.
+            ConnectionError: The caller has gone.
+        """
+        write = self.response.write
+        transport = self._request.transport
+        if transport is None:
+            raise ConnectionResetError('the caller has gone')
+        buffered = transport.get_write_buffer_size
+        monotonic_s = self._timer.monotonic_s
+        cursor = reader.cursor
+        report_due_s = monotonic_s() + REPORT_INTERVAL_S
+        reader.watch_stalls()
+        out = first
+        try:
+            while out:
+                await write(out)
+                if buffered() > self._buffer_bytes:
+                    # aiohttp itself waits only once per 64 KB written.
+                    await self._request.writer.drain()
+                if monotonic_s() >= report_due_s:
+                    on_tokens(cursor.next_sequence - reported)
+                    reported = cursor.next_sequence
+                    report_due_s = monotonic_s() + REPORT_INTERVAL_S
+                out = await reader.read()
+        finally:
+            if cursor.next_sequence > reported:
+                on_tokens(cursor.next_sequence - reported)
+
+    async def end(
+        self,
+        reader: reader_module.GenerationReader,
+        error: errors.DotterelweirError | None,
+    ) -> None:
+        """Ends the stream: with nothing more, an error or a handover."""
+        if not self.response.prepared:
+            await self.start()
+        if error is not None:
+            if error.kind is errors.ErrorKind.SHUTTING_DOWN:
+                event = problems.handover_event(
+                    reader.cursor.last_event_id, self._request_id
+                )
+            else:
+                event = problems.error_event(error, self._request_id)
+            await self.response.write(event)
+        await self.response.write_eof()
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/requests.py
@@ -0,0 +1,178 @@
+"""Reads the facts of a caller's request."""
+
+import math
+import typing
+
+from aiohttp import web
+import attrs
+import orjson
+
+from dotterelweir_core import errors
+from dotterelweir_core.delivery import prompts
+from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import model as tables_model
+from dotterelweird.callers import api
+
+ORGANISATION = web.RequestKey('organisation', str)
+REQUEST_ID = web.RequestKey('request_id', str)
+ROUTE = web.RequestKey('route', str)
+
+REQUEST_ID_HEADER = 'X-Request-Id'
+CHAT_PATH = '/v1/chat/completions'
+COMPLETION_PATHS = (CHAT_PATH, '/v1/completions')
+_LEAST_URGENT = 9
+
+
+def malformed(detail: str) -> errors.DotterelweirError:
+    """The error for a request that cannot be understood."""
+    return errors.DotterelweirError(errors.ErrorKind.MALFORMED_REQUEST, detail)
+
+
+def parse_object(body: bytes) -> dict[str, typing.Any]:
+    """Decodes a JSON object."""
+    try:
+        document = orjson.loads(body)
+    except ValueError as error:
+        raise malformed(f'the body is not JSON: {error}') from error
+    if not isinstance(document, dict):
+        raise malformed('the body must be a JSON object')
+    return document
+
+
+@attrs.frozen
+class Completion:
+    """A completion request.
+
+    Attributes:
+        chat: Whether it is a chat.
+        streamed: Whether the caller wants a stream.
+        model: Name of the model.
+        prompt: Text of the prompt.
+        max_output_tokens: Bound on the output that the caller gave.
+        document: The decoded body.
+    """
+
+    chat: bool
+    streamed: bool
+    model: str
+    prompt: bytes
+    max_output_tokens: int | None
+    document: dict[str, typing.Any]
+
+    def engine_body(self, body: bytes, bound: int | None) -> bytes:
+        """The body for the engine, which always streams.
+
+        Args:
+            body: The caller's body; passed on as it is if that will do.
+            bound: Bound on the output, in tokens, of caller and route.
+        """
+        if self.streamed and bound == self.max_output_tokens:
+            return body
+        document = self.document | {'stream': True}
+        if bound is not None:
+            modern = 'max_completion_tokens' in document
+            name = 'max_completion_tokens' if modern else 'max_tokens'
+            document[name] = bound
+        if not self.streamed:
+            document['stream_options'] = {'include_usage': True}
+        return orjson.dumps(document)
+
+
+def parse_completion(path: str, body: bytes) -> Completion:
+    """Reads a completion request.
+
+    Raises:
+        DotterelweirError: MALFORMED_REQUEST.
+    """
+    document = parse_object(body)
+    model = document.get('model', '')
+    if not isinstance(model, str):
+        raise malformed('"model" must be a string')
+    streamed = document.get('stream', False)
+    if not isinstance(streamed, bool):
+        raise malformed('"stream" must be true or false')
+    bounds = [
+        _bound(document, name)
+        for name in ('max_completion_tokens', 'max_tokens')
+    ]
+    try:
+        prompt = prompts.prompt_bytes(document)
+    except ValueError as error:
+        raise malformed(str(error)) from error
+    given = [bound for bound in bounds if bound is not None]
+    return Completion(
+        path == CHAT_PATH,
+        streamed,
+        model,
+        prompt,
+        min(given) if given else None,
+        document,
+    )
+
+
+def work_item(
+    parts: api.CallerParts,
+    request: web.Request,
+    route: tables_model.Route,
+    completion: Completion | None,
+) -> policy_api.WorkItem:
+    """The request as the scheduler sees it.
+
+    Raises:
+        DotterelweirError: MALFORMED_REQUEST for a bad header.
+    """
+    now_s = parts.timer.monotonic_s()
+    prompt = completion.prompt if completion is not None else b''
+    bound = route.max_output_tokens
+    if completion is not None and completion.max_output_tokens is not None:
+        bound = min(
+            completion.max_output_tokens, bound or completion.max_output_tokens
+        )
+    return policy_api.WorkItem(
+        request_id=request[REQUEST_ID],
+        route=route.name,
+        pool=route.pool,
+        organisation=request[ORGANISATION],
+        priority=_priority(request, route),
+        prompt_tokens=prompts.prompt_tokens(prompt),
+        max_output_tokens=bound,
+        prefix_hashes=prompts.prefix_hashes(prompt),
+        arrived_s=now_s,
+        deadline_s=now_s + _timeout_s(request, route),
+        repeatable=route.repeatable,
+    )
+
+
+def _bound(document: dict[str, typing.Any], name: str) -> int | None:
+    value = document.get(name)
+    if value is None:
+        return None
+    if not isinstance(value, int) or isinstance(value, bool) or value < 1:
+        raise malformed(f'"{name}" must be a whole number above 0')
+    return value
+
+
+def _priority(request: web.Request, route: tables_model.Route) -> int:
+    text = request.headers.get('X-Request-Priority')
+    if text is None:
+        return route.priority
+    try:
+        wanted = int(text)
+    except ValueError:
+        wanted = -1
+    if not 0 <= wanted <= _LEAST_URGENT:
+        raise malformed('X-Request-Priority must be a number from 0 to 9')
+    return max(route.priority, wanted)
+
+
+def _timeout_s(request: web.Request, route: tables_model.Route) -> float:
+    text = request.headers.get('X-Request-Timeout-S')
+    if text is None:
+        return route.timeout_s
+    try:
+        wanted_s = float(text)
+    except ValueError:
+        wanted_s = math.nan
+    if not (math.isfinite(wanted_s) and wanted_s > 0):
+        raise malformed('X-Request-Timeout-S must be a number above 0')
+    return min(route.timeout_s, wanted_s)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/streams.py
@@ -0,0 +1,115 @@
+"""Resuming of generations by event id."""
+
+import contextlib
+import logging
+
+from aiohttp import web
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core.delivery import resume
+from dotterelweird.callers import api
+from dotterelweird.callers import reader as reader_module
+from dotterelweird.callers import relay as relay_module
+from dotterelweird.callers import requests
+
+LOG = logging.getLogger(__name__)
+
+
+async def handle(
+    parts: api.CallerParts, request: web.Request
+) -> web.StreamResponse:
+    """Answers ``GET /v1/streams`` with the events after Last-Event-ID.
+
+    Raises:
+        DotterelweirError: RESUME_INVALID, RESUME_FORBIDDEN, RESUME_EXPIRED,
+            or the engine cannot be reached now.
+    """
+    event_id = request.headers.get('Last-Event-ID')
+    if event_id is None:
+        raise requests.malformed('needs the header Last-Event-ID')
+    organisation = request[requests.ORGANISATION]
+    position = parts.codec.decode(event_id, organisation)
+    token = parts.codec.token(position.ref, organisation)
+    try:
+        with parts.in_flight.interruptible():
+            reader = await _open(parts, request, position, token)
+    except errors.DotterelweirError as error:
+        # The generation was started, so nothing may say that it was not.
+        ran = position.sequence >= 0
+        error.execution = (
+            errors.Execution.RAN if ran else errors.Execution.UNKNOWN
+        )
+        raise
+    with contextlib.closing(reader):
+        return await _relay(parts, request, reader)
+
+
+async def _open(
+    parts: api.CallerParts,
+    request: web.Request,
+    position: resume.Position,
+    token: str,
+) -> reader_module.GenerationReader:
+    ref = position.ref
+    target = parts.find_target(ref.target_id, ref.incarnation)
+    if target is None or target.incarnation != ref.incarnation:
+        raise errors.DotterelweirError(
+            errors.ErrorKind.RESUME_EXPIRED, 'the engine has gone'
+        )
+    # The last event is asked for again: without it, an end mark that
+    # follows at once could not be checked for a missing last event.
+    stream = await parts.engines.resume(
+        target,
+        ref.generation_id,
+        max(-1, position.sequence - 1),
+        parts.settings.delivery.stall_timeout_s,
+    )
+    events.log(
+        LOG,
+        events.GENERATION_RESUMED,
+        request_id=request[requests.REQUEST_ID],
+        target_id=target.target_id,
+        generation_id=ref.generation_id,
+        next_sequence=position.sequence + 1,
+        reason='asked for by the caller',
+    )
+    parts.metrics.resumes.inc({'target': target.target_id})
+    return reader_module.reader_for(
+        parts,
+        target,
+        stream,
+        token,
+        request[requests.REQUEST_ID],
+        position.sequence + 1,
+    )
+
+
+async def _relay(
+    parts: api.CallerParts,
+    request: web.Request,
+    reader: reader_module.GenerationReader,
+) -> web.StreamResponse:
+    relay = relay_module.StreamRelay(
+        parts, request, request[requests.REQUEST_ID]
+    )
+    error = None
+    try:
+        await relay.start()
+        with parts.in_flight.interruptible():
+            reader.watch_stalls()
+            first = await reader.read()
+            await relay.run(reader, first, lambda count: None)
+    except errors.DotterelweirError as exc:
+        error = exc
+        error.execution = errors.Execution.RAN
+    except ConnectionError:
+        return relay.response
+    try:
+        await relay.end(reader, error)
+        if error is None:
+            await reader.settle()
+    except ConnectionError:
+        # The caller has gone after its last token.
+        pass
+    return relay.response
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/targets/engine.py
@@ -0,0 +1,347 @@
+"""Adapters to engines and to load reports over HTTP."""
+
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import logging
+import random
+import typing
+
+import aiohttp
+import attrs
+import cattrs
+import orjson
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.targets import model
+from dotterelweird import scopes
+from dotterelweird.settings import model as settings_model
+from dotterelweird.targets import api
+
+LOG = logging.getLogger(__name__)
+
+# Called with the target (and the incarnation that answered), its state and
+# the monotonic time at which the request was sent.
+AnswerCallback = Callable[[model.Target, model.TargetState, float], None]
+
+# Bounds what is read of an error answer.
+_ERROR_BODY_BYTES = 65_536
+_CLIENT_ERRORS = frozenset({400, 404, 405, 411, 413, 415, 422})
+
+
+def make_session(
+    delivery: settings_model.Delivery,
+) -> aiohttp.ClientSession:
+    """The HTTP session of the target adapters.
+
+    The reader pauses a connection at twice ``read_bufsize``, which is half
+    of the buffer that a stream may have; the caller's side has the rest.
+    """
+    return aiohttp.ClientSession(
+        connector=aiohttp.TCPConnector(limit=0),
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(
+            total=None, sock_connect=delivery.connect_timeout_s
+        ),
+        read_bufsize=max(1024, delivery.stream_buffer_bytes // 4),
+        auto_decompress=False,
+    )
+
+
+class HttpEngineStream(api.EngineStream):
+    """An event stream over one HTTP response."""
+
+    def __init__(
+        self,
+        response: aiohttp.ClientResponse,
+        generation_id: str,
+        incarnation: int,
+        state: model.TargetState,
+    ) -> None:
+        self._response = response
+        self._readany = response.content.readany
+        self.generation_id = generation_id
+        self.incarnation = incarnation
+        self.state = state
+
+    def chunks(self) -> AsyncIterator[bytes]:
+        return self
+
+    def __aiter__(self) -> AsyncIterator[bytes]:
+        return self
+
+    async def __anext__(self) -> bytes:
+        try:
+            chunk = await self._readany()
+        except (aiohttp.ClientError, OSError) as exc:
+            raise _failed(f'the link broke: {exc}') from exc
+        if not chunk:
+            raise StopAsyncIteration
+        return chunk
+
+    def close(self) -> None:
+        # After the end of the body the connection is in the pool already,
+        # and this has no effect.
+        self._response.close()
+
+
+class HttpEngineClient(api.EngineClient):
+    """Engines over HTTP (design section 3.2).
+
+    Args:
+        session: Made by ``make_session``.
+        timer: Source of time.
+        rng: Random source of request ids.
+        on_answer: Told who answered and whether it is leaving.
+    """
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        timer: timers.TimerService,
+        rng: random.Random,
+        on_answer: AnswerCallback | None = None,
+    ) -> None:
+        self._session = session
+        self._timer = timer
+        self._rng = rng
+        self._on_answer = on_answer
+
+    async def start(
+        self, target: model.Target, request: api.GenerationRequest
+    ) -> api.EngineStream:
+        headers = {
+            'Content-Type': 'application/json',
+            'Accept': 'text/event-stream',
+            'X-Request-Id': request.request_id,
+            'X-Priority': str(request.engine_priority),
+            'X-Resume-Window-S': f'{request.resume_window_s:g}',
+        }
+        return await self._open(
+            target,
+            'POST',
+            request.path,
+            headers,
+            request.timeout_s,
+            request.body,
+        )
+
+    async def resume(
+        self,
+        target: model.Target,
+        generation_id: str,
+        last_sequence: int,
+        timeout_s: float,
+    ) -> api.EngineStream:
+        headers = {
+            'Accept': 'text/event-stream',
+            'Last-Event-ID': str(last_sequence),
+            'X-Request-Id': f'resume-{self._rng.getrandbits(64):016x}',
+        }
+        path = f'/v1/generations/{generation_id}/events'
+        stream = await self._open(
+            target, 'GET', path, headers, timeout_s, None
+        )
+        if (
+            stream.generation_id != generation_id
+            or stream.incarnation != target.incarnation
+        ):
+            stream.close()
+            raise errors.DotterelweirError(
+                errors.ErrorKind.RESUME_EXPIRED,
+                'another generation or incarnation answered',
+                errors.Execution.UNKNOWN,
+            )
+        return stream
+
+    async def cancel(self, target: model.Target, generation_id: str) -> None:
+        url = f'{target.base_url}/v1/generations/{generation_id}'
+        try:
+            async with self._session.delete(url) as response:
+                if response.status >= 500:
+                    raise _failed(f'cancel answered {response.status}')
+        except aiohttp.ClientConnectorError as exc:
+            raise _unreachable(exc) from exc
+        except (aiohttp.ClientError, OSError) as exc:
+            raise _failed(str(exc)) from exc
+
+    async def _open(
+        self,
+        target: model.Target,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        timeout_s: float,
+        body: bytes | None,
+    ) -> HttpEngineStream:
+        asked_s = self._timer.monotonic_s()
+        late = _failed(f'no response headers within {timeout_s:g} s')
+        with scopes.deadline(self._timer, timeout_s, late):
+            try:
+                response = await self._session.request(
+                    method,
+                    target.base_url + path,
+                    headers=headers,
+                    data=body,
+                    allow_redirects=False,
+                )
+            except (
+                aiohttp.ClientConnectorError,
+                aiohttp.ConnectionTimeoutError,
+            ) as exc:
+                raise _unreachable(exc) from exc
+            except (aiohttp.ClientError, OSError) as exc:
+                raise _failed(str(exc)) from exc
+            try:
+                return await self._check(target, response, headers, asked_s)
+            except BaseException:
+                response.close()
+                raise
+
+    async def _check(
+        self,
+        target: model.Target,
+        response: aiohttp.ClientResponse,
+        headers: dict[str, str],
+        asked_s: float,
+    ) -> HttpEngineStream:
+        request_id = headers['X-Request-Id']
+        echo = response.headers.get('X-Request-Id')
+        if echo != request_id:
+            events.log(
+                LOG,
+                events.ANSWER_REJECTED,
+                request_id=request_id,
+                target_id=target.target_id,
+                answered_request_id=echo,
+            )
+            raise _failed('the answer belongs to another request')
+        state = _state(response)
+        incarnation = _incarnation(response, target)
+        if self._on_answer is not None:
+            self._on_answer(
+                attrs.evolve(target, incarnation=incarnation), state, asked_s
+            )
+        if response.status != 200:
+            raise await _refusal(response, 'Last-Event-ID' in headers)
+        generation_id = response.headers.get('X-Generation-Id', '')
+        if not generation_id:
+            raise _failed('the answer names no generation')
+        return HttpEngineStream(response, generation_id, incarnation, state)
+
+
+class HttpLoadClient(api.LoadClient):
+    """Reads load reports over HTTP.
+
+    Args:
+        session: Made by ``make_session``.
+        timer: Source of time.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, timer: timers.TimerService
+    ) -> None:
+        self._session = session
+        self._timer = timer
+
+    async def load(
+        self, target: model.Target, timeout_s: float
+    ) -> model.LoadReport:
+        late = _failed(f'no load report within {timeout_s:g} s')
+        with scopes.deadline(self._timer, timeout_s, late):
+            try:
+                url = f'{target.base_url}/v1/load'
+                async with self._session.get(url) as response:
+                    if response.status != 200:
+                        raise _failed(f'load answered {response.status}')
+                    document = orjson.loads(await response.read())
+                return cattrs.structure(document, model.LoadReport)
+            except (
+                aiohttp.ClientConnectorError,
+                aiohttp.ConnectionTimeoutError,
+            ) as exc:
+                raise _unreachable(exc) from exc
+            except (
+                aiohttp.ClientError,
+                OSError,
+                ValueError,
+                cattrs.BaseValidationError,
+            ) as exc:
+                raise _failed(f'no load report: {exc}') from exc
+
+
+def _failed(detail: str) -> errors.DotterelweirError:
+    return errors.DotterelweirError(
+        errors.ErrorKind.TARGET_FAILED, detail, errors.Execution.UNKNOWN
+    )
+
+
+def _unreachable(cause: Exception) -> errors.DotterelweirError:
+    return errors.DotterelweirError(
+        errors.ErrorKind.TARGET_UNREACHABLE, f'no connection: {cause}'
+    )
+
+
+def _state(response: aiohttp.ClientResponse) -> model.TargetState:
+    if response.headers.get('X-Target-State') == 'leaving':
+        return model.TargetState.LEAVING
+    return model.TargetState.LIVE
+
+
+def _incarnation(
+    response: aiohttp.ClientResponse, target: model.Target
+) -> int:
+    try:
+        return int(response.headers['X-Incarnation'])
+    except (KeyError, ValueError):
+        return target.incarnation
+
+
+async def _refusal(
+    response: aiohttp.ClientResponse, resuming: bool
+) -> errors.DotterelweirError:
+    """The error for an answer other than 200."""
+    document = await _problem(response)
+    execution = errors.Execution.UNKNOWN
+    if document.get('execution') == errors.Execution.NOT_RUN.value:
+        execution = errors.Execution.NOT_RUN
+    detail = str(document.get('detail') or document.get('title') or '')
+    detail = f'{response.status} {detail}'.strip()
+    if resuming and response.status in (404, 410):
+        kind = errors.ErrorKind.RESUME_EXPIRED
+    elif response.status in (429, 503) and (
+        execution is errors.Execution.NOT_RUN
+    ):
+        kind = errors.ErrorKind.TARGET_REFUSED
+    elif response.status in _CLIENT_ERRORS:
+        kind = errors.ErrorKind.MALFORMED_REQUEST
+    else:
+        kind = errors.ErrorKind.TARGET_FAILED
+        execution = errors.Execution.UNKNOWN
+    return errors.DotterelweirError(
+        kind, detail, execution, _retry_after_s(response)
+    )
+
+
+async def _problem(
+    response: aiohttp.ClientResponse,
+) -> dict[str, typing.Any]:
+    try:
+        body = b''
+        while len(body) < _ERROR_BODY_BYTES:
+            chunk = await response.content.readany()
+            if not chunk:
+                break
+            body += chunk
+        document = orjson.loads(body)
+    except (aiohttp.ClientError, OSError, ValueError):
+        return {}
+    return document if isinstance(document, dict) else {}
+
+
+def _retry_after_s(response: aiohttp.ClientResponse) -> float | None:
+    try:
+        return float(response.headers['Retry-After'])
+    except (KeyError, ValueError):
+        return None
