--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/measurement/__init__.py
@@ -0,0 +1,1 @@
+"""Measurement of the scheduling policy in virtual time."""
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/measurement/engine.py
@@ -0,0 +1,227 @@
+"""A small model of a continuous-batching engine.
+
+An engine runs steps. Each step may process a chunk of waiting prompts and
+produces one token for every running request. A step takes longer with more
+requests, more tokens in memory and more prompt tokens. When the memory is
+full, the least urgent and newest request is preempted: its memory is freed
+and it is computed again later.
+"""
+
+import collections
+from collections.abc import Callable
+import heapq
+
+import attrs
+
+from dotterelweir_core.targets import model
+from dotterelweir_core.targets import prefixes
+
+
+@attrs.frozen
+class EngineCosts:
+    """Times and sizes of an engine.
+
+    Attributes:
+        memory_tokens: Size of the memory.
+        cache_tokens: Size of the prefix cache, kept apart from the memory.
+        batch_max: Most running requests.
+        chunk_tokens: Most prompt tokens in one step.
+        base_s: Time of a step.
+        request_s: Added for each running request.
+        held_token_s: Added for each token in memory.
+        prefill_token_s: Added for each prompt token.
+    """
+
+    memory_tokens: int = 48_000
+    cache_tokens: int = 8_000
+    batch_max: int = 128
+    chunk_tokens: int = 512
+    base_s: float = 0.016
+    request_s: float = 0.000_45
+    held_token_s: float = 0.000_000_1
+    prefill_token_s: float = 0.000_03
+
+
+@attrs.define(eq=False)
+class Sequence:
+    """One generation at an engine.
+
+    Attributes:
+        priority: Priority for the engine; 0 is the most urgent.
+        order: Order of arrival.
+        prompt: Prompt tokens.
+        output: Tokens that will be produced.
+        prefix_hashes: Hashes of the prompt's prefixes, shortest first.
+        prefix_tokens: Sizes of those prefixes.
+        on_token: Called with each token's time.
+        produced: Tokens so far.
+        prefill_left: Tokens still to be processed before the next token.
+        running: Whether it is in the batch.
+    """
+
+    priority: int
+    order: int
+    prompt: int
+    output: int
+    prefix_hashes: tuple[int, ...]
+    prefix_tokens: tuple[int, ...]
+    on_token: Callable[[float], None]
+    produced: int = 0
+    prefill_left: int = 0
+    running: bool = False
+
+    @property
+    def urgency(self) -> tuple[int, int]:
+        """Sort key; the smallest is the most urgent."""
+        return (self.priority, self.order)
+
+
+class Engine:
+    """One engine.
+
+    Args:
+        target: Its identity.
+        costs: Its times and sizes.
+    """
+
+    def __init__(self, target: model.Target, costs: EngineCosts) -> None:
+        self.target = target
+        self.costs = costs
+        self.slow_factor = 1.0
+        self.preemptions = 0
+        self.held = 0
+        self.stepping = False
+        self.cache_events: list[prefixes.CacheEvent] = []
+        self._waiting: list[tuple[int, int, Sequence]] = []
+        self._running: list[Sequence] = []
+        self._emitting: list[Sequence] = []
+        self._cache: collections.OrderedDict[int, int] = (
+            collections.OrderedDict()
+        )
+        self._cache_held = 0
+
+    @property
+    def busy(self) -> bool:
+        """Whether there is anything to do."""
+        return bool(self._running or self._waiting)
+
+    def add(self, sequence: Sequence) -> None:
+        """Takes a request."""
+        heapq.heappush(
+            self._waiting, (sequence.priority, sequence.order, sequence)
+        )
+
+    def cancel(self, sequence: Sequence) -> None:
+        """Drops a request."""
+        sequence.output = 0
+        if sequence.running:
+            self._leave(sequence)
+        else:
+            self._waiting = [
+                entry for entry in self._waiting if entry[2] is not sequence
+            ]
+            heapq.heapify(self._waiting)
+
+    def report(self, wall_s: float) -> model.LoadReport:
+        """The engine's load now."""
+        return model.LoadReport(
+            self.target.target_id,
+            self.target.incarnation,
+            running=len(self._running),
+            waiting=len(self._waiting),
+            memory_used_tokens=self.held,
+            memory_total_tokens=self.costs.memory_tokens,
+            measured_at_s=wall_s,
+        )
+
+    def start_step(self) -> float:
+        """Forms the batch; returns the time of the step."""
+        costs = self.costs
+        self._admit()
+        budget = costs.chunk_tokens
+        emitting = []
+        for sequence in self._running:
+            if not sequence.prefill_left:
+                emitting.append(sequence)
+        starting = [entry for entry in self._running if entry.prefill_left]
+        starting.sort(key=lambda entry: entry.urgency)
+        for sequence in starting:
+            chunk = min(budget, sequence.prefill_left)
+            budget -= chunk
+            sequence.prefill_left -= chunk
+            if not sequence.prefill_left:
+                emitting.append(sequence)
+        while self.held + len(emitting) > costs.memory_tokens:
+            victim = max(self._running, key=lambda entry: entry.urgency)
+            self._preempt(victim)
+            if victim in emitting:
+                emitting.remove(victim)
+        self._emitting = emitting
+        work_s = (
+            costs.base_s
+            + costs.request_s * len(emitting)
+            + costs.held_token_s * self.held
+            + costs.prefill_token_s * (costs.chunk_tokens - budget)
+        )
+        return work_s * self.slow_factor
+
+    def finish_step(self, now_s: float) -> None:
+        """Produces the tokens of the step."""
+        emitting, self._emitting = self._emitting, []
+        for sequence in emitting:
+            if not sequence.running:
+                continue
+            sequence.produced += 1
+            self.held += 1
+            if sequence.produced >= sequence.output:
+                self._leave(sequence)
+            sequence.on_token(now_s)
+
+    def _admit(self) -> None:
+        costs = self.costs
+        # One percent stays free for the growth of what already runs.
+        limit = costs.memory_tokens * 0.99
+        while self._waiting and len(self._running) < costs.batch_max:
+            sequence = self._waiting[0][2]
+            need = sequence.prompt + sequence.produced
+            if self._running and self.held + need > limit:
+                return
+            heapq.heappop(self._waiting)
+            sequence.running = True
+            sequence.prefill_left = max(1, need - self._cached(sequence))
+            self.held += need
+            self._running.append(sequence)
+
+    def _leave(self, sequence: Sequence) -> None:
+        sequence.running = False
+        self._running.remove(sequence)
+        self.held -= sequence.prompt + sequence.produced
+
+    def _preempt(self, sequence: Sequence) -> None:
+        self.preemptions += 1
+        self._leave(sequence)
+        self.add(sequence)
+
+    def _cached(self, sequence: Sequence) -> int:
+        """Prompt tokens that need no processing; updates the cache."""
+        cached = 0
+        for prefix_hash, tokens in zip(
+            sequence.prefix_hashes, sequence.prefix_tokens, strict=True
+        ):
+            if prefix_hash in self._cache:
+                cached = tokens
+                self._cache.move_to_end(prefix_hash)
+            else:
+                self._cache[prefix_hash] = tokens
+                self._cache_held += tokens
+                self._note(prefixes.CacheEventKind.STORED, prefix_hash)
+        while self._cache_held > self.costs.cache_tokens:
+            removed, tokens = self._cache.popitem(last=False)
+            self._cache_held -= tokens
+            self._note(prefixes.CacheEventKind.REMOVED, removed)
+        return cached
+
+    def _note(self, kind: prefixes.CacheEventKind, prefix_hash: int) -> None:
+        self.cache_events.append(
+            prefixes.CacheEvent(len(self.cache_events), kind, prefix_hash)
+        )
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/admission.py
@@ -0,0 +1,98 @@
+"""Whether a target has room for a request."""
+
+import attrs
+
+from dotterelweir_core.policy import pool as policy_pool
+from dotterelweir_core.policy import settings as policy_settings
+from dotterelweir_core.policy import view as policy_view
+from dotterelweir_core.targets import health as targets_health
+
+
+@attrs.define
+class Load:
+    """The projected load of one target.
+
+    Attributes:
+        memory: Tokens that will be held at the same time.
+        total: Size of the memory in tokens; 0 if it has none.
+        running: Requests of all instances.
+        step_s: Expected time between tokens; 0 if unknown.
+    """
+
+    memory: float
+    total: int
+    running: float
+    step_s: float
+
+    @property
+    def fill(self) -> float:
+        """Projected share of the memory."""
+        return self.memory / self.total if self.total else 0.0
+
+
+def project(
+    view: policy_view.TargetView,
+    pool: policy_pool.PoolView,
+    settings: policy_settings.PolicySettings,
+    now_s: float,
+) -> Load:
+    """Projects the load of a target from own work and its last report."""
+    running = float(len(view.attempts))
+    memory = view.held + settings.rest_share * view.rest
+    if settings.mechanisms.peer_work and view.reported_s is not None:
+        growth = pool.growth(view)
+        running += view.others_running * growth
+        rest_share = settings.rest_share * pool.rest_ratio
+        memory += view.others_held * growth * (1.0 + rest_share)
+    step_s = max(view.fresh_step_s(now_s), pool.fit.predict_s(running))
+    return Load(memory, view.memory_total, running, step_s)
+
+
+def obstacle(
+    view: policy_view.TargetView,
+    pool: policy_pool.PoolView,
+    load: Load,
+    need: float,
+    band: int,
+    settings: policy_settings.PolicySettings,
+    now_s: float,
+) -> str | None:
+    """Why a target gets no further request now; None if it may get one.
+
+    Args:
+        view: The target.
+        pool: Its pool.
+        load: Its projected load.
+        need: Tokens that the request is expected to hold.
+        band: Band of the request's expected output.
+        settings: Settings of the policy.
+        now_s: Now.
+    """
+    match view.health.current:
+        case targets_health.HealthState.EJECTED:
+            return f'ejected: {view.health.reason}'
+        case targets_health.HealthState.PROBATION:
+            if view.starting:
+                return 'on probation'
+    if now_s < view.full_until_s:
+        return 'refused work'
+    if not view.memory_total:
+        if len(view.attempts) >= settings.in_flight_max:
+            return 'too many in flight'
+        return None
+    if load.running < 1.0:
+        return None
+    mechanisms = settings.mechanisms
+    row = band if mechanisms.reserved_room else len(settings.step_fill_max) - 1
+    if (
+        mechanisms.memory_admission
+        and load.memory + need > settings.memory_fill_max[row] * load.total
+    ):
+        return 'no memory'
+    if mechanisms.step_admission:
+        bound_s = (
+            settings.step_fill_max[row] * settings.inter_token_objective_s
+        )
+        if load.step_s + pool.fit.slope_s > bound_s:
+            return 'batch too large'
+    return None
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/lengths.py
@@ -0,0 +1,178 @@
+"""Online estimates of how many tokens an output still needs.
+
+Lengths are learned by route and organisation. A pair that is new falls back
+to its route, and a new route to a default. Estimates depend on what was
+already produced: with heavy tails an output that has run long is expected to
+run longer still.
+"""
+
+import collections
+import math
+
+import attrs
+import hdrh.histogram
+
+_LONGEST_TOKENS = 1 << 20
+# One significant digit keeps a histogram below 4 KB; the estimate is far
+# less certain than that anyway.
+_DIGITS = 1
+# Below this many ended outputs a pair is described by its route.
+_SAMPLES_MIN = 20
+_REFRESH_EVERY = 20
+# After this many samples the older half is forgotten.
+_GENERATION_SAMPLES = 500
+# Estimates change at these ages: 0, 16, 32, 64, and so on.
+_FIRST_AGE_SHIFT = 4
+_AGES = 14
+# The rest that is expected of an output that is longer than all before it,
+# as a share of what it has produced.
+_TAIL_GROWTH = 0.5
+_HIGH_PERCENTILE = 0.85
+
+
+def age_index(produced: int) -> int:
+    """The index of the estimate that applies after some tokens."""
+    return min(_AGES - 1, (produced >> _FIRST_AGE_SHIFT).bit_length())
+
+
+def next_age(produced: int) -> int:
+    """The number of tokens at which the estimate changes next."""
+    index = age_index(produced)
+    if index >= _AGES - 1:
+        return _LONGEST_TOKENS * 2
+    return 1 << (_FIRST_AGE_SHIFT + index)
+
+
+@attrs.frozen
+class Profile:
+    """What is expected of the outputs of one route and organisation.
+
+    Attributes:
+        mean_rest: Mean tokens still to come, by index of age.
+        median: Median of the whole output.
+        high: A high percentile of the whole output.
+        samples: Ended outputs that it rests on.
+    """
+
+    mean_rest: tuple[float, ...]
+    median: float
+    high: float
+    samples: int
+
+    def rest(self, produced: int) -> float:
+        """Tokens that are expected after some were produced."""
+        return self.mean_rest[age_index(produced)]
+
+
+def default_profile(expected_tokens: float) -> Profile:
+    """The profile of a route of which nothing is known."""
+    ages = [0.0] + [float(16 << index) for index in range(_AGES - 1)]
+    return Profile(
+        tuple(max(expected_tokens, _TAIL_GROWTH * age) for age in ages),
+        expected_tokens / 2,
+        expected_tokens * 2,
+        0,
+    )
+
+
+def _profile(counts: list[tuple[float, int]]) -> Profile:
+    total = sum(count for _, count in counts)
+    rests = []
+    for index in range(_AGES):
+        age = 0 if index == 0 else 1 << (_FIRST_AGE_SHIFT + index - 1)
+        above = [(value, count) for value, count in counts if value > age]
+        weight = sum(count for _, count in above)
+        rest = sum((value - age) * count for value, count in above)
+        # With few samples above this age the tail rule gets more weight.
+        tail = max(_TAIL_GROWTH * age, 1.0)
+        rests.append((rest + 2 * tail) / (weight + 2))
+    median = _percentile(counts, 0.5 * total)
+    high = _percentile(counts, _HIGH_PERCENTILE * total)
+    return Profile(tuple(rests), median, high, total)
+
+
+def _percentile(counts: list[tuple[float, int]], rank: float) -> float:
+    seen = 0
+    for value, count in counts:
+        seen += count
+        if seen >= rank:
+            return value
+    return 1.0
+
+
+class _Lengths:
+    """The outputs of one key, in two generations."""
+
+    def __init__(self) -> None:
+        self._current = self._new()
+        self._previous = self._new()
+        self.profile: Profile | None = None
+
+    @staticmethod
+    def _new() -> hdrh.histogram.HdrHistogram:
+        return hdrh.histogram.HdrHistogram(1, _LONGEST_TOKENS, _DIGITS)
+
+    def record(self, tokens: int) -> None:
+        self._current.record_value(min(max(tokens, 1), _LONGEST_TOKENS))
+        samples = self._current.get_total_count()
+        if samples >= _GENERATION_SAMPLES:
+            self._previous, self._current = self._current, self._new()
+        if samples % _REFRESH_EVERY == 0:
+            self.profile = self._learn()
+
+    def _learn(self) -> Profile:
+        counts: collections.Counter[float] = collections.Counter()
+        for histogram in (self._previous, self._current):
+            for item in histogram.get_recorded_iterator():
+                value = math.sqrt(
+                    max(1, item.value_iterated_from)
+                    * max(1, item.value_iterated_to)
+                )
+                counts[value] += item.count_added_in_this_iter_step
+        return _profile(sorted(counts.items()))
+
+
+class LengthEstimator:
+    """Learns output lengths by route and organisation.
+
+    Args:
+        default_tokens: Output that is expected while nothing is known.
+        pairs_max: Pairs of route and organisation that are remembered.
+    """
+
+    def __init__(self, default_tokens: int, pairs_max: int = 1_024) -> None:
+        self._default = default_profile(float(default_tokens))
+        self._pairs_max = pairs_max
+        self._routes: dict[str, _Lengths] = {}
+        self._pairs: collections.OrderedDict[tuple[str, str], _Lengths] = (
+            collections.OrderedDict()
+        )
+
+    def record(self, route: str, organisation: str, tokens: int) -> None:
+        """Takes note of the length of an output that ended by itself."""
+        entry = self._routes.get(route)
+        if entry is None:
+            entry = self._routes[route] = _Lengths()
+        entry.record(tokens)
+        key = (route, organisation)
+        pair = self._pairs.get(key)
+        if pair is None:
+            pair = self._pairs[key] = _Lengths()
+            if len(self._pairs) > self._pairs_max:
+                self._pairs.popitem(last=False)
+        self._pairs.move_to_end(key)
+        pair.record(tokens)
+
+    def profile(self, route: str, organisation: str) -> Profile:
+        """What is expected of a route and organisation."""
+        pair = self._pairs.get((route, organisation))
+        if (
+            pair is not None
+            and pair.profile is not None
+            and pair.profile.samples >= _SAMPLES_MIN
+        ):
+            return pair.profile
+        entry = self._routes.get(route)
+        if entry is not None and entry.profile is not None:
+            return entry.profile
+        return self._default
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/limits.py
@@ -0,0 +1,72 @@
+"""Limits of organisations: this instance's share of a token rate."""
+
+import attrs
+
+# Tokens that may be used at once, as seconds of the rate.
+_BURST_S = 5.0
+
+
+@attrs.define
+class _Bucket:
+    level: float
+    updated_s: float
+
+
+class OrganisationLimits:
+    """Enforces this instance's share of token rates.
+
+    The share is the limit divided by the live instances. Tokens are charged
+    as they are used, so the level may become negative; new requests are then
+    refused until it is positive again.
+    """
+
+    def __init__(self) -> None:
+        self._rates: dict[str, float] = {}
+        self._instances = 1
+        self._buckets: dict[tuple[str, str], _Bucket] = {}
+
+    def set_limits(self, rates: dict[str, float], instances: int) -> None:
+        """Sets the limits.
+
+        Args:
+            rates: Tokens per second of each organisation, by route.
+            instances: Live instances that share them; at least 1.
+        """
+        self._rates = dict(rates)
+        self._instances = max(1, instances)
+        self._buckets = {
+            key: bucket
+            for key, bucket in self._buckets.items()
+            if key[0] in self._rates
+        }
+
+    def charge(
+        self, route: str, organisation: str, tokens: int, now_s: float
+    ) -> None:
+        """Takes note of tokens that were used."""
+        if route in self._rates:
+            self._refresh(route, organisation, now_s).level -= tokens
+
+    def wait_s(self, route: str, organisation: str, now_s: float) -> float:
+        """Seconds until the organisation may send again; 0 if it may now."""
+        if route not in self._rates:
+            return 0.0
+        bucket = self._refresh(route, organisation, now_s)
+        if bucket.level > 0:
+            return 0.0
+        return max((1.0 - bucket.level) / self._share(route), 0.001)
+
+    def _share(self, route: str) -> float:
+        return max(self._rates[route] / self._instances, 1e-6)
+
+    def _refresh(self, route: str, organisation: str, now_s: float) -> _Bucket:
+        share = self._share(route)
+        burst = max(share * _BURST_S, 1.0)
+        bucket = self._buckets.get((route, organisation))
+        if bucket is None:
+            bucket = _Bucket(burst, now_s)
+            self._buckets[(route, organisation)] = bucket
+        gained = (now_s - bucket.updated_s) * share
+        bucket.level = min(burst, bucket.level + gained)
+        bucket.updated_s = now_s
+        return bucket
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/progress.py
@@ -0,0 +1,129 @@
+"""Judges the targets of a pool by the progress of own work there."""
+
+import logging
+
+from dotterelweir_core import events
+from dotterelweir_core.policy import pool as policy_pool
+from dotterelweir_core.policy import settings as policy_settings
+from dotterelweir_core.policy import view as policy_view
+from dotterelweir_core.targets import health as targets_health
+
+LOG = logging.getLogger(__name__)
+
+# No progress of any own work for this long counts as slow. Longer than a
+# step with the prefill of several prompts, shorter than a second.
+_SILENCE_S = 0.35
+# Silence is also measured against the pool's step time, for pools whose
+# steps are long.
+_SILENCE_STEPS = 6.0
+# The wait for a first token includes the prefill.
+_FIRST_TOKEN_SILENCE_S = 1.0
+# A failure counts against a target that made no progress for this long.
+_FAILURE_QUIET_S = 1.0
+
+
+def slowness(
+    view: policy_view.TargetView,
+    pool: policy_pool.PoolView,
+    settings: policy_settings.PolicySettings,
+    now_s: float,
+) -> str | None:
+    """Why a target counts as slow; None if it does not or is idle."""
+    if not view.attempts or not view.memory_total:
+        return None
+    median_s = pool.step_median_s
+    silence_s = now_s - view.progress_s
+    if view.starting == len(view.attempts):
+        if silence_s > _FIRST_TOKEN_SILENCE_S:
+            return f'no first token for {silence_s:.1f} s'
+        return None
+    if silence_s > max(_SILENCE_S, _SILENCE_STEPS * median_s):
+        return f'no token for {silence_s:.1f} s'
+    step_s = view.fresh_step_s(now_s)
+    reference_s = max(median_s, pool.fit.predict_s(len(view.attempts)))
+    if step_s and reference_s and step_s > settings.slow_ratio * reference_s:
+        return f'step of {step_s:.3f} s, pool {reference_s:.3f} s'
+    return None
+
+
+def judge(
+    pool: policy_pool.PoolView,
+    settings: policy_settings.PolicySettings,
+    now_s: float,
+) -> bool:
+    """Moves targets between the states of their health.
+
+    Returns:
+        Whether a target was ejected or came back.
+    """
+    changed = False
+    for view in pool.targets.values():
+        health = view.health
+        before = health.current
+        if not view.attempts and before is targets_health.HealthState.HEALTHY:
+            continue
+        reason = slowness(view, pool, settings, now_s)
+        if reason is not None:
+            changed |= eject(view, pool, settings, reason, now_s)
+        elif (
+            before is not targets_health.HealthState.HEALTHY
+            and view.fresh_step_s(now_s)
+            and view.progress_s > health.due_s - settings.probation_after_s
+        ):
+            health.record_normal()
+        else:
+            health.check_due(now_s)
+        changed |= _log_change(view, before)
+    return changed
+
+
+def eject(
+    view: policy_view.TargetView,
+    pool: policy_pool.PoolView,
+    settings: policy_settings.PolicySettings,
+    reason: str,
+    now_s: float,
+) -> bool:
+    """Ejects a target unless too much of the pool is ejected already."""
+    ejected = targets_health.HealthState.EJECTED
+    if view.health.current is not ejected:
+        count = sum(
+            other.health.current is ejected for other in pool.targets.values()
+        )
+        if count + 1 > settings.ejected_share_max * len(pool.targets):
+            return False
+    before = view.health.current
+    view.health.record_slow(reason, now_s)
+    return _log_change(view, before)
+
+
+def record_failure(
+    view: policy_view.TargetView,
+    pool: policy_pool.PoolView,
+    settings: policy_settings.PolicySettings,
+    now_s: float,
+) -> bool:
+    """Takes note of a failed attempt; whether the target was ejected.
+
+    A failure while other work makes progress may be the request's own.
+    """
+    if view.attempts and now_s - view.progress_s < _FAILURE_QUIET_S:
+        return False
+    return eject(view, pool, settings, 'failed without progress', now_s)
+
+
+def _log_change(
+    view: policy_view.TargetView, before: targets_health.HealthState
+) -> bool:
+    after = view.health.current
+    if after is before:
+        return False
+    events.log(
+        LOG,
+        events.TARGET_HEALTH_CHANGED,
+        target_id=view.target.target_id,
+        before=before.value,
+        after=after.value,
+        reason=view.health.reason,
+    )
+    return True
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/steptime.py
@@ -0,0 +1,52 @@
+"""Relation between the size of an engine's batch and its step time."""
+
+import attrs
+
+# A pair counts half after about 70 further pairs, which is ten reports of
+# each of seven engines.
+_DECAY = 0.99
+# Weight of the assumption that half the step time grows with the batch, in
+# pairs; it decides while all observed batches are alike.
+_PRIOR_WEIGHT = 4.0
+
+
+@attrs.define
+class StepTimeFit:
+    """Weighted least squares of step time against requests in the batch."""
+
+    _weight: float = 0.0
+    _sum_n: float = 0.0
+    _sum_s: float = 0.0
+    _sum_nn: float = 0.0
+    _sum_ns: float = 0.0
+
+    def record(self, running: int, step_s: float) -> None:
+        """Takes note of one observed pair."""
+        self._weight = self._weight * _DECAY + 1.0
+        self._sum_n = self._sum_n * _DECAY + running
+        self._sum_s = self._sum_s * _DECAY + step_s
+        self._sum_nn = self._sum_nn * _DECAY + running * running
+        self._sum_ns = self._sum_ns * _DECAY + running * step_s
+
+    @property
+    def slope_s(self) -> float:
+        """Seconds that one more request adds to a step."""
+        if self._weight < 3.0:
+            return 0.0
+        mean_n = self._sum_n / self._weight
+        mean_s = self._sum_s / self._weight
+        variance = max(0.0, self._sum_nn / self._weight - mean_n * mean_n)
+        covariance = self._sum_ns / self._weight - mean_n * mean_s
+        prior_slope = 0.5 * mean_s / max(mean_n, 1.0)
+        slope = (
+            covariance * self._weight + prior_slope * _PRIOR_WEIGHT * 16.0
+        ) / (variance * self._weight + _PRIOR_WEIGHT * 16.0)
+        return min(max(slope, 0.0), mean_s / max(mean_n, 1.0))
+
+    def predict_s(self, running: float) -> float:
+        """Expected step time with so many requests; 0 if unknown."""
+        if self._weight < 3.0:
+            return 0.0
+        mean_n = self._sum_n / self._weight
+        mean_s = self._sum_s / self._weight
+        return max(0.0, mean_s + self.slope_s * (running - mean_n))
