Answer service calls through the callers' server

At the drain deadline the caller is told "not run" only if no byte may have left, and the call is then never sent.

--- /dev/null
+++ b/packages/daemon/src/dotterelweird/callers/service_attempts.py
@@ -0,0 +1,247 @@
+"""Placement and attempts of one call of a plain service."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.delivery import retries
+from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.targets import model as targets_model
+from dotterelweird import claims_api
+from dotterelweird import dispatch
+from dotterelweird.callers import api
+from dotterelweird.targets import api as targets_api
+
+LOG = logging.getLogger(__name__)
+
+StateCallback = Callable[
+    [targets_model.Target, targets_model.TargetState], None
+]
+
+
+@attrs.frozen
+class CallerRequest:
+    """What the caller sent.
+
+    Attributes:
+        method: HTTP method.
+        path_and_query: URL path and query, still percent-encoded.
+        headers: All headers, in order; names may repeat.
+        body: The whole body.
+    """
+
+    method: str
+    path_and_query: str
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+
+
+@attrs.define
+class Progress:
+    """How far a call has come.
+
+    Attributes:
+        may_have_run: Whether bytes of it may have reached a target.
+    """
+
+    may_have_run: bool = False
+
+
+class ServiceAttempts:
+    """Sends calls to plain services.
+
+    A repeatable call is retried on another target within a budget. Any other
+    call is sent again only if no connection was made, so that no byte of it
+    can have left.
+    """
+
+    def __init__(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        client: targets_api.ServiceClient,
+        find_target: api.TargetQuery,
+        timer: timers.TimerService,
+        budget: retries.RetryBudget,
+        on_state: StateCallback,
+    ) -> None:
+        """Creates the sender.
+
+        Args:
+            dispatcher: Places requests on targets.
+            client: Adapter to plain services.
+            find_target: Query of a target.
+            timer: Source of time.
+            budget: Bounds the retries.
+            on_state: Told what a target says of its own state.
+        """
+        self._dispatcher = dispatcher
+        self._client = client
+        self._find_target = find_target
+        self._timer = timer
+        self._budget = budget
+        self._on_state = on_state
+
+    async def run(
+        self,
+        item: policy_api.WorkItem,
+        request: CallerRequest,
+        progress: Progress,
+        grant: claims_api.Grant | None,
+    ) -> targets_api.ServiceResponse:
+        """Makes the call.
+
+        Args:
+            item: The request as the scheduler sees it.
+            request: What the caller sent.
+            progress: Kept up to date for whoever abandons the call.
+            grant: The claim of its key, if it has one.
+
+        Raises:
+            DotterelweirError: The call has no answer; the error says what
+                is known of its execution over all attempts.
+        """
+        self._budget.record_request()
+        failure: errors.DotterelweirError | None = None
+        attempt = 0
+        while True:
+            attempt += 1
+            try:
+                placement = await self._dispatcher.place(item)
+            except errors.DotterelweirError as error:
+                raise (failure or error) from error
+            try:
+                return await self._attempt(
+                    placement, item, request, attempt, progress, grant
+                )
+            except errors.DotterelweirError as error:
+                failure = _worse(failure, error)
+                events.log(
+                    LOG,
+                    events.SERVICE_ATTEMPT_FAILED,
+                    request_id=item.request_id,
+                    attempt=attempt,
+                    target_id=placement.target_id,
+                    code=error.kind.value,
+                    execution=error.execution.value,
+                )
+                if not self._may_retry(item, error):
+                    raise failure from error
+            item = attrs.evolve(
+                item, excluded=item.excluded | {placement.target_id}
+            )
+
+    def _may_retry(
+        self, item: policy_api.WorkItem, error: errors.DotterelweirError
+    ) -> bool:
+        if self._timer.monotonic_s() >= item.deadline_s:
+            return False
+        match error.kind:
+            case errors.ErrorKind.TARGET_UNREACHABLE:
+                return self._budget.take()
+            case (
+                errors.ErrorKind.TARGET_FAILED
+                | errors.ErrorKind.TARGET_REFUSED
+            ):
+                return item.repeatable and self._budget.take()
+            case _:
+                return False
+
+    async def _attempt(
+        self,
+        placement: policy_api.Placement,
+        item: policy_api.WorkItem,
+        request: CallerRequest,
+        attempt: int,
+        progress: Progress,
+        grant: claims_api.Grant | None,
+    ) -> targets_api.ServiceResponse:
+        end = policy_api.AttemptEnd.CANCELLED
+        earlier = progress.may_have_run
+        try:
+            target = self._usable_target(placement, item, grant)
+            end = policy_api.AttemptEnd.FAILED
+            progress.may_have_run = True
+            response = await self._client.call(
+                target, self._request(item, request, attempt)
+            )
+            end = policy_api.AttemptEnd.COMPLETE
+        except errors.DotterelweirError as error:
+            if error.kind is errors.ErrorKind.TARGET_REFUSED:
+                end = policy_api.AttemptEnd.REFUSED
+            if error.execution is errors.Execution.NOT_RUN:
+                progress.may_have_run = earlier
+            raise self._timed_out(item, error) from error
+        except asyncio.CancelledError:
+            end = policy_api.AttemptEnd.CANCELLED
+            raise
+        finally:
+            self._dispatcher.record_end(
+                item.request_id, placement.target_id, end
+            )
+        self._on_state(target, response.state)
+        return response
+
+    def _usable_target(
+        self,
+        placement: policy_api.Placement,
+        item: policy_api.WorkItem,
+        grant: claims_api.Grant | None,
+    ) -> targets_model.Target:
+        if self._timer.monotonic_s() >= item.deadline_s:
+            raise errors.DotterelweirError(errors.ErrorKind.REQUEST_TIMEOUT)
+        target = self._find_target(placement.target_id, None)
+        if target is None:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.TARGET_UNREACHABLE,
+                f'{placement.target_id} is gone',
+            )
+        if grant is not None:
+            grant.check_dispatch()
+        return target
+
+    def _request(
+        self,
+        item: policy_api.WorkItem,
+        request: CallerRequest,
+        attempt: int,
+    ) -> targets_api.ServiceRequest:
+        return targets_api.ServiceRequest(
+            request_id=f'{item.request_id}.{attempt}',
+            method=request.method,
+            path_and_query=request.path_and_query,
+            headers=request.headers,
+            body=request.body,
+            timeout_s=item.deadline_s - self._timer.monotonic_s(),
+            repeatable=item.repeatable,
+        )
+
+    def _timed_out(
+        self, item: policy_api.WorkItem, error: errors.DotterelweirError
+    ) -> errors.DotterelweirError:
+        if (
+            error.kind is not errors.ErrorKind.TARGET_FAILED
+            or self._timer.monotonic_s() < item.deadline_s
+        ):
+            return error
+        return errors.DotterelweirError(
+            errors.ErrorKind.REQUEST_TIMEOUT, '', error.execution
+        )
+
+
+def _worse(
+    earlier: errors.DotterelweirError | None,
+    latest: errors.DotterelweirError,
+) -> errors.DotterelweirError:
+    """The error to report, given that earlier attempts failed too.
+
+    A later attempt that did not run says nothing of an earlier one that may
+    have run.
+    """
+    if earlier is None or earlier.execution is errors.Execution.NOT_RUN:
+        return latest
+    return earlier
--- a/packages/daemon/src/dotterelweird/claims_api.py
+++ b/packages/daemon/src/dotterelweird/claims_api.py
@@ -17,12 +17,14 @@
         route: The route of the call.
         key: The idempotency key as the caller sent it.
         request_hash: Hash of everything that makes the call this call.
+        deadline_s: When the call is given up, in monotonic seconds.
     """
 
     organisation: str
     route: tables_model.Route
     key: str
     request_hash: str
+    deadline_s: float
 
 
 @attrs.frozen
