Claim idempotency keys in the log before dispatch

A claim is appended with all other waiting claims of the instance and its call goes out only when the stream has been read up to the claim and it is the first live one of its key. A failed append is repeated with the same claim id, which the fold takes once. A grant whose caller was told "not run" is released when it shows in the stream, however late; the run's own prefix tells it apart, so nothing has to be remembered. The dispatch limit counts from before the first append, on the clock that shows more.

Ruled out: claim ids from the seeded source, as a restart with the same seed would release claims of calls that ran. While a stream cannot be read, reads do not wait: with a waiting read, keyed calls were refused for up to 5 s after the log was back.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -169,6 +169,42 @@
     logging.WARNING,
     'An attempt to call a plain service failed.',
 )
+CLAIM_DECIDED = _event(
+    351,
+    'claim-decided',
+    logging.INFO,
+    'The log decided on the claim of an idempotency key.',
+)
+CLAIM_RELEASED = _event(
+    352,
+    'claim-released',
+    logging.INFO,
+    'A claim is released because its call was not sent.',
+)
+STREAM_UNREACHABLE = _event(
+    353,
+    'stream-unreachable',
+    logging.WARNING,
+    'A log stream of claims or leases cannot be read.',
+)
+STREAM_REACHABLE = _event(
+    354,
+    'stream-reachable',
+    logging.INFO,
+    'A log stream of claims or leases can be read again.',
+)
+APPEND_FAILED = _event(
+    355,
+    'append-failed',
+    logging.WARNING,
+    'An append to the log failed or its response was lost; it is repeated.',
+)
+RECORDS_NOT_APPENDED = _event(
+    356,
+    'records-not-appended',
+    logging.ERROR,
+    'The instance stopped before its last records were appended.',
+)
 # 4xx: targets.
 TARGET_STATE_CHANGED = _event(
     400,
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/claim_stream.py
@@ -0,0 +1,369 @@
+"""The claims of one claim stream, as one instance makes and reads them."""
+
+import asyncio
+import itertools
+import logging
+import random
+
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.claims import fold
+from dotterelweir_core.claims import records
+from dotterelweir_platform import api as platform_api
+from dotterelweird import claims_api
+from dotterelweird import log_batcher
+from dotterelweird import log_follower
+from dotterelweird import scopes
+from dotterelweird.settings import model as settings_model
+
+LOG = logging.getLogger(__name__)
+
+# Outcomes wait only while the log is down, when no new keyed calls begin.
+# Bodies are dropped beyond this many waiting records.
+_WAITING_BODIES_MAX = 200
+_RETRY_AFTER_S = 1.0
+
+
+@attrs.define(eq=False)
+class _Pending:
+    """A claim whose caller waits for the log's decision."""
+
+    claim: records.Claim
+    append: log_batcher.Append
+    decided: asyncio.Future
+
+
+class ClaimStream:
+    """Claims keys in one stream and follows it."""
+
+    def __init__(
+        self,
+        log: platform_api.LogClient,
+        name: str,
+        timer: timers.TimerService,
+        rng: random.Random,
+        platform: settings_model.Platform,
+        claims: settings_model.Claims,
+        run_id: str,
+    ) -> None:
+        """Creates the stream; ``start`` begins its work.
+
+        Args:
+            log: The log service.
+            name: Name of the stream.
+            timer: Source of time.
+            rng: Random source of the backoff.
+            platform: Settings of the platform's services.
+            claims: Settings of claims.
+            run_id: Name of this run of the process.
+        """
+        self._log = log
+        self._name = name
+        self._timer = timer
+        self._settings = claims
+        self._claim_prefix = f'{run_id}.'
+        self._numbers = itertools.count(1)
+        self._table = fold.ClaimTable(claims.window_s)
+        self._pending: dict[str, _Pending] = {}
+        self._follower = log_follower.LogFollower(
+            log, name, timer, rng, platform.log_wait_s, self._apply
+        )
+        self._batcher = log_batcher.LogBatcher(
+            log,
+            name,
+            timer,
+            rng,
+            claims.append_interval_s,
+            platform.log_timeout_s,
+        )
+
+    def __len__(self) -> int:
+        return len(self._table)
+
+    def start(self) -> None:
+        """Begins to follow the stream."""
+        self._follower.start()
+        self._batcher.start()
+
+    async def stop(self, drain_s: float) -> None:
+        """Stops after waiting outcomes and releases were appended."""
+        await self._batcher.stop(drain_s)
+        await self._follower.stop()
+
+    async def claim(
+        self,
+        key_hash: str,
+        request_hash: str,
+        key_time_s: float | None,
+        deadline_s: float,
+    ) -> claims_api.Grant | claims_api.Outcome:
+        """Claims a key.
+
+        Args:
+            key_hash: Hash of organisation, route and key.
+            request_hash: Hash of the request.
+            key_time_s: Time that the key carries, in wall seconds, if any.
+            deadline_s: When the call is given up, in monotonic seconds.
+
+        Returns:
+            A grant, or the outcome of an earlier call with this key.
+        """
+        known = self._known(key_hash, request_hash)
+        if known is not None:
+            return await self._refuse(known)
+        # A log that has been out of reach for as long as a decision may
+        # take is not going to decide this one.
+        if self._follower.failing_for_s() > self._settings.decision_timeout_s:
+            raise _unavailable('The log is out of reach')
+        claim = records.Claim(
+            f'{self._claim_prefix}{next(self._numbers)}',
+            key_hash,
+            request_hash,
+            key_time_s,
+        )
+        pending = self._enqueue(claim)
+        decision = await self._decision(pending, deadline_s)
+        if decision.verdict is fold.Verdict.GRANTED:
+            return ClaimGrant(self, claim, pending.append)
+        return await self._refuse(decision)
+
+    def append(self, record: records.ClaimRecord) -> None:
+        """Appends a release or an outcome."""
+        self._batcher.add(log_batcher.Append(records.encode(record)))
+
+    def release(self, claim: records.Claim) -> None:
+        """Appends the release of a claim that is not dispatched."""
+        events.log(
+            LOG,
+            events.CLAIM_RELEASED,
+            claim_id=claim.claim_id,
+            key_hash=claim.key_hash,
+        )
+        self.append(records.Release(claim.claim_id, claim.key_hash))
+
+    def check_dispatch(self, append: log_batcher.Append) -> None:
+        """Checks that a granted claim is recent enough to be dispatched."""
+        limit_s = self._settings.dispatch_limit_s
+        sent = append.first_sent
+        if sent is None or sent.elapsed_s(self._timer) > limit_s:
+            raise _unavailable(
+                f'The call was held up for more than {limit_s:g} s after '
+                'its claim'
+            )
+
+    def keeps_body(self, body: bytes | None) -> bool:
+        """Whether the body of an outcome is small enough to be kept."""
+        return (
+            body is not None
+            and len(body) <= self._settings.outcome_max_bytes
+            and len(self._batcher) < _WAITING_BODIES_MAX
+        )
+
+    def _known(self, key_hash: str, request_hash: str) -> fold.Decision | None:
+        """What is known of a key without asking the log.
+
+        It holds even while the log is down. A claim that was released since
+        gets one more answer with "unknown".
+        """
+        entry = self._table.find(key_hash)
+        if entry is None or entry.expires_s < self._timer.wall_s():
+            return None
+        return fold.Decision(
+            entry.claim_id,
+            self._table.judge(key_hash, request_hash),
+            entry.execution,
+            entry.outcome_offset,
+        )
+
+    def _enqueue(self, claim: records.Claim) -> _Pending:
+        append = log_batcher.Append(
+            records.encode(claim), lambda: claim.claim_id in self._pending
+        )
+        pending = _Pending(
+            claim, append, asyncio.get_running_loop().create_future()
+        )
+        self._pending[claim.claim_id] = pending
+        self._batcher.add(append)
+        return pending
+
+    async def _decision(
+        self, pending: _Pending, deadline_s: float
+    ) -> fold.Decision:
+        """Waits until the stream was read up to the claim.
+
+        The claim of a caller that has given up is released when it shows in
+        the stream, however late that is.
+        """
+        wait_s = min(
+            self._settings.decision_timeout_s,
+            max(0.0, deadline_s - self._timer.monotonic_s()),
+        )
+        late = _unavailable('The log did not decide on the claim in time')
+        try:
+            with scopes.deadline(self._timer, wait_s, late):
+                return await pending.decided
+        except BaseException:
+            decided = pending.decided
+            if (
+                decided.done()
+                and not decided.cancelled()
+                and decided.result().verdict is fold.Verdict.GRANTED
+            ):
+                self.release(pending.claim)
+            raise
+        finally:
+            self._pending.pop(pending.claim.claim_id, None)
+
+    def _apply(self, record: platform_api.LogRecord) -> None:
+        try:
+            decoded = records.decode(record.data)
+        except ValueError as error:
+            events.log(
+                LOG,
+                events.RECORD_SKIPPED,
+                stream=self._name,
+                offset=record.offset,
+                detail=str(error),
+            )
+            return
+        decision = self._table.apply(record.offset, record.time_s, decoded)
+        if decision is None or not decision.claim_id.startswith(
+            self._claim_prefix
+        ):
+            return
+        events.log(
+            LOG,
+            events.CLAIM_DECIDED,
+            claim_id=decision.claim_id,
+            key_hash=decoded.key_hash,
+            verdict=decision.verdict.value,
+            offset=record.offset,
+        )
+        pending = self._pending.pop(decision.claim_id, None)
+        if pending is not None and not pending.decided.done():
+            pending.decided.set_result(decision)
+        elif decision.verdict is fold.Verdict.GRANTED:
+            # Its caller was told that the call did not run.
+            self.release(decoded)
+
+    async def _refuse(self, decision: fold.Decision) -> claims_api.Outcome:
+        match decision.verdict:
+            case fold.Verdict.ENDED if decision.outcome_offset is not None:
+                return await self._read_outcome(decision)
+            case fold.Verdict.MISMATCH:
+                # The earlier call may be this one in another spelling.
+                raise errors.DotterelweirError(
+                    errors.ErrorKind.CLAIM_MISMATCH,
+                    '',
+                    errors.Execution.UNKNOWN,
+                )
+            case fold.Verdict.KEY_EXPIRED:
+                raise key_expired()
+            case fold.Verdict.KEY_IN_FUTURE:
+                raise key_in_future()
+            case _:
+                raise errors.DotterelweirError(
+                    errors.ErrorKind.CLAIM_IN_PROGRESS,
+                    '',
+                    errors.Execution.UNKNOWN,
+                    _RETRY_AFTER_S,
+                )
+
+    async def _read_outcome(
+        self, decision: fold.Decision
+    ) -> claims_api.Outcome:
+        execution = decision.execution or errors.Execution.UNKNOWN
+        try:
+            page = await self._log.read(
+                self._name, decision.outcome_offset, 1, 0.0
+            )
+        except errors.DotterelweirError as error:
+            if error.kind is errors.ErrorKind.LOG_GAP:
+                return claims_api.Outcome(execution)
+            raise errors.DotterelweirError(
+                errors.ErrorKind.CLAIMS_UNAVAILABLE,
+                'The recorded answer cannot be read now',
+                execution,
+                _RETRY_AFTER_S,
+            ) from error
+        for record in page.records:
+            if record.offset == decision.outcome_offset:
+                outcome = records.decode(record.data)
+                return claims_api.Outcome(
+                    outcome.execution,
+                    outcome.status,
+                    outcome.headers,
+                    outcome.body,
+                )
+        return claims_api.Outcome(execution)
+
+
+class ClaimGrant(claims_api.Grant):
+    """The claim that the log put first."""
+
+    def __init__(
+        self,
+        stream: ClaimStream,
+        claim: records.Claim,
+        append: log_batcher.Append,
+    ) -> None:
+        """Creates a grant.
+
+        Args:
+            stream: The stream of the claim.
+            claim: The claim.
+            append: Its append, which tells when it was first sent.
+        """
+        self._stream = stream
+        self._claim = claim
+        self._append = append
+
+    def check_dispatch(self) -> None:
+        self._stream.check_dispatch(self._append)
+
+    def release(self) -> None:
+        self._stream.release(self._claim)
+
+    def end(self, outcome: claims_api.Outcome) -> None:
+        keeps = self._stream.keeps_body(outcome.body)
+        self._stream.append(
+            records.Outcome(
+                self._claim.claim_id,
+                self._claim.key_hash,
+                outcome.execution,
+                outcome.status,
+                outcome.headers if keeps else (),
+                outcome.body if keeps else None,
+            )
+        )
+
+
+def key_expired() -> errors.DotterelweirError:
+    """The error for a key that is older than the window."""
+    return errors.DotterelweirError(
+        errors.ErrorKind.IDEMPOTENCY_KEY_EXPIRED, '', errors.Execution.UNKNOWN
+    )
+
+
+def key_in_future() -> errors.DotterelweirError:
+    """The error for a key from the future.
+
+    An instance with another clock may have run the call.
+    """
+    return errors.DotterelweirError(
+        errors.ErrorKind.IDEMPOTENCY_KEY_INVALID,
+        'The key carries a time in the future',
+        errors.Execution.UNKNOWN,
+    )
+
+
+def _unavailable(detail: str) -> errors.DotterelweirError:
+    return errors.DotterelweirError(
+        errors.ErrorKind.CLAIMS_UNAVAILABLE,
+        detail,
+        errors.Execution.NOT_RUN,
+        _RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/log_batcher.py
@@ -0,0 +1,203 @@
+"""Appends records to one log stream, several at a time."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import logging
+import random
+
+import attrs
+
+from dotterelweir_core import backoff
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_platform import api as platform_api
+from dotterelweird import scopes
+from dotterelweird import timers as daemon_timers
+
+LOG = logging.getLogger(__name__)
+
+BATCH_MAX_RECORDS = 500
+BATCH_MAX_BYTES = 524_288
+
+
+@attrs.define(eq=False)
+class Append:
+    """One record that is to be appended.
+
+    Attributes:
+        data: The record.
+        wanted: Asked before each append whether the record still matters.
+        first_sent: When its first append began; None before.
+    """
+
+    data: bytes
+    wanted: Callable[[], bool] = lambda: True
+    first_sent: 'Instant | None' = None
+
+
+@attrs.frozen
+class Instant:
+    """A point in time on both clocks.
+
+    Attributes:
+        monotonic_s: Monotonic seconds.
+        wall_s: Wall seconds.
+    """
+
+    monotonic_s: float
+    wall_s: float
+
+    def elapsed_s(self, timer: timers.TimerService) -> float:
+        """Seconds since then, on the clock that shows more.
+
+        The monotonic clock may stand still while a machine is suspended,
+        and the wall clock may be set back.
+        """
+        return max(
+            timer.monotonic_s() - self.monotonic_s,
+            timer.wall_s() - self.wall_s,
+        )
+
+
+class LogBatcher:
+    """Carries all waiting records of an instance with each append.
+
+    The first record goes at once; appends begin at least an interval apart,
+    further apart while the log refuses. A failed append is repeated, so a
+    record may be in the log several times, and may appear there after its
+    append was given up.
+    """
+
+    def __init__(
+        self,
+        log: platform_api.LogClient,
+        stream: str,
+        timer: timers.TimerService,
+        rng: random.Random,
+        interval_s: float,
+        timeout_s: float,
+    ) -> None:
+        """Creates a batcher; ``start`` begins its work.
+
+        Args:
+            log: The log service.
+            stream: Name of the stream.
+            timer: Source of time.
+            rng: Random source of the backoff.
+            interval_s: Least time between two appends, in seconds.
+            timeout_s: Bound on one append, in seconds.
+        """
+        self._log = log
+        self._stream = stream
+        self._timer = timer
+        self._interval_s = interval_s
+        self._timeout_s = timeout_s
+        self._backoff = backoff.Backoff(
+            rng, first_s=4.0 * interval_s, cap_s=2.0
+        )
+        self._queue: collections.deque[Append] = collections.deque()
+        self._filled = asyncio.Event()
+        self._drained = asyncio.Event()
+        self._drained.set()
+        self._next_append_s = 0.0
+        self._task: asyncio.Task | None = None
+
+    def __len__(self) -> int:
+        return len(self._queue)
+
+    def add(self, append: Append) -> None:
+        """Adds a record; it goes with the next append."""
+        self._queue.append(append)
+        self._filled.set()
+        self._drained.clear()
+
+    def start(self) -> None:
+        """Begins to append."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self, drain_s: float) -> None:
+        """Stops after the waiting records were appended.
+
+        Args:
+            drain_s: Most time to spend on that, in seconds.
+        """
+        if self._task is None:
+            return
+        if drain_s > 0.0:
+            await self._drain(drain_s)
+        if self._queue:
+            events.log(
+                LOG,
+                events.RECORDS_NOT_APPENDED,
+                stream=self._stream,
+                records=len(self._queue),
+            )
+        self._task.cancel()
+        await asyncio.wait([self._task])
+
+    async def _drain(self, drain_s: float) -> None:
+        late = errors.DotterelweirError(errors.ErrorKind.LOG_UNAVAILABLE)
+        try:
+            with scopes.deadline(self._timer, drain_s, late):
+                await self._drained.wait()
+        except errors.DotterelweirError:
+            return
+
+    async def _run(self) -> None:
+        while True:
+            await self._filled.wait()
+            delay_s = self._next_append_s - self._timer.monotonic_s()
+            if delay_s > 0.0:
+                await daemon_timers.sleep(self._timer, delay_s)
+            batch = self._take()
+            if batch:
+                await self._append(batch)
+            if not self._queue:
+                self._filled.clear()
+                self._drained.set()
+
+    def _take(self) -> list[Append]:
+        batch: list[Append] = []
+        size_bytes = 0
+        now = Instant(self._timer.monotonic_s(), self._timer.wall_s())
+        while self._queue and len(batch) < BATCH_MAX_RECORDS:
+            append = self._queue[0]
+            if not append.wanted():
+                self._queue.popleft()
+                continue
+            size_bytes += len(append.data)
+            if batch and size_bytes > BATCH_MAX_BYTES:
+                break
+            batch.append(self._queue.popleft())
+            if append.first_sent is None:
+                append.first_sent = now
+        return batch
+
+    async def _append(self, batch: list[Append]) -> None:
+        self._next_append_s = self._timer.monotonic_s() + self._interval_s
+        try:
+            await self._log.append(
+                self._stream,
+                tuple(append.data for append in batch),
+                self._timeout_s,
+            )
+        except errors.DotterelweirError as error:
+            self._queue.extendleft(reversed(batch))
+            delay_s = max(
+                self._backoff.next_delay_s() or 0.0,
+                error.retry_after_s or 0.0,
+            )
+            self._next_append_s = self._timer.monotonic_s() + delay_s
+            events.log(
+                LOG,
+                events.APPEND_FAILED,
+                stream=self._stream,
+                records=len(batch),
+                code=error.kind.value,
+                detail=error.detail,
+                delay_s=delay_s,
+            )
+        else:
+            self._backoff.reset()
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/log_follower.py
@@ -0,0 +1,175 @@
+"""Reads one log stream from its first available record on."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+
+from dotterelweir_core import backoff
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_platform import api as platform_api
+from dotterelweird import timers as daemon_timers
+
+LOG = logging.getLogger(__name__)
+
+READ_LIMIT_RECORDS = 500
+# Beyond every real offset, and exact in JSON numbers: such a read returns
+# no records but tells the first available offset.
+_FAR_OFFSET = 2**53 - 1
+# Keeps a log that ignores wait_s from being read in a busy loop.
+_IDLE_DELAY_S = 0.01
+
+RecordCallback = Callable[[platform_api.LogRecord], None]
+
+
+class LogFollower:
+    """Passes on each record of a stream once, in offset order.
+
+    Records that expired before they were read are skipped: the streams
+    that are read this way hold nothing that matters for longer than the
+    log's retention. Any other gap is treated as an outage, because a record
+    that is missing here may have been read elsewhere.
+    """
+
+    def __init__(
+        self,
+        log: platform_api.LogClient,
+        stream: str,
+        timer: timers.TimerService,
+        rng: random.Random,
+        wait_s: float,
+        on_record: RecordCallback,
+    ) -> None:
+        """Creates a follower; ``start`` begins its work.
+
+        Args:
+            log: The log service.
+            stream: Name of the stream.
+            timer: Source of time.
+            rng: Random source of the backoff.
+            wait_s: How long one read may wait for records, in seconds.
+            on_record: Called with each record; must not raise.
+        """
+        self._log = log
+        self._stream = stream
+        self._timer = timer
+        self._wait_s = wait_s
+        self._on_record = on_record
+        self._backoff = backoff.Backoff(rng, first_s=0.05, cap_s=1.0)
+        self._next_offset = 0
+        self._started = False
+        self._caught_up = False
+        self._failing_since_s: float | None = None
+        self._task: asyncio.Task | None = None
+
+    @property
+    def next_offset(self) -> int:
+        """The offset of the next record to read."""
+        return self._next_offset
+
+    @property
+    def caught_up(self) -> bool:
+        """Whether the end of the stream was reached since the start."""
+        return self._caught_up
+
+    def failing_for_s(self) -> float:
+        """For how long no read has succeeded, in seconds."""
+        if self._failing_since_s is None:
+            return 0.0
+        return self._timer.monotonic_s() - self._failing_since_s
+
+    def start(self) -> None:
+        """Begins to read."""
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops reading."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                page = await self._read()
+            except errors.DotterelweirError as error:
+                self._note_failure(error)
+                delay_s = self._backoff.next_delay_s() or 0.0
+                await daemon_timers.sleep(self._timer, delay_s)
+                continue
+            self._note_success()
+            for record in page.records:
+                self._next_offset = record.offset + 1
+                self._on_record(record)
+            if self._next_offset >= page.end_offset:
+                self._caught_up = True
+            if not page.records:
+                await daemon_timers.sleep(self._timer, _IDLE_DELAY_S)
+
+    async def _read(self) -> platform_api.LogPage:
+        # After a failure the log answers at once, so that its recovery is
+        # noticed before the next record.
+        wait_s = self._wait_s if self._failing_since_s is None else 0.0
+        try:
+            page = await self._log.read(
+                self._stream, self._next_offset, READ_LIMIT_RECORDS, wait_s
+            )
+        except errors.DotterelweirError as error:
+            if error.kind is not errors.ErrorKind.LOG_GAP:
+                raise
+            return await self._skip_expired()
+        expected = self._next_offset
+        for record in page.records:
+            if record.offset != expected:
+                raise errors.DotterelweirError(
+                    errors.ErrorKind.LOG_GAP,
+                    f'{self._stream} has offset {record.offset} in place of '
+                    f'{expected}',
+                )
+            expected += 1
+        if page.end_offset < expected:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.LOG_GAP,
+                f'{self._stream} ends at {page.end_offset}, before {expected}',
+            )
+        return page
+
+    async def _skip_expired(self) -> platform_api.LogPage:
+        page = await self._log.read(self._stream, _FAR_OFFSET, 1, 0.0)
+        if page.first_available_offset <= self._next_offset:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.LOG_GAP,
+                f'{self._stream} lacks offset {self._next_offset}',
+            )
+        if self._started:
+            events.log(
+                LOG,
+                events.LOG_GAP,
+                stream=self._stream,
+                expected_offset=self._next_offset,
+                first_available_offset=page.first_available_offset,
+            )
+        self._next_offset = page.first_available_offset
+        return platform_api.LogPage(
+            page.first_available_offset, page.end_offset, ()
+        )
+
+    def _note_failure(self, error: errors.DotterelweirError) -> None:
+        if self._failing_since_s is None:
+            self._failing_since_s = self._timer.monotonic_s()
+            events.log(
+                LOG,
+                events.STREAM_UNREACHABLE,
+                stream=self._stream,
+                code=error.kind.value,
+                detail=error.detail,
+            )
+
+    def _note_success(self) -> None:
+        self._started = True
+        self._backoff.reset()
+        if self._failing_since_s is not None:
+            self._failing_since_s = None
+            events.log(LOG, events.STREAM_REACHABLE, stream=self._stream)
--- a/packages/daemon/tests/callers/test_service_calls.py
+++ b/packages/daemon/tests/callers/test_service_calls.py
@@ -138,9 +138,11 @@
 async def test_a_slow_call_ends_at_its_deadline_with_unknown(service_project):
     """Guards against "not run" for a call that runs on after a timeout."""
     project = await service_project([])
-    project.states[0].delay_s = 60.0
+    gate = project.states[0].gate = asyncio.Event()
     outcome = await project.call(ONCE, _request(), timeout_s=0.05)
     assert outcome.error.execution is UNKNOWN
+    gate.set()
+    await _until(lambda: project.states[0].by_business_key)
 
 
 async def test_a_disconnected_caller_leaves_the_call_to_its_end(
--- /dev/null
+++ b/packages/daemon/tests/claims/conftest.py
@@ -0,0 +1,278 @@
+"""An in-memory log with faults, and instances that claim keys in it."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import random
+
+import attrs
+import pytest
+import pytest_asyncio
+
+from dotterelweir_core import errors
+from dotterelweir_core import timers
+from dotterelweir_platform import api as platform_api
+from dotterelweird import claims_service
+from dotterelweird.settings import model as settings_model
+
+PLATFORM = settings_model.Platform('http://log', 'http://list')
+CLAIMS = settings_model.Claims()
+
+
+class PausableTimer(timers.TimerService):
+    """The timer of one instance; its calls wait while it is paused."""
+
+    def __init__(self, timer: timers.VirtualTimerService) -> None:
+        self._timer = timer
+        self._late: list[Callable[[], None]] = []
+        self.running = asyncio.Event()
+        self.running.set()
+
+    def monotonic_s(self):
+        return self._timer.monotonic_s()
+
+    def wall_s(self):
+        return self._timer.wall_s()
+
+    def call_after(self, delay_s, callback):
+        def run():
+            if self.running.is_set():
+                callback()
+            else:
+                self._late.append(callback)
+
+        return self._timer.call_after(delay_s, run)
+
+    def resume(self):
+        """Goes on with what fell due during the pause."""
+        self.running.set()
+        late, self._late = self._late, []
+        for callback in late:
+            callback()
+
+
+class MemoryLog:
+    """All streams; each instance sees them through a view of its own."""
+
+    def __init__(self, timer: timers.VirtualTimerService) -> None:
+        self.timer = timer
+        self.down = False
+        self.streams = collections.defaultdict(list)
+        self.first_available = collections.defaultdict(int)
+        self.late: list[tuple[str, tuple[bytes, ...]]] = []
+        self._waiting: list[asyncio.Future] = []
+
+    def take(self, stream, data):
+        """Appends records; returns the offset of the first one."""
+        rows = self.streams[stream]
+        first = len(rows)
+        for offset, item in enumerate(data, first):
+            rows.append(
+                platform_api.LogRecord(offset, self.timer.wall_s(), item)
+            )
+        self.wake()
+        return first
+
+    def land_late(self):
+        """Appends the records of the appends that were to land late."""
+        late, self.late = self.late, []
+        for stream, data in late:
+            self.take(stream, data)
+
+    def expire(self, stream, first_available):
+        """Drops the records before an offset."""
+        self.first_available[stream] = first_available
+
+    def wake(self):
+        """Lets waiting reads look again."""
+        for future in self._waiting:
+            if not future.done():
+                future.set_result(None)
+        self._waiting.clear()
+
+    async def wait(self, wait_s):
+        """Waits for a record, in virtual time."""
+        future = asyncio.get_running_loop().create_future()
+        self._waiting.append(future)
+        handle = self.timer.call_after(
+            wait_s, lambda: future.done() or future.set_result(None)
+        )
+        await future
+        handle.cancel()
+
+
+class LogView(platform_api.LogClient):
+    """The log as one instance reaches it.
+
+    Attributes:
+        reachable: Whether requests get through.
+        faults: Faults of the next appends: ``lost`` takes effect and has no
+            response, ``late`` takes effect later, ``dropped`` never,
+            ``limited`` is refused for its rate.
+        append_times_s: When each append was sent, in monotonic seconds.
+    """
+
+    def __init__(self, log: MemoryLog, timer: PausableTimer) -> None:
+        self.log = log
+        self.reachable = True
+        self.faults = collections.deque()
+        self.append_times_s = []
+        self._timer = timer
+
+    def _check(self):
+        if self.log.down or not self.reachable:
+            raise _no_log()
+
+    async def append(self, stream, records, timeout_s):
+        self.append_times_s.append(self._timer.monotonic_s())
+        self._check()
+        fault = self.faults.popleft() if self.faults else None
+        if fault == 'late':
+            self.log.late.append((stream, records))
+        if fault in ('late', 'dropped', 'limited'):
+            raise _no_log()
+        first = self.log.take(stream, records)
+        await self._timer.running.wait()
+        if fault == 'lost':
+            raise _no_log()
+        return first, first + len(records) - 1
+
+    async def read(self, stream, from_offset, limit, wait_s):
+        self._check()
+        first_available = self.log.first_available[stream]
+        if from_offset < first_available:
+            raise errors.DotterelweirError(errors.ErrorKind.LOG_GAP)
+        rows = self.log.streams[stream]
+        if from_offset >= len(rows) and wait_s > 0.0:
+            await self.log.wait(wait_s)
+        await self._timer.running.wait()
+        self._check()
+        return platform_api.LogPage(
+            first_available,
+            len(rows),
+            tuple(rows[from_offset : from_offset + limit]),
+        )
+
+
+def _no_log() -> errors.DotterelweirError:
+    return errors.DotterelweirError(errors.ErrorKind.LOG_UNAVAILABLE)
+
+
+@attrs.define(eq=False)
+class ClaimingInstance:
+    """One entry instance.
+
+    Attributes:
+        timer: Its timer.
+        view: Its way to the log.
+        claims: Its claims service.
+        project: Its handler of service calls.
+    """
+
+    timer: PausableTimer
+    view: LogView
+    claims: claims_service.ClaimsService
+    project: object
+
+    async def kill(self):
+        """Ends it at once; nothing that waits is appended."""
+        self.view.reachable = False
+        await self.claims.stop(0.0)
+        for task in list(self.project.calls._running):
+            task.cancel()
+
+
+@attrs.define(eq=False)
+class ClaimsProject:
+    """Several instances with one log and the same plain services."""
+
+    timer: timers.VirtualTimerService
+    log: MemoryLog
+    instances: dict[str, ClaimingInstance]
+    add: Callable
+
+    @property
+    def services(self):
+        """The states of the services."""
+        return next(iter(self.instances.values())).project.states
+
+    async def settle(self):
+        """Lets all tasks go on as far as they can without time passing."""
+        for _ in range(60):
+            await asyncio.sleep(0)
+
+    async def wait(self, seconds):
+        """Passes virtual time, in at most 100 steps."""
+        end_s = self.timer.monotonic_s() + seconds
+        while (left_s := end_s - self.timer.monotonic_s()) > 1e-6:
+            await self.settle()
+            due_s = self.timer.next_due_s()
+            step_s = seconds / 100.0
+            if due_s is not None:
+                step_s = max(step_s, due_s - self.timer.monotonic_s())
+            self.timer.advance(min(left_s, step_s))
+        await self.settle()
+
+    async def finish(self, tasks, limit_s=60.0):
+        """Passes time until tasks have ended; returns their results."""
+        end_s = self.timer.monotonic_s() + limit_s
+        while not all(task.done() for task in tasks):
+            await self.settle()
+            assert self.timer.monotonic_s() < end_s, 'tasks do not end'
+            self.timer.advance(0.02)
+        return [await task for task in tasks]
+
+
+@pytest_asyncio.fixture
+async def claims_project(service_project):
+    """Makes a project of several instances."""
+    made: list[ClaimsProject] = []
+
+    async def make(
+        *faults, instances='ab', claims=CLAIMS, platform=PLATFORM
+    ) -> ClaimsProject:
+        timer = timers.VirtualTimerService()
+        log = MemoryLog(timer)
+
+        async def add(name, shared=None):
+            own_timer = PausableTimer(timer)
+            view = LogView(log, own_timer)
+            service = claims_service.ClaimsService(
+                view, own_timer, random.Random(name), platform, claims
+            )
+            service.start()
+            project.instances[name] = ClaimingInstance(
+                own_timer,
+                view,
+                service,
+                await service_project(
+                    *(() if shared else faults or ([],)),
+                    claims=service,
+                    timer=own_timer,
+                    shared=shared and shared.project,
+                ),
+            )
+            scheduler = project.instances[name].project.scheduler
+            scheduler.target_ids = list(
+                project.instances[name].project.targets
+            )
+
+        project = ClaimsProject(timer, log, {}, add)
+        first = None
+        for name in instances:
+            await add(name, first)
+            first = first or project.instances[name]
+        made.append(project)
+        await project.settle()
+        return project
+
+    yield make
+    for project in made:
+        for instance in project.instances.values():
+            await instance.kill()
+
+
+@pytest.fixture
+def claim_settings():
+    """Makes settings of claims."""
+    return settings_model.Claims
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -2,7 +2,6 @@
 
 import socket
 
-from aiohttp import test_utils
 from aiohttp import web
 import attrs
 import pytest_asyncio
@@ -109,11 +108,12 @@
 class ServiceProject:
     """One entry instance with plain services behind it."""
 
+    targets: dict[str, targets_model.Target]
     states: list[fake_service.ServiceState]
     calls: service_calls.ServiceCalls
     scheduler: FirstFitScheduler
     seen_states: list[targets_model.TargetState]
-    timer: timers.VirtualTimerService
+    timer: timers.TimerService
     in_flight: inflight.InFlight
 
     async def call(
@@ -172,34 +172,43 @@
 
     The faults ``None`` stand for a service that refuses connections.
     """
-    servers: list[test_utils.TestServer] = []
+    runners: list[web.AppRunner] = []
     clients: list[service_adapter.AiohttpServiceClient] = []
 
+    async def start(target_id: str, names: list[str]):
+        state = fake_service.ServiceState(target_id, on_crash=lambda: None)
+        state.faults.extend(fake_service.Fault(name) for name in names)
+        # A real service goes on when its caller disconnects, unlike a
+        # handler in aiohttp's own test server.
+        runner = web.AppRunner(
+            fake_service.create_app(state), shutdown_timeout=0.0
+        )
+        await runner.setup()
+        runners.append(runner)
+        await web.TCPSite(runner, '127.0.0.1', 0).start()
+        return state, runner.addresses[0][1]
+
     async def make(
         *faults: list[str] | None,
         retry_ratio: float = 1.0,
         claims: claims_api.Claims | None = None,
+        timer: timers.TimerService | None = None,
+        shared: ServiceProject | None = None,
     ) -> ServiceProject:
-        targets, states = {}, []
+        targets = {} if shared is None else shared.targets
+        states = [] if shared is None else shared.states
         for number, names in enumerate(faults):
             target_id = f'shop-{number}'
             if names is None:
                 port = _closed_port()
             else:
-                state = fake_service.ServiceState(
-                    target_id, on_crash=lambda: None
-                )
-                state.faults.extend(fake_service.Fault(name) for name in names)
-                server = test_utils.TestServer(fake_service.create_app(state))
-                await server.start_server()
-                servers.append(server)
+                state, port = await start(target_id, names)
                 states.append(state)
-                port = server.port
             targets[target_id] = targets_model.Target(
                 target_id, 1, 'dealer-shop', 'poznan-a', '127.0.0.1', port
             )
         in_flight = inflight.InFlight()
-        timer = timers.VirtualTimerService()
+        timer = timer or timers.VirtualTimerService()
         scheduler = FirstFitScheduler(list(targets))
         client = service_adapter.AiohttpServiceClient(1.0)
         clients.append(client)
@@ -215,10 +224,12 @@
         calls = service_calls.ServiceCalls(
             attempts, claims or NoClaims(), in_flight
         )
-        return ServiceProject(states, calls, scheduler, seen, timer, in_flight)
+        return ServiceProject(
+            targets, states, calls, scheduler, seen, timer, in_flight
+        )
 
     yield make
     for client in clients:
         await client.close()
-    for server in servers:
-        await server.close()
+    for runner in runners:
+        await runner.cleanup()
