--- a/packages/core/src/dotterelweir_core/tables/checkpoint.py
+++ b/packages/core/src/dotterelweir_core/tables/checkpoint.py
@@ -37,7 +37,7 @@
 
 
 def make(state: fold.TablesState) -> records.CheckpointRecord:
-    """Makes a checkpoint of a state that has folded at least one record."""
+    """Makes a checkpoint of a state."""
     content = _content_bytes(state)
     return records.CheckpointRecord(
         covers_offset=state.offset,
--- a/packages/core/src/dotterelweir_core/tables/records.py
+++ b/packages/core/src/dotterelweir_core/tables/records.py
@@ -122,8 +122,8 @@
 
 def _check(record: Record) -> None:
     if isinstance(record, CheckpointRecord):
-        if record.covers_offset < 0:
-            raise UnreadableRecordError('covers_offset is below 0')
+        if record.covers_offset < -1:
+            raise UnreadableRecordError('covers_offset is below -1')
         return
     if not 1 <= len(record.edit_id) <= EDIT_ID_MAX_CHARS:
         raise UnreadableRecordError(
--- a/packages/core/tests/tables/test_checkpoint.py
+++ b/packages/core/tests/tables/test_checkpoint.py
@@ -1,6 +1,7 @@
 """Tests of checkpoints and of the choice of the starting point."""
 
 import base64
+import copy
 import zlib
 
 import attrs
@@ -111,6 +112,17 @@
     assert started == (log.state if found else None)
 
 
+@pytest.mark.parametrize('covers', [0, 4, 9, 12])
+def test_an_instance_that_follows_takes_no_state_from_a_checkpoint(covers):
+    """Guards against a stale writer that reverts accepted edits."""
+    log = Log()
+    log.fill(10)
+    log.fill(3, service='later')
+    before = copy.deepcopy(log.state)
+    log.append_checkpoint(covers)
+    assert log.state == attrs.evolve(before, offset=before.offset + 1)
+
+
 @pytest.mark.parametrize('kind', ['digest', 'state', 'cut', 'offset', 'big'])
 def test_corrupt_checkpoints_are_no_starting_point(kind):
     """Guards against a start from a damaged state."""
