Add the platform's HTTP adapters and its stand-in

Cause: configuration is read from the platform's log over HTTP, and tests need a log with retention, rate, outages, delays and lost responses.

Ruled out: - Repeating an append inside the adapter: the caller decides, because the records may have been appended.

Adds the error kind platform-unavailable for the instance list and the weight store, which no other kind names truthfully, and the log events 309 to 314.

Conclusion: log, list and weight store can be used over HTTP and in process.

--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/platform/log.py
@@ -0,0 +1,235 @@
+"""Stand-in for the platform's append-only log."""
+
+import asyncio
+import collections
+
+import attrs
+
+from dotterelweir_core import timers as core_timers
+from dotterelweir_fakes import timers
+
+
+class LogRefusedError(Exception):
+    """The log refuses a request.
+
+    Attributes:
+        status: HTTP status: 410, 429 or 503.
+    """
+
+    def __init__(self, status: int, text: str) -> None:
+        super().__init__(text)
+        self.status = status
+
+
+class ResponseLostError(Exception):
+    """An append took effect and its response is lost."""
+
+
+@attrs.frozen
+class Record:
+    """One record of a stream.
+
+    Attributes:
+        offset: Position in the stream.
+        time_s: When it was appended, in wall seconds.
+        data: The bytes that were appended.
+    """
+
+    offset: int
+    time_s: float
+    data: bytes
+
+
+@attrs.frozen
+class Page:
+    """The answer to one read.
+
+    Attributes:
+        first_available_offset: Oldest offset that the stream still has.
+        end_offset: Offset that the next record will get.
+        records: Records in ascending order of offset.
+    """
+
+    first_available_offset: int
+    end_offset: int
+    records: tuple[Record, ...]
+
+
+@attrs.frozen
+class LogOptions:
+    """Limits of the log.
+
+    Attributes:
+        appends_per_s: Appends accepted per second, over all streams.
+        retention_records: Records kept per stream; None for all.
+        retention_s: Age up to which records are kept; None for ever.
+    """
+
+    appends_per_s: float = 300.0
+    retention_records: int | None = None
+    retention_s: float | None = None
+
+
+@attrs.frozen
+class LogFaults:
+    """Faults in force.
+
+    Attributes:
+        down: Every request gets 503; waiting reads end at once.
+        appends_down: Every append gets 503.
+        lose_responses: So many next appends take effect and get no answer.
+        delay_s: Delay before a request takes effect.
+        response_delay_s: Delay after an append took effect.
+    """
+
+    down: bool = False
+    appends_down: bool = False
+    lose_responses: int = 0
+    delay_s: float = 0.0
+    response_delay_s: float = 0.0
+
+
+class MemoryLog:
+    """The streams, without faults and without waiting."""
+
+    def __init__(
+        self, timer: core_timers.TimerService, options: LogOptions
+    ) -> None:
+        self._timer = timer
+        self._options = options
+        self._streams: dict[str, collections.deque[Record]] = {}
+        self._ends: collections.Counter[str] = collections.Counter()
+        self._tokens = options.appends_per_s
+        self._tokens_at_s = timer.monotonic_s()
+
+    def append(
+        self, stream: str, records: tuple[bytes, ...]
+    ) -> tuple[int, int]:
+        """Appends records in one step.
+
+        Raises:
+            LogRefusedError: 429 above the append rate.
+        """
+        self._take_token()
+        kept = self._streams.setdefault(stream, collections.deque())
+        first = self._ends[stream]
+        now_s = self._timer.wall_s()
+        for offset, data in enumerate(records, first):
+            kept.append(Record(offset, now_s, data))
+        self._ends[stream] += len(records)
+        return first, self._ends[stream] - 1
+
+    def read(self, stream: str, from_offset: int, limit: int) -> Page:
+        """Reads records; an offset beyond the end gives an empty page.
+
+        Raises:
+            LogRefusedError: 410 below the first available offset.
+        """
+        kept = self._kept(stream)
+        end = self._ends[stream]
+        first = end - len(kept)
+        if from_offset < first:
+            raise LogRefusedError(410, f'offset {from_offset} has expired')
+        start = from_offset - first
+        chosen = [kept[i] for i in range(start, min(start + limit, len(kept)))]
+        return Page(first, end, tuple(chosen))
+
+    def _kept(self, stream: str) -> collections.deque[Record]:
+        kept = self._streams.setdefault(stream, collections.deque())
+        most = self._options.retention_records
+        while most is not None and len(kept) > most:
+            kept.popleft()
+        if self._options.retention_s is not None:
+            oldest_s = self._timer.wall_s() - self._options.retention_s
+            while kept and kept[0].time_s < oldest_s:
+                kept.popleft()
+        return kept
+
+    def _take_token(self) -> None:
+        rate = self._options.appends_per_s
+        now_s = self._timer.monotonic_s()
+        gained = (now_s - self._tokens_at_s) * rate
+        # One second's worth may come at once.
+        self._tokens = min(max(1.0, rate), self._tokens + gained)
+        self._tokens_at_s = now_s
+        if self._tokens < 1.0:
+            raise LogRefusedError(429, 'above the append rate')
+        self._tokens -= 1.0
+
+
+class LogService:
+    """The log as its users see it: with long polls and faults."""
+
+    def __init__(
+        self, timer: core_timers.TimerService, log: MemoryLog
+    ) -> None:
+        self._timer = timer
+        self._log = log
+        self._faults = LogFaults()
+        self._waiters: set[asyncio.Future] = set()
+
+    @property
+    def faults(self) -> LogFaults:
+        """The faults in force."""
+        return self._faults
+
+    @property
+    def waiting_reads(self) -> int:
+        """Long polls that wait for a record."""
+        return len(self._waiters)
+
+    def set_faults(self, faults: LogFaults) -> None:
+        """Replaces the faults in force."""
+        self._faults = faults
+        self._wake()
+
+    async def append(
+        self, stream: str, records: tuple[bytes, ...]
+    ) -> tuple[int, int]:
+        """Appends records in one step.
+
+        Raises:
+            LogRefusedError: 429 above the rate, 503 in an outage.
+            ResponseLostError: The records were appended all the same.
+        """
+        await timers.sleep(self._timer, self._faults.delay_s)
+        if self._faults.down or self._faults.appends_down:
+            raise LogRefusedError(503, 'outage')
+        offsets = self._log.append(stream, records)
+        self._wake()
+        left = self._faults.lose_responses
+        if left > 0:
+            self._faults = attrs.evolve(self._faults, lose_responses=left - 1)
+            raise ResponseLostError
+        await timers.sleep(self._timer, self._faults.response_delay_s)
+        return offsets
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_s: float
+    ) -> Page:
+        """Reads records and waits for a first one.
+
+        Raises:
+            LogRefusedError: 410 below the first available offset, 503 in an
+                outage.
+        """
+        await timers.sleep(self._timer, self._faults.delay_s)
+        end_s = self._timer.monotonic_s() + wait_s
+        while True:
+            if self._faults.down:
+                raise LogRefusedError(503, 'outage')
+            page = self._log.read(stream, from_offset, limit)
+            left_s = end_s - self._timer.monotonic_s()
+            if page.records or left_s <= 0:
+                return page
+            waiter = asyncio.get_running_loop().create_future()
+            self._waiters.add(waiter)
+            try:
+                await timers.wait_for(self._timer, waiter, left_s)
+            finally:
+                self._waiters.discard(waiter)
+
+    def _wake(self) -> None:
+        for waiter in self._waiters:
+            if not waiter.done():
+                waiter.set_result(None)
--- a/packages/core/src/dotterelweir_core/errors.py
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -48,6 +48,7 @@
     EDIT_REJECTED = 'edit-rejected'
     LOG_UNAVAILABLE = 'log-unavailable'
     LOG_GAP = 'log-gap'
+    PLATFORM_UNAVAILABLE = 'platform-unavailable'
     PEER_REJECTED = 'peer-rejected'
     SETTINGS_INVALID = 'settings-invalid'
     INTERNAL = 'internal'
@@ -130,6 +131,9 @@
     ErrorKind.EDIT_REJECTED: Answer(409, 'The edit was rejected'),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, 'The log is unavailable', True),
     ErrorKind.LOG_GAP: Answer(503, 'The log has a gap', True),
+    ErrorKind.PLATFORM_UNAVAILABLE: Answer(
+        503, 'The platform is unavailable', True
+    ),
     ErrorKind.PEER_REJECTED: Answer(403, 'The peer request was rejected'),
     ErrorKind.SETTINGS_INVALID: Answer(500, 'The settings are not valid'),
     ErrorKind.INTERNAL: Answer(500, 'Internal error'),
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -150,6 +150,42 @@
     logging.INFO,
     'The tables were restored from a checkpoint or from a peer.',
 )
+LOG_BEHIND = _event(
+    309,
+    'log-behind',
+    logging.ERROR,
+    'The log ends before the last record that was read here.',
+)
+CHECKPOINT_FAILED = _event(
+    310,
+    'checkpoint-failed',
+    logging.WARNING,
+    'A checkpoint could not be appended.',
+)
+SNAPSHOT_REJECTED = _event(
+    311,
+    'snapshot-rejected',
+    logging.WARNING,
+    'The snapshot of a peer could not be used.',
+)
+TABLES_UNAVAILABLE = _event(
+    312,
+    'tables-unavailable',
+    logging.ERROR,
+    'Neither the log nor a peer has a state to start from.',
+)
+TABLES_CALLBACK_FAILED = _event(
+    313,
+    'tables-callback-failed',
+    logging.ERROR,
+    'A subscriber to changes of the tables failed.',
+)
+INSTANCE_ROW_SKIPPED = _event(
+    314,
+    'instance-row-skipped',
+    logging.WARNING,
+    'A row of the instance list could not be read and was left out.',
+)
 # 4xx: targets.
 TARGET_STATE_CHANGED = _event(
     400,
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/platform/http.py
@@ -0,0 +1,281 @@
+"""HTTP adapters to the platform's log, instance list and weight store."""
+
+import asyncio
+import base64
+import binascii
+import logging
+from typing import Any
+import urllib.parse
+
+import aiohttp
+import attrs
+import orjson
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core.targets import model
+from dotterelweird.platform import api
+
+LOG = logging.getLogger(__name__)
+
+# Everything that aiohttp raises when a peer or a link fails.
+_NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
+
+
+@attrs.frozen
+class _Response:
+    status: int
+    body: bytes
+
+
+class _Client:
+    """Sends requests to one service of the platform."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        name: str,
+        kind: errors.ErrorKind,
+    ) -> None:
+        self._session = session
+        self._base_url = base_url.rstrip('/')
+        self._name = name
+        self._kind = kind
+
+    async def request(
+        self,
+        method: str,
+        path: str,
+        timeout_s: float,
+        connect_timeout_s: float,
+        **options: Any,
+    ) -> _Response:
+        timeout = aiohttp.ClientTimeout(
+            total=timeout_s, sock_connect=connect_timeout_s
+        )
+        try:
+            async with self._session.request(
+                method,
+                self._base_url + path,
+                timeout=timeout,
+                allow_redirects=False,
+                **options,
+            ) as response:
+                return _Response(response.status, await response.read())
+        except _NETWORK_ERRORS as error:
+            text = str(error) or type(error).__name__
+            raise self.failure(f'cannot be reached: {text}') from error
+
+    def failure(self, text: str) -> errors.DotterelweirError:
+        return errors.DotterelweirError(
+            self._kind, f'the {self._name} {text}', errors.Execution.UNKNOWN
+        )
+
+    def document(self, response: _Response) -> Any:
+        if response.status != 200:
+            raise self.failure(f'answered with status {response.status}')
+        try:
+            return orjson.loads(response.body)
+        except orjson.JSONDecodeError as error:
+            raise self.failure('did not answer with JSON') from error
+
+
+class HttpLogClient(api.LogClient):
+    """The log service over HTTP. An append is never repeated here."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_s: float,
+    ) -> None:
+        """Makes a client.
+
+        Args:
+            session: Session for the requests; the caller closes it.
+            base_url: Base URL of the log service.
+            timeout_s: Bound on a read beyond the time that the log may wait.
+        """
+        self._timeout_s = timeout_s
+        self._client = _Client(
+            session, base_url, 'log', errors.ErrorKind.LOG_UNAVAILABLE
+        )
+
+    async def append(
+        self, stream: str, records: tuple[bytes, ...], timeout_s: float
+    ) -> tuple[int, int]:
+        body = {
+            'records': [base64.b64encode(r).decode('ascii') for r in records]
+        }
+        response = await self._client.request(
+            'POST',
+            _records_path(stream),
+            timeout_s,
+            min(timeout_s, self._timeout_s),
+            data=orjson.dumps(body),
+            headers={'Content-Type': 'application/json'},
+        )
+        document = self._client.document(response)
+        try:
+            first, last = document['first_offset'], document['last_offset']
+        except (KeyError, TypeError) as error:
+            raise self._client.failure('answered without offsets') from error
+        if (
+            type(first) is not int
+            or type(last) is not int
+            or last - first + 1 != len(records)
+        ):
+            raise self._client.failure('answered with wrong offsets')
+        return first, last
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_s: float
+    ) -> api.LogPage:
+        response = await self._client.request(
+            'GET',
+            _records_path(stream),
+            self._timeout_s + wait_s,
+            self._timeout_s,
+            params={
+                'from': str(from_offset),
+                'limit': str(limit),
+                'wait_s': f'{wait_s:.3f}',
+            },
+        )
+        if response.status == 410:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.LOG_GAP,
+                f'offset {from_offset} of {stream!r} has expired',
+            )
+        document = self._client.document(response)
+        try:
+            return _page(document)
+        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+            raise self._client.failure('sent a malformed page') from error
+
+
+class HttpInstanceList(api.InstanceList):
+    """The instance list over HTTP."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_s: float,
+    ) -> None:
+        self._timeout_s = timeout_s
+        self._client = _Client(
+            session,
+            base_url,
+            'instance list',
+            errors.ErrorKind.PLATFORM_UNAVAILABLE,
+        )
+
+    async def fetch(self) -> tuple[api.ListedInstance, ...]:
+        """Reads the list; a row that cannot be read is left out and logged.
+
+        Raises:
+            DotterelweirError: PLATFORM_UNAVAILABLE.
+        """
+        response = await self._client.request(
+            'GET', '/v1/instances', self._timeout_s, self._timeout_s
+        )
+        document = self._client.document(response)
+        if not isinstance(document, list):
+            raise self._client.failure('did not send a list')
+        listed = []
+        for row in document:
+            try:
+                listed.append(_listed(row))
+            except (KeyError, TypeError, ValueError) as error:
+                events.log(
+                    LOG,
+                    events.INSTANCE_ROW_SKIPPED,
+                    row=str(row)[:200],
+                    error=repr(error),
+                )
+        return tuple(listed)
+
+
+class HttpWeightStore(api.WeightStore):
+    """The weight store over HTTP."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        base_url: str,
+        timeout_s: float,
+    ) -> None:
+        self._timeout_s = timeout_s
+        self._client = _Client(
+            session,
+            base_url,
+            'weight store',
+            errors.ErrorKind.PLATFORM_UNAVAILABLE,
+        )
+
+    async def grant(self, model_name: str) -> api.WeightGrant:
+        """Asks when a model may be loaded.
+
+        Raises:
+            DotterelweirError: PLATFORM_UNAVAILABLE.
+        """
+        path = f'/v1/weights/{urllib.parse.quote(model_name)}'
+        response = await self._client.request(
+            'GET', path, self._timeout_s, self._timeout_s
+        )
+        document = self._client.document(response)
+        try:
+            return api.WeightGrant(
+                int(document['size_bytes']), float(document['permitted_at_s'])
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise self._client.failure('sent a malformed grant') from error
+
+
+def _records_path(stream: str) -> str:
+    return f'/v1/logs/{urllib.parse.quote(stream, safe="")}/records'
+
+
+def _page(document: Any) -> api.LogPage:
+    records = tuple(
+        api.LogRecord(
+            _integer(record['offset']),
+            float(record['time_s']),
+            base64.b64decode(record['data'], validate=True),
+        )
+        for record in document['records']
+    )
+    for before, after in zip(records, records[1:], strict=False):
+        if after.offset <= before.offset:
+            raise ValueError('offsets do not rise')
+    return api.LogPage(
+        _integer(document['first_available_offset']),
+        _integer(document['end_offset']),
+        records,
+    )
+
+
+def _integer(value: Any) -> int:
+    if type(value) is not int or value < 0:
+        raise ValueError(f'not an offset: {value!r}')
+    return value
+
+
+def _listed(row: Any) -> api.ListedInstance:
+    target = model.Target(
+        target_id=_text(row['target_id']),
+        incarnation=_integer(row['incarnation']),
+        service=_text(row['service']),
+        zone=_text(row['zone']),
+        host=_text(row['host']),
+        port=_integer(row['port']),
+    )
+    return api.ListedInstance(target, model.TargetState(row['state']))
+
+
+def _text(value: Any) -> str:
+    if type(value) is not str or not value:
+        raise ValueError(f'not a name: {value!r}')
+    return value
