--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/measure.py
@@ -0,0 +1,202 @@
+"""The ``measure`` command: the policy against baselines."""
+
+import math
+import statistics
+import time
+
+import attrs
+import click
+import orjson
+import tabulate
+
+from dotterelweir_core.policy import settings
+from dotterelweir_fakes.measurement import campaign
+from dotterelweir_fakes.measurement import costs
+from dotterelweir_fakes.measurement import measures
+from dotterelweir_fakes.measurement import plots
+from dotterelweir_fakes.measurement import policies
+from dotterelweir_fakes.measurement import workload
+
+_SIDE_FIGURES = (
+    'requests',
+    'refused',
+    'unfinished',
+    'hedges',
+    'crest_share',
+    'first_token_p50',
+    'first_token_p99',
+)
+
+
+@click.command()
+@click.option(
+    '--seeds', default='101 102 103 104 105', help='Seeds, apart by blanks.'
+)
+@click.option(
+    '--scenario',
+    type=click.Choice(sorted(workload.SCENARIOS)),
+    help='Only this scenario.',
+)
+@click.option('--ablate', is_flag=True, help='Switch each mechanism off.')
+@click.option('--plot', help='Draw the ratios into this file.')
+@click.option('--workers', default=4, help='Worker processes, at most 4.')
+def measure(
+    seeds: str,
+    scenario: str | None,
+    ablate: bool,
+    plot: str | None,
+    workers: int,
+) -> None:
+    """Compares the scheduling policy with baselines in virtual time."""
+    started = time.perf_counter()
+    numbers = [int(seed) for seed in seeds.split()]
+    scenarios = [scenario] if scenario else list(workload.SCENARIOS)
+    names = [*policies.BASELINES, policies.CHOSEN, policies.IDEAL]
+    results = campaign.run_all(
+        _tasks(numbers, scenarios, names, settings.PolicySettings()), workers
+    )
+    found = campaign.rows(results)
+    click.echo(_main_table(found, names))
+    click.echo(_side_table(results, scenarios, names))
+    if ablate:
+        click.echo(_ablation_table(found, numbers, scenarios, workers))
+    if plot:
+        plots.draw(found, plot)
+    times_us = costs.decision_times_us(costs.CANDIDATES)
+    click.echo(f'{time.perf_counter() - started:.0f} s in all')
+    click.echo(orjson.dumps(_summary(found, times_us)).decode())
+
+
+def _tasks(
+    seeds: list[int],
+    scenarios: list[str],
+    names: list[str],
+    policy_settings: settings.PolicySettings,
+) -> list[campaign.Task]:
+    return [
+        campaign.Task(deployment, scenario, name, seed, policy_settings)
+        for deployment in workload.DEPLOYMENTS
+        for scenario in scenarios
+        for name in names
+        for seed in seeds
+    ]
+
+
+def _number(value: float) -> str:
+    return f'{value:.3g}' if value < 1000 else f'{value:.0f}'
+
+
+def _main_table(found: list[campaign.Row], names: list[str]) -> str:
+    table = []
+    for row in found:
+        line = [row.measure.title, row.deployment]
+        for name in names:
+            low, high = row.spreads[name]
+            line.append(
+                f'{_number(row.medians[name])} '
+                f'[{_number(low)}, {_number(high)}]'
+            )
+        low, high = row.ratio_spread
+        line.append(f'{row.ratio:.2f} [{low:.2f}, {high:.2f}]')
+        sign = '>=' if row.measure.higher_is_better else '<='
+        line.append(f'{sign} {row.measure.objective}')
+        line.append('met' if row.measure.met(row.ratio) else 'MISSED')
+        table.append(line)
+    headers = ['measure', 'deployment', *names, 'ratio', 'objective', '']
+    return (
+        'Median [least, greatest] over the seeds. The ideal knows every '
+        'length and has no lag;\nit shows the distance still to go. Refused '
+        'requests count as infinitely late.\n'
+        + tabulate.tabulate(table, headers)
+        + '\n'
+    )
+
+
+def _side_table(
+    results: campaign.Results, scenarios: list[str], names: list[str]
+) -> str:
+    table = []
+    for deployment in workload.DEPLOYMENTS:
+        for scenario in scenarios:
+            for name in names:
+                line: list[object] = [deployment, scenario, name]
+                for figure in _SIDE_FIGURES:
+                    series = campaign.per_seed(
+                        results, deployment, name, figure, (scenario,)
+                    )
+                    line.append(_number(statistics.median(series)))
+                table.append(line)
+    headers = ['deployment', 'scenario', 'policy', *_SIDE_FIGURES]
+    return tabulate.tabulate(table, headers) + '\n'
+
+
+def _ablation_table(
+    found: list[campaign.Row],
+    seeds: list[int],
+    scenarios: list[str],
+    workers: int,
+) -> str:
+    mechanisms = [field.name for field in attrs.fields(settings.Mechanisms)]
+    tasks = []
+    variants = {}
+    for name in mechanisms:
+        variants[name] = settings.PolicySettings(
+            mechanisms=attrs.evolve(settings.Mechanisms(), **{name: False})
+        )
+        tasks += _tasks(seeds, scenarios, [policies.CHOSEN], variants[name])
+    results = campaign.run_all(tasks, workers)
+    table = []
+    for name in mechanisms:
+        part = {
+            task: figures
+            for task, figures in results.items()
+            if task.policy_settings == variants[name]
+        }
+        line: list[object] = [name]
+        for row in found:
+            series = campaign.per_seed(
+                part,
+                row.deployment,
+                policies.CHOSEN,
+                row.measure.name,
+                row.measure.scenarios,
+            )
+            without = statistics.median(series)
+            line.append(
+                f'{_number(without)} '
+                f'({row.measure.ratio(without, row.medians["chosen"]):.2f})'
+            )
+        table.append(line)
+    headers = ['without'] + [
+        f'{row.measure.title}\n{row.deployment}' for row in found
+    ]
+    return (
+        'Each mechanism switched off alone: median, and in brackets its '
+        'ratio to the whole policy.\n'
+        + tabulate.tabulate(table, headers)
+        + '\n'
+    )
+
+
+def _summary(
+    found: list[campaign.Row], times_us: list[float]
+) -> dict[str, object]:
+    """The last line; infinite figures become null."""
+    chosen = campaign.worst(found)
+    summary: dict[str, object] = {}
+    for item in campaign.MEASURES:
+        row = chosen.get(item.name)
+        if row is None:
+            summary[item.name] = None
+            continue
+        names = [*policies.BASELINES, policies.CHOSEN]
+        figures = {name: row.medians[name] for name in names}
+        figures['ratio'] = row.ratio
+        summary[item.name] = {
+            key: value if math.isfinite(value) else None
+            for key, value in figures.items()
+        }
+    summary['relay_cpu_ratio'] = None
+    summary['decision_us_p50'] = measures.percentile(times_us, 50)
+    summary['decision_us_p99'] = measures.percentile(times_us, 99)
+    return summary
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/measurement/campaign.py
@@ -0,0 +1,216 @@
+"""Runs many simulations in worker processes."""
+
+from concurrent import futures
+import math
+import statistics
+
+import attrs
+
+from dotterelweir_core.policy import settings
+from dotterelweir_fakes.measurement import measures
+from dotterelweir_fakes.measurement import policies
+from dotterelweir_fakes.measurement import simulation
+from dotterelweir_fakes.measurement import workload
+
+WORKERS_MAX = 4
+
+
+@attrs.frozen
+class Task:
+    """One run.
+
+    Attributes:
+        deployment: Name of the deployment.
+        scenario: Name of the scenario.
+        policy: Name of the policy.
+        seed: Seed.
+        policy_settings: Settings of the policy, if it has any.
+    """
+
+    deployment: str
+    scenario: str
+    policy: str
+    seed: int
+    policy_settings: settings.PolicySettings = attrs.field(
+        factory=settings.PolicySettings
+    )
+
+
+@attrs.frozen
+class Measure:
+    """One measure.
+
+    Attributes:
+        name: Its name.
+        title: Its title in tables.
+        scenarios: The scenarios that it is taken from; figures are summed.
+        objective: Bound on the ratio to the better baseline.
+        higher_is_better: Whether the bound is a lower one.
+    """
+
+    name: str
+    title: str
+    scenarios: tuple[str, ...]
+    objective: float
+    higher_is_better: bool = False
+
+    def better(self, values: list[float]) -> float:
+        """The better of some values."""
+        return max(values) if self.higher_is_better else min(values)
+
+    def met(self, ratio: float) -> bool:
+        """Whether a ratio meets the objective."""
+        if self.higher_is_better:
+            return ratio >= self.objective
+        return ratio <= self.objective
+
+    def ratio(self, chosen: float, baseline: float) -> float:
+        """The ratio to the baseline; 1 if both are zero or infinite."""
+        if chosen == baseline:
+            return 1.0
+        return chosen / baseline if baseline else math.inf
+
+
+_EVERY = tuple(workload.SCENARIOS)
+# The objectives are those of docs/design.md, section 1.2.
+MEASURES = (
+    Measure('short_behind_long_p99', 'short p99 (s)', ('swing',), 0.25),
+    Measure('slowed_target_p99', 'slowed p99 (s)', ('slowed',), 0.5),
+    Measure('stall_time', 'stall time (s)', _EVERY, 0.5),
+    Measure('preemptions', 'preemptions', _EVERY, 0.25),
+    Measure('inter_token_p99', 'inter-token p99 (s)', ('swing',), 0.7),
+    Measure('crest_goodput', 'crest goodput (1/s)', ('swing',), 1.3, True),
+)
+
+
+def run_task(task: Task) -> dict[str, float]:
+    """Runs one simulation."""
+    deployment = workload.DEPLOYMENTS[task.deployment]
+    scenario = workload.SCENARIOS[task.scenario]
+    ideal = task.policy == policies.IDEAL
+    arrivals = workload.arrivals(deployment, scenario, task.seed)
+    if ideal:
+        arrivals = policies.reveal_lengths(arrivals)
+    run = simulation.Simulation(
+        deployment,
+        scenario,
+        task.seed,
+        policies.factory(task.policy, task.policy_settings),
+        shared=ideal,
+    )
+    run.run(arrivals)
+    return measures.figures(run, deployment, scenario)
+
+
+Results = dict[Task, dict[str, float]]
+
+
+def run_all(tasks: list[Task], workers: int) -> Results:
+    """Runs simulations in parallel.
+
+    Args:
+        tasks: What to run.
+        workers: Worker processes; at most 4 are used.
+    """
+    workers = max(1, min(workers, WORKERS_MAX))
+    with futures.ProcessPoolExecutor(workers) as pool:
+        return dict(zip(tasks, pool.map(run_task, tasks), strict=True))
+
+
+def per_seed(
+    results: Results,
+    deployment: str,
+    policy: str,
+    name: str,
+    scenarios: tuple[str, ...],
+) -> list[float]:
+    """A figure of each seed, summed over scenarios."""
+    sums: dict[int, float] = {}
+    for task, figures in results.items():
+        if (
+            task.deployment == deployment
+            and task.policy == policy
+            and task.scenario in scenarios
+        ):
+            sums[task.seed] = sums.get(task.seed, 0.0) + figures[name]
+    return [sums[seed] for seed in sorted(sums)]
+
+
+@attrs.frozen
+class Row:
+    """One measure of one deployment.
+
+    Attributes:
+        measure: The measure.
+        deployment: The deployment.
+        medians: Median over the seeds, by policy.
+        spreads: Least and greatest value, by policy.
+        ratio: Chosen policy relative to the better baseline.
+        ratio_spread: Least and greatest ratio of one seed.
+    """
+
+    measure: Measure
+    deployment: str
+    medians: dict[str, float]
+    spreads: dict[str, tuple[float, float]]
+    ratio: float
+    ratio_spread: tuple[float, float]
+
+
+def rows(results: Results) -> list[Row]:
+    """Every measure of every deployment whose scenarios were run."""
+    deployments = sorted({task.deployment for task in results}, reverse=True)
+    names = sorted({task.policy for task in results})
+    scenarios = {task.scenario for task in results}
+    found = []
+    for measure in MEASURES:
+        used = tuple(name for name in measure.scenarios if name in scenarios)
+        if not used:
+            continue
+        for deployment in deployments:
+            values = {
+                name: per_seed(results, deployment, name, measure.name, used)
+                for name in names
+            }
+            medians = {
+                name: statistics.median(series)
+                for name, series in values.items()
+            }
+            by_seed = zip(
+                values[policies.CHOSEN],
+                *(values[name] for name in policies.BASELINES),
+                strict=True,
+            )
+            ratios = [
+                measure.ratio(chosen, measure.better(list(baselines)))
+                for chosen, *baselines in by_seed
+            ]
+            best = measure.better(
+                [medians[name] for name in policies.BASELINES]
+            )
+            found.append(
+                Row(
+                    measure,
+                    deployment,
+                    medians,
+                    {
+                        name: (min(series), max(series))
+                        for name, series in values.items()
+                    },
+                    measure.ratio(medians[policies.CHOSEN], best),
+                    (min(ratios), max(ratios)),
+                )
+            )
+    return found
+
+
+def worst(found: list[Row]) -> dict[str, Row]:
+    """For each measure the deployment with the worse ratio."""
+    chosen: dict[str, Row] = {}
+    for row in found:
+        other = chosen.get(row.measure.name)
+        if other is None or row.ratio != row.measure.better(
+            [row.ratio, other.ratio]
+        ):
+            chosen[row.measure.name] = row
+    return chosen
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/measurement/costs.py
@@ -0,0 +1,120 @@
+"""Measures what the scheduler costs: decision time and memory."""
+
+import gc
+import random
+import time
+import tracemalloc
+
+import attrs
+
+from dotterelweir_core.policy import api
+from dotterelweir_core.policy import scheduler
+from dotterelweir_core.policy import settings
+from dotterelweir_core.targets import model
+
+CANDIDATES = 243
+# Requests in flight of one node at the size in two years: 3,200 requests a
+# second of 200 tokens at 50 ms on 370 nodes.
+IN_FLIGHT = 88
+_POOL = 'llm'
+
+
+def make_targets(count: int) -> tuple[model.Target, ...]:
+    """Engines of one zone."""
+    return tuple(
+        model.Target(f'engine-{number}', 1, _POOL, 'a', '127.0.0.1', 1024)
+        for number in range(count)
+    )
+
+
+def make_item(number: int, organisations: int) -> api.WorkItem:
+    """A request."""
+    return api.WorkItem(
+        f'r{number}',
+        'guide',
+        _POOL,
+        f'org-{number % organisations}',
+        5,
+        600,
+        None,
+        (number % 7, number % 11),
+        0.0,
+        1e9,
+        True,
+    )
+
+
+def make_scheduler(
+    targets: tuple[model.Target, ...], organisations: int = 10
+) -> scheduler.PolicyScheduler:
+    """A scheduler that has seen reports and the lengths of some outputs."""
+    made = scheduler.PolicyScheduler(
+        settings.PolicySettings(), random.Random(1), 'a', 0.0
+    )
+    made.set_targets(_POOL, targets, 0.0)
+    for target in targets:
+        made.record_report(
+            model.LoadReport(
+                target.target_id,
+                1,
+                running=20,
+                memory_used_tokens=20_000,
+                memory_total_tokens=64_000,
+            ),
+            0.0,
+        )
+    return made
+
+
+def decision_times_us(candidates: int, decisions: int = 4_000) -> list[float]:
+    """Times of submitting and placing one request, in microseconds.
+
+    The calls that report tokens and ends run between the timed ones.
+    """
+    made = make_scheduler(make_targets(candidates))
+    running: list[tuple[str, str]] = []
+    times = []
+    now_s = 0.0
+    for number in range(decisions):
+        now_s += 0.01
+        item = attrs.evolve(make_item(number, 10), arrived_s=now_s)
+        start = time.perf_counter()
+        made.submit(item, now_s)
+        decided = made.decide(now_s)
+        times.append((time.perf_counter() - start) * 1e6)
+        for decision in decided:
+            if isinstance(decision, api.Placement):
+                running.append((decision.request_id, decision.target_id))
+                made.record_first_token(*running[-1], now_s)
+        for request_id, target_id in running:
+            made.record_tokens(request_id, target_id, 1, now_s)
+        while len(running) > IN_FLIGHT:
+            made.record_end(*running.pop(0), api.AttemptEnd.COMPLETE, now_s)
+    return times
+
+
+def memory_bytes(
+    targets: int = 1, in_flight: int = 0, organisations: int = 1
+) -> int:
+    """Memory of a scheduler with so much state."""
+    engines = make_targets(targets)
+    items = [make_item(number, organisations) for number in range(in_flight)]
+    gc.collect()
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    made = make_scheduler(engines)
+    now_s = 0.0
+    for item in items:
+        # Straight into the views: admission would refuse so many.
+        pool = made._pools[_POOL]
+        target_id = engines[int(item.request_id[1:]) % targets].target_id
+        made._start(pool, item, target_id, now_s)
+        made.record_first_token(item.request_id, target_id, now_s)
+    if organisations > 1:
+        for number in range(organisations):
+            for _ in range(40):
+                made._lengths.record('guide', f'org-{number}', 100)
+    gc.collect()
+    after = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return after - before
