Take requests for a short time after SIGTERM

Cause: the balancer learns late that an instance is not ready; refusing at once would turn requests away that were sent in good faith. Ruled out: delaying the refusal of single requests. Conclusion: 2 s, ten probes of the demo's balancer.

--- a/packages/daemon/src/dotterelweird/settings/model.py
+++ b/packages/daemon/src/dotterelweird/settings/model.py
@@ -217,6 +217,8 @@
         instance_id: Name of the instance; unique.
         zone: Availability zone of the instance.
         admin_listen: Address of the operators' HTTP port.
+        drain_grace_s: Time from SIGTERM in which new requests are still
+            taken, so that the balancer can notice.
         drain_deadline_s: Time from SIGTERM to the platform's own stop; None
             lets streams run to their end.
         log_level: Least level of the log lines.
@@ -233,6 +235,7 @@
     delivery: Delivery = attrs.field(factory=Delivery)
     targets: Targets = attrs.field(factory=Targets)
     limits: Limits = attrs.field(factory=Limits)
+    drain_grace_s: float = attrs.field(default=2.0, validator=_not_negative)
     drain_deadline_s: float | None = None
     log_level: str = attrs.field(default='INFO', validator=_level)
     seed: int | None = None
