--- a/packages/daemon/src/dotterelweird/callers/relay.py
+++ b/packages/daemon/src/dotterelweird/callers/relay.py
@@ -31,7 +31,7 @@
         self._timer = parts.timer
         self._request = request
         self._request_id = request_id
-        # The engine's side may hold the other half.
+        # The rest is for the engine's side and the chunk in between.
         self._buffer_bytes = parts.settings.delivery.stream_buffer_bytes // 2
         self.response = web.StreamResponse(
             headers={
--- a/packages/daemon/src/dotterelweird/targets/engine.py
+++ b/packages/daemon/src/dotterelweird/targets/engine.py
@@ -35,8 +35,8 @@
 ) -> aiohttp.ClientSession:
     """The HTTP session of the target adapters.
 
-    The reader pauses a connection at twice ``read_bufsize``, which is half
-    of the buffer that a stream may have; the caller's side has the rest.
+    The reader pauses a connection at twice ``read_bufsize``. With the last
+    read, a quarter of the buffer that a stream may have is on this side.
     """
     return aiohttp.ClientSession(
         connector=aiohttp.TCPConnector(limit=0),
@@ -44,7 +44,7 @@
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=delivery.connect_timeout_s
         ),
-        read_bufsize=max(1024, delivery.stream_buffer_bytes // 4),
+        read_bufsize=max(512, delivery.stream_buffer_bytes // 16),
         auto_decompress=False,
     )
 
@@ -91,6 +91,7 @@
 
     Args:
         session: Made by ``make_session``.
+        delivery: Settings of attempts and streams.
         timer: Source of time.
         rng: Random source of request ids.
         on_answer: Told who answered and whether it is leaving.
@@ -99,11 +100,13 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        delivery: settings_model.Delivery,
         timer: timers.TimerService,
         rng: random.Random,
         on_answer: AnswerCallback | None = None,
     ) -> None:
         self._session = session
+        self._read_bytes = max(1024, delivery.stream_buffer_bytes // 8)
         self._timer = timer
         self._rng = rng
         self._on_answer = on_answer
@@ -228,8 +231,17 @@
         generation_id = response.headers.get('X-Generation-Id', '')
         if not generation_id:
             raise _failed('the answer names no generation')
+        self._bound_reads(response)
         return HttpEngineStream(response, generation_id, incarnation, state)
 
+    def _bound_reads(self, response: aiohttp.ClientResponse) -> None:
+        """Bounds one read, which by default may bring 256 KB at once."""
+        connection = response.connection
+        if connection is None or connection.transport is None:
+            return
+        if hasattr(connection.transport, 'max_size'):
+            connection.transport.max_size = self._read_bytes
+
 
 class HttpLoadClient(api.LoadClient):
     """Reads load reports over HTTP.
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -115,6 +115,10 @@
     session: aiohttp.ClientSession
     refusing: list
 
+    @property
+    def url(self):
+        return f'http://127.0.0.1:{self.runner.addresses[0][1]}'
+
     def hand_over(self):
         self.refusing.append(errors.ErrorKind.SHUTTING_DOWN)
         self.parts.in_flight.hand_over()
@@ -165,7 +169,9 @@
             timer=self.timer,
             rng=rng,
             dispatcher=dispatcher,
-            engines=engine_client.HttpEngineClient(session, self.timer, rng),
+            engines=engine_client.HttpEngineClient(
+                session, settings.delivery, self.timer, rng
+            ),
             services=EchoService(),
             tables=lambda: tables,
             match_route=_match,
--- /dev/null
+++ b/packages/daemon/tests/callers/test_server.py
@@ -0,0 +1,111 @@
+"""Tests of limits, refusals and problem documents."""
+
+import json
+
+import pytest
+
+from dotterelweir_core import errors
+
+CHAT = '/v1/chat/completions'
+GOOD = b'{"messages": [{"role": "user", "content": "x"}]}'
+
+# Name: path, headers, body, status, code.
+REFUSED = {
+    'malformed-json': (CHAT, {}, b'{', 400, 'malformed-request'),
+    'not-an-object': (CHAT, {}, b'[]', 400, 'malformed-request'),
+    'no-messages': (CHAT, {}, b'{}', 400, 'malformed-request'),
+    'bad-stream': (
+        CHAT,
+        {},
+        b'{"stream": "yes", "prompt": "x"}',
+        400,
+        'malformed-request',
+    ),
+    'bad-bound': (
+        CHAT,
+        {},
+        b'{"max_tokens": 0, "prompt": "x"}',
+        400,
+        'malformed-request',
+    ),
+    'bad-timeout': (
+        CHAT,
+        {'X-Request-Timeout-S': 'nan'},
+        GOOD,
+        400,
+        'malformed-request',
+    ),
+    'bad-priority': (
+        CHAT,
+        {'X-Request-Priority': '10'},
+        GOOD,
+        400,
+        'malformed-request',
+    ),
+    'large-body': (CHAT, {}, b'x' * 5_000_000, 413, 'body-too-large'),
+    'large-header': (
+        CHAT,
+        {'X-Large': 'x' * 9_000},
+        GOOD,
+        431,
+        'headers-too-large',
+    ),
+    'no-organisation': (
+        CHAT,
+        {'X-Organisation': ''},
+        GOOD,
+        401,
+        'organisation-missing',
+    ),
+    'unknown-route': ('/nowhere', {}, GOOD, 404, 'route-not-found'),
+    'no-such-engine-path': ('/v1/other', {}, GOOD, 404, 'route-not-found'),
+    'no-event-id': ('/v1/streams', {}, None, 400, 'malformed-request'),
+    'empty-pool': (CHAT, {}, GOOD, 503, 'pool-empty'),
+}
+
+
+@pytest.mark.parametrize('case', REFUSED)
+async def test_refusals(world, case):
+    """Guards against refusals without a truthful problem document."""
+    instance = await world.add_instance()
+    path, headers, body, status, code = REFUSED[case]
+    method = 'GET' if body is None else 'POST'
+    async with instance.session.request(
+        method, path, data=body, headers=headers
+    ) as response:
+        assert response.content_type == 'application/problem+json'
+        problem = json.loads(await response.read())
+    assert (response.status, problem['code']) == (status, code)
+    assert problem['execution'] == 'not run'
+    assert problem['request_id'] == response.headers['X-Request-Id']
+    retryable = errors.ANSWERS[errors.ErrorKind(code)].retryable
+    assert ('Retry-After' in response.headers) is retryable
+    if case == 'empty-pool':
+        assert response.headers['Retry-After'] == '3'
+
+
+async def test_services_and_unexpected_errors(world, caplog):
+    """Guards against faults in the code that callers see as tracebacks."""
+    instance = await world.add_instance()
+    async with instance.session.put('/shop/1', data=b'x') as response:
+        assert await response.read() == b'x'
+    async with instance.session.post('/shop/1', data=b'fail') as response:
+        problem = await response.json(content_type=None)
+    assert response.status == 500
+    assert problem['code'] == 'internal'
+    assert problem['execution'] == 'unknown'
+    logged = [r for r in caplog.records if r.message == 'unexpected-error']
+    assert len(logged) == 1
+    assert 'RuntimeError' in caplog.text
+
+
+async def test_readiness(world):
+    """Guards against new work at an instance that is shutting down."""
+    instance = await world.add_instance()
+    for path in ('/healthz', '/readyz'):
+        async with instance.session.get(path) as response:
+            assert response.status == 200
+    instance.refusing.append(errors.ErrorKind.SHUTTING_DOWN)
+    for path, status in (('/healthz', 200), ('/readyz', 503), (CHAT, 503)):
+        async with instance.session.get(path) as response:
+            assert response.status == status
