--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -2,7 +2,12 @@
 
 import click
 
+from dotterelweir_fakes import measure
+from dotterelweir_fakes import service
+from dotterelweir_fakes import slopes
+from dotterelweir_fakes.demo import command as demo_command
 from dotterelweir_fakes.engine import command as engine_command
+from dotterelweir_fakes.pages import command as pages_command
 
 
 @click.group()
@@ -10,7 +15,12 @@
     """Stand-ins, load tool, demo and measurement for dotterelweir."""
 
 
+main.add_command(demo_command.demo)
 main.add_command(engine_command.engine)
+main.add_command(measure.measure)
+main.add_command(pages_command.docs)
+main.add_command(service.command)
+main.add_command(slopes.slopes)
 
 if __name__ == '__main__':
     main()
