--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -1,39 +1,28 @@
-"""Command group of the stand-ins: ``python -m dotterelweir_fakes``."""
-
-import importlib
-import pkgutil
+"""Command line of the fakes: one subcommand per module."""
 
 import click
 
-from dotterelweir_fakes import commands
-
-
-class _CommandModules(click.Group):
-    """Finds each command in the module of the same name.
-
-    A module is imported only when its command is used, so that a stand-in
-    does not load the libraries of the measurement.
-    """
+from dotterelweir_fakes import measure
+from dotterelweir_fakes import service
+from dotterelweir_fakes import slopes
+from dotterelweir_fakes.demo import command as demo_command
+from dotterelweir_fakes.engine import command as engine_command
+from dotterelweir_fakes.pages import command as pages_command
+from dotterelweir_fakes.platform import command as platform_command
 
-    def list_commands(self, ctx: click.Context) -> list[str]:
-        modules = pkgutil.iter_modules(commands.__path__)
-        return sorted(module.name.replace('_', '-') for module in modules)
 
-    def get_command(
-        self, ctx: click.Context, cmd_name: str
-    ) -> click.Command | None:
-        if cmd_name not in self.list_commands(ctx):
-            return None
-        module = importlib.import_module(
-            f'{commands.__name__}.{cmd_name.replace("-", "_")}'
-        )
-        return module.command
-
-
-@click.group(cls=_CommandModules)
+@click.group()
 def main() -> None:
     """Stand-ins, load tool, demo and measurement for dotterelweir."""
 
 
+main.add_command(demo_command.demo)
+main.add_command(engine_command.engine)
+main.add_command(measure.measure)
+main.add_command(pages_command.docs)
+main.add_command(platform_command.platform)
+main.add_command(service.command)
+main.add_command(slopes.slopes)
+
 if __name__ == '__main__':
-    main(prog_name='dotterelweir_fakes')
+    main()
--- a/fakes/src/dotterelweir_fakes/commands/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Commands, one module each; each has a click command named ``command``."""
--- a/fakes/src/dotterelweir_fakes/commands/platform.py
+++ b/fakes/src/dotterelweir_fakes/platform/command.py
@@ -1,16 +1,16 @@
-"""Runs the stand-in for the platform."""
+"""The ``platform`` command: log, instance list and weight store."""
 
 import asyncio
 
 from aiohttp import web
 import click
 
-from dotterelweir_fakes import timers
+from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.platform import app
 from dotterelweir_fakes.platform import log
 
 
-@click.command('platform')
+@click.command()
 @click.option('--host', default='127.0.0.1', show_default=True)
 @click.option('--port', type=click.IntRange(0, 65535), required=True)
 @click.option(
@@ -44,7 +44,7 @@
     show_default=True,
     help='Starts of weight loads that the weight store permits per second.',
 )
-def command(
+def platform(
     host: str,
     port: int,
     appends_per_s: float,
@@ -57,7 +57,7 @@
     options = log.LogOptions(appends_per_s, retention_records, retention_s)
 
     async def make_app() -> web.Application:
-        timer = timers.LoopTimerService(asyncio.get_running_loop())
+        timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
         return app.create_app(
             app.Platform(timer, options, instances_lag_s, weight_loads_per_s)
         )
--- a/fakes/src/dotterelweir_fakes/platform/log.py
+++ b/fakes/src/dotterelweir_fakes/platform/log.py
@@ -5,8 +5,8 @@
 
 import attrs
 
-from dotterelweir_core import timers as core_timers
-from dotterelweir_fakes import timers
+from dotterelweir_core import timers
+from dotterelweir_fakes import waiting
 
 
 class LogRefusedError(Exception):
@@ -93,7 +93,7 @@
     """The streams, without faults and without waiting."""
 
     def __init__(
-        self, timer: core_timers.TimerService, options: LogOptions
+        self, timer: timers.TimerService, options: LogOptions
     ) -> None:
         self._timer = timer
         self._options = options
@@ -160,9 +160,7 @@
 class LogService:
     """The log as its users see it: with long polls and faults."""
 
-    def __init__(
-        self, timer: core_timers.TimerService, log: MemoryLog
-    ) -> None:
+    def __init__(self, timer: timers.TimerService, log: MemoryLog) -> None:
         self._timer = timer
         self._log = log
         self._faults = LogFaults()
@@ -192,7 +190,7 @@
             LogRefusedError: 429 above the rate, 503 in an outage.
             ResponseLostError: The records were appended all the same.
         """
-        await timers.sleep(self._timer, self._faults.delay_s)
+        await waiting.sleep(self._timer, self._faults.delay_s)
         if self._faults.down or self._faults.appends_down:
             raise LogRefusedError(503, 'outage')
         offsets = self._log.append(stream, records)
@@ -201,7 +199,7 @@
         if left > 0:
             self._faults = attrs.evolve(self._faults, lose_responses=left - 1)
             raise ResponseLostError
-        await timers.sleep(self._timer, self._faults.response_delay_s)
+        await waiting.sleep(self._timer, self._faults.response_delay_s)
         return offsets
 
     async def read(
@@ -213,7 +211,7 @@
             LogRefusedError: 410 below the first available offset, 503 in an
                 outage.
         """
-        await timers.sleep(self._timer, self._faults.delay_s)
+        await waiting.sleep(self._timer, self._faults.delay_s)
         end_s = self._timer.monotonic_s() + wait_s
         while True:
             if self._faults.down:
@@ -225,7 +223,7 @@
             waiter = asyncio.get_running_loop().create_future()
             self._waiters.add(waiter)
             try:
-                await timers.wait_for(self._timer, waiter, left_s)
+                await waiting.wait_for(self._timer, waiter, left_s)
             finally:
                 self._waiters.discard(waiter)
 
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -101,6 +101,18 @@
     logging.ERROR,
     'An answer did not belong to its request or was out of sequence.',
 )
+CANCEL_FAILED = _event(
+    207,
+    'cancel-failed',
+    logging.WARNING,
+    'A generation that nobody can resume could not be cancelled.',
+)
+STREAM_CUT = _event(
+    208,
+    'stream-cut',
+    logging.WARNING,
+    'A stream ended before its answer was complete, by an error or handover.',
+)
 UNEXPECTED_ERROR = _event(
     299,
     'unexpected-error',
@@ -186,6 +198,13 @@
     logging.WARNING,
     'A row of the instance list could not be read and was left out.',
 )
+# 35x: service calls, claims, leases and orders.
+SERVICE_ATTEMPT_FAILED = _event(
+    350,
+    'service-attempt-failed',
+    logging.WARNING,
+    'An attempt to call a plain service failed.',
+)
 # 4xx: targets.
 TARGET_STATE_CHANGED = _event(
     400,
@@ -205,3 +224,15 @@
     logging.WARNING,
     'The instance list cannot be read; the last one stays in use.',
 )
+INSTANCE_LIST_REACHABLE = _event(
+    403,
+    'instance-list-reachable',
+    logging.INFO,
+    'The instance list can be read again.',
+)
+LOAD_REPORT_FAILED = _event(
+    404,
+    'load-report-failed',
+    logging.DEBUG,
+    'The load report of a target could not be read.',
+)
--- a/packages/daemon/src/dotterelweird/platform/http.py
+++ b/packages/platform/src/dotterelweir_platform/http.py
@@ -14,7 +14,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.targets import model
-from dotterelweird.platform import api
+from dotterelweir_platform import api
 
 LOG = logging.getLogger(__name__)
 
