Follow the configuration log and write checkpoints

Decisions: - Instances look whether a checkpoint is due after a random wait of half to a whole minute, and read the log once more before the append.

--- a/packages/core/src/dotterelweir_core/tables/checkpoint.py
+++ b/packages/core/src/dotterelweir_core/tables/checkpoint.py
@@ -121,15 +121,29 @@
         if first_available_offset == 0:
             self._best = fold.TablesState()
         self._later: dict[int, bytes] = {}
+        self._skipped: list[fold.SkippedRecord] = []
 
     @property
     def next_offset(self) -> int:
         """The offset of the record that is wanted next."""
         return self._next
 
-    def add(self, offset: int, data: bytes) -> None:
+    @property
+    def covers_offset(self) -> int:
+        """The offset that the best checkpoint covers; -1 for none."""
+        return self._best.offset if self._best is not None else -1
+
+    @property
+    def skipped(self) -> tuple[fold.SkippedRecord, ...]:
+        """The records that ``finish`` could not read."""
+        return tuple(self._skipped)
+
+    def add(self, offset: int, data: bytes) -> bool:
         """Takes the next record of the log.
 
+        Returns:
+            Whether it is the best checkpoint so far.
+
         Raises:
             ValueError: The record does not follow the one before.
         """
@@ -138,22 +152,28 @@
         self._next += 1
         self._later[offset] = data
         covers = self._best.offset if self._best is not None else -2
+        best = self._restored(offset, data, covers)
+        if best is None:
+            return False
+        self._best = best
+        for old in range(max(covers + 1, self._first), best.offset + 1):
+            self._later.pop(old, None)
+        return True
+
+    def _restored(
+        self, offset: int, data: bytes, covers: int
+    ) -> fold.TablesState | None:
         try:
             record = records.decode(data)
             if not isinstance(record, records.CheckpointRecord):
-                return
-            if not max(covers + 1, self._first - 1) <= record.covers_offset:
-                return
-            if record.covers_offset >= offset:
-                # Not written by a reader of this log.
-                return
-            self._best = restore(record)
+                return None
+            # One that covers its own offset is not from a reader of this log.
+            least = max(covers + 1, self._first - 1)
+            if not least <= record.covers_offset < offset:
+                return None
+            return restore(record)
         except records.UnreadableRecordError:
-            return
-        for old in range(
-            max(covers + 1, self._first), record.covers_offset + 1
-        ):
-            self._later.pop(old, None)
+            return None
 
     def finish(self) -> fold.TablesState | None:
         """The state after all records; None if there is no starting point.
@@ -164,7 +184,9 @@
         if self._best is None:
             return None
         for offset in range(self._best.offset + 1, self._next):
-            fold.fold(self._best, offset, self._later[offset])
+            result = fold.fold(self._best, offset, self._later[offset])
+            if isinstance(result, fold.SkippedRecord):
+                self._skipped.append(result)
         return self._best
 
 
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/tables_service/__init__.py
@@ -0,0 +1,1 @@
+"""Keeps the tables of this instance up to date with the log."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/tables_service/checkpoints.py
@@ -0,0 +1,132 @@
+"""Writes checkpoints of the tables before their records expire."""
+
+from collections.abc import Callable
+import logging
+import random
+
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers as core_timers
+from dotterelweir_core.tables import checkpoint
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import records
+from dotterelweir_platform import api
+from dotterelweird import timers
+
+LOG = logging.getLogger(__name__)
+
+
+@attrs.frozen
+class CheckpointOptions:
+    """When checkpoints are written.
+
+    Attributes:
+        retention_s: How long the log keeps records.
+        max_records: Records after which a checkpoint is due.
+        check_period_s: Most time between two looks whether one is due. Each
+            wait is drawn from the upper half of it, so the first of several
+            instances writes and the others see its checkpoint. With 60 s,
+            370 instances and 0.1 s from append to read, fewer than one
+            other instance is expected to write as well.
+        append_timeout_s: Bound on one append.
+    """
+
+    retention_s: float
+    max_records: int = 200
+    check_period_s: float = 60.0
+    append_timeout_s: float = 10.0
+
+
+class CheckpointWriter:
+    """Appends a checkpoint when one is due and no other instance did."""
+
+    def __init__(
+        self,
+        log: api.LogClient,
+        stream: str,
+        timer: core_timers.TimerService,
+        rng: random.Random,
+        options: CheckpointOptions,
+        state: Callable[[], fold.TablesState | None],
+    ) -> None:
+        """Makes a writer.
+
+        Args:
+            log: The log.
+            stream: Stream of the tables.
+            timer: Source of time.
+            rng: Random source of the waits.
+            options: When checkpoints are written.
+            state: Gives the newest state of this instance.
+        """
+        self._log = log
+        self._stream = stream
+        self._timer = timer
+        self._rng = rng
+        self._options = options
+        self._state = state
+        self._covers_offset = -1
+        self._time_s: float | None = None
+
+    def note(self, covers_offset: int, time_s: float | None) -> None:
+        """Takes note of a checkpoint in the log, or of another start.
+
+        Args:
+            covers_offset: Offset that the checkpoint covers.
+            time_s: When it was appended, in wall seconds; None if no record
+                can expire.
+        """
+        if self._time_s is None or covers_offset > self._covers_offset:
+            self._covers_offset = covers_offset
+            self._time_s = time_s
+
+    def note_record(self, time_s: float) -> None:
+        """Takes note of the age of a record that no checkpoint covers."""
+        if self._time_s is None:
+            self._time_s = time_s
+
+    async def run(self) -> None:
+        """Writes checkpoints until it is cancelled."""
+        period_s = self._options.check_period_s
+        while True:
+            delay_s = self._rng.uniform(period_s / 2.0, period_s)
+            await timers.sleep(self._timer, delay_s)
+            state = self._state()
+            if state is None or not self._due(state):
+                continue
+            try:
+                await self._write()
+            except errors.DotterelweirError as error:
+                events.log(LOG, events.CHECKPOINT_FAILED, error=str(error))
+
+    def _due(self, state: fold.TablesState) -> bool:
+        if self._time_s is None or state.offset <= self._covers_offset:
+            return False
+        if state.offset - self._covers_offset >= self._options.max_records:
+            return True
+        age_s = self._timer.wall_s() - self._time_s
+        return age_s >= self._options.retention_s / 4.0
+
+    async def _write(self) -> None:
+        state = self._state()
+        if state is None:
+            return
+        page = await self._log.read(self._stream, state.offset + 1, 1, 0.0)
+        state = self._state()
+        if state is None or page.end_offset != state.offset + 1:
+            # This instance is behind; the rest may hold a checkpoint.
+            return
+        record = checkpoint.make(state)
+        await self._log.append(
+            self._stream,
+            (records.encode(record),),
+            self._options.append_timeout_s,
+        )
+        events.log(
+            LOG,
+            events.CHECKPOINT_WRITTEN,
+            covers_offset=record.covers_offset,
+            digest=record.digest,
+        )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/tables_service/starting.py
@@ -0,0 +1,78 @@
+"""Reads the state of the tables from the log, from its first record on."""
+
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core.tables import checkpoint
+from dotterelweir_core.tables import fold
+from dotterelweir_platform import api
+
+# Above every offset, and exact as a number in JSON.
+_BEYOND_END = 2**53 - 1
+
+
+@attrs.frozen
+class Start:
+    """A state that was read from the log.
+
+    Attributes:
+        state: The state at the end of the log.
+        covers_offset: Offset that its checkpoint covers; -1 for none.
+        covers_time_s: When its checkpoint was appended, or the time of the
+            oldest record if there is none, in wall seconds of the log; None
+            for an empty log.
+        skipped: Records that could not be read.
+    """
+
+    state: fold.TablesState
+    covers_offset: int
+    covers_time_s: float | None
+    skipped: tuple[fold.SkippedRecord, ...]
+
+
+async def read_start(
+    log: api.LogClient, stream: str, page_records: int
+) -> Start | None:
+    """Reads the whole stream.
+
+    Returns:
+        The state, or None if records have expired and no checkpoint in the
+        log covers them.
+
+    Raises:
+        DotterelweirError: LOG_UNAVAILABLE, or LOG_GAP if records expired
+            while they were read.
+    """
+    first = await _first_available_offset(log, stream)
+    point = checkpoint.StartingPoint(first)
+    covers_time_s: float | None = None
+    while True:
+        page = await log.read(stream, point.next_offset, page_records, 0.0)
+        for record in page.records:
+            if record.offset != point.next_offset:
+                raise errors.DotterelweirError(
+                    errors.ErrorKind.LOG_GAP,
+                    f'record {record.offset} came instead of '
+                    f'{point.next_offset}',
+                )
+            improved = point.add(record.offset, record.data)
+            if improved or covers_time_s is None:
+                covers_time_s = record.time_s
+        if not page.records or point.next_offset >= page.end_offset:
+            break
+    covers_offset = point.covers_offset
+    state = point.finish()
+    if state is None:
+        return None
+    return Start(state, covers_offset, covers_time_s, point.skipped)
+
+
+async def _first_available_offset(log: api.LogClient, stream: str) -> int:
+    try:
+        page = await log.read(stream, 0, 1, 0.0)
+    except errors.DotterelweirError as error:
+        if error.kind is not errors.ErrorKind.LOG_GAP:
+            raise
+        # A refused read does not tell the first offset, an empty page does.
+        page = await log.read(stream, _BEYOND_END, 1, 0.0)
+    return page.first_available_offset
--- /dev/null
+++ b/packages/daemon/tests/tables_service/conftest.py
@@ -0,0 +1,241 @@
+"""Several instances on an in-memory log in virtual time."""
+
+import asyncio
+import contextlib
+import logging
+import random
+
+import attrs
+import pytest
+
+from dotterelweir_core import errors
+from dotterelweir_core import timers
+from dotterelweir_core.tables import checkpoint
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import model
+from dotterelweir_core.tables import records
+from dotterelweir_core.targets import model as targets_model
+from dotterelweir_fakes.platform import log as fake_log
+from dotterelweir_platform import api as platform_api
+from dotterelweird.peers import api as peers_api
+from dotterelweird.tables_service import checkpoints
+from dotterelweird.tables_service import service
+
+STREAM = 'config'
+
+
+class MemoryLogClient(platform_api.LogClient):
+    """The link of one instance to the log; it can be cut."""
+
+    def __init__(self, log):
+        self.log = log
+        self.cut = False
+        self.appends = 0
+
+    @contextlib.contextmanager
+    def _errors(self):
+        kind = errors.ErrorKind.LOG_UNAVAILABLE
+        if self.cut:
+            raise errors.DotterelweirError(kind, 'cut')
+        try:
+            yield
+        except fake_log.LogRefusedError as error:
+            if error.status == 410:
+                kind = errors.ErrorKind.LOG_GAP
+            raise errors.DotterelweirError(kind, str(error)) from error
+        except fake_log.ResponseLostError as error:
+            raise errors.DotterelweirError(kind, 'lost') from error
+        if self.cut:
+            raise errors.DotterelweirError(kind, 'cut')
+
+    async def append(self, stream, data, timeout_s):
+        self.appends += 1
+        with self._errors():
+            return await self.log.append(stream, data)
+
+    async def read(self, stream, from_offset, limit, wait_s):
+        with self._errors():
+            return await self.log.read(stream, from_offset, limit, wait_s)
+
+
+class Peers(peers_api.TablesPeer):
+    """The other instances, as one of them reaches them."""
+
+    def __init__(self):
+        self.services = []
+        self.answer = None
+        self.asked = []
+
+    async def fetch_snapshot(self, min_offset):
+        self.asked.append(min_offset)
+        if self.answer is not None:
+            return self.answer
+        for other in self.services:
+            if other.ready and other.offset >= min_offset:
+                return other.snapshot()
+        return None
+
+
+@attrs.define(eq=False)
+class Instance:
+    """One instance and what its subscriber has seen."""
+
+    service: service.TablesService
+    link: MemoryLogClient
+    peers: Peers
+    task: asyncio.Task
+    seen: list[model.Tables] = attrs.field(factory=list)
+
+
+class World:
+    """The log, the instances on it, and a reference fold."""
+
+    def __init__(self, **options):
+        self.timer = timers.VirtualTimerService()
+        self.memory = fake_log.MemoryLog(
+            self.timer, fake_log.LogOptions(**options)
+        )
+        self.log = fake_log.LogService(self.timer, self.memory)
+        self.retention_s = options.get('retention_s') or 1e6
+        self.check_period_s = 20.0
+        self.instances = []
+        self.reference = fold.TablesState()
+        self.history = {-1: model.Tables()}
+        self.count = 0
+
+    def start(self, peers=()):
+        """Starts an instance; peers are those that it can reach."""
+        link = MemoryLogClient(self.log)
+        reachable = Peers()
+        reachable.services = [peer.service for peer in peers]
+        tables = service.TablesService(
+            link,
+            self.timer,
+            random.Random(len(self.instances)),
+            service.TablesOptions(
+                STREAM,
+                checkpoints.CheckpointOptions(
+                    self.retention_s, check_period_s=self.check_period_s
+                ),
+            ),
+            reachable,
+        )
+        task = asyncio.ensure_future(tables.run())
+        instance = Instance(tables, link, reachable, task)
+        tables.subscribe(instance.seen.append)
+        self.instances.append(instance)
+        return instance
+
+    def append(self, data):
+        """Appends past all faults, as another client of the log."""
+        faults = self.log.faults
+        (offset, _) = self.memory.append(STREAM, (data,))
+        self.log.set_faults(faults)
+        self._catch_up(offset)
+        return offset
+
+    def edit(self, name='p', service=None, read_offset=None, edit_id=None):
+        """Appends an edit that puts one pool."""
+        self.count += 1
+        self._catch_up(self.end - 1)
+        row = model.Pool(
+            name,
+            targets_model.TargetKind.SERVICE,
+            service or f's{self.count}',
+        )
+        record = records.EditRecord(
+            edit_id or f'e{self.count}',
+            self.end - 1 if read_offset is None else read_offset,
+            put_pools=(row,),
+        )
+        self.append(records.encode(record))
+        return record
+
+    @property
+    def end(self):
+        return self.memory.read(STREAM, 2**50, 1).end_offset
+
+    def records(self):
+        first = self.memory.read(STREAM, 2**50, 1).first_available_offset
+        return self.memory.read(STREAM, first, 10**6).records
+
+    def checkpoints(self):
+        """Checkpoint records in the log."""
+        found = [records.decode(record.data) for record in self.records()]
+        return [
+            record
+            for record in found
+            if isinstance(record, records.CheckpointRecord)
+        ]
+
+    def checkpoint(self):
+        """The checkpoint of the reference now."""
+        self._catch_up(self.end - 1)
+        return records.encode(checkpoint.make(self.reference))
+
+    def _catch_up(self, last):
+        for offset in range(self.reference.offset + 1, last + 1):
+            (record,) = self.memory.read(STREAM, offset, 1).records
+            fold.fold(self.reference, offset, record.data)
+            tables = self.reference.tables
+            self.history[tables.revision] = tables
+
+    async def run(self, seconds):
+        """Lets virtual time pass."""
+        end_s = self.timer.monotonic_s() + seconds
+        await self._settle()
+        while True:
+            due_s = self.timer.next_due_s()
+            if due_s is None or due_s > end_s:
+                break
+            self.timer.advance_to(due_s)
+            await self._settle()
+            self._catch_up(self.end - 1)
+        self.timer.advance_to(end_s)
+        await self._settle()
+
+    async def _settle(self):
+        for _ in range(20):
+            await asyncio.sleep(0)
+
+    def check(self, *lagging):
+        """Checks that instances are at the end and never went back."""
+        self._catch_up(self.end - 1)
+        for instance in self.instances:
+            assert not instance.task.done(), instance.task
+            revisions = [tables.revision for tables in instance.seen]
+            assert revisions == sorted(set(revisions))
+            for tables in instance.seen:
+                assert tables == self.history[tables.revision]
+            if instance not in lagging:
+                assert instance.service.offset == self.reference.offset
+                assert instance.service.tables == self.reference.tables
+
+    async def close(self):
+        for instance in self.instances:
+            instance.task.cancel()
+        await asyncio.gather(
+            *(instance.task for instance in self.instances),
+            return_exceptions=True,
+        )
+
+
+@pytest.fixture
+async def make_world():
+    """Makes a log without instances."""
+    worlds = []
+
+    def make(**options):
+        worlds.append(World(**options))
+        return worlds[-1]
+
+    yield make
+    for world in worlds:
+        await world.close()
+
+
+@pytest.fixture
+def event_names(caplog):
+    """Gives the names of the events logged so far."""
+    caplog.set_level(logging.INFO)
+    return lambda: [record.message for record in caplog.records]
