--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -8,6 +8,7 @@
 from dotterelweir_fakes.demo import command as demo_command
 from dotterelweir_fakes.engine import command as engine_command
 from dotterelweir_fakes.pages import command as pages_command
+from dotterelweir_fakes.platform import command as platform_command
 
 
 @click.group()
@@ -19,6 +20,7 @@
 main.add_command(engine_command.engine)
 main.add_command(measure.measure)
 main.add_command(pages_command.docs)
+main.add_command(platform_command.platform)
 main.add_command(service.command)
 main.add_command(slopes.slopes)
 
