--- a/packages/daemon/src/dotterelweird/callers/api.py
+++ b/packages/daemon/src/dotterelweird/callers/api.py
@@ -10,20 +10,20 @@
 from dotterelweir_core import errors
 from dotterelweir_core import timers
 from dotterelweir_core.delivery import resume
-from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweird import dispatch
 from dotterelweird import metrics as metrics_module
 from dotterelweird.callers import inflight
+from dotterelweird.callers import retry_budget as retry_budget_module
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import api as targets_api
 
-# Finds the route by URL path, model and organisation; raises
-# ROUTE_NOT_FOUND.
+# Finds the route of a request; raises ROUTE_NOT_FOUND.
 RouteMatcher = Callable[
-    [tables_model.Tables, str, str, str], tables_model.Route
+    [tables_model.Tables, matching.RequestFacts], tables_model.Route
 ]
 # Finds a live or leaving target; a given incarnation must be that one.
 TargetQuery = Callable[[str, int | None], targets_model.Target | None]
@@ -89,5 +89,5 @@
     codec: resume.ResumeCodec
     refusal: ReadinessQuery
     metrics: metrics_module.Metrics
-    retry_budget: retries.RetryBudget
+    retry_budget: retry_budget_module.RetryBudget
     in_flight: inflight.InFlight = attrs.field(factory=inflight.InFlight)
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -9,6 +9,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweird.callers import api
@@ -99,9 +100,11 @@
         organisation = request[requests.ORGANISATION]
         route = self._parts.match_route(
             tables,
-            request.path,
-            completion.model if completion is not None else '',
-            organisation,
+            matching.RequestFacts(
+                request.path,
+                completion.model if completion is not None else '',
+                organisation,
+            ),
         )
         item = requests.work_item(self._parts, request, route, completion)
         events.log(
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -10,8 +10,8 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core.delivery import resume
-from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweir_fakes.engine import app as engine_app
@@ -21,6 +21,7 @@
 from dotterelweird import metrics
 from dotterelweird import timers
 from dotterelweird.callers import api
+from dotterelweird.callers import retry_budget
 from dotterelweird.callers import server
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import engine as engine_client
@@ -174,12 +175,14 @@
             ),
             services=EchoService(),
             tables=lambda: tables,
-            match_route=_match,
+            match_route=matching.match_route,
             find_target=self._find_target,
             codec=resume.ResumeCodec(KEYS),
             refusal=lambda: refusing[0] if refusing else None,
             metrics=metrics.Metrics(),
-            retry_budget=retries.RetryBudget(settings.delivery.retry_ratio),
+            retry_budget=retry_budget.RetryBudget(
+                settings.delivery.retry_ratio
+            ),
         )
         runner = server.make_runner(parts)
         await runner.setup()
@@ -205,7 +208,11 @@
 
 
 def _tables(route):
-    fields = {'name': 'chat', 'match': tables_model.Match(), 'pool': 'llm'}
+    fields = {
+        'name': 'chat',
+        'match': tables_model.Match('/v1/'),
+        'pool': 'llm',
+    }
     chat = tables_model.Route(**fields | route)
     shop = tables_model.Route(
         'shop', tables_model.Match('/shop'), 'shop', order=1
@@ -219,14 +226,6 @@
     )
 
 
-def _match(tables, path, model, organisation):
-    if path.startswith('/shop'):
-        return tables.routes['shop']
-    if path.startswith('/v1/'):
-        return tables.routes['chat']
-    raise errors.DotterelweirError(errors.ErrorKind.ROUTE_NOT_FOUND, path)
-
-
 @pytest.fixture
 async def world():
     built = World()
