Keep one retry budget and one handler of service calls

Ruled out: the second handler, which did not stop calls that had not been sent when the drain deadline comes. Conclusion: delivery.retries and ServiceCalls remain.

--- a/packages/daemon/src/dotterelweird/callers/api.py
+++ b/packages/daemon/src/dotterelweird/callers/api.py
@@ -10,6 +10,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import timers
 from dotterelweir_core.delivery import resume
+from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import api as policy_api
 from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
@@ -17,7 +18,6 @@
 from dotterelweird import dispatch
 from dotterelweird import metrics as metrics_module
 from dotterelweird.callers import inflight
-from dotterelweird.callers import retry_budget as retry_budget_module
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import api as targets_api
 
@@ -89,5 +89,5 @@
     codec: resume.ResumeCodec
     refusal: ReadinessQuery
     metrics: metrics_module.Metrics
-    retry_budget: retry_budget_module.RetryBudget
+    retry_budget: retries.RetryBudget
     in_flight: inflight.InFlight = attrs.field(factory=inflight.InFlight)
--- a/packages/daemon/src/dotterelweird/callers/attempts.py
+++ b/packages/daemon/src/dotterelweird/callers/attempts.py
@@ -134,7 +134,7 @@
         certain = self.execution is errors.Execution.NOT_RUN
         if not certain and not self._item.repeatable:
             return False
-        return self._parts.retry_budget.try_spend()
+        return self._parts.retry_budget.take()
 
     def _spawn(self, placement: policy_api.Placement) -> None:
         """Starts an attempt; also called when a hedge is placed."""
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -10,6 +10,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core.delivery import resume
+from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import api as policy_api
 from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
@@ -21,7 +22,6 @@
 from dotterelweird import metrics
 from dotterelweird import timers
 from dotterelweird.callers import api
-from dotterelweird.callers import retry_budget
 from dotterelweird.callers import server
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import engine as engine_client
@@ -180,9 +180,7 @@
             codec=resume.ResumeCodec(KEYS),
             refusal=lambda: refusing[0] if refusing else None,
             metrics=metrics.Metrics(),
-            retry_budget=retry_budget.RetryBudget(
-                settings.delivery.retry_ratio
-            ),
+            retry_budget=retries.RetryBudget(settings.delivery.retry_ratio),
         )
         runner = server.make_runner(parts)
         await runner.setup()
