Divide the tables service and check checkpoints before counting them

Cause: a follower counted every checkpoint record that could be decoded, also one with a corrupt state or of an offset that the log does not have. After such a record it would have written no checkpoint until its offset was reached, and the tables could have expired. The digest is now checked first, and such a record is reported as a mismatch.

The in-memory link to the log moves from the tests to the fakes, for other parts to use.

A new test draws 200 records with random fields; each is folded or skipped.

Conclusion: a bad checkpoint delays no good one.

--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/platform/client.py
@@ -0,0 +1,71 @@
+"""The link of one instance to a log in the same process."""
+
+from collections.abc import Iterator
+import contextlib
+
+from dotterelweir_core import errors
+from dotterelweir_fakes.platform import log
+from dotterelweir_platform import api
+
+
+class MemoryLogClient(api.LogClient):
+    """Uses a ``LogService`` without HTTP, for tests in virtual time.
+
+    Attributes:
+        log: The log; a test may replace it.
+        cut: Whether the instance is cut off from the log. An append that is
+            on its way when the link is cut takes effect.
+        appends: Appends that were asked for.
+    """
+
+    def __init__(self, service: log.LogService) -> None:
+        self.log = service
+        self.cut = False
+        self.appends = 0
+
+    async def append(
+        self, stream: str, records: tuple[bytes, ...], timeout_s: float
+    ) -> tuple[int, int]:
+        """Appends records; the stand-in's delays are not bounded."""
+        self.appends += 1
+        with self._errors():
+            return await self.log.append(stream, records)
+
+    async def read(
+        self, stream: str, from_offset: int, limit: int, wait_s: float
+    ) -> api.LogPage:
+        """Reads records."""
+        with self._errors():
+            page = await self.log.read(stream, from_offset, limit, wait_s)
+        return api.LogPage(
+            page.first_available_offset,
+            page.end_offset,
+            tuple(
+                api.LogRecord(record.offset, record.time_s, record.data)
+                for record in page.records
+            ),
+        )
+
+    @contextlib.contextmanager
+    def _errors(self) -> Iterator[None]:
+        self._check_link()
+        try:
+            yield
+        except log.LogRefusedError as error:
+            kind = errors.ErrorKind.LOG_UNAVAILABLE
+            if error.status == 410:
+                kind = errors.ErrorKind.LOG_GAP
+            raise errors.DotterelweirError(kind, str(error)) from error
+        except log.ResponseLostError as error:
+            raise _unavailable('the response was lost') from error
+        self._check_link()
+
+    def _check_link(self) -> None:
+        if self.cut:
+            raise _unavailable('the link is cut')
+
+
+def _unavailable(text: str) -> errors.DotterelweirError:
+    return errors.DotterelweirError(
+        errors.ErrorKind.LOG_UNAVAILABLE, text, errors.Execution.UNKNOWN
+    )
--- a/packages/core/src/dotterelweir_core/tables/checkpoint.py
+++ b/packages/core/src/dotterelweir_core/tables/checkpoint.py
@@ -54,13 +54,19 @@
 def contradicts(
     state: fold.TablesState, record: records.CheckpointRecord
 ) -> bool:
-    """Whether a checkpoint differs from the state folded here.
+    """Whether a checkpoint is corrupt or differs from the state folded here.
 
-    A checkpoint can be compared only if no edit was decided after the offset
-    that it covers; any other one is taken to agree.
+    The rows can be compared only if no edit was decided after the offset
+    that the checkpoint covers; otherwise they are taken to agree.
     """
     covers = record.covers_offset
-    if not state.last_decided_offset <= covers <= state.offset:
+    try:
+        intact = _digest(_expand(record.state), covers) == record.digest
+    except records.UnreadableRecordError:
+        intact = False
+    if not intact or covers > state.offset:
+        return True
+    if covers < state.last_decided_offset:
         return False
     return digest(state, covers) != record.digest
 
--- a/packages/core/tests/tables/test_checkpoint.py
+++ b/packages/core/tests/tables/test_checkpoint.py
@@ -171,6 +171,13 @@
     assert checkpoint.contradicts(log.state, other.checkpoints[9])
     # Older than the newest edit, so it cannot be compared.
     assert not checkpoint.contradicts(log.state, other.checkpoints[8])
+    # Corrupt, or of a log that is further.
+    cut = attrs.evolve(log.checkpoints[8], state=b'')
+    assert checkpoint.contradicts(log.state, cut)
+    moved = attrs.evolve(log.checkpoints[8], covers_offset=7)
+    assert checkpoint.contradicts(log.state, moved)
+    other.fill(9)
+    assert checkpoint.contradicts(log.state, other.checkpoints[18])
 
 
 @pytest.mark.parametrize('data', [b'', b'junk', put('a', -1, pool('p'))])
--- a/packages/core/tests/tables/test_records.py
+++ b/packages/core/tests/tables/test_records.py
@@ -1,8 +1,13 @@
 """Tests of the form of configuration records."""
 
+import json
+
+import hypothesis
+from hypothesis import strategies as st
 import orjson
 import pytest
 
+from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import model
 from dotterelweir_core.tables import records
 from dotterelweir_core.targets import model as targets_model
@@ -87,3 +92,27 @@
         records.decode(data)
     for field in ('name', 'priority', 'read_offset'):
         assert field in str(caught.value)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=5,
+)
+
+
+@hypothesis.settings(max_examples=200, deadline=None, derandomize=True)
+@hypothesis.given(st.sampled_from([EDIT, CHECKPOINT]), st.data())
+def test_any_record_is_read_or_unreadable(record, data):
+    """Guards against a record that stops the fold by another error."""
+    row = document = orjson.loads(records.encode(record))
+    if record is EDIT and data.draw(st.booleans()):
+        name = data.draw(st.sampled_from(['put_routes', 'put_pools']))
+        row = document[name][0]
+        row = row.get('match', row) if data.draw(st.booleans()) else row
+    row[data.draw(st.sampled_from(sorted(row)))] = data.draw(JSON)
+    # Unlike orjson, json writes numbers of any size and lone surrogates.
+    encoded = json.dumps(document).encode()
+    result = fold.fold(fold.TablesState(), 0, encoded)
+    kinds = fold.EditResult | fold.SkippedRecord | records.CheckpointRecord
+    assert isinstance(result, kinds)
--- a/packages/daemon/src/dotterelweird/tables_service/service.py
+++ b/packages/daemon/src/dotterelweird/tables_service/service.py
@@ -21,6 +21,8 @@
 from dotterelweird.peers import api as peers_api
 from dotterelweird.settings import model as settings_model
 from dotterelweird.tables_service import checkpoints
+from dotterelweird.tables_service import condition
+from dotterelweird.tables_service import following
 from dotterelweird.tables_service import starting
 
 LOG = logging.getLogger(__name__)
@@ -92,10 +94,8 @@
         self._state: fold.TablesState | None = None
         self._published = model.Tables()
         self._subscribers: list[Subscriber] = []
-        self._read_at_s: float | None = None
+        self._condition = condition.LogCondition(timer)
         self._peer_offset = -1
-        self._fault: errors.ErrorKind | None = None
-        self._behind = False
         self._snapshot: tuple[int, bytes] | None = None
         self._backoff = backoff.Backoff(rng, cap_s=options.retry_max_s)
         self._writer = checkpoints.CheckpointWriter(
@@ -125,14 +125,12 @@
     @property
     def log_reachable(self) -> bool:
         """Whether the last read of the log succeeded."""
-        return self._read_at_s is not None and self._fault is None
+        return self._condition.reachable
 
     @property
     def age_s(self) -> float | None:
         """Time since the last successful read; None if there was none."""
-        if self._read_at_s is None:
-            return None
-        return self._timer.monotonic_s() - self._read_at_s
+        return self._condition.age_s
 
     def snapshot(self) -> bytes | None:
         """The encoded state for a peer; None until ``ready``."""
@@ -172,7 +170,7 @@
                 else:
                     await self._read_on(self._state)
             except errors.DotterelweirError as error:
-                self._note_fault(error)
+                self._condition.note_fault(self.offset, error)
                 await self._recover(error.kind)
                 delay_s = self._backoff.next_delay_s() or 0.0
                 await timers.sleep(self._timer, delay_s)
@@ -184,14 +182,14 @@
                 errors.ErrorKind.LOG_GAP,
                 'records have expired and no checkpoint covers them',
             )
-        self._note_success()
         self._take_start(start)
+        self._note_success(start.state.offset + 1)
 
     async def _read_on(self, state: fold.TablesState) -> None:
         options = self._options
         began_s = self._timer.monotonic_s()
         # After a fault, the first answer must not wait for a record.
-        wait_s = options.wait_s if self._fault is None else 0.0
+        wait_s = 0.0 if self._condition.faulty else options.wait_s
         page = await self._log.read(
             options.stream,
             state.offset + 1,
@@ -207,44 +205,16 @@
                 errors.ErrorKind.LOG_GAP,
                 f'record {wanted} is missing, {first} is the next one',
             )
-        self._note_success()
-        self._note_end(page.end_offset)
+        self._note_success(page.end_offset)
         try:
             for record in page.records:
-                self._fold(state, record)
+                following.fold_record(state, record, self._writer)
         finally:
             self._publish()
         waited_s = self._timer.monotonic_s() - began_s
         if not page.records and waited_s < options.wait_s / 2.0:
             await timers.sleep(self._timer, options.empty_pause_s)
 
-    def _fold(
-        self, state: fold.TablesState, record: platform_api.LogRecord
-    ) -> None:
-        if record.offset != state.offset + 1:
-            raise errors.DotterelweirError(
-                errors.ErrorKind.LOG_GAP,
-                f'record {record.offset} came instead of {state.offset + 1}',
-            )
-        self._writer.note_record(record.time_s)
-        result = fold.fold(state, record.offset, record.data)
-        match result:
-            case fold.SkippedRecord():
-                _log_skipped(result)
-            case fold.EditResult():
-                _log_edit(result)
-            case records.CheckpointRecord():
-                if checkpoint.contradicts(state, result):
-                    events.log(
-                        LOG,
-                        events.CHECKPOINT_MISMATCH,
-                        offset=record.offset,
-                        covers_offset=result.covers_offset,
-                        digest=result.digest,
-                    )
-                else:
-                    self._writer.note(result.covers_offset, record.time_s)
-
     async def _recover(self, kind: errors.ErrorKind) -> None:
         """Tries to get a newer state after a read of the log failed."""
         gap = kind is errors.ErrorKind.LOG_GAP
@@ -267,33 +237,17 @@
     def _take_start(self, start: starting.Start) -> None:
         self._writer.note(start.covers_offset, start.covers_time_s)
         for skipped in start.skipped:
-            _log_skipped(skipped)
+            following.log_skipped(skipped)
         self._take_state(start.state, 'log')
 
     async def _restore_from_peer(self, min_offset: int) -> None:
         if self._peer is None:
             return
-        try:
-            data = await self._peer.fetch_snapshot(min_offset)
-        except errors.DotterelweirError as error:
-            events.log(LOG, events.SNAPSHOT_REJECTED, error=str(error))
-            return
-        if data is None:
+        state = await starting.fetch_state(self._peer, min_offset)
+        if state is None:
             if self._state is None:
                 events.log(LOG, events.TABLES_UNAVAILABLE)
             return
-        try:
-            state = checkpoint.restore_snapshot(data)
-        except records.UnreadableRecordError as error:
-            events.log(LOG, events.SNAPSHOT_REJECTED, error=str(error))
-            return
-        if state.offset < min_offset:
-            events.log(
-                LOG,
-                events.SNAPSHOT_REJECTED,
-                error=f'offset {state.offset} is below {min_offset}',
-            )
-            return
         # The peer does not tell of checkpoints. Instances that read the log
         # are due earlier than this one, which counts from now on.
         self._writer.note(state.offset, self._timer.wall_s())
@@ -327,54 +281,6 @@
                     error=traceback.format_exc(),
                 )
 
-    def _note_success(self) -> None:
-        self._read_at_s = self._timer.monotonic_s()
+    def _note_success(self, end_offset: int) -> None:
         self._backoff.reset()
-        if self._fault is not None:
-            self._fault = None
-            events.log(LOG, events.LOG_REACHABLE, offset=self.offset)
-
-    def _note_fault(self, error: errors.DotterelweirError) -> None:
-        if error.kind is self._fault:
-            return
-        self._fault = error.kind
-        gap = error.kind is errors.ErrorKind.LOG_GAP
-        events.log(
-            LOG,
-            events.LOG_GAP if gap else events.LOG_UNREACHABLE,
-            offset=self.offset,
-            error=error.detail,
-        )
-
-    def _note_end(self, end_offset: int) -> None:
-        behind = end_offset <= self.offset
-        if behind and not self._behind:
-            events.log(
-                LOG,
-                events.LOG_BEHIND,
-                offset=self.offset,
-                end_offset=end_offset,
-            )
-        self._behind = behind
-
-
-def _log_skipped(result: fold.SkippedRecord) -> None:
-    events.log(
-        LOG,
-        events.RECORD_SKIPPED,
-        offset=result.offset,
-        reason=result.detail,
-    )
-
-
-def _log_edit(result: fold.EditResult) -> None:
-    accepted = result.decision.accepted
-    events.log(
-        LOG,
-        events.EDIT_ACCEPTED if accepted else events.EDIT_REJECTED,
-        offset=result.offset,
-        edit_id=result.decision.edit_id,
-        first_offset=result.decision.offset,
-        reason=result.decision.reason.value,
-        details=list(result.decision.details),
-    )
+        self._condition.note_success(self.offset, end_offset)
--- a/packages/daemon/src/dotterelweird/tables_service/starting.py
+++ b/packages/daemon/src/dotterelweird/tables_service/starting.py
@@ -1,11 +1,18 @@
-"""Reads the state of the tables from the log, from its first record on."""
+"""Gets a whole state of the tables, from the log or from a peer."""
+
+import logging
 
 import attrs
 
 from dotterelweir_core import errors
+from dotterelweir_core import events
 from dotterelweir_core.tables import checkpoint
 from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import records
 from dotterelweir_platform import api
+from dotterelweird.peers import api as peers_api
+
+LOG = logging.getLogger(__name__)
 
 # Above every offset, and exact as a number in JSON.
 _BEYOND_END = 2**53 - 1
@@ -67,6 +74,33 @@
     return Start(state, covers_offset, covers_time_s, point.skipped)
 
 
+async def fetch_state(
+    peer: peers_api.TablesPeer, min_offset: int
+) -> fold.TablesState | None:
+    """Gets the state of a peer; an unusable snapshot is logged.
+
+    Args:
+        peer: The peers.
+        min_offset: Least offset of the state.
+    """
+    try:
+        data = await peer.fetch_snapshot(min_offset)
+        if data is None:
+            return None
+        state = checkpoint.restore_snapshot(data)
+    except (errors.DotterelweirError, records.UnreadableRecordError) as error:
+        events.log(LOG, events.SNAPSHOT_REJECTED, error=str(error))
+        return None
+    if state.offset < min_offset:
+        events.log(
+            LOG,
+            events.SNAPSHOT_REJECTED,
+            error=f'offset {state.offset} is below {min_offset}',
+        )
+        return None
+    return state
+
+
 async def _first_available_offset(log: api.LogClient, stream: str) -> int:
     try:
         page = await log.read(stream, 0, 1, 0.0)
--- a/packages/daemon/tests/tables_service/conftest.py
+++ b/packages/daemon/tests/tables_service/conftest.py
@@ -1,22 +1,20 @@
 """Several instances on an in-memory log in virtual time."""
 
 import asyncio
-import contextlib
 import logging
 import random
 
 import attrs
 import pytest
 
-from dotterelweir_core import errors
 from dotterelweir_core import timers
 from dotterelweir_core.tables import checkpoint
 from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import model
 from dotterelweir_core.tables import records
 from dotterelweir_core.targets import model as targets_model
+from dotterelweir_fakes.platform import client
 from dotterelweir_fakes.platform import log as fake_log
-from dotterelweir_platform import api as platform_api
 from dotterelweird.peers import api as peers_api
 from dotterelweird.tables_service import checkpoints
 from dotterelweird.tables_service import service
@@ -24,40 +22,6 @@
 STREAM = 'config'
 
 
-class MemoryLogClient(platform_api.LogClient):
-    """The link of one instance to the log; it can be cut."""
-
-    def __init__(self, log):
-        self.log = log
-        self.cut = False
-        self.appends = 0
-
-    @contextlib.contextmanager
-    def _errors(self):
-        kind = errors.ErrorKind.LOG_UNAVAILABLE
-        if self.cut:
-            raise errors.DotterelweirError(kind, 'cut')
-        try:
-            yield
-        except fake_log.LogRefusedError as error:
-            if error.status == 410:
-                kind = errors.ErrorKind.LOG_GAP
-            raise errors.DotterelweirError(kind, str(error)) from error
-        except fake_log.ResponseLostError as error:
-            raise errors.DotterelweirError(kind, 'lost') from error
-        if self.cut:
-            raise errors.DotterelweirError(kind, 'cut')
-
-    async def append(self, stream, data, timeout_s):
-        self.appends += 1
-        with self._errors():
-            return await self.log.append(stream, data)
-
-    async def read(self, stream, from_offset, limit, wait_s):
-        with self._errors():
-            return await self.log.read(stream, from_offset, limit, wait_s)
-
-
 class Peers(peers_api.TablesPeer):
     """The other instances, as one of them reaches them."""
 
@@ -81,7 +45,7 @@
     """One instance and what its subscriber has seen."""
 
     service: service.TablesService
-    link: MemoryLogClient
+    link: client.MemoryLogClient
     peers: Peers
     task: asyncio.Task
     seen: list[model.Tables] = attrs.field(factory=list)
@@ -93,7 +57,7 @@
     def __init__(self, **options):
         self.timer = timers.VirtualTimerService()
         self.memory = fake_log.MemoryLog(
-            self.timer, fake_log.LogOptions(**options)
+            self.timer, fake_log.LogOptions(appends_per_s=1e6, **options)
         )
         self.log = fake_log.LogService(self.timer, self.memory)
         self.retention_s = options.get('retention_s') or 1e6
@@ -105,7 +69,7 @@
 
     def start(self, peers=()):
         """Starts an instance; peers are those that it can reach."""
-        link = MemoryLogClient(self.log)
+        link = client.MemoryLogClient(self.log)
         reachable = Peers()
         reachable.services = [peer.service for peer in peers]
         tables = service.TablesService(
--- a/packages/daemon/tests/tables_service/test_checkpoints.py
+++ b/packages/daemon/tests/tables_service/test_checkpoints.py
@@ -132,6 +132,8 @@
     instance = world.start()
     world.edit('p', service='here')
     other.edit('p', service='elsewhere')
+    for _ in range(300):
+        other.edit('q')
     await world.run(1.0)
     world.append(world.checkpoint())
     await world.run(1.0)
@@ -140,6 +142,12 @@
     await world.run(1.0)
     assert 'checkpoint-mismatch' in event_names()
     assert instance.service.tables.pools['p'].service == 'here'
+    # It does not count as one that was written here.
+    for _ in range(200):
+        world.edit('q')
+    await world.run(60.0)
+    assert instance.link.appends == 1
+    world.check()
 
 
 async def test_an_instance_that_is_behind_writes_no_checkpoint(make_world):
