Test the client's commands against the platform stand-in

Cause: edits end in accepted, rejected or unknown, and each has to be shown. Ruled out: a double of the log in the test; the stand-in loses responses after they took effect, which a double would not. Conclusion: a repeat of an unknown edit gets its first result.

--- a/fakes/src/dotterelweir_fakes/demo/cluster.py
+++ b/fakes/src/dotterelweir_fakes/demo/cluster.py
@@ -1,5 +1,6 @@
 """Starts the platform, the targets and the instances of a deployment."""
 
+import asyncio
 import pathlib
 
 import aiohttp
@@ -55,12 +56,16 @@
     async def start(self) -> None:
         """Starts the platform, all targets and all instances."""
         await self.start_platform()
-        for index in range(self.deployment.engines):
-            await self.start_engine(index)
-        for index in range(self.deployment.plain_targets):
-            await self.start_service(index)
-        for index in range(INSTANCES):
-            await self.start_instance(f'entry-{index + 1}', index)
+        await asyncio.gather(
+            *map(self.start_engine, range(self.deployment.engines)),
+            *map(self.start_service, range(self.deployment.plain_targets)),
+        )
+        await asyncio.gather(
+            *(
+                self.start_instance(f'entry-{index + 1}', index)
+                for index in range(INSTANCES)
+            )
+        )
 
     async def start_platform(self) -> None:
         """Starts the stand-in of the platform."""
@@ -79,7 +84,12 @@
             self.deployment.engine_service,
             index,
             'engine',
-            ('--seed', str(self._seed * 100 + index)),
+            (
+                '--seed',
+                str(self._seed * 100 + index),
+                '--model',
+                self.deployment.model,
+            ),
         )
         self.engine_urls.append(f'http://127.0.0.1:{port}')
         return child
@@ -139,14 +149,24 @@
             child,
         )
         self.instances.append(instance)
-        await self.register(instance_id, 'dotterelweir', zone, peer_port)
+        await self.register(
+            instance_id,
+            'dotterelweir',
+            zone,
+            peer_port,
+            self._next_incarnation(),
+        )
         return instance
 
     async def register(
-        self, target_id: str, service: str, zone: str, port: int
+        self,
+        target_id: str,
+        service: str,
+        zone: str,
+        port: int,
+        incarnation: int,
     ) -> None:
         """Puts a process into the instance list."""
-        self._incarnations += 1
         row = {
             'target_id': target_id,
             'service': service,
@@ -154,7 +174,7 @@
             'host': '127.0.0.1',
             'port': port,
             'state': 'live',
-            'incarnation': self._incarnations,
+            'incarnation': incarnation,
         }
         url = f'{self.platform_url}/v1/instances/{target_id}'
         async with self._http.put(url, json=row) as response:
@@ -218,6 +238,7 @@
             'models': {
                 'kind': 'engine',
                 'service': self.deployment.engine_service,
+                'model': self.deployment.model,
             },
             'plain': {
                 'kind': 'service',
@@ -235,7 +256,7 @@
     ) -> tuple[processes.ChildProcess, int]:
         (port,) = processes.free_ports(1)
         zone = self._zone(index)
-        incarnation = self._incarnations + 1
+        incarnation = self._next_incarnation()
         child = await self._group.start(
             name,
             'dotterelweir_fakes',
@@ -253,9 +274,13 @@
             *arguments,
         )
         await processes.wait_for_port(port, child)
-        await self.register(name, service, zone, port)
+        await self.register(name, service, zone, port, incarnation)
         return child, port
 
+    def _next_incarnation(self) -> int:
+        self._incarnations += 1
+        return self._incarnations
+
     def _zone(self, index: int) -> str:
         zones = self.deployment.zones
         return zones[index % len(zones)]
--- a/fakes/src/dotterelweir_fakes/demo/scenario.py
+++ b/fakes/src/dotterelweir_fakes/demo/scenario.py
@@ -113,6 +113,7 @@
     pool = {
         'kind': 'engine',
         'service': cluster.deployment.engine_service,
+        'model': cluster.deployment.model,
         'target_ids': [
             f'{cluster.deployment.engine_service}-{index + 1}'
             for index in range(cluster.deployment.engines - 1)
--- /dev/null
+++ b/packages/cli/tests/commands/test_edits.py
@@ -0,0 +1,145 @@
+"""Tests of the commands that edit tables."""
+
+import pytest
+
+
+def test_apply_is_one_atomic_edit(project):
+    """Guards against a file of which only a part takes effect."""
+    good = {'kind': 'service', 'service': 'dealer-shop'}
+    path = project.file(
+        'tables.json',
+        {
+            'pools': {'shop': good},
+            'routes': {'orders': {'match': {}, 'pool': 'missing'}},
+        },
+    )
+    outcome = project.run('apply', path)
+    assert outcome.exit_code == 3
+    assert outcome.document['outcome'] == 'rejected'
+    assert outcome.document['details'] == [
+        "route 'orders': pool names no pool: 'missing'"
+    ]
+    assert project.run('pool', 'list').document['pools'] == {}
+
+
+def test_put_get_list_and_delete(shop):
+    """Guards against a row that does not come back as it was put."""
+    path = shop.file('pool.json', {'kind': 'service', 'service': 'sheets'})
+    assert shop.run('pool', 'put', 'sheets', path).document['offset'] == 1
+    assert shop.run('pool', 'get', 'sheets').document == {
+        'row': {'name': 'sheets', 'kind': 'service', 'service': 'sheets'},
+        'revision': 1,
+    }
+    assert set(shop.run('pool', 'list').document['pools']) == {
+        'shop',
+        'sheets',
+    }
+    assert shop.run('pool', 'delete', 'sheets').exit_code == 0
+    assert shop.run('pool', 'get', 'sheets').exit_code == 6
+
+
+def test_racing_edits_with_the_same_base_accept_only_the_first(shop):
+    """Guards against an operator who overwrites another one's edit."""
+    first = shop.file('first.json', {'kind': 'service', 'service': 'one'})
+    second = shop.file('second.json', {'kind': 'service', 'service': 'two'})
+    base = ('--expect-revision', '0')
+    assert shop.run('pool', 'put', 'shop', first, *base).exit_code == 0
+    outcome = shop.run('pool', 'put', 'shop', second, *base)
+    assert outcome.exit_code == 3
+    assert outcome.document['standing'][0]['revision'] == 1
+    assert outcome.document['standing'][0]['row']['service'] == 'one'
+
+
+def test_an_edit_whose_response_is_lost_is_accepted_once(shop):
+    """Guards against an edit that is reported or applied twice."""
+    shop.set_log_faults(lose_responses=1)
+    path = shop.file('pool.json', {'kind': 'service', 'service': 'new'})
+    outcome = shop.run('pool', 'put', 'shop', path)
+    assert outcome.exit_code == 0
+    assert outcome.document['offset'] == outcome.document['revision'] == 1
+
+
+def test_an_unknown_edit_can_be_repeated(shop):
+    """Guards against a repeat that undoes a later edit of the same row."""
+    first = shop.file('first.json', {'kind': 'service', 'service': 'one'})
+    later = shop.file('later.json', {'kind': 'service', 'service': 'two'})
+    repeat = ('--edit-id', 'edit-1', '--expect-revision', '0')
+    assert shop.run('pool', 'put', 'shop', first, *repeat).exit_code == 0
+    assert shop.run('pool', 'put', 'shop', later).exit_code == 0
+    outcome = shop.run('pool', 'put', 'shop', first, *repeat)
+    assert outcome.exit_code == 0
+    assert outcome.document['offset'] == 1
+    standing = shop.run('pool', 'get', 'shop').document
+    assert standing['row']['service'] == 'two'
+
+
+def test_an_outage_during_the_edit_is_unknown(shop):
+    """Guards against claiming success or failure without knowing."""
+    shop.set_log_faults(appends_down=True)
+    path = shop.file('pool.json', {'kind': 'service', 'service': 'new'})
+    outcome = shop.run(
+        'pool', 'put', 'shop', path, output='table', timeout_s=0.5
+    )
+    assert outcome.exit_code == 4
+    assert 'repeat with --edit-id' in outcome.stdout
+
+
+def test_a_dry_run_changes_nothing(shop):
+    """Guards against a dry run that appends a record."""
+    path = shop.file('pool.json', {'kind': 'service', 'service': 'new'})
+    outcome = shop.run('pool', 'put', 'shop', path, '--dry-run')
+    assert outcome.document['outcome'] == 'accepted'
+    assert outcome.document['dry_run'] is True
+    standing = shop.run('pool', 'get', 'shop').document
+    assert standing['row']['service'] == 'dealer-shop'
+
+
+def test_prune_deletes_the_rows_that_the_file_lacks(shop):
+    """Guards against rows that stay although the file is the whole truth."""
+    path = shop.file('empty.json', {'routes': {}, 'pools': {}})
+    assert shop.run('apply', path, '--prune').exit_code == 0
+    assert shop.run('route', 'list').document['routes'] == {}
+
+
+@pytest.mark.parametrize(
+    ('document', 'message'),
+    [
+        ({'kind': 'service', 'colour': 'red'}, 'pool p: '),
+        ({'kind': 'service', 'service': 7}, 'pool p: '),
+        ([], 'pool.json: expected an object'),
+    ],
+)
+def test_a_wrong_file_is_one_clear_line(project, document, message):
+    """Guards against a traceback for a mistake in a file."""
+    path = project.file('pool.json', document)
+    outcome = project.run('pool', 'put', 'p', path)
+    assert outcome.exit_code == 2
+    assert outcome.stderr.startswith(f'Error: {message}')
+    assert len(outcome.stderr.splitlines()) == 1
+
+
+def test_an_unreachable_log_is_one_clear_line(project):
+    """Guards against a traceback while the platform is down."""
+    outcome = project.run('route', 'list', log_url='http://127.0.0.1:9')
+    assert outcome.exit_code == 5
+    assert len(outcome.stderr.splitlines()) == 1
+
+
+def test_deleting_a_missing_row_is_not_found(project):
+    """Guards against a rejected edit that nobody can explain."""
+    assert project.run('route', 'delete', 'nothing').exit_code == 6
+
+
+def test_tables_for_people(shop):
+    """Guards against output that only programs can read."""
+    outcome = shop.run('route', 'list', output='table')
+    assert outcome.stdout.splitlines()[0].split()[0] == 'name'
+    assert 'orders' in outcome.stdout
+
+
+@pytest.mark.parametrize('shell', ['bash', 'zsh', 'fish'])
+def test_completion_script(project, shell):
+    """Guards against a completion script that names another program."""
+    outcome = project.run('completion', shell)
+    assert outcome.exit_code == 0
+    assert '_DOTTERELWEIR_COMPLETE' in outcome.stdout
