--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -3,6 +3,7 @@
 import click
 
 from dotterelweir_fakes import measure
+from dotterelweir_fakes import relay_cost
 from dotterelweir_fakes import service
 from dotterelweir_fakes import slopes
 from dotterelweir_fakes.demo import command as demo_command
@@ -19,6 +20,7 @@
 main.add_command(engine_command.engine)
 main.add_command(measure.measure)
 main.add_command(pages_command.docs)
+main.add_command(relay_cost.relay_cost)
 main.add_command(service.command)
 main.add_command(slopes.slopes)
 
--- /dev/null
+++ b/fakes/tests/test_relay_cost.py
@@ -0,0 +1,14 @@
+"""Tests of the comparison with a bare relay."""
+
+from dotterelweir_fakes import relay_cost
+
+
+def test_the_comparison_runs_to_its_end():
+    """Guards against a measurement that breaks when the daemon changes.
+
+    So few tokens say nothing of the cost, so the ratio is not judged here.
+    """
+    cost = relay_cost.run(streams=20, tokens=20, rounds=1)
+    assert cost.bare_us > 0
+    assert cost.relay_us > 0
+    assert cost.relay_first_ms > cost.direct_first_ms
