Read the tables from an expired log in daemon and client alike

Cause: the client read the log from offset 0. Once the first records had expired, the log answers 410 there and every command that reads tables failed with log-gap. The daemon finds the first available offset by a read beyond the end, so that reading moves to the platform package and both use it.

Ruled out: a search by doubled offsets; it needs many requests and also an empty page beyond the end.

Conclusion: client and instances start from the same checkpoint.

--- a/packages/cli/src/dotterelweir_cli/edits.py
+++ b/packages/cli/src/dotterelweir_cli/edits.py
@@ -13,11 +13,11 @@
 
 from dotterelweir_core import backoff
 from dotterelweir_core import errors
-from dotterelweir_core.tables import checkpoint
 from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import model
 from dotterelweir_core.tables import records
 from dotterelweir_platform import api as platform_api
+from dotterelweir_platform import tables as platform_tables
 
 _PAGE_RECORDS = 500
 _READ_WAIT_S = 0.5
@@ -81,25 +81,10 @@
             DotterelweirError: The log cannot be read, or has lost records
                 that no checkpoint covers.
         """
-        page = await self._log.read(self._stream, 0, 1, 0.0)
-        start = checkpoint.StartingPoint(page.first_available_offset)
-        end_offset = page.end_offset
-        while start.next_offset < end_offset:
-            page = await self._log.read(
-                self._stream, start.next_offset, _PAGE_RECORDS, 0.0
-            )
-            end_offset = max(end_offset, page.end_offset)
-            if not page.records:
-                break
-            for record in page.records:
-                start.add(record.offset, record.data)
-        state = start.finish()
-        if state is None:
-            raise errors.DotterelweirError(
-                errors.ErrorKind.LOG_GAP,
-                'records have expired that no checkpoint covers',
-            )
-        return state
+        start = await platform_tables.read_start(
+            self._log, self._stream, _PAGE_RECORDS
+        )
+        return start.state
 
     def dry_run(
         self, state: fold.TablesState, edit: records.EditRecord
--- /dev/null
+++ b/packages/cli/tests/test_edits.py
@@ -0,0 +1,41 @@
+"""Tests of reading and editing the tables without a command."""
+
+import random
+
+import pytest
+
+from dotterelweir_cli import edits
+from dotterelweir_core import errors
+from dotterelweir_core import timers
+from dotterelweir_core.tables import checkpoint
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import model
+from dotterelweir_core.tables import records
+from dotterelweir_core.targets import model as targets_model
+from dotterelweir_fakes.platform import client
+from dotterelweir_fakes.platform import log as fake_log
+
+
+@pytest.mark.parametrize('covered', [True, False])
+async def test_the_client_reads_a_log_whose_first_records_expired(covered):
+    """Guards against a client that works only while the log is young."""
+    timer = timers.VirtualTimerService()
+    memory = fake_log.MemoryLog(timer, fake_log.LogOptions(300.0, 3))
+    state = fold.TablesState()
+    for offset in range(5):
+        row = model.Pool('p', targets_model.TargetKind.SERVICE, f's{offset}')
+        data = records.encode(
+            records.EditRecord(f'e{offset}', offset - 1, put_pools=(row,))
+        )
+        if offset == 4 and covered:
+            data = records.encode(checkpoint.make(state))
+        memory.append('config', (data,))
+        fold.fold(state, offset, data)
+    link = client.MemoryLogClient(fake_log.LogService(timer, memory))
+    editor = edits.TablesEditor(link, 'config', 5.0, random.Random(1))
+    if covered:
+        assert await editor.read() == state
+        return
+    with pytest.raises(errors.DotterelweirError) as caught:
+        await editor.read()
+    assert caught.value.kind is errors.ErrorKind.LOG_GAP
--- a/packages/daemon/src/dotterelweird/tables_service/service.py
+++ b/packages/daemon/src/dotterelweird/tables_service/service.py
@@ -17,13 +17,14 @@
 from dotterelweir_core.tables import model
 from dotterelweir_core.tables import records
 from dotterelweir_platform import api as platform_api
+from dotterelweir_platform import tables as platform_tables
 from dotterelweird import timers
 from dotterelweird.peers import api as peers_api
 from dotterelweird.settings import model as settings_model
 from dotterelweird.tables_service import checkpoints
 from dotterelweird.tables_service import condition
 from dotterelweird.tables_service import following
-from dotterelweird.tables_service import starting
+from dotterelweird.tables_service import snapshots
 
 LOG = logging.getLogger(__name__)
 
@@ -177,11 +178,6 @@
 
     async def _start(self) -> None:
         start = await self._read_start()
-        if start is None:
-            raise errors.DotterelweirError(
-                errors.ErrorKind.LOG_GAP,
-                'records have expired and no checkpoint covers them',
-            )
         self._take_start(start)
         self._note_success(start.state.offset + 1)
 
@@ -222,19 +218,21 @@
             try:
                 start = await self._read_start()
             except errors.DotterelweirError:
-                start = None
-            if start is not None and start.state.offset > self.offset:
-                self._take_start(start)
-                return
+                # The fault is logged already; a peer may still help.
+                pass
+            else:
+                if start.state.offset > self.offset:
+                    self._take_start(start)
+                    return
         if gap or self._state is None or self._peer_offset > self.offset:
             await self._restore_from_peer(self.offset + 1)
 
-    async def _read_start(self) -> starting.Start | None:
-        return await starting.read_start(
+    async def _read_start(self) -> platform_tables.TablesStart:
+        return await platform_tables.read_start(
             self._log, self._options.stream, self._options.page_records
         )
 
-    def _take_start(self, start: starting.Start) -> None:
+    def _take_start(self, start: platform_tables.TablesStart) -> None:
         self._writer.note(start.covers_offset, start.covers_time_s)
         for skipped in start.skipped:
             following.log_skipped(skipped)
@@ -243,7 +241,7 @@
     async def _restore_from_peer(self, min_offset: int) -> None:
         if self._peer is None:
             return
-        state = await starting.fetch_state(self._peer, min_offset)
+        state = await snapshots.fetch_state(self._peer, min_offset)
         if state is None:
             if self._state is None:
                 events.log(LOG, events.TABLES_UNAVAILABLE)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/tables_service/snapshots.py
@@ -0,0 +1,39 @@
+"""Gets the state of the tables from a peer."""
+
+import logging
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core.tables import checkpoint
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import records
+from dotterelweird.peers import api as peers_api
+
+LOG = logging.getLogger(__name__)
+
+
+async def fetch_state(
+    peer: peers_api.TablesPeer, min_offset: int
+) -> fold.TablesState | None:
+    """Gets the state of a peer; an unusable snapshot is logged.
+
+    Args:
+        peer: The peers.
+        min_offset: Least offset of the state.
+    """
+    try:
+        data = await peer.fetch_snapshot(min_offset)
+        if data is None:
+            return None
+        state = checkpoint.restore_snapshot(data)
+    except (errors.DotterelweirError, records.UnreadableRecordError) as error:
+        events.log(LOG, events.SNAPSHOT_REJECTED, error=str(error))
+        return None
+    if state.offset < min_offset:
+        events.log(
+            LOG,
+            events.SNAPSHOT_REJECTED,
+            error=f'offset {state.offset} is below {min_offset}',
+        )
+        return None
+    return state
--- a/packages/daemon/src/dotterelweird/tables_service/starting.py
+++ b/packages/platform/src/dotterelweir_platform/tables.py
@@ -1,25 +1,18 @@
-"""Gets a whole state of the tables, from the log or from a peer."""
-
-import logging
+"""Reads the whole state of the tables from the configuration log."""
 
 import attrs
 
 from dotterelweir_core import errors
-from dotterelweir_core import events
 from dotterelweir_core.tables import checkpoint
 from dotterelweir_core.tables import fold
-from dotterelweir_core.tables import records
 from dotterelweir_platform import api
-from dotterelweird.peers import api as peers_api
-
-LOG = logging.getLogger(__name__)
 
 # Above every offset, and exact as a number in JSON.
 _BEYOND_END = 2**53 - 1
 
 
 @attrs.frozen
-class Start:
+class TablesStart:
     """A state that was read from the log.
 
     Attributes:
@@ -39,15 +32,12 @@
 
 async def read_start(
     log: api.LogClient, stream: str, page_records: int
-) -> Start | None:
+) -> TablesStart:
     """Reads the whole stream.
 
-    Returns:
-        The state, or None if records have expired and no checkpoint in the
-        log covers them.
-
     Raises:
-        DotterelweirError: LOG_UNAVAILABLE, or LOG_GAP if records expired
+        DotterelweirError: LOG_UNAVAILABLE; LOG_GAP if records have expired
+            and no checkpoint in the log covers them, or if records expired
             while they were read.
     """
     first = await _first_available_offset(log, stream)
@@ -70,35 +60,12 @@
     covers_offset = point.covers_offset
     state = point.finish()
     if state is None:
-        return None
-    return Start(state, covers_offset, covers_time_s, point.skipped)
-
-
-async def fetch_state(
-    peer: peers_api.TablesPeer, min_offset: int
-) -> fold.TablesState | None:
-    """Gets the state of a peer; an unusable snapshot is logged.
-
-    Args:
-        peer: The peers.
-        min_offset: Least offset of the state.
-    """
-    try:
-        data = await peer.fetch_snapshot(min_offset)
-        if data is None:
-            return None
-        state = checkpoint.restore_snapshot(data)
-    except (errors.DotterelweirError, records.UnreadableRecordError) as error:
-        events.log(LOG, events.SNAPSHOT_REJECTED, error=str(error))
-        return None
-    if state.offset < min_offset:
-        events.log(
-            LOG,
-            events.SNAPSHOT_REJECTED,
-            error=f'offset {state.offset} is below {min_offset}',
+        raise errors.DotterelweirError(
+            errors.ErrorKind.LOG_GAP,
+            f'records before {first} have expired and no checkpoint covers '
+            'them',
         )
-        return None
-    return state
+    return TablesStart(state, covers_offset, covers_time_s, point.skipped)
 
 
 async def _first_available_offset(log: api.LogClient, stream: str) -> int:
