Read a slow log instead of taking it for down

Cause: a read was bounded by the log's wait and 2 s. With a log that answers after 3 s, the read that follows a fault waits for no record, so every one of them would have failed for as long as the log is slow, and no change would have come into force.

Ruled out: a longer connect time-out; a link that is cut is noticed by connecting. The bound of 8 s beyond the wait leaves 3 s of the 18 s after a connection that died unnoticed and a wait of 5 s, less a pause of 2 s.

--- a/packages/daemon/src/dotterelweird/settings/model.py
+++ b/packages/daemon/src/dotterelweird/settings/model.py
@@ -87,7 +87,8 @@
         weights_url: Base URL of the weight store.
         instances_period_s: Time between two reads of the instance list.
         log_wait_s: How long one read of the log may wait for records.
-        log_timeout_s: Bound on one request to the log.
+        log_timeout_s: Bound on connecting to the log. An answer to a read
+            may take 8 s longer than the read waits.
         log_retention_s: How long the log keeps records.
         config_stream: Stream of the two tables.
         control_stream: Stream of leases.
--- a/packages/platform/src/dotterelweir_platform/http.py
+++ b/packages/platform/src/dotterelweir_platform/http.py
@@ -18,6 +18,11 @@
 
 LOG = logging.getLogger(__name__)
 
+# A log that is slow for long is still read. With a wait of 5 s and a pause
+# of 2 s, a connection that has died delays a change by at most 15 s of the
+# 18 s that it may take.
+READ_SLACK_S = 8.0
+
 # Everything that aiohttp raises when a peer or a link fails.
 _NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
@@ -89,15 +94,19 @@
         session: aiohttp.ClientSession,
         base_url: str,
         timeout_s: float,
+        read_slack_s: float = READ_SLACK_S,
     ) -> None:
         """Makes a client.
 
         Args:
             session: Session for the requests; the caller closes it.
             base_url: Base URL of the log service.
-            timeout_s: Bound on a read beyond the time that the log may wait.
+            timeout_s: Bound on connecting.
+            read_slack_s: Bound on a read beyond the time that the log may
+                wait.
         """
         self._timeout_s = timeout_s
+        self._read_slack_s = read_slack_s
         self._client = _Client(
             session, base_url, 'log', errors.ErrorKind.LOG_UNAVAILABLE
         )
@@ -135,7 +144,7 @@
         response = await self._client.request(
             'GET',
             _records_path(stream),
-            self._timeout_s + wait_s,
+            self._read_slack_s + wait_s,
             self._timeout_s,
             params={
                 'from': str(from_offset),
