--- a/packages/daemon/src/dotterelweird/tables_service/starting.py
+++ b/packages/platform/src/dotterelweir_platform/tables.py
@@ -1,4 +1,4 @@
-"""Reads the state of the tables from the log, from its first record on."""
+"""Reads the whole state of the tables from the configuration log."""
 
 import attrs
 
@@ -12,7 +12,7 @@
 
 
 @attrs.frozen
-class Start:
+class TablesStart:
     """A state that was read from the log.
 
     Attributes:
@@ -32,15 +32,12 @@
 
 async def read_start(
     log: api.LogClient, stream: str, page_records: int
-) -> Start | None:
+) -> TablesStart:
     """Reads the whole stream.
 
-    Returns:
-        The state, or None if records have expired and no checkpoint in the
-        log covers them.
-
     Raises:
-        DotterelweirError: LOG_UNAVAILABLE, or LOG_GAP if records expired
+        DotterelweirError: LOG_UNAVAILABLE; LOG_GAP if records have expired
+            and no checkpoint in the log covers them, or if records expired
             while they were read.
     """
     first = await _first_available_offset(log, stream)
@@ -63,8 +60,12 @@
     covers_offset = point.covers_offset
     state = point.finish()
     if state is None:
-        return None
-    return Start(state, covers_offset, covers_time_s, point.skipped)
+        raise errors.DotterelweirError(
+            errors.ErrorKind.LOG_GAP,
+            f'records before {first} have expired and no checkpoint covers '
+            'them',
+        )
+    return TablesStart(state, covers_offset, covers_time_s, point.skipped)
 
 
 async def _first_available_offset(log: api.LogClient, stream: str) -> int:
