Add golden files of whole sessions; keep addresses out of answers

Ten sessions are compared byte by byte with what callers saw before, with request ids and the tokens of event ids normalised. Date and Server come from the HTTP library and are left out.

The first files showed the address of an engine in the detail of an error event: asyncio writes it into strerror. Details now name the system error by its number or the class of the exception.

--- a/packages/daemon/src/dotterelweird/targets/engine.py
+++ b/packages/daemon/src/dotterelweird/targets/engine.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import logging
+import os
 import random
 import typing
 
@@ -75,7 +76,7 @@
         try:
             chunk = await self._readany()
         except (aiohttp.ClientError, OSError) as exc:
-            raise _failed(f'the link broke: {exc}') from exc
+            raise _failed(_cause(exc)) from exc
         if not chunk:
             raise StopAsyncIteration
         return chunk
@@ -167,7 +168,7 @@
         except aiohttp.ClientConnectorError as exc:
             raise _unreachable(exc) from exc
         except (aiohttp.ClientError, OSError) as exc:
-            raise _failed(str(exc)) from exc
+            raise _failed(_cause(exc)) from exc
 
     async def _open(
         self,
@@ -195,7 +196,7 @@
             ) as exc:
                 raise _unreachable(exc) from exc
             except (aiohttp.ClientError, OSError) as exc:
-                raise _failed(str(exc)) from exc
+                raise _failed(_cause(exc)) from exc
             try:
                 return await self._check(target, response, headers, asked_s)
             except BaseException:
@@ -280,7 +281,7 @@
                 ValueError,
                 cattrs.BaseValidationError,
             ) as exc:
-                raise _failed(f'no load report: {exc}') from exc
+                raise _failed(f'no load report: {_cause(exc)}') from exc
 
 
 def _failed(detail: str) -> errors.DotterelweirError:
@@ -291,10 +292,17 @@
 
 def _unreachable(cause: Exception) -> errors.DotterelweirError:
     return errors.DotterelweirError(
-        errors.ErrorKind.TARGET_UNREACHABLE, f'no connection: {cause}'
+        errors.ErrorKind.TARGET_UNREACHABLE, f'no connection: {_cause(cause)}'
     )
 
 
+def _cause(error: Exception) -> str:
+    """Names a failure without addresses, because callers see it too."""
+    # asyncio writes the address into strerror, so only the number is used.
+    number = getattr(getattr(error, 'os_error', error), 'errno', None)
+    return os.strerror(number) if number else type(error).__name__
+
+
 def _state(response: aiohttp.ClientResponse) -> model.TargetState:
     if response.headers.get('X-Target-State') == 'leaving':
         return model.TargetState.LEAVING
--- /dev/null
+++ b/packages/daemon/tests/callers/test_sessions.py
@@ -0,0 +1,177 @@
+"""Whole sessions as the caller sees them, against golden files.
+
+Only request ids and the tokens of event ids are normalised. Date and Server
+come from the HTTP library and are left out. ``UPDATE_GOLDEN=1`` writes the
+files anew.
+"""
+
+import os
+import pathlib
+import re
+
+import pytest
+
+GOLDEN = pathlib.Path(__file__).parent.parent / 'golden'
+CHAT = '/v1/chat/completions'
+_NORMALISED = (
+    (re.compile(r'i[12]-[0-9a-f]{16}'), 'REQUEST'),
+    (re.compile(r'[A-Za-z0-9_-]{60,}(?=\.-?\d)'), 'TOKEN'),
+)
+
+
+class Session:
+    """Makes requests and writes down what the caller sees."""
+
+    def __init__(self):
+        self.lines = []
+        self.last_event_id = ''
+
+    async def request(self, instance, method, path, body=None, **headers):
+        """Makes one request and waits for its whole answer."""
+        self.lines.append(f'> {method} {path}')
+        self.lines += [f'> {name}: {headers[name]}' for name in headers]
+        async with instance.session.request(
+            method, path, json=body, headers=headers
+        ) as response:
+            self._write_head(response)
+            await self._write_body(response)
+
+    async def interrupted(self, instance, body, interrupt):
+        """Streams, and calls a function after the first event."""
+        self.lines.append(f'> POST {CHAT}')
+        async with instance.session.post(CHAT, json=body) as response:
+            self._write_head(response)
+            first = await response.content.readuntil(b'\n\n')
+            interrupt()
+            await self._write_body(response, first)
+
+    def _write_head(self, response):
+        self.lines.append(f'< {response.status} {response.reason}')
+        self.lines += [
+            f'< {name}: {value}'
+            for name, value in response.headers.items()
+            if name not in ('Date', 'Server', 'Content-Length')
+        ]
+
+    async def _write_body(self, response, start=b''):
+        text = (start + await response.read()).decode()
+        self.lines += [text, '']
+        ids = re.findall(r'^id: (.*)$', text, re.MULTILINE)
+        self.last_event_id = ids[-1] if ids else self.last_event_id
+
+    def text(self):
+        """Everything so far, normalised."""
+        text = '\n'.join(self.lines)
+        for pattern, name in _NORMALISED:
+            text = pattern.sub(name, text)
+        return text
+
+
+async def _streamed(world, session, body, fault):
+    await world.add_engine('e1')
+    one = await world.add_instance('i1')
+    await session.request(one, 'POST', CHAT, body(3))
+
+
+async def _not_streamed(world, session, body, fault):
+    await world.add_engine('e1')
+    one = await world.add_instance('i1')
+    await session.request(one, 'POST', CHAT, body(3, False))
+
+
+async def _completion(world, session, body, fault):
+    await world.add_engine('e1')
+    one = await world.add_instance('i1')
+    for stream in (True, False):
+        fields = body(3, stream, prompt='hello', max_tokens=2)
+        del fields['messages']
+        await session.request(one, 'POST', '/v1/completions', fields)
+
+
+async def _cut_and_healed(world, session, body, fault):
+    engine = await world.add_engine('e1')
+    one = await world.add_instance('i1')
+    engine.engine.inject(fault('cut', at=2))
+    await session.request(one, 'POST', CHAT, body(3))
+
+
+async def _lost(world, session, body, fault):
+    engine = await world.add_engine('e1')
+    one = await world.add_instance('i1', resume_attempts=1)
+    engine.engine.inject(fault('die', at=2))
+    await session.request(one, 'POST', CHAT, body(3))
+
+
+async def _lost_not_streamed(world, session, body, fault):
+    engine = await world.add_engine('e1')
+    one = await world.add_instance('i1', resume_attempts=1)
+    engine.engine.inject(fault('die', at=2))
+    await session.request(one, 'POST', CHAT, body(3, False))
+
+
+async def _handed_over_and_resumed(world, session, body, fault):
+    engine = await world.add_engine('e1')
+    one = await world.add_instance('i1', stall_timeout_s=5.0)
+    two = await world.add_instance('i2')
+    # The stall holds the link after the first event until the handover.
+    engine.engine.inject(fault('stall', at=1))
+    await session.interrupted(one, body(4), one.hand_over)
+    await session.request(one, 'POST', CHAT, body(4))
+    headers = {'Last-Event-ID': session.last_event_id}
+    await session.request(two, 'GET', '/v1/streams', **headers)
+
+
+async def _resume_refused(world, session, body, fault):
+    await world.add_engine('e1')
+    one = await world.add_instance('i1')
+    await session.request(one, 'POST', CHAT, body(1))
+    headers = {'Last-Event-ID': session.last_event_id}
+    others = headers | {'X-Organisation': 'other'}
+    await session.request(one, 'GET', '/v1/streams', **others)
+    forged = {'Last-Event-ID': f'{headers["Last-Event-ID"][9:-2]}.1'}
+    await session.request(one, 'GET', '/v1/streams', **forged)
+    world.engines.clear()
+    await session.request(one, 'GET', '/v1/streams', **headers)
+
+
+async def _refused(world, session, body, fault):
+    engine = await world.add_engine('e1')
+    one = await world.add_instance('i1')
+    engine.engine.inject(fault('refuse'))
+    await session.request(one, 'POST', CHAT, body(3))
+    await session.request(one, 'POST', CHAT, {'messages': []})
+    await session.request(one, 'POST', '/nowhere', body(3))
+
+
+async def _timed_out(world, session, body, fault):
+    engine = await world.add_engine('e1')
+    one = await world.add_instance('i1', stall_timeout_s=5.0)
+    headers = {'X-Request-Timeout-S': '0.2'}
+    for at in (0, 2):
+        engine.engine.inject(fault('stall', at=at))
+        await session.request(one, 'POST', CHAT, body(3), **headers)
+
+
+SESSIONS = (
+    _streamed,
+    _not_streamed,
+    _completion,
+    _cut_and_healed,
+    _lost,
+    _lost_not_streamed,
+    _handed_over_and_resumed,
+    _resume_refused,
+    _refused,
+    _timed_out,
+)
+
+
+@pytest.mark.parametrize('play', SESSIONS, ids=lambda play: play.__name__[1:])
+async def test_sessions(world, body, fault, play):
+    """Guards against changes that callers can see."""
+    session = Session()
+    await play(world, session, body, fault)
+    path = GOLDEN / f'{play.__name__[1:]}.txt'
+    if os.environ.get('UPDATE_GOLDEN'):
+        path.write_text(session.text())
+    assert session.text() == path.read_text()
