--- a/fakes/src/dotterelweir_fakes/relay_processes.py
+++ b/fakes/src/dotterelweir_fakes/relay_processes.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from dotterelweir_core.delivery import resume
+from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import scheduler
 from dotterelweir_core.policy import settings as policy_settings
 from dotterelweir_core.tables import matching
@@ -22,7 +23,6 @@
 from dotterelweird import metrics
 from dotterelweird import timers
 from dotterelweird.callers import api
-from dotterelweird.callers import retry_budget
 from dotterelweird.callers import server
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import engine
@@ -154,7 +154,7 @@
         codec=resume.ResumeCodec((_KEY,)),
         refusal=lambda: None,
         metrics=metrics.Metrics(),
-        retry_budget=retry_budget.RetryBudget(0.2),
+        retry_budget=retries.RetryBudget(0.2),
     )
     runner = server.make_runner(parts)
     _add_common(runner.app, session)
