Test the engine adapter; bound cancellation and idle connections

Found while the adapter was tested against answers of all kinds: - a resumed answer of another generation ended the stream; it is a broken link now, and the resume is tried again; - comments and duplicates counted as progress and kept a stalled generation from being resumed; the wait now counts from the last event that went out; - a cancellation had no time limit; - idle connections are closed after 4 s, before servers that close them after 5 s, because a request sent at that moment ends as unknown.

On a resume an engine may leave X-Request-Id out: the generation id and the incarnation, which are checked there, identify the answer.

--- a/packages/daemon/src/dotterelweird/callers/attempts.py
+++ b/packages/daemon/src/dotterelweird/callers/attempts.py
@@ -99,9 +99,11 @@
                         self._item, on_hedge=self._spawn
                     )
                 except errors.DotterelweirError as refusal:
+                    if failure is None:
+                        raise
                     # The failure of an attempt says more than the refusal
                     # of its retry.
-                    raise failure or refusal from refusal
+                    raise failure from refusal
                 self._spawn(placement)
                 try:
                     return await self._first_outcome()
--- a/packages/daemon/src/dotterelweird/callers/reader.py
+++ b/packages/daemon/src/dotterelweird/callers/reader.py
@@ -71,27 +71,30 @@
                 resumed.
         """
         cursor = self.cursor
-        while not cursor.complete:
-            self._waiting_since_s = self._timer.monotonic_s()
-            try:
-                chunk = await anext(self._chunks, b'')
-            except errors.DotterelweirError as error:
-                await self._resume(error.detail)
-                continue
-            finally:
-                self._waiting_since_s = None
-            if not chunk:
-                await self._resume('the link ended before the end mark')
-                continue
-            out = cursor.feed(chunk)
-            if cursor.fault is not None:
-                # What precedes the fault is in order and goes out first;
-                # the closed link makes the next read resume.
-                self._reject()
-            if out:
-                self._progressed = True
-                return out
-        return b''
+        # Comments that keep the link alive and dropped duplicates are no
+        # progress, so the wait counts from here.
+        self._waiting_since_s = self._timer.monotonic_s()
+        try:
+            while not cursor.complete:
+                try:
+                    chunk = await anext(self._chunks, b'')
+                except errors.DotterelweirError as error:
+                    await self._resume(error.detail)
+                    continue
+                if not chunk:
+                    await self._resume('the link ended before the end mark')
+                    continue
+                out = cursor.feed(chunk)
+                if cursor.fault is not None:
+                    # What precedes the fault is in order and goes out
+                    # first; the closed link makes the next read resume.
+                    self._reject()
+                if out:
+                    self._progressed = True
+                    return out
+            return b''
+        finally:
+            self._waiting_since_s = None
 
     def watch_stalls(self) -> None:
         """Replaces the link when it makes no progress from now on.
@@ -153,6 +156,7 @@
         )
 
     async def _resume(self, reason: str) -> None:
+        self._waiting_since_s = None
         self._stream.close()
         if self._progressed:
             self.limit_resumes(self._delivery.resume_attempts)
@@ -179,6 +183,7 @@
         self._stream = stream
         self._chunks = aiter(stream.chunks())
         self.cursor.start_link()
+        self._waiting_since_s = self._timer.monotonic_s()
         self._parts.metrics.resumes.inc({'target': self.target.target_id})
         events.log(
             LOG,
--- a/packages/daemon/src/dotterelweird/targets/engine.py
+++ b/packages/daemon/src/dotterelweird/targets/engine.py
@@ -28,6 +28,9 @@
 
 # Bounds what is read of an error answer.
 _ERROR_BODY_BYTES = 65_536
+# Some servers close idle connections after 5 s. A request that is sent at
+# that moment fails without certainty that it did not run.
+_KEEPALIVE_S = 4.0
 _CLIENT_ERRORS = frozenset({400, 404, 405, 411, 413, 415, 422})
 
 
@@ -40,7 +43,9 @@
     read, a quarter of the buffer that a stream may have is on this side.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=_KEEPALIVE_S
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=delivery.connect_timeout_s
@@ -107,6 +112,7 @@
         on_answer: AnswerCallback | None = None,
     ) -> None:
         self._session = session
+        self._cancel_timeout_s = delivery.stall_timeout_s
         self._read_bytes = max(1024, delivery.stream_buffer_bytes // 8)
         self._timer = timer
         self._rng = rng
@@ -147,28 +153,33 @@
         stream = await self._open(
             target, 'GET', path, headers, timeout_s, None
         )
-        if (
-            stream.generation_id != generation_id
-            or stream.incarnation != target.incarnation
-        ):
+        if stream.generation_id != generation_id:
+            stream.close()
+            raise _failed('the answer belongs to another generation')
+        if stream.incarnation != target.incarnation:
             stream.close()
             raise errors.DotterelweirError(
                 errors.ErrorKind.RESUME_EXPIRED,
-                'another generation or incarnation answered',
+                'another incarnation answered',
                 errors.Execution.UNKNOWN,
             )
         return stream
 
     async def cancel(self, target: model.Target, generation_id: str) -> None:
         url = f'{target.base_url}/v1/generations/{generation_id}'
-        try:
-            async with self._session.delete(url) as response:
-                if response.status >= 500:
-                    raise _failed(f'cancel answered {response.status}')
-        except aiohttp.ClientConnectorError as exc:
-            raise _unreachable(exc) from exc
-        except (aiohttp.ClientError, OSError) as exc:
-            raise _failed(_cause(exc)) from exc
+        late = _failed(f'no answer within {self._cancel_timeout_s:g} s')
+        with scopes.deadline(self._timer, self._cancel_timeout_s, late):
+            try:
+                async with self._session.delete(url) as response:
+                    if response.status >= 500:
+                        raise _failed(f'cancel answered {response.status}')
+            except (
+                aiohttp.ClientConnectorError,
+                aiohttp.ConnectionTimeoutError,
+            ) as exc:
+                raise _unreachable(exc) from exc
+            except (aiohttp.ClientError, OSError) as exc:
+                raise _failed(_cause(exc)) from exc
 
     async def _open(
         self,
@@ -212,7 +223,12 @@
     ) -> HttpEngineStream:
         request_id = headers['X-Request-Id']
         echo = response.headers.get('X-Request-Id')
-        if echo != request_id:
+        # On a resume the generation id, which is checked too, identifies
+        # the answer of an engine that echoes nothing there.
+        echoed = echo == request_id or (
+            echo is None and 'Last-Event-ID' in headers
+        )
+        if not echoed:
             events.log(
                 LOG,
                 events.ANSWER_REJECTED,
--- a/packages/daemon/tests/callers/test_completions.py
+++ b/packages/daemon/tests/callers/test_completions.py
@@ -1,5 +1,6 @@
 """Tests of completions against engines that fail."""
 
+import asyncio
 import json
 
 import pytest
@@ -59,6 +60,10 @@
         ('cut', {'at': 3}),
         ('refuse', {'on': 'resume', 'count': 2}),
     ],
+    'other-generation': [
+        ('cut', {'at': 3}),
+        ('other-generation', {'on': 'resume'}),
+    ],
     'crossed-resume': [
         ('cut', {'at': 3}),
         ('wrong-request-id', {'on': 'resume'}),
@@ -89,6 +94,8 @@
         assert choice['finish_reason'] == 'stop'
     assert instance.scheduler.ends[-1][1] == 'complete'
     assert instance.scheduler.tokens == 7
+    assert instance.parts.dispatcher.attempts_running == 0
+    assert instance.parts.in_flight.count == 0
 
 
 # Faults after which the answer must end with an explicit error.
@@ -215,6 +222,19 @@
     assert instance.scheduler.ends == [('e1', 'cancelled')]
 
 
+async def test_a_caller_that_leaves_before_the_first_token(
+    world, body, eventually
+):
+    """Guards against a generation that nobody can resume (5.3)."""
+    engine = await world.add_engine('e1', step_s=10.0)
+    instance = await world.add_instance()
+    task = asyncio.create_task(_post(instance, body()))
+    await eventually(lambda: engine.engine.batcher.running)
+    task.cancel()
+    await eventually(lambda: engine.engine.cancelled)
+    await eventually(lambda: instance.scheduler.ends == [('e1', 'cancelled')])
+
+
 async def test_the_route_bounds_the_output(world, body):
     """Guards against a caller that exceeds its route's bound."""
     await world.add_engine('e1')
--- /dev/null
+++ b/packages/daemon/tests/targets/test_engine.py
@@ -0,0 +1,164 @@
+"""Tests of the engine adapter against answers of all kinds."""
+
+import asyncio
+import random
+
+from aiohttp import web
+import pytest
+
+from dotterelweir_core import errors
+from dotterelweir_core.targets import model
+from dotterelweird import timers
+from dotterelweird.settings import model as settings_model
+from dotterelweird.targets import api
+from dotterelweird.targets import engine
+
+REQUEST = api.GenerationRequest('r-1', '/v1/completions', b'{}', 3, 9.0, 0.2)
+NOT_RUN = b'{"execution": "not run", "detail": "full"}'
+HEADERS = {'X-Generation-Id': 'g1', 'X-Incarnation': '7'}
+
+
+@pytest.fixture
+async def engines():
+    """A client, and an engine that answers with what the test sets."""
+    answers = {}
+    told = []
+
+    async def answer(request):
+        status, headers, body = answers['next']
+        if request.headers.get('X-Request-Id') and 'echo' not in answers:
+            headers = {
+                'X-Request-Id': request.headers['X-Request-Id']
+            } | headers
+        if status is None:
+            request.transport.abort()
+        return web.Response(status=status or 500, headers=headers, body=body)
+
+    app = web.Application()
+    app.router.add_route('*', '/{path:.*}', answer)
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    target = model.Target(
+        'e1', 7, 'llm', 'a', '127.0.0.1', runner.addresses[0][1]
+    )
+    timer = timers.LoopTimerService(asyncio.get_running_loop())
+    delivery = settings_model.Delivery()
+    async with engine.make_session(delivery) as session:
+        client = engine.HttpEngineClient(
+            session,
+            delivery,
+            timer,
+            random.Random(1),
+            lambda *news: told.append(news),
+        )
+        loads = engine.HttpLoadClient(session, timer)
+        yield client, loads, target, answers, told
+    await runner.cleanup()
+
+
+# Name: status, headers, body, kind, execution.
+ANSWERS = {
+    'refused': (503, {}, NOT_RUN, 'target-refused', 'not run'),
+    'too-many': (429, {}, NOT_RUN, 'target-refused', 'not run'),
+    'not-certain': (503, {}, b'{}', 'target-failed', 'unknown'),
+    'not-json': (503, {}, b'full', 'target-failed', 'unknown'),
+    'failed-not-run': (500, {}, NOT_RUN, 'target-failed', 'unknown'),
+    'malformed': (400, {}, NOT_RUN, 'malformed-request', 'not run'),
+    'crossed-refusal': (
+        503,
+        {'X-Request-Id': 'other'},
+        NOT_RUN,
+        'target-failed',
+        'unknown',
+    ),
+    'crossed': (
+        200,
+        HEADERS | {'X-Request-Id': 'other'},
+        b'',
+        'target-failed',
+        'unknown',
+    ),
+    'nameless': (200, {}, b'', 'target-failed', 'unknown'),
+    'aborted': (None, {}, b'', 'target-failed', 'unknown'),
+}
+
+
+@pytest.mark.parametrize('case', ANSWERS)
+async def test_answers_that_are_no_stream(engines, case):
+    """Guards against "not run" where it is not certain (P3)."""
+    client, _, target, answers, _ = engines
+    status, headers, body, kind, execution = ANSWERS[case]
+    answers['next'] = (status, headers, body)
+    with pytest.raises(errors.DotterelweirError) as caught:
+        await client.start(target, REQUEST)
+    assert caught.value.kind.value == kind
+    assert caught.value.execution.value == execution
+
+
+async def test_the_state_of_the_engine_is_passed_on(engines):
+    """Guards against new work for an engine that said it is leaving."""
+    client, _, target, answers, told = engines
+    leaving = HEADERS | {'X-Target-State': 'leaving', 'X-Incarnation': '8'}
+    answers['next'] = (200, leaving, b'')
+    stream = await client.start(target, REQUEST)
+    stream.close()
+    assert stream.incarnation == 8
+    news, state, _ = told[0]
+    assert (news.target_id, news.incarnation) == ('e1', 8)
+    assert state is model.TargetState.LEAVING
+
+
+async def test_a_resume_needs_the_same_generation_and_incarnation(engines):
+    """Guards against another generation's tokens after a resume."""
+    client, _, target, answers, _ = engines
+    answers['echo'] = False
+    for headers, kind in (
+        (HEADERS, None),
+        (HEADERS | {'X-Generation-Id': 'g2'}, 'target-failed'),
+        (HEADERS | {'X-Request-Id': 'other'}, 'target-failed'),
+        (HEADERS | {'X-Incarnation': '8'}, 'resume-expired'),
+    ):
+        answers['next'] = (200, headers, b'')
+        try:
+            stream = await client.resume(target, 'g1', 4, 0.2)
+            stream.close()
+            found = None
+        except errors.DotterelweirError as error:
+            found = error.kind.value
+        assert found == kind
+    for status in (404, 410):
+        answers['next'] = (status, {}, b'')
+        with pytest.raises(errors.DotterelweirError) as caught:
+            await client.resume(target, 'g1', 4, 0.2)
+        assert caught.value.kind is errors.ErrorKind.RESUME_EXPIRED
+
+
+async def test_no_connection_is_certain(engines):
+    """Guards against "unknown" where nothing can have run."""
+    client, loads, target, _, _ = engines
+    nobody = model.Target('e2', 1, 'llm', 'a', '127.0.0.1', 1)
+    with pytest.raises(errors.DotterelweirError) as caught:
+        await client.start(nobody, REQUEST)
+    assert caught.value.kind is errors.ErrorKind.TARGET_UNREACHABLE
+    assert caught.value.execution is errors.Execution.NOT_RUN
+    with pytest.raises(errors.DotterelweirError):
+        await loads.load(nobody, 0.2)
+
+
+async def test_load_reports(engines):
+    """Guards against reports that crash the monitor."""
+    _, loads, target, answers, _ = engines
+    answers['next'] = (
+        200,
+        {},
+        b'{"target_id": "e1", "incarnation": 7, "state": "leaving", '
+        b'"running": 3, "models": ["m"], "extra": 1}',
+    )
+    report = await loads.load(target, 0.2)
+    assert report.state is model.TargetState.LEAVING
+    assert (report.running, report.models) == (3, ('m',))
+    for body in (b'', b'[]', b'{"target_id": "e1"}', b'{"running": "x"}'):
+        answers['next'] = (200, {}, body)
+        with pytest.raises(errors.DotterelweirError):
+            await loads.load(target, 0.2)
