--- a/fakes/src/dotterelweir_fakes/engine/app.py
+++ b/fakes/src/dotterelweir_fakes/engine/app.py
@@ -14,6 +14,7 @@
 from dotterelweir_fakes.engine import batch
 from dotterelweir_fakes.engine import cache
 from dotterelweir_fakes.engine import faults
+from dotterelweir_fakes.engine import orders
 from dotterelweir_fakes.engine import streams
 from dotterelweir_fakes.engine import tokens
 
@@ -62,13 +63,7 @@
         self.started_after_leaving_s: list[float] = []
         self.started: list[str] = []
         self.cancelled: list[str] = []
-        self.order = {
-            'fencing': 0,
-            'models': list(models),
-            'adapters': [],
-            'version': '',
-            'role': '',
-        }
+        self.orders = orders.Orders(options, timer, models)
         self._on_die = on_die
         self._rng = random.Random(options.seed)
         self.cache = cache.PrefixCache(
@@ -291,7 +286,7 @@
             'incarnation': self.target.incarnation,
             'state': self.state.value,
             **self._reports[0],
-            **self.order,
+            **self.orders.state,
         }
         return web.json_response(body=orjson.dumps(report))
 
@@ -303,30 +298,9 @@
 
     async def _desired(self, request: web.Request) -> web.Response:
         order = orjson.loads(await request.read())
-        if (
-            self.options.checks_fencing
-            and order['fencing'] < self.order['fencing']
-        ):
-            return _problem(409, 'old fencing number', 'not run')
-        if (
-            self.options.checks_expiry
-            and order['expires_at_s'] < self.timer.wall_s()
-        ):
-            return _problem(409, 'order expired', 'not run')
-        fields = ('models', 'adapters', 'version', 'role')
-        wanted = {name: order[name] for name in fields if name in order}
-        self.order['fencing'] = order['fencing']
-        # Only the newest accepted order takes effect after its loading.
-        self._wanted = wanted
-
-        def apply() -> None:
-            if self._wanted is wanted:
-                self.order.update(wanted)
-
-        if self.options.load_s > 0:
-            self.timer.call_after(self.options.load_s, apply)
-        else:
-            apply()
+        obstacle = self.orders.take(order)
+        if obstacle is not None:
+            return _problem(409, obstacle, 'not run')
         return web.Response(status=202)
 
     async def _faults(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/engine/orders.py
@@ -0,0 +1,63 @@
+"""Orders: what the engine is told to load and to be."""
+
+import typing
+
+from dotterelweir_core import timers
+from dotterelweir_fakes.engine import batch
+
+_FIELDS = ('models', 'adapters', 'version', 'role')
+
+
+class Orders:
+    """Takes orders and applies them after the time that loading takes.
+
+    Args:
+        options: Whether numbers and expiry are checked, and the load time.
+        timer: Source of time.
+        models: Models that are loaded at the start.
+
+    Attributes:
+        state: What is loaded, and the highest fencing number.
+    """
+
+    def __init__(
+        self,
+        options: batch.EngineOptions,
+        timer: timers.TimerService,
+        models: tuple[str, ...],
+    ) -> None:
+        self._options = options
+        self._timer = timer
+        self._loading: timers.TimerHandle | None = None
+        self.state: dict[str, typing.Any] = {
+            'fencing': 0,
+            'models': list(models),
+            'adapters': [],
+            'version': '',
+            'role': '',
+        }
+
+    def take(self, order: dict[str, typing.Any]) -> str | None:
+        """Takes an order; returns why it is refused, or None."""
+        if (
+            self._options.checks_fencing
+            and order['fencing'] < self.state['fencing']
+        ):
+            return 'old fencing number'
+        if (
+            self._options.checks_expiry
+            and order['expires_at_s'] < self._timer.wall_s()
+        ):
+            return 'order expired'
+        self.state['fencing'] = order['fencing']
+        wanted = {name: order[name] for name in _FIELDS if name in order}
+        # A newer order replaces one that is still being loaded.
+        if self._loading is not None:
+            self._loading.cancel()
+        if self._options.load_s > 0:
+            self._loading = self._timer.call_after(
+                self._options.load_s, lambda: self.state.update(wanted)
+            )
+        else:
+            self.state.update(wanted)
+        return None
--- a/packages/core/src/dotterelweir_core/delivery/prompts.py
+++ b/packages/core/src/dotterelweir_core/delivery/prompts.py
@@ -28,6 +28,9 @@
         return prompt.encode()
     if isinstance(prompt, list) and all(isinstance(p, str) for p in prompt):
         return '\n'.join(prompt).encode()
+    if isinstance(prompt, list) and all(isinstance(p, int) for p in prompt):
+        # Token ids; each one counts as the bytes of one token.
+        return ' '.join(f'{p:03x}' for p in prompt).encode()
     messages = body.get('messages')
     if not isinstance(messages, list) or not messages:
         raise ValueError('needs "messages" or "prompt"')
