--- a/packages/daemon/src/dotterelweird/callers/completions.py
+++ b/packages/daemon/src/dotterelweird/callers/completions.py
@@ -88,6 +88,7 @@
             error = self._attempts.final(exc)
         except ConnectionError:
             # The caller has gone and may resume within the window.
+            self._request[requests.OUTCOME] = requests.CALLER_GONE
             self._end(policy_api.AttemptEnd.CANCELLED)
             return relay.response
         except Exception:
@@ -189,6 +190,7 @@
         if error is None:
             self._end(policy_api.AttemptEnd.COMPLETE, close=False)
         else:
+            self._request[requests.OUTCOME] = error.kind.value
             timed_out = error.kind is errors.ErrorKind.REQUEST_TIMEOUT
             self._end(_attempt_end(error), cancel=timed_out)
             events.log(
--- a/packages/daemon/src/dotterelweird/callers/requests.py
+++ b/packages/daemon/src/dotterelweird/callers/requests.py
@@ -16,6 +16,9 @@
 ORGANISATION = web.RequestKey('organisation', str)
 REQUEST_ID = web.RequestKey('request_id', str)
 ROUTE = web.RequestKey('route', str)
+# How the request ended, where the status does not tell.
+OUTCOME = web.RequestKey('outcome', str)
+CALLER_GONE = 'caller-gone'
 
 REQUEST_ID_HEADER = 'X-Request-Id'
 CHAT_PATH = '/v1/chat/completions'
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -1,5 +1,6 @@
 """The callers' HTTP server."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
@@ -170,8 +171,8 @@
                         f'the body has more than {limit} bytes',
                     ),
                 )
-            except ConnectionError:
-                # The caller went away while its request was read.
+            except (ConnectionError, asyncio.CancelledError):
+                self._note_end(request, requests.CALLER_GONE)
                 raise
             except Exception:
                 return self._fail(request)
@@ -203,6 +204,7 @@
         route = request.get(requests.ROUTE)
         if route is None:
             return
+        outcome = request.get(requests.OUTCOME, outcome)
         self._parts.metrics.requests.inc({'route': route, 'outcome': outcome})
         events.log(
             LOG,
--- a/packages/daemon/src/dotterelweird/callers/streams.py
+++ b/packages/daemon/src/dotterelweird/callers/streams.py
@@ -102,6 +102,7 @@
             await relay.run(reader, first, lambda count: None)
     except errors.DotterelweirError as exc:
         error = exc
+        request[requests.OUTCOME] = error.kind.value
         error.execution = errors.Execution.RAN
     except ConnectionError:
         return relay.response
--- a/packages/daemon/tests/callers/test_completions.py
+++ b/packages/daemon/tests/callers/test_completions.py
@@ -108,13 +108,14 @@
 @pytest.mark.parametrize('stream', [True, False])
 @pytest.mark.parametrize('case', LOST)
 async def test_a_lost_generation_ends_with_an_error(
-    world, body, fault, case, stream
+    world, body, fault, caplog, case, stream
 ):
     """Guards against another engine's tokens in a begun answer (P1)."""
     first = await world.add_engine('e1')
     second = await world.add_engine('e2')
     instance = await world.add_instance(resume_attempts=2)
     first.engine.inject(fault('die', **LOST[case]))
+    caplog.set_level('INFO')
     status, text = await _post(instance, body(6, stream))
     if stream:
         events = _events(text)
@@ -129,6 +130,8 @@
     assert problem['execution'] == 'ran'
     assert second.engine.started == []
     assert instance.scheduler.ends == [('e1', 'failed')]
+    ends = [r for r in caplog.records if r.message == 'request-ended']
+    assert [r.fields['outcome'] for r in ends] == ['generation-lost']
 
 
 async def test_a_request_that_may_have_run_is_not_sent_again(
