--- a/packages/daemon/src/dotterelweird/callers/reader.py
+++ b/packages/daemon/src/dotterelweird/callers/reader.py
@@ -55,7 +55,7 @@
         self._stream = stream
         self._chunks: AsyncIterator[bytes] = aiter(stream.chunks())
         self._request_id = request_id
-        self._backoff = self._new_backoff(self._delivery.resume_attempts)
+        self._backoff = resume_delays(parts, self._delivery.resume_attempts)
         self._progressed = False
         self._waiting_since_s: float | None = None
         self._watchdog: core_timers.TimerHandle | None = None
@@ -145,15 +145,7 @@
 
     def limit_resumes(self, attempts: int) -> None:
         """Bounds the resumes until there is progress."""
-        self._backoff = self._new_backoff(attempts)
-
-    def _new_backoff(self, attempts: int) -> backoff.Backoff:
-        return backoff.Backoff(
-            self._parts.rng,
-            first_s=min(0.05, self._delivery.stall_timeout_s),
-            cap_s=1.0,
-            attempts=attempts,
-        )
+        self._backoff = resume_delays(self._parts, attempts)
 
     async def _resume(self, reason: str) -> None:
         self._waiting_since_s = None
@@ -161,25 +153,19 @@
         if self._progressed:
             self.limit_resumes(self._delivery.resume_attempts)
             self._progressed = False
-        detail = reason
-        while True:
-            delay_s = self._backoff.next_delay_s()
-            if delay_s is None:
-                raise self._lost(detail)
-            await timers.sleep(self._timer, delay_s)
-            try:
-                stream = await self._parts.engines.resume(
-                    self.target,
-                    self.generation_id,
-                    self.cursor.next_sequence - 1,
-                    self._delivery.stall_timeout_s,
-                )
-            except errors.DotterelweirError as error:
-                detail = error.detail
-                if error.kind is errors.ErrorKind.RESUME_EXPIRED:
-                    raise self._lost(detail) from error
-                continue
-            break
+        try:
+            stream = await resume_stream(
+                self._parts,
+                self.target,
+                self.generation_id,
+                self.cursor.next_sequence - 1,
+                self._backoff,
+                errors.DotterelweirError(
+                    errors.ErrorKind.TARGET_FAILED, reason
+                ),
+            )
+        except errors.DotterelweirError as error:
+            raise self._lost(error.detail) from error
         self._stream = stream
         self._chunks = aiter(stream.chunks())
         self.cursor.start_link()
@@ -236,6 +222,56 @@
         self._schedule_watchdog(left_s)
 
 
+def resume_delays(parts: api.CallerParts, attempts: int) -> backoff.Backoff:
+    """The delays between the attempts to resume one generation."""
+    return backoff.Backoff(
+        parts.rng,
+        first_s=min(0.05, parts.settings.delivery.stall_timeout_s),
+        cap_s=1.0,
+        attempts=attempts,
+    )
+
+
+async def resume_stream(
+    parts: api.CallerParts,
+    target: targets_model.Target,
+    generation_id: str,
+    last_sequence: int,
+    delays: backoff.Backoff,
+    failure: errors.DotterelweirError | None = None,
+) -> targets_api.EngineStream:
+    """Opens the stream of a running generation, with retries.
+
+    Args:
+        parts: The parts of the callers' side.
+        target: The engine.
+        generation_id: The engine's name of the generation.
+        last_sequence: Last event that was received; -1 for none.
+        delays: Delays between the attempts.
+        failure: Why the last link ended; None tries at once.
+
+    Raises:
+        DotterelweirError: RESUME_EXPIRED, or the last failure.
+    """
+    while True:
+        if failure is not None:
+            delay_s = delays.next_delay_s()
+            if delay_s is None:
+                raise failure
+            await timers.sleep(parts.timer, delay_s)
+        try:
+            return await parts.engines.resume(
+                target,
+                generation_id,
+                last_sequence,
+                parts.settings.delivery.stall_timeout_s,
+            )
+        except errors.DotterelweirError as error:
+            if error.kind is errors.ErrorKind.RESUME_EXPIRED:
+                raise
+            failure = error
+
+
 async def _nothing() -> AsyncIterator[bytes]:
     """The chunks of a link that must not be read any further."""
     return
--- a/packages/daemon/src/dotterelweird/callers/streams.py
+++ b/packages/daemon/src/dotterelweird/callers/streams.py
@@ -59,11 +59,13 @@
         )
     # The last event is asked for again: without it, an end mark that
     # follows at once could not be checked for a missing last event.
-    stream = await parts.engines.resume(
+    delivery = parts.settings.delivery
+    stream = await reader_module.resume_stream(
+        parts,
         target,
         ref.generation_id,
         max(-1, position.sequence - 1),
-        parts.settings.delivery.stall_timeout_s,
+        reader_module.resume_delays(parts, delivery.resume_attempts),
     )
     events.log(
         LOG,
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -30,12 +30,16 @@
 
 
 class FirstTargetScheduler(policy_api.Scheduler):
-    """Places each request at once at the first target not excluded."""
+    """Places each request at once at the first target not excluded.
+
+    With ``rng`` it takes any target that is not excluded.
+    """
 
     def __init__(self):
         self.targets = ()
         self.hedged = False
         self.holding = False
+        self.rng = None
         self.decisions = []
         self.ends = []
         self.tokens = 0
@@ -51,6 +55,8 @@
             for target in self.targets
             if target.target_id not in item.excluded
         ]
+        if self.rng is not None:
+            self.rng.shuffle(names)
         for hedge, name in enumerate(names[: 2 if self.hedged else 1]):
             self.decisions.append(
                 policy_api.Placement(
--- /dev/null
+++ b/packages/daemon/tests/callers/test_random_faults.py
@@ -0,0 +1,112 @@
+"""Random faults, disconnections and resumes, many requests at once."""
+
+import asyncio
+import random
+
+import aiohttp
+import pytest
+
+from dotterelweir_fakes.engine import tokens
+
+CHAT = '/v1/chat/completions'
+KINDS = ('cut', 'stall', 'duplicate-event', 'skip-event', 'refuse')
+REQUESTS = 80
+
+
+def _inject(engine, fault, rng):
+    for _ in range(15):
+        engine.engine.inject(
+            fault(
+                rng.choice((*KINDS, 'wrong-request-id')),
+                at=rng.randint(-1, 12),
+                on=rng.choice(('start', 'resume', 'any')),
+                duration_s=rng.choice((0.01, 1.0)),
+            )
+        )
+
+
+async def _play(instances, body, rng, count):
+    """One caller; returns what it received, and how that ended."""
+    text = ''
+    last_id = None
+    while True:
+        instance = rng.choice(instances)
+        stop_after = rng.choice((1, 4, 999))
+        if last_id is None:
+            request = instance.session.post(CHAT, json=body(count))
+        else:
+            headers = {'Last-Event-ID': last_id}
+            request = instance.session.get('/v1/streams', headers=headers)
+        async with request as response:
+            if response.status != 200:
+                problem = await response.json(content_type=None)
+                return text, problem['code']
+            part = ''
+            async for chunk in response.content.iter_any():
+                part += chunk.decode()
+                if part.count('\n\n') >= stop_after:
+                    response.close()
+                    break
+        # A caller drops the partial event of a connection that it lost.
+        part = part[: part.rfind('\n\n') + 2]
+        if 'event: error' in part:
+            return text + part[: part.index('event: error')], 'error'
+        text += part
+        if part.endswith('data: [DONE]\n\n'):
+            return text, 'whole'
+        last_id = text[text.rindex('id: ') :].split('\n')[0][4:]
+
+
+def _check(text, outcome, count):
+    """Checks that the caller got a prefix of one generation, in order."""
+    events = text.replace('data: [DONE]\n\n', '').split('\n\n')[:-1]
+    if not events:
+        assert outcome != 'whole'
+        return
+    name = events[0].partition('"id":"')[2].partition('"')[0]
+    for number, event in enumerate(events):
+        head = event.partition('\n')[0]
+        assert head.endswith(f'.{number}')
+        if number < count:
+            assert tokens.token_text(name, number) in event
+            assert f'"id":"{name}"' in event
+    if outcome == 'whole':
+        assert len(events) == count + 1
+
+
+@pytest.mark.parametrize('seed', range(6))
+async def test_each_caller_gets_its_own_answer_or_an_error(
+    world, body, fault, eventually, seed
+):
+    """Guards against faults that only meet under load (P1, P2)."""
+    rng = random.Random(seed)
+    engines = [await world.add_engine(f'e{i}', seed=i) for i in range(3)]
+    instances = [
+        await world.add_instance(
+            f'i{i}',
+            stall_timeout_s=0.1,
+            first_token_timeout_s=0.5,
+            retry_ratio=1.0,
+        )
+        for i in range(2)
+    ]
+    for instance in instances:
+        instance.scheduler.rng = rng
+    for engine in engines:
+        _inject(engine, fault, rng)
+    world.timer.call_after(0.3, engines[0].die)
+    counts = [rng.randint(1, 40) for _ in range(REQUESTS)]
+    results = await asyncio.gather(
+        *(_play(instances, body, rng, count) for count in counts),
+        return_exceptions=True,
+    )
+    outcomes = []
+    for result, count in zip(results, counts, strict=True):
+        assert not isinstance(result, aiohttp.ClientError), result
+        _check(*result, count)
+        outcomes.append(result[1])
+    assert outcomes.count('whole') > REQUESTS / 2
+    for instance in instances:
+        await eventually(lambda i=instance: i.parts.in_flight.count == 0)
+        dispatcher = instance.parts.dispatcher
+        await eventually(lambda d=dispatcher: d.attempts_running == 0)
