Relax the bound on step time for requests that have waited

A request that has waited half a second misses its first-token objective in any case. Holding it back further only moves the delay: long work waited up to 27 s while targets were slow. The bound now doubles over a further 6 s. The cost of another zone rises to 20 ms, because a stream between zones also stalls when the zones are cut off from each other.

--- a/packages/core/src/dotterelweir_core/policy/admission.py
+++ b/packages/core/src/dotterelweir_core/policy/admission.py
@@ -54,6 +54,7 @@
     load: Load,
     need: float,
     band: int,
+    waited_s: float,
     settings: policy_settings.PolicySettings,
     now_s: float,
 ) -> str | None:
@@ -65,6 +66,7 @@
         load: Its projected load.
         need: Tokens that the request is expected to hold.
         band: Band of the request's expected output.
+        waited_s: How long the request has waited at the entry.
         settings: Settings of the policy.
         now_s: Now.
     """
@@ -93,6 +95,8 @@
         bound_s = (
             settings.step_fill_max[row] * settings.inter_token_objective_s
         )
+        late_s = max(0.0, waited_s - settings.step_relax_after_s)
+        bound_s *= 1.0 + late_s / settings.step_relax_s
         if load.step_s + pool.fit.slope_s > bound_s:
             return 'batch too large'
     return None
--- a/packages/core/src/dotterelweir_core/policy/placement.py
+++ b/packages/core/src/dotterelweir_core/policy/placement.py
@@ -87,6 +87,7 @@
                 load,
                 request.need,
                 request.band,
+                now_s - request.item.arrived_s,
                 self._settings,
                 now_s,
             )
@@ -112,6 +113,7 @@
                 load,
                 request.need,
                 request.band,
+                now_s - request.item.arrived_s,
                 self._settings,
                 now_s,
             )
--- a/packages/core/src/dotterelweir_core/policy/settings.py
+++ b/packages/core/src/dotterelweir_core/policy/settings.py
@@ -53,6 +53,9 @@
         step_fill_max: Largest predicted mean time between tokens as a share
             of the objective, by band. Prefill of other prompts comes on
             top of it.
+        step_relax_after_s: Wait after which the bound on the step time of a
+            request is relaxed: its first token is late already.
+        step_relax_s: Further wait that doubles the bound.
         in_flight_max: Most requests of this instance at one target that
             reports no memory.
         short_tokens: Output up to which work counts as short.
@@ -80,10 +83,12 @@
     rest_share: float = 0.5
     inter_token_objective_s: float = 0.059
     step_fill_max: tuple[float, float, float] = (0.85, 0.77, 0.72)
+    step_relax_after_s: float = 0.5
+    step_relax_s: float = 6.0
     in_flight_max: int = 256
     short_tokens: int = 64
     output_tokens_default: int = 256
-    zone_cost_s: float = 0.002
+    zone_cost_s: float = 0.02
     prefill_s_per_token: float = 3e-5
     prefix_bonus_max_s: float = 0.05
     prefix_index_max: int = 4_096
