Add failure detection and dissemination between instances

Cause: instances have to know each other, who is ahead in configuration, which targets are leaving and how loaded targets of their zone are, without a coordination service and at a constant cost per node. Ruled out: waiting for the piggybacked rounds with news of leaving targets (about six periods of 0.5 s for 53 members, which with the poll exceeds 3 s), so such news is pushed to 4 members at once and passed on at first receipt; a fixed share of each datagram (it wastes bytes when idle and starves news in a wave), so a token bucket bounds the average; believing claims of a member that is dead here (an instance that hears nothing then blames everybody).

--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/datagrams.py
@@ -0,0 +1,256 @@
+"""A group of instances on an in-memory datagram network in virtual time."""
+
+from collections import Counter
+from collections.abc import Callable
+import random
+
+import attrs
+
+from dotterelweir_core import timers
+from dotterelweir_core.membership import messages
+from dotterelweir_core.membership import options as options_module
+from dotterelweir_core.membership import state
+
+Encode = Callable[[str, messages.Datagram], bytes]
+Decode = Callable[[str, bytes], messages.Datagram | None]
+
+# Headers of IPv4 and UDP, which the byte counts include.
+HEADER_BYTES = 28
+
+
+@attrs.define
+class Faults:
+    """What the network does to datagrams.
+
+    Attributes:
+        loss: Part of the datagrams that are lost.
+        duplication: Part of the datagrams that arrive twice.
+        delay_s: Least and most delay; a spread reorders datagrams.
+        cuts: Pairs of sender and receiver between which all is lost.
+    """
+
+    loss: float = 0.0
+    duplication: float = 0.0
+    delay_s: tuple[float, float] = (0.0005, 0.002)
+    cuts: set[tuple[str, str]] = attrs.field(factory=set)
+
+    def partition(self, left: list[str], right: list[str]) -> None:
+        """Cuts two sets of instances off from each other."""
+        for one in left:
+            for other in right:
+                self.cuts |= {(one, other), (other, one)}
+
+
+@attrs.define(eq=False)
+class Node:
+    """One instance of the group.
+
+    Attributes:
+        name: Name of the instance.
+        machine: Its state machine.
+        effects: Time and effect of everything but datagrams.
+        sent_bytes: Bytes sent, with headers.
+        received_bytes: Bytes received, with headers.
+        cpu_s: Time spent in the state machine and the codec.
+    """
+
+    name: str
+    machine: state.Membership
+    effects: list[tuple[float, object]] = attrs.field(factory=list)
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    cpu_s: float = 0.0
+    wakeup: timers.TimerHandle | None = None
+
+    def times(self, kind: type, **fields: object) -> list[float]:
+        """When effects with these fields happened."""
+        return [
+            at_s
+            for at_s, effect in self.effects
+            if isinstance(effect, kind)
+            and all(getattr(effect, k) == v for k, v in fields.items())
+        ]
+
+    def times_of_state(
+        self, name: str, member_state: messages.MemberState
+    ) -> list[float]:
+        """When this instance saw a member enter a state."""
+        return [
+            at_s
+            for at_s, effect in self.effects
+            if isinstance(effect, options_module.MemberChanged)
+            and effect.member.member_id == name
+            and effect.member.state == member_state
+        ]
+
+
+class Group:
+    """Instances that talk over the network double."""
+
+    def __init__(
+        self,
+        seed: int,
+        zones: int = 1,
+        options: options_module.Options | None = None,
+        encode: Encode | None = None,
+        decode: Decode | None = None,
+        cpu_clock: Callable[[], float] = lambda: 0.0,
+    ) -> None:
+        """Makes an empty group.
+
+        Args:
+            seed: Seed of all random choices.
+            zones: Number of zones that instances are spread over.
+            options: Numbers of the protocol.
+            encode: Codec; None passes the objects on as they are.
+            decode: Codec.
+            cpu_clock: Clock for the time spent in the instances.
+        """
+        self.timer = timers.VirtualTimerService()
+        self.rng = random.Random(seed)
+        self.faults = Faults()
+        self.nodes: dict[str, Node] = {}
+        self.kinds: Counter[str] = Counter()
+        self.zones = zones
+        self.cpu_clock = cpu_clock
+        self._options = options or options_module.Options()
+        self._encode = encode
+        self._decode = decode
+        self._addresses: dict[tuple[str, int], str] = {}
+        self._starts = 0
+
+    @property
+    def now_s(self) -> float:
+        """The virtual time."""
+        return self.timer.monotonic_s()
+
+    def contact(self, index: int) -> options_module.Contact:
+        """The address of an instance."""
+        host = f'10.0.{index // 250}.{index % 250 + 1}'
+        return options_module.Contact(host, 7000, f'instance-{index:04d}')
+
+    def start(self, index: int, contacts: list[int]) -> Node:
+        """Starts an instance, or starts it again with no memory."""
+        self._starts += 1
+        contact = self.contact(index)
+        own = messages.Member(
+            contact.member_id,
+            f'zone-{index % self.zones}',
+            contact.host,
+            contact.port,
+            int(self.timer.wall_s() * 1000),
+        )
+        machine = state.Membership(
+            own,
+            self._options,
+            random.Random(self.rng.getrandbits(64)),
+            self.now_s,
+        )
+        machine.set_contacts(self.contact(other) for other in contacts)
+        self.stop(contact.member_id)
+        node = Node(contact.member_id, machine)
+        self.nodes[node.name] = node
+        self._addresses[contact.host, contact.port] = node.name
+        self._schedule(node)
+        return node
+
+    def start_many(self, count: int) -> list[Node]:
+        """Starts instances that all find each other in the list."""
+        indices = list(range(count))
+        return [self.start(index, indices) for index in indices]
+
+    def stop(self, name: str) -> None:
+        """Ends an instance without notice."""
+        node = self.nodes.pop(name, None)
+        if node is not None and node.wakeup is not None:
+            node.wakeup.cancel()
+
+    def run(self, seconds: float) -> None:
+        """Moves time forward."""
+        self.timer.advance(seconds)
+
+    def run_until(self, done: Callable[[], bool], limit_s: float) -> float:
+        """Moves time forward until a condition holds; returns how long."""
+        begin_s = self.now_s
+        while not done():
+            if self.now_s - begin_s > limit_s:
+                raise AssertionError(f'not done within {limit_s} s')
+            self.timer.advance(0.05)
+        return self.now_s - begin_s
+
+    def complete(self) -> bool:
+        """Whether every instance sees exactly the running ones as live."""
+        names = set(self.nodes)
+        return all(
+            set(node.machine.live_ids()) == names
+            for node in self.nodes.values()
+        )
+
+    def take(self, node: Node, effects: list[options_module.Effect]) -> None:
+        """Carries out effects of an instance."""
+        for effect in effects:
+            if isinstance(effect, options_module.Send):
+                self._send(node, effect)
+            else:
+                node.effects.append((self.now_s, effect))
+        self._schedule(node)
+
+    def _schedule(self, node: Node) -> None:
+        if self.nodes.get(node.name) is not node:
+            return
+        if node.wakeup is not None:
+            node.wakeup.cancel()
+        delay_s = node.machine.next_wakeup_s() - self.now_s
+        node.wakeup = self.timer.call_after(
+            min(max(0.0, delay_s), 3600.0), lambda: self._tick(node)
+        )
+
+    def _tick(self, node: Node) -> None:
+        begin_s = self.cpu_clock()
+        effects = node.machine.tick(self.now_s)
+        node.cpu_s += self.cpu_clock() - begin_s
+        self.take(node, effects)
+
+    def _send(self, node: Node, send: options_module.Send) -> None:
+        self.kinds[send.datagram.kind.name] += 1
+        payload: bytes | messages.Datagram = send.datagram
+        if self._encode is not None:
+            begin_s = self.cpu_clock()
+            payload = self._encode(node.name, send.datagram)
+            node.cpu_s += self.cpu_clock() - begin_s
+            node.sent_bytes += len(payload) + HEADER_BYTES
+        receiver = self._addresses.get((send.host, send.port))
+        if receiver is None or (node.name, receiver) in self.faults.cuts:
+            return
+        if self.rng.random() < self.faults.loss:
+            return
+        copies = 2 if self.rng.random() < self.faults.duplication else 1
+        own = node.machine.own
+        for _ in range(copies):
+            self.timer.call_after(
+                self.rng.uniform(*self.faults.delay_s),
+                lambda: self._deliver(receiver, payload, own.host, own.port),
+            )
+
+    def _deliver(
+        self,
+        receiver: str,
+        payload: bytes | messages.Datagram,
+        host: str,
+        port: int,
+    ) -> None:
+        node = self.nodes.get(receiver)
+        if node is None:
+            return
+        begin_s = self.cpu_clock()
+        datagram: messages.Datagram | None
+        if isinstance(payload, bytes):
+            node.received_bytes += len(payload) + HEADER_BYTES
+            datagram = self._decode(node.name, payload)
+        else:
+            datagram = payload
+        effects = []
+        if datagram is not None:
+            effects = node.machine.receive(datagram, host, port, self.now_s)
+        node.cpu_s += self.cpu_clock() - begin_s
+        self.take(node, effects)
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/membership/broadcasts.py
@@ -0,0 +1,137 @@
+"""Queues of updates that ride on other datagrams, and their budget."""
+
+from collections.abc import Hashable
+
+import attrs
+
+from dotterelweir_core.membership import messages
+
+
+@attrs.define
+class _Queued:
+    update: messages.Member | messages.Leaving
+    size_bytes: int
+    sent: int = 0
+
+
+class Broadcasts:
+    """Updates, each sent a bounded number of times, newest news first.
+
+    A newer update about the same subject replaces the older one.
+    """
+
+    def __init__(self) -> None:
+        self._queued: dict[Hashable, _Queued] = {}
+
+    def __len__(self) -> int:
+        return len(self._queued)
+
+    def add(self, update: messages.Member | messages.Leaving) -> None:
+        """Queues an update."""
+        match update:
+            case messages.Member():
+                key: Hashable = update.member_id
+                size = messages.member_bytes(update)
+            case messages.Leaving():
+                key = (update.target_id, update.incarnation)
+                size = messages.leaving_bytes(update)
+        self._queued.pop(key, None)
+        self._queued[key] = _Queued(update, size)
+
+    def leaving(self) -> tuple[int, int]:
+        """Queued leaving targets: how many, and how many were never sent."""
+        queued = [
+            queued.sent
+            for queued in self._queued.values()
+            if isinstance(queued.update, messages.Leaving)
+        ]
+        return len(queued), queued.count(0)
+
+    def take(
+        self, limit_bytes: int, leaving_bytes: int, limit_sends: int
+    ) -> tuple[list[messages.Member], list[messages.Leaving], int]:
+        """Takes the updates of one datagram.
+
+        Args:
+            limit_bytes: Most bytes in all.
+            leaving_bytes: Most bytes of leaving targets; may be more.
+            limit_sends: How often each update is sent in all. Leaving
+                targets get four more, because one fan-out uses them up.
+
+        Returns:
+            Records of members, leaving targets, and their size in bytes.
+        """
+        members: list[messages.Member] = []
+        leaving: list[messages.Leaving] = []
+        used = 0
+        if not self._queued:
+            return members, leaving, used
+        # The newest first within each rank.
+        ordered = sorted(
+            reversed(self._queued.items()),
+            key=lambda row: (_rank(row[1].update), row[1].sent),
+        )
+        for key, queued in ordered:
+            room = limit_bytes
+            if isinstance(queued.update, messages.Leaving):
+                room = leaving_bytes
+            if used + queued.size_bytes > room:
+                continue
+            used += queued.size_bytes
+            queued.sent += 1
+            match queued.update:
+                case messages.Member() as member:
+                    members.append(member)
+                    limit = limit_sends
+                case messages.Leaving() as news:
+                    leaving.append(news)
+                    limit = limit_sends + 4
+            if queued.sent >= limit:
+                del self._queued[key]
+        return members, leaving, used
+
+
+def _rank(update: messages.Member | messages.Leaving) -> int:
+    # Leaving targets have to be known within 3 s. Failures come before
+    # joins, which pages of the full state tell of as well; when a large
+    # group starts, joins fill the queue for a minute.
+    match update:
+        case messages.Leaving():
+            return 0
+        case messages.Member(state=messages.MemberState.ALIVE):
+            return 2
+        case _:
+            return 1
+
+
+@attrs.define
+class Budget:
+    """A token bucket of bytes to send.
+
+    Attributes:
+        rate_bytes_per_s: Average rate.
+        burst_bytes: Most bytes at once.
+    """
+
+    rate_bytes_per_s: float
+    burst_bytes: float
+    _tokens: float = attrs.field(init=False)
+    _updated_s: float | None = attrs.field(default=None, init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self._tokens = self.burst_bytes
+
+    def available(self, now_s: float) -> int:
+        """Bytes that may be sent now; negative while in debt."""
+        if self._updated_s is not None:
+            elapsed_s = max(0.0, now_s - self._updated_s)
+            self._tokens = min(
+                self.burst_bytes,
+                self._tokens + elapsed_s * self.rate_bytes_per_s,
+            )
+        self._updated_s = now_s
+        return int(self._tokens)
+
+    def spend(self, size_bytes: int) -> None:
+        """Takes bytes; probes may run into a debt of one burst."""
+        self._tokens = max(-self.burst_bytes, self._tokens - size_bytes)
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/membership/dissemination.py
@@ -0,0 +1,212 @@
+"""What is told to peers: updates, leaving targets and load reports."""
+
+import math
+import random
+
+import attrs
+
+from dotterelweir_core.membership import broadcasts
+from dotterelweir_core.membership import messages
+from dotterelweir_core.membership import options as options_module
+from dotterelweir_core.targets import model
+
+_INTEGER_END = 2**63
+# Cursor from which a page has leaving targets only.
+LEAVING_START = 't/'
+# Leaving targets in one datagram when the budget is used up.
+DEBT_BYTES = 600
+
+
+def encodable(target_id: str, incarnation: int) -> bool:
+    """Whether the names of a target fit into a datagram."""
+    return (
+        len(target_id.encode(errors='replace')) <= messages.NAME_MAX_BYTES
+        and 0 <= incarnation < _INTEGER_END
+    )
+
+
+class Dissemination:
+    """Chooses the payload of each datagram within the budget."""
+
+    def __init__(
+        self, options: options_module.Options, rng: random.Random
+    ) -> None:
+        self._options = options
+        self._rng = rng
+        self._leaving: dict[messages.Leaving, float] = {}
+        self._own_reports: dict[str, tuple[model.LoadReport, float]] = {}
+        self._peer_reports: dict[str, tuple[model.LoadReport, float]] = {}
+        self.budget = broadcasts.Budget(
+            options.rate_bytes_per_s, options.burst_bytes
+        )
+        self.updates = broadcasts.Broadcasts()
+
+    @property
+    def leaving(self) -> tuple[messages.Leaving, ...]:
+        """Leaving targets, oldest news first."""
+        return tuple(self._leaving)
+
+    def add_leaving(self, news: messages.Leaving, now_s: float) -> bool:
+        """Takes news of a leaving target; returns whether it was new."""
+        if news in self._leaving or not encodable(
+            news.target_id, news.incarnation
+        ):
+            return False
+        self._leaving[news] = now_s
+        while len(self._leaving) > self._options.leaving_max:
+            del self._leaving[next(iter(self._leaving))]
+        self.updates.add(news)
+        return True
+
+    def add_own_report(self, report: model.LoadReport, now_s: float) -> None:
+        """Takes a report that this instance has read."""
+        if encodable(report.target_id, report.incarnation):
+            entry = (messages.compact(report), now_s)
+            self._own_reports[report.target_id] = entry
+
+    def add_peer_report(self, report: model.LoadReport, now_s: float) -> bool:
+        """Takes a peer's report; returns whether it is newer."""
+        for reports in (self._own_reports, self._peer_reports):
+            known, _ = reports.get(report.target_id, (None, 0.0))
+            if known and known.measured_at_s >= report.measured_at_s:
+                return False
+        self._peer_reports[report.target_id] = (report, now_s)
+        return True
+
+    def forget(self, now_s: float) -> None:
+        """Drops what is too old to be told."""
+        before_s = now_s - self._options.retention_s
+        for news, learned_s in list(self._leaving.items()):
+            if learned_s >= before_s:
+                break
+            del self._leaving[news]
+        before_s = now_s - self._options.report_age_s
+        for reports in (self._own_reports, self._peer_reports):
+            for name, (_, learned_s) in list(reports.items()):
+                if learned_s < before_s:
+                    del reports[name]
+
+    def fill(
+        self,
+        datagram: messages.Datagram,
+        first: list[messages.Member],
+        live_count: int,
+        now_s: float,
+    ) -> messages.Datagram:
+        """Adds records that must go along, then queued updates.
+
+        Args:
+            datagram: The datagram, whose lists are replaced.
+            first: Records that go along whatever the budget.
+            live_count: Number of live members.
+            now_s: The time.
+        """
+        size = messages.header_bytes(datagram)
+        size += sum(messages.member_bytes(member) for member in first)
+        available = self.budget.available(now_s)
+        room = messages.DATAGRAM_MAX_BYTES - size
+        # Leaving targets may run the budget into a debt of one burst, so
+        # that a wave of restarts does not hold them up.
+        in_debt = available <= -self._options.burst_bytes
+        leaving_room = min(room, DEBT_BYTES) if in_debt else room
+        limit = self._options.retransmissions * math.ceil(
+            math.log10(live_count + 2)
+        )
+        members, leaving, used = self.updates.take(
+            min(room, available - size), leaving_room, limit
+        )
+        self.budget.spend(size + used)
+        names = {member.member_id for member in first}
+        return attrs.evolve(
+            datagram,
+            members=(
+                *first,
+                *(m for m in members if m.member_id not in names),
+            ),
+            leaving=tuple(leaving),
+        )
+
+    def with_reports(
+        self, datagram: messages.Datagram, now_s: float
+    ) -> messages.Datagram | None:
+        """Adds load reports, this instance's own first.
+
+        Returns:
+            The datagram, or None if there is no report or no budget.
+        """
+        chosen: list[model.LoadReport] = []
+        size = messages.header_bytes(datagram)
+        end = min(
+            size + self._options.report_bytes,
+            messages.DATAGRAM_MAX_BYTES,
+            # Half of the burst stays free for news of members and targets.
+            self.budget.available(now_s) - int(self._options.burst_bytes / 2),
+        )
+        for reports in (self._own_reports, self._peer_reports):
+            fresh = [
+                report
+                for report, learned_s in reports.values()
+                if now_s - learned_s <= self._options.report_age_s
+            ]
+            self._rng.shuffle(fresh)
+            for report in fresh:
+                cost = messages.report_bytes(report)
+                if size + cost > end:
+                    break
+                size += cost
+                chosen.append(report)
+        if not chosen:
+            return None
+        self.budget.spend(size)
+        return attrs.evolve(datagram, reports=tuple(chosen))
+
+
+def page(
+    datagram: messages.Datagram,
+    members: list[messages.Member],
+    leaving: tuple[messages.Leaving, ...],
+    cursor: str,
+) -> messages.Datagram:
+    """Fills one page of the full state.
+
+    Args:
+        datagram: The datagram, whose lists and cursor are replaced.
+        members: All records.
+        leaving: All leaving targets.
+        cursor: Last item of the page before; empty for the first page.
+    """
+    items: list[tuple[str, messages.Member | messages.Leaving]] = [
+        *((f'm/{member.member_id}', member) for member in members),
+        *(
+            (f't/{news.target_id}/{news.incarnation}', news)
+            for news in leaving
+        ),
+    ]
+    chosen_members = []
+    chosen_leaving = []
+    size = messages.header_bytes(datagram) + 2 * messages.NAME_MAX_BYTES
+    last = ''
+    for key, item in sorted(items, key=lambda row: row[0]):
+        if key <= cursor:
+            continue
+        match item:
+            case messages.Member():
+                size += messages.member_bytes(item)
+            case messages.Leaving():
+                size += messages.leaving_bytes(item)
+        if size > messages.DATAGRAM_MAX_BYTES:
+            break
+        last = key
+        match item:
+            case messages.Member():
+                chosen_members.append(item)
+            case messages.Leaving():
+                chosen_leaving.append(item)
+    else:
+        last = ''
+    return attrs.evolve(
+        datagram,
+        cursor=last,
+        members=tuple(chosen_members),
+        leaving=tuple(chosen_leaving),
+    )
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/membership/members.py
@@ -0,0 +1,114 @@
+"""The table of members and the rule that merges their records."""
+
+import random
+
+from dotterelweir_core.membership import messages
+
+ALIVE = messages.MemberState.ALIVE
+SUSPECT = messages.MemberState.SUSPECT
+DEAD = messages.MemberState.DEAD
+
+
+class MemberTable:
+    """Every other instance that this one knows of."""
+
+    def __init__(self) -> None:
+        self._members: dict[str, messages.Member] = {}
+        self._changed_s: dict[str, float] = {}
+        self._usable: list[str] | None = None
+        self._dead: list[str] | None = None
+        self._round: list[str] = []
+        self.suspected_s: dict[str, float] = {}
+
+    def get(self, member_id: str) -> messages.Member | None:
+        """The record of a member."""
+        return self._members.get(member_id)
+
+    def all(self) -> tuple[messages.Member, ...]:
+        """Every record, whatever its state."""
+        return tuple(self._members.values())
+
+    def usable(self) -> list[str]:
+        """Names of members that are alive or suspected."""
+        if self._usable is None:
+            self._usable = [
+                member.member_id
+                for member in self._members.values()
+                if member.state <= SUSPECT
+            ]
+        return self._usable
+
+    def dead(self) -> list[str]:
+        """Names of members that are dead and did not leave."""
+        if self._dead is None:
+            self._dead = [
+                member.member_id
+                for member in self._members.values()
+                if member.state == DEAD
+            ]
+        return self._dead
+
+    def merge(self, member: messages.Member, now_s: float) -> bool:
+        """Takes a record; returns whether it replaced the known one."""
+        known = self._members.get(member.member_id)
+        if known is not None and known.precedence >= member.precedence:
+            return False
+        name = member.member_id
+        self._members[name] = member
+        self._changed_s[name] = now_s
+        if member.state == SUSPECT:
+            self.suspected_s.setdefault(name, now_s)
+            if known is not None and known.incarnation < member.incarnation:
+                self.suspected_s[name] = now_s
+        else:
+            self.suspected_s.pop(name, None)
+        if known is None or (known.state <= SUSPECT) != (
+            member.state <= SUSPECT
+        ):
+            self._usable = None
+        self._dead = None
+        return True
+
+    def next_in_round(self, rng: random.Random) -> messages.Member | None:
+        """The next member to probe.
+
+        Each round is a shuffle of all members, so that the time until a
+        member is probed again is bounded.
+        """
+        for _ in range(2):
+            while self._round:
+                member = self._members.get(self._round.pop())
+                if member is not None and member.state <= SUSPECT:
+                    return member
+            self._round = list(self.usable())
+            rng.shuffle(self._round)
+        return None
+
+    def sample(
+        self,
+        rng: random.Random,
+        count: int,
+        excluded: str = '',
+        zone: str = '',
+    ) -> list[messages.Member]:
+        """Random live members.
+
+        Args:
+            rng: Random source.
+            count: Most members.
+            excluded: Name of a member that is not wanted.
+            zone: Zone of the members; any if empty.
+        """
+        names = self.usable()
+        if zone:
+            names = [n for n in names if self._members[n].zone == zone]
+        chosen = rng.sample(names, min(count + 1, len(names)))
+        return [self._members[n] for n in chosen if n != excluded][:count]
+
+    def forget(self, before_s: float) -> None:
+        """Drops dead and left members that changed before a time."""
+        for name, member in list(self._members.items()):
+            if member.state > SUSPECT and self._changed_s[name] < before_s:
+                del self._members[name]
+                del self._changed_s[name]
+                self._dead = None
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/membership/probes.py
@@ -0,0 +1,223 @@
+"""Probes, suspicion and death."""
+
+import math
+
+import attrs
+
+from dotterelweir_core.membership import messages
+from dotterelweir_core.membership import node as node_module
+from dotterelweir_core.membership import options as options_module
+
+ALIVE = messages.MemberState.ALIVE
+SUSPECT = messages.MemberState.SUSPECT
+DEAD = messages.MemberState.DEAD
+Kind = messages.Kind
+
+# A relayed probe is forgotten after this many periods.
+RELAY_PERIODS = 4.0
+RELAYS_MAX = 256
+
+
+@attrs.define
+class _Probe:
+    member_id: str
+    probe_id: int
+    started_s: float
+    answered: bool = False
+    indirect: bool = False
+
+
+@attrs.frozen
+class _Relay:
+    contact: options_module.Contact
+    probe_id: int
+    expires_s: float
+
+
+class Prober:
+    """Probes one member per period and times suspicions out."""
+
+    def __init__(self, node: node_module.Node, now_s: float) -> None:
+        self._node = node
+        self._options = node.options
+        self._probe: _Probe | None = None
+        self._due_s = now_s + node.rng.uniform(0.0, self._options.period_s)
+        self._raised: set[str] = set()
+        self._relays: dict[int, _Relay] = {}
+        self._ticked_s = now_s
+        self._stopped = False
+
+    @property
+    def due_s(self) -> float:
+        """When ``advance`` has something to do."""
+        if self._stopped:
+            return math.inf
+        due_s = self._due_s
+        probe = self._probe
+        if probe is not None and not (probe.answered or probe.indirect):
+            due_s = min(due_s, probe.started_s + self._ack_timeout_s)
+        suspected_s = self._node.table.suspected_s
+        if suspected_s:
+            due_s = min(due_s, min(suspected_s.values()) + self._suspicion_s)
+        return due_s
+
+    def stop(self) -> None:
+        """Ends all further probes; others are still answered."""
+        self._stopped = True
+
+    def advance(self, now_s: float) -> None:
+        """Does what is due."""
+        if self._stopped:
+            return
+        self._forgive_pause(now_s)
+        probe = self._probe
+        if (
+            probe is not None
+            and not (probe.answered or probe.indirect)
+            and now_s >= probe.started_s + self._ack_timeout_s
+        ):
+            self._ask_others(probe, now_s)
+        if now_s >= self._due_s:
+            self._due_s = max(
+                self._due_s + self._options.period_s,
+                now_s + self._options.period_s / 2,
+            )
+            if probe is not None and not probe.answered:
+                self._suspect(probe.member_id, now_s)
+            self._start(now_s)
+        self._bury(now_s)
+
+    def take_ack(self, datagram: messages.Datagram, now_s: float) -> None:
+        """Takes an answer, to an own probe or to a relayed one."""
+        probe = self._probe
+        if probe is not None and probe.probe_id == datagram.probe_id:
+            probe.answered = True
+        relay = self._relays.pop(datagram.probe_id, None)
+        if relay is not None:
+            self._node.send_to(
+                relay.contact, 0, Kind.ACK, now_s, probe_id=relay.probe_id
+            )
+
+    def relay(
+        self,
+        datagram: messages.Datagram,
+        contact: options_module.Contact,
+        now_s: float,
+    ) -> None:
+        """Probes a member on behalf of another one."""
+        if datagram.subject is None or len(self._relays) >= RELAYS_MAX:
+            return
+        probe_id = self._node.next_probe_id()
+        self._relays[probe_id] = _Relay(
+            contact,
+            datagram.probe_id,
+            now_s + RELAY_PERIODS * self._options.period_s,
+        )
+        self._node.send(
+            self._node.table.get(datagram.subject.member_id)
+            or datagram.subject,
+            Kind.PING,
+            now_s,
+            probe_id=probe_id,
+        )
+
+    @property
+    def _ack_timeout_s(self) -> float:
+        return self._options.period_s * self._options.ack_timeout_ratio
+
+    @property
+    def _suspicion_s(self) -> float:
+        count = len(self._node.table.usable()) + 1
+        return (
+            self._options.suspicion_periods
+            * max(1.0, math.log10(count))
+            * self._options.period_s
+        )
+
+    def _ask_others(self, probe: _Probe, now_s: float) -> None:
+        probe.indirect = True
+        subject = self._node.table.get(probe.member_id)
+        helpers = self._node.table.sample(
+            self._node.rng, self._options.indirect_probes, probe.member_id
+        )
+        for helper in helpers:
+            self._node.send(
+                helper,
+                Kind.PING_REQUEST,
+                now_s,
+                probe_id=probe.probe_id,
+                subject=subject,
+            )
+
+    def _start(self, now_s: float) -> None:
+        node = self._node
+        self._probe = None
+        member = node.table.next_in_round(node.rng)
+        probed = ''
+        if member is not None:
+            probed = member.member_id
+            self._probe = _Probe(probed, node.next_probe_id(), now_s)
+            node.send(member, Kind.PING, now_s, probe_id=self._probe.probe_id)
+        for name in self._suspects_to_ask(probed, now_s):
+            node.send(
+                node.table.get(name),
+                Kind.PING,
+                now_s,
+                probe_id=node.next_probe_id(),
+            )
+        for probe_id, relay in list(self._relays.items()):
+            if relay.expires_s < now_s:
+                del self._relays[probe_id]
+
+    def _suspects_to_ask(self, probed: str, now_s: float) -> list[str]:
+        """Suspects that are asked once more, the oldest suspicion first.
+
+        The instance that raised a suspicion asks in every period; all
+        others ask in its second half, so that no death depends on one path
+        of the refutation.
+        """
+        suspected_s = self._node.table.suspected_s
+        self._raised &= suspected_s.keys()
+        old_s = now_s - self._suspicion_s / 2
+        asked = [
+            name
+            for name, since_s in suspected_s.items()
+            if name != probed and (name in self._raised or since_s <= old_s)
+        ]
+        asked.sort(key=lambda name: (suspected_s[name], name))
+        return asked[: self._options.indirect_probes]
+
+    def _suspect(self, member_id: str, now_s: float) -> None:
+        member = self._node.table.get(member_id)
+        if member is None or member.state != ALIVE:
+            return
+        self._raised.add(member_id)
+        self._node.merge(
+            attrs.evolve(member, state=SUSPECT),
+            now_s,
+            spread=not self._node.isolated(now_s),
+        )
+
+    def _bury(self, now_s: float) -> None:
+        table = self._node.table
+        suspicion_s = self._suspicion_s
+        for name, since_s in list(table.suspected_s.items()):
+            # The same sum as in due_s: a difference may round the other way
+            # and leave a timer that is always due.
+            if since_s + suspicion_s <= now_s:
+                self._node.merge(
+                    attrs.evolve(table.get(name), state=DEAD),
+                    now_s,
+                    spread=not self._node.isolated(now_s),
+                )
+
+    def _forgive_pause(self, now_s: float) -> None:
+        """Discounts time in which this process did not run."""
+        gap_s = now_s - self._ticked_s
+        self._ticked_s = now_s
+        if gap_s > 2.0 * self._options.period_s:
+            self._probe = None
+            self._node.received_s += gap_s
+            suspected_s = self._node.table.suspected_s
+            for name in suspected_s:
+                suspected_s[name] += gap_s
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/membership/state.py
@@ -0,0 +1,239 @@
+"""The state machine of membership: messages and time in, effects out."""
+
+from collections.abc import Iterable
+import math
+import random
+
+import attrs
+
+from dotterelweir_core.membership import joining
+from dotterelweir_core.membership import messages
+from dotterelweir_core.membership import node as node_module
+from dotterelweir_core.membership import options as options_module
+from dotterelweir_core.membership import probes
+from dotterelweir_core.targets import model
+
+ALIVE = messages.MemberState.ALIVE
+SUSPECT = messages.MemberState.SUSPECT
+LEFT = messages.MemberState.LEFT
+Kind = messages.Kind
+
+# With this many leaving targets in the queue, pages are fetched as well. A
+# whole zone that leaves at once exceeds the budget of the other datagrams.
+LEAVING_WAVE = 10
+
+
+class Membership:
+    """Failure detection and dissemination, as one instance does them.
+
+    Every command takes the time in monotonic seconds and returns effects,
+    which the caller carries out in order.
+    """
+
+    def __init__(
+        self,
+        own: messages.Member,
+        options: options_module.Options,
+        rng: random.Random,
+        now_s: float,
+    ) -> None:
+        """Begins alone.
+
+        Args:
+            own: This instance; its incarnation must exceed that of earlier
+                runs, so that their records do not count against it.
+            options: Numbers of the protocol.
+            rng: Random source.
+            now_s: The time.
+        """
+        self._node = node_module.Node(own, options, rng, now_s)
+        self._prober = probes.Prober(self._node, now_s)
+        self._joiner = joining.Joiner(self._node, now_s)
+        self._options = options
+        self._report_due_s = now_s + rng.uniform(0.0, options.report_period_s)
+        self._urgent_due_s = math.inf
+
+    # Queries.
+
+    @property
+    def own(self) -> messages.Member:
+        """The record of this instance."""
+        return self._node.own
+
+    def members(self) -> tuple[messages.Member, ...]:
+        """The records of all others."""
+        return self._node.table.all()
+
+    def live_ids(self, zone: str = '') -> tuple[str, ...]:
+        """Names of live instances with this one, of one zone or of all."""
+        own = self._node.own
+        table = self._node.table
+        names = [
+            name
+            for name in table.usable()
+            if not zone or table.get(name).zone == zone
+        ]
+        if own.state == ALIVE and zone in ('', own.zone):
+            names.append(own.member_id)
+        return tuple(names)
+
+    def leaving(self) -> tuple[messages.Leaving, ...]:
+        """Every incarnation of a target known to be leaving."""
+        return self._node.told.leaving
+
+    def peers_ahead(self, offset: int) -> tuple[messages.Member, ...]:
+        """Live members with a higher configuration offset, highest first."""
+        return self._node.peers_ahead(offset)
+
+    def next_wakeup_s(self) -> float:
+        """When ``tick`` has something to do."""
+        return min(
+            self._prober.due_s,
+            self._joiner.due_s,
+            self._report_due_s,
+            self._urgent_due_s,
+        )
+
+    # Commands.
+
+    def set_contacts(self, contacts: Iterable[options_module.Contact]) -> None:
+        """Sets the addresses where peers may be: list and seeds."""
+        self._joiner.set_contacts(contacts)
+
+    def set_offset(self, offset: int) -> None:
+        """Sets the configuration offset that this instance has folded."""
+        self._node.set_offset(offset)
+
+    def announce_leaving(
+        self, target_id: str, incarnation: int, now_s: float
+    ) -> None:
+        """Tells peers that an incarnation of a target is leaving."""
+        news = messages.Leaving(target_id, incarnation)
+        if self._node.told.add_leaving(news, now_s):
+            self._set_urgent(now_s)
+
+    def announce_report(self, report: model.LoadReport, now_s: float) -> None:
+        """Takes a load report that peers in the zone are to get."""
+        self._node.told.add_own_report(report, now_s)
+
+    def leave(self, now_s: float) -> list[options_module.Effect]:
+        """Leaves the group; peers are told at once."""
+        node = self._node
+        node.own = attrs.evolve(node.own, state=LEFT)
+        self._joiner.stop()
+        self._prober.stop()
+        for member in node.table.sample(node.rng, 2 * self._options.fanout):
+            node.send(member, Kind.GOSSIP, now_s)
+        return node.drain()
+
+    def tick(self, now_s: float) -> list[options_module.Effect]:
+        """Does what is due."""
+        if self._urgent_due_s <= now_s:
+            self._urgent_due_s = math.inf
+            self._spread_urgent(now_s)
+        self._prober.advance(now_s)
+        self._joiner.advance(now_s)
+        if self._report_due_s <= now_s:
+            self._report_due_s = now_s + self._options.report_period_s
+            self._node.forget(now_s)
+            self._spread_reports(now_s)
+        return self._node.drain()
+
+    def receive(
+        self, datagram: messages.Datagram, host: str, port: int, now_s: float
+    ) -> list[options_module.Effect]:
+        """Takes a datagram.
+
+        Args:
+            datagram: The datagram, whose origin has been verified.
+            host: Address that it came from.
+            port: Port that it came from.
+            now_s: The time.
+        """
+        node = self._node
+        if datagram.sender_id == node.own.member_id:
+            return []
+        node.received_s = now_s
+        sender = node.table.get(datagram.sender_id)
+        believed = sender is None or sender.state <= SUSPECT
+        for member in datagram.members:
+            # A member that is dead here may be cut off in one direction;
+            # what it says of others is not trusted. Claims about this
+            # instance are always taken, because they have to be refuted.
+            if (
+                believed
+                or member.state in (ALIVE, LEFT)
+                or member.member_id == node.own.member_id
+            ):
+                # Pages hold what most members know already.
+                spread = datagram.kind is not Kind.SYNC
+                node.merge(member, now_s, spread)
+        for news in datagram.leaving:
+            if node.told.add_leaving(news, now_s):
+                self._set_urgent(now_s)
+                node.effects.append(
+                    options_module.TargetLeaving(
+                        news.target_id, news.incarnation
+                    )
+                )
+        for report in datagram.reports:
+            if node.told.add_peer_report(report, now_s):
+                node.effects.append(options_module.ReportReceived(report))
+        node.note_offsets(datagram)
+        self._answer(datagram, host, port, now_s)
+        return node.drain()
+
+    def _answer(
+        self, datagram: messages.Datagram, host: str, port: int, now_s: float
+    ) -> None:
+        contact = options_module.Contact(host, port, datagram.sender_id)
+        reply = Kind.GOSSIP if datagram.sender_unknown else None
+        match datagram.kind:
+            case Kind.PING:
+                reply = Kind.ACK
+            case Kind.ACK:
+                self._prober.take_ack(datagram, now_s)
+            case Kind.PING_REQUEST:
+                self._prober.relay(datagram, contact, now_s)
+            case Kind.SYNC_REQUEST:
+                self._joiner.serve_page(datagram, contact)
+            case Kind.SYNC:
+                self._joiner.take_page(datagram, now_s)
+        # An answer to a claim about this instance carries its refutation.
+        claimed = any(
+            member.member_id == self._node.own.member_id
+            for member in datagram.members
+        )
+        if reply is not None:
+            self._node.send_to(
+                contact,
+                datagram.incarnation,
+                reply,
+                now_s,
+                introduce=claimed or datagram.sender_unknown,
+                probe_id=datagram.probe_id,
+            )
+
+    def _set_urgent(self, now_s: float) -> None:
+        due_s = now_s + self._options.urgent_delay_s
+        self._urgent_due_s = min(self._urgent_due_s, due_s)
+
+    def _spread_urgent(self, now_s: float) -> None:
+        node = self._node
+        peers = node.table.sample(node.rng, self._options.fanout)
+        for member in peers:
+            node.send(member, Kind.GOSSIP, now_s)
+        queued, unsent = node.told.updates.leaving()
+        if peers and unsent:
+            self._set_urgent(now_s)
+        if queued >= LEAVING_WAVE:
+            self._joiner.fetch_leaving(now_s)
+
+    def _spread_reports(self, now_s: float) -> None:
+        node = self._node
+        for member in node.table.sample(node.rng, 1, zone=node.own.zone):
+            datagram = node.told.with_reports(node.header(Kind.GOSSIP), now_s)
+            if datagram is not None:
+                node.effects.append(
+                    options_module.Send(member.host, member.port, datagram)
+                )
--- a/packages/core/src/dotterelweir_core/targets/registry.py
+++ b/packages/core/src/dotterelweir_core/targets/registry.py
@@ -230,6 +230,17 @@
                 or entry.report.measured_at_s <= report.measured_at_s
             )
         ):
+            if source is Source.PEER and entry.report is not None:
+                # Peers pass on the load, not what is loaded.
+                report = attrs.evolve(
+                    entry.report,
+                    state=report.state,
+                    running=report.running,
+                    waiting=report.waiting,
+                    memory_used_tokens=report.memory_used_tokens,
+                    memory_total_tokens=report.memory_total_tokens,
+                    measured_at_s=report.measured_at_s,
+                )
             entry.report = report
 
     def record_answer(
--- a/packages/core/tests/targets/test_registry.py
+++ b/packages/core/tests/targets/test_registry.py
@@ -213,6 +213,17 @@
     assert [t.incarnation for t in known.targets_for(pool)] == expected
 
 
+def test_report_of_a_peer_keeps_what_is_loaded():
+    """Guards against a compact report that hides the loaded models."""
+    known = registry.TargetRegistry()
+    known.record_list([(target(), LIVE)], 0.0)
+    known.record_report(target(), report(models=('m',)), 0.5, 1.0)
+    compact = report(measured_at_s=1.0, running=4)
+    known.record_report(target(), compact, 2.0, 2.0, registry.Source.PEER)
+    assert known.status('e1').report.models == ('m',)
+    assert known.status('e1').report.running == 4
+
+
 def test_subscribers_see_each_change_once():
     """Guards against repeated or missing notifications."""
     known = registry.TargetRegistry()
