--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -101,6 +101,18 @@
     logging.ERROR,
     'An answer did not belong to its request or was out of sequence.',
 )
+CANCEL_FAILED = _event(
+    207,
+    'cancel-failed',
+    logging.WARNING,
+    'A generation that nobody can resume could not be cancelled.',
+)
+STREAM_CUT = _event(
+    208,
+    'stream-cut',
+    logging.WARNING,
+    'A stream ended before its answer was complete, by an error or handover.',
+)
 UNEXPECTED_ERROR = _event(
     299,
     'unexpected-error',
@@ -150,6 +162,49 @@
     logging.INFO,
     'The tables were restored from a checkpoint or from a peer.',
 )
+LOG_BEHIND = _event(
+    309,
+    'log-behind',
+    logging.ERROR,
+    'The log ends before the last record that was read here.',
+)
+CHECKPOINT_FAILED = _event(
+    310,
+    'checkpoint-failed',
+    logging.WARNING,
+    'A checkpoint could not be appended.',
+)
+SNAPSHOT_REJECTED = _event(
+    311,
+    'snapshot-rejected',
+    logging.WARNING,
+    'The snapshot of a peer could not be used.',
+)
+TABLES_UNAVAILABLE = _event(
+    312,
+    'tables-unavailable',
+    logging.ERROR,
+    'Neither the log nor a peer has a state to start from.',
+)
+TABLES_CALLBACK_FAILED = _event(
+    313,
+    'tables-callback-failed',
+    logging.ERROR,
+    'A subscriber to changes of the tables failed.',
+)
+INSTANCE_ROW_SKIPPED = _event(
+    314,
+    'instance-row-skipped',
+    logging.WARNING,
+    'A row of the instance list could not be read and was left out.',
+)
+# 35x: service calls, claims, leases and orders.
+SERVICE_ATTEMPT_FAILED = _event(
+    350,
+    'service-attempt-failed',
+    logging.WARNING,
+    'An attempt to call a plain service failed.',
+)
 # 4xx: targets.
 TARGET_STATE_CHANGED = _event(
     400,
