--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -236,3 +236,34 @@
     logging.DEBUG,
     'The load report of a target could not be read.',
 )
+# 6xx: peers.
+MEMBER_STATE_CHANGED = _event(
+    600,
+    'member-state-changed',
+    logging.INFO,
+    'Another instance became alive, suspected, dead or left.',
+)
+DATAGRAM_DROPPED = _event(
+    601,
+    'datagram-dropped',
+    logging.WARNING,
+    'Datagrams were dropped; one line for each reason in 10 s.',
+)
+DATAGRAM_SEND_FAILED = _event(
+    602,
+    'datagram-send-failed',
+    logging.DEBUG,
+    'The system reported that a datagram could not be sent.',
+)
+PEER_REQUEST_REJECTED = _event(
+    603,
+    'peer-request-rejected',
+    logging.WARNING,
+    'A request of a peer had no valid digest or was repeated.',
+)
+PEER_SNAPSHOT_FAILED = _event(
+    604,
+    'peer-snapshot-failed',
+    logging.WARNING,
+    'A snapshot of the tables could not be fetched from a peer.',
+)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/peers/service.py
@@ -0,0 +1,235 @@
+"""Membership of this instance on the event loop."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+import random
+
+from aiohttp import web
+import attrs
+
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.membership import messages
+from dotterelweir_core.membership import options as options_module
+from dotterelweir_core.membership import state
+from dotterelweir_core.targets import model
+from dotterelweir_platform import api as platform_api
+from dotterelweird.peers import codec
+from dotterelweird.peers import snapshots
+from dotterelweird.peers import transport
+from dotterelweird.settings import model as settings_model
+
+LOG = logging.getLogger(__name__)
+
+# Tries to find one number for both ports when the system chooses it.
+PORT_ATTEMPTS = 10
+
+
+@attrs.frozen
+class Subscribers:
+    """Who is told of what peers say.
+
+    Attributes:
+        leaving: Name and incarnation of a leaving target.
+        report: Load report that a peer has read.
+        ahead: Configuration offset above the own one that a peer has.
+        dropped: Reason of a dropped datagram.
+    """
+
+    leaving: Callable[[str, int], None] = lambda target_id, incarnation: None
+    report: Callable[[model.LoadReport], None] = lambda report: None
+    ahead: Callable[[int], None] = lambda offset: None
+    dropped: Callable[[str], None] = lambda reason: None
+
+
+class PeersService:
+    """Runs the membership protocol and serves snapshots to peers."""
+
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        rng: random.Random,
+        settings: settings_model.Settings,
+        snapshot: snapshots.Snapshot,
+        offset: Callable[[], int],
+        subscribers: Subscribers,
+    ) -> None:
+        """Is not a member until ``start`` has run.
+
+        Args:
+            timer: Source of time.
+            rng: Random source.
+            settings: Settings of this instance.
+            snapshot: Query of the snapshot that peers may fetch.
+            offset: Query of the configuration offset folded here.
+            subscribers: Who is told of what peers say.
+        """
+        self._timer = timer
+        self._rng = rng
+        self._settings = settings
+        self._offset = offset
+        self._subscribers = subscribers
+        # Rises at each start as long as the clock does not go back.
+        self._boot = int(timer.wall_s() * 1000)
+        keys = settings.peers.keys
+        self._transport = transport.PeerTransport(
+            timer,
+            codec.Codec(keys),
+            self._boot,
+            self._receive,
+            transport.DropLog(timer, subscribers.dropped),
+        )
+        self._server = snapshots.SnapshotServer(timer, keys, snapshot, offset)
+        self._runner: web.AppRunner | None = None
+        self._machine: state.Membership | None = None
+        self._wakeup: timers.TimerHandle | None = None
+        self._seeds = [
+            options_module.Contact(seed.host, seed.port)
+            for seed in settings.peers.seeds
+        ]
+        self.port = settings.peers.listen.port
+
+    async def start(self) -> None:
+        """Opens the ports and begins to join."""
+        host = self._settings.peers.listen.host
+        self._runner = web.AppRunner(self._server.app(), access_log=None)
+        await self._runner.setup()
+        await self._open_ports(host)
+        self._machine = state.Membership(
+            messages.Member(
+                self._settings.instance_id,
+                self._settings.zone,
+                host,
+                self.port,
+                self._boot,
+            ),
+            options_module.Options(period_s=self._settings.peers.period_s),
+            self._rng,
+            self._timer.monotonic_s(),
+        )
+        self._machine.set_contacts(self._seeds)
+        self._schedule()
+
+    async def stop(self) -> None:
+        """Leaves the group and closes the ports."""
+        if self._machine is not None:
+            self._take(self._machine.leave(self._timer.monotonic_s()))
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+        self._machine = None
+        self._transport.close()
+        if self._runner is not None:
+            await self._runner.cleanup()
+
+    # Queries.
+
+    def live_instances(self, zone: str = '') -> tuple[str, ...]:
+        """Names of live instances of a zone; of all if it is empty."""
+        if self._machine is None:
+            return ()
+        return self._machine.live_ids(zone)
+
+    def members(self) -> tuple[messages.Member, ...]:
+        """The records of all other instances."""
+        return () if self._machine is None else self._machine.members()
+
+    def snapshot_candidates(self, min_offset: int) -> list[tuple[str, int]]:
+        """Addresses of peers that may have a snapshot, the best first."""
+        if self._machine is None:
+            return []
+        ahead = self._machine.peers_ahead(min_offset - 1)
+        if ahead:
+            return [(member.host, member.port) for member in ahead]
+        # Right after the start no offset is known yet.
+        return [(seed.host, seed.port) for seed in self._seeds]
+
+    # Commands.
+
+    def take_list(self, rows: Iterable[platform_api.ListedInstance]) -> None:
+        """Takes the entry instances in the list; their port is the peers'."""
+        if self._machine is not None:
+            self._machine.set_contacts(
+                [
+                    options_module.Contact(
+                        row.target.host, row.target.port, row.target.target_id
+                    )
+                    for row in rows
+                    if row.state is model.TargetState.LIVE
+                ]
+                + self._seeds
+            )
+
+    def announce_leaving(self, target_id: str, incarnation: int) -> None:
+        """Tells peers that an incarnation of a target is leaving."""
+        if self._machine is not None:
+            self._machine.announce_leaving(
+                target_id, incarnation, self._timer.monotonic_s()
+            )
+            self._schedule()
+
+    def announce_report(self, report: model.LoadReport) -> None:
+        """Passes a load report to peers in the zone."""
+        if self._machine is not None:
+            self._machine.announce_report(report, self._timer.monotonic_s())
+
+    async def _open_ports(self, host: str) -> None:
+        wanted = self.port
+        for attempt in range(PORT_ATTEMPTS):
+            port = await self._transport.open(host, wanted)
+            try:
+                await web.TCPSite(self._runner, host, port).start()
+            except OSError:
+                # The system chose a datagram port whose TCP port is taken.
+                self._transport.close()
+                if wanted or attempt == PORT_ATTEMPTS - 1:
+                    raise
+            else:
+                self.port = port
+                return
+
+    def _receive(
+        self, datagram: messages.Datagram, host: str, port: int
+    ) -> None:
+        if self._machine is not None:
+            self._machine.set_offset(self._offset())
+            self._take(
+                self._machine.receive(
+                    datagram, host, port, self._timer.monotonic_s()
+                )
+            )
+
+    def _tick(self) -> None:
+        if self._machine is not None:
+            self._machine.set_offset(self._offset())
+            self._take(self._machine.tick(self._timer.monotonic_s()))
+
+    def _take(self, effects: list[options_module.Effect]) -> None:
+        for effect in effects:
+            match effect:
+                case options_module.Send(host, port, datagram):
+                    self._transport.send(datagram, host, port)
+                case options_module.MemberChanged(member):
+                    events.log(
+                        LOG,
+                        events.MEMBER_STATE_CHANGED,
+                        member_id=member.member_id,
+                        incarnation=member.incarnation,
+                        state=member.state.name.lower(),
+                    )
+                case options_module.TargetLeaving(target_id, incarnation):
+                    self._subscribers.leaving(target_id, incarnation)
+                case options_module.ReportReceived(report):
+                    self._subscribers.report(report)
+                case options_module.PeerAhead(_, offset):
+                    self._subscribers.ahead(offset)
+        self._schedule()
+
+    def _schedule(self) -> None:
+        if self._wakeup is not None:
+            self._wakeup.cancel()
+            self._wakeup = None
+        if self._machine is None or self._machine.own.state:
+            return
+        delay_s = self._machine.next_wakeup_s() - self._timer.monotonic_s()
+        self._wakeup = self._timer.call_after(max(0.0, delay_s), self._tick)
--- /dev/null
+++ b/packages/daemon/tests/peers/test_service.py
@@ -0,0 +1,194 @@
+"""Tests of the peers on loopback."""
+
+import asyncio
+import random
+import socket
+
+import aiohttp
+import pytest
+
+from dotterelweir_core import timers as core_timers
+from dotterelweir_core.targets import model
+from dotterelweird import timers
+from dotterelweird.peers import codec
+from dotterelweird.peers import service
+from dotterelweird.peers import snapshots
+from dotterelweird.peers import transport
+from dotterelweird.settings import model as settings_model
+
+KEY = 'first key of 16+ bytes'
+OTHER = 'other key of 16+ bytes'
+
+
+async def wait_for(condition, limit_s=20.0):
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + limit_s
+    while not condition():
+        assert loop.time() < end_s, 'the condition did not come true'
+        await asyncio.sleep(0.02)
+
+
+class Instance:
+    """An instance on loopback with a snapshot of one offset."""
+
+    def __init__(self, name, keys, seeds, offset):
+        self.name = name
+        self.offset = offset
+        self.leaving = []
+        self.reports = []
+        self.ahead = []
+        self.drops = []
+        settings = settings_model.Settings(
+            name,
+            'a',
+            settings_model.Platform('http://log', 'http://list'),
+            settings_model.Peers(
+                keys,
+                period_s=0.1,
+                seeds=tuple(
+                    settings_model.Address('127.0.0.1', port) for port in seeds
+                ),
+            ),
+        )
+        timer = timers.LoopTimerService(asyncio.get_running_loop())
+        self.service = service.PeersService(
+            timer,
+            random.Random(name),
+            settings,
+            lambda: f'snapshot {self.offset}'.encode(),
+            lambda: self.offset,
+            service.Subscribers(
+                lambda *news: self.leaving.append(news),
+                self.reports.append,
+                self.ahead.append,
+                self.drops.append,
+            ),
+        )
+        self.client = snapshots.SnapshotClient(
+            timer, keys, self.service.snapshot_candidates
+        )
+
+
+@pytest.fixture
+async def start():
+    instances = []
+
+    async def begin(name, keys=(KEY,), seeds=(), offset=-1):
+        instance = Instance(name, keys, seeds, offset)
+        instances.append(instance)
+        await instance.service.start()
+        return instance
+
+    yield begin
+    for instance in instances:
+        await instance.client.close()
+        await instance.service.stop()
+
+
+async def test_instances_join_and_pass_news_on(start):
+    """Guards against wiring that loses what peers say."""
+    first = await start('i1', offset=7)
+    second = await start('i2', seeds=[first.service.port])
+    third = await start('i3', seeds=[first.service.port])
+    everyone = {'i1', 'i2', 'i3'}
+    await wait_for(
+        lambda: all(
+            set(i.service.live_instances('a')) == everyone
+            for i in (first, second, third)
+        )
+    )
+    first.service.announce_leaving('e1', 4)
+    await wait_for(lambda: second.leaving and third.leaving)
+    assert second.leaving == third.leaving == [('e1', 4)]
+    first.service.announce_report(model.LoadReport('e2', 4, running=3))
+    await wait_for(lambda: second.reports or third.reports)
+    await wait_for(lambda: second.ahead == [7] and third.ahead == [7])
+    await second.service.stop()
+    await wait_for(lambda: set(first.service.live_instances()) == {'i1', 'i3'})
+
+
+async def test_snapshot_from_a_peer_that_is_ahead(start):
+    """Guards against an instance that is behind and cannot catch up."""
+    first = await start('i1', offset=7)
+    second = await start('i2', seeds=[first.service.port])
+    assert await second.client.fetch_snapshot(7) == b'snapshot 7'
+    assert await second.client.fetch_snapshot(8) is None
+    await wait_for(lambda: second.ahead == [7])
+    assert await second.client.fetch_snapshot(7) == b'snapshot 7'
+    assert await first.client.fetch_snapshot(8) is None
+
+
+async def test_foreign_key_stays_out(start):
+    """Guards against an instance of another group that gets in."""
+    first = await start('i1', offset=7)
+    foreign = await start('i2', (OTHER,), [first.service.port])
+    await wait_for(lambda: first.drops)
+    assert set(first.drops) == {codec.Drop.DIGEST.value}
+    assert first.service.live_instances() == ('i1',)
+    assert await foreign.client.fetch_snapshot(0) is None
+    rotated = await start('i3', (OTHER, KEY), [first.service.port], 3)
+    assert await first.client.fetch_snapshot(0) is None
+    assert await rotated.client.fetch_snapshot(0) is None
+
+
+async def test_snapshot_during_key_rotation(start):
+    """Guards against a rotation that stops the exchange of tables."""
+    first = await start('i1', (KEY, OTHER), offset=7)
+    second = await start('i2', (OTHER, KEY), [first.service.port])
+    assert await second.client.fetch_snapshot(7) == b'snapshot 7'
+
+
+async def test_snapshot_request_cannot_be_repeated(start, monkeypatch):
+    """Guards against a recorded request that is served again."""
+    first = await start('i1', offset=7)
+    client = (await start('i2', seeds=[first.service.port])).client
+    sent = []
+    get = aiohttp.ClientSession.get
+
+    def record(session, url, headers):
+        sent.append((url, headers))
+        return get(session, url, headers=headers)
+
+    monkeypatch.setattr(aiohttp.ClientSession, 'get', record)
+    assert await client.fetch_snapshot(7) == b'snapshot 7'
+    url, headers = sent[0]
+    changed = {**headers, snapshots.OFFSET_HEADER: '1'}
+    missing = {k: v for k, v in headers.items() if 'Nonce' not in k}
+    odd = {**headers, snapshots.TIME_HEADER: '9' * 5000}
+    async with aiohttp.ClientSession() as session:
+        for tried in (headers, changed, missing, odd, {}):
+            async with get(session, url, headers=tried) as response:
+                assert response.status == 403
+                assert (await response.json())['code'] == 'peer-rejected'
+
+
+async def test_changed_snapshot_is_refused(start, monkeypatch):
+    """Guards against a body that does not match its digest."""
+    first = await start('i1', offset=7)
+    second = await start('i2', seeds=[first.service.port])
+    server_side = first.service._server._responses
+    monkeypatch.setattr(server_side, 'sign', lambda data: b'\0' * 16)
+    assert await second.client.fetch_snapshot(7) is None
+
+
+async def test_unreachable_peer_is_no_error(start):
+    """Guards against an exception when a peer is gone."""
+    with socket.socket() as free:
+        free.bind(('127.0.0.1', 0))
+        port = free.getsockname()[1]
+    instance = await start('i1', seeds=[port])
+    assert await instance.client.fetch_snapshot(0) is None
+
+
+def test_drops_are_logged_at_a_bounded_rate(caplog):
+    """Guards against a flood of datagrams that floods the log."""
+    timer = core_timers.VirtualTimerService()
+    counted = []
+    drops = transport.DropLog(timer, counted.append)
+    for _ in range(1000):
+        drops.add(codec.Drop.VERSION, '127.0.0.1')
+        timer.advance(0.025)
+    assert len(counted) == drops.totals[codec.Drop.VERSION] == 1000
+    counts = [record.fields['count'] for record in caplog.records]
+    assert len(counts) == 3
+    assert counts[:2] == [1, 400]
