Refuse keys that completions cannot honour; resume despite a lagging list

- An idempotency key on a route whose completions run once was ignored, so a repeat at another instance ran a second time.
It is refused, because no outcome of a stream can be replayed.
- An instance that had not yet learned of an engine's restart answered 410 to a resume, which is final.
It now asks the engine at the known address; the incarnation in the answer decides.
- A refusal during shutdown closes the connection, on which the next request would be refused too.

--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -21,6 +21,7 @@
 
 LOG = logging.getLogger(__name__)
 
+_KEY_HEADER = 'Idempotency-Key'
 _STREAMS_PATH = '/v1/streams'
 # The HTTP parser's own limit is above ours, so that a field that is too
 # large gets a problem document; beyond it the parser answers 400.
@@ -141,6 +142,13 @@
                 f'route {route.name} leads to engines, which have no such '
                 'path',
             )
+        if not route.repeatable and _KEY_HEADER in request.headers:
+            # No outcome of a stream could be replayed to a repeat.
+            raise errors.DotterelweirError(
+                errors.ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                f'route {route.name} runs completions once and takes no '
+                'idempotency key',
+            )
         return await completions.handle(
             self._parts, request, route, item, completion, body
         )
@@ -192,7 +200,11 @@
             detail=error.detail,
         )
         self._note_end(request, error.kind.value)
-        return problems.response(error, request_id)
+        response = problems.response(error, request_id)
+        if error.kind is errors.ErrorKind.SHUTTING_DOWN:
+            # The next request on this connection would be refused too.
+            response.force_close()
+        return response
 
     def _fail(self, request: web.Request) -> web.Response:
         request_id = request[requests.REQUEST_ID]
--- a/packages/daemon/src/dotterelweird/callers/streams.py
+++ b/packages/daemon/src/dotterelweird/callers/streams.py
@@ -4,6 +4,7 @@
 import logging
 
 from aiohttp import web
+import attrs
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
@@ -53,10 +54,15 @@
 ) -> reader_module.GenerationReader:
     ref = position.ref
     target = parts.find_target(ref.target_id, ref.incarnation)
-    if target is None or target.incarnation != ref.incarnation:
+    if target is None:
+        # This instance may lag behind a restart of the engine, so the
+        # engine itself is asked whether it is that incarnation.
+        target = parts.find_target(ref.target_id, None)
+    if target is None:
         raise errors.DotterelweirError(
             errors.ErrorKind.RESUME_EXPIRED, 'the engine has gone'
         )
+    target = attrs.evolve(target, incarnation=ref.incarnation)
     # The last event is asked for again: without it, an end mark that
     # follows at once could not be checked for a missing last event.
     delivery = parts.settings.delivery
--- a/packages/daemon/tests/callers/test_server.py
+++ b/packages/daemon/tests/callers/test_server.py
@@ -84,6 +84,17 @@
         assert response.headers['Retry-After'] == '3'
 
 
+async def test_a_key_that_cannot_be_honoured_is_refused(world):
+    """Guards against a repeat that runs a completion a second time."""
+    await world.add_engine()
+    for repeatable, status in ((False, 400), (True, 200)):
+        instance = await world.add_instance(route={'repeatable': repeatable})
+        async with instance.session.post(
+            CHAT, data=GOOD, headers={'Idempotency-Key': 'k'}
+        ) as response:
+            assert response.status == status
+
+
 async def test_services_and_unexpected_errors(world, caplog):
     """Guards against faults in the code that callers see as tracebacks."""
     instance = await world.add_instance()
--- a/packages/daemon/tests/callers/test_streams.py
+++ b/packages/daemon/tests/callers/test_streams.py
@@ -139,6 +139,19 @@
     assert json.loads(text)['execution'] == 'ran'
 
 
+async def test_an_instance_that_lags_behind_a_restart_resumes(world, body):
+    """Guards against a final refusal by an instance with an old list."""
+    engine = await world.add_engine('e1', incarnation=7)
+    instance = await world.add_instance()
+    async with instance.session.post(CHAT, json=body(3)) as response:
+        text = await response.text()
+    known = attrs.evolve(engine.target, incarnation=6)
+    world.engines['e1'] = attrs.evolve(engine, target=known)
+    first = text[: text.index('\n\n') + 2]
+    _, rest = await _resume(instance, _last_id(first))
+    _assert_whole(first + rest, 3)
+
+
 async def test_a_stream_is_handed_over_at_the_drain_deadline(world, body):
     """Guards against a planned stop that loses tokens (P6)."""
     await world.add_engine('e1', step_s=0.005)
