--- a/packages/daemon/tests/callers/test_streams.py
+++ b/packages/daemon/tests/callers/test_streams.py
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from dotterelweir_core import errors
 from dotterelweir_core.delivery import resume
 from dotterelweir_fakes.engine import tokens
 from dotterelweird.targets import engine as engine_client
@@ -173,6 +174,20 @@
         assert (await response.json())['execution'] == 'not run'
 
 
+async def test_a_planned_stop_without_a_deadline_cuts_nothing(world, body):
+    """Guards against a planned stop that ends streams early (P6)."""
+    await world.add_engine('e1', step_s=0.005)
+    one = await world.add_instance('i1')
+    async with one.session.post(CHAT, json=body(30)) as response:
+        text = await _read_events(response, 1)
+        one.refusing.append(errors.ErrorKind.SHUTTING_DOWN)
+        drained = asyncio.create_task(one.parts.in_flight.wait_empty())
+        assert (await _text(one, body(1)))[0] == 503
+        text += (await response.content.read()).decode()
+    _assert_whole(text, 30)
+    await asyncio.wait_for(drained, 1)
+
+
 async def test_a_stream_without_a_token_is_handed_over(
     world, body, eventually, streams
 ):
