Accept engines that write fewer headers and no finish reason

The design page gives the headers of a generation's response but not of a resumed one, and an engine may leave finish reasons out. Every stream of such an engine would have ended as incomplete. The end mark is now doubted only after a chunk whose finish reason is null, and once per position. A resumed answer is accepted by the request id or by the generation id; one with neither, or with another one, is rejected as before.

--- a/packages/core/src/dotterelweir_core/delivery/sse.py
+++ b/packages/core/src/dotterelweir_core/delivery/sse.py
@@ -72,6 +72,7 @@
         self._id_prefix = _ID + prefix
         self._rest = b''
         self._last_event = b''
+        self._doubted_at = -1
         self.next_sequence = next_sequence
         self.complete = False
         self.fault: LinkFault | None = None
@@ -176,16 +177,24 @@
             return
         # The end mark has no number as a rule, so an event that is missing
         # right before it shows only by the finish reason that it carries.
-        if self._last_event and not _is_last(self._last_event):
+        # An engine that says the same again, when it is asked for what
+        # comes after the last event, is believed.
+        doubtful = self._last_event and _wants_more(self._last_event)
+        if doubtful and self._doubted_at != self.next_sequence:
+            self._doubted_at = self.next_sequence
             self.fault = LinkFault.INCOMPLETE
             return
         self.complete = True
         out.append(_DONE)
 
 
-def _is_last(event: bytes) -> bool:
+def _wants_more(event: bytes) -> bool:
+    """Whether another event must follow: it has a finish reason of null."""
     try:
         choices = orjson.loads(event_data(event))['choices']
-        return not choices or any(c.get('finish_reason') for c in choices)
-    except (ValueError, KeyError, TypeError, AttributeError):
+        return bool(choices) and all(
+            choice['finish_reason'] is None for choice in choices
+        )
+    except (ValueError, KeyError, TypeError):
+        # An engine that does not write finish reasons cannot be judged.
         return False
--- a/packages/core/tests/delivery/test_sse.py
+++ b/packages/core/tests/delivery/test_sse.py
@@ -110,6 +110,19 @@
     assert cursor.last_event_id == b'T.1'
 
 
+def test_an_engine_that_repeats_the_end_is_believed():
+    """Guards against whole answers that never count as complete."""
+    cursor = sse.GenerationCursor(b'T.')
+    cursor.feed(_event(0) + DONE)
+    assert cursor.fault is sse.LinkFault.INCOMPLETE
+    cursor.start_link()
+    assert cursor.feed(DONE) == DONE
+    assert cursor.complete
+    plain = sse.GenerationCursor(b'T.')
+    plain.feed(b'id: 0\ndata: {"choices":[{"text":"x"}]}\n\n' + DONE)
+    assert plain.complete
+
+
 def test_an_event_without_an_end_is_not_buffered_for_ever():
     """Guards against unbounded memory for one stream."""
     cursor = sse.GenerationCursor(b'T.')
--- a/packages/daemon/src/dotterelweird/targets/engine.py
+++ b/packages/daemon/src/dotterelweird/targets/engine.py
@@ -153,7 +153,7 @@
         stream = await self._open(
             target, 'GET', path, headers, timeout_s, None
         )
-        if stream.generation_id != generation_id:
+        if stream.generation_id not in ('', generation_id):
             stream.close()
             raise _failed('the answer belongs to another generation')
         if stream.incarnation != target.incarnation:
@@ -223,10 +223,14 @@
     ) -> HttpEngineStream:
         request_id = headers['X-Request-Id']
         echo = response.headers.get('X-Request-Id')
+        resuming = 'Last-Event-ID' in headers
+        generation_id = response.headers.get('X-Generation-Id', '')
         # On a resume the generation id, which is checked too, identifies
         # the answer of an engine that echoes nothing there.
         echoed = echo == request_id or (
-            echo is None and 'Last-Event-ID' in headers
+            resuming
+            and echo is None
+            and (generation_id != '' or response.status != 200)
         )
         if not echoed:
             events.log(
@@ -244,9 +248,8 @@
                 attrs.evolve(target, incarnation=incarnation), state, asked_s
             )
         if response.status != 200:
-            raise await _refusal(response, 'Last-Event-ID' in headers)
-        generation_id = response.headers.get('X-Generation-Id', '')
-        if not generation_id:
+            raise await _refusal(response, resuming)
+        if not generation_id and not resuming:
             raise _failed('the answer names no generation')
         self._bound_reads(response)
         return HttpEngineStream(response, generation_id, incarnation, state)
--- a/packages/daemon/tests/targets/test_engine.py
+++ b/packages/daemon/tests/targets/test_engine.py
@@ -117,6 +117,7 @@
         (HEADERS, None),
         (HEADERS | {'X-Generation-Id': 'g2'}, 'target-failed'),
         (HEADERS | {'X-Request-Id': 'other'}, 'target-failed'),
+        ({'X-Incarnation': '7'}, 'target-failed'),
         (HEADERS | {'X-Incarnation': '8'}, 'resume-expired'),
     ):
         answers['next'] = (200, headers, b'')
