--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -3,6 +3,7 @@
 import click
 
 from dotterelweir_fakes import measure
+from dotterelweir_fakes import relay_cost
 from dotterelweir_fakes import service
 from dotterelweir_fakes import slopes
 from dotterelweir_fakes import slopes_membership
@@ -22,6 +23,7 @@
 main.add_command(measure.measure)
 main.add_command(pages_command.docs)
 main.add_command(platform_command.platform)
+main.add_command(relay_cost.relay_cost)
 main.add_command(service.command)
 main.add_command(slopes.slopes)
 slopes.slopes.add_command(slopes_membership.membership)
--- a/packages/daemon/src/dotterelweird/lifecycle.py
+++ b/packages/daemon/src/dotterelweird/lifecycle.py
@@ -16,6 +16,8 @@
     'stopped': events.INSTANCE_STOPPED,
 }
 
+STATES = tuple(_STATE_EVENTS)
+
 
 class Lifecycle:
     """States of an instance: starting, ready, draining, stopped.
@@ -28,7 +30,7 @@
         self._listeners: list[Callable[[str], None]] = []
         self._machine = transitions.Machine(
             model=self,
-            states=list(_STATE_EVENTS),
+            states=list(STATES),
             initial='starting',
             auto_transitions=False,
             ignore_invalid_triggers=True,
