Run the whole path as separate processes

Cause: the parts existed side by side; nothing wired them into one process. Ruled out: a composition that starts parts by import side effects. Before and after: no request could be served end to end before.

--- a/fakes/src/dotterelweir_fakes/demo/cluster.py
+++ b/fakes/src/dotterelweir_fakes/demo/cluster.py
@@ -11,7 +11,6 @@
 from dotterelweir_fakes.load import workload
 
 _PEER_KEY = 'demo-key-0123456789abcdef'
-INSTANCES = 6
 
 
 @attrs.define
@@ -42,7 +41,17 @@
         group: processes.ProcessGroup,
         http: aiohttp.ClientSession,
         seed: int,
+        overrides: dict[str, object] | None = None,
     ) -> None:
+        """Makes a cluster; ``start`` starts its processes.
+
+        Args:
+            deployment: Names and sizes.
+            group: Owner of the processes.
+            http: HTTP session.
+            seed: Seed of every process.
+            overrides: Top-level settings of every instance to replace.
+        """
         self.deployment = deployment
         self.platform_url = ''
         self.instances: list[Instance] = []
@@ -51,9 +60,10 @@
         self._group = group
         self._http = http
         self._seed = seed
+        self._overrides = overrides or {}
         self._incarnations = 0
 
-    async def start(self) -> None:
+    async def start(self, instances: int = 6) -> None:
         """Starts the platform, all targets and all instances."""
         await self.start_platform()
         await asyncio.gather(
@@ -63,7 +73,7 @@
         await asyncio.gather(
             *(
                 self.start_instance(f'entry-{index + 1}', index)
-                for index in range(INSTANCES)
+                for index in range(instances)
             )
         )
 
@@ -103,18 +113,12 @@
         self.service_urls.append(f'http://127.0.0.1:{port}')
         return child
 
-    async def start_instance(
-        self,
-        instance_id: str,
-        index: int,
-        overrides: dict[str, object] | None = None,
-    ) -> Instance:
+    async def start_instance(self, instance_id: str, index: int) -> Instance:
         """Starts an entry instance.
 
         Args:
             instance_id: Its name.
             index: Chooses the zone.
-            overrides: Top-level settings to replace.
         """
         caller_port, admin_port, peer_port = processes.free_ports(3)
         zone = self._zone(index)
@@ -133,7 +137,7 @@
             'callers': {'listen': {'port': caller_port}},
             'admin_listen': {'port': admin_port},
             'seed': self._seed * 1000 + index,
-            **(overrides or {}),
+            **self._overrides,
         }
         path = self._group.directory / f'{instance_id}.json5'
         path.write_bytes(orjson.dumps(settings, option=orjson.OPT_INDENT_2))
--- a/fakes/src/dotterelweir_fakes/demo/processes.py
+++ b/fakes/src/dotterelweir_fakes/demo/processes.py
@@ -1,6 +1,7 @@
 """Child processes of the demo and of tests with real processes."""
 
 import asyncio
+import os
 import pathlib
 import signal
 import socket
@@ -81,12 +82,18 @@
                 stdin=asyncio.subprocess.DEVNULL,
                 stdout=log_file,
                 stderr=asyncio.subprocess.STDOUT,
+                env=child_environment(),
             )
         child = ChildProcess(name, process, log_path)
         self.children.append(child)
         return child
 
 
+def child_environment() -> dict[str, str]:
+    """An environment in which children run the code of this process."""
+    return os.environ | {'PYTHONPATH': os.pathsep.join(filter(None, sys.path))}
+
+
 async def wait_for_port(
     port: int, child: ChildProcess, timeout_s: float = _START_TIMEOUT_S
 ) -> None:
--- a/fakes/src/dotterelweir_fakes/demo/scenario.py
+++ b/fakes/src/dotterelweir_fakes/demo/scenario.py
@@ -196,6 +196,7 @@
         *arguments,
         stdout=asyncio.subprocess.PIPE,
         stderr=asyncio.subprocess.PIPE,
+        env=processes.child_environment(),
     )
     out, err = await process.communicate()
     if process.returncode != 0:
--- a/fakes/src/dotterelweir_fakes/load/caller.py
+++ b/fakes/src/dotterelweir_fakes/load/caller.py
@@ -111,8 +111,19 @@
         self._http = http
         self._balancer = balancer
 
-    async def stream(self, organisation: str, body: dict) -> tally.CallResult:
-        """Asks for a streamed chat completion; resumes a broken stream."""
+    async def stream(
+        self,
+        organisation: str,
+        body: dict,
+        started: asyncio.Event | None = None,
+    ) -> tally.CallResult:
+        """Asks for a streamed chat completion; resumes a broken stream.
+
+        Args:
+            organisation: Name of the organisation.
+            body: The request.
+            started: Set at the first token.
+        """
         started_s = time.monotonic()
         checker = StreamChecker(_expected_tokens(body))
         url = self._balancer.pick()
@@ -129,6 +140,8 @@
                     checker.event(*event)
                     if first_token_s is None and checker.tokens:
                         first_token_s = time.monotonic() - started_s
+                        if started is not None:
+                            started.set()
             except (aiohttp.ClientError, TimeoutError, OSError) as exc:
                 checker.handover = bool(checker.last_id)
                 detail = type(exc).__name__
--- a/fakes/src/dotterelweir_fakes/load/workload.py
+++ b/fakes/src/dotterelweir_fakes/load/workload.py
@@ -86,10 +86,18 @@
 
     async def run(self, duration_s: float) -> None:
         """Sends requests for a time and waits for every answer."""
+        stop = asyncio.Event()
         loop = asyncio.get_running_loop()
-        end_s = loop.time() + duration_s
+        handle = loop.call_later(duration_s, stop.set)
+        try:
+            await self.run_until(stop)
+        finally:
+            handle.cancel()
+
+    async def run_until(self, stop: asyncio.Event) -> None:
+        """Sends requests until an event and waits for every answer."""
         tasks: set[asyncio.Task] = set()
-        while loop.time() < end_s:
+        while not stop.is_set():
             tasks.add(asyncio.create_task(self._one()))
             await asyncio.sleep(self._rng.expovariate(self._requests_per_s))
         await asyncio.gather(*tasks)
--- a/packages/cli/src/dotterelweir_cli/rows.py
+++ b/packages/cli/src/dotterelweir_cli/rows.py
@@ -85,7 +85,17 @@
             of the state.
         **changes: ``put_routes``, ``put_pools``, ``delete_routes`` or
             ``delete_pools``.
+
+    Raises:
+        CommandError: A named edit has no revision. A repeat must be based on
+            the same offset as its first copy, or it could be taken for a
+            new edit once the first result is forgotten.
     """
+    if edit_id is not None and expect_revision is None:
+        raise exits.CommandError(
+            exits.ExitCode.USAGE,
+            '--edit-id needs the --expect-revision of the first try',
+        )
     return records.EditRecord(
         edit_id=edit_id or edits.new_edit_id(),
         read_offset=state.offset
--- a/packages/cli/tests/commands/test_edits.py
+++ b/packages/cli/tests/commands/test_edits.py
@@ -73,6 +73,14 @@
     assert standing['row']['service'] == 'two'
 
 
+def test_a_named_edit_needs_its_revision(shop):
+    """Guards against a late repeat that is taken for a new edit."""
+    path = shop.file('pool.json', {'kind': 'service', 'service': 'new'})
+    outcome = shop.run('pool', 'put', 'shop', path, '--edit-id', 'edit-1')
+    assert outcome.exit_code == 2
+    assert '--expect-revision' in outcome.stderr
+
+
 def test_an_outage_during_the_edit_is_unknown(shop):
     """Guards against claiming success or failure without knowing."""
     shop.set_log_faults(appends_down=True)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -0,0 +1,297 @@
+"""The composition root: builds and wires every part of an instance."""
+
+import asyncio
+import functools
+import logging
+import os
+import random
+import signal
+
+import aiohttp
+from aiohttp import web
+
+from dotterelweir_core import events
+from dotterelweir_core.delivery import resume
+from dotterelweir_core.delivery import retries
+from dotterelweir_core.policy import scheduler as policy_scheduler
+from dotterelweir_core.policy import settings as policy_settings
+from dotterelweir_core.tables import matching
+from dotterelweir_core.targets import registry as target_registry
+from dotterelweir_platform import http as platform_http
+from dotterelweird import claims_service
+from dotterelweird import dispatch
+from dotterelweird import instance as instance_module
+from dotterelweird import lifecycle as lifecycle_module
+from dotterelweird import logs
+from dotterelweird import metrics as metrics_module
+from dotterelweird import news
+from dotterelweird import timers
+from dotterelweird.admin import feed as admin_feed
+from dotterelweird.admin import queries as admin_queries
+from dotterelweird.admin import server as admin_server
+from dotterelweird.callers import api as callers_api
+from dotterelweird.callers import inflight
+from dotterelweird.callers import server as callers_server
+from dotterelweird.callers import service_attempts
+from dotterelweird.callers import service_calls
+from dotterelweird.peers import service as peers_service
+from dotterelweird.peers import snapshots
+from dotterelweird.settings import model as settings_model
+from dotterelweird.tables_service import service as tables_service
+from dotterelweird.targets import engine as engine_adapter
+from dotterelweird.targets import monitor as target_monitor
+from dotterelweird.targets import service as service_adapter
+
+LOG = logging.getLogger(__name__)
+
+# Changes that operators see in ``dotterelweir watch``: life cycle, tables,
+# targets and members.
+_WATCHED = frozenset(
+    number
+    for number, event in events.CATALOGUE.items()
+    if number // 100 in (1, 3, 4, 6) and event.level >= logging.INFO
+)
+
+
+class Composition:
+    """Builds the parts of one instance; needs a running event loop.
+
+    Args:
+        settings: Settings of the instance.
+        platform_session: HTTP session for the platform.
+        target_session: HTTP session for engines and load reports.
+    """
+
+    def __init__(
+        self,
+        settings: settings_model.Settings,
+        platform_session: aiohttp.ClientSession,
+        target_session: aiohttp.ClientSession,
+    ) -> None:
+        self._settings = settings
+        self._platform_session = platform_session
+        self._target_session = target_session
+        seed = settings.seed
+        self._rng = random.Random(seed if seed is not None else os.urandom(16))
+        self._timer = timers.LoopTimerService(asyncio.get_running_loop())
+        self._metrics = metrics_module.Metrics()
+        self._lifecycle = lifecycle_module.Lifecycle()
+        self._readiness = instance_module.Readiness(self._lifecycle)
+        self._in_flight = inflight.InFlight()
+        self._registry = target_registry.TargetRegistry()
+        self._targets = news.TargetNews(self._timer, self._registry)
+
+    def build(self) -> instance_module.Instance:
+        """Builds and wires all parts."""
+        log = platform_http.HttpLogClient(
+            self._platform_session,
+            self._settings.platform.log_url,
+            self._settings.platform.log_timeout_s,
+        )
+        tables, peers = self._tables_and_peers(log)
+        claims = claims_service.ClaimsService(
+            log,
+            self._timer,
+            self._rng,
+            self._settings.platform,
+            self._settings.claims,
+        )
+        scheduler = self._scheduler()
+        dispatcher = dispatch.Dispatcher(scheduler, self._timer)
+        monitor = self._monitor(tables, peers, dispatcher)
+        limits = news.LimitShares(
+            self._settings.limits, scheduler, peers.live_instances
+        )
+        tables.subscribe(limits.take_tables)
+        tables.subscribe(lambda _: monitor.refresh())
+        services = service_adapter.AiohttpServiceClient(
+            self._settings.delivery.connect_timeout_s
+        )
+        feed = admin_feed.ChangeFeed(_WATCHED)
+        return instance_module.Instance(
+            instance_module.Parts(
+                settings=self._settings,
+                timer=self._timer,
+                lifecycle=self._lifecycle,
+                readiness=self._readiness,
+                in_flight=self._in_flight,
+                dispatcher=dispatcher,
+                tables=tables,
+                claims=claims,
+                targets=self._targets,
+                monitor=monitor,
+                limits=limits,
+                peers=peers,
+                services=services,
+                metrics=self._metrics,
+                feed=feed,
+                callers=self._callers(tables, dispatcher, services, claims),
+                admin=self._admin(tables, dispatcher, peers, feed),
+            )
+        )
+
+    def _tables_and_peers(
+        self, log: platform_http.HttpLogClient
+    ) -> tuple[tables_service.TablesService, peers_service.PeersService]:
+        # Each asks the other: peers pass on the tables, and the tables are
+        # fetched from peers while the log cannot be read.
+        client = snapshots.SnapshotClient(
+            self._timer,
+            self._settings.peers.keys,
+            lambda min_offset: peers.snapshot_candidates(min_offset),
+        )
+        tables = tables_service.TablesService(
+            log,
+            self._timer,
+            self._rng,
+            tables_service.TablesOptions.from_settings(
+                self._settings.platform
+            ),
+            client,
+        )
+        peers = peers_service.PeersService(
+            self._timer,
+            self._rng,
+            self._settings,
+            tables.snapshot,
+            lambda: tables.offset,
+            peers_service.Subscribers(
+                leaving=self._targets.note_leaving,
+                report=self._targets.note_report,
+                ahead=tables.note_peer_offset,
+                dropped=lambda reason: self._metrics.datagrams_dropped.inc(
+                    {'reason': reason}
+                ),
+            ),
+        )
+        self._targets.announce_to(peers)
+        return tables, peers
+
+    def _scheduler(self) -> policy_scheduler.PolicyScheduler:
+        settings = self._settings
+        return policy_scheduler.PolicyScheduler(
+            policy_settings.PolicySettings(
+                queue_max_requests=settings.limits.queue_max_requests,
+                queue_timeout_s=settings.limits.queue_timeout_s,
+                retry_ratio=settings.delivery.retry_ratio,
+            ),
+            random.Random(self._rng.getrandbits(64)),
+            settings.zone,
+            self._timer.wall_s() - self._timer.monotonic_s(),
+        )
+
+    def _monitor(
+        self,
+        tables: tables_service.TablesService,
+        peers: peers_service.PeersService,
+        dispatcher: dispatch.Dispatcher,
+    ) -> target_monitor.TargetMonitor:
+        settings = self._settings
+        # Where every instance polls every target, nobody needs its reports.
+        shares_reports = settings.targets.watchers_per_target > 0
+        monitor = target_monitor.TargetMonitor(
+            self._timer,
+            self._rng,
+            settings,
+            platform_http.HttpInstanceList(
+                self._platform_session,
+                settings.platform.instances_url,
+                settings.platform.log_timeout_s,
+            ),
+            engine_adapter.HttpLoadClient(self._target_session, self._timer),
+            self._registry,
+            dispatcher,
+            lambda: tables.tables,
+            peers.live_instances,
+            on_list=functools.partial(self._targets.take_list, peers),
+            on_report=peers.announce_report if shares_reports else None,
+        )
+        self._targets.subscribe_reports(monitor.record_peer_report)
+        return monitor
+
+    def _callers(
+        self,
+        tables: tables_service.TablesService,
+        dispatcher: dispatch.Dispatcher,
+        services: service_adapter.AiohttpServiceClient,
+        claims: claims_service.ClaimsService,
+    ) -> web.AppRunner:
+        settings = self._settings
+        budget = retries.RetryBudget(settings.delivery.retry_ratio)
+        attempts = service_attempts.ServiceAttempts(
+            dispatcher,
+            services,
+            self._registry.get,
+            self._timer,
+            budget,
+            self._targets.note_state,
+        )
+        parts = callers_api.CallerParts(
+            settings=settings,
+            timer=self._timer,
+            rng=random.Random(self._rng.getrandbits(64)),
+            dispatcher=dispatcher,
+            engines=engine_adapter.HttpEngineClient(
+                self._target_session,
+                settings.delivery,
+                self._timer,
+                self._rng,
+                self._targets.note_answer,
+            ),
+            services=service_calls.ServiceCalls(
+                attempts, claims, self._in_flight
+            ),
+            tables=lambda: tables.tables,
+            match_route=matching.match_route,
+            find_target=self._registry.get,
+            codec=resume.ResumeCodec(settings.peers.keys),
+            refusal=self._readiness.refusal,
+            metrics=self._metrics,
+            retry_budget=budget,
+            in_flight=self._in_flight,
+        )
+        return callers_server.make_runner(parts)
+
+    def _admin(
+        self,
+        tables: tables_service.TablesService,
+        dispatcher: dispatch.Dispatcher,
+        peers: peers_service.PeersService,
+        feed: admin_feed.ChangeFeed,
+    ) -> web.AppRunner:
+        queries = admin_queries.InstanceQueries(
+            admin_queries.AdminParts(
+                settings=self._settings,
+                timer=self._timer,
+                lifecycle=self._lifecycle,
+                tables=tables,
+                registry=self._registry,
+                dispatcher=dispatcher,
+                in_flight=self._in_flight,
+                peers=peers,
+                started_s=self._timer.monotonic_s(),
+            )
+        )
+        server = admin_server.AdminServer(
+            queries, self._lifecycle, feed, self._metrics.render
+        )
+        return web.AppRunner(server.app(), access_log=None)
+
+
+async def run(settings: settings_model.Settings) -> None:
+    """Runs one instance until SIGTERM or SIGINT, then drains it."""
+    logs.configure(settings.log_level, settings.instance_id, settings.zone)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    async with (
+        aiohttp.ClientSession() as platform_session,
+        engine_adapter.make_session(settings.delivery) as target_session,
+    ):
+        composition = Composition(settings, platform_session, target_session)
+        instance = composition.build()
+        events.log(LOG, events.INSTANCE_STARTING)
+        await instance.start()
+        await stop.wait()
+        await instance.drain()
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -0,0 +1,191 @@
+"""A running instance: start, readiness and graceful shutdown."""
+
+import asyncio
+import logging
+
+from aiohttp import web
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core.membership import messages
+from dotterelweird import claims_service
+from dotterelweird import dispatch
+from dotterelweird import lifecycle as lifecycle_module
+from dotterelweird import metrics as metrics_module
+from dotterelweird import news
+from dotterelweird import timers
+from dotterelweird.admin import feed as admin_feed
+from dotterelweird.callers import inflight
+from dotterelweird.peers import service as peers_service
+from dotterelweird.settings import model as settings_model
+from dotterelweird.tables_service import service as tables_service
+from dotterelweird.targets import monitor as target_monitor
+from dotterelweird.targets import service as service_adapter
+
+_READY_CHECK_S = 0.05
+_GAUGE_PERIOD_S = 1.0
+# Time before the platform's own stop in which the last answers are ended.
+_HANDOVER_LEAD_S = 2.0
+
+
+class Readiness:
+    """Says whether new requests are taken.
+
+    Attributes:
+        grace_over: Whether the time is over in which a draining instance
+            still takes requests.
+    """
+
+    def __init__(self, lifecycle: lifecycle_module.Lifecycle) -> None:
+        self._lifecycle = lifecycle
+        self.grace_over = False
+
+    def refusal(self) -> errors.ErrorKind | None:
+        """Why new requests are refused, or None."""
+        match self._lifecycle.state:
+            case 'ready':
+                return None
+            case 'draining' if not self.grace_over:
+                return None
+            case 'draining' | 'stopped':
+                return errors.ErrorKind.SHUTTING_DOWN
+            case _:
+                return errors.ErrorKind.NOT_READY
+
+
+@attrs.frozen
+class Parts:
+    """The parts that are started and stopped, and what they report.
+
+    Attributes:
+        settings: Settings of the instance.
+        timer: Source of time.
+        lifecycle: State of the instance.
+        readiness: Whether requests are taken.
+        in_flight: Requests that are being answered.
+        dispatcher: Requests that wait or run.
+        tables: Follows the configuration log.
+        claims: Claims idempotency keys.
+        targets: News of targets.
+        monitor: Polls targets.
+        limits: Limits of organisations.
+        peers: Membership.
+        services: Adapter to plain services.
+        metrics: Metrics of the process.
+        feed: Feed of changes for operators.
+        callers: Server of the callers' port.
+        admin: Server of the operators' port.
+    """
+
+    settings: settings_model.Settings
+    timer: timers.LoopTimerService
+    lifecycle: lifecycle_module.Lifecycle
+    readiness: Readiness
+    in_flight: inflight.InFlight
+    dispatcher: dispatch.Dispatcher
+    tables: tables_service.TablesService
+    claims: claims_service.ClaimsService
+    targets: news.TargetNews
+    monitor: target_monitor.TargetMonitor
+    limits: news.LimitShares
+    peers: peers_service.PeersService
+    services: service_adapter.AiohttpServiceClient
+    metrics: metrics_module.Metrics
+    feed: admin_feed.ChangeFeed
+    callers: web.AppRunner
+    admin: web.AppRunner
+
+
+class Instance:
+    """Starts, drains and stops the parts of one instance."""
+
+    def __init__(self, parts: Parts) -> None:
+        self._parts = parts
+        self._following: asyncio.Task | None = None
+        self._subscriptions: list[timers.LoopTimerService] = []
+
+    async def start(self) -> None:
+        """Listens, and becomes ready once tables and targets are known.
+
+        Raises:
+            OSError: An address cannot be listened on.
+        """
+        parts = self._parts
+        logging.getLogger().addHandler(parts.feed)
+        parts.lifecycle.subscribe(self._state_changed)
+        await parts.peers.start()
+        await _listen(parts.admin, parts.settings.admin_listen)
+        await _listen(parts.callers, parts.settings.callers.listen)
+        self._following = asyncio.create_task(parts.tables.run())
+        parts.claims.start()
+        parts.monitor.start()
+        self._subscriptions = [
+            parts.timer.subscribe(_GAUGE_PERIOD_S, self._update_gauges),
+            parts.timer.subscribe(_READY_CHECK_S, self._check_ready),
+        ]
+
+    async def drain(self) -> None:
+        """Finishes the requests in flight, then stops every part."""
+        parts = self._parts
+        parts.lifecycle.drain()
+        deadline_s = parts.settings.drain_deadline_s
+        grace_s = parts.settings.drain_grace_s
+        if deadline_s is not None:
+            parts.timer.call_after(
+                max(0.0, deadline_s - _HANDOVER_LEAD_S),
+                parts.in_flight.hand_over,
+            )
+            grace_s = min(grace_s, deadline_s / 2)
+        await timers.sleep(parts.timer, grace_s)
+        parts.readiness.grace_over = True
+        await parts.in_flight.wait_empty()
+        await self._stop()
+
+    async def _stop(self) -> None:
+        parts = self._parts
+        await parts.in_flight.close()
+        for subscription in self._subscriptions:
+            subscription.cancel()
+        await parts.monitor.stop()
+        await parts.claims.stop()
+        if self._following is not None:
+            self._following.cancel()
+            await asyncio.gather(self._following, return_exceptions=True)
+        await parts.peers.stop()
+        await parts.callers.cleanup()
+        await parts.services.close()
+        parts.lifecycle.stop()
+        await parts.admin.cleanup()
+        logging.getLogger().removeHandler(parts.feed)
+
+    def _check_ready(self) -> None:
+        parts = self._parts
+        if parts.tables.ready and parts.targets.list_read:
+            parts.lifecycle.mark_ready()
+
+    def _state_changed(self, state: str) -> None:
+        for name in lifecycle_module.STATES:
+            self._parts.metrics.state.set({'state': name}, int(name == state))
+
+    def _update_gauges(self) -> None:
+        parts = self._parts
+        metrics = parts.metrics
+        metrics.queue_requests.set({}, parts.dispatcher.requests_waiting)
+        metrics.running_requests.set({}, parts.dispatcher.attempts_running)
+        metrics.table_revision.set({}, parts.tables.tables.revision)
+        age_s = parts.tables.age_s
+        if age_s is not None:
+            metrics.table_age_s.set({}, age_s)
+        members = parts.peers.members()
+        for state in messages.MemberState:
+            count = sum(member.state is state for member in members)
+            metrics.peers.set({'state': state.name.lower()}, count)
+        # Members come and go without an edit of the tables.
+        parts.limits.refresh()
+
+
+async def _listen(
+    runner: web.AppRunner, address: settings_model.Address
+) -> None:
+    await runner.setup()
+    await web.TCPSite(runner, address.host, address.port).start()
