--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -162,6 +162,42 @@
     logging.INFO,
     'The tables were restored from a checkpoint or from a peer.',
 )
+LOG_BEHIND = _event(
+    309,
+    'log-behind',
+    logging.ERROR,
+    'The log ends before the last record that was read here.',
+)
+CHECKPOINT_FAILED = _event(
+    310,
+    'checkpoint-failed',
+    logging.WARNING,
+    'A checkpoint could not be appended.',
+)
+SNAPSHOT_REJECTED = _event(
+    311,
+    'snapshot-rejected',
+    logging.WARNING,
+    'The snapshot of a peer could not be used.',
+)
+TABLES_UNAVAILABLE = _event(
+    312,
+    'tables-unavailable',
+    logging.ERROR,
+    'Neither the log nor a peer has a state to start from.',
+)
+TABLES_CALLBACK_FAILED = _event(
+    313,
+    'tables-callback-failed',
+    logging.ERROR,
+    'A subscriber to changes of the tables failed.',
+)
+INSTANCE_ROW_SKIPPED = _event(
+    314,
+    'instance-row-skipped',
+    logging.WARNING,
+    'A row of the instance list could not be read and was left out.',
+)
 # 35x: service calls, claims, leases and orders.
 SERVICE_ATTEMPT_FAILED = _event(
     350,
@@ -236,3 +272,34 @@
     logging.DEBUG,
     'The load report of a target could not be read.',
 )
+# 6xx: peers.
+MEMBER_STATE_CHANGED = _event(
+    600,
+    'member-state-changed',
+    logging.INFO,
+    'Another instance became alive, suspected, dead or left.',
+)
+DATAGRAM_DROPPED = _event(
+    601,
+    'datagram-dropped',
+    logging.WARNING,
+    'Datagrams were dropped; one line for each reason in 10 s.',
+)
+DATAGRAM_SEND_FAILED = _event(
+    602,
+    'datagram-send-failed',
+    logging.DEBUG,
+    'The system reported that a datagram could not be sent.',
+)
+PEER_REQUEST_REJECTED = _event(
+    603,
+    'peer-request-rejected',
+    logging.WARNING,
+    'A request of a peer had no valid digest or was repeated.',
+)
+PEER_SNAPSHOT_FAILED = _event(
+    604,
+    'peer-snapshot-failed',
+    logging.WARNING,
+    'A snapshot of the tables could not be fetched from a peer.',
+)
--- a/packages/core/src/dotterelweir_core/targets/registry.py
+++ b/packages/core/src/dotterelweir_core/targets/registry.py
@@ -206,6 +206,8 @@
             source is Source.PEER
             and known is not None
             and known.report is not None
+            and known.answered_s is not None
+            and now_s - known.answered_s <= UNLISTED_GRACE_S
             and report.measured_at_s <= known.report.measured_at_s
         ):
             # A delayed datagram; still good for news of leaving.
@@ -230,6 +232,17 @@
                 or entry.report.measured_at_s <= report.measured_at_s
             )
         ):
+            if source is Source.PEER and entry.report is not None:
+                # Peers pass on the load, not what is loaded.
+                report = attrs.evolve(
+                    entry.report,
+                    state=report.state,
+                    running=report.running,
+                    waiting=report.waiting,
+                    memory_used_tokens=report.memory_used_tokens,
+                    memory_total_tokens=report.memory_total_tokens,
+                    measured_at_s=report.measured_at_s,
+                )
             entry.report = report
 
     def record_answer(
--- a/packages/daemon/src/dotterelweird/callers/api.py
+++ b/packages/daemon/src/dotterelweird/callers/api.py
@@ -12,6 +12,7 @@
 from dotterelweir_core.delivery import resume
 from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweird import dispatch
@@ -20,10 +21,9 @@
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import api as targets_api
 
-# Finds the route by URL path, model and organisation; raises
-# ROUTE_NOT_FOUND.
+# Finds the route of a request; raises ROUTE_NOT_FOUND.
 RouteMatcher = Callable[
-    [tables_model.Tables, str, str, str], tables_model.Route
+    [tables_model.Tables, matching.RequestFacts], tables_model.Route
 ]
 # Finds a live or leaving target; a given incarnation must be that one.
 TargetQuery = Callable[[str, int | None], targets_model.Target | None]
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -1,5 +1,6 @@
 """The callers' HTTP server."""
 
+import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
@@ -9,6 +10,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweird.callers import api
@@ -19,6 +21,7 @@
 
 LOG = logging.getLogger(__name__)
 
+_KEY_HEADER = 'Idempotency-Key'
 _STREAMS_PATH = '/v1/streams'
 # The HTTP parser's own limit is above ours, so that a field that is too
 # large gets a problem document; beyond it the parser answers 400.
@@ -99,9 +102,11 @@
         organisation = request[requests.ORGANISATION]
         route = self._parts.match_route(
             tables,
-            request.path,
-            completion.model if completion is not None else '',
-            organisation,
+            matching.RequestFacts(
+                request.path,
+                completion.model if completion is not None else '',
+                organisation,
+            ),
         )
         item = requests.work_item(self._parts, request, route, completion)
         events.log(
@@ -137,6 +142,13 @@
                 f'route {route.name} leads to engines, which have no such '
                 'path',
             )
+        if not route.repeatable and _KEY_HEADER in request.headers:
+            # No outcome of a stream could be replayed to a repeat.
+            raise errors.DotterelweirError(
+                errors.ErrorKind.IDEMPOTENCY_KEY_INVALID,
+                f'route {route.name} runs completions once and takes no '
+                'idempotency key',
+            )
         return await completions.handle(
             self._parts, request, route, item, completion, body
         )
@@ -167,8 +179,8 @@
                         f'the body has more than {limit} bytes',
                     ),
                 )
-            except ConnectionError:
-                # The caller went away while its request was read.
+            except (ConnectionError, asyncio.CancelledError):
+                self._note_end(request, requests.CALLER_GONE)
                 raise
             except Exception:
                 return self._fail(request)
@@ -188,7 +200,11 @@
             detail=error.detail,
         )
         self._note_end(request, error.kind.value)
-        return problems.response(error, request_id)
+        response = problems.response(error, request_id)
+        if error.kind is errors.ErrorKind.SHUTTING_DOWN:
+            # The next request on this connection would be refused too.
+            response.force_close()
+        return response
 
     def _fail(self, request: web.Request) -> web.Response:
         request_id = request[requests.REQUEST_ID]
@@ -200,6 +216,7 @@
         route = request.get(requests.ROUTE)
         if route is None:
             return
+        outcome = request.get(requests.OUTCOME, outcome)
         self._parts.metrics.requests.inc({'route': route, 'outcome': outcome})
         events.log(
             LOG,
--- a/packages/daemon/src/dotterelweird/callers/streams.py
+++ b/packages/daemon/src/dotterelweird/callers/streams.py
@@ -4,6 +4,7 @@
 import logging
 
 from aiohttp import web
+import attrs
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
@@ -53,17 +54,24 @@
 ) -> reader_module.GenerationReader:
     ref = position.ref
     target = parts.find_target(ref.target_id, ref.incarnation)
-    if target is None or target.incarnation != ref.incarnation:
+    if target is None:
+        # This instance may lag behind a restart of the engine, so the
+        # engine itself is asked whether it is that incarnation.
+        target = parts.find_target(ref.target_id, None)
+    if target is None:
         raise errors.DotterelweirError(
             errors.ErrorKind.RESUME_EXPIRED, 'the engine has gone'
         )
+    target = attrs.evolve(target, incarnation=ref.incarnation)
     # The last event is asked for again: without it, an end mark that
     # follows at once could not be checked for a missing last event.
-    stream = await parts.engines.resume(
+    delivery = parts.settings.delivery
+    stream = await reader_module.resume_stream(
+        parts,
         target,
         ref.generation_id,
         max(-1, position.sequence - 1),
-        parts.settings.delivery.stall_timeout_s,
+        reader_module.resume_delays(parts, delivery.resume_attempts),
     )
     events.log(
         LOG,
@@ -102,6 +110,7 @@
             await relay.run(reader, first, lambda count: None)
     except errors.DotterelweirError as exc:
         error = exc
+        request[requests.OUTCOME] = error.kind.value
         error.execution = errors.Execution.RAN
     except ConnectionError:
         return relay.response
--- a/packages/daemon/src/dotterelweird/targets/engine.py
+++ b/packages/daemon/src/dotterelweird/targets/engine.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 import logging
+import os
 import random
 import typing
 
@@ -27,6 +28,9 @@
 
 # Bounds what is read of an error answer.
 _ERROR_BODY_BYTES = 65_536
+# Some servers close idle connections after 5 s. A request that is sent at
+# that moment fails without certainty that it did not run.
+_KEEPALIVE_S = 4.0
 _CLIENT_ERRORS = frozenset({400, 404, 405, 411, 413, 415, 422})
 
 
@@ -35,16 +39,18 @@
 ) -> aiohttp.ClientSession:
     """The HTTP session of the target adapters.
 
-    The reader pauses a connection at twice ``read_bufsize``, which is half
-    of the buffer that a stream may have; the caller's side has the rest.
+    The reader pauses a connection at twice ``read_bufsize``. With the last
+    read, a quarter of the buffer that a stream may have is on this side.
     """
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0),
+        connector=aiohttp.TCPConnector(
+            limit=0, keepalive_timeout=_KEEPALIVE_S
+        ),
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=delivery.connect_timeout_s
         ),
-        read_bufsize=max(1024, delivery.stream_buffer_bytes // 4),
+        read_bufsize=max(512, delivery.stream_buffer_bytes // 16),
         auto_decompress=False,
     )
 
@@ -75,7 +81,7 @@
         try:
             chunk = await self._readany()
         except (aiohttp.ClientError, OSError) as exc:
-            raise _failed(f'the link broke: {exc}') from exc
+            raise _failed(_cause(exc)) from exc
         if not chunk:
             raise StopAsyncIteration
         return chunk
@@ -91,6 +97,7 @@
 
     Args:
         session: Made by ``make_session``.
+        delivery: Settings of attempts and streams.
         timer: Source of time.
         rng: Random source of request ids.
         on_answer: Told who answered and whether it is leaving.
@@ -99,11 +106,14 @@
     def __init__(
         self,
         session: aiohttp.ClientSession,
+        delivery: settings_model.Delivery,
         timer: timers.TimerService,
         rng: random.Random,
         on_answer: AnswerCallback | None = None,
     ) -> None:
         self._session = session
+        self._cancel_timeout_s = delivery.stall_timeout_s
+        self._read_bytes = max(1024, delivery.stream_buffer_bytes // 8)
         self._timer = timer
         self._rng = rng
         self._on_answer = on_answer
@@ -143,28 +153,33 @@
         stream = await self._open(
             target, 'GET', path, headers, timeout_s, None
         )
-        if (
-            stream.generation_id != generation_id
-            or stream.incarnation != target.incarnation
-        ):
+        if stream.generation_id not in ('', generation_id):
+            stream.close()
+            raise _failed('the answer belongs to another generation')
+        if stream.incarnation != target.incarnation:
             stream.close()
             raise errors.DotterelweirError(
                 errors.ErrorKind.RESUME_EXPIRED,
-                'another generation or incarnation answered',
+                'another incarnation answered',
                 errors.Execution.UNKNOWN,
             )
         return stream
 
     async def cancel(self, target: model.Target, generation_id: str) -> None:
         url = f'{target.base_url}/v1/generations/{generation_id}'
-        try:
-            async with self._session.delete(url) as response:
-                if response.status >= 500:
-                    raise _failed(f'cancel answered {response.status}')
-        except aiohttp.ClientConnectorError as exc:
-            raise _unreachable(exc) from exc
-        except (aiohttp.ClientError, OSError) as exc:
-            raise _failed(str(exc)) from exc
+        late = _failed(f'no answer within {self._cancel_timeout_s:g} s')
+        with scopes.deadline(self._timer, self._cancel_timeout_s, late):
+            try:
+                async with self._session.delete(url) as response:
+                    if response.status >= 500:
+                        raise _failed(f'cancel answered {response.status}')
+            except (
+                aiohttp.ClientConnectorError,
+                aiohttp.ConnectionTimeoutError,
+            ) as exc:
+                raise _unreachable(exc) from exc
+            except (aiohttp.ClientError, OSError) as exc:
+                raise _failed(_cause(exc)) from exc
 
     async def _open(
         self,
@@ -192,7 +207,7 @@
             ) as exc:
                 raise _unreachable(exc) from exc
             except (aiohttp.ClientError, OSError) as exc:
-                raise _failed(str(exc)) from exc
+                raise _failed(_cause(exc)) from exc
             try:
                 return await self._check(target, response, headers, asked_s)
             except BaseException:
@@ -208,7 +223,16 @@
     ) -> HttpEngineStream:
         request_id = headers['X-Request-Id']
         echo = response.headers.get('X-Request-Id')
-        if echo != request_id:
+        resuming = 'Last-Event-ID' in headers
+        generation_id = response.headers.get('X-Generation-Id', '')
+        # On a resume the generation id, which is checked too, identifies
+        # the answer of an engine that echoes nothing there.
+        echoed = echo == request_id or (
+            resuming
+            and echo is None
+            and (generation_id != '' or response.status != 200)
+        )
+        if not echoed:
             events.log(
                 LOG,
                 events.ANSWER_REJECTED,
@@ -224,12 +248,20 @@
                 attrs.evolve(target, incarnation=incarnation), state, asked_s
             )
         if response.status != 200:
-            raise await _refusal(response, 'Last-Event-ID' in headers)
-        generation_id = response.headers.get('X-Generation-Id', '')
-        if not generation_id:
+            raise await _refusal(response, resuming)
+        if not generation_id and not resuming:
             raise _failed('the answer names no generation')
+        self._bound_reads(response)
         return HttpEngineStream(response, generation_id, incarnation, state)
 
+    def _bound_reads(self, response: aiohttp.ClientResponse) -> None:
+        """Bounds one read, which by default may bring 256 KB at once."""
+        connection = response.connection
+        if connection is None or connection.transport is None:
+            return
+        if hasattr(connection.transport, 'max_size'):
+            connection.transport.max_size = self._read_bytes
+
 
 class HttpLoadClient(api.LoadClient):
     """Reads load reports over HTTP.
@@ -268,7 +300,7 @@
                 ValueError,
                 cattrs.BaseValidationError,
             ) as exc:
-                raise _failed(f'no load report: {exc}') from exc
+                raise _failed(f'no load report: {_cause(exc)}') from exc
 
 
 def _failed(detail: str) -> errors.DotterelweirError:
@@ -279,10 +311,17 @@
 
 def _unreachable(cause: Exception) -> errors.DotterelweirError:
     return errors.DotterelweirError(
-        errors.ErrorKind.TARGET_UNREACHABLE, f'no connection: {cause}'
+        errors.ErrorKind.TARGET_UNREACHABLE, f'no connection: {_cause(cause)}'
     )
 
 
+def _cause(error: Exception) -> str:
+    """Names a failure without addresses, because callers see it too."""
+    # asyncio writes the address into strerror, so only the number is used.
+    number = getattr(getattr(error, 'os_error', error), 'errno', None)
+    return os.strerror(number) if number else type(error).__name__
+
+
 def _state(response: aiohttp.ClientResponse) -> model.TargetState:
     if response.headers.get('X-Target-State') == 'leaving':
         return model.TargetState.LEAVING
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -12,6 +12,7 @@
 from dotterelweir_core.delivery import resume
 from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import api as policy_api
+from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweir_fakes.engine import app as engine_app
@@ -29,12 +30,16 @@
 
 
 class FirstTargetScheduler(policy_api.Scheduler):
-    """Places each request at once at the first target not excluded."""
+    """Places each request at once at the first target not excluded.
+
+    With ``rng`` it takes any target that is not excluded.
+    """
 
     def __init__(self):
         self.targets = ()
         self.hedged = False
         self.holding = False
+        self.rng = None
         self.decisions = []
         self.ends = []
         self.tokens = 0
@@ -50,6 +55,8 @@
             for target in self.targets
             if target.target_id not in item.excluded
         ]
+        if self.rng is not None:
+            self.rng.shuffle(names)
         for hedge, name in enumerate(names[: 2 if self.hedged else 1]):
             self.decisions.append(
                 policy_api.Placement(
@@ -115,6 +122,10 @@
     session: aiohttp.ClientSession
     refusing: list
 
+    @property
+    def url(self):
+        return f'http://127.0.0.1:{self.runner.addresses[0][1]}'
+
     def hand_over(self):
         self.refusing.append(errors.ErrorKind.SHUTTING_DOWN)
         self.parts.in_flight.hand_over()
@@ -165,10 +176,12 @@
             timer=self.timer,
             rng=rng,
             dispatcher=dispatcher,
-            engines=engine_client.HttpEngineClient(session, self.timer, rng),
+            engines=engine_client.HttpEngineClient(
+                session, settings.delivery, self.timer, rng
+            ),
             services=EchoService(),
             tables=lambda: tables,
-            match_route=_match,
+            match_route=matching.match_route,
             find_target=self._find_target,
             codec=resume.ResumeCodec(KEYS),
             refusal=lambda: refusing[0] if refusing else None,
@@ -199,7 +212,11 @@
 
 
 def _tables(route):
-    fields = {'name': 'chat', 'match': tables_model.Match(), 'pool': 'llm'}
+    fields = {
+        'name': 'chat',
+        'match': tables_model.Match('/v1/'),
+        'pool': 'llm',
+    }
     chat = tables_model.Route(**fields | route)
     shop = tables_model.Route(
         'shop', tables_model.Match('/shop'), 'shop', order=1
@@ -213,14 +230,6 @@
     )
 
 
-def _match(tables, path, model, organisation):
-    if path.startswith('/shop'):
-        return tables.routes['shop']
-    if path.startswith('/v1/'):
-        return tables.routes['chat']
-    raise errors.DotterelweirError(errors.ErrorKind.ROUTE_NOT_FOUND, path)
-
-
 @pytest.fixture
 async def world():
     built = World()
