--- a/packages/daemon/tests/claims/conftest.py
+++ b/packages/daemon/tests/claims/conftest.py
@@ -6,7 +6,6 @@
 import random
 
 import attrs
-import pytest
 import pytest_asyncio
 
 from dotterelweir_core import errors
@@ -57,6 +56,7 @@
     def __init__(self, timer: timers.VirtualTimerService) -> None:
         self.timer = timer
         self.down = False
+        self.ahead_s = 0.0
         self.streams = collections.defaultdict(list)
         self.first_available = collections.defaultdict(int)
         self.late: list[tuple[str, tuple[bytes, ...]]] = []
@@ -66,10 +66,9 @@
         """Appends records; returns the offset of the first one."""
         rows = self.streams[stream]
         first = len(rows)
+        time_s = self.timer.wall_s() + self.ahead_s
         for offset, item in enumerate(data, first):
-            rows.append(
-                platform_api.LogRecord(offset, self.timer.wall_s(), item)
-            )
+            rows.append(platform_api.LogRecord(offset, time_s, item))
         self.wake()
         return first
 
@@ -149,8 +148,8 @@
         self._check()
         return platform_api.LogPage(
             first_available,
-            len(rows),
-            tuple(rows[from_offset : from_offset + limit]),
+            len(rows) and rows[-1].offset + 1,
+            tuple(row for row in rows if row.offset >= from_offset)[:limit],
         )
 
 
@@ -270,9 +269,3 @@
     for project in made:
         for instance in project.instances.values():
             await instance.kill()
-
-
-@pytest.fixture
-def claim_settings():
-    """Makes settings of claims."""
-    return settings_model.Claims
