Give orders to engines under leases

Any instance may hold the lease of a pool; the number is the offset of the record that acquired it, and a renewal keeps it. A holder counts its time from before its append, on the clock that shows more, so a pause or a suspended machine ends its belief in the lease. Orders are dated before the lease is checked: a pause after the check makes the order expire. A pool whose engines ignore numbers gets its first order 5 s after the lease was acquired. An engine in several pools is ordered by one of them, as the holders would undo each other's orders.

An order that loads weights is repeated after 60 s and then at doubled times, because the stand-in engine begins a load anew at each order; with a repeat each 5 s a load of 50 s would never end.

Ruled out: reading the control stream from near its end. The fold then differs from that of other instances, and two could hold a lease; so a start reads the whole stream that the log still has.

--- a/fakes/src/dotterelweir_fakes/service.py
+++ b/fakes/src/dotterelweir_fakes/service.py
@@ -88,6 +88,7 @@
     return _json(
         state,
         {
+            'target_id': state.target_id,
             'incarnation': state.incarnation,
             'state': state.state,
             'running': state.running,
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -241,6 +241,24 @@
     logging.ERROR,
     'The instance stopped before its last records were appended.',
 )
+LEASE_ACQUIRED = _event(
+    360, 'lease-acquired', logging.INFO, 'This instance acquired a lease.'
+)
+LEASE_LOST = _event(
+    361,
+    'lease-lost',
+    logging.WARNING,
+    'A lease was not renewed in time and counts as lost.',
+)
+ORDER_GIVEN = _event(
+    362, 'order-given', logging.INFO, 'An engine accepted an order.'
+)
+ORDER_FAILED = _event(
+    363,
+    'order-failed',
+    logging.WARNING,
+    'An order was refused, failed or is unknown to have arrived.',
+)
 # 4xx: targets.
 TARGET_STATE_CHANGED = _event(
     400,
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/leases/fold.py
@@ -0,0 +1,110 @@
+"""Leases, folded from the control stream with the log's own time."""
+
+import attrs
+import cattrs
+from cattrs.preconf import orjson as orjson_converter
+import orjson
+
+KIND = 'acquire'
+
+_CONVERTER = orjson_converter.make_converter()
+
+
+@attrs.frozen
+class Acquire:
+    """An instance wants to acquire or to renew a lease.
+
+    Attributes:
+        lease: Name of the lease, such as ``orders/POOL``.
+        holder: Name of the run of the instance.
+        request_id: Unique name of this record's append.
+        ttl_s: How long the lease lasts from the record's time, in seconds.
+        kind: Kind of the record.
+    """
+
+    lease: str
+    holder: str
+    request_id: str
+    ttl_s: float
+    kind: str = KIND
+
+
+@attrs.frozen
+class Lease:
+    """A lease that was granted; it may have lapsed.
+
+    Attributes:
+        name: Name of the lease.
+        holder: Name of the run of the instance that holds it.
+        fencing: Offset of the record that acquired it; a renewal keeps it.
+        expires_s: When it lapses, in wall seconds of the log.
+    """
+
+    name: str
+    holder: str
+    fencing: int
+    expires_s: float
+
+
+def encode(record: Acquire) -> bytes:
+    """The bytes of a record."""
+    return _CONVERTER.dumps(record)
+
+
+def decode(data: bytes) -> Acquire | None:
+    """Reads a record; None for a record of another kind.
+
+    Raises:
+        ValueError: The record cannot be read.
+    """
+    try:
+        document = orjson.loads(data)
+        if not isinstance(document, dict):
+            raise ValueError('not a lease record: not an object')
+        if document.get('kind') != KIND:
+            return None
+        record = _CONVERTER.structure(document, Acquire)
+    except (cattrs.BaseValidationError, TypeError) as error:
+        raise ValueError(f'not a lease record: {error}') from error
+    if record.ttl_s <= 0.0:
+        raise ValueError(f'not a lease record: ttl_s is {record.ttl_s}')
+    return record
+
+
+class LeaseTable:
+    """The newest lease of each name."""
+
+    def __init__(self) -> None:
+        self._leases: dict[str, Lease] = {}
+        self._time_s = float('-inf')
+
+    def find(self, name: str) -> Lease | None:
+        """The newest lease of a name; it may have lapsed."""
+        return self._leases.get(name)
+
+    def apply(
+        self, offset: int, time_s: float, record: Acquire
+    ) -> Lease | None:
+        """Applies the next record.
+
+        Args:
+            offset: Offset of the record.
+            time_s: When the log took the record, in wall seconds.
+            record: The record.
+
+        Returns:
+            The lease that was acquired or renewed; None if another holder
+            has it.
+        """
+        self._time_s = max(self._time_s, time_s)
+        lease = self._leases.get(record.lease)
+        fencing = offset
+        if lease is not None and lease.expires_s > self._time_s:
+            if lease.holder != record.holder:
+                return None
+            fencing = lease.fencing
+        lease = Lease(
+            record.lease, record.holder, fencing, self._time_s + record.ttl_s
+        )
+        self._leases[record.lease] = lease
+        return lease
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/orders/plan.py
@@ -0,0 +1,141 @@
+"""What engines should have loaded, and the orders that bring them there."""
+
+from collections.abc import Iterable
+from collections.abc import Mapping
+
+import attrs
+
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_core.targets import model as targets_model
+
+
+@attrs.frozen
+class Desired:
+    """The whole state that an engine should have.
+
+    Attributes:
+        models: Models that are loaded.
+        adapters: Adapters that are loaded.
+        version: Version of the weights.
+        role: Role of the engine.
+    """
+
+    models: tuple[str, ...]
+    adapters: tuple[str, ...]
+    version: str
+    role: str
+
+
+@attrs.frozen
+class Order:
+    """An order to one engine.
+
+    Attributes:
+        desired: The whole state, never a step.
+        fencing: Fencing number of the lease under which it is given.
+        expires_at_s: When the engine must drop it, in wall seconds.
+    """
+
+    desired: Desired
+    fencing: int
+    expires_at_s: float
+
+
+@attrs.frozen
+class Difference:
+    """An engine that is not in its desired state.
+
+    Attributes:
+        target: The engine.
+        desired: What it should have.
+        loads: Whether weights must be loaded.
+    """
+
+    target: targets_model.Target
+    desired: Desired
+    loads: bool
+
+
+def lease_name(pool: str) -> str:
+    """The lease under which orders for a pool are given."""
+    return f'orders/{pool}'
+
+
+def desired_states(
+    pool_name: str,
+    pools: Mapping[str, tables_model.Pool],
+    targets: Iterable[targets_model.Target],
+) -> dict[targets_model.Target, Desired]:
+    """The desired state of the engines that a pool gives orders to.
+
+    An engine that belongs to several pools is ordered by one of them only,
+    as their lease holders would otherwise undo each other's orders: the
+    pool that names the target comes first, then one that names its zone,
+    then the first by name.
+    """
+    pool = pools[pool_name]
+    if not _gives_orders(pool):
+        return {}
+    desired = Desired(
+        (pool.model,), tuple(pool.adapters), pool.version, pool.role
+    )
+    return {
+        target: desired
+        for target in targets
+        if _ordering_pool(target, pools) == pool_name
+    }
+
+
+def reconcile(
+    desired: Mapping[targets_model.Target, Desired],
+    reported: Mapping[str, targets_model.LoadReport],
+) -> tuple[Difference, ...]:
+    """Compares what engines should have with what they report.
+
+    An engine without a report of its present incarnation gets no order, and
+    neither does one that is leaving.
+    """
+    differences = []
+    for target, wanted in desired.items():
+        report = reported.get(target.target_id)
+        if (
+            report is None
+            or report.incarnation != target.incarnation
+            or report.state is not targets_model.TargetState.LIVE
+            or _matches(wanted, report)
+        ):
+            continue
+        loads = (
+            not set(wanted.models) <= set(report.models)
+            or not set(wanted.adapters) <= set(report.adapters)
+            or wanted.version != report.version
+        )
+        differences.append(Difference(target, wanted, loads))
+    return tuple(differences)
+
+
+def _matches(wanted: Desired, report: targets_model.LoadReport) -> bool:
+    return (
+        set(wanted.models) == set(report.models)
+        and set(wanted.adapters) == set(report.adapters)
+        and wanted.version == report.version
+        and wanted.role == report.role
+    )
+
+
+def _gives_orders(pool: tables_model.Pool) -> bool:
+    return pool.kind is targets_model.TargetKind.ENGINE and bool(pool.model)
+
+
+def _ordering_pool(
+    target: targets_model.Target, pools: Mapping[str, tables_model.Pool]
+) -> str | None:
+    ranked = [
+        (not pool.target_ids, not pool.zones, name)
+        for name, pool in pools.items()
+        if _gives_orders(pool)
+        and pool.service == target.service
+        and (not pool.zones or target.zone in pool.zones)
+        and (not pool.target_ids or target.target_id in pool.target_ids)
+    ]
+    return min(ranked)[2] if ranked else None
--- /dev/null
+++ b/packages/core/tests/orders/test_plan.py
@@ -0,0 +1,68 @@
+"""Tests of the desired state of engines."""
+
+import attrs
+import pytest
+
+from dotterelweir_core.orders import plan
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_core.targets import model as targets_model
+
+ENGINE = targets_model.TargetKind.ENGINE
+LEAVING = targets_model.TargetState.LEAVING
+TARGET = targets_model.Target('e-1', 7, 'llm', 'z1', '127.0.0.1', 1)
+REPORT = targets_model.LoadReport(
+    'e-1', 7, models=('m',), adapters=('x', 'y'), version='v1', role='both'
+)
+DESIRED = plan.Desired(('m',), ('y', 'x'), 'v1', 'both')
+
+
+def _pool(name, **fields):
+    return tables_model.Pool(name, ENGINE, 'llm', model=name, **fields)
+
+
+@pytest.mark.parametrize(
+    ('pools', 'ordering'),
+    [
+        ([_pool('b'), _pool('c')], 'b'),
+        ([_pool('b'), _pool('c', zones=('z1',))], 'c'),
+        ([_pool('b', zones=('z2',)), _pool('c')], 'c'),
+        (
+            [_pool('b', zones=('z1',)), _pool('c', target_ids=('e-1',))],
+            'c',
+        ),
+        ([attrs.evolve(_pool('b'), model=''), _pool('c')], 'c'),
+        ([attrs.evolve(_pool('b'), service='other')], None),
+    ],
+)
+def test_an_engine_gets_orders_from_one_pool(pools, ordering):
+    """Guards against two lease holders that undo each other's orders."""
+    table = {pool.name: pool for pool in pools}
+    giving = [
+        name for name in table if plan.desired_states(name, table, [TARGET])
+    ]
+    assert giving == ([] if ordering is None else [ordering])
+
+
+@pytest.mark.parametrize(
+    ('changes', 'loads'),
+    [
+        ({}, None),
+        ({'models': ()}, True),
+        ({'models': ('m', 'old')}, False),
+        ({'version': 'v0'}, True),
+        ({'adapters': ('x',)}, True),
+        ({'role': 'prefill'}, False),
+        ({'models': (), 'state': LEAVING}, None),
+        ({'models': (), 'incarnation': 6}, None),
+    ],
+)
+def test_only_engines_that_differ_get_orders(changes, loads):
+    """Guards against needless loads and orders to engines that leave."""
+    report = attrs.evolve(REPORT, **changes)
+    found = plan.reconcile({TARGET: DESIRED}, {'e-1': report})
+    assert [each.loads for each in found] == ([] if loads is None else [loads])
+
+
+def test_an_engine_without_a_report_gets_no_order():
+    """Guards against orders to engines whose state is unknown."""
+    assert plan.reconcile({TARGET: DESIRED}, {}) == ()
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/lease_keeper.py
@@ -0,0 +1,194 @@
+"""Acquires and renews leases in the control stream."""
+
+from collections.abc import Iterable
+import logging
+import random
+import uuid
+
+import attrs
+
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.leases import fold
+from dotterelweir_platform import api as platform_api
+from dotterelweird import log_batcher
+from dotterelweird import log_follower
+from dotterelweird.settings import model as settings_model
+
+LOG = logging.getLogger(__name__)
+
+TTL_S = 15.0
+# Covers clocks that run at different speeds, and the time from a check of
+# the lease to the action.
+MARGIN_S = 2.0
+RENEW_AFTER_S = 5.0
+# Least time between two appends of one lease; instances that compete for a
+# lapsed lease spread theirs over as much again.
+RETRY_S = 2.0
+APPEND_INTERVAL_S = 0.05
+
+
+@attrs.frozen
+class HeldLease:
+    """A lease that this run holds, or held.
+
+    Attributes:
+        fencing: Its fencing number.
+        acquired: When it was first seen to be held under this number.
+        renewed: When the append that acquired or renewed it was first sent.
+    """
+
+    fencing: int
+    acquired: log_batcher.Instant
+    renewed: log_batcher.Instant
+
+
+class LeaseKeeper:
+    """Holds as many of the wanted leases as no other instance holds."""
+
+    def __init__(
+        self,
+        log: platform_api.LogClient,
+        timer: timers.TimerService,
+        rng: random.Random,
+        platform: settings_model.Platform,
+    ) -> None:
+        """Creates the keeper; ``start`` begins its work.
+
+        Args:
+            log: The log service.
+            timer: Source of time.
+            rng: Random source of jitter and backoff.
+            platform: Settings of the platform's services.
+        """
+        self._timer = timer
+        self._rng = rng
+        # A restarted instance must not pass for the holder that it was.
+        self._holder = uuid.uuid4().hex
+        self._table = fold.LeaseTable()
+        self._appends: dict[str, log_batcher.Append] = {}
+        self._held: dict[str, HeldLease] = {}
+        self._next_append_s: dict[str, float] = {}
+        self._stream = platform.control_stream
+        self._follower = log_follower.LogFollower(
+            log,
+            platform.control_stream,
+            timer,
+            rng,
+            platform.log_wait_s,
+            self._apply,
+        )
+        self._batcher = log_batcher.LogBatcher(
+            log,
+            platform.control_stream,
+            timer,
+            rng,
+            APPEND_INTERVAL_S,
+            platform.log_timeout_s,
+        )
+
+    def start(self) -> None:
+        """Begins to follow the control stream."""
+        self._follower.start()
+        self._batcher.start()
+
+    async def stop(self) -> None:
+        """Stops; leases that are held lapse."""
+        await self._batcher.stop(0.0)
+        await self._follower.stop()
+
+    def held(self, name: str) -> HeldLease | None:
+        """The lease, if this run certainly holds it now."""
+        lease = self._held.get(name)
+        if lease is None:
+            return None
+        if lease.renewed.elapsed_s(self._timer) >= TTL_S - MARGIN_S:
+            del self._held[name]
+            events.log(
+                LOG, events.LEASE_LOST, lease=name, fencing=lease.fencing
+            )
+            return None
+        return lease
+
+    def refresh(self, names: Iterable[str]) -> None:
+        """Acquires or renews the leases that need it now."""
+        if not self._follower.caught_up:
+            return
+        wanted = set(names)
+        for name in self._next_append_s.keys() - wanted:
+            del self._next_append_s[name]
+        for name in wanted:
+            if self._needs_append(name):
+                self._append(name)
+
+    def _needs_append(self, name: str) -> bool:
+        now_s = self._timer.monotonic_s()
+        if now_s < self._next_append_s.get(name, 0.0):
+            return False
+        held = self.held(name)
+        if held is not None:
+            return held.renewed.elapsed_s(self._timer) >= RENEW_AFTER_S
+        lease = self._table.find(name)
+        # The log's clock decides; ours only tells when to try.
+        return (
+            lease is None
+            or lease.holder == self._holder
+            or lease.expires_s <= self._timer.wall_s()
+        )
+
+    def _append(self, name: str) -> None:
+        self._next_append_s[name] = (
+            self._timer.monotonic_s() + RETRY_S + self._rng.uniform(0, RETRY_S)
+        )
+        record = fold.Acquire(name, self._holder, uuid.uuid4().hex, TTL_S)
+        append = log_batcher.Append(fold.encode(record))
+        append.wanted = lambda: self._is_recent(append)
+        self._appends = {
+            request_id: other
+            for request_id, other in self._appends.items()
+            if self._is_recent(other)
+        }
+        self._appends[record.request_id] = append
+        self._batcher.add(append)
+
+    def _is_recent(self, append: log_batcher.Append) -> bool:
+        sent = append.first_sent
+        return sent is None or sent.elapsed_s(self._timer) < TTL_S - MARGIN_S
+
+    def _apply(self, record: platform_api.LogRecord) -> None:
+        try:
+            acquire = fold.decode(record.data)
+        except ValueError as error:
+            events.log(
+                LOG,
+                events.RECORD_SKIPPED,
+                stream=self._stream,
+                offset=record.offset,
+                detail=str(error),
+            )
+            return
+        if acquire is None:
+            return
+        lease = self._table.apply(record.offset, record.time_s, acquire)
+        if acquire.holder != self._holder:
+            return
+        append = self._appends.pop(acquire.request_id, None)
+        if lease is None or append is None or append.first_sent is None:
+            return
+        self._take(lease, append.first_sent)
+
+    def _take(self, lease: fold.Lease, sent: log_batcher.Instant) -> None:
+        held = self._held.get(lease.name)
+        if held is not None and held.fencing == lease.fencing:
+            self._held[lease.name] = attrs.evolve(held, renewed=sent)
+            return
+        now = log_batcher.Instant(
+            self._timer.monotonic_s(), self._timer.wall_s()
+        )
+        self._held[lease.name] = HeldLease(lease.fencing, now, sent)
+        events.log(
+            LOG,
+            events.LEASE_ACQUIRED,
+            lease=lease.name,
+            fencing=lease.fencing,
+        )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/orders_service.py
@@ -0,0 +1,192 @@
+"""Gives orders to the engines of the pools whose lease is held."""
+
+import asyncio
+import logging
+
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.orders import plan
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_platform import api as platform_api
+from dotterelweird import lease_keeper
+from dotterelweird import timers as daemon_timers
+from dotterelweird.targets import orders_api
+
+LOG = logging.getLogger(__name__)
+
+PERIOD_S = 1.0
+ORDER_EXPIRY_S = 5.0
+ORDER_TIMEOUT_S = 2.0
+# An order that loads weights is repeated late, and each time later: engines
+# may begin a load anew at each order, and loads can take many minutes.
+LOAD_REPEAT_S = 60.0
+LOAD_REPEATS_DOUBLED = 6
+# Orders of one pool that are given at the same time.
+ORDERS_AT_ONCE = 16
+
+
+@attrs.frozen
+class _Ordered:
+    """When an order was last given, and how often it was."""
+
+    last_s: float
+    count: int
+
+
+class OrdersService:
+    """Reconciles the engines with the pools table.
+
+    Any instance can do it; the lease of a pool lets one of them at a time.
+    """
+
+    def __init__(
+        self,
+        timer: timers.TimerService,
+        leases: lease_keeper.LeaseKeeper,
+        facts: orders_api.OrderFacts,
+        client: orders_api.OrderClient,
+        weights: platform_api.WeightStore,
+    ) -> None:
+        """Creates the service; ``start`` begins its work.
+
+        Args:
+            timer: Source of time.
+            leases: Holds the leases of the pools.
+            facts: Pools, targets and their reports.
+            client: Adapter to engines.
+            weights: Permits loads.
+        """
+        self._timer = timer
+        self._leases = leases
+        self._facts = facts
+        self._client = client
+        self._weights = weights
+        self._permitted_at_s: dict[plan.Difference, float] = {}
+        self._ordered: dict[plan.Difference, _Ordered] = {}
+        self._task: asyncio.Task | None = None
+
+    def start(self) -> None:
+        """Begins to hold leases and to give orders."""
+        self._leases.start()
+        self._task = asyncio.get_running_loop().create_task(self._run())
+
+    async def stop(self) -> None:
+        """Stops giving orders."""
+        if self._task is not None:
+            self._task.cancel()
+            await asyncio.wait([self._task])
+        await self._leases.stop()
+
+    async def _run(self) -> None:
+        while True:
+            pools = {
+                name: pool
+                for name, pool in self._facts.pools().items()
+                if pool.model
+            }
+            self._leases.refresh(plan.lease_name(name) for name in pools)
+            await self._give_orders(pools)
+            await daemon_timers.sleep(self._timer, PERIOD_S)
+
+    async def _give_orders(self, pools: dict[str, tables_model.Pool]) -> None:
+        open_differences: set[plan.Difference] = set()
+        for name, pool in pools.items():
+            lease = self._leases.held(plan.lease_name(name))
+            if lease is None:
+                continue
+            desired = plan.desired_states(name, pools, self._facts.targets())
+            reports = {
+                target.target_id: report
+                for target in desired
+                if (report := self._facts.report(target.target_id)) is not None
+            }
+            differences = plan.reconcile(desired, reports)
+            open_differences.update(differences)
+            # An engine that ignores numbers may still take an order of the
+            # previous holder until that order has expired.
+            if (
+                not pool.checks_fencing
+                and lease.acquired.elapsed_s(self._timer) < ORDER_EXPIRY_S
+            ):
+                continue
+            due = [each for each in differences if self._is_due(each)]
+            await asyncio.gather(
+                *(
+                    self._order(name, lease.fencing, difference)
+                    for difference in due[:ORDERS_AT_ONCE]
+                )
+            )
+        self._forget_except(open_differences)
+
+    def _forget_except(self, differences: set[plan.Difference]) -> None:
+        for known in (self._permitted_at_s, self._ordered):
+            for difference in known.keys() - differences:
+                del known[difference]
+
+    def _is_due(self, difference: plan.Difference) -> bool:
+        """Whether no order for it is still under way."""
+        ordered = self._ordered.get(difference)
+        if ordered is None:
+            return True
+        repeat_s = ORDER_EXPIRY_S
+        if difference.loads:
+            doubled = min(ordered.count - 1, LOAD_REPEATS_DOUBLED)
+            repeat_s = LOAD_REPEAT_S * 2.0**doubled
+        return self._timer.monotonic_s() - ordered.last_s >= repeat_s
+
+    async def _order(
+        self, pool: str, fencing: int, difference: plan.Difference
+    ) -> None:
+        try:
+            if difference.loads and not await self._may_load(difference):
+                return
+            # The order is dated before the lease is checked, so that a
+            # pause after the check makes it expire.
+            order = plan.Order(
+                difference.desired,
+                fencing,
+                self._timer.wall_s() + ORDER_EXPIRY_S,
+            )
+            lease = self._leases.held(plan.lease_name(pool))
+            if lease is None or lease.fencing != fencing:
+                return
+            earlier = self._ordered.get(difference)
+            self._ordered[difference] = _Ordered(
+                self._timer.monotonic_s(),
+                1 if earlier is None else earlier.count + 1,
+            )
+            await self._client.order(difference.target, order, ORDER_TIMEOUT_S)
+        except errors.DotterelweirError as error:
+            if error.execution is errors.Execution.NOT_RUN:
+                # It did not arrive; it is given again in the next period.
+                self._ordered.pop(difference, None)
+            events.log(
+                LOG,
+                events.ORDER_FAILED,
+                pool=pool,
+                target_id=difference.target.target_id,
+                fencing=fencing,
+                code=error.kind.value,
+                detail=error.detail,
+            )
+            return
+        events.log(
+            LOG,
+            events.ORDER_GIVEN,
+            pool=pool,
+            target_id=difference.target.target_id,
+            fencing=fencing,
+            version=order.desired.version,
+            expires_at_s=order.expires_at_s,
+        )
+
+    async def _may_load(self, difference: plan.Difference) -> bool:
+        permitted_at_s = self._permitted_at_s.get(difference)
+        if permitted_at_s is None:
+            grant = await self._weights.grant(difference.desired.models[0])
+            permitted_at_s = grant.permitted_at_s
+            self._permitted_at_s[difference] = permitted_at_s
+        return permitted_at_s <= self._timer.wall_s()
--- a/packages/daemon/tests/claims/conftest.py
+++ b/packages/daemon/tests/claims/conftest.py
@@ -6,6 +6,7 @@
 import random
 
 import attrs
+import pytest
 import pytest_asyncio
 
 from dotterelweir_core import errors
@@ -269,3 +270,33 @@
     for project in made:
         for instance in project.instances.values():
             await instance.kill()
+
+
+@attrs.define(eq=False)
+class LogWorld:
+    """Virtual time and a log, for parts that are no service calls."""
+
+    timer: timers.VirtualTimerService
+    log: MemoryLog
+
+    def instance(self):
+        """The timer and the view of the log of a new instance."""
+        timer = PausableTimer(self.timer)
+        return timer, LogView(self.log, timer)
+
+    async def wait(self, seconds, step_s=0.25):
+        """Passes virtual time, in steps."""
+        end_s = self.timer.monotonic_s() + seconds
+        while self.timer.monotonic_s() < end_s - 1e-6:
+            for _ in range(30):
+                await asyncio.sleep(0)
+            self.timer.advance(step_s)
+        for _ in range(30):
+            await asyncio.sleep(0)
+
+
+@pytest.fixture
+def log_world():
+    """An empty log."""
+    timer = timers.VirtualTimerService()
+    return LogWorld(timer, MemoryLog(timer))
