Tell the balancer that an instance drains before requests are refused

Cause: /readyz on the callers' port asked the same query as requests, which says yes during the grace after SIGTERM, so the balancer learned nothing and callers met a closed port: 1 to 12 broken of about 120 requests in a rolling replacement of 3 instances. Conclusion: readiness and refusal are two queries.

--- a/fakes/src/dotterelweir_fakes/relay_processes.py
+++ b/fakes/src/dotterelweir_fakes/relay_processes.py
@@ -153,6 +153,7 @@
         find_target=lambda name, incarnation: target,
         codec=resume.ResumeCodec((_KEY,)),
         refusal=lambda: None,
+        unready=lambda: None,
         metrics=metrics.Metrics(),
         retry_budget=retries.RetryBudget(0.2),
     )
--- a/packages/daemon/src/dotterelweird/callers/api.py
+++ b/packages/daemon/src/dotterelweird/callers/api.py
@@ -72,6 +72,8 @@
         find_target: Query of a target.
         codec: Encodes and verifies event ids.
         refusal: Query whether new requests are refused.
+        unready: Query whether the balancer should send none; it turns so
+            before requests are refused.
         metrics: Metrics of the process.
         retry_budget: Bounds retries.
         in_flight: The requests that are being answered.
@@ -88,6 +90,7 @@
     find_target: TargetQuery
     codec: resume.ResumeCodec
     refusal: ReadinessQuery
+    unready: ReadinessQuery
     metrics: metrics_module.Metrics
     retry_budget: retries.RetryBudget
     in_flight: inflight.InFlight = attrs.field(factory=inflight.InFlight)
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -69,8 +69,8 @@
         return web.Response(text='ok\n')
 
     async def ready(self, request: web.Request) -> web.Response:
-        """Whether new requests are taken."""
-        kind = self._parts.refusal()
+        """Whether the balancer should send new requests."""
+        kind = self._parts.unready()
         if kind is not None:
             raise errors.DotterelweirError(kind)
         return web.Response(text='ok\n')
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -246,6 +246,7 @@
             find_target=self._registry.get,
             codec=resume.ResumeCodec(settings.peers.keys),
             refusal=self._readiness.refusal,
+            unready=self._readiness.unready,
             metrics=self._metrics,
             retry_budget=budget,
             in_flight=self._in_flight,
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -42,11 +42,15 @@
 
     def refusal(self) -> errors.ErrorKind | None:
         """Why new requests are refused, or None."""
+        if self._lifecycle.state == 'draining' and not self.grace_over:
+            return None
+        return self.unready()
+
+    def unready(self) -> errors.ErrorKind | None:
+        """Why the balancer should send no new requests, or None."""
         match self._lifecycle.state:
             case 'ready':
                 return None
-            case 'draining' if not self.grace_over:
-                return None
             case 'draining' | 'stopped':
                 return errors.ErrorKind.SHUTTING_DOWN
             case _:
--- a/packages/daemon/tests/callers/conftest.py
+++ b/packages/daemon/tests/callers/conftest.py
@@ -185,6 +185,7 @@
             find_target=self._find_target,
             codec=resume.ResumeCodec(KEYS),
             refusal=lambda: refusing[0] if refusing else None,
+            unready=lambda: refusing[0] if refusing else None,
             metrics=metrics.Metrics(),
             retry_budget=retries.RetryBudget(settings.delivery.retry_ratio),
         )
--- /dev/null
+++ b/packages/daemon/tests/test_instance.py
@@ -0,0 +1,37 @@
+"""Tests of the readiness of an instance."""
+
+import pytest
+
+from dotterelweir_core import errors
+from dotterelweird import instance
+from dotterelweird import lifecycle
+
+NOT_READY = errors.ErrorKind.NOT_READY
+SHUTTING_DOWN = errors.ErrorKind.SHUTTING_DOWN
+
+
+@pytest.mark.parametrize(
+    ('transitions', 'grace_over', 'refusal', 'unready'),
+    [
+        ((), False, NOT_READY, NOT_READY),
+        (('mark_ready',), False, None, None),
+        (('mark_ready', 'drain'), False, None, SHUTTING_DOWN),
+        (('mark_ready', 'drain'), True, SHUTTING_DOWN, SHUTTING_DOWN),
+        (('mark_ready', 'drain', 'stop'), True, SHUTTING_DOWN, SHUTTING_DOWN),
+        (('drain', 'mark_ready'), True, SHUTTING_DOWN, SHUTTING_DOWN),
+    ],
+)
+def test_the_balancer_is_told_before_requests_are_refused(
+    transitions, grace_over, refusal, unready
+):
+    """Guards against a balancer that is told ready until the process ends.
+
+    It happened: callers met a closed port during a rolling replacement.
+    """
+    cycle = lifecycle.Lifecycle()
+    readiness = instance.Readiness(cycle)
+    for name in transitions:
+        getattr(cycle, name)()
+    readiness.grace_over = grace_over
+    assert readiness.refusal() is refusal
+    assert readiness.unready() is unready
