Wire orders into the instance and leave ambiguous engines alone

Engines that several equally specific pools name get no orders: with two pools by model on one service, which is how the demo's tables are, an order for the first pool's model would unload the other's. A pool without a version or a role leaves what the engine reports.

Orders start only with a weight store in the settings.

--- a/packages/core/src/dotterelweir_core/orders/plan.py
+++ b/packages/core/src/dotterelweir_core/orders/plan.py
@@ -16,8 +16,8 @@
     Attributes:
         models: Models that are loaded.
         adapters: Adapters that are loaded.
-        version: Version of the weights.
-        role: Role of the engine.
+        version: Version of the weights; empty for any.
+        role: Role of the engine; empty for any.
     """
 
     models: tuple[str, ...]
@@ -70,8 +70,9 @@
 
     An engine that belongs to several pools is ordered by one of them only,
     as their lease holders would otherwise undo each other's orders: the
-    pool that names the target comes first, then one that names its zone,
-    then the first by name.
+    pool that names the target comes first, then one that names its zone. If
+    several are left, the tables do not say which model the engine should
+    have, and it gets no orders.
     """
     pool = pools[pool_name]
     if not _gives_orders(pool):
@@ -93,18 +94,25 @@
     """Compares what engines should have with what they report.
 
     An engine without a report of its present incarnation gets no order, and
-    neither does one that is leaving.
+    neither does one that is leaving. What a pool leaves open stays as it is
+    reported.
     """
     differences = []
-    for target, wanted in desired.items():
+    for target, open_state in desired.items():
         report = reported.get(target.target_id)
         if (
             report is None
             or report.incarnation != target.incarnation
             or report.state is not targets_model.TargetState.LIVE
-            or _matches(wanted, report)
         ):
             continue
+        wanted = attrs.evolve(
+            open_state,
+            version=open_state.version or report.version,
+            role=open_state.role or report.role,
+        )
+        if _matches(wanted, report):
+            continue
         loads = (
             not set(wanted.models) <= set(report.models)
             or not set(wanted.adapters) <= set(report.adapters)
@@ -130,12 +138,14 @@
 def _ordering_pool(
     target: targets_model.Target, pools: Mapping[str, tables_model.Pool]
 ) -> str | None:
-    ranked = [
+    ranked = sorted(
         (not pool.target_ids, not pool.zones, name)
         for name, pool in pools.items()
         if _gives_orders(pool)
         and pool.service == target.service
         and (not pool.zones or target.zone in pool.zones)
         and (not pool.target_ids or target.target_id in pool.target_ids)
-    ]
-    return min(ranked)[2] if ranked else None
+    )
+    if not ranked or len(ranked) > 1 and ranked[0][:2] == ranked[1][:2]:
+        return None
+    return ranked[0][2]
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -21,10 +21,13 @@
 from dotterelweird import claims_service
 from dotterelweird import dispatch
 from dotterelweird import instance as instance_module
+from dotterelweird import lease_keeper
 from dotterelweird import lifecycle as lifecycle_module
 from dotterelweird import logs
 from dotterelweird import metrics as metrics_module
 from dotterelweird import news
+from dotterelweird import order_facts
+from dotterelweird import orders_service
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.admin import queries as admin_queries
@@ -40,6 +43,7 @@
 from dotterelweird.tables_service import service as tables_service
 from dotterelweird.targets import engine as engine_adapter
 from dotterelweird.targets import monitor as target_monitor
+from dotterelweird.targets import orders as orders_adapter
 from dotterelweird.targets import service as service_adapter
 
 LOG = logging.getLogger(__name__)
@@ -118,6 +122,7 @@
                 dispatcher=dispatcher,
                 tables=tables,
                 claims=claims,
+                orders=self._orders(log, tables),
                 targets=self._targets,
                 monitor=monitor,
                 limits=limits,
@@ -130,6 +135,27 @@
             )
         )
 
+    def _orders(
+        self,
+        log: platform_http.HttpLogClient,
+        tables: tables_service.TablesService,
+    ) -> orders_service.OrdersService | None:
+        platform = self._settings.platform
+        # Loads that nobody limits could stop the whole weight store.
+        if not platform.weights_url:
+            return None
+        return orders_service.OrdersService(
+            self._timer,
+            lease_keeper.LeaseKeeper(log, self._timer, self._rng, platform),
+            order_facts.RegistryFacts(lambda: tables.tables, self._registry),
+            orders_adapter.HttpOrderClient(self._target_session),
+            platform_http.HttpWeightStore(
+                self._platform_session,
+                platform.weights_url,
+                platform.log_timeout_s,
+            ),
+        )
+
     def _tables_and_peers(
         self, log: platform_http.HttpLogClient
     ) -> tuple[tables_service.TablesService, peers_service.PeersService]:
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -13,6 +13,7 @@
 from dotterelweird import lifecycle as lifecycle_module
 from dotterelweird import metrics as metrics_module
 from dotterelweird import news
+from dotterelweird import orders_service
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.callers import inflight
@@ -70,6 +71,7 @@
         dispatcher: Requests that wait or run.
         tables: Follows the configuration log.
         claims: Claims idempotency keys.
+        orders: Gives orders to engines; None without a weight store.
         targets: News of targets.
         monitor: Polls targets.
         limits: Limits of organisations.
@@ -89,6 +91,7 @@
     dispatcher: dispatch.Dispatcher
     tables: tables_service.TablesService
     claims: claims_service.ClaimsService
+    orders: orders_service.OrdersService | None
     targets: news.TargetNews
     monitor: target_monitor.TargetMonitor
     limits: news.LimitShares
@@ -123,6 +126,8 @@
         self._following = asyncio.create_task(parts.tables.run())
         parts.claims.start()
         parts.monitor.start()
+        if parts.orders is not None:
+            parts.orders.start()
         self._subscriptions = [
             parts.timer.subscribe(_GAUGE_PERIOD_S, self._update_gauges),
             parts.timer.subscribe(_READY_CHECK_S, self._check_ready),
@@ -150,6 +155,8 @@
         await parts.in_flight.close()
         for subscription in self._subscriptions:
             subscription.cancel()
+        if parts.orders is not None:
+            await parts.orders.stop()
         await parts.monitor.stop()
         await parts.claims.stop()
         if self._following is not None:
