Let a call be repeated at once after its claim was released

A caller that was told "not run" and repeated its key at the same instance got "in progress" until the release had been read back. The instance now leaves the decision to the log, where the release comes before the new claim. The new fault case fails without this and passes with it.

--- a/packages/daemon/src/dotterelweird/claim_stream.py
+++ b/packages/daemon/src/dotterelweird/claim_stream.py
@@ -68,6 +68,8 @@
         self._numbers = itertools.count(1)
         self._table = fold.ClaimTable(claims.window_s)
         self._pending: dict[str, _Pending] = {}
+        # Own claims whose release is on its way to the log.
+        self._releasing: set[str] = set()
         self._follower = log_follower.LogFollower(
             log, name, timer, rng, platform.log_wait_s, self._apply
         )
@@ -142,6 +144,7 @@
             claim_id=claim.claim_id,
             key_hash=claim.key_hash,
         )
+        self._releasing.add(claim.claim_id)
         self.append(records.Release(claim.claim_id, claim.key_hash))
 
     def check_dispatch(self, append: log_batcher.Append) -> None:
@@ -165,11 +168,16 @@
     def _known(self, key_hash: str, request_hash: str) -> fold.Decision | None:
         """What is known of a key without asking the log.
 
-        It holds even while the log is down. A claim that was released since
-        gets one more answer with "unknown".
+        It holds even while the log is down. A claim that another instance
+        released since gets one more answer with "unknown"; after an own
+        release, the log decides on the next claim.
         """
         entry = self._table.find(key_hash)
-        if entry is None or entry.expires_s < self._timer.wall_s():
+        if (
+            entry is None
+            or entry.claim_id in self._releasing
+            or entry.expires_s < self._timer.wall_s()
+        ):
             return None
         return fold.Decision(
             entry.claim_id,
@@ -230,6 +238,8 @@
             )
             return
         decision = self._table.apply(record.offset, record.time_s, decoded)
+        if isinstance(decoded, records.Release):
+            self._releasing.discard(decoded.claim_id)
         if decision is None or not decision.claim_id.startswith(
             self._claim_prefix
         ):
--- a/packages/daemon/tests/claims/test_fault_cases.py
+++ b/packages/daemon/tests/claims/test_fault_cases.py
@@ -181,6 +181,12 @@
         [UNREACHABLE, UNREACHABLE],
         0,
     ),
+    'connection refused, repeated at once': (
+        [None, []],
+        'only-0 a done only-1 a',
+        [UNREACHABLE, OK],
+        1,
+    ),
     'connection refused, then another': ([None, []], 'a', [OK], 1),
     'cut before execution': ([['cut-before']], 'a done w1 b', [CUT, ENDED], 0),
     'cut after execution': ([['cut-after']], 'a done w1 b', [CUT, ENDED], 1),
--- /dev/null
+++ b/packages/daemon/tests/claims/test_http_log.py
@@ -0,0 +1,148 @@
+"""Claims over the HTTP log of the fake platform, on loopback."""
+
+import asyncio
+import random
+
+import aiohttp
+from aiohttp import test_utils
+import pytest
+import pytest_asyncio
+
+from dotterelweir_core import errors
+from dotterelweir_core.tables import model as tables_model
+from dotterelweir_fakes import loop_timers
+from dotterelweir_fakes.platform import app as fake_app
+from dotterelweir_fakes.platform import log as fake_log
+from dotterelweir_platform import http
+from dotterelweird import claims_api
+from dotterelweird import claims_service
+from dotterelweird.settings import model as settings_model
+
+ROUTE = tables_model.Route(
+    'book', tables_model.Match('/book'), 'shop', repeatable=False
+)
+CLAIMS = settings_model.Claims(decision_timeout_s=3.0)
+RAN = claims_api.Outcome(errors.Execution.RAN, 200, (), b'booked')
+
+
+@pytest_asyncio.fixture
+async def claiming():
+    """Makes a platform and a function that starts instances on it."""
+    timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
+    session = aiohttp.ClientSession()
+    started, servers = [], []
+
+    async def make(**options):
+        platform = fake_app.Platform(timer, fake_log.LogOptions(**options))
+        server = test_utils.TestServer(fake_app.create_app(platform))
+        await server.start_server()
+        servers.append(server)
+        url = str(server.make_url('/'))
+        settings = settings_model.Platform(url, url)
+
+        def start():
+            log = http.HttpLogClient(session, url, settings.log_timeout_s)
+            service = claims_service.ClaimsService(
+                log, timer, random.Random(1), settings, CLAIMS
+            )
+            service.start()
+            started.append(service)
+
+            def claim(key='k'):
+                return service.claim(
+                    claims_api.ClaimRequest(
+                        'acme', ROUTE, key, 'hash', timer.monotonic_s() + 10.0
+                    )
+                )
+
+            return claim
+
+        return platform, start
+
+    yield make
+    for service in started:
+        await service.stop(0.0)
+    for server in servers:
+        await server.close()
+    await session.close()
+
+
+@pytest.mark.parametrize(
+    'faults',
+    [
+        {},
+        {'lose_responses': 1},
+        {'lose_responses': 3},
+        {'response_delay_s': 0.5},
+        {'delay_s': 0.2},
+    ],
+)
+async def test_one_of_two_instances_is_granted_the_key(claiming, faults):
+    """Guards against a second grant when the log is slow or loses answers."""
+    platform, start = await claiming()
+    platform.change_faults({'log': faults})
+    answers = await asyncio.gather(
+        start()(), start()(), return_exceptions=True
+    )
+    grants = [each for each in answers if isinstance(each, claims_api.Grant)]
+    assert len(grants) == 1
+    (refused,) = [each for each in answers if each not in grants]
+    assert refused.kind is errors.ErrorKind.CLAIM_IN_PROGRESS
+    assert refused.execution is errors.Execution.UNKNOWN
+
+
+async def test_the_outcome_is_replayed_from_the_log(claiming):
+    """Guards against a repeat elsewhere that runs the call again."""
+    _, start = await claiming()
+    grant = await start()()
+    grant.end(RAN)
+    other = start()
+
+    async def repeat():
+        try:
+            return await other()
+        except errors.DotterelweirError as error:
+            assert error.kind is errors.ErrorKind.CLAIM_IN_PROGRESS
+            await asyncio.sleep(0)
+            return None
+
+    replayed = None
+    async with asyncio.timeout(10.0):
+        while replayed is None:
+            replayed = await repeat()
+    assert replayed == RAN
+
+
+async def test_a_log_that_is_down_refuses_and_recovers(claiming):
+    """Guards against a call that is sent without a claim."""
+    platform, start = await claiming()
+    claim = start()
+    platform.change_faults({'log': {'appends_down': True}})
+    with pytest.raises(errors.DotterelweirError) as caught:
+        await claim()
+    assert caught.value.kind is errors.ErrorKind.CLAIMS_UNAVAILABLE
+    assert caught.value.execution is errors.Execution.NOT_RUN
+    platform.change_faults({'log': {'appends_down': False}})
+    assert isinstance(await claim(), claims_api.Grant)
+
+
+async def test_an_instance_starts_on_a_log_with_expired_records(claiming):
+    """Guards against a start that asks for expired records for ever."""
+    _, start = await claiming(retention_records=2)
+    claim = start()
+    for number in range(4):
+        await claim(f'key-{number}')
+    other = start()
+    with pytest.raises(errors.DotterelweirError) as caught:
+        await other('key-3')
+    assert caught.value.kind is errors.ErrorKind.CLAIM_IN_PROGRESS
+
+
+async def test_claims_share_appends_under_a_rate_limit(claiming):
+    """Guards against calls that fail because the log refuses for its rate."""
+    _, start = await claiming(appends_per_s=2.0)
+    claim = start()
+    answers = await asyncio.gather(
+        *(claim(f'key-{number}') for number in range(100))
+    )
+    assert all(isinstance(each, claims_api.Grant) for each in answers)
