Let a repeat wait for the call in progress; test failures of processes

Cause: the answer of a keyed call reaches its caller before its outcome is in the log, so a repeat that follows at once was refused with claim-in-progress. Ruled out: recording the outcome before the answer goes out, which adds an append to the latency of every keyed call. Conclusion: a repeat waits up to 2 s for the end of the first call.

--- /dev/null
+++ b/fakes/tests/system/test_failures.py
@@ -0,0 +1,197 @@
+"""Tests of whole deployments while processes and the platform fail.
+
+Every test runs real processes. Counts are taken by the callers and by the
+stand-ins, never by the system itself.
+"""
+
+import asyncio
+import signal
+
+NOTHING_WRONG = {
+    'broken': 0,
+    'duplicated_tokens': 0,
+    'executed_twice': 0,
+    'ran_despite_not_run': 0,
+}
+
+
+async def counts(system, tally):
+    summary = tally.summary(await system.cluster.executions())
+    return summary, {name: summary[name] for name in NOTHING_WRONG}
+
+
+async def test_rolling_replacement_cuts_no_request(start_system):
+    """Guards against a planned stop that cuts, refuses or loses requests."""
+    system = await start_system()
+    async with system.under_load() as tally:
+        for number in range(3):
+            old = system.cluster.instances[0]
+            await system.cluster.start_instance(f'new-{number}', number)
+            system.use_instances()
+            await system.until_ready(4)
+            old.child.terminate()
+            assert await old.child.wait() == 0, old.child.output()
+            system.cluster.instances.remove(old)
+            system.use_instances()
+    summary, wrong = await counts(system, tally)
+    assert wrong == NOTHING_WRONG, str(
+        [r for r in tally.results if r.outcome.value == 'broken']
+    )
+    assert summary['whole'] == summary['requests'] > 0, summary
+
+
+async def test_callers_resume_when_their_instance_is_killed(start_system):
+    """Guards against a guide that is lost or repeated with its instance."""
+    system = await start_system()
+    probing = asyncio.create_task(system.balancer.run())
+    tasks = [await system.start_stream(400) for _ in range(9)]
+    victim = system.cluster.instances[0]
+    assert system.events(victim, 'target-chosen')
+    victim.child.kill()
+    results = await asyncio.gather(*tasks)
+    probing.cancel()
+    outcomes = {result.outcome.value for result in results}
+    assert outcomes == {'whole'}, results
+    assert sum(result.duplicated_tokens for result in results) == 0
+    assert sum(result.resumes for result in results) > 0
+
+
+async def test_a_killed_engine_ends_its_streams_honestly(start_system):
+    """Guards against a stream that goes on with another generation."""
+    system = await start_system()
+    async with system.under_load() as tally:
+        await system.until(lambda: len(tally.results) > 10)
+        engine = next(
+            child
+            for child in system.group.children
+            if child.name.startswith('guide-llm')
+        )
+        engine.kill()
+        seen = len(tally.results)
+        await system.until(lambda: len(tally.results) > seen + 30)
+    summary, wrong = await counts(system, tally)
+    assert wrong == NOTHING_WRONG
+    codes = set(summary['refusals_by_code'])
+    assert codes <= {'generation-lost', 'claim-in-progress'}, summary
+
+
+async def test_a_frozen_engine_ends_its_streams_honestly(start_system):
+    """Guards against callers that wait for ever for a stalled engine."""
+    system = await start_system(engines=2)
+    tasks = [await system.start_stream(600) for _ in range(6)]
+    engine = next(
+        child
+        for child in system.group.children
+        if child.name.startswith('guide-llm')
+    )
+    engine.process.send_signal(signal.SIGSTOP)
+    try:
+        results = await asyncio.gather(*tasks)
+    finally:
+        engine.process.send_signal(signal.SIGCONT)
+    outcomes = [result.outcome.value for result in results]
+    assert set(outcomes) <= {'whole', 'incomplete', 'refused'}, results
+    assert 'whole' in outcomes
+
+
+async def test_an_instance_killed_during_a_booking_runs_it_once(start_system):
+    """Guards against a repeat elsewhere that books a second time."""
+    system = await start_system(services=1)
+    url = system.cluster.service_urls[0]
+    await system.post(f'{url}/faults', {'delay_s': 1.0}, 'PUT')
+    victim = system.cluster.instances[0]
+    system.balancer.urls = (victim.caller_url,)
+    await system.until_ready(1)
+    first = asyncio.create_task(system.book('booking-1', 'key-1'))
+    await system.until(lambda: system.events(victim, 'target-chosen'))
+    victim.child.kill()
+    assert (await first).outcome.value == 'broken'
+    system.cluster.instances.remove(victim)
+    system.use_instances()
+    await system.until_ready(2)
+    again = await system.book('booking-1', 'key-1')
+    assert (again.outcome.value, again.execution) == ('refused', 'unknown')
+    await system.until(lambda: _executed(system, 'booking-1'))
+    again = await system.book('booking-1', 'key-1')
+    assert again.execution in ('unknown', 'ran')
+    assert await system.executions('booking-1') == 1
+
+
+async def _executed(system, key):
+    return await system.executions(key) >= 1
+
+
+async def test_outage_of_the_platform(start_system):
+    """Guards against an outage of the log that stops more than it must."""
+    system = await start_system()
+    down = {'down': True}
+    await system.platform_faults(log=down, instances=down)
+    stream = await system.stream(50)
+    assert stream.outcome.value == 'whole'
+    unkeyed = await system.book('no-key')
+    assert unkeyed.outcome.value == 'whole'
+    keyed = await system.book('keyed', 'key-2')
+    assert (keyed.code, keyed.execution) == ('claims-unavailable', 'not run')
+    assert await system.executions('keyed') == 0
+    up = {'down': False}
+    await system.platform_faults(log=up, instances=up)
+
+    async def served():
+        result = await system.book('keyed', 'key-2')
+        return result.outcome.value == 'whole'
+
+    await system.until(served)
+    assert await system.executions('keyed') == 1
+
+
+async def test_an_edit_made_after_an_outage_is_in_force(start_system):
+    """Guards against instances that stop following the log."""
+    system = await start_system()
+    await system.platform_faults(log={'down': True})
+    await system.until(
+        lambda: all(
+            system.events(instance, 'log-unreachable')
+            for instance in system.cluster.instances
+        )
+    )
+    await system.platform_faults(log={'down': False})
+    report = await system.client('route', 'delete', 'lookup')
+    assert report['outcome'] == 'accepted'
+
+    async def in_force():
+        for instance in system.cluster.instances:
+            url = f'{instance.admin_url}/admin/v1/tables'
+            async with system.http.get(url) as response:
+                if (await response.json())['revision'] < report['revision']:
+                    return False
+        return True
+
+    await system.until(in_force, timeout_s=18.0)
+
+
+async def test_a_leaving_engine_gets_no_new_work(start_system):
+    """Guards against work for an engine 3 s after it said it leaves."""
+    system = await start_system()
+    url = system.cluster.engine_urls[0]
+    async with system.http.get(f'{url}/v1/load') as response:
+        leaving = (await response.json())['target_id']
+    async with system.under_load() as tally:
+        await system.until(lambda: len(tally.results) > 10)
+        await system.post(f'{url}/faults', {'kind': 'leave'})
+        loop = asyncio.get_running_loop()
+        limit_s = loop.time() + 3.0
+        await system.until(lambda: loop.time() >= limit_s)
+        before = _placements(system, leaving)
+        seen = len(tally.results)
+        await system.until(lambda: len(tally.results) > seen + 30)
+        assert _placements(system, leaving) == before > 0
+    _, wrong = await counts(system, tally)
+    assert wrong == NOTHING_WRONG
+
+
+def _placements(system, target_id):
+    return sum(
+        line['target_id'] == target_id
+        for instance in system.cluster.instances
+        for line in system.events(instance, 'target-chosen')
+    )
--- a/packages/daemon/src/dotterelweird/claim_stream.py
+++ b/packages/daemon/src/dotterelweird/claim_stream.py
@@ -68,6 +68,7 @@
         self._numbers = itertools.count(1)
         self._table = fold.ClaimTable(claims.window_s)
         self._pending: dict[str, _Pending] = {}
+        self._repeats: dict[str, list[asyncio.Future]] = {}
         self._follower = log_follower.LogFollower(
             log, name, timer, rng, platform.log_wait_s, self._apply
         )
@@ -112,6 +113,9 @@
             A grant, or the outcome of an earlier call with this key.
         """
         known = self._known(key_hash, request_hash)
+        if known is not None and known.verdict is fold.Verdict.IN_PROGRESS:
+            await self._wait_for_end(key_hash, deadline_s)
+            known = self._known(key_hash, request_hash)
         if known is not None:
             return await self._refuse(known)
         # A log that has been out of reach for as long as a decision may
@@ -128,6 +132,9 @@
         decision = await self._decision(pending, deadline_s)
         if decision.verdict is fold.Verdict.GRANTED:
             return ClaimGrant(self, claim, pending.append)
+        if decision.verdict is fold.Verdict.IN_PROGRESS:
+            await self._wait_for_end(key_hash, deadline_s)
+            decision = self._known(key_hash, request_hash) or decision
         return await self._refuse(decision)
 
     def append(self, record: records.ClaimRecord) -> None:
@@ -178,6 +185,30 @@
             entry.outcome_offset,
         )
 
+    async def _wait_for_end(self, key_hash: str, deadline_s: float) -> None:
+        """Waits a moment for the call in progress to end or be released.
+
+        The answer of a call goes out before its outcome is in the stream,
+        so that a repeat which follows at once would be refused without it.
+        """
+        wait_s = min(
+            self._settings.repeat_wait_s,
+            deadline_s - self._timer.monotonic_s(),
+        )
+        if wait_s <= 0:
+            return
+        ended = asyncio.get_running_loop().create_future()
+        waiting = self._repeats.setdefault(key_hash, [])
+        waiting.append(ended)
+        handle = self._timer.call_after(wait_s, lambda: _wake(ended))
+        try:
+            await ended
+        finally:
+            handle.cancel()
+            waiting.remove(ended)
+            if not waiting:
+                self._repeats.pop(key_hash, None)
+
     def _enqueue(self, claim: records.Claim) -> _Pending:
         append = log_batcher.Append(
             records.encode(claim), lambda: claim.claim_id in self._pending
@@ -230,6 +261,9 @@
             )
             return
         decision = self._table.apply(record.offset, record.time_s, decoded)
+        if not isinstance(decoded, records.Claim):
+            for ended in self._repeats.get(decoded.key_hash, ()):
+                _wake(ended)
         if decision is None or not decision.claim_id.startswith(
             self._claim_prefix
         ):
@@ -341,6 +375,11 @@
         )
 
 
+def _wake(waiter: asyncio.Future) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
+
+
 def key_expired() -> errors.DotterelweirError:
     """The error for a key that is older than the window."""
     return errors.DotterelweirError(
--- a/packages/daemon/src/dotterelweird/settings/model.py
+++ b/packages/daemon/src/dotterelweird/settings/model.py
@@ -121,6 +121,8 @@
         window_s: How long a claim lives; below the log's retention.
         append_interval_s: Least time between two appends.
         decision_timeout_s: How long a call waits for its claim.
+        repeat_wait_s: How long a repeat waits for the call in progress to
+            end; 0 refuses it at once.
         dispatch_limit_s: Most time from the claim's append to dispatch.
         outcome_max_bytes: Largest body that is kept with an outcome.
     """
@@ -128,6 +130,7 @@
     window_s: float = attrs.field(default=86_400.0, validator=_positive)
     append_interval_s: float = attrs.field(default=0.05, validator=_positive)
     decision_timeout_s: float = attrs.field(default=5.0, validator=_positive)
+    repeat_wait_s: float = attrs.field(default=2.0, validator=_not_negative)
     dispatch_limit_s: float = attrs.field(default=30.0, validator=_positive)
     outcome_max_bytes: int = attrs.field(default=16_384, validator=_positive)
 
--- a/packages/daemon/tests/claims/conftest.py
+++ b/packages/daemon/tests/claims/conftest.py
@@ -16,7 +16,9 @@
 from dotterelweird.settings import model as settings_model
 
 PLATFORM = settings_model.Platform('http://log', 'http://list')
-CLAIMS = settings_model.Claims()
+# The cases of test_fault_cases say what a repeat gets at once; waiting for the
+# end of the call in progress has its own tests.
+CLAIMS = settings_model.Claims(repeat_wait_s=0.0)
 
 
 class PausableTimer(timers.TimerService):
--- /dev/null
+++ b/packages/daemon/tests/claims/test_repeats.py
@@ -0,0 +1,64 @@
+"""Tests of repeats that wait for the call in progress."""
+
+import asyncio
+
+import pytest
+
+from dotterelweir_core.tables import model as tables_model
+from dotterelweird.callers import service_attempts
+from dotterelweird.callers import service_calls
+
+ROUTE = tables_model.Route(
+    'booking', tables_model.Match('/book'), 'shop', repeatable=False
+)
+REQUEST = service_attempts.CallerRequest(
+    'POST',
+    '/book',
+    (('Idempotency-Key', 'key-1'), ('X-Business-Key', 'k')),
+    b'',
+)
+
+
+def call(project, name, request_id):
+    return asyncio.create_task(
+        project.instances[name].project.call(
+            ROUTE, REQUEST, timeout_s=60.0, request_id=request_id
+        )
+    )
+
+
+@pytest.mark.parametrize('second', ['a', 'b'])
+async def test_a_repeat_gets_the_answer_of_the_call_in_progress(
+    claims_project, claim_settings, second
+):
+    """Guards against a refusal of a repeat that comes just too early.
+
+    It happened in the demo: the answer of a call reaches its caller before
+    its outcome is in the log.
+    """
+    project = await claims_project(claims=claim_settings(repeat_wait_s=2.0))
+    tasks = [call(project, 'a', 'r0'), call(project, second, 'r1')]
+    first, repeat = await project.finish(tasks)
+    assert first.response.status == repeat.response.status == 200
+    assert repeat.response.headers[service_calls.REPLAYED_HEADER] == 'true'
+    by_key = sum(state.by_business_key['k'] for state in project.services)
+    assert by_key == 1
+
+
+async def test_a_repeat_does_not_wait_for_ever(claims_project, claim_settings):
+    """Guards against a repeat that hangs on a claimant that has died."""
+    project = await claims_project(claims=claim_settings(repeat_wait_s=2.0))
+    gate = asyncio.Event()
+    for state in project.services:
+        state.gate = gate
+    first = call(project, 'a', 'r0')
+    while not any(state.running for state in project.services):
+        await project.settle()
+    await project.instances['a'].kill()
+    gate.set()
+    began_s = project.timer.monotonic_s()
+    (repeat,) = await project.finish([call(project, 'b', 'r1')])
+    assert repeat.error.kind.value == 'claim-in-progress'
+    assert repeat.error.execution.value == 'unknown'
+    assert project.timer.monotonic_s() - began_s < 4.0
+    first.cancel()
