--- a/fakes/src/dotterelweir_fakes/relay_cost.py
+++ b/fakes/src/dotterelweir_fakes/relay_cost.py
@@ -225,16 +225,20 @@
     return {name: statistics.median(series) for name, series in times.items()}
 
 
-async def usage(request: web.Request) -> web.Response:
-    """CPU time and greatest memory of this process so far."""
-    times = os.times()
+def _peak_mb() -> float:
     # Not ru_maxrss, which keeps the peak of the process that forked this
     # one.
     status = pathlib.Path('/proc/self/status').read_text().splitlines()
     peak = next(line for line in status if line.startswith('VmHWM'))
+    return int(peak.split()[1]) / 1024
+
+
+async def usage(request: web.Request) -> web.Response:
+    """CPU time and greatest memory of this process so far."""
+    times = os.times()
     document = {
         'cpu_s': times.user + times.system,
-        'rss_mb': int(peak.split()[1]) / 1024,
+        'rss_mb': _peak_mb(),
     }
     return web.Response(body=orjson.dumps(document))
 
