--- a/packages/core/src/dotterelweir_core/policy/lengths.py
+++ b/packages/core/src/dotterelweir_core/policy/lengths.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import math
 
 import attrs
 import hdrh.histogram
@@ -39,7 +38,7 @@
     """The number of tokens at which the estimate changes next."""
     index = age_index(produced)
     if index >= _AGES - 1:
-        return _LONGEST_TOKENS * 2
+        return produced + _LONGEST_TOKENS
     return 1 << (_FIRST_AGE_SHIFT + index)
 
 
@@ -124,10 +123,10 @@
         counts: collections.Counter[float] = collections.Counter()
         for histogram in (self._previous, self._current):
             for item in histogram.get_recorded_iterator():
-                value = math.sqrt(
-                    max(1, item.value_iterated_from)
-                    * max(1, item.value_iterated_to)
-                )
+                reached = item.value_iterated_to
+                low = histogram.get_lowest_equivalent_value(reached)
+                high = histogram.get_highest_equivalent_value(reached)
+                value = (low + high) / 2
                 counts[value] += item.count_added_in_this_iter_step
         return _profile(sorted(counts.items()))
 
--- a/packages/core/src/dotterelweir_core/policy/settings.py
+++ b/packages/core/src/dotterelweir_core/policy/settings.py
@@ -80,7 +80,7 @@
     queue_timeout_s: float = 30.0
     sample_size: int = 4
     memory_fill_max: tuple[float, float, float] = (0.98, 0.94, 0.90)
-    rest_share: float = 0.5
+    rest_share: float = 0.4
     inter_token_objective_s: float = 0.059
     step_fill_max: tuple[float, float, float] = (0.85, 0.77, 0.72)
     step_relax_after_s: float = 0.5
@@ -88,7 +88,7 @@
     in_flight_max: int = 256
     short_tokens: int = 64
     output_tokens_default: int = 256
-    zone_cost_s: float = 0.02
+    zone_cost_s: float = 0.03
     prefill_s_per_token: float = 3e-5
     prefix_bonus_max_s: float = 0.05
     prefix_index_max: int = 4_096
