Tell mixed routes by their short outputs

The median put a route with two long outputs in five into the long band once lengths were estimated correctly, and its short work waited with the long. A route now counts as mixed if one output in four is short.

--- a/fakes/src/dotterelweir_fakes/measurement/policies.py
+++ b/fakes/src/dotterelweir_fakes/measurement/policies.py
@@ -21,7 +21,7 @@
 @attrs.frozen
 class _ExactProfile(lengths.Profile):
     def rest(self, produced: int) -> float:
-        return max(0.0, self.median - produced)
+        return max(0.0, self.low - produced)
 
 
 class _ExactLengths(lengths.LengthEstimator):
--- a/packages/core/src/dotterelweir_core/policy/lengths.py
+++ b/packages/core/src/dotterelweir_core/policy/lengths.py
@@ -26,6 +26,9 @@
 # The rest that is expected of an output that is longer than all before it,
 # as a share of what it has produced.
 _TAIL_GROWTH = 0.5
+# If one output in four is short, a route mixes short and long work; if one
+# in seven is long, it does not count as short.
+_LOW_PERCENTILE = 0.25
 _HIGH_PERCENTILE = 0.85
 
 
@@ -48,13 +51,13 @@
 
     Attributes:
         mean_rest: Mean tokens still to come, by index of age.
-        median: Median of the whole output.
+        low: A low percentile of the whole output.
         high: A high percentile of the whole output.
         samples: Ended outputs that it rests on.
     """
 
     mean_rest: tuple[float, ...]
-    median: float
+    low: float
     high: float
     samples: int
 
@@ -85,9 +88,9 @@
         # With few samples above this age the tail rule gets more weight.
         tail = max(_TAIL_GROWTH * age, 1.0)
         rests.append((rest + 2 * tail) / (weight + 2))
-    median = _percentile(counts, 0.5 * total)
+    low = _percentile(counts, _LOW_PERCENTILE * total)
     high = _percentile(counts, _HIGH_PERCENTILE * total)
-    return Profile(tuple(rests), median, high, total)
+    return Profile(tuple(rests), low, high, total)
 
 
 def _percentile(counts: list[tuple[float, int]], rank: float) -> float:
--- a/packages/core/src/dotterelweir_core/policy/scheduler.py
+++ b/packages/core/src/dotterelweir_core/policy/scheduler.py
@@ -331,7 +331,7 @@
         short = self._settings.short_tokens
         if high <= short:
             return queue.SHORT
-        if profile.median <= 2 * short:
+        if profile.low <= short:
             return queue.MEDIUM
         return queue.LONG
 
