Keep a late answer without incarnation from reviving an old target

Cause: an answer of a plain service does not name the incarnation that gave it. Recorded as an own answer of the target that the call was addressed to, a late one replaced a newer incarnation by the old one, and the list could not correct that, because replaced incarnations in it are ignored. Ruled out: the time at which the call was sent (the call may have been sent after the target restarted, to the old record of it). Before and after: no such path in the tests before; record_state now keeps the current incarnation, and three cases of the table cover it. Conclusion: the daemon uses record_state for plain services.

--- a/packages/core/src/dotterelweir_core/targets/registry.py
+++ b/packages/core/src/dotterelweir_core/targets/registry.py
@@ -13,6 +13,7 @@
 
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model
+from dotterelweir_core.targets import pools
 
 # An incarnation that answered within this time is not replaced on the word
 # of the list alone, because the list may lag behind the target.
@@ -151,7 +152,7 @@
             entry.target
             for _, entry in sorted(self._current.items())
             if self._state(entry) is model.TargetState.LIVE
-            and _belongs(entry, pool)
+            and pools.belongs(entry.target, entry.report, pool)
         )
 
     # Commands.
@@ -273,6 +274,25 @@
             entry.gone = False
             self._notify(entry, source)
 
+    def record_state(
+        self, target: model.Target, state: model.TargetState, now_s: float
+    ) -> None:
+        """Takes an answer that does not name the incarnation that gave it.
+
+        The target is what the request was addressed to, which another
+        incarnation may have replaced since; this never changes which one
+        is current.
+        """
+        key = _key(target)
+        if state is not model.TargetState.LIVE:
+            self._mark_leaving(key, Source.ANSWER, now_s)
+        entry = self._current.get(target.target_id)
+        if entry is not None and _key(entry.target) == key:
+            entry.answered_s = max(now_s, entry.answered_s or now_s)
+            if entry.gone:
+                entry.gone = False
+                self._notify(entry, Source.ANSWER)
+
     def record_leaving(
         self, target_id: str, incarnation: int, now_s: float
     ) -> None:
@@ -373,17 +393,3 @@
 
 def _key(target: model.Target) -> tuple[str, int]:
     return (target.target_id, target.incarnation)
-
-
-def _belongs(entry: _Entry, pool: tables_model.Pool) -> bool:
-    target = entry.target
-    if target.service != pool.service:
-        return False
-    if pool.zones and target.zone not in pool.zones:
-        return False
-    if pool.target_ids and target.target_id not in pool.target_ids:
-        return False
-    loaded = entry.report.models if entry.report is not None else ()
-    # An engine that names its models and lacks the pool's would fail the
-    # request; one that names none is given the benefit of the doubt.
-    return not (pool.model and loaded and pool.model not in loaded)
--- a/packages/core/tests/targets/test_registry.py
+++ b/packages/core/tests/targets/test_registry.py
@@ -33,6 +33,12 @@
     )
 
 
+def unnamed_answer(incarnation, state=LIVE):
+    return lambda known, now_s: known.record_state(
+        target(incarnation), state, now_s
+    )
+
+
 def empty_list(known, now_s):
     known.record_list([], now_s)
 
@@ -118,6 +124,26 @@
         [(0, listing(7)), (1, peer(7, LIVE, 1.0)), (2, peer(8, LIVE, 2.0))],
         [8],
     ),
+    (
+        'late answer that names no incarnation brings the old one back',
+        [(0, listing(7)), (4, listing(8)), (5, unnamed_answer(7))],
+        [8],
+    ),
+    (
+        'answer that names no incarnation says that a target leaves',
+        [(0, listing(7)), (1, unnamed_answer(7, LEAVING)), (2, listing(7))],
+        [],
+    ),
+    (
+        'answers that name no incarnation do not keep an unlisted target',
+        [
+            (0, listing(7)),
+            (1, empty_list),
+            (9, unnamed_answer(7)),
+            (18, empty_list),
+        ],
+        [7],
+    ),
     (
         'target whose clock went back stays unknown in its new incarnation',
         [(0, listing(7)), (1, peer(7, LIVE, 9.0)), (20, peer(8, LIVE, 2.0))],
--- a/packages/daemon/src/dotterelweird/news.py
+++ b/packages/daemon/src/dotterelweird/news.py
@@ -52,8 +52,7 @@
         self, target: model.Target, state: model.TargetState
     ) -> None:
         """Takes what a plain service says of itself."""
-        now_s = self._timer.monotonic_s()
-        self._registry.record_answer(target, state, now_s, now_s)
+        self._registry.record_state(target, state, self._timer.monotonic_s())
 
     def note_leaving(self, target_id: str, incarnation: int) -> None:
         """Takes a peer's news that a target is leaving."""
