--- a/packages/daemon/src/dotterelweird/claim_stream.py
+++ b/packages/daemon/src/dotterelweird/claim_stream.py
@@ -13,6 +13,7 @@
 from dotterelweir_core.claims import fold
 from dotterelweir_core.claims import records
 from dotterelweir_platform import api as platform_api
+from dotterelweird import claim_errors
 from dotterelweird import claims_api
 from dotterelweird import log_batcher
 from dotterelweird import log_follower
@@ -24,7 +25,6 @@
 # Outcomes wait only while the log is down, when no new keyed calls begin.
 # Bodies are dropped beyond this many waiting records.
 _WAITING_BODIES_MAX = 200
-_RETRY_AFTER_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -70,6 +70,7 @@
         self._pending: dict[str, _Pending] = {}
         # Own claims whose release is on its way to the log.
         self._releasing: set[str] = set()
+        self._repeats: dict[str, list[asyncio.Future]] = {}
         self._follower = log_follower.LogFollower(
             log, name, timer, rng, platform.log_wait_s, self._apply
         )
@@ -114,12 +115,15 @@
             A grant, or the outcome of an earlier call with this key.
         """
         known = self._known(key_hash, request_hash)
+        if known is not None and known.verdict is fold.Verdict.IN_PROGRESS:
+            await self._wait_for_end(key_hash, deadline_s)
+            known = self._known(key_hash, request_hash)
         if known is not None:
             return await self._refuse(known)
         # A log that has been out of reach for as long as a decision may
         # take is not going to decide this one.
         if self._follower.failing_for_s() > self._settings.decision_timeout_s:
-            raise _unavailable('The log is out of reach')
+            raise claim_errors.unavailable('The log is out of reach')
         claim = records.Claim(
             f'{self._claim_prefix}{next(self._numbers)}',
             key_hash,
@@ -130,6 +134,9 @@
         decision = await self._decision(pending, deadline_s)
         if decision.verdict is fold.Verdict.GRANTED:
             return ClaimGrant(self, claim, pending.append)
+        if decision.verdict is fold.Verdict.IN_PROGRESS:
+            await self._wait_for_end(key_hash, deadline_s)
+            decision = self._known(key_hash, request_hash) or decision
         return await self._refuse(decision)
 
     def append(self, record: records.ClaimRecord) -> None:
@@ -152,7 +159,7 @@
         limit_s = self._settings.dispatch_limit_s
         sent = append.first_sent
         if sent is None or sent.elapsed_s(self._timer) > limit_s:
-            raise _unavailable(
+            raise claim_errors.unavailable(
                 f'The call was held up for more than {limit_s:g} s after '
                 'its claim'
             )
@@ -186,6 +193,30 @@
             entry.outcome_offset,
         )
 
+    async def _wait_for_end(self, key_hash: str, deadline_s: float) -> None:
+        """Waits a moment for the call in progress to end or be released.
+
+        The answer of a call goes out before its outcome is in the stream,
+        so that a repeat which follows at once would be refused without it.
+        """
+        wait_s = min(
+            self._settings.repeat_wait_s,
+            deadline_s - self._timer.monotonic_s(),
+        )
+        if wait_s <= 0:
+            return
+        ended = asyncio.get_running_loop().create_future()
+        waiting = self._repeats.setdefault(key_hash, [])
+        waiting.append(ended)
+        handle = self._timer.call_after(wait_s, lambda: _wake(ended))
+        try:
+            await ended
+        finally:
+            handle.cancel()
+            waiting.remove(ended)
+            if not waiting:
+                self._repeats.pop(key_hash, None)
+
     def _enqueue(self, claim: records.Claim) -> _Pending:
         append = log_batcher.Append(
             records.encode(claim), lambda: claim.claim_id in self._pending
@@ -209,7 +240,9 @@
             self._settings.decision_timeout_s,
             max(0.0, deadline_s - self._timer.monotonic_s()),
         )
-        late = _unavailable('The log did not decide on the claim in time')
+        late = claim_errors.unavailable(
+            'The log did not decide on the claim in time'
+        )
         try:
             with scopes.deadline(self._timer, wait_s, late):
                 return await pending.decided
@@ -240,6 +273,9 @@
         decision = self._table.apply(record.offset, record.time_s, decoded)
         if isinstance(decoded, records.Release):
             self._releasing.discard(decoded.claim_id)
+        if not isinstance(decoded, records.Claim):
+            for ended in self._repeats.get(decoded.key_hash, ()):
+                _wake(ended)
         if decision is None or not decision.claim_id.startswith(
             self._claim_prefix
         ):
@@ -264,23 +300,13 @@
             case fold.Verdict.ENDED if decision.outcome_offset is not None:
                 return await self._read_outcome(decision)
             case fold.Verdict.MISMATCH:
-                # The earlier call may be this one in another spelling.
-                raise errors.DotterelweirError(
-                    errors.ErrorKind.CLAIM_MISMATCH,
-                    '',
-                    errors.Execution.UNKNOWN,
-                )
+                raise claim_errors.mismatch()
             case fold.Verdict.KEY_EXPIRED:
-                raise key_expired()
+                raise claim_errors.key_expired()
             case fold.Verdict.KEY_IN_FUTURE:
-                raise key_in_future()
+                raise claim_errors.key_in_future()
             case _:
-                raise errors.DotterelweirError(
-                    errors.ErrorKind.CLAIM_IN_PROGRESS,
-                    '',
-                    errors.Execution.UNKNOWN,
-                    _RETRY_AFTER_S,
-                )
+                raise claim_errors.in_progress()
 
     async def _read_outcome(
         self, decision: fold.Decision
@@ -293,11 +319,8 @@
         except errors.DotterelweirError as error:
             if error.kind is errors.ErrorKind.LOG_GAP:
                 return claims_api.Outcome(execution)
-            raise errors.DotterelweirError(
-                errors.ErrorKind.CLAIMS_UNAVAILABLE,
-                'The recorded answer cannot be read now',
-                execution,
-                _RETRY_AFTER_S,
+            raise claim_errors.unavailable(
+                'The recorded answer cannot be read now', execution
             ) from error
         for record in page.records:
             if record.offset == decision.outcome_offset:
@@ -351,29 +374,6 @@
         )
 
 
-def key_expired() -> errors.DotterelweirError:
-    """The error for a key that is older than the window."""
-    return errors.DotterelweirError(
-        errors.ErrorKind.IDEMPOTENCY_KEY_EXPIRED, '', errors.Execution.UNKNOWN
-    )
-
-
-def key_in_future() -> errors.DotterelweirError:
-    """The error for a key from the future.
-
-    An instance with another clock may have run the call.
-    """
-    return errors.DotterelweirError(
-        errors.ErrorKind.IDEMPOTENCY_KEY_INVALID,
-        'The key carries a time in the future',
-        errors.Execution.UNKNOWN,
-    )
-
-
-def _unavailable(detail: str) -> errors.DotterelweirError:
-    return errors.DotterelweirError(
-        errors.ErrorKind.CLAIMS_UNAVAILABLE,
-        detail,
-        errors.Execution.NOT_RUN,
-        _RETRY_AFTER_S,
-    )
+def _wake(waiter: asyncio.Future) -> None:
+    if not waiter.done():
+        waiter.set_result(None)
--- a/packages/daemon/src/dotterelweird/claims_service.py
+++ b/packages/daemon/src/dotterelweird/claims_service.py
@@ -7,6 +7,7 @@
 from dotterelweir_core import timers
 from dotterelweir_core.claims import keys
 from dotterelweir_platform import api as platform_api
+from dotterelweird import claim_errors
 from dotterelweird import claim_stream
 from dotterelweird import claims_api
 from dotterelweird.settings import model as settings_model
@@ -83,11 +84,8 @@
         number = keys.partition(key_hash, len(self._streams))
         stream = self._streams[number]
         if sum(len(each) for each in self._streams) >= TABLE_MAX_CLAIMS:
-            raise errors.DotterelweirError(
-                errors.ErrorKind.CLAIMS_UNAVAILABLE,
-                f'There are {TABLE_MAX_CLAIMS} claims already',
-                errors.Execution.NOT_RUN,
-                1.0,
+            raise claim_errors.unavailable(
+                f'There are {TABLE_MAX_CLAIMS} claims already'
             )
         return await stream.claim(
             key_hash, request.request_hash, key.time_s, request.deadline_s
@@ -99,9 +97,9 @@
             return
         age_s = self._timer.wall_s() - key.time_s
         if age_s > self._settings.window_s:
-            raise claim_stream.key_expired()
+            raise claim_errors.key_expired()
         if age_s < -keys.FUTURE_TOLERANCE_S:
-            raise claim_stream.key_in_future()
+            raise claim_errors.key_in_future()
 
 
 def _check_settings(
