Give orders to engines from the composed instance

Cause: the orders service was not wired, so an edit of a pool's version never reached its engines. Ruled out: giving orders without a weight store; the loads would not be limited. Conclusion: any instance gives the orders under the lease of the pool.

--- a/fakes/tests/system/conftest.py
+++ b/fakes/tests/system/conftest.py
@@ -90,6 +90,11 @@
         async with self.http.request(method, url, json=document) as response:
             assert response.status < 300, await response.text()
 
+    async def load(self, url):
+        """The load report of a target."""
+        async with self.http.get(f'{url}/v1/load') as response:
+            return await response.json()
+
     async def platform_faults(self, **faults):
         await self.post(f'{self.cluster.platform_url}/faults', faults)
 
--- a/fakes/tests/system/test_failures.py
+++ b/fakes/tests/system/test_failures.py
@@ -173,8 +173,7 @@
     """Guards against work for an engine 3 s after it said it leaves."""
     system = await start_system()
     url = system.cluster.engine_urls[0]
-    async with system.http.get(f'{url}/v1/load') as response:
-        leaving = (await response.json())['target_id']
+    leaving = (await system.load(url))['target_id']
     async with system.under_load() as tally:
         await system.until(lambda: len(tally.results) > 10)
         await system.post(f'{url}/faults', {'kind': 'leave'})
@@ -195,3 +194,27 @@
         for instance in system.cluster.instances
         for line in system.events(instance, 'target-chosen')
     )
+
+
+async def test_engines_are_ordered_to_the_version_of_their_pool(start_system):
+    """Guards against an edit of a pool that never reaches its engines."""
+    system = await start_system()
+    stream = await system.start_stream(200)
+    pool = system.group.directory / 'pool.json5'
+    pool.write_text(
+        '{kind: "engine", service: "guide-llm", model: "guide", version: "v2"}'
+    )
+    report = await system.client('pool', 'put', 'models', str(pool))
+    assert report['outcome'] == 'accepted'
+
+    async def loaded():
+        versions = [
+            (await system.load(url))['version']
+            for url in system.cluster.engine_urls
+        ]
+        return set(versions) == {'v2'}
+
+    # The lease of a pool is waited out before engines that ignore fencing
+    # numbers get orders, and the weight store permits one load a second.
+    await system.until(loaded, timeout_s=60.0)
+    assert (await stream).outcome.value == 'whole'
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -21,10 +21,12 @@
 from dotterelweird import claims_service
 from dotterelweird import dispatch
 from dotterelweird import instance as instance_module
+from dotterelweird import lease_keeper
 from dotterelweird import lifecycle as lifecycle_module
 from dotterelweird import logs
 from dotterelweird import metrics as metrics_module
 from dotterelweird import news
+from dotterelweird import orders_service
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.admin import queries as admin_queries
@@ -40,6 +42,7 @@
 from dotterelweird.tables_service import service as tables_service
 from dotterelweird.targets import engine as engine_adapter
 from dotterelweird.targets import monitor as target_monitor
+from dotterelweird.targets import orders as orders_adapter
 from dotterelweird.targets import service as service_adapter
 
 LOG = logging.getLogger(__name__)
@@ -118,6 +121,7 @@
                 dispatcher=dispatcher,
                 tables=tables,
                 claims=claims,
+                orders=self._orders(log, tables),
                 targets=self._targets,
                 monitor=monitor,
                 limits=limits,
@@ -167,6 +171,26 @@
         self._targets.announce_to(peers)
         return tables, peers
 
+    def _orders(
+        self,
+        log: platform_http.HttpLogClient,
+        tables: tables_service.TablesService,
+    ) -> orders_service.OrdersService | None:
+        platform = self._settings.platform
+        if not platform.weights_url:
+            return None
+        return orders_service.OrdersService(
+            self._timer,
+            lease_keeper.LeaseKeeper(log, self._timer, self._rng, platform),
+            news.PoolFacts(lambda: tables.tables, self._registry),
+            orders_adapter.HttpOrderClient(self._target_session),
+            platform_http.HttpWeightStore(
+                self._platform_session,
+                platform.weights_url,
+                platform.log_timeout_s,
+            ),
+        )
+
     def _scheduler(self) -> policy_scheduler.PolicyScheduler:
         settings = self._settings
         return policy_scheduler.PolicyScheduler(
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -13,6 +13,7 @@
 from dotterelweird import lifecycle as lifecycle_module
 from dotterelweird import metrics as metrics_module
 from dotterelweird import news
+from dotterelweird import orders_service
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.callers import inflight
@@ -70,6 +71,7 @@
         dispatcher: Requests that wait or run.
         tables: Follows the configuration log.
         claims: Claims idempotency keys.
+        orders: Gives orders to engines; None without a weight store.
         targets: News of targets.
         monitor: Polls targets.
         limits: Limits of organisations.
@@ -89,6 +91,7 @@
     dispatcher: dispatch.Dispatcher
     tables: tables_service.TablesService
     claims: claims_service.ClaimsService
+    orders: orders_service.OrdersService | None
     targets: news.TargetNews
     monitor: target_monitor.TargetMonitor
     limits: news.LimitShares
@@ -122,6 +125,8 @@
         await _listen(parts.callers, parts.settings.callers.listen)
         self._following = asyncio.create_task(parts.tables.run())
         parts.claims.start()
+        if parts.orders is not None:
+            parts.orders.start()
         parts.monitor.start()
         self._subscriptions = [
             parts.timer.subscribe(_GAUGE_PERIOD_S, self._update_gauges),
@@ -151,6 +156,8 @@
         for subscription in self._subscriptions:
             subscription.cancel()
         await parts.monitor.stop()
+        if parts.orders is not None:
+            await parts.orders.stop()
         await parts.claims.stop()
         if self._following is not None:
             self._following.cancel()
--- a/packages/daemon/src/dotterelweird/news.py
+++ b/packages/daemon/src/dotterelweird/news.py
@@ -1,6 +1,7 @@
 """Carries news of targets and instances between the parts that learn them."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 
 from dotterelweir_core import timers
 from dotterelweir_core.policy import scheduler as policy_scheduler
@@ -10,6 +11,7 @@
 from dotterelweir_platform import api as platform_api
 from dotterelweird.peers import service as peers_service
 from dotterelweird.settings import model as settings_model
+from dotterelweird.targets import orders_api
 
 ReportSubscriber = Callable[[model.LoadReport], None]
 
@@ -84,6 +86,28 @@
         peers.take_list(rows)
 
 
+class PoolFacts(orders_api.OrderFacts):
+    """What the registry and the tables say of pools and their engines."""
+
+    def __init__(
+        self,
+        tables: Callable[[], tables_model.Tables],
+        registry: target_registry.TargetRegistry,
+    ) -> None:
+        self._tables = tables
+        self._registry = registry
+
+    def pools(self) -> Mapping[str, tables_model.Pool]:
+        return self._tables().pools
+
+    def targets(self) -> tuple[model.Target, ...]:
+        return self._registry.all()
+
+    def report(self, target_id: str) -> model.LoadReport | None:
+        status = self._registry.status(target_id)
+        return None if status is None else status.report
+
+
 class LimitShares:
     """Keeps the organisations' limits up to date in the scheduler.
 
--- a/packages/daemon/src/dotterelweird/settings/model.py
+++ b/packages/daemon/src/dotterelweird/settings/model.py
@@ -84,7 +84,8 @@
     Attributes:
         log_url: Base URL of the log service.
         instances_url: Base URL of the instance list.
-        weights_url: Base URL of the weight store.
+        weights_url: Base URL of the weight store; empty if engines are
+            loaded by other means, then no orders are given.
         instances_period_s: Time between two reads of the instance list.
         log_wait_s: How long one read of the log may wait for records.
         log_timeout_s: Bound on connecting to the log. An answer to a read
--- a/packages/daemon/tests/claims/test_repeats.py
+++ b/packages/daemon/tests/claims/test_repeats.py
@@ -7,10 +7,12 @@
 from dotterelweir_core.tables import model as tables_model
 from dotterelweird.callers import service_attempts
 from dotterelweird.callers import service_calls
+from dotterelweird.settings import model as settings_model
 
 ROUTE = tables_model.Route(
     'booking', tables_model.Match('/book'), 'shop', repeatable=False
 )
+WAITING = settings_model.Claims(repeat_wait_s=2.0)
 REQUEST = service_attempts.CallerRequest(
     'POST',
     '/book',
@@ -29,14 +31,14 @@
 
 @pytest.mark.parametrize('second', ['a', 'b'])
 async def test_a_repeat_gets_the_answer_of_the_call_in_progress(
-    claims_project, claim_settings, second
+    claims_project, second
 ):
     """Guards against a refusal of a repeat that comes just too early.
 
     It happened in the demo: the answer of a call reaches its caller before
     its outcome is in the log.
     """
-    project = await claims_project(claims=claim_settings(repeat_wait_s=2.0))
+    project = await claims_project(claims=WAITING)
     tasks = [call(project, 'a', 'r0'), call(project, second, 'r1')]
     first, repeat = await project.finish(tasks)
     assert first.response.status == repeat.response.status == 200
@@ -45,9 +47,9 @@
     assert by_key == 1
 
 
-async def test_a_repeat_does_not_wait_for_ever(claims_project, claim_settings):
+async def test_a_repeat_does_not_wait_for_ever(claims_project):
     """Guards against a repeat that hangs on a claimant that has died."""
-    project = await claims_project(claims=claim_settings(repeat_wait_s=2.0))
+    project = await claims_project(claims=WAITING)
     gate = asyncio.Event()
     for state in project.services:
         state.gate = gate
