--- a/packages/daemon/src/dotterelweird/claim_stream.py
+++ b/packages/daemon/src/dotterelweird/claim_stream.py
@@ -69,6 +69,8 @@
         self._table = fold.ClaimTable(claims.window_s)
         self._pending: dict[str, _Pending] = {}
         self._repeats: dict[str, list[asyncio.Future]] = {}
+        # Own claims whose release is on its way to the log.
+        self._releasing: set[str] = set()
         self._follower = log_follower.LogFollower(
             log, name, timer, rng, platform.log_wait_s, self._apply
         )
@@ -149,6 +151,7 @@
             claim_id=claim.claim_id,
             key_hash=claim.key_hash,
         )
+        self._releasing.add(claim.claim_id)
         self.append(records.Release(claim.claim_id, claim.key_hash))
 
     def check_dispatch(self, append: log_batcher.Append) -> None:
@@ -172,11 +175,16 @@
     def _known(self, key_hash: str, request_hash: str) -> fold.Decision | None:
         """What is known of a key without asking the log.
 
-        It holds even while the log is down. A claim that was released since
-        gets one more answer with "unknown".
+        It holds even while the log is down. A claim that another instance
+        released since gets one more answer with "unknown"; after an own
+        release, the log decides on the next claim.
         """
         entry = self._table.find(key_hash)
-        if entry is None or entry.expires_s < self._timer.wall_s():
+        if (
+            entry is None
+            or entry.claim_id in self._releasing
+            or entry.expires_s < self._timer.wall_s()
+        ):
             return None
         return fold.Decision(
             entry.claim_id,
@@ -264,6 +272,8 @@
         if not isinstance(decoded, records.Claim):
             for ended in self._repeats.get(decoded.key_hash, ()):
                 _wake(ended)
+        if isinstance(decoded, records.Release):
+            self._releasing.discard(decoded.claim_id)
         if decision is None or not decision.claim_id.startswith(
             self._claim_prefix
         ):
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -26,6 +26,7 @@
 from dotterelweird import logs
 from dotterelweird import metrics as metrics_module
 from dotterelweird import news
+from dotterelweird import order_facts
 from dotterelweird import orders_service
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
@@ -134,6 +135,27 @@
             )
         )
 
+    def _orders(
+        self,
+        log: platform_http.HttpLogClient,
+        tables: tables_service.TablesService,
+    ) -> orders_service.OrdersService | None:
+        platform = self._settings.platform
+        # Loads that nobody limits could stop the whole weight store.
+        if not platform.weights_url:
+            return None
+        return orders_service.OrdersService(
+            self._timer,
+            lease_keeper.LeaseKeeper(log, self._timer, self._rng, platform),
+            order_facts.RegistryFacts(lambda: tables.tables, self._registry),
+            orders_adapter.HttpOrderClient(self._target_session),
+            platform_http.HttpWeightStore(
+                self._platform_session,
+                platform.weights_url,
+                platform.log_timeout_s,
+            ),
+        )
+
     def _tables_and_peers(
         self, log: platform_http.HttpLogClient
     ) -> tuple[tables_service.TablesService, peers_service.PeersService]:
@@ -171,26 +193,6 @@
         self._targets.announce_to(peers)
         return tables, peers
 
-    def _orders(
-        self,
-        log: platform_http.HttpLogClient,
-        tables: tables_service.TablesService,
-    ) -> orders_service.OrdersService | None:
-        platform = self._settings.platform
-        if not platform.weights_url:
-            return None
-        return orders_service.OrdersService(
-            self._timer,
-            lease_keeper.LeaseKeeper(log, self._timer, self._rng, platform),
-            news.PoolFacts(lambda: tables.tables, self._registry),
-            orders_adapter.HttpOrderClient(self._target_session),
-            platform_http.HttpWeightStore(
-                self._platform_session,
-                platform.weights_url,
-                platform.log_timeout_s,
-            ),
-        )
-
     def _scheduler(self) -> policy_scheduler.PolicyScheduler:
         settings = self._settings
         return policy_scheduler.PolicyScheduler(
