--- a/fakes/src/dotterelweir_fakes/measurement/costs.py
+++ b/fakes/src/dotterelweir_fakes/measurement/costs.py
@@ -98,15 +98,15 @@
 ) -> int:
     """Memory of a scheduler with so much state."""
     engines = make_targets(targets)
-    items = [make_item(number, organisations) for number in range(in_flight)]
     gc.collect()
     tracemalloc.start()
     before = tracemalloc.get_traced_memory()[0]
     made = make_scheduler(engines)
     now_s = 0.0
-    for item in items:
+    for number in range(in_flight):
+        item = make_item(number, organisations)
         # Straight into the views: admission would refuse so many.
-        pool = made._pools[_POOL]
+        pool = made._directory.pool(_POOL)
         target_id = engines[int(item.request_id[1:]) % targets].target_id
         made._start(pool, item, target_id, now_s)
         made.record_first_token(item.request_id, target_id, now_s)
--- a/packages/core/src/dotterelweir_core/policy/admission.py
+++ b/packages/core/src/dotterelweir_core/policy/admission.py
@@ -96,7 +96,10 @@
             settings.step_fill_max[row] * settings.inter_token_objective_s
         )
         late_s = max(0.0, waited_s - settings.step_relax_after_s)
-        bound_s *= 1.0 + late_s / settings.step_relax_s
+        relax_s = settings.step_relax_s
+        if pool.degraded:
+            relax_s = min(relax_s, settings.step_relax_degraded_s)
+        bound_s *= 1.0 + late_s / relax_s
         if load.step_s + pool.fit.slope_s > bound_s:
             return 'batch too large'
     return None
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/directory.py
@@ -0,0 +1,130 @@
+"""The pools and targets that one instance knows."""
+
+from dotterelweir_core.policy import budgets
+from dotterelweir_core.policy import pool as policy_pool
+from dotterelweir_core.policy import queue
+from dotterelweir_core.policy import settings as policy_settings
+from dotterelweir_core.policy import view as policy_view
+from dotterelweir_core.targets import health as targets_health
+from dotterelweir_core.targets import model
+from dotterelweir_core.targets import prefixes
+
+# Retries that are available at the start: the first failures of an instance
+# must not be refused for lack of earlier requests.
+_RETRIES_AT_START = 10.0
+
+
+class Directory:
+    """Finds pools, targets and attempts by name.
+
+    Args:
+        settings: Settings of the policy.
+        wall_offset_s: Wall time minus monotonic time, to date load reports.
+            Without it the youngest report counts as measured just now.
+    """
+
+    def __init__(
+        self,
+        settings: policy_settings.PolicySettings,
+        wall_offset_s: float | None,
+    ) -> None:
+        self._settings = settings
+        self._wall_offset_s = wall_offset_s
+        self._youngest_s = float('-inf')
+        self._pools: dict[str, policy_pool.PoolView] = {}
+        self._views: dict[str, policy_view.TargetView] = {}
+
+    def pools(self) -> list[policy_pool.PoolView]:
+        """All pools."""
+        return list(self._pools.values())
+
+    def pool(self, name: str) -> policy_pool.PoolView:
+        """A pool, which is made if it is new."""
+        pool = self._pools.get(name)
+        if pool is None:
+            pool = self._pools[name] = self._new_pool()
+        return pool
+
+    def peek(self, name: str) -> policy_pool.PoolView:
+        """A pool for a query; an unknown one is not kept."""
+        return self._pools.get(name) or self._new_pool()
+
+    def set_targets(
+        self, name: str, targets: tuple[model.Target, ...]
+    ) -> None:
+        """Sets the targets of a pool and forgets those without a use."""
+        pool = self.pool(name)
+        pool.targets = {
+            target.target_id: self._view(target) for target in targets
+        }
+        for view in pool.targets.values():
+            pool.memory_max = max(pool.memory_max, view.memory_total)
+        used = {
+            target_id
+            for other in self._pools.values()
+            for target_id in other.targets
+        }
+        for target_id, view in list(self._views.items()):
+            if target_id not in used and not view.attempts:
+                del self._views[target_id]
+
+    def view(self, target_id: str) -> policy_view.TargetView | None:
+        """A target."""
+        return self._views.get(target_id)
+
+    def attempt(
+        self, request_id: str, target_id: str
+    ) -> tuple[policy_view.TargetView | None, policy_view.Attempt | None]:
+        """An attempt and its target."""
+        view = self._views.get(target_id)
+        return view, view.attempts.get(request_id) if view else None
+
+    def record_report(self, report: model.LoadReport, now_s: float) -> None:
+        """Takes note of a load report."""
+        view = self._views.get(report.target_id)
+        if view is None or view.target.incarnation != report.incarnation:
+            return
+        measured_s = self._measured_s(report, now_s)
+        own = view.record_report(report, measured_s)
+        for pool in self._pools.values():
+            if report.target_id not in pool.targets:
+                continue
+            pool.memory_max = max(pool.memory_max, view.memory_total)
+            before = pool.history.at(measured_s)
+            if before is not None:
+                pool.running_at_report[report.target_id] = before.running
+            if (
+                own is not None
+                and own.step_s
+                and view.health.current is targets_health.HealthState.HEALTHY
+            ):
+                pool.fit.record(report.running + report.waiting, own.step_s)
+
+    def _new_pool(self) -> policy_pool.PoolView:
+        settings = self._settings
+        return policy_pool.PoolView(
+            queue.EntryQueue(settings.mechanisms.fair_share),
+            budgets.AttemptBudget(settings.hedge_ratio),
+            budgets.AttemptBudget(
+                settings.retry_ratio, earned=_RETRIES_AT_START
+            ),
+        )
+
+    def _view(self, target: model.Target) -> policy_view.TargetView:
+        view = self._views.get(target.target_id)
+        if view is None or view.target.incarnation != target.incarnation:
+            # The attempts at the former incarnation will not end here.
+            for attempt in view.attempts.values() if view else ():
+                self.pool(attempt.item.pool).running -= 1
+            view = self._views[target.target_id] = policy_view.TargetView(
+                target,
+                targets_health.TargetHealth(self._settings.probation_after_s),
+                prefixes.PrefixIndex(self._settings.prefix_index_max),
+            )
+        return view
+
+    def _measured_s(self, report: model.LoadReport, now_s: float) -> float:
+        if self._wall_offset_s is not None:
+            return min(now_s, report.measured_at_s - self._wall_offset_s)
+        self._youngest_s = max(self._youngest_s, report.measured_at_s - now_s)
+        return min(now_s, report.measured_at_s - self._youngest_s)
--- a/packages/core/src/dotterelweir_core/policy/pool.py
+++ b/packages/core/src/dotterelweir_core/policy/pool.py
@@ -27,6 +27,7 @@
         targets: Its targets.
         local: Targets of the local zone that may get work.
         remote: Targets of other zones that may get work.
+        degraded: Whether some of its targets are ejected.
         fit: Step time against batch size.
         running: Own requests at its targets.
         history: Recent values of ``running``.
@@ -42,6 +43,7 @@
     targets: dict[str, policy_view.TargetView] = attrs.field(factory=dict)
     local: list[policy_view.TargetView] = attrs.field(factory=list)
     remote: list[policy_view.TargetView] = attrs.field(factory=list)
+    degraded: bool = False
     fit: steptime.StepTimeFit = attrs.field(factory=steptime.StepTimeFit)
     running: int = 0
     history: policy_view.History = attrs.field(factory=policy_view.History)
@@ -57,6 +59,7 @@
             for view in self.targets.values()
             if view.health.current is not targets_health.HealthState.EJECTED
         ]
+        self.degraded = len(usable) < len(self.targets)
         self.local = [view for view in usable if view.target.zone == zone]
         self.remote = [view for view in usable if view.target.zone != zone]
 
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/policy/refusals.py
@@ -0,0 +1,108 @@
+"""Which requests are refused at once, and when they may come back."""
+
+import collections
+
+from dotterelweir_core import errors
+from dotterelweir_core.policy import api
+from dotterelweir_core.policy import limits
+from dotterelweir_core.policy import pool as policy_pool
+from dotterelweir_core.policy import settings as policy_settings
+
+_RETRY_AFTER_DEFAULT_S = 1.0
+_RETRY_AFTER_MIN_S = 0.1
+_RETRY_AFTER_MAX_S = 60.0
+# Placements that are kept to estimate how fast the queue drains.
+_DRAIN_WINDOW = 64
+
+
+class RefusalPolicy:
+    """Refuses what cannot be served in time.
+
+    Args:
+        settings: Settings of the policy.
+        organisation_limits: Limits of organisations.
+    """
+
+    def __init__(
+        self,
+        settings: policy_settings.PolicySettings,
+        organisation_limits: limits.OrganisationLimits,
+    ) -> None:
+        self._settings = settings
+        self._limits = organisation_limits
+        self._placed_s: collections.deque[float] = collections.deque(
+            maxlen=_DRAIN_WINDOW
+        )
+
+    def record_placed(self, now_s: float) -> None:
+        """Takes note of a placement, for the drain rate."""
+        self._placed_s.append(now_s)
+
+    def hopeless(
+        self, pool: policy_pool.PoolView, item: api.WorkItem, now_s: float
+    ) -> api.Refusal | None:
+        """The refusal of a request that no target of the pool can serve."""
+        kinds = errors.ErrorKind
+        if not pool.targets:
+            kind, detail = kinds.POOL_EMPTY, 'no usable target'
+        elif item.excluded and item.excluded.issuperset(pool.targets):
+            kind = kinds.TARGET_UNREACHABLE
+            detail = 'every target of the pool was tried'
+        elif 0 < pool.memory_max <= item.prompt_tokens:
+            kind = kinds.TOO_LARGE_FOR_POOL
+            detail = f'{item.prompt_tokens} prompt tokens fit in no target'
+        else:
+            return None
+        return self.make(pool, item, kind, detail, now_s)
+
+    def over_limit(
+        self, pool: policy_pool.PoolView, item: api.WorkItem, now_s: float
+    ) -> api.Refusal | None:
+        """The refusal of a request over a budget, a limit or the queue."""
+        kinds = errors.ErrorKind
+        if item.excluded and not pool.retries.spend():
+            detail = 'the budget for further attempts is used up'
+            return self.make(pool, item, kinds.TARGET_FAILED, detail, now_s)
+        wait_s = self._limits.wait_s(item.route, item.organisation, now_s)
+        if wait_s > 0 and not item.excluded:
+            return api.Refusal(
+                item.request_id,
+                kinds.ORGANISATION_LIMIT,
+                wait_s,
+                f'{item.organisation} is over its token rate',
+            )
+        waiting = len(pool.queue)
+        drain_s = self._drain_s(waiting, now_s)
+        if waiting >= self._settings.queue_max_requests or (
+            waiting and drain_s > self._settings.queue_timeout_s
+        ):
+            detail = f'{waiting} requests wait'
+            return self.make(pool, item, kinds.QUEUE_FULL, detail, now_s)
+        return None
+
+    def make(
+        self,
+        pool: policy_pool.PoolView,
+        item: api.WorkItem,
+        kind: errors.ErrorKind,
+        detail: str,
+        now_s: float,
+    ) -> api.Refusal:
+        """Makes a refusal, with Retry-After from the drain rate."""
+        retry_after_s = None
+        if errors.ANSWERS[kind].retryable:
+            retry_after_s = min(
+                max(
+                    self._drain_s(len(pool.queue) + 1, now_s),
+                    _RETRY_AFTER_MIN_S,
+                ),
+                _RETRY_AFTER_MAX_S,
+            )
+        return api.Refusal(item.request_id, kind, retry_after_s, detail)
+
+    def _drain_s(self, waiting: int, now_s: float) -> float:
+        """How long so many requests will wait at the recent rate."""
+        if len(self._placed_s) < _DRAIN_WINDOW // 4:
+            return _RETRY_AFTER_DEFAULT_S
+        span_s = max(now_s - self._placed_s[0], 0.001)
+        return waiting * span_s / len(self._placed_s)
--- a/packages/core/src/dotterelweir_core/policy/settings.py
+++ b/packages/core/src/dotterelweir_core/policy/settings.py
@@ -56,6 +56,8 @@
         step_relax_after_s: Wait after which the bound on the step time of a
             request is relaxed: its first token is late already.
         step_relax_s: Further wait that doubles the bound.
+        step_relax_degraded_s: The same while some of the pool's targets are
+            ejected and the others take over their load.
         in_flight_max: Most requests of this instance at one target that
             reports no memory.
         short_tokens: Output up to which work counts as short.
@@ -85,6 +87,7 @@
     step_fill_max: tuple[float, float, float] = (0.85, 0.77, 0.72)
     step_relax_after_s: float = 0.5
     step_relax_s: float = 6.0
+    step_relax_degraded_s: float = 2.0
     in_flight_max: int = 256
     short_tokens: int = 64
     output_tokens_default: int = 256
--- a/packages/core/tests/policy/test_scheduler.py
+++ b/packages/core/tests/policy/test_scheduler.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 
 from dotterelweir_core import errors
@@ -248,3 +249,31 @@
     (refusal,) = scheduled.decide(1.0)
     assert refusal.kind is errors.ErrorKind.ORGANISATION_LIMIT
     assert 10.0 < refusal.retry_after_s < 30.0
+
+
+def test_a_new_incarnation_starts_without_the_old_attempts():
+    """Guards against work of a dead engine that is counted for ever."""
+    scheduled = make_scheduler([make_target('t1')], memory_tokens=1_000)
+    place(scheduled, make_item('r1', prompt_tokens=600), 0.0)
+    successor = attrs.evolve(make_target('t1'), incarnation=2)
+    scheduled.set_targets('llm', (successor,), 1.0)
+    scheduled.record_end('r1', 't1', api.AttemptEnd.FAILED, 1.0)
+    report = model.LoadReport('t1', 2, memory_total_tokens=1_000)
+    scheduled.record_report(report, 1.0)
+    assert scheduled.decide(1.0) == []
+    assert scheduled.next_wakeup_s() is None or scheduled.decide(9.0) == []
+    item = make_item('r2', prompt_tokens=600)
+    assert place(scheduled, item, 9.0).target_id == 't1'
+
+
+def test_a_failed_target_gets_no_new_work():
+    """Guards against requests that queue up behind a dead target."""
+    targets = [make_target(f't{number}') for number in range(4)]
+    scheduled = make_scheduler(targets)
+    first = place(scheduled, make_item('r1'), 0.0)
+    scheduled.record_end('r1', first.target_id, api.AttemptEnd.FAILED, 0.1)
+    later = {
+        place(scheduled, make_item(f'n{number}'), 0.2).target_id
+        for number in range(12)
+    }
+    assert first.target_id not in later
