--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -1,9 +1,16 @@
-"""Entry point of the fakes: one module per command."""
+"""Command line of the fakes: one subcommand per module."""
 
 import click
 
 from dotterelweir_fakes import measure
+from dotterelweir_fakes import relay_cost
+from dotterelweir_fakes import service
 from dotterelweir_fakes import slopes
+from dotterelweir_fakes import slopes_membership
+from dotterelweir_fakes.demo import command as demo_command
+from dotterelweir_fakes.engine import command as engine_command
+from dotterelweir_fakes.pages import command as pages_command
+from dotterelweir_fakes.platform import command as platform_command
 
 
 @click.group()
@@ -11,8 +18,15 @@
     """Stand-ins, load tool, demo and measurement for dotterelweir."""
 
 
+main.add_command(demo_command.demo)
+main.add_command(engine_command.engine)
 main.add_command(measure.measure)
+main.add_command(pages_command.docs)
+main.add_command(platform_command.platform)
+main.add_command(relay_cost.relay_cost)
+main.add_command(service.command)
 main.add_command(slopes.slopes)
+slopes.slopes.add_command(slopes_membership.membership)
 
 if __name__ == '__main__':
     main()
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -101,6 +101,18 @@
     logging.ERROR,
     'An answer did not belong to its request or was out of sequence.',
 )
+CANCEL_FAILED = _event(
+    207,
+    'cancel-failed',
+    logging.WARNING,
+    'A generation that nobody can resume could not be cancelled.',
+)
+STREAM_CUT = _event(
+    208,
+    'stream-cut',
+    logging.WARNING,
+    'A stream ended before its answer was complete, by an error or handover.',
+)
 UNEXPECTED_ERROR = _event(
     299,
     'unexpected-error',
@@ -150,6 +162,103 @@
     logging.INFO,
     'The tables were restored from a checkpoint or from a peer.',
 )
+LOG_BEHIND = _event(
+    309,
+    'log-behind',
+    logging.ERROR,
+    'The log ends before the last record that was read here.',
+)
+CHECKPOINT_FAILED = _event(
+    310,
+    'checkpoint-failed',
+    logging.WARNING,
+    'A checkpoint could not be appended.',
+)
+SNAPSHOT_REJECTED = _event(
+    311,
+    'snapshot-rejected',
+    logging.WARNING,
+    'The snapshot of a peer could not be used.',
+)
+TABLES_UNAVAILABLE = _event(
+    312,
+    'tables-unavailable',
+    logging.ERROR,
+    'Neither the log nor a peer has a state to start from.',
+)
+TABLES_CALLBACK_FAILED = _event(
+    313,
+    'tables-callback-failed',
+    logging.ERROR,
+    'A subscriber to changes of the tables failed.',
+)
+INSTANCE_ROW_SKIPPED = _event(
+    314,
+    'instance-row-skipped',
+    logging.WARNING,
+    'A row of the instance list could not be read and was left out.',
+)
+# 35x: service calls, claims, leases and orders.
+SERVICE_ATTEMPT_FAILED = _event(
+    350,
+    'service-attempt-failed',
+    logging.WARNING,
+    'An attempt to call a plain service failed.',
+)
+CLAIM_DECIDED = _event(
+    351,
+    'claim-decided',
+    logging.INFO,
+    'The log decided on the claim of an idempotency key.',
+)
+CLAIM_RELEASED = _event(
+    352,
+    'claim-released',
+    logging.INFO,
+    'A claim is released because its call was not sent.',
+)
+STREAM_UNREACHABLE = _event(
+    353,
+    'stream-unreachable',
+    logging.WARNING,
+    'A log stream of claims or leases cannot be read.',
+)
+STREAM_REACHABLE = _event(
+    354,
+    'stream-reachable',
+    logging.INFO,
+    'A log stream of claims or leases can be read again.',
+)
+APPEND_FAILED = _event(
+    355,
+    'append-failed',
+    logging.WARNING,
+    'An append to the log failed or its response was lost; it is repeated.',
+)
+RECORDS_NOT_APPENDED = _event(
+    356,
+    'records-not-appended',
+    logging.ERROR,
+    'The instance stopped before its last records were appended.',
+)
+LEASE_ACQUIRED = _event(
+    360, 'lease-acquired', logging.INFO, 'This instance acquired a lease.'
+)
+LEASE_LOST = _event(
+    361,
+    'lease-lost',
+    logging.WARNING,
+    'A lease was not renewed in time and counts as lost.',
+)
+ORDER_GIVEN = _event(
+    362, 'order-given', logging.INFO, 'An engine accepted an order.'
+)
+ORDER_FAILED = _event(
+    363,
+    'order-failed',
+    logging.WARNING,
+    'An order was refused, failed or is unknown to have arrived.',
+)
 # 4xx: targets.
 TARGET_STATE_CHANGED = _event(
     400,
@@ -169,3 +278,46 @@
     logging.WARNING,
     'The instance list cannot be read; the last one stays in use.',
 )
+INSTANCE_LIST_REACHABLE = _event(
+    403,
+    'instance-list-reachable',
+    logging.INFO,
+    'The instance list can be read again.',
+)
+LOAD_REPORT_FAILED = _event(
+    404,
+    'load-report-failed',
+    logging.DEBUG,
+    'The load report of a target could not be read.',
+)
+# 6xx: peers.
+MEMBER_STATE_CHANGED = _event(
+    600,
+    'member-state-changed',
+    logging.INFO,
+    'Another instance became alive, suspected, dead or left.',
+)
+DATAGRAM_DROPPED = _event(
+    601,
+    'datagram-dropped',
+    logging.WARNING,
+    'Datagrams were dropped; one line for each reason in 10 s.',
+)
+DATAGRAM_SEND_FAILED = _event(
+    602,
+    'datagram-send-failed',
+    logging.DEBUG,
+    'The system reported that a datagram could not be sent.',
+)
+PEER_REQUEST_REJECTED = _event(
+    603,
+    'peer-request-rejected',
+    logging.WARNING,
+    'A request of a peer had no valid digest or was repeated.',
+)
+PEER_SNAPSHOT_FAILED = _event(
+    604,
+    'peer-snapshot-failed',
+    logging.WARNING,
+    'A snapshot of the tables could not be fetched from a peer.',
+)
--- /dev/null
+++ b/packages/core/tests/claims/test_model.py
@@ -0,0 +1,174 @@
+"""A model of several instances that claim keys in one log."""
+
+import attrs
+from hypothesis import settings
+from hypothesis import stateful
+from hypothesis import strategies
+
+from dotterelweir_core import errors
+from dotterelweir_core.claims import fold
+from dotterelweir_core.claims import records
+
+WINDOW_S = 1_000.0
+DISPATCH_LIMIT_S = 30.0
+INSTANCES = ('a', 'b', 'c')
+KEYS = ('k1', 'k2', 'k3')
+# An append whose response is lost may take effect now, later or both.
+LANDS = strategies.sampled_from([('now',), ('later',), ('now', 'later')])
+
+
+@attrs.define
+class _Call:
+    """One call of one instance; the caller waits while it is open."""
+
+    claim: records.Claim
+    sent_s: float
+    granted: bool = False
+    open: bool = True
+
+
+@attrs.define
+class _Instance:
+    """A claim table that follows the log, and the calls of an instance."""
+
+    name: str
+    table: fold.ClaimTable = attrs.field(
+        factory=lambda: fold.ClaimTable(WINDOW_S)
+    )
+    next_offset: int = 0
+    calls: dict[str, _Call] = attrs.field(factory=dict)
+
+
+class ClaimMachine(stateful.RuleBasedStateMachine):
+    """Instances claim keys; each acts only when a rule lets it.
+
+    So an instance is paused or partitioned between any two of its steps. An
+    append whose response is lost is a record that takes effect at any later
+    time, any number of times.
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.now_s = 0.0
+        self.log: list[tuple[float, records.ClaimRecord]] = []
+        self.in_flight: list[records.ClaimRecord] = []
+        self.instances = {name: _Instance(name) for name in INSTANCES}
+        self.told_not_run: list[str] = []
+        self.dispatched: dict[str, str] = {}
+        self.count = 0
+
+    def _append(self, record, lands):
+        if 'now' in lands:
+            self.log.append((self.now_s, record))
+        if 'later' in lands:
+            self.in_flight.append(record)
+
+    @stateful.rule(
+        names=strategies.lists(
+            strategies.sampled_from(INSTANCES), min_size=1, max_size=3
+        ),
+        key=strategies.sampled_from(KEYS),
+        lands=LANDS,
+    )
+    def call(self, names, key, lands):
+        """A caller sends the call to one or several instances."""
+        for name in names:
+            self.count += 1
+            claim = records.Claim(f'{name}.{self.count}', key, 'r')
+            self.instances[name].calls[claim.claim_id] = _Call(
+                claim, self.now_s
+            )
+            self._append(claim, lands)
+
+    @stateful.precondition(lambda self: self.in_flight)
+    @stateful.rule(data=strategies.data())
+    def take(self, data):
+        """The log takes a record late."""
+        index = data.draw(strategies.integers(0, len(self.in_flight) - 1))
+        self.log.append((self.now_s, self.in_flight.pop(index)))
+
+    @stateful.rule(
+        name=strategies.sampled_from(INSTANCES),
+        records_read=strategies.sampled_from([1_000, 1]),
+        dispatches=strategies.booleans(),
+        ends=strategies.booleans(),
+        lands=LANDS,
+    )
+    def work(self, name, records_read, dispatches, ends, lands):
+        """An instance folds the next records and sends granted calls."""
+        instance = self.instances[name]
+        end = min(len(self.log), instance.next_offset + records_read)
+        for offset in range(instance.next_offset, end):
+            time_s, record = self.log[offset]
+            decision = instance.table.apply(offset, time_s, record)
+            if decision is not None:
+                self._decided(instance, record, decision, lands)
+        instance.next_offset = end
+        if dispatches:
+            self._dispatch(instance, ends, lands)
+
+    def _decided(self, instance, claim, decision, lands):
+        call = instance.calls.get(decision.claim_id)
+        if call is not None and call.open:
+            call.granted = decision.verdict is fold.Verdict.GRANTED
+            call.open = call.granted
+        elif (
+            decision.verdict is fold.Verdict.GRANTED
+            and claim.claim_id.startswith(f'{instance.name}.')
+        ):
+            self._release(claim, lands)
+
+    def _release(self, claim, lands):
+        self._append(records.Release(claim.claim_id, claim.key_hash), lands)
+
+    def _dispatch(self, instance, ends, lands):
+        for call in instance.calls.values():
+            if not (call.granted and call.open):
+                continue
+            call.open = False
+            if self.now_s - call.sent_s > DISPATCH_LIMIT_S:
+                self.told_not_run.append(call.claim.claim_id)
+                self._release(call.claim, lands)
+                continue
+            self.dispatched[call.claim.claim_id] = call.claim.key_hash
+            if ends:
+                self._append(
+                    records.Outcome(
+                        call.claim.claim_id,
+                        call.claim.key_hash,
+                        errors.Execution.RAN,
+                    ),
+                    lands,
+                )
+
+    @stateful.rule(name=strategies.sampled_from(INSTANCES))
+    def give_up(self, name):
+        """The decision on the calls of an instance takes too long."""
+        instance = self.instances[name]
+        for call in instance.calls.values():
+            if call.open and not call.granted:
+                call.open = False
+                self.told_not_run.append(call.claim.claim_id)
+
+    @stateful.rule(seconds=strategies.sampled_from([1.0, 40.0]))
+    def wait(self, seconds):
+        """Time passes, but stays well within the claims' window."""
+        if self.now_s + seconds < WINDOW_S:
+            self.now_s += seconds
+
+    @stateful.invariant()
+    def at_most_one_dispatch(self):
+        """No key is dispatched twice within the window."""
+        keys = list(self.dispatched.values())
+        assert len(set(keys)) == len(keys)
+
+    @stateful.invariant()
+    def not_run_is_true(self):
+        """A call whose caller was told "not run" is never dispatched."""
+        assert not self.dispatched.keys() & set(self.told_not_run)
+
+
+ClaimMachine.TestCase.settings = settings(
+    max_examples=300, stateful_step_count=40, deadline=None
+)
+TestClaims = ClaimMachine.TestCase
--- /dev/null
+++ b/packages/core/tests/tables/test_checkpoint.py
@@ -0,0 +1,160 @@
+"""Tests of checkpoints and of the choice of the starting point."""
+
+import base64
+import copy
+import zlib
+
+import attrs
+import orjson
+import pytest
+
+from dotterelweir_core.tables import checkpoint
+from dotterelweir_core.tables import model
+from dotterelweir_core.tables import records
+
+
+def test_a_checkpoint_holds_the_whole_state(log):
+    """Guards against a restored instance that decides otherwise."""
+    log.fill(1_200)
+    route = model.Route('r', model.Match('/v1/', ('m',)), 'q')
+    result = log.append(
+        log.put('put', 1_199, 'q'),
+        log.delete('delete', 1_200, 'other0', 'absent'),
+        log.put('bad', 1_201, ''),
+        records.EditRecord('route', 1_202, (route,)),
+    )
+    assert result.decision.accepted
+    assert log.state.floor > 0
+    assert log.state.tombstones
+    data = records.encode(checkpoint.make(log.state))
+    assert checkpoint.restore_snapshot(data) == log.state
+    # Order matters: the oldest result leaves the window first.
+    restored = checkpoint.restore_snapshot(data)
+    assert list(restored.decisions) == list(log.state.decisions)
+
+
+@pytest.mark.parametrize(
+    ('covers', 'first_available', 'found'),
+    [
+        ([], 0, True),
+        ([], 1, False),
+        ([9], 0, True),
+        ([9], 10, True),
+        ([9], 11, False),
+        ([4, 9], 5, True),
+        ([4, 9], 10, True),
+        # A stale writer appends an old state after a newer one.
+        ([9, 4], 5, True),
+        ([9, 4], 10, True),
+        ([9, 4], 11, False),
+    ],
+)
+def test_any_starting_point_gives_the_state_of_the_whole_log(
+    log, covers, first_available, found
+):
+    """Guards against a stale checkpoint that reverts accepted edits."""
+    log.fill(10, 5)
+    log.fill(3, 5, service='later')
+    for offset in covers:
+        log.append(log.checkpoints[offset])
+        log.fill(2, 5, service='last')
+    started = log.start(first_available)
+    assert started == (log.state if found else None)
+
+
+@pytest.mark.parametrize('covers', [0, 4, 9, 12])
+def test_an_instance_that_follows_takes_no_state_from_a_checkpoint(
+    log, covers
+):
+    """Guards against a stale writer that reverts accepted edits."""
+    log.fill(10, 5)
+    log.fill(3, 5, service='later')
+    before = copy.deepcopy(log.state)
+    log.append(log.checkpoints[covers])
+    assert log.state == attrs.evolve(before, offset=before.offset + 1)
+
+
+@pytest.mark.parametrize('kind', ['digest', 'state', 'cut', 'offset', 'big'])
+def test_corrupt_checkpoints_are_no_starting_point(log, kind):
+    """Guards against a start from a damaged state."""
+    log.fill(10, 5)
+    record = log.checkpoints[8]
+    if kind == 'digest':
+        record = attrs.evolve(record, digest='0' * 32)
+    elif kind == 'state':
+        record = attrs.evolve(record, state=zlib.compress(b'{}'))
+    elif kind == 'cut':
+        record = attrs.evolve(record, state=record.state[:-9])
+    elif kind == 'offset':
+        record = attrs.evolve(record, covers_offset=9)
+    else:
+        bomb = zlib.compress(bytes(checkpoint.STATE_MAX_BYTES + 1))
+        record = attrs.evolve(record, state=bomb)
+    log.append(records.encode(record))
+    with pytest.raises(records.UnreadableRecordError):
+        checkpoint.restore(record)
+    assert log.start(0) == log.state
+    assert log.start(5) is None
+
+
+def test_a_checkpoint_of_the_future_is_no_starting_point(log, make_log):
+    """Guards against a checkpoint of another log."""
+    log.fill(4, 5)
+    other = make_log()
+    other.fill(10, 5)
+    log.append(records.encode(other.checkpoints[9]))
+    log.fill(2, 5)
+    assert log.start(0) == log.state
+
+
+def test_a_checkpoint_that_differs_from_the_fold_is_noticed(log, make_log):
+    """Guards against instances that diverge in silence."""
+    log.fill(10, 5)
+    other = make_log()
+    other.fill(10, 5, service='other')
+    log.append(b'unreadable')
+    skipped = checkpoint.make(log.state)
+    log.append(log.checkpoints[9])
+    assert not checkpoint.contradicts(log.state, log.checkpoints[9])
+    assert not checkpoint.contradicts(log.state, skipped)
+    assert checkpoint.contradicts(log.state, other.checkpoints[9])
+    # Older than the newest edit, so it cannot be compared.
+    assert not checkpoint.contradicts(log.state, other.checkpoints[8])
+    # Corrupt, or of a log that is further.
+    cut = attrs.evolve(log.checkpoints[8], state=b'')
+    assert checkpoint.contradicts(log.state, cut)
+    moved = attrs.evolve(log.checkpoints[8], covers_offset=7)
+    assert checkpoint.contradicts(log.state, moved)
+    other.fill(9, 5)
+    assert checkpoint.contradicts(log.state, other.checkpoints[18])
+
+
+@pytest.mark.parametrize(
+    'data', [b'', b'junk', records.encode(records.EditRecord('a', -1))]
+)
+def test_other_data_is_no_snapshot(data):
+    """Guards against a peer that sends anything but a snapshot."""
+    with pytest.raises(records.UnreadableRecordError):
+        checkpoint.restore_snapshot(data)
+
+
+def test_a_snapshot_with_wrong_rows_is_unreadable():
+    """Guards against a state of another form under a right digest."""
+    content = orjson.dumps({'routes': 1})
+    digest = checkpoint._digest(content, 3)
+    record = records.CheckpointRecord(3, digest, zlib.compress(content))
+    data = orjson.loads(records.encode(record))
+    assert base64.b64decode(data['state']) == record.state
+    with pytest.raises(records.UnreadableRecordError, match='pools'):
+        checkpoint.restore(record)
+
+
+def test_only_the_records_after_the_best_checkpoint_are_kept(log):
+    """Guards against a start that needs memory for the whole log."""
+    log.fill(50, 5)
+    log.append(log.checkpoints[49])
+    log.fill(3, 5)
+    point = checkpoint.StartingPoint(0)
+    for offset, data in enumerate(log.data):
+        point.add(offset, data)
+    assert sorted(point._later) == [50, 51, 52, 53]
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/tables_service/service.py
@@ -0,0 +1,284 @@
+"""Follows the configuration log and holds the tables in force."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+import random
+import traceback
+
+import attrs
+
+from dotterelweir_core import backoff
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core import timers as core_timers
+from dotterelweir_core.tables import checkpoint
+from dotterelweir_core.tables import fold
+from dotterelweir_core.tables import model
+from dotterelweir_core.tables import records
+from dotterelweir_platform import api as platform_api
+from dotterelweir_platform import tables as platform_tables
+from dotterelweird import timers
+from dotterelweird.peers import api as peers_api
+from dotterelweird.settings import model as settings_model
+from dotterelweird.tables_service import checkpoints
+from dotterelweird.tables_service import condition
+from dotterelweird.tables_service import following
+from dotterelweird.tables_service import snapshots
+
+LOG = logging.getLogger(__name__)
+
+Subscriber = Callable[[model.Tables], None]
+
+
+@attrs.frozen
+class TablesOptions:
+    """How the log is followed.
+
+    Attributes:
+        stream: Stream of the tables.
+        checkpoints: When checkpoints are written.
+        wait_s: How long one read may wait for records.
+        page_records: Most records of one read.
+        retry_max_s: Most time between two reads that fail; with the time-out
+            of a read it keeps an instance within 18 s after an outage.
+        empty_pause_s: Pause after a read that ended early without a record,
+            in case that the log does not wait.
+    """
+
+    stream: str
+    checkpoints: checkpoints.CheckpointOptions
+    wait_s: float = 5.0
+    page_records: int = 100
+    retry_max_s: float = 2.0
+    empty_pause_s: float = 0.2
+
+    @classmethod
+    def from_settings(
+        cls, platform: settings_model.Platform
+    ) -> 'TablesOptions':
+        """Takes the options from the settings."""
+        return cls(
+            platform.config_stream,
+            checkpoints.CheckpointOptions(platform.log_retention_s),
+            platform.log_wait_s,
+        )
+
+
+class TablesService:
+    """The tables of one instance.
+
+    Queries change nothing; ``run`` does all the work.
+    """
+
+    def __init__(
+        self,
+        log: platform_api.LogClient,
+        timer: core_timers.TimerService,
+        rng: random.Random,
+        options: TablesOptions,
+        peer: peers_api.TablesPeer | None = None,
+    ) -> None:
+        """Wires the service; ``run`` begins its work.
+
+        Args:
+            log: The log.
+            timer: Source of time.
+            rng: Random source of waits.
+            options: How the log is followed.
+            peer: Source of snapshots while the log is down or has a gap.
+        """
+        self._log = log
+        self._timer = timer
+        self._options = options
+        self._peer = peer
+        self._state: fold.TablesState | None = None
+        self._published = model.Tables()
+        self._subscribers: list[Subscriber] = []
+        self._condition = condition.LogCondition(timer)
+        self._peer_offset = -1
+        self._snapshot: tuple[int, bytes] | None = None
+        self._backoff = backoff.Backoff(rng, cap_s=options.retry_max_s)
+        self._writer = checkpoints.CheckpointWriter(
+            log,
+            options.stream,
+            timer,
+            rng,
+            options.checkpoints,
+            lambda: self._state,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether there are tables to serve with."""
+        return self._state is not None
+
+    @property
+    def tables(self) -> model.Tables:
+        """The tables in force; empty until ``ready``."""
+        return self._published
+
+    @property
+    def offset(self) -> int:
+        """Last record of the log that the tables include; -1 for none."""
+        return self._state.offset if self._state is not None else -1
+
+    @property
+    def log_reachable(self) -> bool:
+        """Whether the last read of the log succeeded."""
+        return self._condition.reachable
+
+    @property
+    def age_s(self) -> float | None:
+        """Time since the last successful read; None if there was none."""
+        return self._condition.age_s
+
+    def snapshot(self) -> bytes | None:
+        """The encoded state for a peer; None until ``ready``."""
+        if self._state is None:
+            return None
+        if self._snapshot is None or self._snapshot[0] != self.offset:
+            data = records.encode(checkpoint.make(self._state))
+            self._snapshot = (self.offset, data)
+        return self._snapshot[1]
+
+    def subscribe(self, subscriber: Subscriber) -> Callable[[], None]:
+        """Calls a function with the tables after each change.
+
+        The first call is when the service becomes ready.
+
+        Returns:
+            A function that ends the subscription.
+        """
+        self._subscribers.append(subscriber)
+        return lambda: self._subscribers.remove(subscriber)
+
+    def note_peer_offset(self, offset: int) -> None:
+        """Takes note that a peer has read the log up to an offset."""
+        self._peer_offset = max(self._peer_offset, offset)
+
+    async def run(self) -> None:
+        """Follows the log until it is cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._follow())
+            tasks.create_task(self._writer.run())
+
+    async def _follow(self) -> None:
+        while True:
+            try:
+                if self._state is None:
+                    await self._start()
+                else:
+                    await self._read_on(self._state)
+            except errors.DotterelweirError as error:
+                self._condition.note_fault(self.offset, error)
+                await self._recover(error.kind)
+                delay_s = self._backoff.next_delay_s() or 0.0
+                await timers.sleep(self._timer, delay_s)
+
+    async def _start(self) -> None:
+        start = await self._read_start()
+        self._take_start(start)
+        self._note_success(start.state.offset + 1)
+
+    async def _read_on(self, state: fold.TablesState) -> None:
+        options = self._options
+        began_s = self._timer.monotonic_s()
+        # After a fault, the first answer must not wait for a record.
+        wait_s = 0.0 if self._condition.faulty else options.wait_s
+        page = await self._log.read(
+            options.stream,
+            state.offset + 1,
+            options.page_records,
+            wait_s,
+        )
+        wanted = state.offset + 1
+        first = max(page.first_available_offset, 0)
+        if page.records:
+            first = max(first, page.records[0].offset)
+        if first > wanted:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.LOG_GAP,
+                f'record {wanted} is missing, {first} is the next one',
+            )
+        self._note_success(page.end_offset)
+        try:
+            for record in page.records:
+                following.fold_record(state, record, self._writer)
+        finally:
+            self._publish()
+        waited_s = self._timer.monotonic_s() - began_s
+        if not page.records and waited_s < options.wait_s / 2.0:
+            await timers.sleep(self._timer, options.empty_pause_s)
+
+    async def _recover(self, kind: errors.ErrorKind) -> None:
+        """Tries to get a newer state after a read of the log failed."""
+        gap = kind is errors.ErrorKind.LOG_GAP
+        if gap and self._state is not None:
+            try:
+                start = await self._read_start()
+            except errors.DotterelweirError:
+                # The fault is logged already; a peer may still help.
+                pass
+            else:
+                if start.state.offset > self.offset:
+                    self._take_start(start)
+                    return
+        if gap or self._state is None or self._peer_offset > self.offset:
+            await self._restore_from_peer(self.offset + 1)
+
+    async def _read_start(self) -> platform_tables.TablesStart:
+        return await platform_tables.read_start(
+            self._log, self._options.stream, self._options.page_records
+        )
+
+    def _take_start(self, start: platform_tables.TablesStart) -> None:
+        self._writer.note(start.covers_offset, start.covers_time_s)
+        for skipped in start.skipped:
+            following.log_skipped(skipped)
+        self._take_state(start.state, 'log')
+
+    async def _restore_from_peer(self, min_offset: int) -> None:
+        if self._peer is None:
+            return
+        state = await snapshots.fetch_state(self._peer, min_offset)
+        if state is None:
+            if self._state is None:
+                events.log(LOG, events.TABLES_UNAVAILABLE)
+            return
+        # The peer does not tell of checkpoints. Instances that read the log
+        # are due earlier than this one, which counts from now on.
+        self._writer.note(state.offset, self._timer.wall_s())
+        self._take_state(state, 'peer')
+
+    def _take_state(self, state: fold.TablesState, source: str) -> None:
+        before = self.offset
+        self._state = state
+        events.log(
+            LOG,
+            events.TABLES_RESTORED,
+            source=source,
+            offset=state.offset,
+            offset_before=before,
+            revision=state.tables.revision,
+        )
+        self._publish()
+
+    def _publish(self) -> None:
+        if self._state is None or self._state.tables is self._published:
+            return
+        self._published = self._state.tables
+        for subscriber in tuple(self._subscribers):
+            try:
+                subscriber(self._published)
+            except Exception:
+                # The fault of one subscriber must not stop the log's reader.
+                events.log(
+                    LOG,
+                    events.TABLES_CALLBACK_FAILED,
+                    error=traceback.format_exc(),
+                )
+
+    def _note_success(self, end_offset: int) -> None:
+        self._backoff.reset()
+        self._condition.note_success(self.offset, end_offset)
