Keep the older generation of lengths as counts

A second histogram per route and organisation took half of the 7.4 KB that each pair costs; values with counts take a few hundred bytes.

--- a/packages/core/src/dotterelweir_core/policy/lengths.py
+++ b/packages/core/src/dotterelweir_core/policy/lengths.py
@@ -103,35 +103,41 @@
 
 
 class _Lengths:
-    """The outputs of one key, in two generations."""
+    """The outputs of one key, in two generations.
+
+    The older generation is kept as a list of values and counts, which takes
+    far less memory than a histogram.
+    """
 
     def __init__(self) -> None:
-        self._current = self._new()
-        self._previous = self._new()
+        self._current = _histogram()
+        self._previous: tuple[tuple[float, int], ...] = ()
         self.profile: Profile | None = None
 
-    @staticmethod
-    def _new() -> hdrh.histogram.HdrHistogram:
-        return hdrh.histogram.HdrHistogram(1, _LONGEST_TOKENS, _DIGITS)
-
     def record(self, tokens: int) -> None:
         self._current.record_value(min(max(tokens, 1), _LONGEST_TOKENS))
         samples = self._current.get_total_count()
-        if samples >= _GENERATION_SAMPLES:
-            self._previous, self._current = self._current, self._new()
         if samples % _REFRESH_EVERY == 0:
-            self.profile = self._learn()
-
-    def _learn(self) -> Profile:
-        counts: collections.Counter[float] = collections.Counter()
-        for histogram in (self._previous, self._current):
-            for item in histogram.get_recorded_iterator():
-                reached = item.value_iterated_to
-                low = histogram.get_lowest_equivalent_value(reached)
-                high = histogram.get_highest_equivalent_value(reached)
-                value = (low + high) / 2
-                counts[value] += item.count_added_in_this_iter_step
-        return _profile(sorted(counts.items()))
+            counts = collections.Counter(dict(self._previous))
+            counts.update(_counts(self._current))
+            self.profile = _profile(sorted(counts.items()))
+        if samples >= _GENERATION_SAMPLES:
+            self._previous = tuple(_counts(self._current).items())
+            self._current = _histogram()
+
+
+def _histogram() -> hdrh.histogram.HdrHistogram:
+    return hdrh.histogram.HdrHistogram(1, _LONGEST_TOKENS, _DIGITS)
+
+
+def _counts(histogram: hdrh.histogram.HdrHistogram) -> dict[float, int]:
+    counts = {}
+    for item in histogram.get_recorded_iterator():
+        reached = item.value_iterated_to
+        low = histogram.get_lowest_equivalent_value(reached)
+        high = histogram.get_highest_equivalent_value(reached)
+        counts[(low + high) / 2] = item.count_added_in_this_iter_step
+    return counts
 
 
 class LengthEstimator:
