Add links between instances that tests can cut and stall

System tests could end processes but not links. Instances learn each other's addresses by gossip, so rewriting the instance list alone leaves direct paths open. An instance under test therefore runs with an event loop that sends connections and datagrams through a gateway in the test's process; the gateway owns the datagram address that peers are told.

Ruled out: a forwarder for each pair of addresses (bypassed by gossip) and an address of its own for each peer in the settings (the daemon has no such setting and needs none).

--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -9,6 +9,7 @@
 from dotterelweir_fakes import slopes_membership
 from dotterelweir_fakes.demo import command as demo_command
 from dotterelweir_fakes.engine import command as engine_command
+from dotterelweir_fakes.links import command as links_command
 from dotterelweir_fakes.pages import command as pages_command
 from dotterelweir_fakes.platform import command as platform_command
 
@@ -20,6 +21,7 @@
 
 main.add_command(demo_command.demo)
 main.add_command(engine_command.engine)
+main.add_command(links_command.linked)
 main.add_command(measure.measure)
 main.add_command(pages_command.docs)
 main.add_command(platform_command.platform)
--- a/fakes/src/dotterelweir_fakes/demo/cluster.py
+++ b/fakes/src/dotterelweir_fakes/demo/cluster.py
@@ -8,6 +8,7 @@
 import orjson
 
 from dotterelweir_fakes.demo import processes
+from dotterelweir_fakes.links import network as network_module
 from dotterelweir_fakes.load import workload
 
 _PEER_KEY = 'demo-key-0123456789abcdef'
@@ -42,6 +43,7 @@
         http: aiohttp.ClientSession,
         seed: int,
         overrides: dict[str, object] | None = None,
+        network: network_module.Network | None = None,
     ) -> None:
         """Makes a cluster; ``start`` starts its processes.
 
@@ -51,6 +53,7 @@
             http: HTTP session.
             seed: Seed of every process.
             overrides: Top-level settings of every instance to replace.
+            network: Links that a test can cut; None for direct ones.
         """
         self.deployment = deployment
         self.platform_url = ''
@@ -61,6 +64,7 @@
         self._http = http
         self._seed = seed
         self._overrides = overrides or {}
+        self._network = network
         self._incarnations = 0
 
     async def start(self, instances: int = 6) -> None:
@@ -85,9 +89,19 @@
         )
         await processes.wait_for_port(port, child)
         self.platform_url = f'http://127.0.0.1:{port}'
+        if self._network is not None:
+            self._network.rules.name(port, 'platform', 'platform')
 
-    async def start_engine(self, index: int) -> processes.ChildProcess:
-        """Starts an engine and puts it into the instance list."""
+    async def start_engine(
+        self, index: int, port: int | None = None
+    ) -> processes.ChildProcess:
+        """Starts an engine and puts it into the instance list.
+
+        Args:
+            index: Chooses name and zone.
+            port: Its port, as for an engine that is restarted under the
+                address of an earlier one; None takes a free one.
+        """
         name = f'{self.deployment.engine_service}-{index + 1}'
         child, port = await self._start_target(
             name,
@@ -100,8 +114,11 @@
                 '--model',
                 self.deployment.model,
             ),
+            port,
         )
-        self.engine_urls.append(f'http://127.0.0.1:{port}')
+        url = f'http://127.0.0.1:{port}'
+        if url not in self.engine_urls:
+            self.engine_urls.append(url)
         return child
 
     async def start_service(self, index: int) -> processes.ChildProcess:
@@ -141,9 +158,7 @@
         }
         path = self._group.directory / f'{instance_id}.json5'
         path.write_bytes(orjson.dumps(settings, option=orjson.OPT_INDENT_2))
-        child = await self._group.start(
-            instance_id, 'dotterelweird', str(path)
-        )
+        child = await self._start_daemon(instance_id, path, zone, peer_port)
         await processes.wait_for_port(caller_port, child)
         instance = Instance(
             instance_id,
@@ -171,6 +186,8 @@
         incarnation: int,
     ) -> None:
         """Puts a process into the instance list."""
+        if self._network is not None:
+            self._network.rules.name(port, target_id, zone)
         row = {
             'target_id': target_id,
             'service': service,
@@ -250,6 +267,25 @@
             },
         }
 
+    async def _start_daemon(
+        self, name: str, path: pathlib.Path, zone: str, peer_port: int
+    ) -> processes.ChildProcess:
+        if self._network is None:
+            return await self._group.start(name, 'dotterelweird', str(path))
+        self._network.rules.name(peer_port, name, zone)
+        (datagram_port,) = processes.free_ports(1)
+        gateway = await self._network.attach(peer_port, datagram_port)
+        return await self._group.start(
+            name,
+            'dotterelweir_fakes',
+            'linked',
+            str(path),
+            '--connect-port',
+            str(gateway.connect_port),
+            '--datagram-port',
+            str(datagram_port),
+        )
+
     async def _start_target(
         self,
         name: str,
@@ -257,8 +293,10 @@
         index: int,
         command: str,
         arguments: tuple[str, ...],
+        port: int | None = None,
     ) -> tuple[processes.ChildProcess, int]:
-        (port,) = processes.free_ports(1)
+        if port is None:
+            (port,) = processes.free_ports(1)
         zone = self._zone(index)
         incarnation = self._next_incarnation()
         child = await self._group.start(
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/links/gateway.py
@@ -0,0 +1,171 @@
+"""Passes on what one instance sends and receives."""
+
+import asyncio
+import contextlib
+import typing
+
+from dotterelweir_fakes.links import addresses
+from dotterelweir_fakes.links import rules as rules_module
+
+_HOST = '127.0.0.1'
+_CHUNK_BYTES = 65_536
+
+
+class Gateway:
+    """The links of one instance.
+
+    The gateway has the address of the instance's datagrams, so that peers
+    see the origin that the instance tells them.
+
+    Attributes:
+        connect_port: Where the instance connects through.
+    """
+
+    def __init__(
+        self, rules: rules_module.Rules, peer_port: int, datagram_port: int
+    ) -> None:
+        """Is not open until ``open`` has run.
+
+        Args:
+            rules: The rules in force.
+            peer_port: Port of the instance for its peers.
+            datagram_port: Port on which the instance takes datagrams from
+                the gateway.
+        """
+        self.connect_port = 0
+        self._rules = rules
+        self._own = peer_port
+        self._datagram_port = datagram_port
+        self._server: asyncio.Server | None = None
+        self._datagrams: asyncio.DatagramTransport | None = None
+        self._tasks: set[asyncio.Task] = set()
+
+    async def open(self) -> None:
+        """Listens."""
+        self._server = await asyncio.start_server(self._accept, _HOST, 0)
+        self.connect_port = self._server.sockets[0].getsockname()[1]
+        loop = asyncio.get_running_loop()
+        self._datagrams, _ = await loop.create_datagram_endpoint(
+            lambda: _Datagrams(self._relay), local_addr=(_HOST, self._own)
+        )
+
+    async def close(self) -> None:
+        """Ends every connection."""
+        if self._server is not None:
+            self._server.close()
+        if self._datagrams is not None:
+            self._datagrams.close()
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def _relay(self, data: bytes, origin: tuple[str, int]) -> None:
+        if self._datagrams is None:
+            return
+        if origin[1] != self._datagram_port:
+            # The rules were applied by the gateway of the sender.
+            packet = addresses.pack(origin) + data
+            self._datagrams.sendto(packet, (_HOST, self._datagram_port))
+            return
+        destination = addresses.unpack(data)
+        if self._rules.mode(self._own, destination[1]):
+            return
+        asyncio.get_running_loop().call_later(
+            self._rules.delay_s(self._own, destination[1]),
+            self._send,
+            data[addresses.ADDRESS_BYTES :],
+            destination,
+        )
+
+    def _send(self, data: bytes, destination: tuple[str, int]) -> None:
+        if self._datagrams is not None and not self._datagrams.is_closing():
+            self._datagrams.sendto(data, destination)
+
+    async def _accept(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._connect(reader, writer)
+        except (OSError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            self._tasks.discard(task)
+            writer.transport.abort()
+
+    async def _connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        head = await reader.readexactly(addresses.ADDRESS_BYTES)
+        host, port = addresses.unpack(head)
+        modes = [
+            await self._rules.until_not_stalled(self._own, port),
+            await self._rules.until_not_stalled(port, self._own),
+        ]
+        try:
+            if rules_module.Mode.CUT in modes:
+                raise ConnectionRefusedError
+            far_reader, far_writer = await asyncio.open_connection(host, port)
+        except OSError:
+            writer.write(addresses.REFUSED)
+            await writer.drain()
+            return
+        try:
+            writer.write(addresses.CONNECTED)
+            await self._pass(port, (reader, writer), (far_reader, far_writer))
+        finally:
+            far_writer.transport.abort()
+
+    async def _pass(
+        self, port: int, near: typing.Any, far: typing.Any
+    ) -> None:
+        """Passes bytes until the connection is cut, reset or closed."""
+        own = self._own
+        closed = asyncio.gather(
+            self._pump(near[0], far[1], own, port),
+            self._pump(far[0], near[1], port, own),
+        )
+        work = {
+            asyncio.ensure_future(closed),
+            asyncio.create_task(self._rules.until_cut(own, port)),
+            asyncio.create_task(self._rules.until_cut(port, own)),
+        }
+        try:
+            await asyncio.wait(work, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            for task in work:
+                task.cancel()
+            await asyncio.gather(*work, return_exceptions=True)
+
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        source: int,
+        destination: int,
+    ) -> None:
+        while data := await reader.read(_CHUNK_BYTES):
+            mode = await self._rules.until_not_stalled(source, destination)
+            if mode is rules_module.Mode.CUT:
+                return
+            if delay_s := self._rules.delay_s(source, destination):
+                await asyncio.sleep(delay_s)
+            writer.write(data)
+            await writer.drain()
+        await self._rules.until_not_stalled(source, destination)
+        with contextlib.suppress(OSError):
+            writer.write_eof()
+
+
+class _Datagrams(asyncio.DatagramProtocol):
+    """Hands datagrams to the gateway."""
+
+    def __init__(
+        self, relay: typing.Callable[[bytes, tuple[str, int]], None]
+    ) -> None:
+        self._relay = relay
+
+    def datagram_received(self, data: bytes, addr: typing.Any) -> None:
+        self._relay(data, (addr[0], addr[1]))
