Order the instances of a demo and keep gateways quiet on closing

asyncio logs a cancelled callback of a server as an error, so the callback of a gateway ends without one. Instances were listed in the order in which they came up, so that a test could not name the one of a zone; they are sorted by name now.

--- a/fakes/src/dotterelweir_fakes/demo/cluster.py
+++ b/fakes/src/dotterelweir_fakes/demo/cluster.py
@@ -80,6 +80,7 @@
                 for index in range(instances)
             )
         )
+        self.instances.sort(key=lambda instance: instance.instance_id)
 
     async def start_platform(self) -> None:
         """Starts the stand-in of the platform."""
--- a/fakes/src/dotterelweir_fakes/links/gateway.py
+++ b/fakes/src/dotterelweir_fakes/links/gateway.py
@@ -89,7 +89,13 @@
         self._tasks.add(task)
         try:
             await self._connect(reader, writer)
-        except (OSError, asyncio.IncompleteReadError):
+        except (
+            OSError,
+            asyncio.IncompleteReadError,
+            # Only ``close`` cancels; asyncio logs a cancelled callback of a
+            # server as an error.
+            asyncio.CancelledError,
+        ):
             pass
         finally:
             self._tasks.discard(task)
@@ -100,6 +106,11 @@
     ) -> None:
         head = await reader.readexactly(addresses.ADDRESS_BYTES)
         host, port = addresses.unpack(head)
+        if rules_module.Mode.STALL in (
+            self._rules.mode(self._own, port),
+            self._rules.mode(port, self._own),
+        ):
+            self._rules.stalled_connects += 1
         modes = [
             await self._rules.until_not_stalled(self._own, port),
             await self._rules.until_not_stalled(port, self._own),
--- a/fakes/src/dotterelweir_fakes/links/rules.py
+++ b/fakes/src/dotterelweir_fakes/links/rules.py
@@ -37,9 +37,15 @@
 
 
 class Rules:
-    """The rules in force; an unnamed address matches no rule."""
+    """The rules in force; an unnamed address matches no rule.
+
+    Attributes:
+        stalled_connects: Connections that were asked for over a stalled
+            link.
+    """
 
     def __init__(self) -> None:
+        self.stalled_connects = 0
         self._rules: list[Rule] = []
         self._groups: dict[int, tuple[str, str]] = {}
         self._changed = asyncio.Event()
