Test whole deployments with links that are cut or stall

A zone cut off from the platform gets edits through peers within 18 s, a zone cut off from everything serves, reports the age of its tables and catches up; streams over a stalled engine link end whole or honestly; a booking whose bytes arrive after its timeout runs once.

One of the first runs failed because a port that was free for a moment had become the source port of a connection. Ports of children now come from blocks below the ephemeral range that a test process keeps.

--- a/fakes/src/dotterelweir_fakes/demo/processes.py
+++ b/fakes/src/dotterelweir_fakes/demo/processes.py
@@ -1,8 +1,10 @@
 """Child processes of the demo and of tests with real processes."""
 
 import asyncio
+from collections.abc import Iterator
 import os
 import pathlib
+import random
 import signal
 import socket
 import sys
@@ -12,6 +14,10 @@
 _START_TIMEOUT_S = 20.0
 _STOP_TIMEOUT_S = 30.0
 
+_FIRST_PORT = 10_000
+_LAST_PORT = 32_700
+_BLOCK_PORTS = 100
+
 
 @attrs.define(eq=False)
 class ChildProcess:
@@ -120,22 +126,40 @@
 
 
 def free_ports(count: int) -> list[int]:
-    """Ports of the loopback address that are free for TCP and UDP."""
-    held: list[socket.socket] = []
-    ports: list[int] = []
-    try:
-        while len(ports) < count:
-            tcp = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-            udp = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
-            held += [tcp, udp]
-            tcp.bind(('127.0.0.1', 0))
-            port = tcp.getsockname()[1]
+    """Ports of the loopback address that are free for TCP and UDP.
+
+    They are below the ports that the system gives to outgoing connections,
+    and in blocks that this process keeps until it ends, so that nobody takes
+    a port before the child process listens on it.
+    """
+    return [next(_PORTS) for _ in range(count)]
+
+
+def _claimed_ports() -> Iterator[int]:
+    blocks = list(range(_FIRST_PORT, _LAST_PORT, _BLOCK_PORTS))
+    random.Random(os.getpid()).shuffle(blocks)
+    for first in blocks:
+        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            claim.bind(('127.0.0.1', first))
+        except OSError:
+            # Another process has the block.
+            claim.close()
+            continue
+        _CLAIMS.append(claim)
+        yield from filter(_is_free, range(first + 1, first + _BLOCK_PORTS))
+    raise RuntimeError('every block of ports is in use')
+
+
+def _is_free(port: int) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as sock:
             try:
-                udp.bind(('127.0.0.1', port))
+                sock.bind(('127.0.0.1', port))
             except OSError:
-                continue
-            ports.append(port)
-    finally:
-        for sock in held:
-            sock.close()
-    return ports
+                return False
+    return True
+
+
+_CLAIMS: list[socket.socket] = []
+_PORTS = _claimed_ports()
--- a/fakes/src/dotterelweir_fakes/links/gateway.py
+++ b/fakes/src/dotterelweir_fakes/links/gateway.py
@@ -158,11 +158,11 @@
         destination: int,
     ) -> None:
         while data := await reader.read(_CHUNK_BYTES):
+            if delay_s := self._rules.delay_s(source, destination):
+                await asyncio.sleep(delay_s)
             mode = await self._rules.until_not_stalled(source, destination)
             if mode is rules_module.Mode.CUT:
                 return
-            if delay_s := self._rules.delay_s(source, destination):
-                await asyncio.sleep(delay_s)
             writer.write(data)
             await writer.drain()
         await self._rules.until_not_stalled(source, destination)
--- a/fakes/tests/system/conftest.py
+++ b/fakes/tests/system/conftest.py
@@ -12,6 +12,7 @@
 
 from dotterelweir_fakes.demo import cluster as cluster_module
 from dotterelweir_fakes.demo import processes
+from dotterelweir_fakes.links import network as network_module
 from dotterelweir_fakes.load import balancer as balancer_module
 from dotterelweir_fakes.load import caller as caller_module
 from dotterelweir_fakes.load import tally
@@ -28,8 +29,9 @@
 class System:
     """A running deployment, its balancer and a caller."""
 
-    def __init__(self, cluster, http, group):
+    def __init__(self, cluster, http, group, network):
         self.cluster = cluster
+        self.network = network
         self.http = http
         self.group = group
         self.balancer = balancer_module.Balancer(
@@ -85,6 +87,68 @@
         out, _ = await process.communicate()
         return json.loads(out)
 
+    async def edit(self, *arguments):
+        """Makes an edit that must be accepted; returns its revision."""
+        report = await self.client(*arguments)
+        assert report['outcome'] == 'accepted', report
+        return report['revision']
+
+    async def change_route(self, name, **fields):
+        """Edits fields of a route; returns the revision."""
+        tables = json.loads(
+            (self.group.directory / 'tables.json5').read_text()
+        )
+        path = self.group.directory / f'{name}.json5'
+        path.write_text(json.dumps(tables['routes'][name] | fields))
+        return await self.edit('route', 'put', name, str(path))
+
+    async def admin(self, instance, query):
+        """Asks an instance's admin port."""
+        url = f'{instance.admin_url}/admin/v1/{query}'
+        async with self.http.get(url) as response:
+            return await response.json()
+
+    async def revision(self, instance):
+        return (await self.admin(instance, 'tables'))['revision']
+
+    async def until_in_force(self, revision, instances=None):
+        """Waits until instances have a revision, at most 18 s."""
+
+        async def in_force():
+            wanted = instances or self.cluster.instances
+            found = [await self.revision(instance) for instance in wanted]
+            return min(found) >= revision
+
+        await self.until(in_force, timeout_s=18.0)
+
+    async def until_state(self, observer, subject, state):
+        """Waits until an instance sees another one in a state."""
+
+        async def seen():
+            peers = (await self.admin(observer, 'status'))['peers']
+            return any(
+                peer['instance'] == subject.instance_id
+                and peer['state'] == state
+                for peer in peers
+            )
+
+        await self.until(seen)
+
+    async def until_members_met(self):
+        """Waits until every instance sees every other one alive."""
+        for observer in self.cluster.instances:
+            for subject in self.cluster.instances:
+                if subject is not observer:
+                    await self.until_state(observer, subject, 'alive')
+
+    def use_only(self, instance):
+        """Points the balancer to one instance."""
+        self.balancer.urls = (instance.caller_url,)
+
+    def child(self, name):
+        """The newest process of a name."""
+        return [c for c in self.group.children if c.name == name][-1]
+
     async def post(self, url, document, method='POST'):
         """Sends a document, for faults."""
         async with self.http.request(method, url, json=document) as response:
@@ -170,14 +234,24 @@
             processes.ProcessGroup(tmp_path)
         )
 
-        async def start(instances=3, engines=3, services=2, **overrides):
+        network = network_module.Network()
+        stack.push_async_callback(network.close)
+
+        async def start(
+            instances=3, engines=3, services=2, linked=False, **overrides
+        ):
             deployment = attrs.evolve(
                 ZWOJEX, engines=engines, plain_targets=services
             )
             cluster = cluster_module.Cluster(
-                deployment, group, http, 1, OVERRIDES | overrides
+                deployment,
+                group,
+                http,
+                1,
+                OVERRIDES | overrides,
+                network if linked else None,
             )
-            system = System(cluster, http, group)
+            system = System(cluster, http, group, network)
             await system.start(instances)
             return system
 
--- /dev/null
+++ b/fakes/tests/system/test_partitions.py
@@ -0,0 +1,196 @@
+"""Tests of whole deployments whose links are cut or stall.
+
+Entry instance N, engine N and plain service N are in zone N of poznan-a,
+poznan-b and kalisz. Callers reach every instance in all tests; the links of
+the instances to the platform, to targets and to each other are changed.
+"""
+
+import asyncio
+import contextlib
+
+import pytest
+
+CUT_OFF = 'poznan-b'
+OTHERS = ('poznan-a', 'kalisz')
+
+
+@contextlib.asynccontextmanager
+async def watched_revisions(system, instance):
+    """Fails if the tables of an instance revert while the block runs."""
+    seen = [await system.revision(instance)]
+
+    async def watch():
+        while True:
+            seen.append(await system.revision(instance))
+            await asyncio.sleep(0.05)
+
+    task = asyncio.create_task(watch())
+    try:
+        yield seen
+    finally:
+        task.cancel()
+    assert seen == sorted(seen)
+
+
+def isolate(system):
+    """Cuts one zone off from the platform and from the other zones."""
+    for other in ('platform', *OTHERS):
+        system.network.rules.cut(CUT_OFF, other)
+
+
+async def serve(system, instance):
+    """Sends a stream through one instance; returns the result."""
+    system.use_only(instance)
+    await system.until_ready(1)
+    return await system.stream(30)
+
+
+@pytest.mark.parametrize('mode', ['cut', 'stall'])
+async def test_an_edit_arrives_through_peers(start_system, mode):
+    """Guards against a zone without the log that misses edits (P7)."""
+    system = await start_system(linked=True, services=1)
+    lost = system.cluster.instances[1]
+    await system.until_members_met()
+    getattr(system.network.rules, mode)(CUT_OFF, 'platform')
+    async with watched_revisions(system, lost):
+        revision = await system.edit('route', 'delete', 'lookup')
+        await system.until_in_force(revision)
+        restored = system.events(lost, 'tables-restored')
+        assert 'peer' in [line['source'] for line in restored]
+        assert (await serve(system, lost)).outcome.value == 'whole'
+        system.network.rules.heal()
+        await system.until(lambda: system.events(lost, 'log-reachable'))
+
+
+async def test_an_isolated_zone_serves_and_catches_up(start_system):
+    """Guards against a zone that stops, hides its age or reverts (P7)."""
+    system = await start_system(linked=True, services=1)
+    lost = system.cluster.instances[1]
+    await system.until_members_met()
+    others = [system.cluster.instances[0], system.cluster.instances[2]]
+    old = await system.revision(lost)
+    async with watched_revisions(system, lost):
+        isolate(system)
+        await system.until(lambda: system.events(lost, 'log-unreachable'))
+        first = await system.edit('route', 'delete', 'lookup')
+        second = await system.edit('route', 'delete', 'booking')
+        await system.until_in_force(second, others)
+        assert await system.revision(lost) == old
+        tables = (await system.admin(lost, 'status'))['tables']
+        assert not tables['log_reachable']
+
+        async def older():
+            status = await system.admin(lost, 'status')
+            return status['tables']['age_s'] > tables['age_s']
+
+        await system.until(older)
+        for instance in system.cluster.instances:
+            result = await serve(system, instance)
+            assert result.outcome.value == 'whole', result
+        chosen = system.events(lost, 'target-chosen')
+        assert chosen[-1]['target_id'] == 'guide-llm-2'
+        system.network.rules.heal()
+        await system.until_in_force(second)
+    assert first < second
+    documents = [
+        await system.admin(instance, 'tables')
+        for instance in system.cluster.instances
+    ]
+    assert documents[0] == documents[1] == documents[2]
+
+
+async def test_members_find_each_other_after_a_partition(start_system):
+    """Guards against zones that stay apart after their links heal."""
+    system = await start_system(linked=True, engines=1, services=1)
+    here, lost, _ = system.cluster.instances
+    await system.until_members_met()
+    isolate(system)
+    await system.until_state(here, lost, 'dead')
+    await system.until_state(lost, here, 'dead')
+    system.network.rules.heal()
+    await system.until_state(here, lost, 'alive')
+    await system.until_state(lost, here, 'alive')
+
+
+@pytest.mark.parametrize('one_way', [False, True])
+async def test_a_stalled_engine_link_that_heals(start_system, one_way):
+    """Guards against tokens lost or repeated when a link stalls (P1)."""
+    system = await start_system(
+        linked=True, instances=1, engines=1, services=1
+    )
+    entry = system.cluster.instances[0]
+    rules = system.network.rules
+    tasks = [await system.start_stream(400) for _ in range(6)]
+    if one_way:
+        rules.stall_one_way('guide-llm-1', 'entry-1')
+    else:
+        rules.stall('guide-llm-1', 'entry-1')
+    # One connect may be a poll of the load; the others are resumes.
+    await system.until(lambda: rules.stalled_connects >= 4)
+    rules.heal()
+    results = await asyncio.gather(*tasks)
+    assert {result.outcome.value for result in results} == {'whole'}, results
+    assert sum(result.duplicated_tokens for result in results) == 0
+    assert system.events(entry, 'generation-resumed')
+
+
+async def test_a_stalled_engine_link_that_does_not_heal(start_system):
+    """Guards against streams that hang or go on elsewhere (P1, P2)."""
+    system = await start_system(linked=True, instances=1, services=1)
+    tasks = [await system.start_stream(400) for _ in range(6)]
+    system.network.rules.stall('guide-llm-1', 'entry-1')
+    results = await asyncio.gather(*tasks)
+    outcomes = {result.outcome.value for result in results}
+    assert outcomes == {'whole', 'incomplete'}, results
+    for result in results:
+        assert result.duplicated_tokens == 0
+        if result.outcome.value == 'incomplete':
+            assert result.execution == 'ran', result
+    # New work goes to the engines that can be reached.
+    assert (await system.stream(30)).outcome.value == 'whole'
+
+
+async def test_a_booking_behind_a_stalled_link_runs_at_most_once(
+    start_system,
+):
+    """Guards against bytes that arrive late and book again (P3, P4)."""
+    system = await start_system(
+        linked=True, instances=1, engines=1, services=1
+    )
+    revision = await system.change_route('booking', timeout_s=4.0)
+    await system.until_in_force(revision)
+    entry = system.cluster.instances[0]
+    rules = system.network.rules
+    # The delay holds the requests on the link until it stalls.
+    rules.delay('entry-1', 'dealer-shop-1', 3.0)
+    keys = {f'booking-{n}': f'key-{n}' if n % 2 else None for n in range(6)}
+    tasks = [
+        asyncio.create_task(system.book(key, idempotency))
+        for key, idempotency in keys.items()
+    ]
+    await system.until(
+        lambda: len(system.events(entry, 'target-chosen')) == len(keys)
+    )
+    rules.stall('entry-1', 'dealer-shop-1')
+    results = await asyncio.gather(*tasks)
+    assert await system.cluster.executions() == {}
+    rules.heal()
+    unknown = [r.business_key for r in results if r.execution == 'unknown']
+    assert unknown, results
+
+    async def arrived():
+        executions = await system.cluster.executions()
+        return all(executions.get(key) for key in unknown)
+
+    await system.until(arrived)
+    for key, idempotency in keys.items():
+        if idempotency and key in unknown:
+            again = await system.book(key, idempotency)
+            assert (again.outcome.value, again.execution) == (
+                'refused',
+                'unknown',
+            )
+    executions = await system.cluster.executions()
+    assert executions == dict.fromkeys(unknown, 1)
+    for result in results:
+        assert result.execution in ('unknown', 'not run'), result
