--- a/packages/daemon/src/dotterelweird/claim_stream.py
+++ b/packages/daemon/src/dotterelweird/claim_stream.py
@@ -68,9 +68,9 @@
         self._numbers = itertools.count(1)
         self._table = fold.ClaimTable(claims.window_s)
         self._pending: dict[str, _Pending] = {}
+        self._repeats: dict[str, list[asyncio.Future]] = {}
         # Own claims whose release is on its way to the log.
         self._releasing: set[str] = set()
-        self._repeats: dict[str, list[asyncio.Future]] = {}
         self._follower = log_follower.LogFollower(
             log, name, timer, rng, platform.log_wait_s, self._apply
         )
@@ -271,11 +271,11 @@
             )
             return
         decision = self._table.apply(record.offset, record.time_s, decoded)
-        if isinstance(decoded, records.Release):
-            self._releasing.discard(decoded.claim_id)
         if not isinstance(decoded, records.Claim):
             for ended in self._repeats.get(decoded.key_hash, ()):
                 _wake(ended)
+        if isinstance(decoded, records.Release):
+            self._releasing.discard(decoded.claim_id)
         if decision is None or not decision.claim_id.startswith(
             self._claim_prefix
         ):
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -125,9 +125,9 @@
         await _listen(parts.callers, parts.settings.callers.listen)
         self._following = asyncio.create_task(parts.tables.run())
         parts.claims.start()
-        parts.monitor.start()
         if parts.orders is not None:
             parts.orders.start()
+        parts.monitor.start()
         self._subscriptions = [
             parts.timer.subscribe(_GAUGE_PERIOD_S, self._update_gauges),
             parts.timer.subscribe(_READY_CHECK_S, self._check_ready),
@@ -155,9 +155,9 @@
         await parts.in_flight.close()
         for subscription in self._subscriptions:
             subscription.cancel()
+        await parts.monitor.stop()
         if parts.orders is not None:
             await parts.orders.stop()
-        await parts.monitor.stop()
         await parts.claims.stop()
         if self._following is not None:
             self._following.cancel()
