--- a/packages/cli/src/dotterelweir_cli/admin.py
+++ b/packages/cli/src/dotterelweir_cli/admin.py
@@ -40,6 +40,11 @@
                 async for line in response.content:
                     if line.startswith(b'data: '):
                         yield orjson.loads(line.removeprefix(b'data: '))
+        except aiohttp.ClientPayloadError as exc:
+            raise exits.CommandError(
+                exits.ExitCode.UNREACHABLE,
+                f'instance at {self._base_url} ended the feed',
+            ) from exc
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise self._unreachable(exc) from exc
 
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -171,7 +171,8 @@
 
     def _check_ready(self) -> None:
         parts = self._parts
-        if parts.tables.ready and parts.targets.list_read:
+        starting = parts.lifecycle.state == 'starting'
+        if starting and parts.tables.ready and parts.targets.list_read:
             parts.lifecycle.mark_ready()
 
     def _state_changed(self, state: str) -> None:
