--- a/packages/daemon/src/dotterelweird/callers/reader.py
+++ b/packages/daemon/src/dotterelweird/callers/reader.py
@@ -1,6 +1,8 @@
 """Reads one generation over as many links to its engine as it takes."""
 
 from collections.abc import AsyncIterator
+from collections.abc import Awaitable
+from collections.abc import Callable
 import logging
 
 import attrs
@@ -96,6 +98,57 @@
         finally:
             self._waiting_since_s = None
 
+    async def forward(
+        self,
+        write: Callable[[bytes], Awaitable[None]],
+        written: Callable[[float], bool],
+        drain: Callable[[], Awaitable[None]],
+    ) -> None:
+        """Reads everything up to the end mark and writes it on.
+
+        The same as ``read`` in a loop, but with as few awaits per token as
+        a bare relay.
+
+        Args:
+            write: Takes the next events.
+            written: Told the time after each write; returns whether
+                ``drain`` is to be waited for.
+            drain: Waits until the caller has caught up.
+
+        Raises:
+            DotterelweirError: GENERATION_LOST when the generation cannot be
+                resumed.
+        """
+        cursor = self.cursor
+        feed = cursor.feed
+        monotonic_s = self._timer.monotonic_s
+        try:
+            while not cursor.complete:
+                reason = 'the link ended before the end mark'
+                self._waiting_since_s = monotonic_s()
+                try:
+                    async for chunk in self._chunks:
+                        out = feed(chunk)
+                        if out:
+                            self._waiting_since_s = None
+                            self._progressed = True
+                            await write(out)
+                            now_s = monotonic_s()
+                            if written(now_s):
+                                await drain()
+                                now_s = monotonic_s()
+                            self._waiting_since_s = now_s
+                        if cursor.fault is not None:
+                            self._reject()
+                            break
+                        if cursor.complete:
+                            return
+                except errors.DotterelweirError as error:
+                    reason = error.detail
+                await self._resume(reason)
+        finally:
+            self._waiting_since_s = None
+
     def watch_stalls(self) -> None:
         """Replaces the link when it makes no progress from now on.
 
--- a/packages/daemon/src/dotterelweird/callers/relay.py
+++ b/packages/daemon/src/dotterelweird/callers/relay.py
@@ -68,27 +68,30 @@
             DotterelweirError: The answer is not complete.
             ConnectionError: The caller has gone.
         """
-        write = self.response.write
         transport = self._request.transport
         if transport is None:
             raise ConnectionResetError('the caller has gone')
         buffered = transport.get_write_buffer_size
-        monotonic_s = self._timer.monotonic_s
+        buffer_bytes = self._buffer_bytes
         cursor = reader.cursor
-        report_due_s = monotonic_s() + REPORT_INTERVAL_S
+        report_due_s = self._timer.monotonic_s() + REPORT_INTERVAL_S
+
+        def written(now_s: float) -> bool:
+            nonlocal reported, report_due_s
+            if now_s >= report_due_s:
+                on_tokens(cursor.next_sequence - reported)
+                reported = cursor.next_sequence
+                report_due_s = now_s + REPORT_INTERVAL_S
+            # aiohttp itself waits only once per 64 KB written.
+            return buffered() > buffer_bytes
+
         reader.watch_stalls()
-        out = first
         try:
-            while out:
-                await write(out)
-                if buffered() > self._buffer_bytes:
-                    # aiohttp itself waits only once per 64 KB written.
-                    await self._request.writer.drain()
-                if monotonic_s() >= report_due_s:
-                    on_tokens(cursor.next_sequence - reported)
-                    reported = cursor.next_sequence
-                    report_due_s = monotonic_s() + REPORT_INTERVAL_S
-                out = await reader.read()
+            await self.response.write(first)
+            written(self._timer.monotonic_s())
+            await reader.forward(
+                self.response.write, written, self._request.writer.drain
+            )
         finally:
             if cursor.next_sequence > reported:
                 on_tokens(cursor.next_sequence - reported)
