--- /dev/null
+++ b/fakes/tests/system/conftest.py
@@ -0,0 +1,263 @@
+"""Fixture of a small deployment of real processes."""
+
+import asyncio
+import contextlib
+import json
+import random
+import sys
+
+import aiohttp
+import attrs
+import pytest
+
+from dotterelweir_fakes.demo import cluster as cluster_module
+from dotterelweir_fakes.demo import processes
+from dotterelweir_fakes.links import network as network_module
+from dotterelweir_fakes.load import balancer as balancer_module
+from dotterelweir_fakes.load import caller as caller_module
+from dotterelweir_fakes.load import tally
+from dotterelweir_fakes.load import workload
+
+ZWOJEX = workload.DEPLOYMENTS['zwojex']
+OVERRIDES = {
+    'delivery': {'stall_timeout_s': 0.5, 'resume_attempts': 3},
+    'claims': {'decision_timeout_s': 1.0},
+}
+ORGANISATION = 'org-1'
+
+
+class System:
+    """A running deployment, its balancer and a caller."""
+
+    def __init__(self, cluster, http, group, network):
+        self.cluster = cluster
+        self.network = network
+        self.http = http
+        self.group = group
+        self.balancer = balancer_module.Balancer(
+            (), http, random.Random('balancer')
+        )
+        self.caller = caller_module.Caller(http, self.balancer)
+
+    async def start(self, instances):
+        await self.cluster.start(instances)
+        path = self.cluster.write_tables(self.group.directory)
+        assert (await self.client('apply', str(path)))['revision'] == 0
+        self.use_instances()
+        await self.until_ready(instances)
+
+    def use_instances(self):
+        """Points the balancer to the instances of the cluster."""
+        self.balancer.urls = tuple(
+            instance.caller_url for instance in self.cluster.instances
+        )
+
+    async def until_ready(self, count):
+        async def ready():
+            await self.balancer.probe()
+            return self.balancer.ready_count >= count
+
+        await self.until(ready)
+
+    async def until(self, condition, timeout_s=20.0):
+        """Waits for a condition, which may be a coroutine function."""
+        async with asyncio.timeout(timeout_s):
+            while True:
+                result = condition()
+                if asyncio.iscoroutine(result):
+                    result = await result
+                if result:
+                    return result
+                await asyncio.sleep(0.02)
+
+    async def client(self, *arguments):
+        """Runs the operators' client; returns its JSON."""
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            '-m',
+            'dotterelweir_cli',
+            '--log-url',
+            self.cluster.platform_url,
+            '-o',
+            'json',
+            *arguments,
+            stdout=asyncio.subprocess.PIPE,
+            env=processes.child_environment(),
+        )
+        out, _ = await process.communicate()
+        return json.loads(out)
+
+    async def edit(self, *arguments):
+        """Makes an edit that must be accepted; returns its revision."""
+        report = await self.client(*arguments)
+        assert report['outcome'] == 'accepted', report
+        return report['revision']
+
+    async def change_route(self, name, **fields):
+        """Edits fields of a route; returns the revision."""
+        tables = json.loads(
+            (self.group.directory / 'tables.json5').read_text()
+        )
+        path = self.group.directory / f'{name}.json5'
+        path.write_text(json.dumps(tables['routes'][name] | fields))
+        return await self.edit('route', 'put', name, str(path))
+
+    async def admin(self, instance, query):
+        """Asks an instance's admin port."""
+        url = f'{instance.admin_url}/admin/v1/{query}'
+        async with self.http.get(url) as response:
+            return await response.json()
+
+    async def revision(self, instance):
+        return (await self.admin(instance, 'tables'))['revision']
+
+    async def until_in_force(self, revision, instances=None):
+        """Waits until instances have a revision, at most 18 s."""
+
+        async def in_force():
+            wanted = instances or self.cluster.instances
+            found = [await self.revision(instance) for instance in wanted]
+            return min(found) >= revision
+
+        await self.until(in_force, timeout_s=18.0)
+
+    async def until_state(self, observer, subject, state):
+        """Waits until an instance sees another one in a state."""
+
+        async def seen():
+            peers = (await self.admin(observer, 'status'))['peers']
+            return any(
+                peer['instance'] == subject.instance_id
+                and peer['state'] == state
+                for peer in peers
+            )
+
+        await self.until(seen)
+
+    async def until_members_met(self):
+        """Waits until every instance sees every other one alive."""
+        for observer in self.cluster.instances:
+            for subject in self.cluster.instances:
+                if subject is not observer:
+                    await self.until_state(observer, subject, 'alive')
+
+    def use_only(self, instance):
+        """Points the balancer to one instance."""
+        self.balancer.urls = (instance.caller_url,)
+
+    def child(self, name):
+        """The newest process of a name."""
+        return [c for c in self.group.children if c.name == name][-1]
+
+    async def post(self, url, document, method='POST'):
+        """Sends a document, for faults."""
+        async with self.http.request(method, url, json=document) as response:
+            assert response.status < 300, await response.text()
+
+    async def load(self, url):
+        """The load report of a target."""
+        async with self.http.get(f'{url}/v1/load') as response:
+            return await response.json()
+
+    async def platform_faults(self, **faults):
+        await self.post(f'{self.cluster.platform_url}/faults', faults)
+
+    async def start_stream(self, tokens):
+        """Starts a streamed request; returns its task at the first token."""
+        started = asyncio.Event()
+        task = self.stream(tokens, started)
+        await started.wait()
+        return task
+
+    def stream(self, tokens, started=None):
+        """Starts a streamed request; returns its task."""
+        body = {
+            'model': f'{ZWOJEX.model}-long',
+            'messages': [{'role': 'user', 'content': 'a guide'}],
+            'metadata': {'output_tokens': tokens},
+        }
+        return asyncio.create_task(
+            self.caller.stream(ORGANISATION, body, started)
+        )
+
+    async def book(self, key, idempotency_key=None):
+        """Books once; returns the result that the caller saw."""
+        return await self.caller.call(
+            ORGANISATION,
+            ZWOJEX.booking_path,
+            {'key': key},
+            key,
+            idempotency_key,
+        )
+
+    async def executions(self, key):
+        return (await self.cluster.executions()).get(key, 0)
+
+    def workload(self, requests_per_s, seed='load'):
+        return workload.Workload(
+            ZWOJEX, self.caller, random.Random(seed), requests_per_s
+        )
+
+    @contextlib.asynccontextmanager
+    async def under_load(self, requests_per_s=15.0):
+        """Sends a mixed load while the block runs; yields its tally."""
+        load = self.workload(requests_per_s)
+        stop = asyncio.Event()
+        probing = asyncio.create_task(self.balancer.run())
+        running = asyncio.create_task(load.run_until(stop))
+        try:
+            yield load.tally
+            stop.set()
+            await running
+        finally:
+            probing.cancel()
+            running.cancel()
+
+    def events(self, instance, name):
+        """Log lines of one kind of event of an instance."""
+        lines = instance.child.output().splitlines()
+        found = (json.loads(line) for line in lines if name in line)
+        return [line for line in found if line['message'] == name]
+
+
+def summary_of(results, executions):
+    """The counts of a tally."""
+    return tally.Tally(list(results)).summary(executions)
+
+
+@pytest.fixture
+async def start_system(tmp_path):
+    """Starts a deployment; ends all its processes after the test."""
+    async with contextlib.AsyncExitStack() as stack:
+        http = await stack.enter_async_context(
+            aiohttp.ClientSession(
+                connector=aiohttp.TCPConnector(limit=0),
+                timeout=aiohttp.ClientTimeout(total=None, sock_read=30.0),
+            )
+        )
+        group = await stack.enter_async_context(
+            processes.ProcessGroup(tmp_path)
+        )
+
+        network = network_module.Network()
+        stack.push_async_callback(network.close)
+
+        async def start(
+            instances=3, engines=3, services=2, linked=False, **overrides
+        ):
+            deployment = attrs.evolve(
+                ZWOJEX, engines=engines, plain_targets=services
+            )
+            cluster = cluster_module.Cluster(
+                deployment,
+                group,
+                http,
+                1,
+                OVERRIDES | overrides,
+                network if linked else None,
+            )
+            system = System(cluster, http, group, network)
+            await system.start(instances)
+            return system
+
+        yield start
--- a/packages/core/src/dotterelweir_core/policy/lengths.py
+++ b/packages/core/src/dotterelweir_core/policy/lengths.py
@@ -7,7 +7,6 @@
 """
 
 import collections
-import math
 
 import attrs
 import hdrh.histogram
@@ -27,6 +26,9 @@
 # The rest that is expected of an output that is longer than all before it,
 # as a share of what it has produced.
 _TAIL_GROWTH = 0.5
+# If one output in four is short, a route mixes short and long work; if one
+# in seven is long, it does not count as short.
+_LOW_PERCENTILE = 0.25
 _HIGH_PERCENTILE = 0.85
 
 
@@ -39,7 +41,7 @@
     """The number of tokens at which the estimate changes next."""
     index = age_index(produced)
     if index >= _AGES - 1:
-        return _LONGEST_TOKENS * 2
+        return produced + _LONGEST_TOKENS
     return 1 << (_FIRST_AGE_SHIFT + index)
 
 
@@ -49,13 +51,13 @@
 
     Attributes:
         mean_rest: Mean tokens still to come, by index of age.
-        median: Median of the whole output.
+        low: A low percentile of the whole output.
         high: A high percentile of the whole output.
         samples: Ended outputs that it rests on.
     """
 
     mean_rest: tuple[float, ...]
-    median: float
+    low: float
     high: float
     samples: int
 
@@ -86,9 +88,9 @@
         # With few samples above this age the tail rule gets more weight.
         tail = max(_TAIL_GROWTH * age, 1.0)
         rests.append((rest + 2 * tail) / (weight + 2))
-    median = _percentile(counts, 0.5 * total)
+    low = _percentile(counts, _LOW_PERCENTILE * total)
     high = _percentile(counts, _HIGH_PERCENTILE * total)
-    return Profile(tuple(rests), median, high, total)
+    return Profile(tuple(rests), low, high, total)
 
 
 def _percentile(counts: list[tuple[float, int]], rank: float) -> float:
@@ -101,35 +103,41 @@
 
 
 class _Lengths:
-    """The outputs of one key, in two generations."""
+    """The outputs of one key, in two generations.
+
+    The older generation is kept as a list of values and counts, which takes
+    far less memory than a histogram.
+    """
 
     def __init__(self) -> None:
-        self._current = self._new()
-        self._previous = self._new()
+        self._current = _histogram()
+        self._previous: tuple[tuple[float, int], ...] = ()
         self.profile: Profile | None = None
 
-    @staticmethod
-    def _new() -> hdrh.histogram.HdrHistogram:
-        return hdrh.histogram.HdrHistogram(1, _LONGEST_TOKENS, _DIGITS)
-
     def record(self, tokens: int) -> None:
         self._current.record_value(min(max(tokens, 1), _LONGEST_TOKENS))
         samples = self._current.get_total_count()
-        if samples >= _GENERATION_SAMPLES:
-            self._previous, self._current = self._current, self._new()
         if samples % _REFRESH_EVERY == 0:
-            self.profile = self._learn()
-
-    def _learn(self) -> Profile:
-        counts: collections.Counter[float] = collections.Counter()
-        for histogram in (self._previous, self._current):
-            for item in histogram.get_recorded_iterator():
-                value = math.sqrt(
-                    max(1, item.value_iterated_from)
-                    * max(1, item.value_iterated_to)
-                )
-                counts[value] += item.count_added_in_this_iter_step
-        return _profile(sorted(counts.items()))
+            counts = collections.Counter(dict(self._previous))
+            counts.update(_counts(self._current))
+            self.profile = _profile(sorted(counts.items()))
+        if samples >= _GENERATION_SAMPLES:
+            self._previous = tuple(_counts(self._current).items())
+            self._current = _histogram()
+
+
+def _histogram() -> hdrh.histogram.HdrHistogram:
+    return hdrh.histogram.HdrHistogram(1, _LONGEST_TOKENS, _DIGITS)
+
+
+def _counts(histogram: hdrh.histogram.HdrHistogram) -> dict[float, int]:
+    counts = {}
+    for item in histogram.get_recorded_iterator():
+        reached = item.value_iterated_to
+        low = histogram.get_lowest_equivalent_value(reached)
+        high = histogram.get_highest_equivalent_value(reached)
+        counts[(low + high) / 2] = item.count_added_in_this_iter_step
+    return counts
 
 
 class LengthEstimator:
