--- a/packages/daemon/src/dotterelweird/claim_stream.py
+++ b/packages/daemon/src/dotterelweird/claim_stream.py
@@ -13,6 +13,7 @@
 from dotterelweir_core.claims import fold
 from dotterelweir_core.claims import records
 from dotterelweir_platform import api as platform_api
+from dotterelweird import claim_errors
 from dotterelweird import claims_api
 from dotterelweird import log_batcher
 from dotterelweird import log_follower
@@ -24,7 +25,6 @@
 # Outcomes wait only while the log is down, when no new keyed calls begin.
 # Bodies are dropped beyond this many waiting records.
 _WAITING_BODIES_MAX = 200
-_RETRY_AFTER_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -69,6 +69,8 @@
         self._table = fold.ClaimTable(claims.window_s)
         self._pending: dict[str, _Pending] = {}
         self._repeats: dict[str, list[asyncio.Future]] = {}
+        # Own claims whose release is on its way to the log.
+        self._releasing: set[str] = set()
         self._follower = log_follower.LogFollower(
             log, name, timer, rng, platform.log_wait_s, self._apply
         )
@@ -121,7 +123,7 @@
         # A log that has been out of reach for as long as a decision may
         # take is not going to decide this one.
         if self._follower.failing_for_s() > self._settings.decision_timeout_s:
-            raise _unavailable('The log is out of reach')
+            raise claim_errors.unavailable('The log is out of reach')
         claim = records.Claim(
             f'{self._claim_prefix}{next(self._numbers)}',
             key_hash,
@@ -149,6 +151,7 @@
             claim_id=claim.claim_id,
             key_hash=claim.key_hash,
         )
+        self._releasing.add(claim.claim_id)
         self.append(records.Release(claim.claim_id, claim.key_hash))
 
     def check_dispatch(self, append: log_batcher.Append) -> None:
@@ -156,7 +159,7 @@
         limit_s = self._settings.dispatch_limit_s
         sent = append.first_sent
         if sent is None or sent.elapsed_s(self._timer) > limit_s:
-            raise _unavailable(
+            raise claim_errors.unavailable(
                 f'The call was held up for more than {limit_s:g} s after '
                 'its claim'
             )
@@ -172,11 +175,16 @@
     def _known(self, key_hash: str, request_hash: str) -> fold.Decision | None:
         """What is known of a key without asking the log.
 
-        It holds even while the log is down. A claim that was released since
-        gets one more answer with "unknown".
+        It holds even while the log is down. A claim that another instance
+        released since gets one more answer with "unknown"; after an own
+        release, the log decides on the next claim.
         """
         entry = self._table.find(key_hash)
-        if entry is None or entry.expires_s < self._timer.wall_s():
+        if (
+            entry is None
+            or entry.claim_id in self._releasing
+            or entry.expires_s < self._timer.wall_s()
+        ):
             return None
         return fold.Decision(
             entry.claim_id,
@@ -232,7 +240,9 @@
             self._settings.decision_timeout_s,
             max(0.0, deadline_s - self._timer.monotonic_s()),
         )
-        late = _unavailable('The log did not decide on the claim in time')
+        late = claim_errors.unavailable(
+            'The log did not decide on the claim in time'
+        )
         try:
             with scopes.deadline(self._timer, wait_s, late):
                 return await pending.decided
@@ -264,6 +274,8 @@
         if not isinstance(decoded, records.Claim):
             for ended in self._repeats.get(decoded.key_hash, ()):
                 _wake(ended)
+        if isinstance(decoded, records.Release):
+            self._releasing.discard(decoded.claim_id)
         if decision is None or not decision.claim_id.startswith(
             self._claim_prefix
         ):
@@ -288,23 +300,13 @@
             case fold.Verdict.ENDED if decision.outcome_offset is not None:
                 return await self._read_outcome(decision)
             case fold.Verdict.MISMATCH:
-                # The earlier call may be this one in another spelling.
-                raise errors.DotterelweirError(
-                    errors.ErrorKind.CLAIM_MISMATCH,
-                    '',
-                    errors.Execution.UNKNOWN,
-                )
+                raise claim_errors.mismatch()
             case fold.Verdict.KEY_EXPIRED:
-                raise key_expired()
+                raise claim_errors.key_expired()
             case fold.Verdict.KEY_IN_FUTURE:
-                raise key_in_future()
+                raise claim_errors.key_in_future()
             case _:
-                raise errors.DotterelweirError(
-                    errors.ErrorKind.CLAIM_IN_PROGRESS,
-                    '',
-                    errors.Execution.UNKNOWN,
-                    _RETRY_AFTER_S,
-                )
+                raise claim_errors.in_progress()
 
     async def _read_outcome(
         self, decision: fold.Decision
@@ -317,11 +319,8 @@
         except errors.DotterelweirError as error:
             if error.kind is errors.ErrorKind.LOG_GAP:
                 return claims_api.Outcome(execution)
-            raise errors.DotterelweirError(
-                errors.ErrorKind.CLAIMS_UNAVAILABLE,
-                'The recorded answer cannot be read now',
-                execution,
-                _RETRY_AFTER_S,
+            raise claim_errors.unavailable(
+                'The recorded answer cannot be read now', execution
             ) from error
         for record in page.records:
             if record.offset == decision.outcome_offset:
@@ -378,31 +377,3 @@
 def _wake(waiter: asyncio.Future) -> None:
     if not waiter.done():
         waiter.set_result(None)
-
-
-def key_expired() -> errors.DotterelweirError:
-    """The error for a key that is older than the window."""
-    return errors.DotterelweirError(
-        errors.ErrorKind.IDEMPOTENCY_KEY_EXPIRED, '', errors.Execution.UNKNOWN
-    )
-
-
-def key_in_future() -> errors.DotterelweirError:
-    """The error for a key from the future.
-
-    An instance with another clock may have run the call.
-    """
-    return errors.DotterelweirError(
-        errors.ErrorKind.IDEMPOTENCY_KEY_INVALID,
-        'The key carries a time in the future',
-        errors.Execution.UNKNOWN,
-    )
-
-
-def _unavailable(detail: str) -> errors.DotterelweirError:
-    return errors.DotterelweirError(
-        errors.ErrorKind.CLAIMS_UNAVAILABLE,
-        detail,
-        errors.Execution.NOT_RUN,
-        _RETRY_AFTER_S,
-    )
