Refute a suspicion at once, whatever datagram carried it

The holder of the suspicion had been answered by the suspect's own probes, whose acknowledgements told the suspect, but the refutation waited for the next probe in that direction. Ruled out: a longer suspicion (detection would take longer for all), and counting any datagram of the suspect as life (an instance that can send but not receive would never be declared dead). Conclusion: a datagram that claims an instance suspected or dead is answered with its refutation at once.

--- a/packages/core/src/dotterelweir_core/membership/state.py
+++ b/packages/core/src/dotterelweir_core/membership/state.py
@@ -187,7 +187,15 @@
         self, datagram: messages.Datagram, host: str, port: int, now_s: float
     ) -> None:
         contact = options_module.Contact(host, port, datagram.sender_id)
-        reply = Kind.GOSSIP if datagram.sender_unknown else None
+        # A claim about this instance gets its refutation at once, so that
+        # it does not depend on the next probe between the two.
+        claimed = any(
+            member.member_id == self._node.own.member_id
+            and member.state != ALIVE
+            for member in datagram.members
+        )
+        answer = claimed or datagram.sender_unknown
+        reply = Kind.GOSSIP if answer else None
         match datagram.kind:
             case Kind.PING:
                 reply = Kind.ACK
@@ -199,18 +207,13 @@
                 self._joiner.serve_page(datagram, contact)
             case Kind.SYNC:
                 self._joiner.take_page(datagram, now_s)
-        # An answer to a claim about this instance carries its refutation.
-        claimed = any(
-            member.member_id == self._node.own.member_id
-            for member in datagram.members
-        )
         if reply is not None:
             self._node.send_to(
                 contact,
                 datagram.incarnation,
                 reply,
                 now_s,
-                introduce=claimed or datagram.sender_unknown,
+                introduce=answer,
                 probe_id=datagram.probe_id,
             )
 
