Compare digests of leaving targets and forget old news everywhere

Pages also taught members again what others had just forgotten, so that leaving targets and dead members would never have been forgotten. Ruled out: more sends (the gap gets rarer, at a cost for all news), and faster pages (27 pages for 370 members). Every datagram has a digest of the sender's leaving targets, and a member whose own differs fetches those pages only. News has an age, rounded up at each hop, and pages do not introduce dead members; a test finds both forgotten everywhere. Conclusion: fetching pages for waves only is no longer needed and removed.

--- a/packages/core/src/dotterelweir_core/membership/broadcasts.py
+++ b/packages/core/src/dotterelweir_core/membership/broadcasts.py
@@ -65,14 +65,13 @@
             if self._joins > JOINS_MAX:
                 self._drop_oldest_joins()
 
-    def leaving(self) -> tuple[int, int]:
-        """Queued leaving targets: how many, and how many were never sent."""
-        queued = [
-            queued.sent
+    @property
+    def unsent_leaving(self) -> bool:
+        """Whether some leaving target has not been sent at all."""
+        return any(
+            queued.rank == LEAVING_RANK and not queued.sent
             for queued in self._queued.values()
-            if isinstance(queued.update, messages.Leaving)
-        ]
-        return len(queued), queued.count(0)
+        )
 
     def take(
         self, limit_bytes: int, leaving_bytes: int, limit_sends: int
--- a/packages/core/src/dotterelweir_core/membership/dissemination.py
+++ b/packages/core/src/dotterelweir_core/membership/dissemination.py
@@ -1,10 +1,12 @@
 """What is told to peers: updates, leaving targets and load reports."""
 
+from collections.abc import Iterable
 import heapq
 import math
 import random
 
 import attrs
+import xxhash
 
 from dotterelweir_core.membership import broadcasts
 from dotterelweir_core.membership import messages
@@ -28,6 +30,12 @@
     )
 
 
+def _digest(news: messages.Leaving) -> int:
+    return xxhash.xxh3_64_intdigest(
+        f'{news.target_id}\0{news.incarnation}'.encode()
+    )
+
+
 class Dissemination:
     """Chooses the payload of each datagram within the budget."""
 
@@ -37,6 +45,8 @@
         self._options = options
         self._rng = rng
         self._leaving: dict[messages.Leaving, float] = {}
+        self.leaving_digest = 0
+        self.leaving_changed_s = 0.0
         self._own_reports: dict[str, tuple[model.LoadReport, float]] = {}
         self._peer_reports: dict[str, tuple[model.LoadReport, float]] = {}
         self.budget = broadcasts.Budget(
@@ -46,21 +56,42 @@
 
     @property
     def leaving(self) -> tuple[messages.Leaving, ...]:
-        """Leaving targets, oldest news first."""
+        """Every leaving target that is known."""
         return tuple(self._leaving)
 
+    def aged_leaving(
+        self, news: Iterable[messages.Leaving], now_s: float
+    ) -> tuple[messages.Leaving, ...]:
+        """Known leaving targets with the age of the news."""
+        return tuple(
+            attrs.evolve(each, age_s=math.ceil(now_s - self._leaving[each]))
+            for each in news
+            if each in self._leaving
+        )
+
     def add_leaving(self, news: messages.Leaving, now_s: float) -> bool:
         """Takes news of a leaving target; returns whether it was new."""
         if news in self._leaving or not encodable(
             news.target_id, news.incarnation
         ):
             return False
-        self._leaving[news] = now_s
-        while len(self._leaving) > self._options.leaving_max:
-            del self._leaving[next(iter(self._leaving))]
+        if news.age_s >= self._options.retention_s:
+            return False
+        self._leaving[news] = now_s - news.age_s
+        self.leaving_digest ^= _digest(news)
+        self.leaving_changed_s = now_s
+        if len(self._leaving) > self._options.leaving_max:
+            oldest = min(self._leaving, key=self._leaving.__getitem__)
+            self._drop_leaving(oldest)
+            if oldest == news:
+                return False
         self.updates.add(news)
         return True
 
+    def _drop_leaving(self, news: messages.Leaving) -> None:
+        del self._leaving[news]
+        self.leaving_digest ^= _digest(news)
+
     def add_own_report(self, report: model.LoadReport, now_s: float) -> None:
         """Takes a report that this instance has read."""
         if encodable(report.target_id, report.incarnation):
@@ -80,9 +111,8 @@
         """Drops what is too old to be told."""
         before_s = now_s - self._options.retention_s
         for news, learned_s in list(self._leaving.items()):
-            if learned_s >= before_s:
-                break
-            del self._leaving[news]
+            if learned_s <= before_s:
+                self._drop_leaving(news)
         before_s = now_s - self._options.report_age_s
         for reports in (self._own_reports, self._peer_reports):
             for name, (_, learned_s) in list(reports.items()):
@@ -126,7 +156,7 @@
                 *first,
                 *(m for m in members if m.member_id not in names),
             ),
-            leaving=tuple(leaving),
+            leaving=self.aged_leaving(leaving, now_s),
         )
 
     def with_reports(
--- a/packages/core/src/dotterelweir_core/membership/joining.py
+++ b/packages/core/src/dotterelweir_core/membership/joining.py
@@ -20,6 +20,13 @@
 # found alive, because then a partition has probably healed.
 HEALING_PERIODS = 20.0
 
+# Leaving targets are compared this long after the last one was learned, so
+# that news on its way is not fetched, and fetched once in the second time.
+LEAVING_SETTLE_S = 0.3
+LEAVING_FETCH_S = 0.5
+# Marks the pages of such a fetch; those of a walk have 0.
+FETCH_ID = 1
+
 
 class Joiner:
     """Joins the group and joins its parts again after a partition."""
@@ -31,7 +38,8 @@
         self._try_due_s = now_s + node.rng.uniform(0.0, self._options.period_s)
         self._pace_s = self._options.join_pace_s
         self._page_due_s = now_s
-        self._cursor = self._walk_start = ''
+        self._cursor = ''
+        self._fetch_after_s = now_s
         self._known = 0
         self._fruitless = 0
         self._join_end_s = now_s + JOIN_PERIODS * self._options.period_s
@@ -65,12 +73,37 @@
                     member, Kind.SYNC_REQUEST, now_s, cursor=self._cursor
                 )
 
-    def fetch_leaving(self, now_s: float) -> None:
-        """Asks for pages of leaving targets, unless pages are due."""
-        if self._pace_s >= self._options.sync_period_s:
-            self._pace_s = 2.0 * self._options.join_pace_s
-            self._page_due_s = now_s + self._pace_s
-            self._cursor = self._walk_start = dissemination.LEAVING_START
+    def compare_leaving(
+        self,
+        datagram: messages.Datagram,
+        contact: options_module.Contact,
+        now_s: float,
+    ) -> None:
+        """Fetches leaving targets from a peer that knows other ones.
+
+        Closes the gaps that a bounded number of sends leaves under loss,
+        and a wave of leaving targets that exceeds the budget.
+        """
+        told = self._node.told
+        if (
+            datagram.leaving_digest != told.leaving_digest
+            and now_s - told.leaving_changed_s >= LEAVING_SETTLE_S
+            and now_s >= self._fetch_after_s
+        ):
+            self._fetch_after_s = now_s + LEAVING_FETCH_S
+            self._fetch(contact, dissemination.LEAVING_START, now_s)
+
+    def _fetch(
+        self, contact: options_module.Contact, cursor: str, now_s: float
+    ) -> None:
+        self._node.send_to(
+            contact,
+            0,
+            Kind.SYNC_REQUEST,
+            now_s,
+            cursor=cursor,
+            probe_id=FETCH_ID,
+        )
 
     def stop(self) -> None:
         """Ends all further requests."""
@@ -80,22 +113,32 @@
         self,
         datagram: messages.Datagram,
         contact: options_module.Contact,
+        now_s: float,
     ) -> None:
         """Answers a request for a page of the full state."""
         node = self._node
         page = dissemination.page(
-            node.header(Kind.SYNC),
+            node.header(Kind.SYNC, probe_id=datagram.probe_id),
             [*node.table.all(), node.own],
-            node.told.leaving,
+            node.told.aged_leaving(node.told.leaving, now_s),
             datagram.cursor,
         )
         node.effects.append(
             options_module.Send(contact.host, contact.port, page)
         )
 
-    def take_page(self, datagram: messages.Datagram, now_s: float) -> None:
-        """Notes where the next page starts."""
-        self._cursor = datagram.cursor or self._walk_start
+    def take_page(
+        self,
+        datagram: messages.Datagram,
+        contact: options_module.Contact,
+        now_s: float,
+    ) -> None:
+        """Notes where the next page starts, or asks for it at once."""
+        if datagram.probe_id == FETCH_ID:
+            if datagram.cursor:
+                self._fetch(contact, datagram.cursor, now_s)
+            return
+        self._cursor = datagram.cursor
         if datagram.cursor:
             return
         count = len(self._node.table.all())
@@ -105,7 +148,6 @@
         self._known = count
         if self._fruitless >= FRUITLESS_WALKS:
             self._fruitless = 0
-            self._cursor = self._walk_start = ''
             self._pace_s = self._options.sync_period_s
             self._page_due_s = now_s + self._pace_s
 
--- a/packages/core/src/dotterelweir_core/membership/messages.py
+++ b/packages/core/src/dotterelweir_core/membership/messages.py
@@ -74,10 +74,13 @@
     Attributes:
         target_id: Name of the target.
         incarnation: Incarnation that is leaving.
+        age_s: Time since the first instance learned it, rounded up, so that
+            all forget it at about the same time and none learns it again.
     """
 
     target_id: str
     incarnation: int
+    age_s: int = attrs.field(default=0, eq=False)
 
 
 @attrs.frozen
@@ -97,6 +100,7 @@
             the start and for the end.
         best_offset: Highest configuration offset the sender knows of.
         best_holder: Name of a member that has it.
+        leaving_digest: Digest of the leaving targets the sender knows of.
         members: Records of members.
         leaving: Leaving targets.
         reports: Compact load reports.
@@ -112,6 +116,7 @@
     cursor: str = ''
     best_offset: int = -1
     best_holder: str = ''
+    leaving_digest: int = 0
     members: tuple[Member, ...] = ()
     leaving: tuple[Leaving, ...] = ()
     reports: tuple[model.LoadReport, ...] = ()
@@ -149,7 +154,7 @@
 
 def leaving_bytes(leaving: Leaving) -> int:
     """Upper bound of the encoded size of news of a leaving target."""
-    return _WORD_BYTES + _POINTER_BYTES + _text_bytes(leaving.target_id)
+    return 2 * _WORD_BYTES + _POINTER_BYTES + _text_bytes(leaving.target_id)
 
 
 def report_bytes(report: model.LoadReport) -> int:
@@ -160,7 +165,7 @@
 
 def header_bytes(datagram: Datagram) -> int:
     """Upper bound of the size of a datagram without its lists."""
-    size = ENVELOPE_BYTES + 8 * _WORD_BYTES + 11 * _POINTER_BYTES
+    size = ENVELOPE_BYTES + 9 * _WORD_BYTES + 11 * _POINTER_BYTES
     size += _text_bytes(datagram.sender_id)
     size += _text_bytes(datagram.cursor)
     size += _text_bytes(datagram.best_holder)
--- a/packages/core/src/dotterelweir_core/membership/node.py
+++ b/packages/core/src/dotterelweir_core/membership/node.py
@@ -143,6 +143,7 @@
             self._offset,
             best_offset=self._best[0],
             best_holder=self._best[1],
+            leaving_digest=self.told.leaving_digest,
             **fields,
         )
 
--- a/packages/core/src/dotterelweir_core/membership/state.py
+++ b/packages/core/src/dotterelweir_core/membership/state.py
@@ -18,10 +18,6 @@
 LEFT = messages.MemberState.LEFT
 Kind = messages.Kind
 
-# With this many leaving targets in the queue, pages are fetched as well. A
-# whole zone that leaves at once exceeds the budget of the other datagrams.
-LEAVING_WAVE = 10
-
 
 class Membership:
     """Failure detection and dissemination, as one instance does them.
@@ -157,6 +153,14 @@
         sender = node.table.get(datagram.sender_id)
         believed = sender is None or sender.state <= SUSPECT
         for member in datagram.members:
+            # Pages would keep a dead member known for ever: those who have
+            # forgotten it would learn it again.
+            if (
+                datagram.kind is Kind.SYNC
+                and member.state > SUSPECT
+                and node.table.get(member.member_id) is None
+            ):
+                continue
             # A member that is dead here may be cut off in one direction;
             # what it says of others is not trusted. Claims about this
             # instance are always taken, because they have to be refuted.
@@ -204,9 +208,10 @@
             case Kind.PING_REQUEST:
                 self._prober.relay(datagram, contact, now_s)
             case Kind.SYNC_REQUEST:
-                self._joiner.serve_page(datagram, contact)
+                self._joiner.serve_page(datagram, contact, now_s)
             case Kind.SYNC:
-                self._joiner.take_page(datagram, now_s)
+                self._joiner.take_page(datagram, contact, now_s)
+        self._joiner.compare_leaving(datagram, contact, now_s)
         if reply is not None:
             self._node.send_to(
                 contact,
@@ -226,11 +231,8 @@
         peers = node.table.sample(node.rng, self._options.fanout)
         for member in peers:
             node.send(member, Kind.GOSSIP, now_s)
-        queued, unsent = node.told.updates.leaving()
-        if peers and unsent:
+        if peers and node.told.updates.unsent_leaving:
             self._set_urgent(now_s)
-        if queued >= LEAVING_WAVE:
-            self._joiner.fetch_leaving(now_s)
 
     def _spread_reports(self, now_s: float) -> None:
         node = self._node
--- a/packages/core/tests/membership/test_state.py
+++ b/packages/core/tests/membership/test_state.py
@@ -9,6 +9,7 @@
 from dotterelweir_core.membership import options
 from dotterelweir_core.membership import state
 from dotterelweir_core.targets import model
+from dotterelweir_fakes import datagrams
 
 ALIVE = messages.MemberState.ALIVE
 DEAD = messages.MemberState.DEAD
@@ -205,6 +206,43 @@
     )
 
 
+def test_old_news_is_forgotten_everywhere():
+    """Guards against old news that pages keep alive for ever."""
+    group = datagrams.Group(1, options=options.Options(retention_s=60.0))
+    group.start_many(6)
+    group.run_until(group.complete, 10)
+    node = group.nodes[name(0)]
+    node.machine.announce_leaving('engine-1', 7, group.now_s)
+    group.take(node, [])
+    group.stop(name(1))
+    group.run(40)
+    for other in group.nodes.values():
+        assert len(other.machine.leaving()) == 1
+        assert len(other.machine.members()) == 5
+    group.run(120)
+    for other in group.nodes.values():
+        assert other.machine.leaving() == ()
+        assert len(other.machine.members()) == 4
+        if other is not node:
+            assert len(other.times(options.TargetLeaving)) == 1
+
+
+def test_leaving_news_crosses_a_healed_partition(make_group):
+    """Guards against news that is no longer repeated after a partition."""
+    group = make_group(6)
+    names = sorted(group.nodes)
+    group.faults.partition(names[:3], names[3:])
+    node = group.nodes[name(0)]
+    node.machine.announce_leaving('engine-1', 7, group.now_s)
+    group.take(node, [])
+    group.run(60)
+    assert not group.nodes[name(5)].machine.leaving()
+    group.faults.cuts.clear()
+    group.run_until(
+        lambda: all(n.machine.leaving() for n in group.nodes.values()), 5
+    )
+
+
 def test_graceful_leave_is_known_at_once(make_group):
     """Guards against a planned stop that waits for a suspicion."""
     group = make_group(6)
--- a/packages/daemon/src/dotterelweird/peers/codec.py
+++ b/packages/daemon/src/dotterelweird/peers/codec.py
@@ -96,6 +96,7 @@
             kind=int(datagram.kind),
             senderUnknown=datagram.sender_unknown,
             senderId=datagram.sender_id,
+            leavingDigest=datagram.leaving_digest,
         )
         # Empty fields are left out: a null pointer takes one byte.
         if datagram.best_holder:
@@ -153,6 +154,7 @@
 def _write_leaving(row: object, leaving: messages.Leaving) -> None:
     row.incarnation = leaving.incarnation
     row.targetId = leaving.target_id
+    row.ageS = min(leaving.age_s, _UINT32_MAX)
 
 
 def _write_report(row: object, report: model.LoadReport) -> None:
@@ -184,10 +186,11 @@
         _text(body.cursor, 2 * messages.NAME_MAX_BYTES),
         body.bestOffset,
         _text(body.bestHolder, messages.NAME_MAX_BYTES),
+        body.leavingDigest,
         tuple(_read_member(row) for row in body.members),
         tuple(
             messages.Leaving(
-                _name(row.targetId), _incarnation(row.incarnation)
+                _name(row.targetId), _incarnation(row.incarnation), row.ageS
             )
             for row in body.leaving
         ),
--- a/packages/daemon/src/dotterelweird/peers/messages.capnp
+++ b/packages/daemon/src/dotterelweird/peers/messages.capnp
@@ -18,6 +18,7 @@
   members @13 :List(Member);
   leaving @14 :List(Leaving);
   reports @15 :List(Report);
+  leavingDigest @16 :UInt64;
 }
 
 struct Member {
@@ -32,6 +33,7 @@
 struct Leaving {
   incarnation @0 :UInt64;
   targetId @1 :Text;
+  ageS @2 :UInt32;
 }
 
 struct Report {
--- a/packages/daemon/tests/peers/test_codec.py
+++ b/packages/daemon/tests/peers/test_codec.py
@@ -30,7 +30,9 @@
     INCARNATIONS,
     strategies.sampled_from(messages.MemberState),
 )
-LEAVING = strategies.builds(messages.Leaving, NAMES, INCARNATIONS)
+LEAVING = strategies.builds(
+    messages.Leaving, NAMES, INCARNATIONS, strategies.integers(0, 2**32 - 1)
+)
 REPORTS = strategies.builds(
     model.LoadReport,
     NAMES,
@@ -60,6 +62,7 @@
     NAMES | strategies.just(''),
     OFFSETS,
     NAMES | strategies.just(''),
+    strategies.integers(0, 2**64 - 1),
     tuples(MEMBERS),
     tuples(LEAVING),
     tuples(REPORTS),
@@ -95,7 +98,12 @@
     )
     assert len(data) <= bound
     if len(data) <= messages.DATAGRAM_MAX_BYTES:
-        assert subject.decode(data) == sent
+        received = subject.decode(data)
+        assert received == sent
+        # The age is not part of the identity of the news.
+        assert [news.age_s for news in received.datagram.leaving] == [
+            news.age_s for news in datagram.leaving
+        ]
 
 
 @hypothesis.given(strategies.binary(max_size=1300))
