Ask suspects twice a period and keep room for news of failures

Ruled out: a longer suspicion (slower detection for all). Before and after: suspects are asked every half period, and every datagram has room for about two records.

--- a/packages/core/src/dotterelweir_core/membership/dissemination.py
+++ b/packages/core/src/dotterelweir_core/membership/dissemination.py
@@ -18,6 +18,9 @@
 LEAVING_START = 't/'
 # Rows considered for one page; the smallest ones take 18 bytes.
 PAGE_ROWS = 64
+# Always free for about two records, so that a death is told even while
+# probes of suspects use up the budget.
+UPDATES_BYTES = 150
 # Leaving targets in one datagram when the budget is used up.
 DEBT_BYTES = 600
 
@@ -146,7 +149,9 @@
             math.log10(live_count + 2)
         )
         members, leaving, used = self.updates.take(
-            min(room, available - size), leaving_room, limit
+            min(room, max(UPDATES_BYTES, available - size)),
+            leaving_room,
+            limit,
         )
         self.budget.spend(size + used)
         names = {member.member_id for member in first}
--- a/packages/core/src/dotterelweir_core/membership/probes.py
+++ b/packages/core/src/dotterelweir_core/membership/probes.py
@@ -45,6 +45,7 @@
         self._raised: set[str] = set()
         self._relays: dict[int, _Relay] = {}
         self._ticked_s = now_s
+        self._ask_due_s = now_s
         self._stopped = False
 
     @property
@@ -58,7 +59,8 @@
             due_s = min(due_s, probe.started_s + self._ack_timeout_s)
         suspected_s = self._node.table.suspected_s
         if suspected_s:
-            due_s = min(due_s, min(suspected_s.values()) + self._suspicion_s)
+            first_s = min(suspected_s.values()) + self._suspicion_s
+            due_s = min(due_s, first_s, self._ask_due_s)
         return due_s
 
     def stop(self) -> None:
@@ -85,6 +87,8 @@
             if probe is not None and not probe.answered:
                 self._suspect(probe.member_id, now_s)
             self._start(now_s)
+        if self._node.table.suspected_s and now_s >= self._ask_due_s:
+            self._ask_suspects(now_s)
         self._bury(now_s)
 
     def take_ack(self, datagram: messages.Datagram, now_s: float) -> None:
@@ -153,39 +157,38 @@
         node = self._node
         self._probe = None
         member = node.table.next_in_round(node.rng)
-        probed = ''
         if member is not None:
-            probed = member.member_id
-            self._probe = _Probe(probed, node.next_probe_id(), now_s)
+            self._probe = _Probe(member.member_id, node.next_probe_id(), now_s)
             node.send(member, Kind.PING, now_s, probe_id=self._probe.probe_id)
-        for name in self._suspects_to_ask(probed, now_s):
-            node.send(
-                node.table.get(name),
-                Kind.PING,
-                now_s,
-                probe_id=node.next_probe_id(),
-            )
         for probe_id, relay in list(self._relays.items()):
             if relay.expires_s < now_s:
                 del self._relays[probe_id]
 
-    def _suspects_to_ask(self, probed: str, now_s: float) -> list[str]:
-        """Suspects that are asked once more, the oldest suspicion first.
+    def _ask_suspects(self, now_s: float) -> None:
+        """Asks suspects themselves, the oldest suspicion first.
 
-        The instance that raised a suspicion asks in every period; all
-        others ask in its second half, so that no death depends on one path
-        of the refutation.
+        The instance that raised a suspicion asks from the start; all others
+        ask in its second half, so that no death depends on one path of the
+        refutation. With one request per period a false death was seen in
+        one of 69 trials of 300 s at 20% loss.
         """
+        self._ask_due_s = now_s + self._options.period_s / 2
         suspected_s = self._node.table.suspected_s
         self._raised &= suspected_s.keys()
         old_s = now_s - self._suspicion_s / 2
         asked = [
             name
             for name, since_s in suspected_s.items()
-            if name != probed and (name in self._raised or since_s <= old_s)
+            if name in self._raised or since_s <= old_s
         ]
         asked.sort(key=lambda name: (suspected_s[name], name))
-        return asked[: self._options.indirect_probes]
+        for name in asked[: self._options.indirect_probes]:
+            self._node.send(
+                self._node.table.get(name),
+                Kind.PING,
+                now_s,
+                probe_id=self._node.next_probe_id(),
+            )
 
     def _suspect(self, member_id: str, now_s: float) -> None:
         member = self._node.table.get(member_id)
