--- a/packages/daemon/tests/claims/conftest.py
+++ b/packages/daemon/tests/claims/conftest.py
@@ -16,7 +16,9 @@
 from dotterelweird.settings import model as settings_model
 
 PLATFORM = settings_model.Platform('http://log', 'http://list')
-CLAIMS = settings_model.Claims()
+# The cases of test_fault_cases say what a repeat gets at once; waiting for the
+# end of the call in progress has its own tests.
+CLAIMS = settings_model.Claims(repeat_wait_s=0.0)
 
 
 class PausableTimer(timers.TimerService):
@@ -57,6 +59,7 @@
     def __init__(self, timer: timers.VirtualTimerService) -> None:
         self.timer = timer
         self.down = False
+        self.ahead_s = 0.0
         self.streams = collections.defaultdict(list)
         self.first_available = collections.defaultdict(int)
         self.late: list[tuple[str, tuple[bytes, ...]]] = []
@@ -66,10 +69,9 @@
         """Appends records; returns the offset of the first one."""
         rows = self.streams[stream]
         first = len(rows)
+        time_s = self.timer.wall_s() + self.ahead_s
         for offset, item in enumerate(data, first):
-            rows.append(
-                platform_api.LogRecord(offset, self.timer.wall_s(), item)
-            )
+            rows.append(platform_api.LogRecord(offset, time_s, item))
         self.wake()
         return first
 
@@ -149,8 +151,8 @@
         self._check()
         return platform_api.LogPage(
             first_available,
-            len(rows),
-            tuple(rows[from_offset : from_offset + limit]),
+            len(rows) and rows[-1].offset + 1,
+            tuple(row for row in rows if row.offset >= from_offset)[:limit],
         )
 
 
@@ -272,7 +274,31 @@
             await instance.kill()
 
 
+@attrs.define(eq=False)
+class LogWorld:
+    """Virtual time and a log, for parts that are no service calls."""
+
+    timer: timers.VirtualTimerService
+    log: MemoryLog
+
+    def instance(self):
+        """The timer and the view of the log of a new instance."""
+        timer = PausableTimer(self.timer)
+        return timer, LogView(self.log, timer)
+
+    async def wait(self, seconds, step_s=0.25):
+        """Passes virtual time, in steps."""
+        end_s = self.timer.monotonic_s() + seconds
+        while self.timer.monotonic_s() < end_s - 1e-6:
+            for _ in range(30):
+                await asyncio.sleep(0)
+            self.timer.advance(step_s)
+        for _ in range(30):
+            await asyncio.sleep(0)
+
+
 @pytest.fixture
-def claim_settings():
-    """Makes settings of claims."""
-    return settings_model.Claims
+def log_world():
+    """An empty log."""
+    timer = timers.VirtualTimerService()
+    return LogWorld(timer, MemoryLog(timer))
