Test frozen instances, targets that come and go and pairs of failures

Instances frozen until their peers see them as dead finish their streams, run no booking twice and revert no table. An instance starts from a peer while the log is down, and waits without list and log. A leaving engine gets no work after 3 s while the list is down, and none from a zone that reaches nothing else. Pairs: instance and engine, log and rolling replacement, lost append response and killed instance, operators' race and partition.

--- /dev/null
+++ b/fakes/tests/system/test_frozen.py
@@ -0,0 +1,97 @@
+"""Tests of instances that are frozen and wake up unaware of it."""
+
+import asyncio
+import contextlib
+import signal
+
+
+@contextlib.asynccontextmanager
+async def frozen(system, victim, observer):
+    """Freezes an instance until another one sees it as dead."""
+    victim.child.process.send_signal(signal.SIGSTOP)
+    try:
+        yield
+        await system.until_state(observer, victim, 'dead')
+    finally:
+        victim.child.process.send_signal(signal.SIGCONT)
+
+
+async def test_streams_go_on_after_a_freeze(start_system):
+    """Guards against tokens that are lost or repeated on waking (P1, P2)."""
+    system = await start_system(services=1)
+    victim, observer, _ = system.cluster.instances
+    await system.until_members_met()
+    system.use_only(victim)
+    await system.until_ready(1)
+    streams = [await system.start_stream(400) for _ in range(4)]
+    async with frozen(system, victim, observer):
+        revision = await system.edit('route', 'delete', 'lookup')
+        await system.until_in_force(
+            revision, [i for i in system.cluster.instances if i is not victim]
+        )
+    results = await asyncio.gather(*streams)
+    assert {result.outcome.value for result in results} == {'whole'}, results
+    assert sum(result.duplicated_tokens for result in results) == 0
+    await system.until_in_force(revision)
+    await system.until_state(observer, victim, 'alive')
+    await system.until_state(victim, observer, 'alive')
+
+
+async def test_bookings_run_once_despite_a_freeze(start_system):
+    """Guards against a call that a woken instance sends again (P3, P4)."""
+    system = await start_system(services=1)
+    victim, observer, _ = system.cluster.instances
+    await system.until_members_met()
+    url = system.cluster.service_urls[0]
+    await system.post(f'{url}/faults', {'delay_s': 0.5}, 'PUT')
+    system.use_only(victim)
+    await system.until_ready(1)
+    keys = {f'booking-{n}': f'key-{n}' if n % 2 else None for n in range(8)}
+    tasks = [
+        asyncio.create_task(system.book(key, idempotency))
+        for key, idempotency in keys.items()
+    ]
+    # Some calls are at the service, others wait for their claim or target.
+    await system.until(lambda: system.events(victim, 'target-chosen'))
+    async with frozen(system, victim, observer):
+        system.use_only(observer)
+        await system.until_ready(1)
+        repeats = {
+            key: await system.book(key, idempotency)
+            for key, idempotency in keys.items()
+            if idempotency
+        }
+    results = await asyncio.gather(*tasks)
+    executions = await system.cluster.executions()
+    assert max(executions.values()) == 1, executions
+    for result in results:
+        executed = executions.get(result.business_key, 0)
+        match result.outcome.value:
+            case 'whole':
+                assert executed == 1, result
+            case 'refused':
+                other = repeats.get(result.business_key)
+                ran_elsewhere = other and other.outcome.value == 'whole'
+                if result.execution == 'not run' and not ran_elsewhere:
+                    assert executed == 0, result
+            case _:
+                raise AssertionError(result)
+    for result in repeats.values():
+        assert result.outcome.value in ('whole', 'refused'), result
+
+
+async def test_an_instance_that_wakes_reverts_nothing(start_system):
+    """Guards against a woken instance that brings old tables back (P7)."""
+    system = await start_system(engines=1, services=1)
+    victim, observer, _ = system.cluster.instances
+    await system.until_members_met()
+    async with frozen(system, victim, observer):
+        await system.edit('route', 'delete', 'lookup')
+        revision = await system.edit('route', 'delete', 'booking')
+    await system.until_in_force(revision)
+    tables = [
+        await system.admin(instance, 'tables')
+        for instance in system.cluster.instances
+    ]
+    assert tables[0] == tables[1] == tables[2]
+    assert set(tables[0]['routes']) == {'short', 'long'}
--- /dev/null
+++ b/fakes/tests/system/test_pairs.py
@@ -0,0 +1,180 @@
+"""Tests of whole deployments in which two things fail at once."""
+
+import asyncio
+import json
+
+NOTHING_WRONG = {
+    'broken': 0,
+    'duplicated_tokens': 0,
+    'executed_twice': 0,
+    'ran_despite_not_run': 0,
+}
+DOWN = {'down': True}
+UP = {'down': False}
+
+
+async def wrong(system, tally):
+    """The counts that must be zero."""
+    summary = tally.summary(await system.cluster.executions())
+    return {name: summary[name] for name in NOTHING_WRONG}
+
+
+async def until_more(system, tally, count):
+    """Waits for more results."""
+    seen = len(tally.results)
+    await system.until(lambda: len(tally.results) >= seen + count)
+
+
+async def test_an_instance_and_an_engine_are_killed_at_once(start_system):
+    """Guards against a resume elsewhere that makes up tokens (P1, P2, P4)."""
+    system = await start_system()
+    streams = [await system.start_stream(500) for _ in range(9)]
+    async with system.under_load() as tally:
+        await until_more(system, tally, 10)
+        victim = system.cluster.instances[0]
+        victim.child.kill()
+        system.child('guide-llm-2').kill()
+        await until_more(system, tally, 30)
+        results = await asyncio.gather(*streams)
+    for result in results:
+        assert result.outcome.value in ('whole', 'incomplete'), result
+        assert result.duplicated_tokens == 0
+    assert any(result.outcome.value == 'whole' for result in results)
+    # A caller without an answer sees a broken connection to the killed
+    # instance; everything else must be whole or refused.
+    counts = await wrong(system, tally)
+    lost = [r for r in tally.results if r.outcome.value == 'broken']
+    allowed = {'ServerDisconnectedError', 'ClientConnectorError'}
+    allowed |= {'ClientOSError', 'ConnectionResetError'}
+    assert {result.detail for result in lost} <= allowed, lost
+    assert counts | {'broken': 0} == NOTHING_WRONG
+
+
+async def test_the_log_fails_during_a_rolling_replacement(start_system):
+    """Guards against replaced instances without tables (P3, P4, P6)."""
+    system = await start_system(instances=2, engines=2)
+    await system.until_members_met()
+    async with system.under_load() as tally:
+        await system.platform_faults(log=DOWN)
+        for number in range(2):
+            old = system.cluster.instances[0]
+            fresh = await system.cluster.start_instance(
+                f'new-{number}', number
+            )
+            system.use_instances()
+            await system.until_ready(3)
+            restored = system.events(fresh, 'tables-restored')
+            assert [line['source'] for line in restored] == ['peer']
+            old.child.terminate()
+            assert await old.child.wait() == 0, old.child.output()
+            system.cluster.instances.remove(old)
+            system.use_instances()
+        await system.platform_faults(log=UP)
+        await until_more(system, tally, 10)
+    assert await wrong(system, tally) == NOTHING_WRONG, tally.results
+    codes = {r.code for r in tally.results if r.outcome.value != 'whole'}
+    assert codes <= {'claims-unavailable'}, codes
+
+
+async def test_an_instance_dies_while_an_append_loses_its_response(
+    start_system,
+):
+    """Guards against a claim that two instances both take (P3, P4)."""
+    system = await start_system(instances=2, engines=1, services=1)
+    victim, other = system.cluster.instances
+    url = system.cluster.service_urls[0]
+    await system.post(f'{url}/faults', {'delay_s': 0.5}, 'PUT')
+    await system.platform_faults(log={'lose_responses': 1})
+    system.use_only(victim)
+    await system.until_ready(1)
+    first = asyncio.create_task(system.book('booking', 'key'))
+    await system.until(lambda: system.events(victim, 'target-chosen'))
+    victim.child.kill()
+    assert (await first).outcome.value == 'broken'
+    system.use_only(other)
+    await system.until_ready(1)
+    for _ in range(3):
+        again = await system.book('booking', 'key')
+        assert again.outcome.value == 'refused', again
+        assert again.execution in ('ran', 'unknown'), again
+    assert (await system.cluster.executions()).get('booking', 0) <= 1
+
+
+async def test_operators_race_during_a_partition(start_system):
+    """Guards against two winners, or a zone that keeps the loser (P7)."""
+    system = await start_system(linked=True, engines=1, services=1)
+    await system.until_members_met()
+    lost = system.cluster.instances[1]
+    for other in ('platform', 'poznan-a', 'kalisz'):
+        system.network.rules.cut('poznan-b', other)
+    await system.until(lambda: system.events(lost, 'log-unreachable'))
+    tables = await system.admin(lost, 'tables')
+    reports = await asyncio.gather(
+        *(_edit_short(system, priority, tables) for priority in (2, 3))
+    )
+    outcomes = sorted(report['outcome'] for report in reports)
+    assert outcomes == ['accepted', 'rejected'], reports
+    winner = [report['outcome'] for report in reports].index('accepted')
+    revision = reports[winner]['revision']
+    await system.until_in_force(
+        revision, [i for i in system.cluster.instances if i is not lost]
+    )
+    system.network.rules.heal()
+    await system.until_in_force(revision)
+    for instance in system.cluster.instances:
+        found = (await system.admin(instance, 'tables'))['routes']
+        assert found['short']['priority'] == (2, 3)[winner]
+
+
+async def _edit_short(system, priority, tables):
+    """An operator's edit of a route, based on what the instance shows."""
+    row = {**tables['routes']['short'], 'priority': priority}
+    path = system.group.directory / f'short-{priority}.json5'
+    path.write_text(json.dumps({k: v for k, v in row.items() if k != 'name'}))
+    return await system.client(
+        'route',
+        'put',
+        'short',
+        str(path),
+        '--expect-revision',
+        str(tables['revision']),
+    )
+
+
+async def test_a_partition_while_a_target_leaves(start_system):
+    """Guards against a zone without list and peers that works on (P5)."""
+    system = await start_system(linked=True, instances=2, engines=2)
+    for other in ('platform', 'poznan-a'):
+        system.network.rules.cut('poznan-b', other)
+    lost = system.cluster.instances[1]
+    await system.until(lambda: system.events(lost, 'log-unreachable'))
+    # The zone still reaches its own engine, which is the one that leaves.
+    async with system.http.get(
+        f'{system.cluster.engine_urls[0]}/v1/load'
+    ) as response:
+        first = (await response.json())['target_id'] == 'guide-llm-2'
+    url = system.cluster.engine_urls[0 if first else 1]
+    system.use_only(lost)
+    await system.until_ready(1)
+    streams = [await system.start_stream(300) for _ in range(3)]
+    await system.post(f'{url}/faults', {'kind': 'leave'})
+    loop = asyncio.get_running_loop()
+    limit_s = loop.time() + 4.0
+    while loop.time() < limit_s:
+        # Nothing else can be reached: refused or served within 3 s.
+        refused = await _refused_or_served(system)
+    assert refused
+    results = await asyncio.gather(*streams)
+    assert {result.outcome.value for result in results} == {'whole'}, results
+    async with system.http.get(f'{url}/stats') as response:
+        late = (await response.json())['started_after_leaving_s']
+    assert all(after_s <= 3.0 for after_s in late), late
+
+
+async def _refused_or_served(system):
+    result = await system.stream(5)
+    assert result.outcome.value in ('whole', 'refused'), result
+    if result.outcome.value == 'refused':
+        assert result.execution == 'not run', result
+        return True
+    return False
--- /dev/null
+++ b/fakes/tests/system/test_targets.py
@@ -0,0 +1,133 @@
+"""Tests of targets that come and go while the platform fails."""
+
+import asyncio
+
+DOWN = {'down': True}
+UP = {'down': False}
+
+
+async def engine_url(system, name):
+    """The address of an engine."""
+    for url in system.cluster.engine_urls:
+        async with system.http.get(f'{url}/v1/load') as response:
+            if (await response.json())['target_id'] == name:
+                return url
+    raise AssertionError(name)
+
+
+async def started(system, url):
+    """Generations that an engine has started, as it counts them."""
+    async with system.http.get(f'{url}/stats') as response:
+        return (await response.json())['started']
+
+
+async def until_whole(system):
+    """Sends streams until one gets its whole answer."""
+
+    async def whole():
+        return (await system.stream(10)).outcome.value == 'whole'
+
+    await system.until(whole)
+
+
+async def test_an_instance_starts_while_the_log_is_down(start_system):
+    """Guards against a start that needs the log (P7)."""
+    system = await start_system(instances=2, services=1)
+    revision = await system.edit('route', 'delete', 'lookup')
+    await system.until_in_force(revision)
+    await system.platform_faults(log=DOWN)
+    fresh = await system.cluster.start_instance('entry-9', 2)
+    system.use_only(fresh)
+    await system.until_ready(1)
+    assert await system.revision(fresh) == revision
+    restored = system.events(fresh, 'tables-restored')
+    assert [line['source'] for line in restored] == ['peer']
+    assert (await system.stream(30)).outcome.value == 'whole'
+    await system.platform_faults(log=UP)
+    revision = await system.edit('route', 'delete', 'booking')
+    await system.until_in_force(revision)
+
+
+async def test_an_instance_waits_while_nothing_tells_it_of_targets(
+    start_system,
+):
+    """Guards against an instance that takes work before it has targets."""
+    system = await start_system(instances=1, engines=1, services=1)
+    await system.platform_faults(log=DOWN, instances=DOWN)
+    fresh = await system.cluster.start_instance('entry-9', 1)
+    await system.until(
+        lambda: system.events(fresh, 'instance-list-unreachable')
+    )
+    system.use_only(fresh)
+    await system.balancer.probe()
+    assert system.balancer.ready_count == 0
+    await system.platform_faults(log=UP, instances=UP)
+    await system.until_ready(1)
+    assert (await system.stream(30)).outcome.value == 'whole'
+
+
+async def test_targets_come_and_go_while_the_list_is_down(start_system):
+    """Guards against work for targets that left unlisted (P5, P6)."""
+    system = await start_system(instances=2, services=1)
+    leaving = await engine_url(system, 'guide-llm-1')
+    await system.platform_faults(instances=DOWN)
+    await system.until(
+        lambda: all(
+            system.events(instance, 'instance-list-unreachable')
+            for instance in system.cluster.instances
+        )
+    )
+    streams = [await system.start_stream(300) for _ in range(6)]
+    await system.post(f'{leaving}/faults', {'kind': 'leave'})
+    system.child('guide-llm-2').kill()
+    await system.cluster.start_engine(3)
+    loop = asyncio.get_running_loop()
+    limit_s = loop.time() + 4.0
+    while loop.time() < limit_s:
+        result = await system.stream(10)
+        assert result.outcome.value in ('whole', 'refused'), result
+    results = await asyncio.gather(*streams)
+    assert {r.outcome.value for r in results} <= {'whole', 'incomplete'}
+    assert all(r.execution == 'ran' for r in results if r.execution)
+    assert sum(result.duplicated_tokens for result in results) == 0
+    await system.platform_faults(instances=UP)
+    url = system.cluster.engine_urls[-1]
+
+    async def used():
+        await system.stream(10)
+        return await started(system, url) > 0
+
+    await system.until(used)
+    async with system.http.get(f'{leaving}/stats') as response:
+        late = (await response.json())['started_after_leaving_s']
+    assert all(after_s <= 3.0 for after_s in late), late
+
+
+async def test_a_target_restarts_under_its_address(start_system):
+    """Guards against a stream that goes on in a new incarnation (P1)."""
+    system = await start_system(instances=2, engines=1, services=1)
+    streams = [await system.start_stream(600) for _ in range(4)]
+    url = system.cluster.engine_urls[0]
+    system.child('guide-llm-1').kill()
+    await system.child('guide-llm-1').wait()
+    await system.cluster.start_engine(0, port=int(url.rsplit(':', 1)[1]))
+    results = await asyncio.gather(*streams)
+    for result in results:
+        assert result.outcome.value == 'incomplete', result
+        assert result.execution == 'ran', result
+        assert result.duplicated_tokens == 0
+    assert await started(system, url) == 0
+    await until_whole(system)
+    for instance in system.cluster.instances:
+
+        async def seen(instance=instance):
+            status = await system.admin(instance, 'status')
+            rows = [
+                row
+                for row in status['targets']
+                if row['target'] == 'guide-llm-1'
+            ]
+            return [row['state'] for row in rows] == ['live']
+
+        await system.until(seen)
+    assert await started(system, url) > 0
