--- /dev/null
+++ b/fakes/tests/system/test_zones.py
@@ -0,0 +1,121 @@
+"""Tests of zones that are lost, slow links and a stop with a deadline."""
+
+import asyncio
+
+import aiohttp
+
+NOTHING_WRONG = {
+    'duplicated_tokens': 0,
+    'executed_twice': 0,
+    'ran_despite_not_run': 0,
+}
+# What a caller sees whose instance is killed.
+CONNECTION_LOST = {
+    'ClientConnectorError',
+    'ClientOSError',
+    'ConnectionResetError',
+    'ServerDisconnectedError',
+}
+
+
+async def until_more(system, tally, count):
+    """Waits for more results."""
+    seen = len(tally.results)
+    await system.until(lambda: len(tally.results) >= seen + count)
+
+
+async def forget_dead_services(system):
+    """Counts executions only at the plain services that still run."""
+    await system.child('dealer-shop-2').wait()
+    living = []
+    for url in system.cluster.service_urls:
+        try:
+            async with system.http.get(f'{url}/counts'):
+                living.append(url)
+        except aiohttp.ClientError:
+            continue
+    assert len(living) == 2
+    system.cluster.service_urls[:] = living
+
+
+async def test_a_lost_zone_leaves_the_others_serving(start_system):
+    """Guards against a zone whose loss stops the other zones (P1 to P4)."""
+    system = await start_system(services=3)
+    async with system.under_load() as tally:
+        await until_more(system, tally, 10)
+        lost = system.cluster.instances[1]
+        for name in ('entry-2', 'guide-llm-2', 'dealer-shop-2'):
+            system.child(name).kill()
+        system.cluster.instances.remove(lost)
+        await forget_dead_services(system)
+        await until_more(system, tally, 40)
+        revision = await system.edit('route', 'delete', 'lookup')
+        await system.until_in_force(revision)
+    broken = [r for r in tally.results if r.outcome.value == 'broken']
+    assert {result.detail for result in broken} <= CONNECTION_LOST, broken
+    # The counts of the killed service are lost with it.
+    summary = tally.summary(await system.cluster.executions())
+    assert {name: summary[name] for name in NOTHING_WRONG} == NOTHING_WRONG
+    assert (await system.stream(30)).outcome.value == 'whole'
+
+
+async def test_a_slow_log_delays_and_loses_nothing(start_system):
+    """Guards against a slow log that is taken for a lost one (P4, P7)."""
+    system = await start_system(engines=1, services=1)
+    await system.platform_faults(log={'delay_s': 0.3, 'response_delay_s': 0.3})
+    booked = [system.book(f'slow-{n}', f'key-{n}') for n in range(4)]
+    results = await asyncio.gather(*booked)
+    assert {result.outcome.value for result in results} == {'whole'}, results
+    again = await system.book('slow-0', 'key-0')
+    assert again.outcome.value == 'whole', again
+    assert await system.cluster.executions() == {
+        f'slow-{n}': 1 for n in range(4)
+    }
+    revision = await system.edit('route', 'delete', 'lookup')
+    await system.until_in_force(revision)
+
+
+async def test_a_stop_with_a_deadline_hands_streams_over(start_system):
+    """Guards against a planned stop that loses tokens (P1, P6)."""
+    system = await start_system(
+        instances=2, services=1, drain_deadline_s=4.0, drain_grace_s=0.5
+    )
+    probing = asyncio.create_task(system.balancer.run())
+    leaving, other = system.cluster.instances
+    system.use_only(leaving)
+    await system.until_ready(1)
+    streams = [await system.start_stream(1500) for _ in range(3)]
+    system.use_instances()
+    await system.until_ready(2)
+    leaving.child.terminate()
+    assert await leaving.child.wait() == 0, leaving.child.output()
+    results = await asyncio.gather(*streams)
+    probing.cancel()
+    assert {result.outcome.value for result in results} == {'whole'}, results
+    assert sum(result.duplicated_tokens for result in results) == 0
+    assert sum(result.resumes for result in results) >= len(results)
+    assert system.events(other, 'generation-resumed')
+
+
+async def test_delayed_links_between_zones(start_system):
+    """Guards against delays that are taken for failures (P1, P7)."""
+    system = await start_system(linked=True, services=1)
+    rules = system.network.rules
+    await system.until_members_met()
+    for one, other in (
+        ('poznan-a', 'poznan-b'),
+        ('poznan-b', 'kalisz'),
+        ('kalisz', 'poznan-a'),
+        ('platform', 'poznan-b'),
+    ):
+        rules.delay(one, other, 0.03)
+    async with system.under_load() as tally:
+        await until_more(system, tally, 40)
+        revision = await system.edit('route', 'delete', 'lookup')
+        await system.until_in_force(revision)
+    summary = tally.summary(await system.cluster.executions())
+    assert {name: summary[name] for name in NOTHING_WRONG} == NOTHING_WRONG
+    assert summary['broken'] == summary['incomplete'] == 0, tally.results
+    for instance in system.cluster.instances:
+        peers = (await system.admin(instance, 'status'))['peers']
+        assert {peer['state'] for peer in peers} == {'alive'}, peers
