Hold placements after a pause of the process

A woken instance read the requests that waited in its sockets before it asked its targets again, and sent work to an engine that had left more than 3 s before (P5). test_an_instance_that_wakes_spares_a_leaving_engine failed in 1 of 2 runs (a start 3.55 s after the engine left). The dispatcher now notices that more than 1 s passed without its tick and decides nothing for the time-out of one load report. Ruled out: emptying the pools on waking, which would refuse requests that can be served a second later.

--- a/fakes/tests/system/test_frozen.py
+++ b/fakes/tests/system/test_frozen.py
@@ -95,3 +95,26 @@
     ]
     assert tables[0] == tables[1] == tables[2]
     assert set(tables[0]['routes']) == {'short', 'long'}
+
+
+async def test_an_instance_that_wakes_spares_a_leaving_engine(start_system):
+    """Guards against work for an engine that left during a freeze (P5)."""
+    system = await start_system(engines=2, services=1)
+    victim, observer, _ = system.cluster.instances
+    await system.until_members_met()
+    system.use_only(victim)
+    await system.until_ready(1)
+    url = system.cluster.engine_urls[0]
+    loop = asyncio.get_running_loop()
+    async with frozen(system, victim, observer):
+        await system.post(f'{url}/faults', {'kind': 'leave'})
+        limit_s = loop.time() + 3.0
+        # The requests wait in the sockets of the frozen instance.
+        waiting = [system.stream(20) for _ in range(12)]
+        await system.until(lambda: loop.time() >= limit_s)
+    results = await asyncio.gather(*waiting)
+    for result in results:
+        assert result.outcome.value in ('whole', 'refused'), result
+    async with system.http.get(f'{url}/stats') as response:
+        late = (await response.json())['started_after_leaving_s']
+    assert all(after_s <= 3.0 for after_s in late), late
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -113,6 +113,12 @@
     logging.WARNING,
     'A stream ended before its answer was complete, by an error or handover.',
 )
+PLACEMENTS_HELD = _event(
+    209,
+    'placements-held',
+    logging.WARNING,
+    'The process was paused; placements wait until targets were asked again.',
+)
 UNEXPECTED_ERROR = _event(
     299,
     'unexpected-error',
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -101,7 +101,9 @@
             self._settings.claims,
         )
         scheduler = self._scheduler()
-        dispatcher = dispatch.Dispatcher(scheduler, self._timer)
+        dispatcher = dispatch.Dispatcher(
+            scheduler, self._timer, self._settings.targets.load_timeout_s
+        )
         monitor = self._monitor(tables, peers, dispatcher)
         limits = news.LimitShares(
             self._settings.limits, scheduler, peers.live_instances
--- a/packages/daemon/src/dotterelweird/dispatch.py
+++ b/packages/daemon/src/dotterelweird/dispatch.py
@@ -12,6 +12,12 @@
 
 LOG = logging.getLogger(__name__)
 
+# An instance that was paused for longer places nothing until it has asked
+# its targets again: with a poll a second and the time-out of a poll, a
+# leaving target then gets no new work after 3 s (P5).
+PAUSE_S = 1.0
+_TICK_S = 0.2
+
 HedgeCallback = Callable[[policy_api.Placement], None]
 
 
@@ -23,10 +29,24 @@
     """
 
     def __init__(
-        self, scheduler: policy_api.Scheduler, timer: timers.TimerService
+        self,
+        scheduler: policy_api.Scheduler,
+        timer: timers.TimerService,
+        hold_s: float = 1.0,
     ) -> None:
+        """Notices no pauses until ``start`` has run.
+
+        Args:
+            scheduler: Decides on placements.
+            timer: Source of time.
+            hold_s: Time without placements after a pause of the process.
+        """
         self._scheduler = scheduler
         self._timer = timer
+        self._hold_s = hold_s
+        self._held_until_s = 0.0
+        self._ticked_s: float | None = None
+        self._ticks: timers.TimerHandle | None = None
         self._waiting: dict[
             str, tuple[policy_api.WorkItem, asyncio.Future]
         ] = {}
@@ -44,6 +64,17 @@
         """Requests that wait for a placement."""
         return len(self._waiting)
 
+    def start(self) -> None:
+        """Begins to notice pauses of the process."""
+        self._ticked_s = self._timer.monotonic_s()
+        self._ticks = self._timer.subscribe(_TICK_S, self._notice_pause)
+
+    def stop(self) -> None:
+        """Ends the timers."""
+        for handle in (self._ticks, self._wakeup):
+            if handle is not None:
+                handle.cancel()
+
     def explain(self, item: policy_api.WorkItem) -> policy_api.Explanation:
         """What the scheduler would decide for a request now."""
         return self._scheduler.explain(item, self._timer.monotonic_s())
@@ -128,7 +159,27 @@
             return
         self._scheduler.cancel(request_id, self._timer.monotonic_s())
 
+    def _notice_pause(self) -> None:
+        now_s = self._timer.monotonic_s()
+        if self._ticked_s is None:
+            return
+        paused_s = now_s - self._ticked_s
+        self._ticked_s = now_s
+        if paused_s > PAUSE_S:
+            self._held_until_s = now_s + self._hold_s
+            events.log(
+                LOG, events.PLACEMENTS_HELD, paused_s=round(paused_s, 1)
+            )
+
     def _run(self) -> None:
+        # On waking, requests may be handled before the timer's callback.
+        self._notice_pause()
+        held_s = self._held_until_s - self._timer.monotonic_s()
+        if held_s > 0.0:
+            if self._wakeup is not None:
+                self._wakeup.cancel()
+            self._wakeup = self._timer.call_after(held_s, self._run)
+            return
         for decision in self._scheduler.decide(self._timer.monotonic_s()):
             match decision:
                 case policy_api.Placement():
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -124,6 +124,7 @@
         await _listen(parts.admin, parts.settings.admin_listen)
         await _listen(parts.callers, parts.settings.callers.listen)
         self._following = asyncio.create_task(parts.tables.run())
+        parts.dispatcher.start()
         parts.claims.start()
         if parts.orders is not None:
             parts.orders.start()
@@ -155,6 +156,7 @@
         await parts.in_flight.close()
         for subscription in self._subscriptions:
             subscription.cancel()
+        parts.dispatcher.stop()
         await parts.monitor.stop()
         if parts.orders is not None:
             await parts.orders.stop()
