Measure the slopes of tables, claims, leases and targets

Cause: docs/CAPACITY.md needs the cost of each state at the planned size. Ruled out: one report for each command; the fit and its print stood twice and are shared now. The first use of a codec took 146 us against 24 us, so it is left out of the timed actions. Conclusion: figures go into docs/CAPACITY.md after a run on a quiet machine.

--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -6,7 +6,6 @@
 from dotterelweir_fakes import relay_cost
 from dotterelweir_fakes import service
 from dotterelweir_fakes import slopes
-from dotterelweir_fakes import slopes_membership
 from dotterelweir_fakes.demo import command as demo_command
 from dotterelweir_fakes.engine import command as engine_command
 from dotterelweir_fakes.links import command as links_command
@@ -28,7 +27,6 @@
 main.add_command(relay_cost.relay_cost)
 main.add_command(service.command)
 main.add_command(slopes.slopes)
-slopes.slopes.add_command(slopes_membership.membership)
 
 if __name__ == '__main__':
     main()
--- a/fakes/src/dotterelweir_fakes/slopes_membership.py
+++ b/fakes/src/dotterelweir_fakes/slopes_membership.py
@@ -14,14 +14,13 @@
 
 import attrs
 import click
-import numpy
-import tabulate
 
 from dotterelweir_core.membership import messages
 from dotterelweir_core.membership import options as options_module
 from dotterelweir_core.targets import model
 from dotterelweir_core.targets import watchers
 from dotterelweir_fakes import datagrams
+from dotterelweir_fakes import slopes_report
 from dotterelweird.peers import codec
 from dotterelweird.peers import replay
 
@@ -179,15 +178,17 @@
         for (size, _), costs in zip(work, found, strict=True):
             runs[size].append(costs)
     for field in attrs.fields(Costs):
-        _print(
+        slopes_report.print_fit(
             field.name,
+            'member',
             {
                 size: [getattr(run, field.name) for run in of_size]
                 for size, of_size in runs.items()
             },
         )
-    _print(
+    slopes_report.print_fit(
         'memory_bytes',
+        'member',
         {
             size: [float(memory_bytes(size)) for _ in range(repeats)]
             for size in sizes
@@ -259,26 +260,3 @@
             return float('inf')
         group.run(step_s)
     return group.now_s - begin_s
-
-
-def _print(title: str, values: dict[int, list[float]]) -> None:
-    table = [
-        [size, statistics.median(found), min(found), max(found)]
-        for size, found in values.items()
-    ]
-    xs = [size for size, found in values.items() for _ in found]
-    ys = [value for found in values.values() for value in found]
-    click.echo(title)
-    click.echo(
-        tabulate.tabulate(
-            table, ['members', 'median', 'least', 'greatest'], floatfmt='.4g'
-        )
-    )
-    if len(values) > 1 and numpy.isfinite(ys).all():
-        slope, intercept = numpy.polyfit(xs, ys, 1)
-        residuals = numpy.array(ys) - (slope * numpy.array(xs) + intercept)
-        click.echo(
-            f'fit: {intercept:.4g} + {slope:.4g} per member, standard '
-            f'deviation of the residuals {residuals.std():.3g}'
-        )
-    click.echo('')
--- /dev/null
+++ b/fakes/tests/test_slopes_report.py
@@ -0,0 +1,19 @@
+"""Tests of the reports of slopes."""
+
+from click import testing
+
+from dotterelweir_fakes import __main__ as fakes_main
+from dotterelweir_fakes import slopes_report
+
+
+def test_the_fit_is_the_line_through_the_costs(capsys):
+    """Guards against a slope that is not the cost of one more unit."""
+    slopes_report.report('bytes', (1, 2, 3, 4), lambda size: 10.0 + 5 * size)
+    assert 'fit: 10 + 5 per size' in capsys.readouterr().out
+
+
+def test_every_report_of_slopes_is_a_command():
+    """Guards against a report that docs/CAPACITY.md names in vain."""
+    result = testing.CliRunner().invoke(fakes_main.main, ['slopes', '--help'])
+    for name in ('membership', 'policy', 'state'):
+        assert name in result.output
