Test leaving targets beside other failures

A leaving plain service gets no booking after 3 s, an instance that hears nothing of a leaving engine is told by its peers, and an engine that dies during a planned stop neither holds up the stop nor hides the loss.

--- /dev/null
+++ b/fakes/tests/system/test_leaving.py
@@ -0,0 +1,96 @@
+"""Tests of targets and instances that leave while something else fails."""
+
+import asyncio
+
+
+async def engine_url(system, name):
+    """The address of an engine."""
+    for url in system.cluster.engine_urls:
+        async with system.http.get(f'{url}/v1/load') as response:
+            if (await response.json())['target_id'] == name:
+                return url
+    raise AssertionError(name)
+
+
+async def late_starts(system, url):
+    """Starts more than 3 s after an engine left, as it counts them."""
+    async with system.http.get(f'{url}/stats') as response:
+        times_s = (await response.json())['started_after_leaving_s']
+    return [after_s for after_s in times_s if after_s > 3.0]
+
+
+async def executions_at(system, url):
+    async with system.http.get(f'{url}/counts') as response:
+        return sum((await response.json())['by_business_key'].values())
+
+
+async def test_peers_tell_of_a_leaving_engine(start_system):
+    """Guards against work over a link that only sends (P5)."""
+    system = await start_system(linked=True, engines=2, services=1)
+    await system.until_members_met()
+    url = await engine_url(system, 'guide-llm-1')
+    deaf = system.cluster.instances[0]
+    system.use_only(deaf)
+    await system.until_ready(1)
+    assert (await system.stream(30)).outcome.value == 'whole'
+    system.network.rules.stall_one_way('guide-llm-1', 'entry-1')
+    await system.post(f'{url}/faults', {'kind': 'leave'})
+
+    async def told():
+        status = await system.admin(deaf, 'status')
+        states = {row['target']: row['state'] for row in status['targets']}
+        return states['guide-llm-1'] == 'leaving'
+
+    await system.until(told, timeout_s=3.0)
+    loop = asyncio.get_running_loop()
+    limit_s = loop.time() + 4.0
+    while loop.time() < limit_s:
+        result = await system.stream(10)
+        assert result.outcome.value == 'whole', result
+    system.network.rules.heal()
+    assert await late_starts(system, url) == []
+
+
+async def test_a_leaving_service_gets_no_new_bookings(start_system):
+    """Guards against bookings at a service that leaves (P4, P5)."""
+    system = await start_system(engines=1)
+    url = system.cluster.service_urls[0]
+    loop = asyncio.get_running_loop()
+    async with system.under_load() as tally:
+        await system.until(lambda: len(tally.results) > 20)
+        await system.post(f'{url}/state', {'state': 'leaving'}, 'PUT')
+        limit_s = loop.time() + 3.0
+        await system.until(lambda: loop.time() >= limit_s)
+        before = await executions_at(system, url)
+        seen = len(tally.results)
+        await system.until(lambda: len(tally.results) > seen + 40)
+        assert await executions_at(system, url) == before > 0
+    summary = tally.summary(await system.cluster.executions())
+    assert summary['whole'] == summary['requests'], summary
+    assert summary['executed_twice'] == 0
+
+
+async def test_an_engine_dies_during_a_planned_stop(start_system):
+    """Guards against a drain that waits for ever or hides a loss (P6)."""
+    system = await start_system(instances=2, engines=2, services=1)
+    probing = asyncio.create_task(system.balancer.run())
+    leaving = system.cluster.instances[0]
+    system.use_only(leaving)
+    await system.until_ready(1)
+    streams = [await system.start_stream(400) for _ in range(6)]
+    system.use_instances()
+    await system.until_ready(2)
+    leaving.child.terminate()
+    await system.until(lambda: system.events(leaving, 'instance-draining'))
+    system.child('guide-llm-1').kill()
+    results = await asyncio.gather(*streams)
+    assert await leaving.child.wait() == 0, leaving.child.output()
+    probing.cancel()
+    # Placement decides how many of the streams are at the killed engine,
+    # which is in the zone of the instance.
+    outcomes = {result.outcome.value for result in results}
+    assert 'incomplete' in outcomes <= {'whole', 'incomplete'}, results
+    for result in results:
+        assert result.duplicated_tokens == 0
+        if result.outcome.value == 'incomplete':
+            assert result.execution == 'ran', result
