--- a/fakes/tests/system/test_pairs.py
+++ b/fakes/tests/system/test_pairs.py
@@ -178,3 +178,25 @@
         assert result.execution == 'not run', result
         return True
     return False
+
+
+async def test_a_repeat_at_an_instance_started_without_the_log(start_system):
+    """Guards against an instance that knows no claims and books (P4)."""
+    system = await start_system(instances=2, engines=1, services=1)
+    await system.until_members_met()
+    assert (await system.book('booking', 'key')).outcome.value == 'whole'
+    await system.platform_faults(log=DOWN)
+    fresh = await system.cluster.start_instance('new', 2)
+    system.use_only(fresh)
+    await system.until_ready(1)
+    refused = await system.book('booking', 'key')
+    assert refused.code == 'claims-unavailable', refused
+    assert await system.executions('booking') == 1
+    await system.platform_faults(log=UP)
+
+    async def replayed():
+        again = await system.book('booking', 'key')
+        return again.outcome.value == 'whole'
+
+    await system.until(replayed)
+    assert await system.executions('booking') == 1
