Tell a refused keyed call that its execution is unknown

Cause: an instance that started while the log was down told the repeat of a booking 'not run' although the first call had run at another instance; a caller may then book again under another key. Found by a system test. Before and after: 'not run' before, 'unknown' after, for every refusal that a repeat may follow and that comes before the key is claimed; after the claim 'not run' is certain and stays. Conclusion: a keyed caller repeats with the same key in either case.

--- a/fakes/src/dotterelweir_fakes/load/tally.py
+++ b/fakes/src/dotterelweir_fakes/load/tally.py
@@ -56,10 +56,11 @@
         return sum(1 for result in self.results if result.outcome is outcome)
 
     def ran_despite_not_run(self, executions: dict[str, int]) -> list[str]:
-        """Business keys that were executed by a call told ``not run``.
+        """Business keys of calls that were falsely told ``not run``.
 
-        The statement is on one call. A key whose first call ran and whose
-        repeat was refused may be executed once, by the first.
+        A key may be executed as often as it had calls that were told
+        something else, and a repeat of a call whose answer shows that it ran
+        must not be told that the request did not run.
 
         Args:
             executions: Executions by business key.
@@ -70,7 +71,21 @@
             if result.business_key:
                 counter = told if result.execution == 'not run' else others
                 counter[result.business_key] += 1
-        return [key for key in told if executions.get(key, 0) > others[key]]
+        return [
+            key
+            for key in told
+            if executions.get(key, 0) > others[key]
+            or self._denied_after_run(key)
+        ]
+
+    def _denied_after_run(self, key: str) -> bool:
+        ran = False
+        for result in self.results:
+            if result.business_key == key:
+                if ran and result.execution == 'not run':
+                    return True
+                ran = ran or result.outcome is Outcome.WHOLE
+        return False
 
     def summary(self, executions: dict[str, int]) -> dict[str, object]:
         """The counts as one object.
--- a/fakes/tests/load/test_tally.py
+++ b/fakes/tests/load/test_tally.py
@@ -16,8 +16,8 @@
         (['not run'], 0, 0),
         (['not run'], 1, 1),
         (['not run', 'not run'], 1, 1),
-        # The first call ran; only its repeat is told that it did not run.
-        (['', 'not run'], 1, 0),
+        # The first call ran, and its repeat is told that it did not.
+        (['', 'not run'], 1, 1),
         (['not run', ''], 1, 0),
         (['unknown', 'not run'], 1, 0),
         (['', 'not run'], 2, 1),
--- a/fakes/tests/system/test_failures.py
+++ b/fakes/tests/system/test_failures.py
@@ -131,7 +131,7 @@
     unkeyed = await system.book('no-key')
     assert unkeyed.outcome.value == 'whole'
     keyed = await system.book('keyed', 'key-2')
-    assert (keyed.code, keyed.execution) == ('claims-unavailable', 'not run')
+    assert (keyed.code, keyed.execution) == ('claims-unavailable', 'unknown')
     assert await system.executions('keyed') == 0
     up = {'down': False}
     await system.platform_faults(log=up, instances=up)
--- a/fakes/tests/system/test_pairs.py
+++ b/fakes/tests/system/test_pairs.py
@@ -181,7 +181,7 @@
 
 
 async def test_a_repeat_at_an_instance_started_without_the_log(start_system):
-    """Guards against an instance that knows no claims and books (P4)."""
+    """Guards against an instance that knows no claims and books (P3, P4)."""
     system = await start_system(instances=2, engines=1, services=1)
     await system.until_members_met()
     assert (await system.book('booking', 'key')).outcome.value == 'whole'
@@ -190,7 +190,8 @@
     system.use_only(fresh)
     await system.until_ready(1)
     refused = await system.book('booking', 'key')
-    assert refused.code == 'claims-unavailable', refused
+    told = (refused.code, refused.execution)
+    assert told == ('claims-unavailable', 'unknown'), refused
     assert await system.executions('booking') == 1
     await system.platform_faults(log=UP)
 
--- a/packages/daemon/src/dotterelweird/callers/requests.py
+++ b/packages/daemon/src/dotterelweird/callers/requests.py
@@ -16,6 +16,8 @@
 ORGANISATION = web.RequestKey('organisation', str)
 REQUEST_ID = web.RequestKey('request_id', str)
 ROUTE = web.RequestKey('route', str)
+# Whether the idempotency key of the request was claimed for it.
+CLAIMED = web.RequestKey('claimed', bool)
 # How the request ended, where the status does not tell.
 OUTCOME = web.RequestKey('outcome', str)
 CALLER_GONE = 'caller-gone'
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -17,6 +17,7 @@
 from dotterelweird.callers import completions
 from dotterelweird.callers import problems
 from dotterelweird.callers import requests
+from dotterelweird.callers import service_calls
 from dotterelweird.callers import streams
 
 LOG = logging.getLogger(__name__)
@@ -189,6 +190,7 @@
         self, request: web.Request, error: errors.DotterelweirError
     ) -> web.Response:
         request_id = request[requests.REQUEST_ID]
+        error = _for_key(request, error)
         self._parts.metrics.refusals.inc({'kind': error.kind.value})
         events.log(
             LOG,
@@ -245,3 +247,28 @@
                 errors.ErrorKind.ORGANISATION_MISSING
             )
         return name
+
+
+def _for_key(
+    request: web.Request, error: errors.DotterelweirError
+) -> errors.DotterelweirError:
+    """The error as the caller of a request with an idempotency key gets it.
+
+    Such a request may be the repeat of one that ran at another instance.
+    Only a claim shows that none did, so a refusal before it must not say
+    "not run"; a request that can never be accepted is no such repeat.
+    """
+    keyed = service_calls.KEY_HEADER in request.headers
+    if (
+        keyed
+        and error.execution is errors.Execution.NOT_RUN
+        and error.answer.retryable
+        and not request.get(requests.CLAIMED, False)
+    ):
+        return errors.DotterelweirError(
+            error.kind,
+            error.detail,
+            errors.Execution.UNKNOWN,
+            error.retry_after_s,
+        )
+    return error
--- a/packages/daemon/src/dotterelweird/callers/service_calls.py
+++ b/packages/daemon/src/dotterelweird/callers/service_calls.py
@@ -23,9 +23,12 @@
 _SET_HERE = frozenset({'content-length', requests.REQUEST_ID_HEADER.lower()})
 
 
-@attrs.frozen
+@attrs.define(eq=False)
 class _Call:
-    """One call, which goes on when its caller is gone."""
+    """One call, which goes on when its caller is gone.
+
+    ``claimed`` tells whether its idempotency key was claimed for it.
+    """
 
     route: tables_model.Route
     item: policy_api.WorkItem
@@ -33,6 +36,7 @@
     progress: service_attempts.Progress = attrs.field(
         factory=service_attempts.Progress
     )
+    claimed: bool = False
 
 
 class ServiceCalls(api.ServiceCallHandler):
@@ -67,9 +71,9 @@
         item: policy_api.WorkItem,
         body: bytes,
     ) -> web.StreamResponse:
-        return await self.call(
+        call = _Call(
             route,
-            item,
+            attrs.evolve(item, repeatable=route.repeatable),
             service_attempts.CallerRequest(
                 request.method,
                 request.rel_url.raw_path_qs,
@@ -77,6 +81,10 @@
                 body,
             ),
         )
+        try:
+            return await self._finish(call)
+        finally:
+            request[requests.CLAIMED] = call.claimed
 
     async def call(
         self,
@@ -91,7 +99,9 @@
                 is known of its execution.
         """
         item = attrs.evolve(item, repeatable=route.repeatable)
-        call = _Call(route, item, request)
+        return await self._finish(_Call(route, item, request))
+
+    async def _finish(self, call: _Call) -> web.Response:
         task = asyncio.create_task(self._run(call))
         self._running.add(task)
         task.add_done_callback(self._forget)
@@ -150,6 +160,7 @@
     async def _run_claimed(
         self, call: _Call, grant: claims_api.Grant
     ) -> web.Response:
+        call.claimed = True
         try:
             response = await self._attempts.run(
                 call.item, call.request, call.progress, grant
--- a/packages/daemon/tests/callers/test_server.py
+++ b/packages/daemon/tests/callers/test_server.py
@@ -127,3 +127,32 @@
     for path, status in (('/healthz', 200), ('/readyz', 503), (CHAT, 503)):
         async with instance.session.get(path) as response:
             assert response.status == status
+
+
+@pytest.mark.parametrize(
+    ('headers', 'execution'),
+    [({}, 'not run'), ({'Idempotency-Key': 'key-1'}, 'unknown')],
+)
+async def test_a_refused_repeat_is_not_told_that_it_did_not_run(
+    world, headers, execution
+):
+    """Guards against "not run" for a call that ran at another instance.
+
+    It happened: an instance without claims, in an outage of the log, said so
+    to the repeat of a booking that had run.
+    """
+    instance = await world.add_instance()
+    instance.refusing.append(errors.ErrorKind.SHUTTING_DOWN)
+    async with instance.session.post(
+        '/shop/orders', data=b'{}', headers=headers
+    ) as response:
+        assert (await response.json())['execution'] == execution
+
+
+async def test_a_request_that_can_never_run_is_told_so(world):
+    """Guards against "unknown" where nobody can have run the request."""
+    instance = await world.add_instance()
+    async with instance.session.post(
+        '/nothing', data=b'{}', headers={'Idempotency-Key': 'key-1'}
+    ) as response:
+        assert (await response.json())['execution'] == 'not run'
