--- a/fakes/src/dotterelweir_fakes/engine/command.py
+++ b/fakes/src/dotterelweir_fakes/engine/command.py
@@ -8,9 +8,9 @@
 import click
 
 from dotterelweir_core.targets import model as targets_model
-from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.engine import app
 from dotterelweir_fakes.engine import batch
+from dotterelweird import timers
 
 _DEFAULTS = batch.EngineOptions()
 
@@ -24,7 +24,7 @@
     server = await app.start_server(
         target,
         options,
-        loop_timers.LoopTimerService(loop),
+        timers.LoopTimerService(loop),
         # A fault that kills the engine must leave no time for goodbyes.
         on_die=lambda: os._exit(1),
         models=models,
--- a/fakes/src/dotterelweir_fakes/platform/command.py
+++ b/fakes/src/dotterelweir_fakes/platform/command.py
@@ -5,9 +5,9 @@
 from aiohttp import web
 import click
 
-from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.platform import app
 from dotterelweir_fakes.platform import log
+from dotterelweird import timers
 
 
 @click.command()
@@ -57,7 +57,7 @@
     options = log.LogOptions(appends_per_s, retention_records, retention_s)
 
     async def make_app() -> web.Application:
-        timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
+        timer = timers.LoopTimerService(asyncio.get_running_loop())
         return app.create_app(
             app.Platform(timer, options, instances_lag_s, weight_loads_per_s)
         )
--- a/fakes/src/dotterelweir_fakes/slopes.py
+++ b/fakes/src/dotterelweir_fakes/slopes.py
@@ -4,6 +4,7 @@
 
 import click
 
+from dotterelweir_fakes import slopes_instances
 from dotterelweir_fakes import slopes_membership
 from dotterelweir_fakes import slopes_report
 from dotterelweir_fakes import slopes_state
@@ -40,5 +41,6 @@
     )
 
 
+slopes.add_command(slopes_instances.instances)
 slopes.add_command(slopes_membership.membership)
 slopes.add_command(slopes_state.state)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/slopes_instances.py
@@ -0,0 +1,106 @@
+"""The ``slopes instances`` command: idle cost of real instances."""
+
+import asyncio
+import os
+import pathlib
+import tempfile
+import time
+
+import aiohttp
+import attrs
+import click
+
+from dotterelweir_fakes import slopes_report
+from dotterelweir_fakes.demo import cluster as cluster_module
+from dotterelweir_fakes.demo import processes
+from dotterelweir_fakes.load import workload
+
+_INSTANCES = (2, 4, 6, 12)
+_ENGINES = (2, 7, 14, 28)
+_WARM_UP_S = 8.0
+_MEASURED_S = 10.0
+_ENGINES_FIXED = 7
+_INSTANCES_FIXED = 3
+
+
+@attrs.frozen
+class IdleCost:
+    """What an instance without requests takes.
+
+    Attributes:
+        cpu_percent: Part of a core, of each instance.
+        rss_mb: Resident memory of each instance, in MB.
+    """
+
+    cpu_percent: list[float]
+    rss_mb: list[float]
+
+
+@click.command()
+def instances() -> None:
+    """CPU and memory of idle instances, with real processes."""
+    by_instances = {
+        count: asyncio.run(_idle(count, _ENGINES_FIXED))
+        for count in _INSTANCES
+    }
+    _print('instances', by_instances)
+    by_engines = {
+        count: asyncio.run(_idle(_INSTANCES_FIXED, count))
+        for count in _ENGINES
+    }
+    _print('engines', by_engines)
+
+
+def _print(unit: str, costs: dict[int, IdleCost]) -> None:
+    slopes_report.print_fit(
+        f'idle CPU of an instance (% of a core) against {unit}',
+        unit,
+        {size: cost.cpu_percent for size, cost in costs.items()},
+    )
+    slopes_report.print_fit(
+        f'memory of an idle instance (MB) against {unit}',
+        unit,
+        {size: cost.rss_mb for size, cost in costs.items()},
+    )
+
+
+async def _idle(instances: int, engines: int) -> IdleCost:
+    deployment = attrs.evolve(
+        workload.DEPLOYMENTS['zwojex'], engines=engines, plain_targets=1
+    )
+    with tempfile.TemporaryDirectory() as name:
+        async with (
+            aiohttp.ClientSession() as http,
+            processes.ProcessGroup(pathlib.Path(name)) as group,
+        ):
+            cluster = cluster_module.Cluster(deployment, group, http, 1)
+            await cluster.start(instances)
+            await asyncio.sleep(_WARM_UP_S)
+            pids = [each.child.process.pid for each in cluster.instances]
+            before = [_cpu_s(pid) for pid in pids]
+            began_s = time.monotonic()
+            await asyncio.sleep(_MEASURED_S)
+            elapsed_s = time.monotonic() - began_s
+            used = [
+                _cpu_s(pid) - cpu_s
+                for pid, cpu_s in zip(pids, before, strict=True)
+            ]
+            return IdleCost(
+                [cpu_s / elapsed_s * 100 for cpu_s in used],
+                [_rss_mb(pid) for pid in pids],
+            )
+
+
+def _cpu_s(pid: int) -> float:
+    text = pathlib.Path(f'/proc/{pid}/stat').read_text()
+    fields = text.rpartition(')')[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf('SC_CLK_TCK')
+
+
+def _rss_mb(pid: int) -> float:
+    status = pathlib.Path(f'/proc/{pid}/status').read_text()
+    line = next(
+        line for line in status.splitlines() if line.startswith('VmRSS')
+    )
+    return int(line.split()[1]) / 1024
--- a/fakes/tests/engine/test_app.py
+++ b/fakes/tests/engine/test_app.py
@@ -6,17 +6,17 @@
 import pytest
 
 from dotterelweir_core.targets import model as targets_model
-from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.engine import app
 from dotterelweir_fakes.engine import batch
 from dotterelweir_fakes.engine import tokens
+from dotterelweird import timers
 
 BODY = {'prompt': 'hello', 'metadata': {'output_tokens': '5'}}
 
 
 @pytest.fixture
 async def engine():
-    timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
+    timer = timers.LoopTimerService(asyncio.get_running_loop())
     target = targets_model.Target('e1', 7, 'llm', 'a', '127.0.0.1', 0)
     options = batch.EngineOptions(
         step_s=0.001, report_lag_s=0.05, checks_fencing=True
--- a/fakes/tests/system/test_pairs.py
+++ b/fakes/tests/system/test_pairs.py
@@ -201,3 +201,49 @@
 
     await system.until(replayed)
     assert await system.executions('booking') == 1
+
+
+async def test_an_engine_is_reclaimed_at_short_notice(start_system):
+    """Guards against broken streams of an engine that leaves and dies (P1)."""
+    system = await start_system(engines=3)
+    async with system.under_load() as tally:
+        await system.until(lambda: len(tally.results) > 10)
+        url = system.cluster.engine_urls[0]
+        await system.post(f'{url}/faults', {'kind': 'leave'})
+        loop = asyncio.get_running_loop()
+        limit_s = loop.time() + 1.0
+        await system.until(lambda: loop.time() >= limit_s)
+        name = (await system.load(url))['target_id']
+        child = next(c for c in system.group.children if c.name == name)
+        child.kill()
+        seen = len(tally.results)
+        await system.until(lambda: len(tally.results) > seen + 30)
+    summary = tally.summary(await system.cluster.executions())
+    assert summary['broken'] == summary['duplicated_tokens'] == 0, summary
+    assert summary['executed_twice'] == 0
+    assert set(summary['refusals_by_code']) <= {'generation-lost'}, summary
+
+
+async def test_one_key_in_two_separated_zones(start_system):
+    """Guards against a booking that runs on both sides of a cut (P4)."""
+    system = await start_system(linked=True, instances=2, services=2)
+    near, far = system.cluster.instances
+    system.network.rules.stall('platform', far.instance_id)
+    system.use_only(far)
+    await system.until_ready(1)
+    refused = await system.book('booking', 'key')
+    assert (refused.code, refused.execution) == (
+        'claims-unavailable',
+        'unknown',
+    ), refused
+    system.use_only(near)
+    await system.until_ready(1)
+    assert (await system.book('booking', 'key')).outcome.value == 'whole'
+    system.network.rules.heal()
+    system.use_only(far)
+
+    async def replayed():
+        return (await system.book('booking', 'key')).outcome.value == 'whole'
+
+    await system.until(replayed)
+    assert await system.executions('booking') == 1
--- a/packages/cli/tests/conftest.py
+++ b/packages/cli/tests/conftest.py
@@ -10,8 +10,8 @@
 import pytest
 
 from dotterelweir_cli import main
-from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.platform import app as platform_app
+from dotterelweird import timers
 
 
 @attrs.frozen
@@ -106,7 +106,7 @@
         self.join(10)
 
     async def _serve(self):
-        timer = loop_timers.LoopTimerService(self._loop)
+        timer = timers.LoopTimerService(self._loop)
         self._platform = platform_app.Platform(timer)
         runner = web.AppRunner(
             platform_app.create_app(self._platform), shutdown_timeout=0.1
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -110,7 +110,7 @@
         )
         tables.subscribe(limits.take_tables)
         tables.subscribe(lambda _: monitor.refresh())
-        services = service_adapter.AiohttpServiceClient(
+        services = service_adapter.HttpServiceClient(
             self._settings.delivery.connect_timeout_s
         )
         feed = admin_feed.ChangeFeed(_WATCHED)
@@ -241,7 +241,7 @@
         self,
         tables: tables_service.TablesService,
         dispatcher: dispatch.Dispatcher,
-        services: service_adapter.AiohttpServiceClient,
+        services: service_adapter.HttpServiceClient,
         claims: claims_service.ClaimsService,
     ) -> web.AppRunner:
         settings = self._settings
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -7,6 +7,7 @@
 import attrs
 
 from dotterelweir_core import errors
+from dotterelweir_core import timers as core_timers
 from dotterelweir_core.membership import messages
 from dotterelweird import claims_service
 from dotterelweird import dispatch
@@ -96,7 +97,7 @@
     monitor: target_monitor.TargetMonitor
     limits: news.LimitShares
     peers: peers_service.PeersService
-    services: service_adapter.AiohttpServiceClient
+    services: service_adapter.HttpServiceClient
     metrics: metrics_module.Metrics
     feed: admin_feed.ChangeFeed
     callers: web.AppRunner
@@ -109,7 +110,8 @@
     def __init__(self, parts: Parts) -> None:
         self._parts = parts
         self._following: asyncio.Task | None = None
-        self._subscriptions: list[timers.LoopTimerService] = []
+        self._gauges: core_timers.TimerHandle | None = None
+        self._readiness_check: core_timers.TimerHandle | None = None
 
     async def start(self) -> None:
         """Listens, and becomes ready once tables and targets are known.
@@ -129,10 +131,12 @@
         if parts.orders is not None:
             parts.orders.start()
         parts.monitor.start()
-        self._subscriptions = [
-            parts.timer.subscribe(_GAUGE_PERIOD_S, self._update_gauges),
-            parts.timer.subscribe(_READY_CHECK_S, self._check_ready),
-        ]
+        self._gauges = parts.timer.subscribe(
+            _GAUGE_PERIOD_S, self._update_gauges
+        )
+        self._readiness_check = parts.timer.subscribe(
+            _READY_CHECK_S, self._check_ready
+        )
 
     async def drain(self) -> None:
         """Finishes the requests in flight, then stops every part."""
@@ -154,8 +158,9 @@
     async def _stop(self) -> None:
         parts = self._parts
         await parts.in_flight.close()
-        for subscription in self._subscriptions:
-            subscription.cancel()
+        for handle in (self._gauges, self._readiness_check):
+            if handle is not None:
+                handle.cancel()
         parts.dispatcher.stop()
         await parts.monitor.stop()
         if parts.orders is not None:
@@ -173,8 +178,9 @@
 
     def _check_ready(self) -> None:
         parts = self._parts
-        starting = parts.lifecycle.state == 'starting'
-        if starting and parts.tables.ready and parts.targets.list_read:
+        if parts.lifecycle.state != 'starting':
+            self._readiness_check.cancel()
+        elif parts.tables.ready and parts.targets.list_read:
             parts.lifecycle.mark_ready()
 
     def _state_changed(self, state: str) -> None:
--- a/packages/daemon/src/dotterelweird/targets/service.py
+++ b/packages/daemon/src/dotterelweird/targets/service.py
@@ -49,7 +49,7 @@
     context.trace_request_ctx['connected'] = True
 
 
-class AiohttpServiceClient(api.ServiceClient):
+class HttpServiceClient(api.ServiceClient):
     """Calls plain services.
 
     Calls that are not repeatable use a connection of their own, so that a
--- a/packages/daemon/tests/claims/test_http_log.py
+++ b/packages/daemon/tests/claims/test_http_log.py
@@ -10,12 +10,12 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core.tables import model as tables_model
-from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.platform import app as fake_app
 from dotterelweir_fakes.platform import log as fake_log
 from dotterelweir_platform import http
 from dotterelweird import claims_api
 from dotterelweird import claims_service
+from dotterelweird import timers
 from dotterelweird.settings import model as settings_model
 
 ROUTE = tables_model.Route(
@@ -28,7 +28,7 @@
 @pytest_asyncio.fixture
 async def claiming():
     """Makes a platform and a function that starts instances on it."""
-    timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
+    timer = timers.LoopTimerService(asyncio.get_running_loop())
     session = aiohttp.ClientSession()
     started, servers = [], []
 
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -173,7 +173,7 @@
     The faults ``None`` stand for a service that refuses connections.
     """
     runners: list[web.AppRunner] = []
-    clients: list[service_adapter.AiohttpServiceClient] = []
+    clients: list[service_adapter.HttpServiceClient] = []
 
     async def start(target_id: str, names: list[str]):
         state = fake_service.ServiceState(target_id, on_crash=lambda: None)
@@ -210,7 +210,7 @@
         in_flight = inflight.InFlight()
         timer = timer or timers.VirtualTimerService()
         scheduler = FirstFitScheduler(list(targets))
-        client = service_adapter.AiohttpServiceClient(1.0)
+        client = service_adapter.HttpServiceClient(1.0)
         clients.append(client)
         seen: list[targets_model.TargetState] = []
         attempts = service_attempts.ServiceAttempts(
--- a/packages/daemon/tests/tables_service/test_over_http.py
+++ b/packages/daemon/tests/tables_service/test_over_http.py
@@ -11,10 +11,10 @@
 from dotterelweir_core.tables import model
 from dotterelweir_core.tables import records
 from dotterelweir_core.targets import model as targets_model
-from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.platform import app as fake_app
 from dotterelweir_fakes.platform import log as fake_log
 from dotterelweir_platform import http
+from dotterelweird import timers
 from dotterelweird.tables_service import checkpoints
 from dotterelweird.tables_service import service
 
@@ -31,7 +31,7 @@
 
 @pytest.fixture
 async def platform():
-    timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
+    timer = timers.LoopTimerService(asyncio.get_running_loop())
     return fake_app.Platform(timer)
 
 
@@ -47,7 +47,7 @@
 
 @pytest.fixture
 async def services(client):
-    timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
+    timer = timers.LoopTimerService(asyncio.get_running_loop())
     options = service.TablesOptions(
         'config', checkpoints.CheckpointOptions(1e6)
     )
--- a/packages/platform/tests/test_http.py
+++ b/packages/platform/tests/test_http.py
@@ -10,18 +10,18 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core.targets import model
-from dotterelweir_fakes import loop_timers
 from dotterelweir_fakes.platform import app as fake_app
 from dotterelweir_fakes.platform import instances
 from dotterelweir_fakes.platform import log as fake_log
 from dotterelweir_platform import http
+from dotterelweird import timers
 
 UNAVAILABLE = errors.ErrorKind.LOG_UNAVAILABLE
 
 
 @pytest.fixture
 async def platform():
-    timer = loop_timers.LoopTimerService(asyncio.get_running_loop())
+    timer = timers.LoopTimerService(asyncio.get_running_loop())
     return fake_app.Platform(
         timer, fake_log.LogOptions(appends_per_s=5.0, retention_records=3)
     )
