Group claims, orders and log streams of the daemon into packages

Cause: ten modules of three concerns lay beside each other at the top of the daemon; an empty package of commands was left over. Ruled out: new names at the places of use; imports keep theirs.

--- a/packages/daemon/src/dotterelweird/callers/service_attempts.py
+++ b/packages/daemon/src/dotterelweird/callers/service_attempts.py
@@ -12,9 +12,9 @@
 from dotterelweir_core.delivery import retries
 from dotterelweir_core.policy import api as policy_api
 from dotterelweir_core.targets import model as targets_model
-from dotterelweird import claims_api
 from dotterelweird import dispatch
 from dotterelweird.callers import api
+from dotterelweird.claims import api as claims_api
 from dotterelweird.targets import api as targets_api
 
 LOG = logging.getLogger(__name__)
--- a/packages/daemon/src/dotterelweird/callers/service_calls.py
+++ b/packages/daemon/src/dotterelweird/callers/service_calls.py
@@ -10,11 +10,11 @@
 from dotterelweir_core.claims import keys
 from dotterelweir_core.policy import api as policy_api
 from dotterelweir_core.tables import model as tables_model
-from dotterelweird import claims_api
 from dotterelweird.callers import api
 from dotterelweird.callers import inflight
 from dotterelweird.callers import requests
 from dotterelweird.callers import service_attempts
+from dotterelweird.claims import api as claims_api
 from dotterelweird.targets import headers as header_rules
 
 KEY_HEADER = 'Idempotency-Key'
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys in the log."""
--- a/packages/daemon/src/dotterelweird/claims_service.py
+++ b/packages/daemon/src/dotterelweird/claims/service.py
@@ -7,9 +7,9 @@
 from dotterelweir_core import timers
 from dotterelweir_core.claims import keys
 from dotterelweir_platform import api as platform_api
-from dotterelweird import claim_errors
-from dotterelweird import claim_stream
-from dotterelweird import claims_api
+from dotterelweird.claims import api as claims_api
+from dotterelweird.claims import refusals as claim_errors
+from dotterelweird.claims import stream as claim_stream
 from dotterelweird.settings import model as settings_model
 
 # Bounds the memory of the claim tables to about 24 MB; 100,000 claims took
--- a/packages/daemon/src/dotterelweird/claim_stream.py
+++ b/packages/daemon/src/dotterelweird/claims/stream.py
@@ -13,11 +13,11 @@
 from dotterelweir_core.claims import fold
 from dotterelweir_core.claims import records
 from dotterelweir_platform import api as platform_api
-from dotterelweird import claim_errors
-from dotterelweird import claims_api
-from dotterelweird import log_batcher
-from dotterelweird import log_follower
 from dotterelweird import scopes
+from dotterelweird.claims import api as claims_api
+from dotterelweird.claims import refusals as claim_errors
+from dotterelweird.logstream import batcher as log_batcher
+from dotterelweird.logstream import follower as log_follower
 from dotterelweird.settings import model as settings_model
 
 LOG = logging.getLogger(__name__)
--- a/packages/daemon/src/dotterelweird/commands/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The commands of the daemon's binary."""
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -18,16 +18,12 @@
 from dotterelweir_core.tables import matching
 from dotterelweir_core.targets import registry as target_registry
 from dotterelweir_platform import http as platform_http
-from dotterelweird import claims_service
 from dotterelweird import dispatch
 from dotterelweird import instance as instance_module
-from dotterelweird import lease_keeper
 from dotterelweird import lifecycle as lifecycle_module
 from dotterelweird import logs
 from dotterelweird import metrics as metrics_module
 from dotterelweird import news
-from dotterelweird import order_facts
-from dotterelweird import orders_service
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.admin import queries as admin_queries
@@ -37,6 +33,10 @@
 from dotterelweird.callers import server as callers_server
 from dotterelweird.callers import service_attempts
 from dotterelweird.callers import service_calls
+from dotterelweird.claims import service as claims_service
+from dotterelweird.orders import facts as order_facts
+from dotterelweird.orders import leases as lease_keeper
+from dotterelweird.orders import service as orders_service
 from dotterelweird.peers import service as peers_service
 from dotterelweird.peers import snapshots
 from dotterelweird.settings import model as settings_model
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -9,15 +9,15 @@
 from dotterelweir_core import errors
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.membership import messages
-from dotterelweird import claims_service
 from dotterelweird import dispatch
 from dotterelweird import lifecycle as lifecycle_module
 from dotterelweird import metrics as metrics_module
 from dotterelweird import news
-from dotterelweird import orders_service
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.callers import inflight
+from dotterelweird.claims import service as claims_service
+from dotterelweird.orders import service as orders_service
 from dotterelweird.peers import service as peers_service
 from dotterelweird.settings import model as settings_model
 from dotterelweird.tables_service import service as tables_service
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/logstream/__init__.py
@@ -0,0 +1,1 @@
+"""Following and appending to streams of the log."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/orders/__init__.py
@@ -0,0 +1,1 @@
+"""Orders to engines under leases."""
--- a/packages/daemon/src/dotterelweird/order_facts.py
+++ b/packages/daemon/src/dotterelweird/orders/facts.py
@@ -6,7 +6,7 @@
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweir_core.targets import registry as target_registry
-from dotterelweird.targets import orders_api
+from dotterelweird.orders import api as orders_api
 
 
 class RegistryFacts(orders_api.OrderFacts):
--- a/packages/daemon/src/dotterelweird/orders_service.py
+++ b/packages/daemon/src/dotterelweird/orders/service.py
@@ -11,9 +11,9 @@
 from dotterelweir_core.orders import plan
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_platform import api as platform_api
-from dotterelweird import lease_keeper
 from dotterelweird import timers as daemon_timers
-from dotterelweird.targets import orders_api
+from dotterelweird.orders import api as orders_api
+from dotterelweird.orders import leases as lease_keeper
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/daemon/src/dotterelweird/targets/orders.py
+++ b/packages/daemon/src/dotterelweird/targets/orders.py
@@ -7,7 +7,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core.orders import plan
 from dotterelweir_core.targets import model as targets_model
-from dotterelweird.targets import orders_api
+from dotterelweird.orders import api as orders_api
 
 _REFUSAL_STATUSES = frozenset({409, 410, 412, 429, 503})
 
--- a/packages/daemon/tests/claims/test_claims_service.py
+++ b/packages/daemon/tests/claims/test_claims_service.py
@@ -8,7 +8,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core.claims import records
 from dotterelweir_core.tables import model as tables_model
-from dotterelweird import claims_api
+from dotterelweird.claims import api as claims_api
 from dotterelweird.settings import model as settings_model
 
 ROUTE = tables_model.Route(
--- a/packages/daemon/tests/claims/test_orders_service.py
+++ b/packages/daemon/tests/claims/test_orders_service.py
@@ -12,10 +12,10 @@
 from dotterelweir_fakes.engine import batch
 from dotterelweir_fakes.engine import orders as fake_orders
 from dotterelweir_platform import api as platform_api
-from dotterelweird import lease_keeper
-from dotterelweird import orders_service
+from dotterelweird.orders import api as orders_api
+from dotterelweird.orders import leases as lease_keeper
+from dotterelweird.orders import service as orders_service
 from dotterelweird.settings import model as settings_model
-from dotterelweird.targets import orders_api
 
 PLATFORM = settings_model.Platform('http://log', 'http://list')
 TARGET = targets_model.Target('e-1', 1, 'llm', 'z1', '127.0.0.1', 1)
--- a/packages/daemon/tests/conftest.py
+++ b/packages/daemon/tests/conftest.py
@@ -13,11 +13,11 @@
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model as targets_model
 from dotterelweir_fakes import service as fake_service
-from dotterelweird import claims_api
 from dotterelweird import dispatch
 from dotterelweird.callers import inflight
 from dotterelweird.callers import service_attempts
 from dotterelweird.callers import service_calls
+from dotterelweird.claims import api as claims_api
 from dotterelweird.targets import service as service_adapter
 
 
