--- a/fakes/tests/system/conftest.py
+++ b/fakes/tests/system/conftest.py
@@ -159,6 +159,13 @@
         async with self.http.get(f'{url}/v1/load') as response:
             return await response.json()
 
+    async def engine_url(self, name):
+        """The address of an engine."""
+        for url in self.cluster.engine_urls:
+            if (await self.load(url))['target_id'] == name:
+                return url
+        raise AssertionError(name)
+
     async def platform_faults(self, **faults):
         await self.post(f'{self.cluster.platform_url}/faults', faults)
 
--- a/fakes/tests/system/test_leaving.py
+++ b/fakes/tests/system/test_leaving.py
@@ -3,15 +3,6 @@
 import asyncio
 
 
-async def engine_url(system, name):
-    """The address of an engine."""
-    for url in system.cluster.engine_urls:
-        async with system.http.get(f'{url}/v1/load') as response:
-            if (await response.json())['target_id'] == name:
-                return url
-    raise AssertionError(name)
-
-
 async def late_starts(system, url):
     """Starts more than 3 s after an engine left, as it counts them."""
     async with system.http.get(f'{url}/stats') as response:
@@ -28,7 +19,7 @@
     """Guards against work over a link that only sends (P5)."""
     system = await start_system(linked=True, engines=2, services=1)
     await system.until_members_met()
-    url = await engine_url(system, 'guide-llm-1')
+    url = await system.engine_url('guide-llm-1')
     deaf = system.cluster.instances[0]
     system.use_only(deaf)
     await system.until_ready(1)
--- a/fakes/tests/system/test_targets.py
+++ b/fakes/tests/system/test_targets.py
@@ -6,15 +6,6 @@
 UP = {'down': False}
 
 
-async def engine_url(system, name):
-    """The address of an engine."""
-    for url in system.cluster.engine_urls:
-        async with system.http.get(f'{url}/v1/load') as response:
-            if (await response.json())['target_id'] == name:
-                return url
-    raise AssertionError(name)
-
-
 async def started(system, url):
     """Generations that an engine has started, as it counts them."""
     async with system.http.get(f'{url}/stats') as response:
@@ -69,7 +60,7 @@
 async def test_targets_come_and_go_while_the_list_is_down(start_system):
     """Guards against work for targets that left unlisted (P5, P6)."""
     system = await start_system(instances=2, services=1)
-    leaving = await engine_url(system, 'guide-llm-1')
+    leaving = await system.engine_url('guide-llm-1')
     await system.platform_faults(instances=DOWN)
     await system.until(
         lambda: all(
--- a/packages/core/src/dotterelweir_core/policy/placement.py
+++ b/packages/core/src/dotterelweir_core/policy/placement.py
@@ -80,17 +80,7 @@
             target_id = view.target.target_id
             if target_id == avoid or target_id in request.item.excluded:
                 continue
-            load = admission.project(view, pool, self._settings, now_s)
-            reason = admission.obstacle(
-                view,
-                pool,
-                load,
-                request.need,
-                request.band,
-                now_s - request.item.arrived_s,
-                self._settings,
-                now_s,
-            )
+            load, reason = self._judge(view, pool, request, now_s)
             score = self._score(view, load, request)
             if reason is None:
                 reason = f'{load.running:.0f} running, {load.fill:.0%} full'
@@ -100,23 +90,34 @@
         candidates.sort(key=lambda candidate: candidate.score)
         return best, tuple(candidates)
 
+    def _judge(
+        self,
+        view: policy_view.TargetView,
+        pool: policy_pool.PoolView,
+        request: Request,
+        now_s: float,
+    ) -> tuple[admission.Load, str | None]:
+        """The projected load of a target, and why it has no room."""
+        load = admission.project(view, pool, self._settings, now_s)
+        reason = admission.obstacle(
+            view,
+            pool,
+            load,
+            request.need,
+            request.band,
+            now_s - request.item.arrived_s,
+            self._settings,
+            now_s,
+        )
+        return load, reason
+
     def all_candidates(
         self, pool: policy_pool.PoolView, request: Request, now_s: float
     ) -> tuple[api.Candidate, ...]:
         """Every target of the pool with its score and reason."""
         candidates = []
         for view in pool.targets.values():
-            load = admission.project(view, pool, self._settings, now_s)
-            reason = admission.obstacle(
-                view,
-                pool,
-                load,
-                request.need,
-                request.band,
-                now_s - request.item.arrived_s,
-                self._settings,
-                now_s,
-            )
+            load, reason = self._judge(view, pool, request, now_s)
             if view.target.target_id in request.item.excluded:
                 reason = 'failed this request before'
             candidates.append(
