--- a/packages/cli/src/dotterelweir_cli/editing.py
+++ b/packages/cli/src/dotterelweir_cli/editing.py
@@ -117,11 +117,10 @@
         output.print_json({**document, 'dry_run': dry_run})
         return
     prefix = 'dry run: ' if dry_run else ''
-    click.echo(
-        f'{prefix}{report.outcome.value}'
-        + (f' at offset {report.offset}' if report.offset is not None else '')
-        + (f', revision {report.revision}' if report.revision else '')
-    )
+    place = ''
+    if report.offset is not None:
+        place = f' at offset {report.offset}, revision {report.revision}'
+    click.echo(f'{prefix}{report.outcome.value}{place}')
     for detail in report.details:
         click.echo(f'  {detail}')
     match report.outcome:
--- a/packages/cli/tests/commands/test_edits.py
+++ b/packages/cli/tests/commands/test_edits.py
@@ -22,6 +22,13 @@
     assert project.run('pool', 'list').document['pools'] == {}
 
 
+def test_the_first_edit_names_its_revision(project):
+    """Guards against a revision of 0 that is taken for none."""
+    path = project.file('pool.json', {'kind': 'service', 'service': 'new'})
+    outcome = project.run('pool', 'put', 'shop', path, output='table')
+    assert outcome.stdout == 'accepted at offset 0, revision 0\n'
+
+
 def test_put_get_list_and_delete(shop):
     """Guards against a row that does not come back as it was put."""
     path = shop.file('pool.json', {'kind': 'service', 'service': 'sheets'})
