Share the constructor of the platform's adapters

Cause: the adapters of the instance list and the weight store had the same constructor but for a name. Ruled out: one adapter for both; they have different base classes. Before and after: the tests of the packages pass before and after. Conclusion: kept.

--- a/packages/platform/src/dotterelweir_platform/http.py
+++ b/packages/platform/src/dotterelweir_platform/http.py
@@ -164,8 +164,10 @@
             raise self._client.failure('sent a malformed page') from error
 
 
-class HttpInstanceList(api.InstanceList):
-    """The instance list over HTTP."""
+class _PlatformService:
+    """A service of the platform besides the log."""
+
+    _NAME = ''
 
     def __init__(
         self,
@@ -177,10 +179,16 @@
         self._client = _Client(
             session,
             base_url,
-            'instance list',
+            self._NAME,
             errors.ErrorKind.PLATFORM_UNAVAILABLE,
         )
 
+
+class HttpInstanceList(_PlatformService, api.InstanceList):
+    """The instance list over HTTP."""
+
+    _NAME = 'instance list'
+
     async def fetch(self) -> tuple[api.ListedInstance, ...]:
         """Reads the list; a row that cannot be read is left out and logged.
 
@@ -207,22 +215,10 @@
         return tuple(listed)
 
 
-class HttpWeightStore(api.WeightStore):
+class HttpWeightStore(_PlatformService, api.WeightStore):
     """The weight store over HTTP."""
 
-    def __init__(
-        self,
-        session: aiohttp.ClientSession,
-        base_url: str,
-        timeout_s: float,
-    ) -> None:
-        self._timeout_s = timeout_s
-        self._client = _Client(
-            session,
-            base_url,
-            'weight store',
-            errors.ErrorKind.PLATFORM_UNAVAILABLE,
-        )
+    _NAME = 'weight store'
 
     async def grant(self, model_name: str) -> api.WeightGrant:
         """Asks when a model may be loaded.
