Decode and skip records in the log follower; remove dead code

Cause: claims and leases each decoded the records of their stream and logged the ones that cannot be read, with the same lines. An error kind that nothing raised (edit-rejected; the client reports a rejection as an outcome) and a query of the datagram double had no use left. Ruled out: catching errors around the whole callback of the follower, which would take a fault of the fold for an unreadable record. Conclusion: the follower takes the decoder; its users get decoded records.

--- a/fakes/src/dotterelweir_fakes/datagrams.py
+++ b/fakes/src/dotterelweir_fakes/datagrams.py
@@ -71,18 +71,6 @@
             and all(getattr(effect, k) == v for k, v in fields.items())
         ]
 
-    def times_of_state(
-        self, name: str, member_state: messages.MemberState
-    ) -> list[float]:
-        """When this instance saw a member enter a state."""
-        return [
-            at_s
-            for at_s, effect in self.effects
-            if isinstance(effect, options_module.MemberChanged)
-            and effect.member.member_id == name
-            and effect.member.state == member_state
-        ]
-
 
 class Group:
     """Instances that talk over the network double."""
--- a/packages/core/src/dotterelweir_core/errors.py
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -45,7 +45,6 @@
     IDEMPOTENCY_KEY_EXPIRED = 'idempotency-key-expired'
     NOT_READY = 'not-ready'
     SHUTTING_DOWN = 'shutting-down'
-    EDIT_REJECTED = 'edit-rejected'
     LOG_UNAVAILABLE = 'log-unavailable'
     LOG_GAP = 'log-gap'
     PLATFORM_UNAVAILABLE = 'platform-unavailable'
@@ -128,7 +127,6 @@
     ErrorKind.SHUTTING_DOWN: Answer(
         503, 'The instance is shutting down', True
     ),
-    ErrorKind.EDIT_REJECTED: Answer(409, 'The edit was rejected'),
     ErrorKind.LOG_UNAVAILABLE: Answer(503, 'The log is unavailable', True),
     ErrorKind.LOG_GAP: Answer(503, 'The log has a gap', True),
     ErrorKind.PLATFORM_UNAVAILABLE: Answer(
--- a/packages/daemon/src/dotterelweird/claims/stream.py
+++ b/packages/daemon/src/dotterelweird/claims/stream.py
@@ -72,7 +72,13 @@
         # Own claims whose release is on its way to the log.
         self._releasing: set[str] = set()
         self._follower = log_follower.LogFollower(
-            log, name, timer, rng, platform.log_wait_s, self._apply
+            log,
+            name,
+            timer,
+            rng,
+            platform.log_wait_s,
+            records.decode,
+            self._apply,
         )
         self._batcher = log_batcher.LogBatcher(
             log,
@@ -258,18 +264,11 @@
         finally:
             self._pending.pop(pending.claim.claim_id, None)
 
-    def _apply(self, record: platform_api.LogRecord) -> None:
-        try:
-            decoded = records.decode(record.data)
-        except ValueError as error:
-            events.log(
-                LOG,
-                events.RECORD_SKIPPED,
-                stream=self._name,
-                offset=record.offset,
-                detail=str(error),
-            )
-            return
+    def _apply(
+        self,
+        record: platform_api.LogRecord,
+        decoded: records.ClaimRecord,
+    ) -> None:
         decision = self._table.apply(record.offset, record.time_s, decoded)
         if not isinstance(decoded, records.Claim):
             for ended in self._repeats.get(decoded.key_hash, ()):
--- a/packages/daemon/src/dotterelweird/logstream/follower.py
+++ b/packages/daemon/src/dotterelweird/logstream/follower.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import logging
 import random
+import typing
 
 from dotterelweir_core import backoff
 from dotterelweir_core import errors
@@ -21,7 +22,8 @@
 # Keeps a log that ignores wait_s from being read in a busy loop.
 _IDLE_DELAY_S = 0.01
 
-RecordCallback = Callable[[platform_api.LogRecord], None]
+RecordDecoder = Callable[[bytes], typing.Any]
+RecordCallback = Callable[[platform_api.LogRecord, typing.Any], None]
 
 
 class LogFollower:
@@ -40,6 +42,7 @@
         timer: timers.TimerService,
         rng: random.Random,
         wait_s: float,
+        decode: RecordDecoder,
         on_record: RecordCallback,
     ) -> None:
         """Creates a follower; ``start`` begins its work.
@@ -50,12 +53,16 @@
             timer: Source of time.
             rng: Random source of the backoff.
             wait_s: How long one read may wait for records, in seconds.
-            on_record: Called with each record; must not raise.
+            decode: Decodes a record; raises ValueError for one that cannot
+                be read, which is logged and skipped.
+            on_record: Called with each record and what it decodes to; must
+                not raise.
         """
         self._log = log
         self._stream = stream
         self._timer = timer
         self._wait_s = wait_s
+        self._decode = decode
         self._on_record = on_record
         self._backoff = backoff.Backoff(rng, first_s=0.05, cap_s=1.0)
         self._next_offset = 0
@@ -102,7 +109,7 @@
             self._note_success()
             for record in page.records:
                 self._next_offset = record.offset + 1
-                self._on_record(record)
+                self._pass_on(record)
             if self._next_offset >= page.end_offset:
                 self._caught_up = True
             if not page.records:
@@ -173,3 +180,17 @@
         if self._failing_since_s is not None:
             self._failing_since_s = None
             events.log(LOG, events.STREAM_REACHABLE, stream=self._stream)
+
+    def _pass_on(self, record: platform_api.LogRecord) -> None:
+        try:
+            decoded = self._decode(record.data)
+        except ValueError as error:
+            events.log(
+                LOG,
+                events.RECORD_SKIPPED,
+                stream=self._stream,
+                offset=record.offset,
+                detail=str(error),
+            )
+            return
+        self._on_record(record, decoded)
--- a/packages/daemon/src/dotterelweird/orders/leases.py
+++ b/packages/daemon/src/dotterelweird/orders/leases.py
@@ -76,6 +76,7 @@
             timer,
             rng,
             platform.log_wait_s,
+            fold.decode,
             self._apply,
         )
         self._batcher = log_batcher.LogBatcher(
@@ -155,18 +156,11 @@
         sent = append.first_sent
         return sent is None or sent.elapsed_s(self._timer) < TTL_S - MARGIN_S
 
-    def _apply(self, record: platform_api.LogRecord) -> None:
-        try:
-            acquire = fold.decode(record.data)
-        except ValueError as error:
-            events.log(
-                LOG,
-                events.RECORD_SKIPPED,
-                stream=self._stream,
-                offset=record.offset,
-                detail=str(error),
-            )
-            return
+    def _apply(
+        self,
+        record: platform_api.LogRecord,
+        acquire: fold.Acquire | None,
+    ) -> None:
         if acquire is None:
             return
         lease = self._table.apply(record.offset, record.time_s, acquire)
