--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 PYTHON ?= python3
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := packages/core packages/platform packages/daemon packages/cli fakes
+PACKAGES := packages/core packages/logservice packages/daemon packages/cli platform fakes
 DEPLOYMENT ?= zwojex
 SEED ?= 1
 PYTEST_ARGS ?= -n 4
--- a/fakes/src/dotterelweir_fakes/platform/client.py
+++ b/fakes/src/dotterelweir_fakes/platform/client.py
@@ -5,7 +5,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_fakes.platform import log
-from dotterelweir_platform import api
+from dotterelweir_logservice import api
 
 
 class MemoryLogClient(api.LogClient):
--- a/packages/cli/src/dotterelweir_cli/editing.py
+++ b/packages/cli/src/dotterelweir_cli/editing.py
@@ -14,7 +14,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import records
-from dotterelweir_platform import http as platform_http
+from dotterelweir_logservice import http as platform_http
 
 EditFactory = Callable[[fold.TablesState], records.EditRecord]
 Function = typing.TypeVar('Function', bound=Callable)
--- a/packages/cli/src/dotterelweir_cli/edits.py
+++ b/packages/cli/src/dotterelweir_cli/edits.py
@@ -16,8 +16,8 @@
 from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import model
 from dotterelweir_core.tables import records
-from dotterelweir_platform import api as platform_api
-from dotterelweir_platform import tables as platform_tables
+from dotterelweir_logservice import api as platform_api
+from dotterelweir_logservice import tables as platform_tables
 
 _PAGE_RECORDS = 500
 _READ_WAIT_S = 0.5
--- a/packages/core/src/dotterelweir_core/errors.py
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -23,6 +23,7 @@
     BODY_TOO_LARGE = 'body-too-large'
     HEADERS_TOO_LARGE = 'headers-too-large'
     ORGANISATION_MISSING = 'organisation-missing'
+    KEY_UNKNOWN = 'key-unknown'
     ROUTE_NOT_FOUND = 'route-not-found'
     POOL_EMPTY = 'pool-empty'
     QUEUE_FULL = 'queue-full'
@@ -75,6 +76,7 @@
     ErrorKind.ORGANISATION_MISSING: Answer(
         401, 'The request names no organisation'
     ),
+    ErrorKind.KEY_UNKNOWN: Answer(401, 'The key is not known'),
     ErrorKind.ROUTE_NOT_FOUND: Answer(404, 'No route matches the request'),
     ErrorKind.POOL_EMPTY: Answer(503, 'The pool has no usable target', True),
     ErrorKind.QUEUE_FULL: Answer(429, 'The queue is full', True),
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -125,6 +125,46 @@
     logging.ERROR,
     'An unexpected error ended a request; this is a fault to report.',
 )
+# 22x: the gateway.
+GATEWAY_STARTED = _event(
+    220, 'gateway-started', logging.INFO, 'A gateway process has started.'
+)
+GATEWAY_RELOADED = _event(
+    221,
+    'gateway-reloaded',
+    logging.INFO,
+    'The settings file was read again.',
+)
+GATEWAY_TARGET_CHOSEN = _event(
+    222,
+    'gateway-target-chosen',
+    logging.INFO,
+    'A target was chosen for a request, with what decided it.',
+)
+GATEWAY_ATTEMPT_ENDED = _event(
+    223,
+    'gateway-attempt-ended',
+    logging.INFO,
+    'An attempt at a target ended.',
+)
+GATEWAY_REQUEST_ENDED = _event(
+    224,
+    'gateway-request-ended',
+    logging.INFO,
+    'A request ended, with what its caller was told.',
+)
+GENERATION_CARRIED_OVER = _event(
+    225,
+    'generation-carried-over',
+    logging.INFO,
+    'A generation goes on at another engine.',
+)
+RUN_MOVED = _event(
+    226,
+    'run-moved',
+    logging.INFO,
+    'An engine was asked to copy or stop a run.',
+)
 # 3xx: configuration.
 EDIT_ACCEPTED = _event(
     300, 'edit-accepted', logging.INFO, 'An edit of the tables took effect.'
@@ -204,6 +244,40 @@
     logging.WARNING,
     'A row of the instance list could not be read and was left out.',
 )
+# 32x: the platform's store, as the gateway reads it.
+STORE_REACHABLE = _event(
+    320, 'store-reachable', logging.INFO, 'The store answers again.'
+)
+STORE_UNREACHABLE = _event(
+    321,
+    'store-unreachable',
+    logging.WARNING,
+    'The store does not answer; what is known stays in force.',
+)
+STORE_RECORDS_EXPIRED = _event(
+    322,
+    'store-records-expired',
+    logging.WARNING,
+    'Records that were not read yet are gone; the newest are read instead.',
+)
+STORE_RECORD_INVALID = _event(
+    323,
+    'store-record-invalid',
+    logging.WARNING,
+    'A record of the store cannot be decoded and changes nothing.',
+)
+TABLES_IN_FORCE = _event(
+    324,
+    'tables-in-force',
+    logging.INFO,
+    'A newer version of the tables is in force.',
+)
+TARGET_CHANGED = _event(
+    325,
+    'target-changed',
+    logging.INFO,
+    'A target registered, changed or is gone.',
+)
 # 35x: service calls, claims, leases and orders.
 SERVICE_ATTEMPT_FAILED = _event(
     350,
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of the gateway: routes, targets, placement and budgets."""
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/gateway/events.py
@@ -0,0 +1,81 @@
+"""Splitting of a target's event stream into whole events with ids."""
+
+import attrs
+
+_ID = b'id:'
+# Bound on an event that is not complete yet, against a target that never
+# ends one; events have a few hundred bytes.
+_EVENT_BYTES_MAX = 1_048_576
+
+
+class EventStreamError(Exception):
+    """The bytes of a target are no event stream."""
+
+
+@attrs.define
+class EventCursor:
+    """Follows one generation over all its links.
+
+    Attributes:
+        last_id: Id of the last delivered event; None before the first.
+        delivered: Events that were delivered.
+        duplicates: Events that came again and were dropped.
+    """
+
+    last_id: int | None = None
+    delivered: int = 0
+    duplicates: int = 0
+    _rest: bytes = b''
+
+    @property
+    def at_boundary(self) -> bool:
+        """Whether no part of an event is left over."""
+        return not self._rest
+
+    def start_link(self) -> None:
+        """Forgets the partial event of a link that broke."""
+        self._rest = b''
+
+    def feed(self, chunk: bytes) -> bytes:
+        """Takes bytes of the present link.
+
+        Args:
+            chunk: Bytes, cut anywhere.
+
+        Returns:
+            Whole events that follow the last delivered one.
+
+        Raises:
+            EventStreamError: An event is missing, too large or has no id.
+        """
+        buffer = self._rest + chunk
+        parts = buffer.split(b'\n\n')
+        self._rest = parts.pop()
+        if len(self._rest) > _EVENT_BYTES_MAX:
+            raise EventStreamError('an event is too large')
+        out = [part + b'\n\n' for part in parts if self._take(part)]
+        return b''.join(out)
+
+    def _take(self, event: bytes) -> bool:
+        number = _event_id(event)
+        if self.last_id is not None:
+            if number <= self.last_id:
+                self.duplicates += 1
+                return False
+            if number != self.last_id + 1:
+                raise EventStreamError(
+                    f'event {number} follows event {self.last_id}'
+                )
+        self.last_id = number
+        self.delivered += 1
+        return True
+
+
+def _event_id(event: bytes) -> int:
+    for line in event.split(b'\n'):
+        if line.startswith(_ID):
+            try:
+                return int(line[len(_ID) :])
+            except ValueError:
+                break
+    raise EventStreamError('an event has no numeric id')
--- /dev/null
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -0,0 +1,137 @@
+"""Choice of a target for one request.
+
+Answers the load of the busiest days: long and short generations on engines
+whose memory is nearly full, while some targets are slow, failing or leaving.
+"""
+
+import random
+
+import attrs
+
+from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import targets
+
+# Cost of a target in another availability zone, in requests of load. A
+# crossing costs bytes between zones; one more request in a batch costs time.
+_ZONE_COST = 0.5
+# Prompt tokens whose prefill delays a batch as much as one more running
+# request costs a request of usual length.
+_PREFILL_TOKENS_PER_REQUEST = 1500.0
+# Share of an engine's memory above which a further token is expensive: the
+# engine preempts running requests when the memory is full.
+_MEMORY_KNEE = 0.7
+# Cost of a full memory, in requests of load.
+_MEMORY_COST = 40.0
+# Cost of a target that is avoided; above any load.
+_AVOID_COST = 10_000.0
+# Cost of a target during its warm-up, in requests of load.
+_WARM_UP_COST = 4.0
+
+
+@attrs.frozen
+class Choice:
+    """A target and why it was chosen.
+
+    Attributes:
+        target: The target.
+        cost: Its cost, in requests of load.
+        candidates: How many targets were compared.
+        avoided: Whether every candidate was to be avoided.
+    """
+
+    target: targets.Target
+    cost: float
+    candidates: int
+    avoided: bool
+
+
+@attrs.frozen
+class Placer:
+    """Chooses targets.
+
+    Attributes:
+        zone: Availability zone of this instance.
+        loads: Load of every target.
+        rng: Random source that breaks ties.
+    """
+
+    zone: str
+    loads: gateway_load.LoadBook
+    rng: random.Random
+
+    def choose(
+        self,
+        candidates: list[targets.Target],
+        service: tables.Service,
+        tokens: int,
+        now_s: float,
+        excluded: frozenset[str] | set[str] = frozenset(),
+    ) -> Choice | None:
+        """Chooses the cheapest target that takes work.
+
+        Args:
+            candidates: Targets of the service.
+            service: The service.
+            tokens: Tokens that the request will hold; 0 for plain calls.
+            now_s: Monotonic time.
+            excluded: Targets that must not be used.
+
+        Returns:
+            The choice, or None if no target takes work.
+        """
+        usable = [
+            target
+            for target in candidates
+            if target.state is targets.TargetState.READY
+            and target.target_id not in excluded
+        ]
+        if not usable:
+            return None
+        costs = [
+            (self._cost(target, service, tokens, now_s), target)
+            for target in usable
+        ]
+        cost, target = min(
+            costs, key=lambda pair: (pair[0], self.rng.random())
+        )
+        return Choice(target, cost, len(usable), cost >= _AVOID_COST)
+
+    def choose_backup(
+        self,
+        candidates: list[targets.Target],
+        service: tables.Service,
+        tokens: int,
+        now_s: float,
+        excluded: set[str],
+    ) -> targets.Target | None:
+        """Chooses where a copy of a run's memory is kept, or None."""
+        choice = self.choose(candidates, service, tokens, now_s, excluded)
+        if choice is None or choice.avoided:
+            return None
+        return choice.target
+
+    def _cost(
+        self,
+        target: targets.Target,
+        service: tables.Service,
+        tokens: int,
+        now_s: float,
+    ) -> float:
+        load = self.loads.get(target.target_id)
+        cost = load.running + load.peer_running
+        if target.zone != self.zone:
+            cost += _ZONE_COST
+        if target.warm_up_left_s > 0:
+            cost += _WARM_UP_COST
+        if now_s < load.avoid_until_s:
+            cost += _AVOID_COST
+        if service.engine is not None and service.engine.memory_tokens:
+            held = load.tokens + load.backup_tokens + load.peer_tokens
+            fill = (held + tokens) / service.engine.memory_tokens
+            cost += _MEMORY_COST * max(0.0, fill - _MEMORY_KNEE)
+            cost += load.prefill_tokens / _PREFILL_TOKENS_PER_REQUEST
+        elif target.slots:
+            # A queue behind full slots costs a whole call for each request.
+            cost *= 6.0 / target.slots
+        return cost
--- a/packages/daemon/src/dotterelweird/claims/service.py
+++ b/packages/daemon/src/dotterelweird/claims/service.py
@@ -6,7 +6,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import timers
 from dotterelweir_core.claims import keys
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird.claims import api as claims_api
 from dotterelweird.claims import refusals as claim_errors
 from dotterelweird.claims import stream as claim_stream
--- a/packages/daemon/src/dotterelweird/claims/stream.py
+++ b/packages/daemon/src/dotterelweird/claims/stream.py
@@ -12,7 +12,7 @@
 from dotterelweir_core import timers
 from dotterelweir_core.claims import fold
 from dotterelweir_core.claims import records
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird import scopes
 from dotterelweird.claims import api as claims_api
 from dotterelweird.claims import refusals as claim_errors
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -17,7 +17,7 @@
 from dotterelweir_core.policy import settings as policy_settings
 from dotterelweir_core.tables import matching
 from dotterelweir_core.targets import registry as target_registry
-from dotterelweir_platform import http as platform_http
+from dotterelweir_logservice import http as platform_http
 from dotterelweird import dispatch
 from dotterelweird import instance as instance_module
 from dotterelweird import lifecycle as lifecycle_module
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: forwards requests to the targets of a platform."""
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -0,0 +1,142 @@
+"""One attempt at a target."""
+
+import asyncio
+from collections.abc import Iterator
+import contextlib
+import logging
+
+import aiohttp
+import yarl
+
+from dotterelweir_core import events
+from dotterelweir_core.gateway import targets
+from dotterelweird.gateway import api
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import target_client
+
+LOG = logging.getLogger(__name__)
+
+# Statuses with which the gateway promises that a request has not run. A
+# target's answer with one of them and without its own statement that the
+# request did not run must not reach the caller.
+PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+
+
+@contextlib.contextmanager
+def counted(
+    parts: dependencies.Forwarding,
+    target: targets.Target,
+    tokens: int = 0,
+) -> Iterator[None]:
+    """Counts a request in the load of its target."""
+    load = parts.loads.get(target.target_id)
+    load.running += 1
+    load.tokens += tokens
+    try:
+        yield
+    finally:
+        load.running -= 1
+        load.tokens -= tokens
+
+
+async def send(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    options: api.AttemptOptions,
+) -> aiohttp.ClientResponse:
+    """Sends a request and waits for the head of the answer."""
+    request, target = exchange.request, options.target
+    exchange.tried.add(target.target_id)
+    url = yarl.URL(f'http://{target.address}{request.raw_path}', encoded=True)
+    return await parts.session.request(
+        request.method,
+        url,
+        headers=parts.dialect.attempt_headers(request, options),
+        data=request.body or None,
+        allow_redirects=False,
+    )
+
+
+async def call(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    target: targets.Target,
+    until_s: float,
+) -> exchanges.Outcome:
+    """Sends a plain request and reads the whole answer.
+
+    Args:
+        parts: Shared parts.
+        exchange: The request.
+        target: Where it goes.
+        until_s: Monotonic time at which the attempt is given up.
+    """
+    now_s = parts.timers.monotonic_s()
+    options = api.AttemptOptions(
+        target, exchange.deadline_s - now_s, exchange.organisation_name
+    )
+    answer = None
+    try:
+        async with asyncio.timeout(until_s - now_s):
+            answer = await send(parts, exchange, options)
+            body = await answer.read()
+    except TimeoutError as exc:
+        if target_client.was_never_sent(exc):
+            return exchanges.NeverSent(type(exc).__name__)
+        return exchanges.TimedOut()
+    except aiohttp.ClientError as exc:
+        if target_client.was_never_sent(exc):
+            return exchanges.NeverSent(type(exc).__name__)
+        return exchanges.Broken(f'{type(exc).__name__}: {exc}'[:120])
+    finally:
+        if answer is not None:
+            answer.close()
+    facts = parts.dialect.decode_answer(
+        exchange.request.request_id, answer.status, answer.raw_headers
+    )
+    return classify(answer.status, facts, body)
+
+
+def classify(
+    status: int, facts: api.AnswerFacts, body: bytes
+) -> exchanges.Outcome:
+    """What a whole answer of a target means."""
+    if facts.not_run:
+        return exchanges.NotRun(status)
+    if not facts.own:
+        return exchanges.Broken('answer of another request')
+    if not facts.sealed:
+        return exchanges.Broken('answer without a signature')
+    if status in PROMISING_STATUSES or status < 200:
+        return exchanges.Broken(f'status {status} without a statement')
+    return exchanges.Answered(status, facts.headers, body)
+
+
+def log_end(
+    exchange: exchanges.Exchange,
+    target: targets.Target,
+    outcome: exchanges.Outcome,
+    taken_s: float,
+) -> None:
+    """Logs the end of an attempt."""
+    match outcome:
+        case exchanges.Answered(status=status):
+            end, detail = 'answered', str(status)
+        case exchanges.NotRun(status=status):
+            end, detail = 'not run', str(status)
+        case exchanges.NeverSent(reason=detail):
+            end = 'never sent'
+        case exchanges.Broken(reason=detail):
+            end = 'broken'
+        case exchanges.TimedOut():
+            end, detail = 'timed out', ''
+    events.log(
+        LOG,
+        events.GATEWAY_ATTEMPT_ENDED,
+        request_id=exchange.request.request_id,
+        target_id=target.target_id,
+        end=end,
+        detail=detail,
+        taken_s=round(taken_s, 4),
+    )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -0,0 +1,202 @@
+"""The callers' side: takes requests, finds their route, answers them."""
+
+import asyncio
+import logging
+
+from aiohttp import web
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core.gateway import tables as gateway_tables
+from dotterelweird.gateway import api
+from dotterelweird.gateway import calls
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import following
+from dotterelweird.gateway import generations
+from dotterelweird.gateway import stopping
+
+LOG = logging.getLogger(__name__)
+
+# Bounds of the parser. The tables' own limits are read later; bodies and
+# headers above these are refused before that.
+_HEADER_BYTES_MAX = 65_536
+_BODY_BYTES_MAX = 16_777_216
+# Idle time after which a caller's connection is closed, in seconds. It is
+# well above the usual limit of the tables: callers use most of the limit,
+# and a version with a longer one may arrive while a connection is idle.
+_IDLE_S = 90.0
+
+
+class CallerServer:
+    """Takes requests of callers.
+
+    Args:
+        parts: Shared parts.
+        keeper: The tables in force.
+        stop: Whether the process stops, and since when.
+    """
+
+    def __init__(
+        self,
+        parts: dependencies.Forwarding,
+        keeper: following.TablesKeeper,
+        stop: stopping.StopPlan,
+    ) -> None:
+        self._parts = parts
+        self._keeper = keeper
+        self._stop = stop
+        self._calls = calls.CallForwarder(parts)
+        self.running = 0
+        self.server = web.Server(
+            self._handle,
+            request_factory=self._make_request,
+            handler_cancellation=True,
+            keepalive_timeout=_IDLE_S,
+            access_log=None,
+            max_line_size=_HEADER_BYTES_MAX,
+            max_field_size=_HEADER_BYTES_MAX,
+            auto_decompress=False,
+        )
+
+    def _make_request(
+        self, message, payload, protocol, writer, task
+    ) -> web.BaseRequest:
+        return web.BaseRequest(
+            message,
+            payload,
+            protocol,
+            writer,
+            task,
+            asyncio.get_running_loop(),
+            client_max_size=_BODY_BYTES_MAX,
+        )
+
+    async def _handle(self, caller: web.BaseRequest) -> web.StreamResponse:
+        self.running += 1
+        arrived_s = self._parts.timers.monotonic_s()
+        request: api.CallerRequest | None = None
+        outcome = 'cancelled'
+        try:
+            request = await self._decode(caller)
+            response = await self._answer(caller, request, arrived_s)
+            outcome = str(response.status)
+        except generations.GenerationLost:
+            outcome = 'stream-lost'
+            # An answer that is not whole must not look complete.
+            if caller.transport is not None:
+                caller.transport.abort()
+            raise
+        except errors.DotterelweirError as exc:
+            outcome = exc.kind.value
+            response = self._refusal(request, exc)
+        finally:
+            self.running -= 1
+            self._log_end(request, outcome, arrived_s)
+        if self._stop.stopping:
+            response.force_close()
+        return response
+
+    async def _decode(self, caller: web.BaseRequest) -> api.CallerRequest:
+        try:
+            body = await caller.read()
+            return self._parts.dialect.decode_request(
+                caller.method, caller.raw_path, caller.raw_headers, body
+            )
+        except web.HTTPRequestEntityTooLarge:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.BODY_TOO_LARGE
+            ) from None
+        except ValueError as exc:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.MALFORMED_REQUEST, str(exc)
+            ) from exc
+
+    async def _answer(
+        self,
+        caller: web.BaseRequest,
+        request: api.CallerRequest,
+        arrived_s: float,
+    ) -> web.StreamResponse:
+        exchange = self._route(request, arrived_s)
+        if exchange.route.kind is not gateway_tables.RequestKind.STREAM:
+            answered = await self._calls.forward(exchange)
+            return self._whole(answered)
+        generation = generations.Generation(self._parts, exchange, caller)
+        result = await generation.forward()
+        if isinstance(result, exchanges.Answered):
+            return self._whole(result)
+        return result
+
+    def _route(
+        self, request: api.CallerRequest, arrived_s: float
+    ) -> exchanges.Exchange:
+        tables = self._keeper.current
+        if tables is None:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.NOT_READY, retry_after_s=0.5
+            )
+        route = tables.match(request.host, request.path)
+        if route is None:
+            raise errors.DotterelweirError(errors.ErrorKind.ROUTE_NOT_FOUND)
+        organisation = None
+        if tables.organisations is not None and not route.public:
+            organisation = tables.organisations.get(request.key)
+            if organisation is None:
+                raise errors.DotterelweirError(errors.ErrorKind.KEY_UNKNOWN)
+        service = tables.services.get(route.pick_service(self._parts.rng))
+        if service is None:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.POOL_EMPTY, retry_after_s=0.5
+            )
+        timeout_s = route.timeout_s
+        if request.timeout_s is not None:
+            timeout_s = min(timeout_s, request.timeout_s)
+        return exchanges.Exchange(
+            request,
+            route,
+            service,
+            organisation,
+            tables.version,
+            arrived_s,
+            arrived_s + timeout_s,
+        )
+
+    def _whole(self, answered: exchanges.Answered) -> web.Response:
+        response = web.Response(status=answered.status, body=answered.body)
+        response.headers.clear()
+        for name, value in answered.headers:
+            response.headers.add(name, value)
+        return response
+
+    def _refusal(
+        self,
+        request: api.CallerRequest | None,
+        error: errors.DotterelweirError,
+    ) -> web.Response:
+        retry_after_s = error.retry_after_s
+        return web.Response(
+            status=error.answer.status,
+            text=error.detail + '\n',
+            headers=self._parts.dialect.refusal_headers(
+                request.request_id if request else '', retry_after_s
+            ),
+        )
+
+    def _log_end(
+        self,
+        request: api.CallerRequest | None,
+        outcome: str,
+        arrived_s: float,
+    ) -> None:
+        taken_s = self._parts.timers.monotonic_s() - arrived_s
+        self._parts.statistics.requests.inc({'outcome': outcome})
+        self._parts.statistics.answer_s.observe({}, taken_s)
+        events.log(
+            LOG,
+            events.GATEWAY_REQUEST_ENDED,
+            request_id=request.request_id if request else '',
+            path=request.path if request else '',
+            outcome=outcome,
+            taken_s=round(taken_s, 4),
+        )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -0,0 +1,122 @@
+"""Forwards calls of plain services."""
+
+import logging
+
+from dotterelweir_core import events
+from dotterelweird.gateway import attempts
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import refusing
+
+LOG = logging.getLogger(__name__)
+
+# Share of the time left that the first attempt of a repeatable call gets:
+# a second target must still have time to answer.
+_FIRST_SHARE = 0.5
+# Targets that are tried after others refused or could not be reached.
+_TARGETS_MAX = 4
+
+
+class CallForwarder:
+    """Forwards plain calls; repeats only what may be repeated."""
+
+    def __init__(self, parts: dependencies.Forwarding) -> None:
+        self._parts = parts
+
+    async def forward(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.Answered:
+        """Forwards one call.
+
+        Raises:
+            DotterelweirError: The call got no answer of a target.
+        """
+        budget = self._parts.budget(exchange.service)
+        budget.record_request(self._parts.timers.monotonic_s())
+        failed: exchanges.Answered | None = None
+        last: exchanges.Outcome | None = None
+        arrived = False
+        while len(exchange.tried) < _TARGETS_MAX:
+            now_s = self._parts.timers.monotonic_s()
+            if now_s >= exchange.deadline_s:
+                break
+            if arrived and not budget.take(now_s):
+                break
+            outcome = await self._attempt(exchange)
+            if outcome is None:
+                break
+            last = outcome
+            match outcome:
+                case exchanges.Answered(status=status):
+                    if status < 500 or not exchange.route.repeatable:
+                        return outcome
+                    failed = outcome
+                    exchange.record_run()
+                case exchanges.Broken() | exchanges.TimedOut():
+                    exchange.record_run()
+                    if not exchange.route.repeatable:
+                        break
+                case exchanges.NotRun() | exchanges.NeverSent():
+                    pass
+            arrived = arrived or not isinstance(outcome, exchanges.NeverSent)
+            if exchange.runs >= exchange.route.attempts_max:
+                break
+        if failed is not None:
+            return failed
+        raise refusing.error_after(self._parts, exchange, last)
+
+    async def _attempt(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.Outcome | None:
+        parts = self._parts
+        now_s = parts.timers.monotonic_s()
+        choice = parts.placer.choose(
+            parts.directory.of_service(exchange.service.name),
+            exchange.service,
+            0,
+            now_s,
+            exchange.tried,
+        )
+        if choice is None:
+            return None
+        target = choice.target
+        until_s = exchange.deadline_s
+        first = exchange.runs + 1 < exchange.route.attempts_max
+        if exchange.route.repeatable and first:
+            until_s = now_s + _FIRST_SHARE * (exchange.deadline_s - now_s)
+        events.log(
+            LOG,
+            events.GATEWAY_TARGET_CHOSEN,
+            request_id=exchange.request.request_id,
+            target_id=target.target_id,
+            cost=round(choice.cost, 2),
+            candidates=choice.candidates,
+            tables_version=exchange.tables_version,
+        )
+        with attempts.counted(parts, target):
+            outcome = await attempts.call(parts, exchange, target, until_s)
+        ended_s = parts.timers.monotonic_s()
+        attempts.log_end(exchange, target, outcome, ended_s - now_s)
+        self._record(target.target_id, outcome, ended_s - now_s, ended_s)
+        return outcome
+
+    def _record(
+        self,
+        target_id: str,
+        outcome: exchanges.Outcome,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        load = self._parts.loads.get(target_id)
+        match outcome:
+            case exchanges.Answered(status=status) if status < 500:
+                load.record_success(taken_s, now_s)
+            case exchanges.Answered():
+                # Some answers fail at every target; alone they say little.
+                pass
+            case exchanges.NotRun():
+                load.record_refusal(now_s)
+            case exchanges.NeverSent():
+                load.record_unreachable(now_s)
+            case exchanges.Broken() | exchanges.TimedOut():
+                load.record_failure(now_s)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -0,0 +1,171 @@
+"""The composition root of the gateway."""
+
+import asyncio
+import logging
+import random
+import signal
+import sys
+
+from aiohttp import web
+
+from dotterelweir_core import events
+from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import placement
+from dotterelweir_core.gateway import targets
+from dotterelweird import lifecycle
+from dotterelweird import logs
+from dotterelweird import timers
+from dotterelweird.gateway import api
+from dotterelweird.gateway import caller_server
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import following
+from dotterelweird.gateway import settings as gateway_settings
+from dotterelweird.gateway import statistics
+from dotterelweird.gateway import stopping
+from dotterelweird.gateway import target_client
+
+LOG = logging.getLogger(__name__)
+
+# Between two looks at whether a stopping process may end, in seconds.
+_STOP_CHECK_S = 0.05
+
+
+async def run(
+    settings: gateway_settings.GatewaySettings, adapter: api.Adapter
+) -> None:
+    """Runs a gateway until it is asked to stop and has drained."""
+    logs.configure('INFO', settings.instance_id, settings.zone, sys.stdout)
+    gateway = Gateway(settings, adapter)
+    await gateway.run()
+
+
+class Gateway:
+    """Wires all parts of a gateway process."""
+
+    def __init__(
+        self,
+        settings: gateway_settings.GatewaySettings,
+        adapter: api.Adapter,
+    ) -> None:
+        loop = asyncio.get_running_loop()
+        self._settings = settings
+        self._timers = timers.LoopTimerService(loop)
+        self._rng = random.Random()
+        self._lifecycle = lifecycle.Lifecycle()
+        self._stop = stopping.StopPlan(settings.grace_s)
+        self._statistics = statistics.Statistics()
+        self._session = target_client.open_session()
+        self._store_session = target_client.open_store_session()
+        self._directory = targets.TargetDirectory()
+        self._loads = load.LoadBook()
+        dialect = adapter.dialect()
+        self._ready_path = dialect.ready_path
+        self._parts = dependencies.Forwarding(
+            settings,
+            self._timers,
+            self._session,
+            dialect,
+            adapter.run_control(self._session),
+            self._directory,
+            self._loads,
+            placement.Placer(settings.zone, self._loads, self._rng),
+            self._statistics,
+            self._rng,
+        )
+        store = adapter.store(self._store_session)
+        self._tables = following.TablesKeeper(store)
+        self._targets = following.TargetsKeeper(store, self._directory)
+        self._tables_follower = following.StreamFollower(
+            store,
+            api.StoreStream.TABLES,
+            self._timers,
+            self._rng,
+            following.TABLES_WAIT_S,
+            0.0,
+            self._tables.apply,
+            self._tables.apply,
+        )
+        self._targets_follower = following.StreamFollower(
+            store,
+            api.StoreStream.TARGETS,
+            self._timers,
+            self._rng,
+            following.TARGETS_WAIT_S,
+            following.TARGETS_PERIOD_S,
+            self._targets.apply_snapshot,
+            self._targets.apply,
+        )
+        self._callers = caller_server.CallerServer(
+            self._parts, self._tables, self._stop
+        )
+
+    async def run(self) -> None:
+        """Serves until a stop was asked for and everything has ended."""
+        settings = self._settings
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        events.log(
+            LOG, events.GATEWAY_STARTED, instance_id=settings.instance_id
+        )
+        followers = [
+            asyncio.create_task(self._tables_follower.run()),
+            asyncio.create_task(self._targets_follower.run()),
+        ]
+        servers = [
+            await loop.create_server(
+                self._callers.server,
+                settings.callers.host,
+                settings.callers.port,
+                backlog=1024,
+            ),
+            await self._serve_plain(settings.ready, self._answer_ready),
+        ]
+        if settings.metrics is not None:
+            servers.append(
+                await self._serve_plain(settings.metrics, self._answer_metrics)
+            )
+        while not self._stop.may_end(
+            self._timers.monotonic_s(), self._callers.running
+        ):
+            await timers.sleep(self._timers, _STOP_CHECK_S)
+        for server in servers:
+            server.close()
+        for follower in followers:
+            follower.cancel()
+        self._lifecycle.stop()
+        await self._callers.server.shutdown(0.05)
+        await self._session.close()
+        await self._store_session.close()
+
+    async def _serve_plain(
+        self, address: gateway_settings.Address, handler
+    ) -> asyncio.Server:
+        return await asyncio.get_running_loop().create_server(
+            web.Server(handler, access_log=None), address.host, address.port
+        )
+
+    async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
+        if request.path != self._ready_path:
+            return web.Response(status=404)
+        return web.Response(status=200 if self._is_ready() else 503)
+
+    def _is_ready(self) -> bool:
+        if self._stop.stopping or self._tables.current is None:
+            return False
+        return self._targets_follower.read_at_s > 0.0
+
+    async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        body, headers = self._statistics.render(
+            request.headers.get('Accept', '')
+        )
+        return web.Response(body=body, headers=headers)
+
+    def _begin_stop(self) -> None:
+        if not self._stop.stopping:
+            self._stop.since_s = self._timers.monotonic_s()
+            self._lifecycle.drain()
+
+    def _reload(self) -> None:
+        events.log(LOG, events.GATEWAY_RELOADED)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -0,0 +1,65 @@
+"""Parts that the forwarding of requests shares."""
+
+import random
+
+import aiohttp
+import attrs
+
+from dotterelweir_core import timers
+from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import placement
+from dotterelweir_core.gateway import repeats
+from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import targets
+from dotterelweird.gateway import api
+from dotterelweird.gateway import settings as gateway_settings
+from dotterelweird.gateway import statistics
+
+
+@attrs.define
+class Forwarding:
+    """Parts that the forwarding of requests shares.
+
+    Attributes:
+        settings: Settings of the process.
+        timers: The timer service.
+        session: HTTP client for targets.
+        dialect: Names and formats of the platform.
+        runs: Control of runs at model engines.
+        directory: The registered targets.
+        loads: Load of each target.
+        placer: Chooses targets.
+        statistics: Counters and histograms.
+        rng: Random source.
+    """
+
+    settings: gateway_settings.GatewaySettings
+    timers: timers.TimerService
+    session: aiohttp.ClientSession
+    dialect: api.Dialect
+    runs: api.RunControl
+    directory: targets.TargetDirectory
+    loads: load.LoadBook
+    placer: placement.Placer
+    statistics: statistics.Statistics
+    rng: random.Random
+    instances: int = repeats.DEFAULT_INSTANCES
+    _budgets: dict[str, repeats.RepeatBudget] = attrs.field(factory=dict)
+
+    def budget(self, service: tables.Service) -> repeats.RepeatBudget:
+        """The repeat budget of a service."""
+        budget = self._budgets.get(service.name)
+        if budget is None:
+            budget = self._budgets[service.name] = repeats.RepeatBudget(
+                self.settings.repeat_ratio,
+                self.settings.repeat_burst,
+                self.settings.repeat_window_s,
+                self.instances,
+            )
+        return budget
+
+    def set_instances(self, instances: int) -> None:
+        """Sets how many instances share the repeat budgets."""
+        self.instances = instances
+        for budget in self._budgets.values():
+            budget.instances = instances
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -0,0 +1,89 @@
+"""One request and what was decided about it so far."""
+
+import attrs
+
+from dotterelweir_core.gateway import tables
+from dotterelweird.gateway import api
+
+
+@attrs.define
+class Exchange:
+    """One request of a caller on its way to a target.
+
+    Attributes:
+        request: The request.
+        route: Its route.
+        service: Its service.
+        organisation: Its organisation, if keys are in use.
+        tables_version: Version of the tables that chose the route.
+        arrived_s: Monotonic time of its arrival.
+        deadline_s: Monotonic time at which it is given up.
+        tried: Targets that got it or could not be reached.
+        runs: Runs from the start that may have begun.
+        may_have_run: Whether any target may have begun to run it; a
+            refusal must then not say that it has not run.
+    """
+
+    request: api.CallerRequest
+    route: tables.Route
+    service: tables.Service
+    organisation: tables.Organisation | None
+    tables_version: int
+    arrived_s: float
+    deadline_s: float
+    tried: set[str] = attrs.field(factory=set)
+    runs: int = 0
+    may_have_run: bool = False
+
+    def record_run(self) -> None:
+        """Takes note of a run from the start that may have begun."""
+        self.runs += 1
+        self.may_have_run = True
+
+    @property
+    def organisation_name(self) -> str | None:
+        """Name of the organisation, if there is one."""
+        return self.organisation.name if self.organisation else None
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that a run is expected to hold at its end."""
+        return self.request.prompt_tokens + self.request.output_tokens_expected
+
+
+@attrs.frozen
+class Answered:
+    """A target gave a whole answer of its own."""
+
+    status: int
+    headers: api.Headers
+    body: bytes
+
+
+@attrs.frozen
+class NotRun:
+    """A target states that the request did not run."""
+
+    status: int
+
+
+@attrs.frozen
+class NeverSent:
+    """No byte of the request reached a target."""
+
+    reason: str
+
+
+@attrs.frozen
+class Broken:
+    """An attempt ended without a whole answer; the request may have run."""
+
+    reason: str
+
+
+@attrs.frozen
+class TimedOut:
+    """An attempt did not end in time; the request may have run."""
+
+
+Outcome = Answered | NotRun | NeverSent | Broken | TimedOut
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -0,0 +1,235 @@
+"""Follows the tables and the targets in the platform's store."""
+
+from collections.abc import Callable
+import logging
+import random
+
+from dotterelweir_core import backoff
+from dotterelweir_core import events
+from dotterelweir_core import timers as core_timers
+from dotterelweir_core.gateway import tables as gateway_tables
+from dotterelweir_core.gateway import targets as gateway_targets
+from dotterelweird import timers
+from dotterelweird.gateway import api
+
+LOG = logging.getLogger(__name__)
+
+# Longest time that one read waits for a change of the tables. A connection
+# that went silent is noticed after it, so it stays below the bound within
+# which a change must be in force.
+TABLES_WAIT_S = 1.5
+TARGETS_WAIT_S = 1.0
+# Least time between two reads of the targets: every heartbeat is a record,
+# and each read has a price.
+TARGETS_PERIOD_S = 0.45
+# Delays between failed calls, in seconds.
+_RETRY_FIRST_S = 0.1
+_RETRY_CAP_S = 0.8
+
+
+class StreamFollower:
+    """Reads one stream from its newest state on.
+
+    Args:
+        store: The platform's store.
+        stream: The stream.
+        timer_service: The timer service.
+        rng: Random source of the delays.
+        wait_s: Longest time that one read waits.
+        period_s: Least time between two reads.
+        apply_snapshot: Takes the newest record of every key.
+        apply_records: Takes further records in order.
+    """
+
+    def __init__(
+        self,
+        store: api.Store,
+        stream: api.StoreStream,
+        timer_service: core_timers.TimerService,
+        rng: random.Random,
+        wait_s: float,
+        period_s: float,
+        apply_snapshot: Callable[[api.Batch], None],
+        apply_records: Callable[[api.Batch], None],
+    ) -> None:
+        self._store = store
+        self._stream = stream
+        self._timers = timer_service
+        self._backoff = backoff.Backoff(rng, _RETRY_FIRST_S, _RETRY_CAP_S)
+        self._wait_s = wait_s
+        self._period_s = period_s
+        self._apply_snapshot = apply_snapshot
+        self._apply_records = apply_records
+        self._offset: int | None = None
+        self.available = False
+        self.available_since_s = 0.0
+        self.read_at_s = 0.0
+
+    async def run(self) -> None:
+        """Follows the stream until it is cancelled."""
+        while True:
+            try:
+                await self._step()
+            except api.RecordsExpired:
+                events.log(
+                    LOG,
+                    events.STORE_RECORDS_EXPIRED,
+                    stream=self._stream.value,
+                    offset=self._offset,
+                )
+                self._offset = None
+            except api.StoreUnavailable as exc:
+                self._mark_unavailable(str(exc))
+                delay_s = self._backoff.next_delay_s()
+                await timers.sleep(self._timers, delay_s or _RETRY_CAP_S)
+            else:
+                self._mark_available()
+                if self._period_s:
+                    await timers.sleep(self._timers, self._period_s)
+
+    async def _step(self) -> None:
+        if self._offset is None:
+            batch = await self._store.newest(self._stream)
+            self._apply_snapshot(batch)
+        else:
+            batch = await self._store.read(
+                self._stream, self._offset, self._wait_s
+            )
+            self._apply_records(batch)
+        self._offset = batch.end
+
+    def _mark_available(self) -> None:
+        now_s = self._timers.monotonic_s()
+        self.read_at_s = now_s
+        self._backoff.reset()
+        if not self.available:
+            self.available = True
+            self.available_since_s = now_s
+            events.log(LOG, events.STORE_REACHABLE, stream=self._stream.value)
+
+    def _mark_unavailable(self, reason: str) -> None:
+        if self.available or self.read_at_s == 0.0:
+            events.log(
+                LOG,
+                events.STORE_UNREACHABLE,
+                stream=self._stream.value,
+                reason=reason,
+            )
+        self.available = False
+
+
+class TablesKeeper:
+    """The tables in force; never an older version after a newer one."""
+
+    def __init__(self, store: api.Store) -> None:
+        self._store = store
+        self.current: gateway_tables.Tables | None = None
+        self._listeners: list[Callable[[gateway_tables.Tables], None]] = []
+
+    def subscribe(
+        self, listener: Callable[[gateway_tables.Tables], None]
+    ) -> None:
+        """Calls a function with each new version."""
+        self._listeners.append(listener)
+
+    def apply(self, batch: api.Batch) -> None:
+        """Puts the newest tables of a batch in force."""
+        for record in batch.records:
+            try:
+                decoded = self._store.decode_tables(record)
+            except api.RecordInvalid as exc:
+                events.log(
+                    LOG,
+                    events.STORE_RECORD_INVALID,
+                    key=record.key,
+                    offset=record.offset,
+                    reason=str(exc),
+                )
+                continue
+            if decoded is not None:
+                self._put_in_force(decoded, record.offset)
+
+    def _put_in_force(
+        self, decoded: gateway_tables.Tables, offset: int
+    ) -> None:
+        before = self.current.version if self.current else None
+        if before is not None and decoded.version <= before:
+            return
+        self.current = decoded
+        events.log(
+            LOG,
+            events.TABLES_IN_FORCE,
+            version=decoded.version,
+            previous_version=before,
+            offset=offset,
+            routes=len(decoded.routes),
+        )
+        for listener in self._listeners:
+            listener(decoded)
+
+
+class TargetsKeeper:
+    """The registered targets."""
+
+    def __init__(
+        self,
+        store: api.Store,
+        directory: gateway_targets.TargetDirectory,
+    ) -> None:
+        self._store = store
+        self._directory = directory
+        self._listeners: list[
+            Callable[[gateway_targets.TargetChange], None]
+        ] = []
+
+    def subscribe(
+        self, listener: Callable[[gateway_targets.TargetChange], None]
+    ) -> None:
+        """Calls a function with each change of a target."""
+        self._listeners.append(listener)
+
+    def apply_snapshot(self, batch: api.Batch) -> None:
+        """Takes the newest record of every target."""
+        records = {}
+        for record in batch.records:
+            try:
+                decoded = self._store.decode_target(record)
+            except api.RecordInvalid as exc:
+                self._log_invalid(record, exc)
+                decoded = None
+            records[record.key] = (decoded, record.offset)
+        for change in self._directory.apply_snapshot(records, batch.end):
+            self._announce(change)
+
+    def apply(self, batch: api.Batch) -> None:
+        """Takes further records in order."""
+        for record in batch.records:
+            try:
+                decoded = self._store.decode_target(record)
+            except api.RecordInvalid as exc:
+                self._log_invalid(record, exc)
+                continue
+            change = self._directory.apply(record.key, decoded, record.offset)
+            if change is not None:
+                self._announce(change)
+
+    def _log_invalid(self, record: api.Record, exc: Exception) -> None:
+        events.log(
+            LOG,
+            events.STORE_RECORD_INVALID,
+            key=record.key,
+            offset=record.offset,
+            reason=str(exc),
+        )
+
+    def _announce(self, change: gateway_targets.TargetChange) -> None:
+        events.log(
+            LOG,
+            events.TARGET_CHANGED,
+            target_id=change.target_id,
+            service=(change.after or change.before).service,
+            before=change.before.state.value if change.before else 'absent',
+            after=change.after.state.value if change.after else 'gone',
+        )
+        for listener in self._listeners:
+            listener(change)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -0,0 +1,393 @@
+"""Forwards streamed generations and carries them over to other engines.
+
+A generation of an engine that dies or leaves goes on at another one: from
+the copy of its memory that the engine kept there, or from what a move of
+the run left. It counts as the same run, so the old engine must have stopped
+before the new one starts.
+"""
+
+import asyncio
+import logging
+
+import aiohttp
+from aiohttp import web
+import attrs
+
+from dotterelweir_core import errors
+from dotterelweir_core import events
+from dotterelweir_core.gateway import events as gateway_events
+from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import targets
+from dotterelweird.gateway import api
+from dotterelweird.gateway import attempts
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import refusing
+from dotterelweird.gateway import target_client
+
+LOG = logging.getLogger(__name__)
+
+# Targets that one request is sent to before it is given up, whether they
+# ran it or not.
+_TARGETS_MAX = 6
+# Silence in the middle of a stream after which its engine is asked to stop
+# it, in seconds: several times the pause of a preempted or slowed run.
+_SILENCE_S = 1.0
+# Bound on the call that stops a run at its old engine, in seconds. A copy
+# takes up to a quarter of a second between availability zones.
+_STOP_TIMEOUT_S = 0.4
+# Share of the objective after which a resumable request that has no first
+# event is sent to another engine.
+_FIRST_EVENT_SHARE = 1.4
+
+
+@attrs.frozen
+class Complete:
+    """The generation reached its end."""
+
+
+@attrs.frozen
+class Interrupted:
+    """The link to the engine ended before the generation did.
+
+    Attributes:
+        reason: Why.
+        silent: Whether the engine may still be connected and running.
+    """
+
+    reason: str
+    silent: bool = False
+
+
+StreamOutcome = exchanges.Outcome | Complete | Interrupted
+
+
+@attrs.define
+class _Run:
+    """Where a generation runs, and where its copy is."""
+
+    target: targets.Target
+    backup: targets.Target | None = None
+    copy: api.RunCopy | None = None
+
+
+class Generation:
+    """One streamed request.
+
+    Args:
+        parts: Shared parts.
+        exchange: The request.
+        caller: The caller's connection.
+    """
+
+    def __init__(
+        self,
+        parts: dependencies.Forwarding,
+        exchange: exchanges.Exchange,
+        caller: web.BaseRequest,
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._caller = caller
+        self._cursor = gateway_events.EventCursor(
+            exchange.request.last_event_id
+        )
+        self._response: web.StreamResponse | None = None
+        self._started = False
+
+    async def forward(self) -> web.StreamResponse | exchanges.Answered:
+        """Forwards the generation.
+
+        Returns:
+            The finished response, or a target's answer that is no stream.
+
+        Raises:
+            DotterelweirError: Nothing was sent to the caller yet and no
+                target gives an answer.
+        """
+        exchange = self._exchange
+        budget = self._parts.budget(exchange.service)
+        budget.record_request(self._parts.timers.monotonic_s())
+        run = self._place()
+        last: StreamOutcome | None = None
+        while run is not None:
+            last = await self._attempt(run)
+            if isinstance(last, Interrupted):
+                exchange.may_have_run = True
+            match last:
+                case Complete():
+                    await self._response.write_eof()
+                    return self._response
+                case exchanges.Answered() if not self._started:
+                    return last
+            now_s = self._parts.timers.monotonic_s()
+            if now_s >= exchange.deadline_s:
+                break
+            arrived = not isinstance(last, exchanges.NeverSent)
+            if arrived and not budget.take(now_s):
+                break
+            if len(exchange.tried) >= _TARGETS_MAX:
+                break
+            run = await self._next_run(run, last)
+        return self._give_up(last)
+
+    def _place(self) -> _Run | None:
+        """Chooses a target that starts the generation anew."""
+        exchange = self._exchange
+        now_s = self._parts.timers.monotonic_s()
+        choice = self._parts.placer.choose(
+            self._parts.directory.of_service(exchange.service.name),
+            exchange.service,
+            exchange.tokens,
+            now_s,
+            exchange.tried,
+        )
+        if choice is None:
+            return None
+        run = _Run(choice.target, self._choose_backup(choice.target))
+        events.log(
+            LOG,
+            events.GATEWAY_TARGET_CHOSEN,
+            request_id=exchange.request.request_id,
+            target_id=choice.target.target_id,
+            cost=round(choice.cost, 2),
+            candidates=choice.candidates,
+            backup_id=run.backup.target_id if run.backup else None,
+            tables_version=exchange.tables_version,
+        )
+        return run
+
+    def _choose_backup(self, target: targets.Target) -> targets.Target | None:
+        exchange = self._exchange
+        engine = exchange.service.engine
+        if engine is None or not engine.can_back_up:
+            return None
+        if exchange.route.resumable:
+            # Cheap to generate again.
+            return None
+        return self._parts.placer.choose_backup(
+            self._parts.directory.of_service(exchange.service.name),
+            exchange.service,
+            exchange.tokens,
+            self._parts.timers.monotonic_s(),
+            {target.target_id} | exchange.tried,
+        )
+
+    async def _attempt(self, run: _Run) -> StreamOutcome:
+        parts, exchange = self._parts, self._exchange
+        sent_s = parts.timers.monotonic_s()
+        load = parts.loads.get(run.target.target_id)
+        with attempts.counted(parts, run.target, exchange.tokens):
+            load.prefill_tokens += exchange.request.prompt_tokens
+            delivered = self._cursor.delivered
+            try:
+                outcome = await self._exchange_stream(run, load)
+            finally:
+                if self._cursor.delivered == delivered:
+                    load.prefill_tokens -= exchange.request.prompt_tokens
+        now_s = parts.timers.monotonic_s()
+        match outcome:
+            case Complete():
+                load.record_success(now_s - sent_s, now_s)
+            case exchanges.NotRun():
+                load.record_refusal(now_s)
+            case exchanges.NeverSent():
+                load.record_unreachable(now_s)
+            case exchanges.Broken() | exchanges.TimedOut() | Interrupted():
+                load.record_failure(now_s)
+        self._log_attempt(run, outcome, now_s - sent_s)
+        return outcome
+
+    def _log_attempt(
+        self, run: _Run, outcome: StreamOutcome, taken_s: float
+    ) -> None:
+        match outcome:
+            case Complete():
+                end, detail = 'complete', ''
+            case Interrupted(reason=detail):
+                end = 'interrupted'
+            case _:
+                attempts.log_end(self._exchange, run.target, outcome, taken_s)
+                return
+        events.log(
+            LOG,
+            events.GATEWAY_ATTEMPT_ENDED,
+            request_id=self._exchange.request.request_id,
+            target_id=run.target.target_id,
+            end=end,
+            detail=detail,
+            events=self._cursor.delivered,
+            last_event_id=self._cursor.last_id,
+            taken_s=round(taken_s, 4),
+        )
+
+    async def _exchange_stream(
+        self, run: _Run, load: gateway_load.TargetLoad
+    ) -> StreamOutcome:
+        parts, exchange = self._parts, self._exchange
+        self._cursor.start_link()
+        now_s = parts.timers.monotonic_s()
+        options = api.AttemptOptions(
+            run.target,
+            exchange.deadline_s - now_s,
+            exchange.organisation_name,
+            backup=run.backup,
+            copy=run.copy,
+            last_event_id=self._cursor.last_id,
+        )
+        answer: aiohttp.ClientResponse | None = None
+        try:
+            async with asyncio.timeout(
+                self._first_event_bound_s()
+            ) as watchdog:
+                answer = await attempts.send(parts, exchange, options)
+                facts = parts.dialect.decode_answer(
+                    exchange.request.request_id,
+                    answer.status,
+                    answer.raw_headers,
+                )
+                if answer.status != 200 or not (facts.own and facts.sealed):
+                    body = await answer.read()
+                    return attempts.classify(answer.status, facts, body)
+                return await self._relay(answer, facts, watchdog, load)
+        except TimeoutError as exc:
+            if target_client.was_never_sent(exc):
+                return exchanges.NeverSent(type(exc).__name__)
+            return Interrupted('silence', silent=True)
+        except gateway_events.EventStreamError as exc:
+            return Interrupted(str(exc), silent=True)
+        except aiohttp.ClientError as exc:
+            if target_client.was_never_sent(exc):
+                return exchanges.NeverSent(type(exc).__name__)
+            return Interrupted(f'{type(exc).__name__}: {exc}'[:120])
+        finally:
+            if answer is not None:
+                answer.close()
+
+    def _first_event_bound_s(self) -> float:
+        exchange = self._exchange
+        left_s = exchange.deadline_s - self._parts.timers.monotonic_s()
+        if self._started:
+            return min(left_s, _SILENCE_S)
+        if exchange.route.resumable:
+            return min(left_s, _FIRST_EVENT_SHARE * exchange.route.objective_s)
+        return left_s
+
+    async def _relay(
+        self,
+        answer: aiohttp.ClientResponse,
+        facts: api.AnswerFacts,
+        watchdog: asyncio.Timeout,
+        load: gateway_load.TargetLoad,
+    ) -> StreamOutcome:
+        loop = asyncio.get_running_loop()
+        deadline_s = self._exchange.deadline_s
+        waiting_for_first = True
+        async for chunk in answer.content.iter_any():
+            out = self._cursor.feed(chunk)
+            if not out:
+                continue
+            if waiting_for_first:
+                waiting_for_first = False
+                load.prefill_tokens -= self._exchange.request.prompt_tokens
+            if self._response is None:
+                await self._start_response(facts)
+            await self._response.write(out)
+            watchdog.reschedule(min(deadline_s, loop.time() + _SILENCE_S))
+        if not self._cursor.at_boundary:
+            return Interrupted('ended within an event')
+        if self._response is None:
+            await self._start_response(facts)
+        return Complete()
+
+    async def _start_response(self, facts: api.AnswerFacts) -> None:
+        parts, exchange = self._parts, self._exchange
+        self._response = web.StreamResponse(status=200)
+        for name, value in facts.headers:
+            self._response.headers.add(name, value)
+        self._response.enable_chunked_encoding()
+        self._started = True
+        await self._response.prepare(self._caller)
+        parts.statistics.first_byte_s.observe(
+            {'route': exchange.route.name},
+            parts.timers.monotonic_s() - exchange.arrived_s,
+        )
+
+    async def _next_run(self, run: _Run, last: StreamOutcome) -> _Run | None:
+        match last:
+            case Interrupted():
+                return await self._carry_over(run, last)
+            case exchanges.NeverSent() | exchanges.NotRun():
+                if run.copy is not None:
+                    # Without the copy only a resumable route may go on.
+                    return self._restart()
+                return self._place()
+            case _:
+                self._exchange.record_run()
+                return self._restart()
+
+    async def _carry_over(self, run: _Run, last: Interrupted) -> _Run | None:
+        exchange = self._exchange
+        if run.backup is None:
+            exchange.record_run()
+            return self._restart()
+        move = await self._parts.runs.move(
+            exchange.request.request_id,
+            run.target,
+            run.backup,
+            final=True,
+            timeout_s=_STOP_TIMEOUT_S,
+        )
+        match move.result:
+            case api.MoveResult.MOVED:
+                place = run.backup
+                copy = api.RunCopy(run.target.address, move.handle)
+            case api.MoveResult.STOPPED:
+                place = run.target
+                copy = api.RunCopy(run.target.address, move.handle)
+            case _:
+                place = run.backup
+                copy = api.RunCopy(
+                    run.backup.address, exchange.request.request_id
+                )
+        resumed = _Run(place, self._choose_backup(place), copy)
+        self._parts.statistics.recoveries.inc(
+            {'way': move.result.name.lower()}
+        )
+        events.log(
+            LOG,
+            events.GENERATION_CARRIED_OVER,
+            request_id=exchange.request.request_id,
+            source=run.target.target_id,
+            target_id=place.target_id,
+            way=move.result.value,
+            reason=last.reason,
+            last_event_id=self._cursor.last_id,
+        )
+        return resumed
+
+    def _restart(self) -> _Run | None:
+        exchange = self._exchange
+        if not exchange.route.resumable:
+            return None
+        if exchange.runs >= exchange.route.attempts_max:
+            return None
+        return self._place()
+
+    def _give_up(self, last: StreamOutcome | None) -> web.StreamResponse:
+        exchange = self._exchange
+        if not self._started:
+            if isinstance(last, Interrupted) and last.silent:
+                last = exchanges.TimedOut()
+            raise refusing.error_after(self._parts, exchange, last)
+        raise GenerationLost
+
+
+class GenerationLost(errors.DotterelweirError):
+    """A generation ended after part of it reached the caller."""
+
+    def __init__(self) -> None:
+        super().__init__(
+            errors.ErrorKind.GENERATION_LOST,
+            execution=errors.Execution.RAN,
+        )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -0,0 +1,67 @@
+"""Counters and latency histograms of the gateway."""
+
+import aioprometheus
+from aioprometheus import renderer
+
+# Upper bounds of the latency histograms, in seconds: around the objectives
+# of plain calls (0.1 to 0.4) and of first events (1.5 to 1.8).
+_BUCKETS_S = [0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 1.8, 3, 6, 12, 40]
+
+
+class Statistics:
+    """All metrics of a gateway process.
+
+    Attributes:
+        requests: Requests that ended, by route kind and outcome.
+        attempts: Attempts at targets, by target and end.
+        recoveries: Streams that went on after their target, by way.
+        first_byte_s: Time to the first byte of an answer, in seconds.
+        answer_s: Time to the end of an answer, in seconds.
+        running: Requests in flight.
+        tables_version: Version of the tables in force.
+        store_calls: Calls to the platform's store, by outcome.
+    """
+
+    def __init__(self) -> None:
+        self._registry = aioprometheus.Registry()
+        self.requests = aioprometheus.Counter(
+            'dotterelweir_gateway_requests_total',
+            'Requests that ended',
+            registry=self._registry,
+        )
+        self.attempts = aioprometheus.Counter(
+            'dotterelweir_gateway_attempts_total',
+            'Attempts at targets',
+            registry=self._registry,
+        )
+        self.recoveries = aioprometheus.Counter(
+            'dotterelweir_gateway_recoveries_total',
+            'Streams that went on at another target',
+            registry=self._registry,
+        )
+        self.first_byte_s = aioprometheus.Histogram(
+            'dotterelweir_gateway_first_byte_seconds',
+            'Time to the first byte of an answer',
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self.answer_s = aioprometheus.Histogram(
+            'dotterelweir_gateway_answer_seconds',
+            'Time to the end of an answer',
+            buckets=_BUCKETS_S,
+            registry=self._registry,
+        )
+        self.running = aioprometheus.Gauge(
+            'dotterelweir_gateway_running_requests',
+            'Requests in flight',
+            registry=self._registry,
+        )
+        self.tables_version = aioprometheus.Gauge(
+            'dotterelweir_gateway_tables_version',
+            'Version of the tables in force',
+            registry=self._registry,
+        )
+
+    def render(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """The metrics in the format that the reader accepts."""
+        return renderer.render(self._registry, [accept])
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/stopping.py
@@ -0,0 +1,36 @@
+"""When a stopping process may end."""
+
+import attrs
+
+# Time for which a stopping process still takes requests, in seconds: the
+# load balancer asks for readiness each second and needs two misses.
+LEAVE_S = 3.0
+# Time kept before the end of the grace time, in seconds.
+_RESERVE_S = 0.3
+
+
+@attrs.define
+class StopPlan:
+    """When a stopping process may end.
+
+    Attributes:
+        grace_s: Time from the request to stop to the forced end.
+        since_s: Monotonic time of the request to stop, if there was one.
+    """
+
+    grace_s: float
+    since_s: float | None = None
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process was asked to stop."""
+        return self.since_s is not None
+
+    def may_end(self, now_s: float, running: int) -> bool:
+        """Whether the process may end now."""
+        if self.since_s is None:
+            return False
+        stopped_s = now_s - self.since_s
+        if stopped_s >= self.grace_s - _RESERVE_S:
+            return True
+        return running == 0 and stopped_s >= min(LEAVE_S, self.grace_s / 2)
--- a/packages/daemon/src/dotterelweird/logstream/follower.py
+++ b/packages/daemon/src/dotterelweird/logstream/follower.py
@@ -10,7 +10,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core import timers
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird import timers as daemon_timers
 
 LOG = logging.getLogger(__name__)
--- a/packages/daemon/src/dotterelweird/news.py
+++ b/packages/daemon/src/dotterelweird/news.py
@@ -7,7 +7,7 @@
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model
 from dotterelweir_core.targets import registry as target_registry
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird.peers import service as peers_service
 from dotterelweird.settings import model as settings_model
 
--- a/packages/daemon/src/dotterelweird/orders/leases.py
+++ b/packages/daemon/src/dotterelweird/orders/leases.py
@@ -10,7 +10,7 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.leases import fold
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird.logstream import batcher as log_batcher
 from dotterelweird.logstream import follower as log_follower
 from dotterelweird.settings import model as settings_model
--- a/packages/daemon/src/dotterelweird/orders/service.py
+++ b/packages/daemon/src/dotterelweird/orders/service.py
@@ -10,7 +10,7 @@
 from dotterelweir_core import timers
 from dotterelweir_core.orders import plan
 from dotterelweir_core.tables import model as tables_model
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird import timers as daemon_timers
 from dotterelweird.orders import api as orders_api
 from dotterelweird.orders import leases as lease_keeper
--- a/packages/daemon/src/dotterelweird/peers/service.py
+++ b/packages/daemon/src/dotterelweird/peers/service.py
@@ -14,7 +14,7 @@
 from dotterelweir_core.membership import options as options_module
 from dotterelweir_core.membership import state
 from dotterelweir_core.targets import model
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird.peers import codec
 from dotterelweird.peers import snapshots
 from dotterelweird.peers import transport
--- a/packages/daemon/src/dotterelweird/tables_service/checkpoints.py
+++ b/packages/daemon/src/dotterelweird/tables_service/checkpoints.py
@@ -12,7 +12,7 @@
 from dotterelweir_core.tables import checkpoint
 from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import records
-from dotterelweir_platform import api
+from dotterelweir_logservice import api
 from dotterelweird import timers
 
 LOG = logging.getLogger(__name__)
--- a/packages/daemon/src/dotterelweird/tables_service/following.py
+++ b/packages/daemon/src/dotterelweird/tables_service/following.py
@@ -7,7 +7,7 @@
 from dotterelweir_core.tables import checkpoint
 from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import records
-from dotterelweir_platform import api
+from dotterelweir_logservice import api
 from dotterelweird.tables_service import checkpoints
 
 LOG = logging.getLogger(__name__)
--- a/packages/daemon/src/dotterelweird/tables_service/service.py
+++ b/packages/daemon/src/dotterelweird/tables_service/service.py
@@ -16,8 +16,8 @@
 from dotterelweir_core.tables import fold
 from dotterelweir_core.tables import model
 from dotterelweir_core.tables import records
-from dotterelweir_platform import api as platform_api
-from dotterelweir_platform import tables as platform_tables
+from dotterelweir_logservice import api as platform_api
+from dotterelweir_logservice import tables as platform_tables
 from dotterelweird import timers
 from dotterelweird.peers import api as peers_api
 from dotterelweird.settings import model as settings_model
--- a/packages/daemon/src/dotterelweird/targets/monitor.py
+++ b/packages/daemon/src/dotterelweird/targets/monitor.py
@@ -12,7 +12,7 @@
 from dotterelweir_core.targets import model
 from dotterelweir_core.targets import registry as target_registry
 from dotterelweir_core.targets import watchers
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird import dispatch
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import api as targets_api
--- a/packages/daemon/tests/claims/conftest.py
+++ b/packages/daemon/tests/claims/conftest.py
@@ -11,7 +11,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import timers
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird.claims import service as claims_service
 from dotterelweird.settings import model as settings_model
 
--- a/packages/daemon/tests/claims/test_http_log.py
+++ b/packages/daemon/tests/claims/test_http_log.py
@@ -12,7 +12,7 @@
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_fakes.platform import app as fake_app
 from dotterelweir_fakes.platform import log as fake_log
-from dotterelweir_platform import http
+from dotterelweir_logservice import http
 from dotterelweird import timers
 from dotterelweird.claims import api as claims_api
 from dotterelweird.claims import service as claims_service
--- a/packages/daemon/tests/claims/test_orders_service.py
+++ b/packages/daemon/tests/claims/test_orders_service.py
@@ -11,7 +11,7 @@
 from dotterelweir_core.targets import model as targets_model
 from dotterelweir_fakes.engine import batch
 from dotterelweir_fakes.engine import orders as fake_orders
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird.orders import api as orders_api
 from dotterelweird.orders import leases as lease_keeper
 from dotterelweird.orders import service as orders_service
--- a/packages/daemon/tests/peers/test_service.py
+++ b/packages/daemon/tests/peers/test_service.py
@@ -9,7 +9,7 @@
 
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.targets import model
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird import timers
 from dotterelweird.peers import codec
 from dotterelweird.peers import service
--- a/packages/daemon/tests/tables_service/test_over_http.py
+++ b/packages/daemon/tests/tables_service/test_over_http.py
@@ -13,7 +13,7 @@
 from dotterelweir_core.targets import model as targets_model
 from dotterelweir_fakes.platform import app as fake_app
 from dotterelweir_fakes.platform import log as fake_log
-from dotterelweir_platform import http
+from dotterelweir_logservice import http
 from dotterelweird import timers
 from dotterelweird.tables_service import checkpoints
 from dotterelweird.tables_service import service
--- a/packages/daemon/tests/targets/test_monitor.py
+++ b/packages/daemon/tests/targets/test_monitor.py
@@ -11,7 +11,7 @@
 from dotterelweir_core.tables import model as tables_model
 from dotterelweir_core.targets import model
 from dotterelweir_core.targets import registry
-from dotterelweir_platform import api as platform_api
+from dotterelweir_logservice import api as platform_api
 from dotterelweird.settings import model as settings_model
 from dotterelweird.targets import api as targets_api
 from dotterelweird.targets import monitor
--- a/packages/platform/src/dotterelweir_platform/http.py
+++ b/packages/logservice/src/dotterelweir_logservice/http.py
@@ -14,7 +14,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.targets import model
-from dotterelweir_platform import api
+from dotterelweir_logservice import api
 
 LOG = logging.getLogger(__name__)
 
--- a/packages/platform/src/dotterelweir_platform/tables.py
+++ b/packages/logservice/src/dotterelweir_logservice/tables.py
@@ -5,7 +5,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core.tables import checkpoint
 from dotterelweir_core.tables import fold
-from dotterelweir_platform import api
+from dotterelweir_logservice import api
 
 # Above every offset, and exact as a number in JSON.
 _BEYOND_END = 2**53 - 1
--- a/packages/platform/tests/test_http.py
+++ b/packages/logservice/tests/test_http.py
@@ -13,7 +13,7 @@
 from dotterelweir_fakes.platform import app as fake_app
 from dotterelweir_fakes.platform import instances
 from dotterelweir_fakes.platform import log as fake_log
-from dotterelweir_platform import http
+from dotterelweir_logservice import http
 from dotterelweird import timers
 
 UNAVAILABLE = errors.ErrorKind.LOG_UNAVAILABLE
