Move runs from engines that leave when their copy is gone

An engine's notice now starts a copy to a third engine, stops the run and goes on there. Ruled out: counting resumes against the same share of the repeat budget as plain retries; resumes were refused on one busy instance.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -165,6 +165,24 @@
     logging.INFO,
     'An engine was asked to copy or stop a run.',
 )
+EVACUATION_FAILED = _event(
+    227,
+    'evacuation-failed',
+    logging.WARNING,
+    'No engine could take a run from an engine that leaves.',
+)
+REPEAT_BUDGET_EMPTY = _event(
+    228,
+    'repeat-budget-empty',
+    logging.WARNING,
+    'A request was not sent again because the repeat budget is used up.',
+)
+GATEWAY_PEER_CHANGED = _event(
+    229,
+    'gateway-peer-changed',
+    logging.INFO,
+    'Another gateway was heard of for the first time, or no longer.',
+)
 # 3xx: configuration.
 EDIT_ACCEPTED = _event(
     300, 'edit-accepted', logging.INFO, 'An edit of the tables took effect.'
--- a/packages/core/src/dotterelweir_core/gateway/repeats.py
+++ b/packages/core/src/dotterelweir_core/gateway/repeats.py
@@ -9,7 +9,10 @@
 DEFAULT_INSTANCES = 8
 # Share of the allowance that is used; the rest covers requests that arrive
 # at the edge of the window.
-_USED_SHARE = 0.85
+_URGENT_SHARE = 0.85
+# Share that is left to sends that can wait: a generation that goes on at
+# another engine has no second chance, a refused request has.
+_USUAL_SHARE = 0.5
 
 
 @attrs.define
@@ -41,12 +44,18 @@
         self._requests.append(now_s)
         self._expire(now_s)
 
-    def take(self, now_s: float) -> bool:
-        """Takes one repeat, if one is left."""
+    def take(self, now_s: float, urgent: bool = False) -> bool:
+        """Takes one repeat, if one is left.
+
+        Args:
+            now_s: Monotonic time.
+            urgent: Whether the request is lost without it.
+        """
         self._expire(now_s)
         allowance = self.ratio * len(self._requests)
         allowance += self.burst / self.instances
-        if len(self._repeats) + 1 > _USED_SHARE * allowance:
+        share = _URGENT_SHARE if urgent else _USUAL_SHARE
+        if len(self._repeats) + 1 > share * allowance:
             return False
         self._repeats.append(now_s)
         return True
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -40,6 +40,24 @@
         load.tokens -= tokens
 
 
+@contextlib.contextmanager
+def counted_backup(
+    parts: dependencies.Forwarding,
+    target: targets.Target | None,
+    tokens: int,
+) -> Iterator[None]:
+    """Counts the copy of a run in the load of the engine that keeps it."""
+    if target is None:
+        yield
+        return
+    load = parts.loads.get(target.target_id)
+    load.backup_tokens += tokens
+    try:
+        yield
+    finally:
+        load.backup_tokens -= tokens
+
+
 async def send(
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -75,6 +75,7 @@
         store = adapter.store(self._store_session)
         self._tables = following.TablesKeeper(store)
         self._targets = following.TargetsKeeper(store, self._directory)
+        self._targets.subscribe(self._parts.watch.announce)
         self._tables_follower = following.StreamFollower(
             store,
             api.StoreStream.TABLES,
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -14,6 +14,7 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
+from dotterelweird.gateway import watching
 
 
 @attrs.define
@@ -31,6 +32,8 @@
         placer: Chooses targets.
         statistics: Counters and histograms.
         rng: Random source.
+        watch: Tells generations of changes of their targets.
+        instances: Instances that share the repeat budgets.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -43,6 +46,7 @@
     placer: placement.Placer
     statistics: statistics.Statistics
     rng: random.Random
+    watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
     instances: int = repeats.DEFAULT_INSTANCES
     _budgets: dict[str, repeats.RepeatBudget] = attrs.field(factory=dict)
 
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -21,6 +21,7 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import evacuation
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import refusing
 from dotterelweird.gateway import target_client
@@ -93,7 +94,12 @@
             exchange.request.last_event_id
         )
         self._response: web.StreamResponse | None = None
-        self._started = False
+        self._evacuation: asyncio.Task | None = None
+
+    @property
+    def _started(self) -> bool:
+        """Whether the caller got part of the answer."""
+        return self._response is not None
 
     async def forward(self) -> web.StreamResponse | exchanges.Answered:
         """Forwards the generation.
@@ -104,6 +110,7 @@
         Raises:
             DotterelweirError: Nothing was sent to the caller yet and no
                 target gives an answer.
+            GenerationLost: The answer cannot be completed.
         """
         exchange = self._exchange
         budget = self._parts.budget(exchange.service)
@@ -111,29 +118,39 @@
         run = self._place()
         last: StreamOutcome | None = None
         while run is not None:
-            last = await self._attempt(run)
-            if isinstance(last, Interrupted):
-                exchange.may_have_run = True
-            match last:
-                case Complete():
-                    await self._response.write_eof()
-                    return self._response
-                case exchanges.Answered() if not self._started:
-                    return last
+            try:
+                last = await self._attempt(run)
+                match last:
+                    case Complete():
+                        await self._response.write_eof()
+                        return self._response
+                    case exchanges.Answered() if not self._started:
+                        return last
+                    case Interrupted():
+                        exchange.may_have_run = True
+                run = await self._next_run(run, last)
+            finally:
+                self._end_evacuation()
             now_s = self._parts.timers.monotonic_s()
-            if now_s >= exchange.deadline_s:
+            if run is None or now_s >= exchange.deadline_s:
                 break
             arrived = not isinstance(last, exchanges.NeverSent)
-            if arrived and not budget.take(now_s):
-                break
-            if len(exchange.tried) >= _TARGETS_MAX:
+            if arrived and not budget.take(now_s, urgent=run.copy is not None):
+                events.log(
+                    LOG,
+                    events.REPEAT_BUDGET_EMPTY,
+                    request_id=exchange.request.request_id,
+                    service=exchange.service.name,
+                    instances=budget.instances,
+                )
                 break
-            run = await self._next_run(run, last)
         return self._give_up(last)
 
     def _place(self) -> _Run | None:
         """Chooses a target that starts the generation anew."""
         exchange = self._exchange
+        if len(exchange.tried) >= _TARGETS_MAX:
+            return None
         now_s = self._parts.timers.monotonic_s()
         choice = self._parts.placer.choose(
             self._parts.directory.of_service(exchange.service.name),
@@ -170,34 +187,81 @@
             exchange.service,
             exchange.tokens,
             self._parts.timers.monotonic_s(),
-            {target.target_id} | exchange.tried,
+            {target.target_id},
         )
 
     async def _attempt(self, run: _Run) -> StreamOutcome:
         parts, exchange = self._parts, self._exchange
         sent_s = parts.timers.monotonic_s()
         load = parts.loads.get(run.target.target_id)
-        with attempts.counted(parts, run.target, exchange.tokens):
-            load.prefill_tokens += exchange.request.prompt_tokens
-            delivered = self._cursor.delivered
-            try:
-                outcome = await self._exchange_stream(run, load)
-            finally:
-                if self._cursor.delivered == delivered:
-                    load.prefill_tokens -= exchange.request.prompt_tokens
+        counted_prefill = exchange.request.prompt_tokens
+        if run.copy is not None:
+            counted_prefill = 0
+        prefill = _Prefill(load, counted_prefill)
+        watched = [run.target.target_id]
+        if run.backup is not None:
+            watched.append(run.backup.target_id)
+
+        def notice(change: targets.TargetChange) -> None:
+            self._notice(run, change)
+
+        with (
+            attempts.counted(parts, run.target, exchange.tokens),
+            attempts.counted_backup(parts, run.backup, exchange.tokens),
+            parts.watch.watching(watched, notice),
+            prefill,
+        ):
+            outcome = await self._exchange_stream(run, prefill)
         now_s = parts.timers.monotonic_s()
         match outcome:
             case Complete():
                 load.record_success(now_s - sent_s, now_s)
-            case exchanges.NotRun():
+            case exchanges.NotRun() if run.copy is None:
                 load.record_refusal(now_s)
             case exchanges.NeverSent():
                 load.record_unreachable(now_s)
-            case exchanges.Broken() | exchanges.TimedOut() | Interrupted():
+            case exchanges.Broken() | exchanges.TimedOut() | Interrupted() if (
+                self._evacuation is None
+            ):
                 load.record_failure(now_s)
         self._log_attempt(run, outcome, now_s - sent_s)
         return outcome
 
+    def _notice(self, run: _Run, change: targets.TargetChange) -> None:
+        """Acts on a change of the engine of the run or of its copy."""
+        left = change.after is None or (
+            change.after.state is targets.TargetState.DRAINING
+        )
+        if not left:
+            return
+        if run.backup is not None and (
+            change.target_id == run.backup.target_id
+        ):
+            run.backup = None
+        self._evacuate_if_needed(run)
+
+    def _evacuate_if_needed(self, run: _Run) -> None:
+        """Starts to move a run that its copy would not outlive."""
+        engine = self._exchange.service.engine
+        if engine is None or not engine.can_move:
+            return
+        if self._evacuation is not None or run.backup is not None:
+            return
+        if self._exchange.route.resumable or not self._started:
+            return
+        if self._parts.directory.takes_work(run.target.target_id):
+            return
+        self._evacuation = asyncio.create_task(
+            evacuation.evacuate(
+                self._parts, self._exchange, run.target, self._exchange.tokens
+            )
+        )
+
+    def _end_evacuation(self) -> None:
+        if self._evacuation is not None:
+            self._evacuation.cancel()
+            self._evacuation = None
+
     def _log_attempt(
         self, run: _Run, outcome: StreamOutcome, taken_s: float
     ) -> None:
@@ -222,7 +286,7 @@
         )
 
     async def _exchange_stream(
-        self, run: _Run, load: gateway_load.TargetLoad
+        self, run: _Run, prefill: '_Prefill'
     ) -> StreamOutcome:
         parts, exchange = self._parts, self._exchange
         self._cursor.start_link()
@@ -249,7 +313,7 @@
                 if answer.status != 200 or not (facts.own and facts.sealed):
                     body = await answer.read()
                     return attempts.classify(answer.status, facts, body)
-                return await self._relay(answer, facts, watchdog, load)
+                return await self._relay(run, answer, facts, watchdog, prefill)
         except TimeoutError as exc:
             if target_client.was_never_sent(exc):
                 return exchanges.NeverSent(type(exc).__name__)
@@ -259,7 +323,7 @@
         except aiohttp.ClientError as exc:
             if target_client.was_never_sent(exc):
                 return exchanges.NeverSent(type(exc).__name__)
-            return Interrupted(f'{type(exc).__name__}: {exc}'[:120])
+            return Interrupted(f'{type(exc).__name__}: {exc}'[:60])
         finally:
             if answer is not None:
                 answer.close()
@@ -275,10 +339,11 @@
 
     async def _relay(
         self,
+        run: _Run,
         answer: aiohttp.ClientResponse,
         facts: api.AnswerFacts,
         watchdog: asyncio.Timeout,
-        load: gateway_load.TargetLoad,
+        prefill: '_Prefill',
     ) -> StreamOutcome:
         loop = asyncio.get_running_loop()
         deadline_s = self._exchange.deadline_s
@@ -287,15 +352,19 @@
             out = self._cursor.feed(chunk)
             if not out:
                 continue
-            if waiting_for_first:
-                waiting_for_first = False
-                load.prefill_tokens -= self._exchange.request.prompt_tokens
             if self._response is None:
                 await self._start_response(facts)
+            if waiting_for_first:
+                waiting_for_first = False
+                prefill.end()
+                # The engine may have begun to leave before the first event.
+                self._evacuate_if_needed(run)
             await self._response.write(out)
             watchdog.reschedule(min(deadline_s, loop.time() + _SILENCE_S))
         if not self._cursor.at_boundary:
             return Interrupted('ended within an event')
+        if self._evacuation is not None and await self._evacuation:
+            return Interrupted('moved')
         if self._response is None:
             await self._start_response(facts)
         return Complete()
@@ -306,7 +375,6 @@
         for name, value in facts.headers:
             self._response.headers.add(name, value)
         self._response.enable_chunked_encoding()
-        self._started = True
         await self._response.prepare(self._caller)
         parts.statistics.first_byte_s.observe(
             {'route': exchange.route.name},
@@ -314,9 +382,14 @@
         )
 
     async def _next_run(self, run: _Run, last: StreamOutcome) -> _Run | None:
+        """Where the generation goes on after an attempt; None to give up."""
         match last:
             case Interrupted():
-                return await self._carry_over(run, last)
+                resumed = await self._carry_over(run, last)
+                if resumed is not None:
+                    return resumed
+                self._exchange.record_run()
+                return self._restart()
             case exchanges.NeverSent() | exchanges.NotRun():
                 if run.copy is not None:
                     # Without the copy only a resumable route may go on.
@@ -327,44 +400,52 @@
                 return self._restart()
 
     async def _carry_over(self, run: _Run, last: Interrupted) -> _Run | None:
-        exchange = self._exchange
-        if run.backup is None:
-            exchange.record_run()
-            return self._restart()
+        """Where an interrupted run goes on from a copy, if there is one."""
+        place, copy, way = None, None, ''
+        if self._evacuation is not None:
+            evacuated = await self._evacuation
+            if evacuated is not None:
+                place, copy = evacuated.target, evacuated.copy
+                way = 'evacuated'
+        if place is None and run.backup is not None:
+            place, copy, way = await self._stop_source(run, run.backup)
+        if place is None:
+            return None
+        self._parts.statistics.recoveries.inc({'way': way})
+        events.log(
+            LOG,
+            events.GENERATION_CARRIED_OVER,
+            request_id=self._exchange.request.request_id,
+            source=run.target.target_id,
+            target_id=place.target_id,
+            way=way,
+            reason=last.reason,
+            last_event_id=self._cursor.last_id,
+        )
+        return _Run(place, self._choose_backup(place), copy)
+
+    async def _stop_source(
+        self, run: _Run, backup: targets.Target
+    ) -> tuple[targets.Target, api.RunCopy, str]:
+        """Makes sure that a run has stopped, and finds its newest copy."""
+        request_id = self._exchange.request.request_id
         move = await self._parts.runs.move(
-            exchange.request.request_id,
+            request_id,
             run.target,
-            run.backup,
+            backup,
             final=True,
             timeout_s=_STOP_TIMEOUT_S,
         )
         match move.result:
             case api.MoveResult.MOVED:
-                place = run.backup
                 copy = api.RunCopy(run.target.address, move.handle)
+                return backup, copy, 'moved'
             case api.MoveResult.STOPPED:
-                place = run.target
                 copy = api.RunCopy(run.target.address, move.handle)
+                return run.target, copy, 'stopped'
             case _:
-                place = run.backup
-                copy = api.RunCopy(
-                    run.backup.address, exchange.request.request_id
-                )
-        resumed = _Run(place, self._choose_backup(place), copy)
-        self._parts.statistics.recoveries.inc(
-            {'way': move.result.name.lower()}
-        )
-        events.log(
-            LOG,
-            events.GENERATION_CARRIED_OVER,
-            request_id=exchange.request.request_id,
-            source=run.target.target_id,
-            target_id=place.target_id,
-            way=move.result.value,
-            reason=last.reason,
-            last_event_id=self._cursor.last_id,
-        )
-        return resumed
+                copy = api.RunCopy(backup.address, request_id)
+                return backup, copy, 'backup'
 
     def _restart(self) -> _Run | None:
         exchange = self._exchange
@@ -375,12 +456,30 @@
         return self._place()
 
     def _give_up(self, last: StreamOutcome | None) -> web.StreamResponse:
-        exchange = self._exchange
-        if not self._started:
-            if isinstance(last, Interrupted) and last.silent:
-                last = exchanges.TimedOut()
-            raise refusing.error_after(self._parts, exchange, last)
-        raise GenerationLost
+        if self._started:
+            raise GenerationLost
+        if isinstance(last, Interrupted) and last.silent:
+            last = exchanges.TimedOut()
+        raise refusing.error_after(self._parts, self._exchange, last)
+
+
+class _Prefill:
+    """Counts a prompt as waiting for its prefill until its first event."""
+
+    def __init__(self, load: gateway_load.TargetLoad, tokens: int) -> None:
+        self._load = load
+        self._tokens = tokens
+
+    def __enter__(self) -> None:
+        self._load.prefill_tokens += self._tokens
+
+    def __exit__(self, *unused: object) -> None:
+        self.end()
+
+    def end(self) -> None:
+        """Counts it no longer."""
+        self._load.prefill_tokens -= self._tokens
+        self._tokens = 0
 
 
 class GenerationLost(errors.DotterelweirError):
