Exchange loads and news of targets between gateways

Cause: six instances chose engines without knowing each other's requests, and each read the store for itself. Datagrams now carry loads and the records that one instance has read; reads of the targets are spread over instances. Evacuations use their first copy when the last call is not answered. Ruled out: reads in step (all instances polled at the same moments, a notice was seen 0.6 to 1 s late).

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -407,6 +407,12 @@
     logging.DEBUG,
     'The system reported that a datagram could not be sent.',
 )
+DATAGRAM_OVERSIZED = _event(
+    605,
+    'datagram-oversized',
+    logging.WARNING,
+    'A datagram is larger than usual links carry in one piece.',
+)
 PEER_REQUEST_REJECTED = _event(
     603,
     'peer-request-rejected',
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -4,6 +4,8 @@
 are up to one exchange period old.
 """
 
+from collections.abc import Callable
+
 import attrs
 
 # Weight of the newest sample in the mean time of a plain call.
@@ -80,6 +82,16 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, TargetLoad] = {}
+        self._listeners: list[Callable[[], None]] = []
+
+    def subscribe(self, listener: Callable[[], None]) -> None:
+        """Calls a function after each change of a generation's load."""
+        self._listeners.append(listener)
+
+    def announce(self) -> None:
+        """Tells the listeners that the load of a generation changed."""
+        for listener in self._listeners:
+            listener()
 
     def get(self, target_id: str) -> TargetLoad:
         """The load of a target."""
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -33,11 +33,15 @@
     load = parts.loads.get(target.target_id)
     load.running += 1
     load.tokens += tokens
+    if tokens:
+        parts.loads.announce()
     try:
         yield
     finally:
         load.running -= 1
         load.tokens -= tokens
+        if tokens:
+            parts.loads.announce()
 
 
 @contextlib.contextmanager
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -19,6 +19,7 @@
 from dotterelweird.gateway import caller_server
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import following
+from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
@@ -76,13 +77,21 @@
         self._tables = following.TablesKeeper(store)
         self._targets = following.TargetsKeeper(store, self._directory)
         self._targets.subscribe(self._parts.watch.announce)
+        self._peers = peers.PeerExchange(
+            settings,
+            self._timers,
+            self._loads,
+            self._parts.set_instances,
+            self._targets.apply,
+        )
+        self._loads.subscribe(self._peers.load_changed)
         self._tables_follower = following.StreamFollower(
             store,
             api.StoreStream.TABLES,
             self._timers,
             self._rng,
             following.TABLES_WAIT_S,
-            0.0,
+            lambda: 0.0,
             self._tables.apply,
             self._tables.apply,
         )
@@ -92,9 +101,9 @@
             self._timers,
             self._rng,
             following.TARGETS_WAIT_S,
-            following.TARGETS_PERIOD_S,
+            self._targets_period_s,
             self._targets.apply_snapshot,
-            self._targets.apply,
+            self._apply_targets,
         )
         self._callers = caller_server.CallerServer(
             self._parts, self._tables, self._stop
@@ -127,6 +136,10 @@
             servers.append(
                 await self._serve_plain(settings.metrics, self._answer_metrics)
             )
+        await loop.create_datagram_endpoint(
+            lambda: self._peers,
+            local_addr=(settings.callers.host, settings.peers_port),
+        )
         while not self._stop.may_end(
             self._timers.monotonic_s(), self._callers.running
         ):
@@ -135,11 +148,20 @@
             server.close()
         for follower in followers:
             follower.cancel()
+        self._peers.close()
         self._lifecycle.stop()
         await self._callers.server.shutdown(0.05)
         await self._session.close()
         await self._store_session.close()
 
+    def _targets_period_s(self) -> float:
+        return following.targets_period_s(self._peers.instances)
+
+    def _apply_targets(self, batch: api.Batch) -> None:
+        changed = self._targets.apply(batch)
+        if changed:
+            self._peers.send_records(changed)
+
     async def _serve_plain(
         self, address: gateway_settings.Address, handler
     ) -> asyncio.Server:
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -22,7 +22,7 @@
 # 1.5 s after its notice.
 _COPY_TIMEOUT_S = 1.2
 # Bound on the last copy, in seconds: it holds what was generated since.
-_LAST_COPY_TIMEOUT_S = 0.5
+_LAST_COPY_TIMEOUT_S = 1.0
 
 
 @attrs.frozen
@@ -72,15 +72,18 @@
             return None
         if move.result is not api.MoveResult.MOVED:
             continue
-        move = await _move(parts, exchange, source, destination, True)
-        if move.result is api.MoveResult.MOVED:
-            copy = api.RunCopy(source.address, move.handle)
-            return Evacuated(destination, copy)
-        if move.result is api.MoveResult.STOPPED:
-            copy = api.RunCopy(source.address, move.handle)
-            return Evacuated(source, copy)
-        if move.result is api.MoveResult.NO_RUN:
-            return None
+        last = await _move(parts, exchange, source, destination, True)
+        match last.result:
+            case api.MoveResult.NO_RUN:
+                return None
+            case api.MoveResult.STOPPED:
+                copy = api.RunCopy(source.address, last.handle)
+                return Evacuated(source, copy)
+            case _:
+                # The first copy lacks only what was generated since.
+                handle = last.handle or move.handle
+                copy = api.RunCopy(source.address, handle)
+                return Evacuated(destination, copy)
     events.log(
         LOG,
         events.EVACUATION_FAILED,
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -19,14 +19,27 @@
 # which a change must be in force.
 TABLES_WAIT_S = 1.5
 TARGETS_WAIT_S = 1.0
-# Least time between two reads of the targets: every heartbeat is a record,
-# and each read has a price.
-TARGETS_PERIOD_S = 0.45
+# Least time between two reads of the targets by any instance: every
+# heartbeat is a record, and each read has a price. Instances tell each other
+# what they read, so each of them reads less often the more there are, up to
+# the bound, which keeps the time in which a leaving target must get no more
+# work even if what the others tell is lost.
+_TARGETS_PERIOD_S = 0.4
+_TARGETS_PERIOD_MAX_S = 1.2
 # Delays between failed calls, in seconds.
 _RETRY_FIRST_S = 0.1
 _RETRY_CAP_S = 0.8
 
 
+def targets_period_s(instances: int) -> float:
+    """Least time between two reads of the targets by one instance.
+
+    Args:
+        instances: Instances that read them.
+    """
+    return min(_TARGETS_PERIOD_MAX_S, _TARGETS_PERIOD_S * instances)
+
+
 class StreamFollower:
     """Reads one stream from its newest state on.
 
@@ -36,7 +49,7 @@
         timer_service: The timer service.
         rng: Random source of the delays.
         wait_s: Longest time that one read waits.
-        period_s: Least time between two reads.
+        period_s: Gives the least time between two reads, in seconds.
         apply_snapshot: Takes the newest record of every key.
         apply_records: Takes further records in order.
     """
@@ -48,13 +61,14 @@
         timer_service: core_timers.TimerService,
         rng: random.Random,
         wait_s: float,
-        period_s: float,
+        period_s: Callable[[], float],
         apply_snapshot: Callable[[api.Batch], None],
         apply_records: Callable[[api.Batch], None],
     ) -> None:
         self._store = store
         self._stream = stream
         self._timers = timer_service
+        self._rng = rng
         self._backoff = backoff.Backoff(rng, _RETRY_FIRST_S, _RETRY_CAP_S)
         self._wait_s = wait_s
         self._period_s = period_s
@@ -84,8 +98,12 @@
                 await timers.sleep(self._timers, delay_s or _RETRY_CAP_S)
             else:
                 self._mark_available()
-                if self._period_s:
-                    await timers.sleep(self._timers, self._period_s)
+                period_s = self._period_s()
+                if period_s:
+                    # Instances that started together spread their reads.
+                    await timers.sleep(
+                        self._timers, period_s * self._rng.uniform(0.6, 1.4)
+                    )
 
     async def _step(self) -> None:
         if self._offset is None:
@@ -201,8 +219,13 @@
         for change in self._directory.apply_snapshot(records, batch.end):
             self._announce(change)
 
-    def apply(self, batch: api.Batch) -> None:
-        """Takes further records in order."""
+    def apply(self, batch: api.Batch) -> list[api.Record]:
+        """Takes further records.
+
+        Returns:
+            The records that changed something.
+        """
+        changed = []
         for record in batch.records:
             try:
                 decoded = self._store.decode_target(record)
@@ -212,6 +235,8 @@
             change = self._directory.apply(record.key, decoded, record.offset)
             if change is not None:
                 self._announce(change)
+                changed.append(record)
+        return changed
 
     def _log_invalid(self, record: api.Record, exc: Exception) -> None:
         events.log(
--- a/packages/daemon/src/dotterelweird/gateway/settings.py
+++ b/packages/daemon/src/dotterelweird/gateway/settings.py
@@ -22,6 +22,7 @@
         ready: Address of the readiness check.
         metrics: Address of the metrics; None to serve none.
         peers_port: Port for datagrams between instances.
+        seed_hosts: Addresses of instances to begin with; may be stale.
         grace_s: Time between the request to stop and the end, in seconds.
         drain_s: Time within which a leaving target gets no more work.
         unstable_s: Time after trouble in which knowledge is not trusted.
@@ -39,6 +40,7 @@
     ready: Address
     metrics: Address | None
     peers_port: int
+    seed_hosts: tuple[str, ...]
     grace_s: float
     drain_s: float
     unstable_s: float
