--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -36,6 +36,7 @@
         avoid_until_s: Monotonic time until which it gets no new work if
             another target can take it.
         last_success_s: When a request last ended well there.
+        last_event_s: When a stream of it last delivered an event.
     """
 
     running: int = 0
@@ -48,6 +49,7 @@
     failures: int = 0
     avoid_until_s: float = 0.0
     last_success_s: float = 0.0
+    last_event_s: float = float('-inf')
 
     def record_success(self, taken_s: float, now_s: float) -> None:
         """Takes note of a request that ended well."""
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -21,6 +21,8 @@
 # Share of an engine's memory above which a further token is expensive: the
 # engine preempts running requests when the memory is full.
 _MEMORY_KNEE = 0.7
+# Expected share of the memory up to which copies of runs are kept.
+_BACKUP_FILL_MAX = 0.65
 # Cost of a full memory, in requests of load.
 _MEMORY_COST = 40.0
 # Cost of a target that is avoided; above any load.
@@ -105,12 +107,59 @@
         now_s: float,
         excluded: set[str],
     ) -> targets.Target | None:
-        """Chooses where a copy of a run's memory is kept, or None."""
+        """Chooses where a copy of a run's memory is kept, or None.
+
+        A copy holds memory that runs may need. There is none while the
+        engines are so full that it would displace or delay runs.
+        """
+        if service.engine is None:
+            return None
+        if self.fill(candidates, service) > _BACKUP_FILL_MAX:
+            return None
+        target = self.choose_refuge(
+            candidates, service, tokens, now_s, excluded
+        )
+        if target is None:
+            return None
+        held = self._held_tokens(target) + tokens
+        if held > _BACKUP_FILL_MAX * service.engine.memory_tokens:
+            return None
+        return target
+
+    def choose_refuge(
+        self,
+        candidates: list[targets.Target],
+        service: tables.Service,
+        tokens: int,
+        now_s: float,
+        excluded: set[str],
+    ) -> targets.Target | None:
+        """Chooses an engine that can take over a run, or None."""
         choice = self.choose(candidates, service, tokens, now_s, excluded)
         if choice is None or choice.avoided:
             return None
         return choice.target
 
+    def fill(
+        self, candidates: list[targets.Target], service: tables.Service
+    ) -> float:
+        """Expected share of the memory of a service's ready engines."""
+        if service.engine is None or not service.engine.memory_tokens:
+            return 0.0
+        ready = [
+            target
+            for target in candidates
+            if target.state is targets.TargetState.READY
+        ]
+        if not ready:
+            return 1.0
+        held = sum(self._held_tokens(target) for target in ready)
+        return held / (len(ready) * service.engine.memory_tokens)
+
+    def _held_tokens(self, target: targets.Target) -> float:
+        load = self.loads.get(target.target_id)
+        return load.tokens + load.backup_tokens + load.peer_tokens
+
     def _cost(
         self,
         target: targets.Target,
@@ -127,8 +176,8 @@
         if now_s < load.avoid_until_s:
             cost += _AVOID_COST
         if service.engine is not None and service.engine.memory_tokens:
-            held = load.tokens + load.backup_tokens + load.peer_tokens
-            fill = (held + tokens) / service.engine.memory_tokens
+            held = self._held_tokens(target) + tokens
+            fill = held / service.engine.memory_tokens
             cost += _MEMORY_COST * max(0.0, fill - _MEMORY_KNEE)
             cost += load.prefill_tokens / _PREFILL_TOKENS_PER_REQUEST
         elif target.slots:
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -57,7 +57,7 @@
     """
     tried = {source.target_id}
     for _ in range(_DESTINATIONS_MAX):
-        destination = parts.placer.choose_backup(
+        destination = parts.placer.choose_refuge(
             parts.directory.of_service(exchange.service.name),
             exchange.service,
             tokens,
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -38,8 +38,15 @@
 # takes up to a quarter of a second between availability zones.
 _STOP_TIMEOUT_S = 0.4
 # Share of the objective after which a resumable request that has no first
-# event is sent to another engine.
+# event is sent to another engine, if its engine shows no sign of life.
 _FIRST_EVENT_SHARE = 1.4
+# Time since the last event of any stream within which an engine counts as
+# alive, in seconds: a busy engine sends one every few tens of milliseconds.
+_ALIVE_S = 1.0
+# Ways in which a generation goes on from the copy that was kept of it: its
+# engine says that it runs no longer, or cannot be asked.
+_NO_RUN = 'backup, source has no run'
+_BACKUP = 'backup, source not reached'
 
 
 @attrs.frozen
@@ -95,6 +102,8 @@
         )
         self._response: web.StreamResponse | None = None
         self._evacuation: asyncio.Task | None = None
+        # Where the generation goes on, if its source was stopped already.
+        self._carried: tuple[targets.Target, api.RunCopy, str] | None = None
 
     @property
     def _started(self) -> bool:
@@ -290,34 +299,35 @@
     ) -> StreamOutcome:
         parts, exchange = self._parts, self._exchange
         self._cursor.start_link()
-        now_s = parts.timers.monotonic_s()
         options = api.AttemptOptions(
             run.target,
-            exchange.deadline_s - now_s,
+            self._time_left_s(),
             exchange.organisation_name,
             backup=run.backup,
             copy=run.copy,
             last_event_id=self._cursor.last_id,
         )
+        sending = asyncio.create_task(attempts.send(parts, exchange, options))
         answer: aiohttp.ClientResponse | None = None
         try:
-            async with asyncio.timeout(
-                self._first_event_bound_s()
-            ) as watchdog:
-                answer = await attempts.send(parts, exchange, options)
-                facts = parts.dialect.decode_answer(
-                    exchange.request.request_id,
-                    answer.status,
-                    answer.raw_headers,
-                )
-                if answer.status != 200 or not (facts.own and facts.sealed):
+            interrupted = await self._await_head(run, sending)
+            if interrupted is not None:
+                return interrupted
+            answer = sending.result()
+            facts = parts.dialect.decode_answer(
+                exchange.request.request_id,
+                answer.status,
+                answer.raw_headers,
+            )
+            if answer.status != 200 or not (facts.own and facts.sealed):
+                async with asyncio.timeout(self._time_left_s()):
                     body = await answer.read()
-                    return attempts.classify(answer.status, facts, body)
-                return await self._relay(run, answer, facts, watchdog, prefill)
+                return attempts.classify(answer.status, facts, body)
+            return await self._relay(run, answer, facts, prefill)
         except TimeoutError as exc:
             if target_client.was_never_sent(exc):
                 return exchanges.NeverSent(type(exc).__name__)
-            return Interrupted('silence', silent=True)
+            return exchanges.TimedOut()
         except gateway_events.EventStreamError as exc:
             return Interrupted(str(exc), silent=True)
         except aiohttp.ClientError as exc:
@@ -325,42 +335,74 @@
                 return exchanges.NeverSent(type(exc).__name__)
             return Interrupted(f'{type(exc).__name__}: {exc}'[:60])
         finally:
+            sending.cancel()
             if answer is not None:
                 answer.close()
 
-    def _first_event_bound_s(self) -> float:
-        exchange = self._exchange
-        left_s = exchange.deadline_s - self._parts.timers.monotonic_s()
+    def _time_left_s(self) -> float:
+        now_s = self._parts.timers.monotonic_s()
+        return self._exchange.deadline_s - now_s
+
+    async def _await_head(
+        self, run: _Run, sending: asyncio.Task
+    ) -> StreamOutcome | None:
+        """Waits for the head of an answer; gives why it waits no longer."""
+        patience_s = self._first_patience_s()
+        while True:
+            left_s = self._time_left_s()
+            done, _ = await asyncio.wait(
+                {sending}, timeout=min(left_s, patience_s)
+            )
+            if done:
+                return None
+            if left_s <= patience_s:
+                return exchanges.TimedOut()
+            interrupted = await self._on_silence(run)
+            if interrupted is not None:
+                return interrupted
+
+    def _first_patience_s(self) -> float:
         if self._started:
-            return min(left_s, _SILENCE_S)
-        if exchange.route.resumable:
-            return min(left_s, _FIRST_EVENT_SHARE * exchange.route.objective_s)
-        return left_s
+            return _SILENCE_S
+        return _FIRST_EVENT_SHARE * self._exchange.route.objective_s
 
     async def _relay(
         self,
         run: _Run,
         answer: aiohttp.ClientResponse,
         facts: api.AnswerFacts,
-        watchdog: asyncio.Timeout,
         prefill: '_Prefill',
     ) -> StreamOutcome:
-        loop = asyncio.get_running_loop()
-        deadline_s = self._exchange.deadline_s
+        load = self._parts.loads.get(run.target.target_id)
+        patience_s = self._first_patience_s()
         waiting_for_first = True
-        async for chunk in answer.content.iter_any():
+        while True:
+            left_s = self._time_left_s()
+            try:
+                async with asyncio.timeout(min(left_s, patience_s)):
+                    chunk = await answer.content.readany()
+            except TimeoutError:
+                if left_s <= patience_s:
+                    return exchanges.TimedOut()
+                interrupted = await self._on_silence(run)
+                if interrupted is not None:
+                    return interrupted
+                continue
+            if not chunk:
+                break
             out = self._cursor.feed(chunk)
             if not out:
                 continue
+            load.last_event_s = self._parts.timers.monotonic_s()
             if self._response is None:
                 await self._start_response(facts)
             if waiting_for_first:
                 waiting_for_first = False
+                patience_s = _SILENCE_S
                 prefill.end()
                 # The engine may have begun to leave before the first event.
                 self._evacuate_if_needed(run)
             await self._response.write(out)
-            watchdog.reschedule(min(deadline_s, loop.time() + _SILENCE_S))
         if not self._cursor.at_boundary:
             return Interrupted('ended within an event')
         if self._evacuation is not None and await self._evacuation:
@@ -369,6 +411,50 @@
             await self._start_response(facts)
         return Complete()
 
+    async def _on_silence(self, run: _Run) -> Interrupted | None:
+        """Finds out why a link is silent.
+
+        Returns:
+            Why the generation must go on elsewhere; None to wait on.
+        """
+        exchange = self._exchange
+        if exchange.route.resumable:
+            if self._is_alive(run.target):
+                return None
+            return Interrupted('silence', silent=True)
+        if not self._started or self._evacuation is not None:
+            return None
+        destination = run.backup or self._choose_refuge(run.target)
+        if destination is None:
+            return None
+        place, copy, way = await self._stop_source(run, destination)
+        if way == _NO_RUN:
+            # The engine lives and has preempted the run; it will go on.
+            return None
+        if way == _BACKUP and (
+            run.backup is None or not self._is_alive(place)
+        ):
+            return None
+        self._carried = (place, copy, way)
+        return Interrupted('silence', silent=True)
+
+    def _is_alive(self, target: targets.Target) -> bool:
+        """Whether a target delivered something to this instance lately."""
+        load = self._parts.loads.get(target.target_id)
+        now_s = self._parts.timers.monotonic_s()
+        return now_s - load.last_event_s < _ALIVE_S
+
+    def _choose_refuge(self, source: targets.Target) -> targets.Target | None:
+        """Chooses an engine that can take a run from its source."""
+        exchange = self._exchange
+        return self._parts.placer.choose_refuge(
+            self._parts.directory.of_service(exchange.service.name),
+            exchange.service,
+            exchange.tokens,
+            self._parts.timers.monotonic_s(),
+            {source.target_id},
+        )
+
     async def _start_response(self, facts: api.AnswerFacts) -> None:
         parts, exchange = self._parts, self._exchange
         self._response = web.StreamResponse(status=200)
@@ -402,7 +488,10 @@
     async def _carry_over(self, run: _Run, last: Interrupted) -> _Run | None:
         """Where an interrupted run goes on from a copy, if there is one."""
         place, copy, way = None, None, ''
-        if self._evacuation is not None:
+        if self._carried is not None:
+            place, copy, way = self._carried
+            self._carried = None
+        elif self._evacuation is not None:
             evacuated = await self._evacuation
             if evacuated is not None:
                 place, copy = evacuated.target, evacuated.copy
@@ -443,9 +532,12 @@
             case api.MoveResult.STOPPED:
                 copy = api.RunCopy(run.target.address, move.handle)
                 return run.target, copy, 'stopped'
+            case api.MoveResult.NO_RUN:
+                copy = api.RunCopy(backup.address, request_id)
+                return backup, copy, _NO_RUN
             case _:
                 copy = api.RunCopy(backup.address, request_id)
-                return backup, copy, 'backup'
+                return backup, copy, _BACKUP
 
     def _restart(self) -> _Run | None:
         exchange = self._exchange
