Send priorities, count waiting prompts of all instances, bound the log output

Short generations get a more urgent priority within their rank; digests carry the prompt tokens that wait; log output never blocks and drops above 1,000 lines a second.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -69,6 +69,12 @@
 INSTANCE_STOPPED = _event(
     103, 'instance-stopped', logging.INFO, 'The instance has stopped.'
 )
+LOG_LINES_DROPPED = _event(
+    104,
+    'log-lines-dropped',
+    logging.WARNING,
+    'Log lines were dropped: too many in a second, or a slow reader.',
+)
 # 2xx: requests and routing decisions.
 ROUTE_CHOSEN = _event(
     200, 'route-chosen', logging.INFO, 'A route was chosen for a request.'
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -31,6 +31,7 @@
         prefill_tokens: Prompt tokens of own requests without a first event.
         peer_running: Requests of other instances in flight.
         peer_tokens: Tokens that those are expected to hold.
+        peer_prefill_tokens: Prompt tokens of those without a first event.
         mean_s: Mean time of a plain call; 0 before the first one.
         failures: Failures in a row.
         avoid_until_s: Monotonic time until which it gets no new work if
@@ -45,6 +46,7 @@
     prefill_tokens: int = 0
     peer_running: float = 0.0
     peer_tokens: float = 0.0
+    peer_prefill_tokens: float = 0.0
     mean_s: float = 0.0
     failures: int = 0
     avoid_until_s: float = 0.0
@@ -79,6 +81,28 @@
         self.record_failure(now_s)
 
 
+@attrs.frozen
+class DigestRow:
+    """Load that instances cause at one target.
+
+    Attributes:
+        running: Requests in flight.
+        tokens: Tokens that they and their copies are expected to hold.
+        prefill_tokens: Prompt tokens of requests without a first event.
+    """
+
+    running: float = 0.0
+    tokens: float = 0.0
+    prefill_tokens: float = 0.0
+
+    def __add__(self, other: 'DigestRow') -> 'DigestRow':
+        return DigestRow(
+            self.running + other.running,
+            self.tokens + other.tokens,
+            self.prefill_tokens + other.prefill_tokens,
+        )
+
+
 class LoadBook:
     """The load of every target that this instance used."""
 
@@ -108,23 +132,25 @@
         if load is not None and not load.running and not load.backup_tokens:
             del self._loads[target_id]
 
-    def own(self) -> dict[str, tuple[int, int]]:
-        """Own requests and tokens by target, for the load digest."""
+    def own(self) -> dict[str, DigestRow]:
+        """Own load by target, for the load digest."""
         return {
-            target_id: (load.running, load.tokens + load.backup_tokens)
+            target_id: DigestRow(
+                load.running,
+                load.tokens + load.backup_tokens,
+                load.prefill_tokens,
+            )
             for target_id, load in self._loads.items()
             if load.running or load.backup_tokens
         }
 
-    def set_peer_loads(self, totals: dict[str, tuple[float, float]]) -> None:
-        """Replaces the load that other instances cause.
-
-        Args:
-            totals: Requests and tokens by target.
-        """
+    def set_peer_loads(self, totals: dict[str, DigestRow]) -> None:
+        """Replaces the load that other instances cause, by target."""
         for target_id in totals:
             self.get(target_id)
+        idle = DigestRow()
         for target_id, load in self._loads.items():
-            load.peer_running, load.peer_tokens = totals.get(
-                target_id, (0.0, 0.0)
-            )
+            row = totals.get(target_id, idle)
+            load.peer_running = row.running
+            load.peer_tokens = row.tokens
+            load.peer_prefill_tokens = row.prefill_tokens
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -15,9 +15,10 @@
 # Cost of a target in another availability zone, in requests of load. A
 # crossing costs bytes between zones; one more request in a batch costs time.
 _ZONE_COST = 1.0
-# Prompt tokens whose prefill delays a batch as much as one more running
-# request costs a request of usual length.
-_PREFILL_TOKENS_PER_REQUEST = 1500.0
+# Waiting prompt tokens that count as one running request. Prompts are read one
+# after another, 112 tokens a step of about 17 ms: this many delay a first
+# event by 60 ms.
+_PREFILL_TOKENS_PER_REQUEST = 400.0
 # Share of an engine's memory above which a further token is expensive: the
 # engine preempts running requests when the memory is full.
 _MEMORY_KNEE = 0.7
@@ -179,7 +180,8 @@
             held = self._held_tokens(target) + tokens
             fill = held / service.engine.memory_tokens
             cost += _MEMORY_COST * max(0.0, fill - _MEMORY_KNEE)
-            cost += load.prefill_tokens / _PREFILL_TOKENS_PER_REQUEST
+            waiting = load.prefill_tokens + load.peer_prefill_tokens
+            cost += waiting / _PREFILL_TOKENS_PER_REQUEST
         elif target.slots:
             # A queue behind full slots costs a whole call for each request.
             cost *= 6.0 / target.slots
--- a/packages/core/tests/gateway/test_placement.py
+++ b/packages/core/tests/gateway/test_placement.py
@@ -39,7 +39,7 @@
 
 def test_load_of_other_instances_counts(placer):
     """Guards against instances that all choose the same idle engine."""
-    placer.loads.set_peer_loads({'t1': (6.0, 9000.0)})
+    placer.loads.set_peer_loads({'t1': load.DigestRow(6.0, 9000.0)})
     placer.loads.get('t2').running = 3
     assert chosen(placer, [target('t1'), target('t2')]) == 't2'
 
@@ -108,7 +108,7 @@
     """Guards against a book that grows with each engine ever seen."""
     placer.loads.get('t1').running = 1
     placer.loads.forget('t1')
-    assert placer.loads.own() == {'t1': (1, 0)}
+    assert placer.loads.own() == {'t1': load.DigestRow(1)}
     placer.loads.get('t1').running = 0
     placer.loads.forget('t1')
     assert placer.loads.own() == {}
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import sys
+import time
 
 from aiohttp import web
 
@@ -13,6 +14,7 @@
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import targets
 from dotterelweird import lifecycle
+from dotterelweird import log_output
 from dotterelweird import logs
 from dotterelweird import timers
 from dotterelweird.gateway import api
@@ -40,7 +42,8 @@
     settings: gateway_settings.GatewaySettings, adapter: api.Adapter
 ) -> None:
     """Runs a gateway until it is asked to stop and has drained."""
-    logs.configure('INFO', settings.instance_id, settings.zone, sys.stdout)
+    output = log_output.BoundedOutput(sys.stdout.fileno(), time.monotonic)
+    logs.configure('INFO', settings.instance_id, settings.zone, output)
     gateway = Gateway(settings, adapter)
     await gateway.run()
 
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -43,6 +43,12 @@
 # Time since the last event of any stream within which an engine counts as
 # alive, in seconds: a busy engine sends one every few tens of milliseconds.
 _ALIVE_S = 1.0
+# Output up to which a generation counts as short, in tokens: it ends within
+# about half a second, so it need not wait behind long ones of its rank.
+_SHORT_TOKENS = 64
+# Engine priorities of one rank, one for short and one for long generations.
+_PRIORITY_STRIDE = 2
+_PRIORITY_MAX = 9
 # Usual time to the first event and for each token, in seconds, to estimate
 # whether a generation ends before a stopping process does. Seen on a calm
 # day: 0.65 s at the median, and about 10 ms a token.
@@ -326,6 +332,7 @@
             backup=run.backup,
             copy=run.copy,
             last_event_id=self._cursor.last_id,
+            priority=self._engine_priority(),
         )
         sending = asyncio.create_task(attempts.send(parts, exchange, options))
         answer: aiohttp.ClientResponse | None = None
@@ -359,6 +366,16 @@
             if answer is not None:
                 answer.close()
 
+    def _engine_priority(self) -> int:
+        """Priority for the engine; 0 is the most urgent."""
+        exchange = self._exchange
+        rank = exchange.route.priority
+        if exchange.organisation is not None:
+            if exchange.organisation.priority is not None:
+                rank = exchange.organisation.priority
+        is_long = exchange.request.output_tokens_expected > _SHORT_TOKENS
+        return min(_PRIORITY_MAX, rank * _PRIORITY_STRIDE + is_long)
+
     def _time_left_s(self) -> float:
         now_s = self._parts.timers.monotonic_s()
         return self._exchange.deadline_s - now_s
@@ -420,6 +437,7 @@
                 waiting_for_first = False
                 patience_s = _SILENCE_S
                 prefill.end()
+                self._parts.loads.announce()
                 # The engine may have begun to leave before the first event.
                 self._evacuate_if_needed(run)
             await self._response.write(out)
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -48,7 +48,7 @@
         started_ms: Wall time of its start, in milliseconds.
         sequence: Number of its last digest.
         heard_s: Monotonic time of that.
-        loads: Requests and tokens by target.
+        loads: Load that it causes, by target.
     """
 
     instance_id: str
@@ -56,7 +56,7 @@
     started_ms: int
     sequence: int
     heard_s: float
-    loads: dict[str, tuple[float, float]]
+    loads: dict[str, gateway_load.DigestRow]
 
 
 class PeerExchange(asyncio.DatagramProtocol):
@@ -187,8 +187,8 @@
             self._drop(instance_id, 'leaving')
             return
         loads = {
-            str(target_id): (float(running), float(tokens))
-            for target_id, running, tokens in message['loads']
+            str(target_id): gateway_load.DigestRow(*map(float, row))
+            for target_id, *row in message['loads']
         }
         self._peers[instance_id] = Peer(
             instance_id, host, *order, self._timers.monotonic_s(), loads
@@ -223,11 +223,11 @@
         self._sum_loads()
 
     def _sum_loads(self) -> None:
-        totals: dict[str, tuple[float, float]] = {}
+        totals: dict[str, gateway_load.DigestRow] = {}
         for peer in self._peers.values():
-            for target_id, (running, tokens) in peer.loads.items():
-                before = totals.get(target_id, (0.0, 0.0))
-                totals[target_id] = (before[0] + running, before[1] + tokens)
+            for target_id, row in peer.loads.items():
+                before = totals.get(target_id)
+                totals[target_id] = before + row if before else row
         self._loads.set_peer_loads(totals)
 
     def _run_tick(self) -> None:
@@ -259,8 +259,8 @@
             'leaving': leaving,
             'known': known[:_KNOWN_MAX],
             'loads': [
-                [target_id, running, tokens]
-                for target_id, (running, tokens) in own.items()
+                [target_id, *attrs.astuple(row)]
+                for target_id, row in own.items()
             ],
         }
 
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/log_output.py
@@ -0,0 +1,92 @@
+"""Output of log lines that never blocks and has a bounded volume."""
+
+import collections
+from collections.abc import Callable
+import os
+
+import attrs
+
+# Lines that wait for a slow reader, in bytes, before lines are dropped.
+_BUFFER_BYTES_MAX = 262_144
+# Lines in one second; a request has about four. Far above the usual volume
+# of an instance, and about a tenth of a core.
+_LINES_PER_S_MAX = 1_000
+# Reports of dropped lines at most this often, in seconds.
+_REPORT_S = 1.0
+
+_REPORT_HEAD = b'{"message": "log-lines-dropped", "event": 104,'
+
+
+@attrs.define
+class BoundedOutput:
+    """A text stream on a file descriptor that does not block.
+
+    Attributes:
+        descriptor: File descriptor; set to non-blocking.
+        clock: Gives monotonic seconds.
+        dropped: Lines that were dropped since the start.
+    """
+
+    descriptor: int
+    clock: Callable[[], float]
+    dropped: int = 0
+    _waiting: collections.deque[bytes] = attrs.field(factory=collections.deque)
+    _waiting_bytes: int = 0
+    _second: int = 0
+    _lines: int = 0
+    _reported: int = 0
+    _report_s: float = float('-inf')
+
+    def __attrs_post_init__(self) -> None:
+        os.set_blocking(self.descriptor, False)
+
+    def write(self, text: str) -> int:
+        """Takes one line; drops it if there is no room."""
+        now_s = self.clock()
+        if int(now_s) != self._second:
+            self._second, self._lines = int(now_s), 0
+        self._lines += 1
+        data = text.encode(errors='replace')
+        full = self._waiting_bytes + len(data) > _BUFFER_BYTES_MAX
+        if full or self._lines > _LINES_PER_S_MAX:
+            self.dropped += 1
+        else:
+            self._report(now_s)
+            self._append(data)
+        self.flush()
+        return len(text)
+
+    def flush(self) -> None:
+        """Writes what the reader takes now."""
+        while self._waiting:
+            data = self._waiting[0]
+            try:
+                written = os.write(self.descriptor, data)
+            except BlockingIOError:
+                return
+            except OSError:
+                # The reader is gone for good; there is nobody to tell.
+                self.dropped += sum(
+                    not data.startswith(_REPORT_HEAD) for data in self._waiting
+                )
+                self._waiting.clear()
+                self._waiting_bytes = 0
+                return
+            self._waiting_bytes -= written
+            if written < len(data):
+                self._waiting[0] = data[written:]
+                return
+            self._waiting.popleft()
+
+    def _append(self, data: bytes) -> None:
+        self._waiting.append(data)
+        self._waiting_bytes += len(data)
+
+    def _report(self, now_s: float) -> None:
+        if self.dropped == self._reported:
+            return
+        if now_s - self._report_s < _REPORT_S:
+            return
+        lines = self.dropped - self._reported
+        self._reported, self._report_s = self.dropped, now_s
+        self._append(_REPORT_HEAD + b' "lines": %d}\n' % lines)
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -152,7 +152,7 @@
         b'{"news": [["k"]]}',
         orjson.dumps({'id': 'x', 'started_ms': 1, 'sequence': 'y'}),
         orjson.dumps(
-            {'id': 'x', 'started_ms': 1, 'sequence': 1, 'loads': [[1]]}
+            {'id': 'x', 'started_ms': 1, 'sequence': 1, 'loads': [['t', 'x']]}
         ),
     ],
 )
@@ -172,7 +172,7 @@
         'started_ms': 1,
         'sequence': 1,
         'known': [],
-        'loads': [['t', 9, 9]],
+        'loads': [['t', 9, 9, 0]],
     }
     first.exchange.datagram_received(orjson.dumps(digest), ('10.0.0.2', 1))
     assert first.loads.get('t').peer_running == 0
