Hold long generations until memory is free; send no priorities

Cause: short generations with a more urgent priority made engines preempt running guides when memory ran out.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -183,6 +183,12 @@
     logging.WARNING,
     'A request was not sent again because the repeat budget is used up.',
 )
+WAITED_FOR_ROOM = _event(
+    230,
+    'waited-for-room',
+    logging.INFO,
+    'A long generation waited until an engine had memory for it.',
+)
 GATEWAY_PEER_CHANGED = _event(
     229,
     'gateway-peer-changed',
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -22,6 +22,10 @@
 # Share of an engine's memory above which a further token is expensive: the
 # engine preempts running requests when the memory is full.
 _MEMORY_KNEE = 0.7
+# Expected share of the memory, with all runs at their full length, up to
+# which long runs are admitted. Runs end one after another, so that the sum
+# of their full lengths is not reached.
+_ADMITTED_FILL_MAX = 1.0
 # Expected share of the memory up to which copies of runs are kept.
 _BACKUP_FILL_MAX = 0.75
 # Cost of a full memory, in requests of load.
@@ -100,6 +104,16 @@
         )
         return Choice(target, cost, len(usable), cost >= _AVOID_COST)
 
+    def has_room(
+        self, target: targets.Target, service: tables.Service, tokens: int
+    ) -> bool:
+        """Whether a run can end at a target without a full memory."""
+        if service.engine is None or not service.engine.memory_tokens:
+            return True
+        held = self._held_tokens(target)
+        bound = _ADMITTED_FILL_MAX * service.engine.memory_tokens
+        return held == 0 or held + tokens <= bound
+
     def choose_backup(
         self,
         candidates: list[targets.Target],
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -177,8 +177,6 @@
         backup: Target that keeps a copy of the run, if there is one.
         copy: Copy of a run that goes on here, if it does.
         last_event_id: Event after which a stream goes on.
-        priority: Priority at an engine, 0 to 9, 0 is the most urgent; None
-            for the usual one.
     """
 
     target: targets.Target
@@ -187,7 +185,6 @@
     backup: targets.Target | None = None
     copy: RunCopy | None = None
     last_event_id: int | None = None
-    priority: int | None = None
 
 
 @attrs.frozen
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -11,6 +11,7 @@
 from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import targets
+from dotterelweir_core.gateway import waiting
 from dotterelweird.gateway import api
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
@@ -48,6 +49,7 @@
     rng: random.Random
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
     instances: int = repeats.DEFAULT_INSTANCES
+    _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
     _budgets: dict[str, repeats.RepeatBudget] = attrs.field(factory=dict)
 
     def budget(self, service: tables.Service) -> repeats.RepeatBudget:
@@ -62,6 +64,10 @@
             )
         return budget
 
+    def line(self, service: tables.Service) -> waiting.WaitingLine:
+        """The requests that wait for room at a service's engines."""
+        return self._lines.setdefault(service.name, waiting.WaitingLine())
+
     def set_instances(self, instances: int) -> None:
         """Sets how many instances share the repeat budgets."""
         self.instances = instances
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -18,6 +18,8 @@
 from dotterelweir_core.gateway import events as gateway_events
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import targets
+from dotterelweir_core.gateway import waiting
+from dotterelweird import timers
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import dependencies
@@ -43,12 +45,9 @@
 # Time since the last event of any stream within which an engine counts as
 # alive, in seconds: a busy engine sends one every few tens of milliseconds.
 _ALIVE_S = 1.0
-# Output up to which a generation counts as short, in tokens: it ends within
-# about half a second, so it need not wait behind long ones of its rank.
-_SHORT_TOKENS = 64
-# Engine priorities of one rank, one for short and one for long generations.
-_PRIORITY_STRIDE = 2
-_PRIORITY_MAX = 9
+# Between two looks for room, in seconds; digests of other instances arrive
+# within about this time.
+_ROOM_CHECK_S = 0.04
 # Usual time to the first event and for each token, in seconds, to estimate
 # whether a generation ends before a stopping process does. Seen on a calm
 # day: 0.65 s at the median, and about 10 ms a token.
@@ -140,6 +139,7 @@
         exchange = self._exchange
         budget = self._parts.budget(exchange.service)
         budget.record_request(self._parts.timers.monotonic_s())
+        await self._wait_for_room()
         run = self._place()
         last: StreamOutcome | None = None
         while run is not None:
@@ -171,6 +171,48 @@
                 break
         return self._give_up(last)
 
+    async def _wait_for_room(self) -> None:
+        """Holds a long generation back until an engine's memory has room."""
+        exchange, parts = self._exchange, self._parts
+        if exchange.route.resumable or self._has_room():
+            return
+        ticket = waiting.Ticket(exchange.arrived_s, exchange.route.objective_s)
+        line = parts.line(exchange.service)
+        line.add(ticket)
+        try:
+            while True:
+                await timers.sleep(
+                    parts.timers, _ROOM_CHECK_S * parts.rng.uniform(0.5, 1.5)
+                )
+                now_s = parts.timers.monotonic_s()
+                if ticket.has_waited_out(now_s):
+                    break
+                if line.is_next(ticket, now_s) and self._has_room():
+                    break
+        finally:
+            line.remove(ticket)
+        events.log(
+            LOG,
+            events.WAITED_FOR_ROOM,
+            request_id=exchange.request.request_id,
+            service=exchange.service.name,
+            waiting=len(line),
+            waited_s=round(now_s - exchange.arrived_s, 3),
+        )
+
+    def _has_room(self) -> bool:
+        """Whether some engine has room; true if none is known at all."""
+        exchange, parts = self._exchange, self._parts
+        ready = [
+            target
+            for target in parts.directory.of_service(exchange.service.name)
+            if target.state is targets.TargetState.READY
+        ]
+        return not ready or any(
+            parts.placer.has_room(target, exchange.service, exchange.tokens)
+            for target in ready
+        )
+
     def _is_final(self, answer: exchanges.Answered) -> bool:
         """Whether a target's answer that is no stream goes to the caller."""
         if self._started:
@@ -332,7 +374,6 @@
             backup=run.backup,
             copy=run.copy,
             last_event_id=self._cursor.last_id,
-            priority=self._engine_priority(),
         )
         sending = asyncio.create_task(attempts.send(parts, exchange, options))
         answer: aiohttp.ClientResponse | None = None
@@ -366,16 +407,6 @@
             if answer is not None:
                 answer.close()
 
-    def _engine_priority(self) -> int:
-        """Priority for the engine; 0 is the most urgent."""
-        exchange = self._exchange
-        rank = exchange.route.priority
-        if exchange.organisation is not None:
-            if exchange.organisation.priority is not None:
-                rank = exchange.organisation.priority
-        is_long = exchange.request.output_tokens_expected > _SHORT_TOKENS
-        return min(_PRIORITY_MAX, rank * _PRIORITY_STRIDE + is_long)
-
     def _time_left_s(self) -> float:
         now_s = self._parts.timers.monotonic_s()
         return self._exchange.deadline_s - now_s
