--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -251,6 +251,7 @@
     MOVED = 'moved'
     STOPPED = 'stopped, copy stays at the source'
     NO_RUN = 'no such run'
+    BUSY = 'another call is in progress'
     FAILED = 'failed'
     UNREACHABLE = 'unreachable'
 
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -4,30 +4,35 @@
 what is new is copied, so that the pause is short.
 """
 
+import asyncio
 import logging
 
 import attrs
 
 from dotterelweir_core import events
 from dotterelweir_core.gateway import targets
+from dotterelweird import timers
 from dotterelweird.gateway import api
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
 
 LOG = logging.getLogger(__name__)
 
-# Destinations that are tried before a run is left where it is.
-_DESTINATIONS_MAX = 3
-# Bound on a copy while the run goes on, in seconds. An engine may be gone
-# 1.5 s after its notice.
-_COPY_TIMEOUT_S = 1.2
+# Calls that are made before a run is left where it is.
+_CALLS_MAX = 8
+# Pause before a call is repeated, in seconds: the engine has preempted the
+# run, which it will take up again, or is busy with another call.
+_PAUSE_S = 0.1
+# Bound on a copy while the run goes on, in seconds. Copies queue on the links
+# of an engine that leaves; it stays for up to about this time.
+_COPY_TIMEOUT_S = 2.5
 # Bound on the last copy, in seconds: it holds what was generated since.
 _LAST_COPY_TIMEOUT_S = 1.0
 
 
 @attrs.frozen
 class Evacuated:
-    """A run was stopped and its memory is at another engine.
+    """The memory of a run is at another engine.
 
     Attributes:
         target: Where it goes on.
@@ -38,70 +43,103 @@
     copy: api.RunCopy
 
 
-async def evacuate(
-    parts: dependencies.Forwarding,
-    exchange: exchanges.Exchange,
-    source: targets.Target,
-    tokens: int,
-) -> Evacuated | None:
-    """Moves a run to another engine.
+class Evacuation:
+    """Moves one run to another engine.
 
     Args:
         parts: Shared parts.
         exchange: The request.
         source: Where it runs.
-        tokens: Tokens that it holds and is expected to need.
 
-    Returns:
-        Where it goes on; None if it runs on at the source or has ended.
+    Attributes:
+        stopping: Whether the source was told to stop the run.
     """
-    tried = {source.target_id}
-    for _ in range(_DESTINATIONS_MAX):
-        destination = parts.placer.choose_refuge(
-            parts.directory.of_service(exchange.service.name),
-            exchange.service,
-            tokens,
-            parts.timers.monotonic_s(),
-            tried,
+
+    def __init__(
+        self,
+        parts: dependencies.Forwarding,
+        exchange: exchanges.Exchange,
+        source: targets.Target,
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._source = source
+        self._result: Evacuated | None = None
+        self.stopping = False
+        self._task = asyncio.create_task(self._run())
+
+    async def result(self) -> Evacuated | None:
+        """Where the run goes on, now that its link has ended."""
+        if not self.stopping:
+            self._task.cancel()
+        await asyncio.wait({self._task})
+        return self._result
+
+    def cancel(self) -> None:
+        """Ends the move."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        refused: set[str] = {self._source.target_id}
+        for _ in range(_CALLS_MAX):
+            destination = self._choose(refused)
+            if destination is None:
+                break
+            move = await self._move(destination, False)
+            match move.result:
+                case api.MoveResult.MOVED:
+                    self._set_result(destination, move.handle)
+                    await self._stop(destination)
+                    return
+                case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
+                    await timers.sleep(self._parts.timers, _PAUSE_S)
+                case _:
+                    refused.add(destination.target_id)
+        events.log(
+            LOG,
+            events.EVACUATION_FAILED,
+            request_id=self._exchange.request.request_id,
+            source=self._source.target_id,
+            refused=len(refused) - 1,
         )
-        if destination is None:
-            break
-        tried.add(destination.target_id)
-        move = await _move(parts, exchange, source, destination, False)
-        if move.result is api.MoveResult.NO_RUN:
-            return None
-        if move.result is not api.MoveResult.MOVED:
-            continue
-        last = await _move(parts, exchange, source, destination, True)
-        match last.result:
-            case api.MoveResult.NO_RUN:
-                return None
+
+    async def _stop(self, destination: targets.Target) -> None:
+        """Stops the run and copies what is new."""
+        self.stopping = True
+        move = await self._move(destination, True)
+        match move.result:
+            case api.MoveResult.MOVED:
+                self._set_result(destination, move.handle)
             case api.MoveResult.STOPPED:
-                copy = api.RunCopy(source.address, last.handle)
-                return Evacuated(source, copy)
+                self._set_result(self._source, move.handle)
+            case api.MoveResult.NO_RUN:
+                # It ended before it could be stopped.
+                self._result = None
             case _:
                 # The first copy lacks only what was generated since.
-                handle = last.handle or move.handle
-                copy = api.RunCopy(source.address, handle)
-                return Evacuated(destination, copy)
-    events.log(
-        LOG,
-        events.EVACUATION_FAILED,
-        request_id=exchange.request.request_id,
-        source=source.target_id,
-        destinations=len(tried) - 1,
-    )
-    return None
-
-
-async def _move(
-    parts: dependencies.Forwarding,
-    exchange: exchanges.Exchange,
-    source: targets.Target,
-    destination: targets.Target,
-    final: bool,
-) -> api.Move:
-    timeout_s = _LAST_COPY_TIMEOUT_S if final else _COPY_TIMEOUT_S
-    return await parts.runs.move(
-        exchange.request.request_id, source, destination, final, timeout_s
-    )
+                return
+
+    def _set_result(self, target: targets.Target, handle: str) -> None:
+        copy = api.RunCopy(self._source.address, handle)
+        self._result = Evacuated(target, copy)
+
+    def _choose(self, refused: set[str]) -> targets.Target | None:
+        parts, exchange = self._parts, self._exchange
+        return parts.placer.choose_refuge(
+            parts.directory.of_service(exchange.service.name),
+            exchange.service,
+            exchange.tokens,
+            parts.timers.monotonic_s(),
+            refused,
+        )
+
+    async def _move(
+        self, destination: targets.Target, final: bool
+    ) -> api.Move:
+        return await self._parts.runs.move(
+            self._exchange.request.request_id,
+            self._source,
+            destination,
+            final,
+            _LAST_COPY_TIMEOUT_S if final else _COPY_TIMEOUT_S,
+        )
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -116,7 +116,7 @@
             exchange.request.last_event_id
         )
         self._response: web.StreamResponse | None = None
-        self._evacuation: asyncio.Task | None = None
+        self._evacuation: evacuation.Evacuation | None = None
         # Where the generation goes on, if its source was stopped already.
         self._carried: tuple[targets.Target, api.RunCopy, str] | None = None
 
@@ -328,10 +328,8 @@
             return
         if self._parts.directory.takes_work(run.target.target_id):
             return
-        self._evacuation = asyncio.create_task(
-            evacuation.evacuate(
-                self._parts, self._exchange, run.target, self._exchange.tokens
-            )
+        self._evacuation = evacuation.Evacuation(
+            self._parts, self._exchange, run.target
         )
 
     def _end_evacuation(self) -> None:
@@ -474,8 +472,9 @@
             await self._response.write(out)
         if not self._cursor.at_boundary:
             return Interrupted('ended within an event')
-        if self._evacuation is not None and await self._evacuation:
-            return Interrupted('moved')
+        if self._evacuation is not None and self._evacuation.stopping:
+            if await self._evacuation.result() is not None:
+                return Interrupted('moved')
         if self._response is None:
             await self._start_response(facts)
         return Complete()
@@ -561,7 +560,7 @@
             place, copy, way = self._carried
             self._carried = None
         elif self._evacuation is not None:
-            evacuated = await self._evacuation
+            evacuated = await self._evacuation.result()
             if evacuated is not None:
                 place, copy = evacuated.target, evacuated.copy
                 way = 'evacuated'
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -165,3 +165,43 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await answer.read()
     assert asyncio.get_running_loop().time() - started_s < 1.0
+
+
+async def test_a_preempted_run_is_moved_when_it_runs_again(deployment):
+    """Guards against runs left behind that were preempted at the notice.
+
+    Seen on the bench's day scale-1 (Zwojex, seed 12): the leaving engine
+    did not know the run for a moment, and the run was lost with it.
+    """
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.event_s = 0.05
+    first.behaviour.events = second.behaviour.events = 40
+    for name in ('engine-1', 'engine-2'):
+        deployment.gateway._loads.get(name).tokens += 28_000
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        first.behaviour.move_status = 404
+        await deployment.register('engine-1', 'model', 'draining')
+        async with asyncio.timeout(2):
+            while not first.moves:
+                await asyncio.sleep(0.01)
+        first.behaviour.move_status = None
+        rest = await answer.read()
+    assert whole(40).endswith(rest)
+    assert first.moves[-1]['last'] is True
+    assert second.received[0]['kv-from'] == f'{first.address}/h1'
+
+
+async def test_a_run_that_ends_during_its_move_is_complete(deployment):
+    """Guards against complete streams that wait for their evacuation."""
+    first, _ = place_on(deployment, 'engine-1')
+    first.behaviour.event_s = 0.05
+    first.behaviour.move_status = 503
+    for name in ('engine-1', 'engine-2'):
+        deployment.gateway._loads.get(name).tokens += 28_000
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        await deployment.register('engine-1', 'model', 'draining')
+        rest = await answer.read()
+    assert whole().endswith(rest)
+    assert first.ran == ['request-1']
