Know exactly whether a request was sent; give up connections after 0.2 s

The client now marks when the head of a request is handed to the network. Ruled out: guessing from the kind of the error; a deadline that ends while the connection is being opened looks like one that ends later.

--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -1,6 +1,7 @@
 """A gateway in this process before stand-ins of the platform."""
 
 import asyncio
+import os
 import socket
 
 import aiohttp
@@ -17,10 +18,20 @@
 ORGANISATION = 'org-1'
 
 
-def free_port(kind: int = socket.SOCK_STREAM) -> int:
+def own_address() -> str:
+    """A loopback address of this process alone.
+
+    Ports are probed before the gateway listens on them; on an address that
+    other test processes do not use nobody takes them in between.
+    """
+    high, low = divmod(os.getpid() % 65_000, 256)
+    return f'127.{high + 1}.{low}.1'
+
+
+def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
     """A port that is free now."""
     with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind(('127.0.0.1', 0))
+        probe.bind((host, 0))
         return probe.getsockname()[1]
 
 
@@ -91,18 +102,19 @@
         self.engines: dict[str, fleet_engine.FakeEngine] = {}
         self.gateway: composition.Gateway | None = None
         self._runner = web.AppRunner(self.store.app, shutdown_timeout=0.05)
-        self.callers_port = free_port()
-        self.ready_port = free_port()
-        self.peers_port = free_port(socket.SOCK_DGRAM)
+        self.host = own_address()
+        self.callers_port = free_port(self.host)
+        self.ready_port = free_port(self.host)
+        self.peers_port = free_port(self.host, socket.SOCK_DGRAM)
         self.session = aiohttp.ClientSession(auto_decompress=False)
 
     async def start_store(self) -> str:
         """Starts the store and gives its address."""
         await self._runner.setup()
-        site = web.TCPSite(self._runner, '127.0.0.1', 0)
+        site = web.TCPSite(self._runner, self.host, 0)
         await site.start()
         port = self._runner.addresses[0][1]
-        return f'127.0.0.1:{port}'
+        return f'{self.host}:{port}'
 
     async def add_engine(
         self, target_id: str, service: str
@@ -127,14 +139,14 @@
             [
                 'node=gateway-1',
                 'zone=zone-a',
-                f'listen.front=127.0.0.1:{self.callers_port}',
-                f'listen.ready=127.0.0.1:{self.ready_port}',
+                f'listen.front={self.host}:{self.callers_port}',
+                f'listen.ready={self.host}:{self.ready_port}',
                 f'internalPortRange={self.peers_port},{self.peers_port}',
                 f'platform.addr={store_address}',
                 'bounds.graceS=2',
             ]
         )
-        decoded = settings_file.decode(text, metrics_port=free_port())
+        decoded = settings_file.decode(text, metrics_port=free_port(self.host))
         self.gateway = composition.Gateway(
             decoded.gateway, adapter.PlatformAdapter(decoded.store)
         )
@@ -148,7 +160,7 @@
 
     async def ready_status(self) -> int:
         """Status of the readiness check."""
-        url = f'http://127.0.0.1:{self.ready_port}/-/readyz'
+        url = f'http://{self.host}:{self.ready_port}/-/readyz'
         async with self.session.get(url) as answer:
             return answer.status
 
@@ -185,7 +197,7 @@
         )
         return self.session.request(
             method,
-            f'http://127.0.0.1:{self.callers_port}/{route}/x?y=1',
+            f'http://{self.host}:{self.callers_port}/{route}/x?y=1',
             headers=fields,
             data=body,
         )
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -66,8 +66,16 @@
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
     options: api.AttemptOptions,
+    mark: target_client.SendMark,
 ) -> aiohttp.ClientResponse:
-    """Sends a request and waits for the head of the answer."""
+    """Sends a request and waits for the head of the answer.
+
+    Args:
+        parts: Shared parts.
+        exchange: The request.
+        options: Where it goes and what it carries.
+        mark: Is set once the target may get the request.
+    """
     request, target = exchange.request, options.target
     exchange.tried.add(target.target_id)
     url = yarl.URL(f'http://{target.address}{request.raw_path}', encoded=True)
@@ -77,6 +85,7 @@
         headers=parts.dialect.attempt_headers(request, options),
         data=request.body or None,
         allow_redirects=False,
+        trace_request_ctx=mark,
     )
 
 
@@ -99,16 +108,17 @@
         target, exchange.deadline_s - now_s, exchange.organisation_name
     )
     answer = None
+    mark = target_client.SendMark()
     try:
         async with asyncio.timeout(until_s - now_s):
-            answer = await send(parts, exchange, options)
+            answer = await send(parts, exchange, options, mark)
             body = await answer.read()
     except TimeoutError as exc:
-        if target_client.was_never_sent(exc):
+        if not mark.sent:
             return exchanges.NeverSent(type(exc).__name__)
         return exchanges.TimedOut()
     except aiohttp.ClientError as exc:
-        if target_client.was_never_sent(exc):
+        if not mark.sent:
             return exchanges.NeverSent(type(exc).__name__)
         return exchanges.Broken(f'{type(exc).__name__}: {exc}'[:120])
     finally:
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -116,7 +116,7 @@
                 pass
             case exchanges.NotRun():
                 load.record_refusal(now_s)
-            case exchanges.NeverSent():
+            case exchanges.NeverSent() | exchanges.TimedOut():
                 load.record_unreachable(now_s)
-            case exchanges.Broken() | exchanges.TimedOut():
+            case exchanges.Broken():
                 load.record_failure(now_s)
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -373,10 +373,15 @@
             copy=run.copy,
             last_event_id=self._cursor.last_id,
         )
-        sending = asyncio.create_task(attempts.send(parts, exchange, options))
+        mark = target_client.SendMark()
+        sending = asyncio.create_task(
+            attempts.send(parts, exchange, options, mark)
+        )
         answer: aiohttp.ClientResponse | None = None
         try:
             interrupted = await self._await_head(run, sending)
+            if interrupted is not None and not mark.sent:
+                return exchanges.NeverSent('no connection in time')
             if interrupted is not None:
                 return interrupted
             answer = sending.result()
@@ -390,15 +395,13 @@
                     body = await answer.read()
                 return attempts.classify(answer.status, facts, body)
             return await self._relay(run, answer, facts, prefill)
-        except TimeoutError as exc:
-            if target_client.was_never_sent(exc):
-                return exchanges.NeverSent(type(exc).__name__)
-            return exchanges.TimedOut()
         except gateway_events.EventStreamError as exc:
             return Interrupted(str(exc), silent=True)
-        except aiohttp.ClientError as exc:
-            if target_client.was_never_sent(exc):
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            if not mark.sent:
                 return exchanges.NeverSent(type(exc).__name__)
+            if isinstance(exc, TimeoutError):
+                return exchanges.TimedOut()
             return Interrupted(f'{type(exc).__name__}: {exc}'[:60])
         finally:
             sending.cancel()
--- a/packages/daemon/src/dotterelweird/gateway/target_client.py
+++ b/packages/daemon/src/dotterelweird/gateway/target_client.py
@@ -7,13 +7,37 @@
 
 import asyncio
 import functools
+import types
 
 import aiohttp
 from aiohttp import client_proto
+import attrs
 
-# Time to open a connection, in seconds. Round trips take a few milliseconds;
-# a longer wait means a lost packet, a full queue or a dead target.
-CONNECT_TIMEOUT_S = 0.5
+# Time to open a connection, in seconds. Round trips take a few milliseconds,
+# and a lost first packet is sent again only after a second: a longer wait
+# means a full queue, a cut link or a dead target.
+CONNECT_TIMEOUT_S = 0.2
+
+
+@attrs.define
+class SendMark:
+    """Whether the head of one request was handed to the network.
+
+    Attributes:
+        sent: Whether it was; before that a target cannot have run it.
+    """
+
+    sent: bool = False
+
+
+async def _mark_sent(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    parameters: aiohttp.TraceRequestHeadersSentParams,
+) -> None:
+    mark = context.trace_request_ctx
+    if isinstance(mark, SendMark):
+        mark.sent = True
 
 
 class AnswerReset(aiohttp.ClientPayloadError):
@@ -47,12 +71,15 @@
 
 def open_session() -> aiohttp.ClientSession:
     """Opens the client session for targets; needs a running loop."""
+    tracing = aiohttp.TraceConfig()
+    tracing.on_request_headers_sent.append(_mark_sent)
     return aiohttp.ClientSession(
         connector=_TargetConnector(asyncio.get_running_loop()),
         timeout=aiohttp.ClientTimeout(
             total=None, sock_connect=CONNECT_TIMEOUT_S
         ),
         auto_decompress=False,
+        trace_configs=[tracing],
         cookie_jar=aiohttp.DummyCookieJar(),
         skip_auto_headers=(
             'Accept',
@@ -76,11 +103,3 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         raise_for_status=False,
     )
-
-
-def was_never_sent(error: Exception) -> bool:
-    """Whether an error shows that no byte reached the target."""
-    return isinstance(
-        error,
-        aiohttp.ClientConnectorError | aiohttp.ConnectionTimeoutError,
-    )
--- a/packages/daemon/tests/gateway/test_calls.py
+++ b/packages/daemon/tests/gateway/test_calls.py
@@ -1,6 +1,7 @@
 """Plain calls through the gateway and the adapter."""
 
 import asyncio
+import socket
 
 import pytest
 
@@ -154,3 +155,29 @@
     async with deployment.request('book') as answer:
         assert answer.status == 503
     assert runs(deployment) == 0
+
+
+async def test_a_call_that_was_never_sent_is_refused_as_not_run(deployment):
+    """Guards against 504 for a call that its target never got.
+
+    Seen in an incident on Zwojex: while a zone was cut off, calls that may
+    not repeat were told 504 although no connection was opened, so that
+    their callers could not come back.
+    """
+    with socket.socket() as full:
+        full.bind(('127.0.0.1', 0))
+        full.listen(0)
+        host, port = full.getsockname()
+        # A full queue of connections drops further ones.
+        clients = [socket.socket() for _ in range(3)]
+        for client in clients:
+            client.setblocking(False)
+            client.connect_ex((host, port))
+        for shop in shops(deployment):
+            shop.address = f'{host}:{port}'
+            await deployment.register(shop.target_id, 'plain')
+        await asyncio.sleep(0.8)
+        async with deployment.request('book', deadline_ms=150) as answer:
+            assert answer.status == 503
+        for client in clients:
+            client.close()
