--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -83,7 +83,9 @@
         )
         store = adapter.store(self._store_session)
         self._tables = following.TablesKeeper(store)
-        self._targets = following.TargetsKeeper(store, self._directory)
+        self._targets = following.TargetsKeeper(
+            store, self._directory, self._timers, settings.settle_s
+        )
         self._targets.subscribe(self._parts.watch.announce)
         self._targets.subscribe(self._forget_gone)
         self._peers = peers.PeerExchange(
@@ -113,6 +115,7 @@
             self._targets_period_s,
             self._targets.apply_snapshot,
             self._apply_targets,
+            self._targets.store_returned,
         )
         self._followers: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -52,6 +52,7 @@
         period_s: Gives the least time between two reads, in seconds.
         apply_snapshot: Takes the newest record of every key.
         apply_records: Takes further records in order.
+        returned: Is called when the store answers after an outage.
     """
 
     def __init__(
@@ -63,7 +64,8 @@
         wait_s: float,
         period_s: Callable[[], float],
         apply_snapshot: Callable[[api.Batch], None],
-        apply_records: Callable[[api.Batch], None],
+        apply_records: Callable[[api.Batch], object],
+        returned: Callable[[], None] = lambda: None,
     ) -> None:
         self._store = store
         self._stream = stream
@@ -74,9 +76,9 @@
         self._period_s = period_s
         self._apply_snapshot = apply_snapshot
         self._apply_records = apply_records
+        self._returned = returned
         self._offset: int | None = None
         self.available = False
-        self.available_since_s = 0.0
         self.read_at_s = 0.0
 
     async def run(self) -> None:
@@ -97,7 +99,6 @@
                 delay_s = self._backoff.next_delay_s()
                 await timers.sleep(self._timers, delay_s or _RETRY_CAP_S)
             else:
-                self._mark_available()
                 period_s = self._period_s()
                 if period_s:
                     # Instances that started together spread their reads.
@@ -108,21 +109,24 @@
     async def _step(self) -> None:
         if self._offset is None:
             batch = await self._store.newest(self._stream)
+            self._mark_available()
             self._apply_snapshot(batch)
         else:
             batch = await self._store.read(
                 self._stream, self._offset, self._wait_s
             )
+            self._mark_available()
             self._apply_records(batch)
         self._offset = batch.end
 
     def _mark_available(self) -> None:
-        now_s = self._timers.monotonic_s()
-        self.read_at_s = now_s
+        had_outage = self.read_at_s > 0.0 and not self.available
+        self.read_at_s = self._timers.monotonic_s()
         self._backoff.reset()
+        if had_outage:
+            self._returned()
         if not self.available:
             self.available = True
-            self.available_since_s = now_s
             events.log(LOG, events.STORE_REACHABLE, stream=self._stream.value)
 
     def _mark_unavailable(self, reason: str) -> None:
@@ -187,15 +191,31 @@
 
 
 class TargetsKeeper:
-    """The registered targets."""
+    """The registered targets.
+
+    Entries lapse while the store is away, and targets that live write them
+    again within the settling time after its return. A removal that is read
+    in that time is believed after it, unless a newer entry came meanwhile.
+
+    Args:
+        store: The platform's store.
+        directory: The targets.
+        timer_service: The timer service.
+        settle_s: The settling time, in seconds.
+    """
 
     def __init__(
         self,
         store: api.Store,
         directory: gateway_targets.TargetDirectory,
+        timer_service: core_timers.TimerService,
+        settle_s: float,
     ) -> None:
         self._store = store
         self._directory = directory
+        self._timers = timer_service
+        self._settle_s = settle_s
+        self._settled_at_s = 0.0
         self._listeners: list[
             Callable[[gateway_targets.TargetChange], None]
         ] = []
@@ -206,8 +226,17 @@
         """Calls a function with each change of a target."""
         self._listeners.append(listener)
 
+    def store_returned(self) -> None:
+        """Takes note that the store answers again after an outage."""
+        self._settled_at_s = self._timers.monotonic_s() + self._settle_s
+
     def apply_snapshot(self, batch: api.Batch) -> None:
         """Takes the newest record of every target."""
+        wait_s = self._settled_at_s - self._timers.monotonic_s()
+        if wait_s > 0 and self._directory.targets:
+            self.apply(batch)
+            self._timers.call_after(wait_s, lambda: self.apply_snapshot(batch))
+            return
         records = {}
         for record in batch.records:
             try:
@@ -232,12 +261,24 @@
             except api.RecordInvalid as exc:
                 self._log_invalid(record, exc)
                 continue
+            if decoded is None and self._defer(record):
+                continue
             change = self._directory.apply(record.key, decoded, record.offset)
             if change is not None:
                 self._announce(change)
                 changed.append(record)
         return changed
 
+    def _defer(self, record: api.Record) -> bool:
+        """Defers a removal that is read while entries come back."""
+        wait_s = self._settled_at_s - self._timers.monotonic_s()
+        if wait_s <= 0 or record.key not in self._directory.targets:
+            return False
+        self._timers.call_after(
+            wait_s, lambda: self.apply(api.Batch((record,), 0))
+        )
+        return True
+
     def _log_invalid(self, record: api.Record, exc: Exception) -> None:
         events.log(
             LOG,
--- a/packages/daemon/tests/gateway/test_following.py
+++ b/packages/daemon/tests/gateway/test_following.py
@@ -137,3 +137,29 @@
             assert float(answer.headers['Retry-After']) > 0
     finally:
         await running.close()
+
+
+async def test_entries_that_lapsed_in_an_outage_may_come_back(deployment):
+    """Guards against targets dropped for entries that lapsed meanwhile."""
+    directory = deployment.gateway._directory
+    deployment.store.failing = True
+    await asyncio.sleep(0.8)
+    for name in ('shop-1', 'shop-2'):
+        await deployment.store.write('keyed.servers', name, b'')
+    deployment.store.failing = False
+    await asyncio.sleep(1.2)
+    assert directory.takes_work('shop-1')
+    await deployment.register('shop-1', 'plain')
+    async with asyncio.timeout(5):
+        while 'shop-2' in directory.targets:
+            await asyncio.sleep(0.05)
+    assert directory.takes_work('shop-1')
+    assert await status_of(deployment, 'book') == 200
+
+
+async def test_a_removal_without_an_outage_is_believed(deployment):
+    """Guards against work for targets that are gone."""
+    await deployment.store.write('keyed.servers', 'shop-1', b'')
+    async with asyncio.timeout(1.5):
+        while 'shop-1' in deployment.gateway._directory.targets:
+            await asyncio.sleep(0.02)
