Split the forwarding of generations; reload settings; count attempts

The module of generations had grown to 655 lines: waiting for room, handovers and outcomes have modules of their own. SIGHUP reads the settings file again; counters that nothing fed are fed or gone.

--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -12,6 +12,7 @@
 from dotterelweir_platform import adapter
 from dotterelweir_platform import settings_file
 from dotterelweird.gateway import composition
+from dotterelweird.gateway import settings as gateway_settings
 
 HOST = 'shop.example'
 KEY = 'key-1'
@@ -95,12 +96,14 @@
         store: Stand-in of the store.
         engines: Engines by name.
         gateway: The gateway.
+        reloaded: Settings that a reload finds; None for the first ones.
     """
 
     def __init__(self) -> None:
         self.store = fleet_store.FakeStore()
         self.engines: dict[str, fleet_engine.FakeEngine] = {}
         self.gateway: composition.Gateway | None = None
+        self.reloaded: gateway_settings.GatewaySettings | None = None
         self._runner = web.AppRunner(self.store.app, shutdown_timeout=0.05)
         self.host = own_address()
         self.callers_port = free_port(self.host)
@@ -148,7 +151,9 @@
         )
         decoded = settings_file.decode(text, metrics_port=free_port(self.host))
         self.gateway = composition.Gateway(
-            decoded.gateway, adapter.PlatformAdapter(decoded.store)
+            decoded.gateway,
+            adapter.PlatformAdapter(decoded.store),
+            lambda: self.reloaded or decoded.gateway,
         )
         await self.gateway.start()
 
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -69,6 +69,12 @@
 INSTANCE_STOPPED = _event(
     103, 'instance-stopped', logging.INFO, 'The instance has stopped.'
 )
+GATEWAY_RELOAD_FAILED = _event(
+    105,
+    'gateway-reload-failed',
+    logging.WARNING,
+    'The changed settings are not valid; the former ones stay in use.',
+)
 LOG_LINES_DROPPED = _event(
     104,
     'log-lines-dropped',
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -36,7 +36,6 @@
         failures: Failures in a row.
         avoid_until_s: Monotonic time until which it gets no new work if
             another target can take it.
-        last_success_s: When a request last ended well there.
         last_event_s: When a stream of it last delivered an event.
     """
 
@@ -50,14 +49,12 @@
     mean_s: float = 0.0
     failures: int = 0
     avoid_until_s: float = 0.0
-    last_success_s: float = 0.0
     last_event_s: float = float('-inf')
 
     def record_success(self, taken_s: float, now_s: float) -> None:
         """Takes note of a request that ended well."""
         self.failures = 0
         self.avoid_until_s = min(self.avoid_until_s, now_s)
-        self.last_success_s = now_s
         if self.mean_s:
             self.mean_s += _SERVICE_TIME_WEIGHT * (taken_s - self.mean_s)
         else:
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -9,6 +9,7 @@
 import yarl
 
 from dotterelweir_core import events
+from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import dependencies
@@ -62,6 +63,25 @@
         load.backup_tokens -= tokens
 
 
+class Prefill:
+    """Counts a prompt as waiting for its prefill until its first event."""
+
+    def __init__(self, load: gateway_load.TargetLoad, tokens: int) -> None:
+        self._load = load
+        self._tokens = tokens
+
+    def __enter__(self) -> None:
+        self._load.prefill_tokens += self._tokens
+
+    def __exit__(self, *unused: object) -> None:
+        self.end()
+
+    def end(self) -> None:
+        """Counts it no longer."""
+        self._load.prefill_tokens -= self._tokens
+        self._tokens = 0
+
+
 async def send(
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
@@ -145,13 +165,14 @@
     return exchanges.Answered(status, facts.headers, body)
 
 
-def log_end(
+def record_end(
+    parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
     target: targets.Target,
     outcome: exchanges.Outcome,
     taken_s: float,
 ) -> None:
-    """Logs the end of an attempt."""
+    """Logs and counts the end of an attempt."""
     match outcome:
         case exchanges.Answered(status=status):
             end, detail = 'answered', str(status)
@@ -163,6 +184,7 @@
             end = 'broken'
         case exchanges.TimedOut():
             end, detail = 'timed out', ''
+    parts.statistics.attempts.inc({'target': target.target_id, 'end': end})
     events.log(
         LOG,
         events.GATEWAY_ATTEMPT_ENDED,
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -77,6 +77,7 @@
 
     async def _handle(self, caller: web.BaseRequest) -> web.StreamResponse:
         self.running += 1
+        self._parts.statistics.running.set({}, self.running)
         arrived_s = self._parts.timers.monotonic_s()
         request: api.CallerRequest | None = None
         outcome = 'cancelled'
@@ -95,6 +96,7 @@
             response = self._refusal(request, exc)
         finally:
             self.running -= 1
+            self._parts.statistics.running.set({}, self.running)
             self._log_end(request, outcome, arrived_s)
         if self._stop.stopping:
             response.force_close()
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -96,7 +96,7 @@
         with attempts.counted(parts, target):
             outcome = await attempts.call(parts, exchange, target, until_s)
         ended_s = parts.timers.monotonic_s()
-        attempts.log_end(exchange, target, outcome, ended_s - now_s)
+        attempts.record_end(parts, exchange, target, outcome, ended_s - now_s)
         self._record(target.target_id, outcome, ended_s - now_s, ended_s)
         return outcome
 
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -1,6 +1,7 @@
 """The composition root of the gateway."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 import random
 import signal
@@ -9,9 +10,11 @@
 
 from aiohttp import web
 
+from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import placement
+from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets
 from dotterelweird import lifecycle
 from dotterelweird import log_output
@@ -39,12 +42,22 @@
 
 
 async def run(
-    settings: gateway_settings.GatewaySettings, adapter: api.Adapter
+    load_settings: Callable[[], gateway_settings.GatewaySettings],
+    adapter: api.Adapter,
 ) -> None:
-    """Runs a gateway until it is asked to stop and has drained."""
+    """Runs a gateway until it is asked to stop and has drained.
+
+    Args:
+        load_settings: Reads the settings; is called again at a reload.
+        adapter: The platform's adapter.
+
+    Raises:
+        DotterelweirError: The settings are not valid.
+    """
+    settings = load_settings()
     output = log_output.BoundedOutput(sys.stdout.fileno(), time.monotonic)
     logs.configure('INFO', settings.instance_id, settings.zone, output)
-    gateway = Gateway(settings, adapter)
+    gateway = Gateway(settings, adapter, load_settings)
     await gateway.run()
 
 
@@ -55,7 +68,9 @@
         self,
         settings: gateway_settings.GatewaySettings,
         adapter: api.Adapter,
+        load_settings: Callable[[], gateway_settings.GatewaySettings],
     ) -> None:
+        self._load_settings = load_settings
         loop = asyncio.get_running_loop()
         self._settings = settings
         self._timers = timers.LoopTimerService(loop)
@@ -88,6 +103,7 @@
         )
         self._targets.subscribe(self._parts.watch.announce)
         self._targets.subscribe(self._forget_gone)
+        self._tables.subscribe(self._show_version)
         self._peers = peers.PeerExchange(
             settings,
             self._timers,
@@ -218,5 +234,16 @@
             self._stop.since_s = self._timers.monotonic_s()
             self._lifecycle.drain()
 
+    def _show_version(self, tables: gateway_tables.Tables) -> None:
+        self._statistics.tables_version.set({}, tables.version)
+
     def _reload(self) -> None:
-        events.log(LOG, events.GATEWAY_RELOADED)
+        """Takes changed settings over; addresses stay as they are."""
+        try:
+            settings = self._load_settings()
+        except errors.DotterelweirError as exc:
+            events.log(LOG, events.GATEWAY_RELOAD_FAILED, reason=exc.detail)
+            return
+        self._stop.grace_s = settings.grace_s
+        self._parts.set_settings(settings)
+        events.log(LOG, events.GATEWAY_RELOADED, grace_s=settings.grace_s)
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -68,6 +68,14 @@
         """The requests that wait for room at a service's engines."""
         return self._lines.setdefault(service.name, waiting.WaitingLine())
 
+    def set_settings(self, settings: gateway_settings.GatewaySettings) -> None:
+        """Takes over changed settings."""
+        self.settings = settings
+        for budget in self._budgets.values():
+            budget.ratio = settings.repeat_ratio
+            budget.burst = settings.repeat_burst
+            budget.window_s = settings.repeat_window_s
+
     def set_instances(self, instances: int) -> None:
         """Sets how many instances share the repeat budgets."""
         self.instances = instances
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -7,14 +7,13 @@
 import asyncio
 import logging
 
-import attrs
-
 from dotterelweir_core import events
 from dotterelweir_core.gateway import targets
 from dotterelweird import timers
 from dotterelweird.gateway import api
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import handover
 
 LOG = logging.getLogger(__name__)
 
@@ -30,19 +29,6 @@
 _LAST_COPY_TIMEOUT_S = 1.0
 
 
-@attrs.frozen
-class Evacuated:
-    """The memory of a run is at another engine.
-
-    Attributes:
-        target: Where it goes on.
-        copy: The copy to go on from.
-    """
-
-    target: targets.Target
-    copy: api.RunCopy
-
-
 class Evacuation:
     """Moves one run to another engine.
 
@@ -64,11 +50,11 @@
         self._parts = parts
         self._exchange = exchange
         self._source = source
-        self._result: Evacuated | None = None
+        self._result: handover.Handover | None = None
         self.stopping = False
         self._task = asyncio.create_task(self._run())
 
-    async def result(self) -> Evacuated | None:
+    async def result(self) -> handover.Handover | None:
         """Where the run goes on, now that its link has ended."""
         if not self.stopping:
             self._task.cancel()
@@ -121,7 +107,9 @@
 
     def _set_result(self, target: targets.Target, handle: str) -> None:
         copy = api.RunCopy(self._source.address, handle)
-        self._result = Evacuated(target, copy)
+        self._result = handover.Handover(
+            target, copy, handover.HandoverWay.EVACUATED
+        )
 
     def _choose(self, refused: set[str]) -> targets.Target | None:
         parts, exchange = self._parts, self._exchange
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -87,3 +87,24 @@
 
 
 Outcome = Answered | NotRun | NeverSent | Broken | TimedOut
+
+
+@attrs.frozen
+class Complete:
+    """A generation reached its end."""
+
+
+@attrs.frozen
+class Interrupted:
+    """The link to an engine ended before its generation did.
+
+    Attributes:
+        reason: Why.
+        silent: Whether the engine may still be connected and running.
+    """
+
+    reason: str
+    silent: bool = False
+
+
+StreamOutcome = Outcome | Complete | Interrupted
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -16,16 +16,15 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.gateway import events as gateway_events
-from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import targets
-from dotterelweir_core.gateway import waiting
-from dotterelweird import timers
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import evacuation
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import handover
 from dotterelweird.gateway import refusing
+from dotterelweird.gateway import rooms
 from dotterelweird.gateway import target_client
 
 LOG = logging.getLogger(__name__)
@@ -36,48 +35,17 @@
 # Silence in the middle of a stream after which its engine is asked to stop
 # it, in seconds: several times the pause of a preempted or slowed run.
 _SILENCE_S = 1.0
-# Bound on the call that stops a run at its old engine, in seconds. A copy
-# takes up to a quarter of a second between availability zones.
-_STOP_TIMEOUT_S = 0.4
 # Share of the objective after which a resumable request that has no first
 # event is sent to another engine, if its engine shows no sign of life.
 _FIRST_EVENT_SHARE = 1.4
 # Time since the last event of any stream within which an engine counts as
 # alive, in seconds: a busy engine sends one every few tens of milliseconds.
 _ALIVE_S = 1.0
-# Between two looks for room, in seconds; digests of other instances arrive
-# within about this time.
-_ROOM_CHECK_S = 0.04
 # Usual time to the first event and for each token, in seconds, to estimate
 # whether a generation ends before a stopping process does. Seen on a calm
 # day: 0.65 s at the median, and about 10 ms a token.
 _START_S = 0.7
 _TOKEN_S = 0.01
-# Ways in which a generation goes on from the copy that was kept of it: its
-# engine says that it runs no longer, or cannot be asked.
-_NO_RUN = 'backup, source has no run'
-_BACKUP = 'backup, source not reached'
-
-
-@attrs.frozen
-class Complete:
-    """The generation reached its end."""
-
-
-@attrs.frozen
-class Interrupted:
-    """The link to the engine ended before the generation did.
-
-    Attributes:
-        reason: Why.
-        silent: Whether the engine may still be connected and running.
-    """
-
-    reason: str
-    silent: bool = False
-
-
-StreamOutcome = exchanges.Outcome | Complete | Interrupted
 
 
 @attrs.define
@@ -118,7 +86,7 @@
         self._response: web.StreamResponse | None = None
         self._evacuation: evacuation.Evacuation | None = None
         # Where the generation goes on, if its source was stopped already.
-        self._carried: tuple[targets.Target, api.RunCopy, str] | None = None
+        self._handover: handover.Handover | None = None
 
     @property
     def _started(self) -> bool:
@@ -139,19 +107,19 @@
         exchange = self._exchange
         budget = self._parts.budget(exchange.service)
         budget.record_request(self._parts.timers.monotonic_s())
-        await self._wait_for_room()
+        await rooms.wait_for_room(self._parts, exchange)
         run = self._place()
-        last: StreamOutcome | None = None
+        last: exchanges.StreamOutcome | None = None
         while run is not None:
             try:
                 last = await self._attempt(run)
                 match last:
-                    case Complete():
+                    case exchanges.Complete():
                         await self._response.write_eof()
                         return self._response
                     case exchanges.Answered() if self._is_final(last):
                         return last
-                    case Interrupted():
+                    case exchanges.Interrupted():
                         exchange.may_have_run = True
                 run = await self._next_run(run, last)
             finally:
@@ -171,48 +139,6 @@
                 break
         return self._give_up(last)
 
-    async def _wait_for_room(self) -> None:
-        """Holds a long generation back until an engine's memory has room."""
-        exchange, parts = self._exchange, self._parts
-        if exchange.route.resumable or self._has_room():
-            return
-        ticket = waiting.Ticket(exchange.arrived_s, exchange.route.objective_s)
-        line = parts.line(exchange.service)
-        line.add(ticket)
-        try:
-            while True:
-                await timers.sleep(
-                    parts.timers, _ROOM_CHECK_S * parts.rng.uniform(0.5, 1.5)
-                )
-                now_s = parts.timers.monotonic_s()
-                if ticket.has_waited_out(now_s):
-                    break
-                if line.is_next(ticket, now_s) and self._has_room():
-                    break
-        finally:
-            line.remove(ticket)
-        events.log(
-            LOG,
-            events.WAITED_FOR_ROOM,
-            request_id=exchange.request.request_id,
-            service=exchange.service.name,
-            waiting=len(line),
-            waited_s=round(now_s - exchange.arrived_s, 3),
-        )
-
-    def _has_room(self) -> bool:
-        """Whether some engine has room; true if none is known at all."""
-        exchange, parts = self._exchange, self._parts
-        ready = [
-            target
-            for target in parts.directory.of_service(exchange.service.name)
-            if target.state is targets.TargetState.READY
-        ]
-        return not ready or any(
-            parts.placer.has_room(target, exchange.service, exchange.tokens)
-            for target in ready
-        )
-
     def _is_final(self, answer: exchanges.Answered) -> bool:
         """Whether a target's answer that is no stream goes to the caller."""
         if self._started:
@@ -265,14 +191,14 @@
             {target.target_id},
         )
 
-    async def _attempt(self, run: _Run) -> StreamOutcome:
+    async def _attempt(self, run: _Run) -> exchanges.StreamOutcome:
         parts, exchange = self._parts, self._exchange
         sent_s = parts.timers.monotonic_s()
         load = parts.loads.get(run.target.target_id)
         counted_prefill = exchange.request.prompt_tokens
         if run.copy is not None:
             counted_prefill = 0
-        prefill = _Prefill(load, counted_prefill)
+        prefill = attempts.Prefill(load, counted_prefill)
         watched = [run.target.target_id]
         if run.backup is not None:
             watched.append(run.backup.target_id)
@@ -289,7 +215,7 @@
             outcome = await self._exchange_stream(run, prefill)
         now_s = parts.timers.monotonic_s()
         match outcome:
-            case Complete():
+            case exchanges.Complete():
                 load.record_success(now_s - sent_s, now_s)
             case exchanges.Answered(status=status) if status >= 500:
                 load.record_failure(now_s)
@@ -297,11 +223,13 @@
                 load.record_refusal(now_s)
             case exchanges.NeverSent():
                 load.record_unreachable(now_s)
-            case exchanges.Broken() | exchanges.TimedOut() | Interrupted() if (
-                self._evacuation is None
-            ):
+            case (
+                exchanges.Broken()
+                | exchanges.TimedOut()
+                | exchanges.Interrupted()
+            ) if self._evacuation is None:
                 load.record_failure(now_s)
-        self._log_attempt(run, outcome, now_s - sent_s)
+        self._record_attempt(run, outcome, now_s - sent_s)
         return outcome
 
     def _notice(self, run: _Run, change: targets.TargetChange) -> None:
@@ -337,17 +265,22 @@
             self._evacuation.cancel()
             self._evacuation = None
 
-    def _log_attempt(
-        self, run: _Run, outcome: StreamOutcome, taken_s: float
+    def _record_attempt(
+        self, run: _Run, outcome: exchanges.StreamOutcome, taken_s: float
     ) -> None:
         match outcome:
-            case Complete():
+            case exchanges.Complete():
                 end, detail = 'complete', ''
-            case Interrupted(reason=detail):
+            case exchanges.Interrupted(reason=detail):
                 end = 'interrupted'
             case _:
-                attempts.log_end(self._exchange, run.target, outcome, taken_s)
+                attempts.record_end(
+                    self._parts, self._exchange, run.target, outcome, taken_s
+                )
                 return
+        self._parts.statistics.attempts.inc(
+            {'target': run.target.target_id, 'end': end}
+        )
         events.log(
             LOG,
             events.GATEWAY_ATTEMPT_ENDED,
@@ -361,8 +294,8 @@
         )
 
     async def _exchange_stream(
-        self, run: _Run, prefill: '_Prefill'
-    ) -> StreamOutcome:
+        self, run: _Run, prefill: attempts.Prefill
+    ) -> exchanges.StreamOutcome:
         parts, exchange = self._parts, self._exchange
         self._cursor.start_link()
         options = api.AttemptOptions(
@@ -396,13 +329,13 @@
                 return attempts.classify(answer.status, facts, body)
             return await self._relay(run, answer, facts, prefill)
         except gateway_events.EventStreamError as exc:
-            return Interrupted(str(exc), silent=True)
+            return exchanges.Interrupted(str(exc), silent=True)
         except (aiohttp.ClientError, TimeoutError) as exc:
             if not mark.sent:
                 return exchanges.NeverSent(type(exc).__name__)
             if isinstance(exc, TimeoutError):
                 return exchanges.TimedOut()
-            return Interrupted(f'{type(exc).__name__}: {exc}'[:60])
+            return exchanges.Interrupted(f'{type(exc).__name__}: {exc}'[:60])
         finally:
             sending.cancel()
             if answer is not None:
@@ -414,7 +347,7 @@
 
     async def _await_head(
         self, run: _Run, sending: asyncio.Task
-    ) -> StreamOutcome | None:
+    ) -> exchanges.StreamOutcome | None:
         """Waits for the head of an answer; gives why it waits no longer."""
         patience_s = self._first_patience_s()
         while True:
@@ -440,8 +373,8 @@
         run: _Run,
         answer: aiohttp.ClientResponse,
         facts: api.AnswerFacts,
-        prefill: '_Prefill',
-    ) -> StreamOutcome:
+        prefill: attempts.Prefill,
+    ) -> exchanges.StreamOutcome:
         load = self._parts.loads.get(run.target.target_id)
         patience_s = self._first_patience_s()
         waiting_for_first = True
@@ -474,15 +407,15 @@
                 self._evacuate_if_needed(run)
             await self._response.write(out)
         if not self._cursor.at_boundary:
-            return Interrupted('ended within an event')
+            return exchanges.Interrupted('ended within an event')
         if self._evacuation is not None and self._evacuation.stopping:
             if await self._evacuation.result() is not None:
-                return Interrupted('moved')
+                return exchanges.Interrupted('moved')
         if self._response is None:
             await self._start_response(facts)
-        return Complete()
+        return exchanges.Complete()
 
-    async def _on_silence(self, run: _Run) -> Interrupted | None:
+    async def _on_silence(self, run: _Run) -> exchanges.Interrupted | None:
         """Finds out why a link is silent.
 
         Returns:
@@ -492,22 +425,25 @@
         if exchange.route.resumable:
             if self._is_alive(run.target):
                 return None
-            return Interrupted('silence', silent=True)
+            return exchanges.Interrupted('silence', silent=True)
         if not self._started or self._evacuation is not None:
             return None
         destination = run.backup or self._choose_refuge(run.target)
         if destination is None:
             return None
-        place, copy, way = await self._stop_source(run, destination)
-        if way == _NO_RUN:
-            # The engine lives and has preempted the run; it will go on.
-            return None
-        if way == _BACKUP and (
-            run.backup is None or not self._is_alive(place)
-        ):
-            return None
-        self._carried = (place, copy, way)
-        return Interrupted('silence', silent=True)
+        found = await handover.stop_source(
+            self._parts, exchange, run.target, destination
+        )
+        match found.way:
+            case handover.HandoverWay.BACKUP:
+                # The engine lives and has preempted the run; it will go on.
+                return None
+            case handover.HandoverWay.BACKUP_UNREACHED:
+                # A link into a zone that is cut off may heal.
+                if run.backup is None or not self._is_alive(found.target):
+                    return None
+        self._handover = found
+        return exchanges.Interrupted('silence', silent=True)
 
     def _is_alive(self, target: targets.Target) -> bool:
         """Whether a target delivered something to this instance lately."""
@@ -538,10 +474,12 @@
             parts.timers.monotonic_s() - exchange.arrived_s,
         )
 
-    async def _next_run(self, run: _Run, last: StreamOutcome) -> _Run | None:
+    async def _next_run(
+        self, run: _Run, last: exchanges.StreamOutcome
+    ) -> _Run | None:
         """Where the generation goes on after an attempt; None to give up."""
         match last:
-            case Interrupted():
+            case exchanges.Interrupted():
                 resumed = await self._carry_over(run, last)
                 if resumed is not None:
                     return resumed
@@ -556,59 +494,41 @@
                 self._exchange.record_run()
                 return self._restart()
 
-    async def _carry_over(self, run: _Run, last: Interrupted) -> _Run | None:
+    async def _carry_over(
+        self, run: _Run, last: exchanges.Interrupted
+    ) -> _Run | None:
         """Where an interrupted run goes on from a copy, if there is one."""
-        place, copy, way = None, None, ''
-        if self._carried is not None:
-            place, copy, way = self._carried
-            self._carried = None
-        elif self._evacuation is not None:
-            evacuated = await self._evacuation.result()
-            if evacuated is not None:
-                place, copy = evacuated.target, evacuated.copy
-                way = 'evacuated'
-        if place is None and run.backup is not None:
-            place, copy, way = await self._stop_source(run, run.backup)
-        if place is None:
+        found = await self._find_handover(run)
+        if found is None:
             return None
-        self._parts.statistics.recoveries.inc({'way': way})
+        self._parts.statistics.recoveries.inc({'way': found.way.name.lower()})
         events.log(
             LOG,
             events.GENERATION_CARRIED_OVER,
             request_id=self._exchange.request.request_id,
             source=run.target.target_id,
-            target_id=place.target_id,
-            way=way,
+            target_id=found.target.target_id,
+            way=found.way.value,
             reason=last.reason,
             last_event_id=self._cursor.last_id,
         )
-        return _Run(place, self._choose_backup(place), copy)
-
-    async def _stop_source(
-        self, run: _Run, backup: targets.Target
-    ) -> tuple[targets.Target, api.RunCopy, str]:
-        """Makes sure that a run has stopped, and finds its newest copy."""
-        request_id = self._exchange.request.request_id
-        move = await self._parts.runs.move(
-            request_id,
-            run.target,
-            backup,
-            final=True,
-            timeout_s=_STOP_TIMEOUT_S,
+        return _Run(
+            found.target, self._choose_backup(found.target), found.copy
+        )
+
+    async def _find_handover(self, run: _Run) -> handover.Handover | None:
+        if self._handover is not None:
+            found, self._handover = self._handover, None
+            return found
+        if self._evacuation is not None:
+            found = await self._evacuation.result()
+            if found is not None:
+                return found
+        if run.backup is None:
+            return None
+        return await handover.stop_source(
+            self._parts, self._exchange, run.target, run.backup
         )
-        match move.result:
-            case api.MoveResult.MOVED:
-                copy = api.RunCopy(run.target.address, move.handle)
-                return backup, copy, 'moved'
-            case api.MoveResult.STOPPED:
-                copy = api.RunCopy(run.target.address, move.handle)
-                return run.target, copy, 'stopped'
-            case api.MoveResult.NO_RUN:
-                copy = api.RunCopy(backup.address, request_id)
-                return backup, copy, _NO_RUN
-            case _:
-                copy = api.RunCopy(backup.address, request_id)
-                return backup, copy, _BACKUP
 
     def _restart(self) -> _Run | None:
         exchange = self._exchange
@@ -618,33 +538,16 @@
             return None
         return self._place()
 
-    def _give_up(self, last: StreamOutcome | None) -> web.StreamResponse:
+    def _give_up(
+        self, last: exchanges.StreamOutcome | None
+    ) -> web.StreamResponse:
         if self._started:
             raise GenerationLost
-        if isinstance(last, Interrupted) and last.silent:
+        if isinstance(last, exchanges.Interrupted) and last.silent:
             last = exchanges.TimedOut()
         raise refusing.error_after(self._parts, self._exchange, last)
 
 
-class _Prefill:
-    """Counts a prompt as waiting for its prefill until its first event."""
-
-    def __init__(self, load: gateway_load.TargetLoad, tokens: int) -> None:
-        self._load = load
-        self._tokens = tokens
-
-    def __enter__(self) -> None:
-        self._load.prefill_tokens += self._tokens
-
-    def __exit__(self, *unused: object) -> None:
-        self.end()
-
-    def end(self) -> None:
-        """Counts it no longer."""
-        self._load.prefill_tokens -= self._tokens
-        self._tokens = 0
-
-
 class GenerationLost(errors.DotterelweirError):
     """A generation ended after part of it reached the caller."""
 
--- a/packages/daemon/src/dotterelweird/gateway/settings.py
+++ b/packages/daemon/src/dotterelweird/gateway/settings.py
@@ -24,14 +24,11 @@
         peers_port: Port for datagrams between instances.
         seed_hosts: Addresses of instances to begin with; may be stale.
         grace_s: Time between the request to stop and the end, in seconds.
-        drain_s: Time within which a leaving target gets no more work.
-        unstable_s: Time after trouble in which knowledge is not trusted.
         repeat_ratio: Repeats allowed for each request of a service.
         repeat_burst: Repeats allowed besides, for all instances together.
         repeat_window_s: Window of the two, in seconds.
         settle_s: Time after the store's return in which entries that
             lapsed meanwhile come back, in seconds.
-        heartbeat_s: Time between two entries of a target.
     """
 
     instance_id: str
@@ -42,10 +39,7 @@
     peers_port: int
     seed_hosts: tuple[str, ...]
     grace_s: float
-    drain_s: float
-    unstable_s: float
     repeat_ratio: float
     repeat_burst: float
     repeat_window_s: float
     settle_s: float
-    heartbeat_s: float
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -17,9 +17,8 @@
         recoveries: Streams that went on after their target, by way.
         first_byte_s: Time to the first byte of an answer, in seconds.
         answer_s: Time to the end of an answer, in seconds.
-        running: Requests in flight.
+        running: Requests in flight at callers.
         tables_version: Version of the tables in force.
-        store_calls: Calls to the platform's store, by outcome.
     """
 
     def __init__(self) -> None:
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -21,13 +21,10 @@
         peers_port=7200,
         seed_hosts=('10.0.0.1',),
         grace_s=8.0,
-        drain_s=2.0,
-        unstable_s=3.0,
         repeat_ratio=0.2,
         repeat_burst=50.0,
         repeat_window_s=10.0,
         settle_s=2.0,
-        heartbeat_s=1.2,
     )
 
 
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -2,8 +2,10 @@
 
 import asyncio
 
+import attrs
 import pytest
 
+from dotterelweir_platform import settings_file
 from dotterelweird.gateway import stopping
 
 
@@ -58,3 +60,41 @@
         rest = await answer.read()
     assert rest.endswith(b'id: 10\ndata: token-10\n\n')
     await asyncio.sleep(0)
+
+
+async def test_a_reload_takes_changed_settings_over(deployment):
+    """Guards against a SIGHUP that changes nothing or ends the process."""
+    gateway = deployment.gateway
+    before = gateway._settings
+    deployment.reloaded = attrs.evolve(before, grace_s=5.0, repeat_burst=7.0)
+    async with deployment.request('book') as answer:
+        assert answer.status == 200
+    gateway._reload()
+    assert gateway._stop.grace_s == 5.0
+    (budget,) = gateway._parts._budgets.values()
+    assert budget.burst == 7.0
+
+
+async def test_a_reload_of_bad_settings_keeps_the_former(deployment):
+    """Guards against a mistake in a file that stops an instance."""
+
+    def fail():
+        raise settings_file.SettingsFileError('zone: missing')
+
+    gateway = deployment.gateway
+    gateway._load_settings = fail
+    gateway._reload()
+    assert gateway._stop.grace_s == 2.0
+
+
+async def test_metrics_are_served(deployment):
+    """Guards against counters that nobody can read."""
+    async with deployment.request('book') as answer:
+        await answer.read()
+    address = deployment.gateway._settings.metrics
+    url = f'http://{address.host}:{address.port}/metrics'
+    async with deployment.session.get(url) as answer:
+        text = await answer.text()
+    assert 'dotterelweir_gateway_requests_total{outcome="200"} 1' in text
+    assert 'dotterelweir_gateway_tables_version 1' in text
+    assert 'dotterelweir_gateway_attempts_total{end="answered"' in text
--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -13,9 +13,7 @@
 listen.ready=10.1.0.19:8749
 internalPortRange=7200,7215
 seeds=10.1.0.19:8748,10.2.0.13:8748
-beatMs=1200
 bounds.graceS=8
-bounds.drainMs=2000
 bounds.budgetBurst=52
 platform.addr=10.200.1.7:8742
 unknown.field=1
@@ -23,12 +21,11 @@
 
 
 def test_fields_are_decoded_with_their_units():
-    """Guards against milliseconds taken for seconds."""
+    """Guards against fields that end up in another setting."""
     decoded = settings_file.decode(TEXT)
     gateway = decoded.gateway
     assert (gateway.callers.host, gateway.callers.port) == ('10.1.0.19', 8740)
-    assert gateway.drain_s == 2.0
-    assert gateway.heartbeat_s == 1.2
+    assert gateway.repeat_burst == 52.0
     assert gateway.grace_s == 8.0
     assert gateway.seed_hosts == ('10.1.0.19', '10.2.0.13')
     assert gateway.peers_port == 7200
@@ -41,7 +38,10 @@
         ('node=', 'node: missing'),
         ('listen.front=8740', 'listen.front: not of the form HOST:PORT'),
         ('bounds.graceS=soon', 'bounds.graceS: not a number of 0 or more'),
-        ('bounds.drainMs=-1', 'bounds.drainMs: not a number of 0 or more'),
+        (
+            'bounds.budgetBurst=-1',
+            'bounds.budgetBurst: not a number of 0 or more',
+        ),
         ('internalPortRange=7200', 'not of the form FIRST,LAST'),
     ],
 )
