Add a soak of gateway processes under random faults

Real gateways as processes, engines and store as stand-ins behind proxies; signals, links, engines and store misbehave in overlapping series, and the ledger checks what callers and targets saw.

--- a/Makefile
+++ b/Makefile
@@ -4,9 +4,10 @@
 PACKAGES := packages/core packages/logservice packages/daemon packages/cli platform fakes
 DEPLOYMENT ?= zwojex
 SEED ?= 1
+MINUTES ?= 1
 PYTEST_ARGS ?= -n 4
 
-.PHONY: install lint format test ci demo measure docs clean
+.PHONY: install lint format test ci demo measure soak docs clean
 
 install: $(VENV)/.installed
 
@@ -36,6 +37,9 @@
 measure: install
 	$(BIN)/python -m dotterelweir_fakes measure $(if $(SEEDS),--seeds "$(SEEDS)") $(if $(SCENARIO),--scenario $(SCENARIO))
 
+soak: install
+	$(BIN)/python -m dotterelweir_fakes soak --seed $(SEED) --minutes $(MINUTES)
+
 docs: install
 	$(BIN)/python -m dotterelweir_fakes docs
 
--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -11,6 +11,7 @@
 from dotterelweir_fakes.links import command as links_command
 from dotterelweir_fakes.pages import command as pages_command
 from dotterelweir_fakes.platform import command as platform_command
+from dotterelweir_fakes.soak import command as soak_command
 
 
 @click.group()
@@ -27,6 +28,7 @@
 main.add_command(relay_cost.relay_cost)
 main.add_command(service.command)
 main.add_command(slopes.slopes)
+main.add_command(soak_command.soak)
 
 if __name__ == '__main__':
     main()
--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -19,14 +19,65 @@
 ORGANISATION = 'org-1'
 
 
-def own_address() -> str:
+def own_address(number: int = 1) -> str:
     """A loopback address of this process alone.
 
+    Args:
+        number: Which one, 1 to 254.
+
     Ports are probed before the gateway listens on them; on an address that
     other test processes do not use nobody takes them in between.
     """
     high, low = divmod(os.getpid() % 65_000, 256)
-    return f'127.{high + 1}.{low}.1'
+    return f'127.{high + 1}.{low}.{number}'
+
+
+def settings_text(
+    name: str,
+    host: str,
+    ports: tuple[int, int, int],
+    store_address: str,
+    grace_s: int,
+    seeds: tuple[str, ...] = (),
+) -> str:
+    """The settings file of one gateway.
+
+    Args:
+        name: Name of the instance.
+        host: Its address.
+        ports: Its ports for callers, readiness and peers.
+        store_address: Address of the store.
+        grace_s: Time from SIGTERM to the end, in seconds.
+        seeds: Addresses of instances to begin with.
+    """
+    callers_port, ready_port, peers_port = ports
+    return '\n'.join(
+        [
+            f'node={name}',
+            'zone=zone-a',
+            f'listen.front={host}:{callers_port}',
+            f'listen.ready={host}:{ready_port}',
+            f'internalPortRange={peers_port},{peers_port}',
+            'seeds=' + ','.join(f'{seed}:1' for seed in seeds),
+            f'platform.addr={store_address}',
+            f'bounds.graceS={grace_s}',
+        ]
+    )
+
+
+def request_headers(
+    route: str, request_id: str, deadline_ms: int
+) -> dict[str, str]:
+    """The headers of a caller's request."""
+    headers = {
+        'Host': HOST,
+        'X-Attempt-Id': request_id,
+        'X-Deadline-Ms': str(deadline_ms),
+        'Api-Key': KEY,
+    }
+    if route in ('guide', 'check'):
+        headers |= {'X-Token-Usage': '100,40', 'X-Model': 'm'}
+    return headers
 
 
 def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
@@ -138,16 +189,12 @@
 
     async def start(self, store_address: str) -> None:
         """Starts the gateway and waits until it is ready."""
-        text = '\n'.join(
-            [
-                'node=gateway-1',
-                'zone=zone-a',
-                f'listen.front={self.host}:{self.callers_port}',
-                f'listen.ready={self.host}:{self.ready_port}',
-                f'internalPortRange={self.peers_port},{self.peers_port}',
-                f'platform.addr={store_address}',
-                'bounds.graceS=2',
-            ]
+        text = settings_text(
+            'gateway-1',
+            self.host,
+            (self.callers_port, self.ready_port, self.peers_port),
+            store_address,
+            2,
         )
         decoded = settings_file.decode(text, metrics_port=free_port(self.host))
         self.gateway = composition.Gateway(
@@ -188,15 +235,7 @@
         **headers: str,
     ) -> aiohttp.client._RequestContextManager:
         """Sends a request on a route."""
-        fields = {
-            'Host': HOST,
-            'X-Attempt-Id': request_id,
-            'X-Deadline-Ms': str(deadline_ms),
-            'Api-Key': KEY,
-        }
-        if route in ('guide', 'check'):
-            fields['X-Token-Usage'] = '100,40'
-            fields['X-Model'] = 'm'
+        fields = request_headers(route, request_id, deadline_ms)
         fields.update(
             {name.replace('_', '-'): v for name, v in headers.items()}
         )
--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -114,24 +114,31 @@
             return web.Response(status=503, headers={'X-Not-Executed': '1'})
         self.ran.append(request_id)
         try:
-            if behaviour.hang:
-                await asyncio.sleep(3600)
-            if behaviour.unframed:
-                return await self._unframed(request)
-            if 'x-token-usage' in headers and behaviour.status == 200:
-                return await self._stream(request, headers, request_id)
+            return await self._run(request, headers, body)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
-        answer = web.Response(
+
+    async def _run(
+        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        """Runs a request that was accepted."""
+        behaviour = self.behaviour
+        request_id = headers.get('x-attempt-id', '')
+        if behaviour.hang:
+            await asyncio.sleep(3600)
+        if behaviour.unframed:
+            return await self._unframed(request)
+        if 'x-token-usage' in headers and behaviour.status == 200:
+            return await self._stream(request, headers, request_id)
+        if behaviour.extra:
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.001, self._send_extra, request.transport)
+        return web.Response(
             status=behaviour.status,
             body=b'answer to ' + request_id.encode() + b' ' + body,
             headers=self._headers(request_id),
         )
-        if behaviour.extra:
-            loop = asyncio.get_running_loop()
-            loop.call_later(0.001, self._send_extra, request.transport)
-        return answer
 
     def _send_extra(self, transport: asyncio.Transport | None) -> None:
         if transport is not None and not transport.is_closing():
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak of gateway processes under faults from outside."""
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/faults.py
@@ -0,0 +1,178 @@
+"""The random series of faults of one soak."""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import random
+import signal
+
+import attrs
+
+from dotterelweir_fakes.fleet import deployment as fleet
+from dotterelweir_fakes.fleet import engine as fleet_engine
+from dotterelweir_fakes.links import rules as links_rules
+from dotterelweir_fakes.soak import instances
+
+# Time between the starts of two faults, in seconds; faults overlap.
+_PAUSE_S = (0.2, 1.2)
+# How long a fault lasts, in seconds.
+_LAST_S = (0.3, 2.5)
+_BEHAVIOURS = (
+    {'refuse': True},
+    {'status': 500},
+    {'status': 503},
+    {'sealed': False},
+    {'extra': True},
+    {'cut_after': 3},
+    {'silent_after': 2},
+    {'unframed': True},
+    {'hang': True},
+    {'event_s': 0.1},
+    {'has_copies': False},
+)
+
+
+@attrs.define
+class FaultSeries:
+    """Injects faults until it is cancelled.
+
+    Attributes:
+        rng: Random source; the seed decides the series.
+        nodes: Gateway processes.
+        engines: Engines by name.
+        store: The store.
+        rules: Rules of the proxies.
+        disturb: Takes note that the runs of an engine are disturbed.
+        register: Writes the entry of an engine with a state.
+        counts: Faults that were injected, by kind.
+    """
+
+    rng: random.Random
+    nodes: list[instances.Instance]
+    engines: dict[str, fleet_engine.FakeEngine]
+    store: object
+    rules: links_rules.Rules
+    disturb: Callable[[str], None]
+    register: Callable[[str, str], Awaitable[None]]
+    counts: dict[str, int] = attrs.field(factory=dict)
+    _version: int = 1
+    _running: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def run(self) -> None:
+        """Starts one fault after the other; they overlap."""
+        kinds = (
+            self._kill,
+            self._terminate,
+            self._pause,
+            self._reload,
+            self._link,
+            self._misbehave,
+            self._leave,
+            self._store,
+            self._configure,
+        )
+        try:
+            while True:
+                await asyncio.sleep(self.rng.uniform(*_PAUSE_S))
+                kind = self.rng.choice(kinds)
+                name = kind.__name__.lstrip('_')
+                self.counts[name] = self.counts.get(name, 0) + 1
+                task = asyncio.create_task(kind())
+                self._running.add(task)
+                task.add_done_callback(self._running.discard)
+        finally:
+            for task in list(self._running):
+                task.cancel()
+            await asyncio.gather(*self._running, return_exceptions=True)
+            for node in self.nodes:
+                node.send(signal.SIGCONT)
+
+    async def _last(self) -> None:
+        await asyncio.sleep(self.rng.uniform(*_LAST_S))
+
+    async def _kill(self) -> None:
+        for node in self.rng.sample(self.nodes, self.rng.choice((1, 1, 2))):
+            node.send(signal.SIGKILL)
+        await self._restart_ended()
+
+    async def _terminate(self) -> None:
+        self.rng.choice(self.nodes).send(signal.SIGTERM)
+        await asyncio.sleep(instances.GRACE_S + 0.5)
+        await self._restart_ended()
+
+    async def _restart_ended(self) -> None:
+        await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+        for node in self.nodes:
+            if not node.running:
+                node.start()
+
+    async def _pause(self) -> None:
+        node = self.rng.choice(self.nodes)
+        for engine_id in self.engines:
+            self.disturb(engine_id)
+        node.send(signal.SIGSTOP)
+        try:
+            await self._last()
+        finally:
+            node.send(signal.SIGCONT)
+
+    async def _reload(self) -> None:
+        self.rng.choice(self.nodes).send(signal.SIGHUP)
+
+    async def _link(self) -> None:
+        name = self.rng.choice([*self.engines, 'store'])
+        self.disturb(name)
+        match self.rng.choice(('cut', 'stall', 'one way', 'delay')):
+            case 'cut':
+                self.rules.cut('caller', name)
+            case 'stall':
+                self.rules.stall('caller', name)
+            case 'one way':
+                self.rules.stall_one_way(name, 'caller')
+            case 'delay':
+                self.rules.delay('caller', name, self.rng.uniform(0.02, 0.2))
+        await self._last()
+        self.disturb(name)
+        self.rules.heal()
+
+    async def _misbehave(self) -> None:
+        name = self.rng.choice(list(self.engines))
+        engine = self.engines[name]
+        fault = self.rng.choice(_BEHAVIOURS)
+        usual = engine.behaviour
+        engine.behaviour = attrs.evolve(usual, **fault)
+        try:
+            await self._last()
+        finally:
+            engine.behaviour = fleet_engine.Behaviour(
+                events=usual.events, event_s=0.02
+            )
+
+    async def _leave(self) -> None:
+        name = self.rng.choice(list(self.engines))
+        await self.register(name, 'draining')
+        await self._last()
+        self.disturb(name)
+        await self.register(name, 'ready')
+
+    async def _store(self) -> None:
+        fault = self.rng.choice(('failing', 'silent', 'expire'))
+        if fault == 'expire':
+            for topic in ('keyed.op', 'keyed.servers'):
+                self.store.expire(topic)
+            return
+        setattr(self.store, fault, True)
+        try:
+            await self._last()
+        finally:
+            setattr(self.store, fault, False)
+
+    async def _configure(self) -> None:
+        self._version += self.rng.randint(1, 3)
+        await self.store.write_json(
+            'keyed.op',
+            'config',
+            fleet.configuration(
+                self._version, timeoutMs=self.rng.choice((2500, 3000, 4000))
+            ),
+        )
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/promises.py
@@ -0,0 +1,93 @@
+"""What callers and targets saw, checked against the promises."""
+
+import attrs
+
+# Two engines may not work on one run for longer than this, in seconds.
+_OVERLAP_S = 0.4
+
+
+@attrs.define
+class Run:
+    """One run of a request at one target."""
+
+    target_id: str
+    begun_s: float
+    ended_s: float | None = None
+    continued: bool = False
+    disturbed: bool = False
+
+
+@attrs.define
+class Ledger:
+    """Runs and answers by request.
+
+    Attributes:
+        requests: Requests that callers sent.
+        whole: Whole answers.
+        refused: Requests that were told that they did not run.
+        violations: Broken promises, one line each.
+    """
+
+    requests: int = 0
+    whole: int = 0
+    refused: int = 0
+    violations: list[str] = attrs.field(factory=list)
+    _runs: dict[str, list[Run]] = attrs.field(factory=dict)
+    _told_not_run: set[str] = attrs.field(factory=set)
+    _once: set[str] = attrs.field(factory=set)
+
+    def begin_run(
+        self, request_id: str, target_id: str, continued: bool, now_s: float
+    ) -> Run:
+        """Takes note that a target begins to run a request."""
+        run = Run(target_id, now_s, continued=continued)
+        self._runs.setdefault(request_id, []).append(run)
+        return run
+
+    def expect_once(self, request_id: str) -> None:
+        """Takes note of a request that may run once at most."""
+        self._once.add(request_id)
+
+    def answer(
+        self, request_id: str, status: int, body: bytes, expected: bytes
+    ) -> None:
+        """Takes note of a complete answer that a caller got."""
+        if status == 200:
+            if body == expected:
+                self.whole += 1
+            else:
+                self._break(f'{request_id}: another body than its own')
+        elif status in (408, 421, 429, 503):
+            self.refused += 1
+            self._told_not_run.add(request_id)
+        elif status in (400, 401, 403, 404, 413, 431):
+            self._break(f'{request_id}: proper request denied with {status}')
+
+    def partial(self, request_id: str, body: bytes, expected: bytes) -> None:
+        """Takes note of an answer that broke off."""
+        if not expected.startswith(body):
+            self._break(f'{request_id}: broken answer with foreign bytes')
+
+    def check(self) -> None:
+        """Checks what can be known only at the end."""
+        for request_id, runs in self._runs.items():
+            if request_id in self._told_not_run:
+                self._break(f'{request_id}: told "not run", but it ran')
+            fresh = [run for run in runs if not run.continued]
+            if request_id in self._once and len(fresh) > 1:
+                self._break(f'{request_id}: ran {len(fresh)} times')
+            if request_id in self._once:
+                self._check_overlap(request_id, runs)
+
+    def _check_overlap(self, request_id: str, runs: list[Run]) -> None:
+        for before, after in zip(runs, runs[1:], strict=False):
+            end_s = before.ended_s
+            late = end_s is None or end_s > after.begun_s + _OVERLAP_S
+            if late and not before.disturbed:
+                self._break(
+                    f'{request_id}: {after.target_id} began while '
+                    f'{before.target_id} still worked'
+                )
+
+    def _break(self, line: str) -> None:
+        self.violations.append(line)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/proxies.py
@@ -0,0 +1,53 @@
+"""Loopback proxies before engines and the store."""
+
+import asyncio
+import typing
+
+from dotterelweir_fakes.links import gateway as links_gateway
+from dotterelweir_fakes.links import rules as links_rules
+
+
+class Proxy(links_gateway.Gateway):
+    """Passes connections on to one address under the rules of the links.
+
+    Args:
+        rules: The rules in force.
+        name: Name of the link in the rules.
+        host: Where connections go.
+        port: Where connections go.
+    """
+
+    def __init__(
+        self, rules: links_rules.Rules, name: str, host: str, port: int
+    ) -> None:
+        super().__init__(rules, 0, 0)
+        self._name = name
+        self._host = host
+        self._port = port
+
+    @property
+    def address(self) -> str:
+        """Where the proxy listens."""
+        return f'127.0.0.1:{self.connect_port}'
+
+    async def open(self) -> None:
+        """Listens on a free port."""
+        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
+        self.connect_port = self._server.sockets[0].getsockname()[1]
+        self._own = self.connect_port
+        self._rules.name(self._own, 'caller', 'any')
+        self._rules.name(self._port, self._name, 'any')
+
+    async def _connect(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        mode = await self._rules.until_not_stalled(self._own, self._port)
+        if mode is links_rules.Mode.CUT:
+            raise ConnectionRefusedError
+        far: tuple[typing.Any, typing.Any] = await asyncio.open_connection(
+            self._host, self._port
+        )
+        try:
+            await self._pass(self._port, (reader, writer), far)
+        finally:
+            far[1].transport.abort()
--- /dev/null
+++ b/fakes/tests/soak/test_soak.py
@@ -0,0 +1,21 @@
+"""A short soak with real processes."""
+
+import asyncio
+
+import pytest
+
+from dotterelweir_fakes.soak import command
+
+# Time of faults and traffic, in seconds. Longer runs are made by hand with
+# ``make soak``.
+_SECONDS = 6.0
+
+
+@pytest.mark.parametrize('seed', [7])
+def test_no_promise_is_broken(tmp_path, seed):
+    """Guards against broken promises under overlapping faults."""
+    soak = command.Soak(seed, _SECONDS, 2, 'dotterelweir_platform', tmp_path)
+    result = asyncio.run(soak.run())
+    assert result['violations'] == []
+    assert result['whole'] > 0
+    assert result['faults']
