--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -25,6 +25,7 @@
         echo_id: Whether its answers name the request.
         extra: Sends a second answer after the first.
         unframed: Answers without a length and resets the connection.
+        raw: Bytes that it sends in place of an answer, then it closes.
         has_copies: Whether a copy of a run can be used here.
         move_status: Status of its answers to moves; None for the usual.
         final_move_status: Status of its answers to moves that stop a run.
@@ -41,6 +42,7 @@
     echo_id: bool = True
     extra: bool = False
     unframed: bool = False
+    raw: bytes = b''
     has_copies: bool = True
     move_status: int | None = None
     final_move_status: int | None = None
@@ -129,6 +131,11 @@
         request_id = headers.get('x-attempt-id', '')
         if behaviour.hang:
             await asyncio.sleep(3600)
+        if behaviour.raw:
+            request.transport.write(behaviour.raw)
+            request.transport.close()
+            await asyncio.sleep(0.05)
+            raise ConnectionResetError
         if behaviour.unframed:
             return await self._unframed(request)
         if 'x-token-usage' in headers and behaviour.status == 200:
