Pass resets on in the proxies of the soak; keep seed 164

Cause: soak seed 164 showed answers 'half of the' taken for whole. The engine resets such an answer, which has no length; the harness's proxy closed the other side properly, so that the gateway could not know. The fault is the harness's: over direct connections the case is tested in test_calls. Ruled out: the gateway's reset detection (with the reset passed on, the same seed shows no violation).

--- a/fakes/src/dotterelweir_fakes/soak/promises.py
+++ b/fakes/src/dotterelweir_fakes/soak/promises.py
@@ -56,7 +56,9 @@
             if body == expected:
                 self.whole += 1
             else:
-                self._break(f'{request_id}: another body than its own')
+                self._break(
+                    f'{request_id}: another body than its own: {body[:40]!r}'
+                )
         elif status in (408, 421, 429, 503):
             self.refused += 1
             self._told_not_run.add(request_id)
--- a/fakes/src/dotterelweir_fakes/soak/proxies.py
+++ b/fakes/src/dotterelweir_fakes/soak/proxies.py
@@ -1,6 +1,8 @@
 """Loopback proxies before engines and the store."""
 
 import asyncio
+import socket
+import struct
 import typing
 
 from dotterelweir_fakes.links import gateway as links_gateway
@@ -38,6 +40,23 @@
         self._rules.name(self._own, 'caller', 'any')
         self._rules.name(self._port, self._name, 'any')
 
+    async def _pump(
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        source: int,
+        destination: int,
+    ) -> None:
+        try:
+            await super()._pump(reader, writer, source, destination)
+        except ConnectionResetError:
+            # A plain close would make a cut answer without a length whole.
+            writer.get_extra_info('socket').setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0)
+            )
+            writer.transport.abort()
+            raise
+
     async def _connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/fakes/tests/soak/test_soak.py
+++ b/fakes/tests/soak/test_soak.py
@@ -11,7 +11,9 @@
 _SECONDS = 6.0
 
 
-@pytest.mark.parametrize('seed', [7])
+# Seed 164: the proxy passed a reset on as a plain close, so that a cut answer
+# without a length looked whole.
+@pytest.mark.parametrize('seed', [7, 164])
 def test_no_promise_is_broken(tmp_path, seed):
     """Guards against broken promises under overlapping faults."""
     soak = command.Soak(seed, _SECONDS, 2, 'dotterelweir_platform', tmp_path)
