Share the filling of memory in tests of generations

Cause: four tests repeated the loop that leaves no room for copies. Ruled out: a fixture; each test fills the memory at its own point.

--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -20,6 +20,12 @@
     return deployment.engines[target_id], deployment.engines[other]
 
 
+def fill_memory(deployment):
+    """Leaves no room for copies, so that only a move can save a run."""
+    for name in ('engine-1', 'engine-2'):
+        deployment.gateway._loads.get(name).tokens += 28_000
+
+
 async def test_a_stream_is_forwarded_whole(deployment):
     """Guards against lost or changed events."""
     async with deployment.request('guide') as answer:
@@ -112,9 +118,7 @@
     first, second = place_on(deployment, 'engine-1')
     first.behaviour.event_s = 0.05
     first.behaviour.events = second.behaviour.events = 30
-    for name in ('engine-1', 'engine-2'):
-        # Too full for a copy, so that only a move can save the run.
-        deployment.gateway._loads.get(name).tokens += 28_000
+    fill_memory(deployment)
     async with deployment.request('guide') as answer:
         await answer.content.readany()
         await deployment.register('engine-1', 'model', 'draining')
@@ -176,8 +180,7 @@
     first, second = place_on(deployment, 'engine-1')
     first.behaviour.event_s = 0.05
     first.behaviour.events = second.behaviour.events = 30
-    for name in ('engine-1', 'engine-2'):
-        deployment.gateway._loads.get(name).tokens += 28_000
+    fill_memory(deployment)
     async with deployment.request('guide') as answer:
         await answer.content.readany()
         first.behaviour.move_status = 404
@@ -199,8 +202,7 @@
     first.behaviour.event_s = 0.05
     first.behaviour.events = 30
     first.behaviour.move_status = 503
-    for name in ('engine-1', 'engine-2'):
-        deployment.gateway._loads.get(name).tokens += 28_000
+    fill_memory(deployment)
     async with deployment.request('guide') as answer:
         await answer.content.readany()
         await deployment.register('engine-1', 'model', 'draining')
@@ -221,8 +223,7 @@
     first.behaviour.event_s = 0.05
     first.behaviour.events = 30
     first.behaviour.final_move_status = 503
-    for name in ('engine-1', 'engine-2'):
-        deployment.gateway._loads.get(name).tokens += 28_000
+    fill_memory(deployment)
     async with deployment.request('guide') as answer:
         await answer.content.readany()
         await deployment.register('engine-1', 'model', 'draining')
