Hold callers to the tables' limits; split the forwarding of generations

Ruled out: keeping aiohttp's own bounds; it has none for a head that does not end or for a connection without a request. aiohttp passes empty data when it resumes reading, which must not count as the start of a head; the test of a second request on a connection showed that.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -21,6 +21,7 @@
         cut_after: Events after which it resets the connection.
         silent_after: Events after which it sends nothing more.
         hang: Runs each request and never answers.
+        delay_s: Time before each answer, in seconds.
         sealed: Whether it signs its answers.
         echo_id: Whether its answers name the request.
         extra: Sends a second answer after the first.
@@ -38,6 +39,7 @@
     cut_after: int | None = None
     silent_after: int | None = None
     hang: bool = False
+    delay_s: float = 0.0
     sealed: bool = True
     echo_id: bool = True
     extra: bool = False
@@ -131,6 +133,8 @@
         request_id = headers.get('x-attempt-id', '')
         if behaviour.hang:
             await asyncio.sleep(3600)
+        if behaviour.delay_s:
+            await asyncio.sleep(behaviour.delay_s)
         if behaviour.raw:
             request.transport.write(behaviour.raw)
             request.transport.close()
--- a/packages/core/src/dotterelweir_core/errors.py
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -22,6 +22,7 @@
     MALFORMED_REQUEST = 'malformed-request'
     BODY_TOO_LARGE = 'body-too-large'
     HEADERS_TOO_LARGE = 'headers-too-large'
+    REQUEST_INCOMPLETE = 'request-incomplete'
     ORGANISATION_MISSING = 'organisation-missing'
     KEY_UNKNOWN = 'key-unknown'
     ROUTE_NOT_FOUND = 'route-not-found'
@@ -73,6 +74,9 @@
     ErrorKind.MALFORMED_REQUEST: Answer(400, 'The request is malformed'),
     ErrorKind.BODY_TOO_LARGE: Answer(413, 'The request body is too large'),
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, 'The headers are too large'),
+    ErrorKind.REQUEST_INCOMPLETE: Answer(
+        408, 'The request was not sent in time', True
+    ),
     ErrorKind.ORGANISATION_MISSING: Answer(
         401, 'The request names no organisation'
     ),
--- a/packages/core/src/dotterelweir_core/gateway/tables.py
+++ b/packages/core/src/dotterelweir_core/gateway/tables.py
@@ -126,11 +126,14 @@
     Attributes:
         header_bytes: Most bytes of a request's headers.
         body_bytes: Most bytes of a request's body.
+        header_s: Longest time from the first byte of a request to the end
+            of its headers.
         idle_s: Time that an idle connection is kept open.
     """
 
     header_bytes: int = 16_384
     body_bytes: int = 4_194_304
+    header_s: float = 5.0
     idle_s: float = 15.0
 
 
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -133,14 +133,8 @@
         async with asyncio.timeout(until_s - now_s):
             answer = await send(parts, exchange, options, mark)
             body = await answer.read()
-    except TimeoutError as exc:
-        if not mark.sent:
-            return exchanges.NeverSent(type(exc).__name__)
-        return exchanges.TimedOut()
-    except aiohttp.ClientError as exc:
-        if not mark.sent:
-            return exchanges.NeverSent(type(exc).__name__)
-        return exchanges.Broken(f'{type(exc).__name__}: {exc}'[:120])
+    except (aiohttp.ClientError, TimeoutError) as exc:
+        return outcome_of_error(exc, mark)
     finally:
         if answer is not None:
             answer.close()
@@ -150,6 +144,17 @@
     return classify(answer.status, facts, body)
 
 
+def outcome_of_error(
+    error: aiohttp.ClientError | TimeoutError, mark: target_client.SendMark
+) -> exchanges.NeverSent | exchanges.TimedOut | exchanges.Broken:
+    """What an error of the connection to a target means."""
+    if not mark.sent:
+        return exchanges.NeverSent(type(error).__name__)
+    if isinstance(error, TimeoutError):
+        return exchanges.TimedOut()
+    return exchanges.Broken(f'{type(error).__name__}: {error}'[:120])
+
+
 def classify(
     status: int, facts: api.AnswerFacts, body: bytes
 ) -> exchanges.Outcome:
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/caller_connections.py
@@ -0,0 +1,99 @@
+"""Connections of callers, and the time that callers may take on them."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import streams
+from aiohttp import web
+from aiohttp import web_protocol
+
+from dotterelweir_core import timers
+from dotterelweir_core.gateway import tables
+
+
+class CallerConnections(web.Server):
+    """An HTTP server that bounds the time of heads and of idleness.
+
+    Args:
+        handler: Answers a request.
+        limits: Gives the bounds in force.
+        timer_service: The timer service.
+        **kwargs: Arguments of the server.
+    """
+
+    def __init__(
+        self,
+        handler,
+        limits: Callable[[], tables.CallerLimits],
+        timer_service: timers.TimerService,
+        **kwargs,
+    ) -> None:
+        super().__init__(handler, **kwargs)
+        self.limits = limits
+        self.timers = timer_service
+
+    def __call__(self) -> web_protocol.RequestHandler:
+        return _CallerProtocol(
+            self,
+            loop=self._loop,
+            keepalive_timeout=self.limits().idle_s,
+            **self._kwargs,
+        )
+
+
+class _CallerProtocol(web_protocol.RequestHandler):
+    """One connection.
+
+    aiohttp bounds neither the time of a head nor that before the first
+    request, and has no public hooks for either.
+    """
+
+    __slots__ = ('_bound', '_in_head', '_last_payload', '_server')
+
+    def __init__(self, server: CallerConnections, **kwargs) -> None:
+        super().__init__(server, **kwargs)
+        self._server = server
+        self._bound: timers.TimerHandle | None = None
+        self._in_head = False
+        self._last_payload: streams.StreamReader | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Bounds the time to the first request."""
+        super().connection_made(transport)
+        self._set_bound(self._server.limits().idle_s)
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Ends the bounds."""
+        self._clear_bound()
+        super().connection_lost(exc)
+
+    def data_received(self, data: bytes) -> None:
+        """Bounds the time of a head that came in part."""
+        payload = self._last_payload
+        in_body = payload is not None and not payload.is_eof()
+        count = self._request_count
+        super().data_received(data)
+        if self._request_count > count:
+            if self._messages:
+                self._last_payload = self._messages[-1][1]
+            self._in_head = False
+            self._clear_bound()
+        elif data and not in_body and not self._in_head:
+            # aiohttp itself passes no data when it resumes reading.
+            self._in_head = True
+            self._set_bound(self._server.limits().header_s)
+
+    def _set_bound(self, delay_s: float) -> None:
+        self._clear_bound()
+        self._bound = self._server.timers.call_after(delay_s, self._expire)
+
+    def _clear_bound(self) -> None:
+        if self._bound is not None:
+            self._bound.cancel()
+            self._bound = None
+
+    def _expire(self) -> None:
+        self._bound = None
+        # The next request may be sent in part while one is answered.
+        if self._current_request is None:
+            self.force_close()
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -9,6 +9,7 @@
 from dotterelweir_core import events
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweird.gateway import api
+from dotterelweird.gateway import caller_connections
 from dotterelweird.gateway import calls
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
@@ -18,14 +19,12 @@
 
 LOG = logging.getLogger(__name__)
 
-# Bounds of the parser. The tables' own limits are read later; bodies and
-# headers above these are refused before that.
+# Bound of the parser on one header; the tables bound all of them together.
 _HEADER_BYTES_MAX = 65_536
-_BODY_BYTES_MAX = 16_777_216
-# Idle time after which a caller's connection is closed, in seconds. It is
-# well above the usual limit of the tables: callers use most of the limit,
-# and a version with a longer one may arrive while a connection is idle.
-_IDLE_S = 90.0
+# Time for which the rest of a refused request is read and dropped before its
+# connection is closed, in seconds. Closed at once, the connection would be
+# reset, and the caller might lose the refusal.
+_LINGER_S = 1.0
 # When a caller that a stopping process refuses may come back, in seconds:
 # the next connection goes to another instance.
 _STOP_RETRY_AFTER_S = 0.05
@@ -51,11 +50,13 @@
         self._stop = stop
         self._calls = calls.CallForwarder(parts)
         self.running = 0
-        self.server = web.Server(
+        self.server = caller_connections.CallerConnections(
             self._handle,
+            self._limits,
+            parts.timers,
             request_factory=self._make_request,
             handler_cancellation=True,
-            keepalive_timeout=_IDLE_S,
+            lingering_time=_LINGER_S,
             access_log=None,
             max_line_size=_HEADER_BYTES_MAX,
             max_field_size=_HEADER_BYTES_MAX,
@@ -72,9 +73,14 @@
             writer,
             task,
             asyncio.get_running_loop(),
-            client_max_size=_BODY_BYTES_MAX,
+            # aiohttp refuses a body of exactly this size, too.
+            client_max_size=self._limits().body_bytes + 1,
         )
 
+    def _limits(self) -> gateway_tables.CallerLimits:
+        tables = self._keeper.current
+        return tables.limits if tables else gateway_tables.CallerLimits()
+
     async def _handle(self, caller: web.BaseRequest) -> web.StreamResponse:
         self.running += 1
         self._parts.statistics.running.set({}, self.running)
@@ -94,6 +100,9 @@
         except errors.DotterelweirError as exc:
             outcome = exc.kind.value
             response = self._refusal(request, exc)
+            if request is None:
+                # What is left of the request is not read.
+                response.force_close()
         finally:
             self.running -= 1
             self._parts.statistics.running.set({}, self.running)
@@ -103,8 +112,11 @@
         return response
 
     async def _decode(self, caller: web.BaseRequest) -> api.CallerRequest:
+        limits = self._limits()
+        _check_sizes(caller, limits)
         try:
-            body = await caller.read()
+            async with asyncio.timeout(limits.idle_s):
+                body = await caller.read()
             return self._parts.dialect.decode_request(
                 caller.method, caller.raw_path, caller.raw_headers, body
             )
@@ -112,6 +124,10 @@
             raise errors.DotterelweirError(
                 errors.ErrorKind.BODY_TOO_LARGE
             ) from None
+        except TimeoutError:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.REQUEST_INCOMPLETE
+            ) from None
         except ValueError as exc:
             raise errors.DotterelweirError(
                 errors.ErrorKind.MALFORMED_REQUEST, str(exc)
@@ -216,3 +232,16 @@
             outcome=outcome,
             taken_s=round(taken_s, 4),
         )
+
+
+def _check_sizes(
+    caller: web.BaseRequest, limits: gateway_tables.CallerLimits
+) -> None:
+    """Refuses headers and announced bodies that are over the bounds."""
+    header_bytes = sum(
+        len(name) + len(value) for name, value in caller.raw_headers
+    )
+    if header_bytes > limits.header_bytes:
+        raise errors.DotterelweirError(errors.ErrorKind.HEADERS_TOO_LARGE)
+    if (caller.content_length or 0) > limits.body_bytes:
+        raise errors.DotterelweirError(errors.ErrorKind.BODY_TOO_LARGE)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/caller_stream.py
@@ -0,0 +1,68 @@
+"""The caller's side of one streamed answer."""
+
+from aiohttp import web
+
+from dotterelweir_core.gateway import events as gateway_events
+from dotterelweird.gateway import api
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+
+
+class CallerStream:
+    """One answer to the caller, made of the events of one or more links.
+
+    Args:
+        parts: Shared parts.
+        exchange: The request.
+        caller: The caller's connection.
+
+    Attributes:
+        cursor: Follows the events over all links.
+    """
+
+    def __init__(
+        self,
+        parts: dependencies.Forwarding,
+        exchange: exchanges.Exchange,
+        caller: web.BaseRequest,
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._caller = caller
+        self._response: web.StreamResponse | None = None
+        self.cursor = gateway_events.EventCursor(
+            exchange.request.last_event_id
+        )
+
+    @property
+    def started(self) -> bool:
+        """Whether the caller got part of the answer."""
+        return self._response is not None
+
+    async def begin(self, headers: api.Headers) -> None:
+        """Sends the head of the answer, unless it was sent already.
+
+        Args:
+            headers: Headers of the engine; those of the first one hold.
+        """
+        if self._response is not None:
+            return
+        parts, exchange = self._parts, self._exchange
+        self._response = web.StreamResponse(status=200)
+        for name, value in headers:
+            self._response.headers.add(name, value)
+        self._response.enable_chunked_encoding()
+        await self._response.prepare(self._caller)
+        parts.statistics.first_byte_s.observe(
+            {'route': exchange.route.name},
+            parts.timers.monotonic_s() - exchange.arrived_s,
+        )
+
+    async def write(self, data: bytes) -> None:
+        """Sends whole events."""
+        await self._response.write(data)
+
+    async def finish(self) -> web.StreamResponse:
+        """Marks the answer as complete."""
+        await self._response.write_eof()
+        return self._response
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -70,13 +70,7 @@
     ) -> exchanges.Outcome | None:
         parts = self._parts
         now_s = parts.timers.monotonic_s()
-        choice = parts.placer.choose(
-            parts.directory.of_service(exchange.service.name),
-            exchange.service,
-            0,
-            now_s,
-            exchange.tried,
-        )
+        choice = parts.choose(exchange, exchange.tried)
         if choice is None:
             return None
         target = choice.target
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -193,6 +193,12 @@
         await self._session.close()
         await self._store_session.close()
 
+    @property
+    def tables_version(self) -> int | None:
+        """Version of the tables in force; None before the first one."""
+        tables = self._tables.current
+        return tables.version if tables else None
+
     def _forget_gone(self, change: targets.TargetChange) -> None:
         if change.after is None:
             self._loads.forget(change.target_id)
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -13,6 +13,7 @@
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import waiting
 from dotterelweird.gateway import api
+from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import watching
@@ -52,6 +53,35 @@
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
     _budgets: dict[str, repeats.RepeatBudget] = attrs.field(factory=dict)
 
+    def choose(
+        self, exchange: exchanges.Exchange, excluded: set[str]
+    ) -> placement.Choice | None:
+        """Chooses a target for a request."""
+        return self.placer.choose(*self._question(exchange), excluded)
+
+    def choose_backup(
+        self, exchange: exchanges.Exchange, excluded: set[str]
+    ) -> targets.Target | None:
+        """Chooses where a copy of a run's memory is kept."""
+        return self.placer.choose_backup(*self._question(exchange), excluded)
+
+    def choose_refuge(
+        self, exchange: exchanges.Exchange, excluded: set[str]
+    ) -> targets.Target | None:
+        """Chooses an engine that can take over a run."""
+        return self.placer.choose_refuge(*self._question(exchange), excluded)
+
+    def _question(
+        self, exchange: exchanges.Exchange
+    ) -> tuple[list[targets.Target], tables.Service, int, float]:
+        """What every choice of the placer begins with."""
+        return (
+            self.directory.of_service(exchange.service.name),
+            exchange.service,
+            exchange.tokens,
+            self.timers.monotonic_s(),
+        )
+
     def budget(self, service: tables.Service) -> repeats.RepeatBudget:
         """The repeat budget of a service."""
         budget = self._budgets.get(service.name)
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -83,7 +83,7 @@
     async def _run(self) -> None:
         refused: set[str] = {self._source.target_id}
         for _ in range(_CALLS_MAX):
-            destination = self._choose(refused)
+            destination = self._parts.choose_refuge(self._exchange, refused)
             if destination is None:
                 break
             move = await self._move(destination, False)
@@ -135,16 +135,6 @@
             target, copy, handover.HandoverWay.EVACUATED
         )
 
-    def _choose(self, refused: set[str]) -> targets.Target | None:
-        parts, exchange = self._parts, self._exchange
-        return parts.placer.choose_refuge(
-            parts.directory.of_service(exchange.service.name),
-            exchange.service,
-            exchange.tokens,
-            parts.timers.monotonic_s(),
-            refused,
-        )
-
     async def _move(
         self, destination: targets.Target, final: bool
     ) -> api.Move:
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -0,0 +1,299 @@
+"""One link of a generation to an engine, from the send to its end."""
+
+import asyncio
+
+import aiohttp
+import attrs
+
+from dotterelweir_core.gateway import events as gateway_events
+from dotterelweir_core.gateway import targets
+from dotterelweird.gateway import api
+from dotterelweird.gateway import attempts
+from dotterelweird.gateway import caller_stream
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import evacuation
+from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import handover
+from dotterelweird.gateway import target_client
+
+# Silence in the middle of a stream after which its engine is asked to stop
+# it, in seconds: several times the pause of a preempted or slowed run.
+_SILENCE_S = 1.0
+# Share of the objective after which a resumable request that has no first
+# event is sent to another engine, if its engine shows no sign of life.
+_FIRST_EVENT_SHARE = 1.4
+# Time since the last event of any stream within which an engine counts as
+# alive, in seconds: a busy engine sends one every few tens of milliseconds.
+_ALIVE_S = 1.0
+
+
+@attrs.define
+class Run:
+    """Where a generation runs, and where its copy is.
+
+    Attributes:
+        target: The engine.
+        backup: The engine that keeps a copy of its memory, if there is one.
+        copy: The copy from which it goes on; None if it starts anew.
+    """
+
+    target: targets.Target
+    backup: targets.Target | None = None
+    copy: api.RunCopy | None = None
+
+
+class Link:
+    """Follows a run at one engine.
+
+    Args:
+        parts: Shared parts.
+        exchange: The request.
+        stream: The caller's side.
+        run: Where the generation runs.
+
+    Attributes:
+        evacuated: Whether the run was being moved off an engine that leaves.
+    """
+
+    def __init__(
+        self,
+        parts: dependencies.Forwarding,
+        exchange: exchanges.Exchange,
+        stream: caller_stream.CallerStream,
+        run: Run,
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._stream = stream
+        self._run = run
+        self._load = parts.loads.get(run.target.target_id)
+        self._evacuation: evacuation.Evacuation | None = None
+        # Where the generation goes on, if its source was stopped already.
+        self._handover: handover.Handover | None = None
+
+    @property
+    def evacuated(self) -> bool:
+        """Whether the run was being moved off an engine that leaves."""
+        return self._evacuation is not None
+
+    async def follow(self) -> exchanges.StreamOutcome:
+        """Sends the request and passes the events on."""
+        parts, exchange, run = self._parts, self._exchange, self._run
+        counted_prefill = exchange.request.prompt_tokens
+        if run.copy is not None:
+            counted_prefill = 0
+        prefill = attempts.Prefill(self._load, counted_prefill)
+        watched = [run.target.target_id]
+        if run.backup is not None:
+            watched.append(run.backup.target_id)
+        with (
+            attempts.counted(parts, run.target, exchange.tokens),
+            attempts.counted_backup(parts, run.backup, exchange.tokens),
+            parts.watch.watching(watched, self._notice),
+            prefill,
+        ):
+            return await self._exchange_stream(prefill)
+
+    async def find_handover(self) -> handover.Handover | None:
+        """Where the interrupted run goes on, if a copy of it exists."""
+        if self._handover is not None:
+            return self._handover
+        if self._evacuation is not None:
+            found = await self._evacuation.result()
+            if found is not None:
+                return found
+        if self._run.backup is None:
+            return None
+        return await handover.stop_source(
+            self._parts, self._exchange, self._run.target, self._run.backup
+        )
+
+    def close(self) -> None:
+        """Ends a move that is under way."""
+        if self._evacuation is not None:
+            self._evacuation.cancel()
+
+    def _notice(self, change: targets.TargetChange) -> None:
+        """Acts on a change of the engine of the run or of its copy."""
+        left = change.after is None or (
+            change.after.state is targets.TargetState.DRAINING
+        )
+        if not left:
+            return
+        backup = self._run.backup
+        if backup is not None and change.target_id == backup.target_id:
+            self._run.backup = None
+        self._evacuate_if_needed()
+
+    def _evacuate_if_needed(self) -> None:
+        """Starts to move a run that its copy would not outlive."""
+        engine = self._exchange.service.engine
+        if engine is None or not engine.can_move:
+            return
+        if self._evacuation is not None or self._run.backup is not None:
+            return
+        if self._exchange.route.resumable or not self._stream.started:
+            return
+        if self._parts.directory.takes_work(self._run.target.target_id):
+            return
+        self._evacuation = evacuation.Evacuation(
+            self._parts, self._exchange, self._run.target
+        )
+
+    async def _exchange_stream(
+        self, prefill: attempts.Prefill
+    ) -> exchanges.StreamOutcome:
+        parts, exchange, run = self._parts, self._exchange, self._run
+        cursor = self._stream.cursor
+        cursor.start_link()
+        options = api.AttemptOptions(
+            run.target,
+            self._time_left_s(),
+            exchange.organisation_name,
+            backup=run.backup,
+            copy=run.copy,
+            last_event_id=cursor.last_id,
+        )
+        mark = target_client.SendMark()
+        sending = asyncio.create_task(
+            attempts.send(parts, exchange, options, mark)
+        )
+        answer: aiohttp.ClientResponse | None = None
+        try:
+            interrupted = await self._await_head(sending)
+            if interrupted is not None and not mark.sent:
+                return exchanges.NeverSent('no connection in time')
+            if interrupted is not None:
+                return interrupted
+            answer = sending.result()
+            facts = parts.dialect.decode_answer(
+                exchange.request.request_id,
+                answer.status,
+                answer.raw_headers,
+            )
+            if answer.status != 200 or not (facts.own and facts.sealed):
+                async with asyncio.timeout(self._time_left_s()):
+                    body = await answer.read()
+                return attempts.classify(answer.status, facts, body)
+            return await self._relay(answer, facts, prefill)
+        except gateway_events.EventStreamError as exc:
+            return exchanges.Interrupted(str(exc), silent=True)
+        except (aiohttp.ClientError, TimeoutError) as exc:
+            outcome = attempts.outcome_of_error(exc, mark)
+            if isinstance(outcome, exchanges.Broken):
+                return exchanges.Interrupted(outcome.reason)
+            return outcome
+        finally:
+            sending.cancel()
+            if answer is not None:
+                answer.close()
+
+    def _time_left_s(self) -> float:
+        now_s = self._parts.timers.monotonic_s()
+        return self._exchange.deadline_s - now_s
+
+    async def _await_head(
+        self, sending: asyncio.Task
+    ) -> exchanges.StreamOutcome | None:
+        """Waits for the head of an answer; gives why it waits no longer."""
+        patience_s = self._first_patience_s()
+        while True:
+            left_s = self._time_left_s()
+            done, _ = await asyncio.wait(
+                {sending}, timeout=min(left_s, patience_s)
+            )
+            if done:
+                return None
+            if left_s <= patience_s:
+                return exchanges.TimedOut()
+            interrupted = await self._on_silence()
+            if interrupted is not None:
+                return interrupted
+
+    def _first_patience_s(self) -> float:
+        if self._stream.started:
+            return _SILENCE_S
+        return _FIRST_EVENT_SHARE * self._exchange.route.objective_s
+
+    async def _relay(
+        self,
+        answer: aiohttp.ClientResponse,
+        facts: api.AnswerFacts,
+        prefill: attempts.Prefill,
+    ) -> exchanges.StreamOutcome:
+        """Passes events on until the link ends."""
+        cursor = self._stream.cursor
+        patience_s = self._first_patience_s()
+        waiting_for_first = True
+        while True:
+            left_s = self._time_left_s()
+            try:
+                async with asyncio.timeout(min(left_s, patience_s)):
+                    chunk = await answer.content.readany()
+            except TimeoutError:
+                if left_s <= patience_s:
+                    return exchanges.TimedOut()
+                interrupted = await self._on_silence()
+                if interrupted is not None:
+                    return interrupted
+                continue
+            if not chunk:
+                break
+            out = cursor.feed(chunk)
+            if not out:
+                continue
+            self._load.last_event_s = self._parts.timers.monotonic_s()
+            await self._stream.begin(facts.headers)
+            if waiting_for_first:
+                waiting_for_first = False
+                patience_s = _SILENCE_S
+                prefill.end()
+                self._parts.loads.announce()
+                # The engine may have begun to leave before the first event.
+                self._evacuate_if_needed()
+            await self._stream.write(out)
+        if not cursor.at_boundary:
+            return exchanges.Interrupted('ended within an event')
+        if self._evacuation is not None:
+            if await self._evacuation.has_stopped_source():
+                return exchanges.Interrupted('moved')
+        await self._stream.begin(facts.headers)
+        return exchanges.Complete()
+
+    async def _on_silence(self) -> exchanges.Interrupted | None:
+        """Finds out why a link is silent.
+
+        Returns:
+            Why the generation must go on elsewhere; None to wait on.
+        """
+        parts, exchange, run = self._parts, self._exchange, self._run
+        if exchange.route.resumable:
+            if self._is_alive(run.target):
+                return None
+            return exchanges.Interrupted('silence', silent=True)
+        if not self._stream.started or self._evacuation is not None:
+            return None
+        destination = run.backup or parts.choose_refuge(
+            exchange, {run.target.target_id}
+        )
+        if destination is None:
+            return None
+        found = await handover.stop_source(
+            parts, exchange, run.target, destination
+        )
+        match found.way:
+            case handover.HandoverWay.BACKUP:
+                # The engine lives and has preempted the run; it will go on.
+                return None
+            case handover.HandoverWay.BACKUP_UNREACHED:
+                # A link into a zone that is cut off may heal.
+                if run.backup is None or not self._is_alive(found.target):
+                    return None
+        self._handover = found
+        return exchanges.Interrupted('silence', silent=True)
+
+    def _is_alive(self, target: targets.Target) -> bool:
+        """Whether a target delivered something to this instance lately."""
+        load = self._parts.loads.get(target.target_id)
+        now_s = self._parts.timers.monotonic_s()
+        return now_s - load.last_event_s < _ALIVE_S
