--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -314,6 +314,18 @@
     logging.INFO,
     'A target registered, changed or is gone.',
 )
+PEER_STATE_TAKEN = _event(
+    326,
+    'peer-state-taken',
+    logging.INFO,
+    'What a peer knows of a stream was taken while the store is away.',
+)
+PEER_STATE_FAILED = _event(
+    327,
+    'peer-state-failed',
+    logging.WARNING,
+    'A peer did not give what it knows of a stream.',
+)
 # 35x: service calls, claims, leases and orders.
 SERVICE_ATTEMPT_FAILED = _event(
     350,
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -18,6 +18,54 @@
 _FAILURES_TO_AVOID = 2
 _AVOID_S = 0.5
 _AVOID_MAX_S = 4.0
+# Time after which an outcome counts half, in seconds: engines crash, flap
+# and recover within a few seconds.
+_OUTCOME_HALF_LIFE_S = 2.0
+# Time for which digests tell the outcomes of a target without load, in
+# seconds: some digests, in case one is lost.
+_OUTCOME_TOLD_S = 3.0
+# Served attempts that are taken for granted, so that a single failure does
+# not make a target look as if it failed always.
+_SERVED_PRIOR = 2.0
+# A target fails for all instances if at least so many recent attempts of all
+# of them failed (three within half a second, more in a longer time), and so
+# many for each one that was served.
+_SHARED_FAILURES_MIN = 2.5
+_SHARED_FAILURES_FOR_ONE = 2.0
+
+
+@attrs.define
+class Outcomes:
+    """Recent outcomes of attempts; older ones count less."""
+
+    _served: float = 0.0
+    _failed: float = 0.0
+    _at_s: float = 0.0
+
+    def add(self, served: float, failed: float, now_s: float) -> None:
+        """Adds outcomes."""
+        self._decay(now_s)
+        self._served += served
+        self._failed += failed
+
+    def failed_share(self, now_s: float) -> float:
+        """Share of recent attempts that failed."""
+        self._decay(now_s)
+        return self._failed / (self._failed + self._served + _SERVED_PRIOR)
+
+    def is_failing(self, now_s: float) -> bool:
+        """Whether nearly all recent attempts failed."""
+        self._decay(now_s)
+        return (
+            self._failed >= _SHARED_FAILURES_MIN
+            and self._failed > _SHARED_FAILURES_FOR_ONE * self._served
+        )
+
+    def _decay(self, now_s: float) -> None:
+        factor = 0.5 ** (max(0.0, now_s - self._at_s) / _OUTCOME_HALF_LIFE_S)
+        self._served *= factor
+        self._failed *= factor
+        self._at_s = max(self._at_s, now_s)
 
 
 @attrs.define
@@ -36,7 +84,12 @@
         failures: Failures in a row.
         avoid_until_s: Monotonic time until which it gets no new work if
             another target can take it.
+        warm_until_s: Monotonic time until which it is slow after its start.
         last_event_s: When a stream of it last delivered an event.
+        served: Own attempts that it served, ever.
+        failed: Own attempts that it failed or refused, ever.
+        last_outcome_s: Monotonic time of the last of them.
+        outcomes: Recent outcomes at all instances.
     """
 
     running: int = 0
@@ -49,10 +102,22 @@
     mean_s: float = 0.0
     failures: int = 0
     avoid_until_s: float = 0.0
+    warm_until_s: float = float('-inf')
     last_event_s: float = float('-inf')
+    served: int = 0
+    failed: int = 0
+    last_outcome_s: float = float('-inf')
+    outcomes: Outcomes = attrs.field(factory=Outcomes)
+
+    def is_avoided(self, now_s: float) -> bool:
+        """Whether it gets no new work if another target can take it."""
+        return now_s < self.avoid_until_s or self.outcomes.is_failing(now_s)
 
     def record_success(self, taken_s: float, now_s: float) -> None:
         """Takes note of a request that ended well."""
+        self.served += 1
+        self.last_outcome_s = now_s
+        self.outcomes.add(1.0, 0.0, now_s)
         self.failures = 0
         self.avoid_until_s = min(self.avoid_until_s, now_s)
         if self.mean_s:
@@ -62,10 +127,12 @@
 
     def record_refusal(self, now_s: float) -> None:
         """Takes note of a refusal for lack of room."""
+        self._count_failure(now_s)
         self.avoid_until_s = max(self.avoid_until_s, now_s + _REFUSED_S)
 
     def record_failure(self, now_s: float) -> None:
         """Takes note of a request that the target failed."""
+        self._count_failure(now_s)
         self.failures += 1
         over = self.failures - _FAILURES_TO_AVOID
         if over >= 0:
@@ -77,27 +144,32 @@
         self.failures = max(self.failures, _FAILURES_TO_AVOID - 1)
         self.record_failure(now_s)
 
+    def _count_failure(self, now_s: float) -> None:
+        self.failed += 1
+        self.last_outcome_s = now_s
+        self.outcomes.add(0.0, 1.0, now_s)
+
 
 @attrs.frozen
 class DigestRow:
-    """Load that instances cause at one target.
+    """Load that one instance causes at one target.
 
     Attributes:
         running: Requests in flight.
         tokens: Tokens that they and their copies are expected to hold.
         prefill_tokens: Prompt tokens of requests without a first event.
+        served: Attempts that the target served, since the instance started.
+        failed: Attempts that it failed or refused, since then.
     """
 
     running: float = 0.0
     tokens: float = 0.0
     prefill_tokens: float = 0.0
+    served: float = 0.0
+    failed: float = 0.0
 
-    def __add__(self, other: 'DigestRow') -> 'DigestRow':
-        return DigestRow(
-            self.running + other.running,
-            self.tokens + other.tokens,
-            self.prefill_tokens + other.prefill_tokens,
-        )
+
+_IDLE = DigestRow()
 
 
 class LoadBook:
@@ -105,6 +177,7 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, TargetLoad] = {}
+        self._peer_rows: dict[str, dict[str, DigestRow]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -126,28 +199,69 @@
     def forget(self, target_id: str) -> None:
         """Drops an unused target that is gone."""
         load = self._loads.get(target_id)
-        if load is not None and not load.running and not load.backup_tokens:
-            del self._loads[target_id]
+        if load is None or load.running or load.backup_tokens:
+            return
+        del self._loads[target_id]
+        for rows in self._peer_rows.values():
+            rows.pop(target_id, None)
 
-    def own(self) -> dict[str, DigestRow]:
-        """Own load by target, for the load digest."""
+    def own(self, now_s: float) -> dict[str, DigestRow]:
+        """Own load by target, for the load digest.
+
+        Args:
+            now_s: Monotonic time; targets without own load are left out
+                some time after their last outcome.
+        """
         return {
             target_id: DigestRow(
                 load.running,
                 load.tokens + load.backup_tokens,
                 load.prefill_tokens,
+                load.served,
+                load.failed,
             )
             for target_id, load in self._loads.items()
-            if load.running or load.backup_tokens
+            if load.running
+            or load.backup_tokens
+            or now_s - load.last_outcome_s < _OUTCOME_TOLD_S
         }
 
-    def set_peer_loads(self, totals: dict[str, DigestRow]) -> None:
-        """Replaces the load that other instances cause, by target."""
-        for target_id in totals:
-            self.get(target_id)
-        idle = DigestRow()
-        for target_id, load in self._loads.items():
-            row = totals.get(target_id, idle)
-            load.peer_running = row.running
-            load.peer_tokens = row.tokens
-            load.peer_prefill_tokens = row.prefill_tokens
+    def set_peer(
+        self, peer_id: str, rows: dict[str, DigestRow], now_s: float
+    ) -> None:
+        """Replaces the load that another instance causes.
+
+        Args:
+            peer_id: The instance.
+            rows: Its load by target.
+            now_s: Monotonic time.
+        """
+        before = self._peer_rows.get(peer_id)
+        after = dict(rows)
+        for target_id, old in (before or {}).items():
+            if target_id not in after:
+                # It keeps its outcomes; the target has no load of it now.
+                after[target_id] = DigestRow(
+                    served=old.served, failed=old.failed
+                )
+        for target_id, new in after.items():
+            old = (before or {}).get(target_id, _IDLE)
+            load = self.get(target_id)
+            self._shift(load, old, new)
+            # Of an instance heard for the first time only the load counts:
+            # its outcomes may be old.
+            if before is not None:
+                served = max(0.0, new.served - old.served)
+                failed = max(0.0, new.failed - old.failed)
+                load.outcomes.add(served, failed, now_s)
+        self._peer_rows[peer_id] = after
+
+    def drop_peer(self, peer_id: str) -> None:
+        """Forgets the load of another instance."""
+        for target_id, old in self._peer_rows.pop(peer_id, {}).items():
+            self._shift(self.get(target_id), old, _IDLE)
+
+    def _shift(self, load: TargetLoad, old: DigestRow, new: DigestRow) -> None:
+        load.peer_running += new.running - old.running
+        load.peer_tokens += new.tokens - old.tokens
+        load.peer_prefill_tokens += new.prefill_tokens - old.prefill_tokens
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -4,6 +4,7 @@
 whose memory is nearly full, while some targets are slow, failing or leaving.
 """
 
+import math
 import random
 
 import attrs
@@ -32,6 +33,13 @@
 _MEMORY_COST = 40.0
 # Cost of a target that is avoided; above any load.
 _AVOID_COST = 10_000.0
+# Cost of a target that fails every recent request, in requests of load; one
+# that fails some of them costs its share of it.
+_FAILING_COST = 10.0
+# Difference of cost, in requests of load, at which one engine takes over a run
+# 2.7 times as often as another. All runs of an engine that leaves look for
+# another one at the same moment and must not all choose the same.
+_REFUGE_SPREAD = 2.0
 # Cost of a target during its warm-up, in requests of load.
 _WARM_UP_COST = 4.0
 
@@ -53,6 +61,18 @@
     avoided: bool
 
 
+def _usable(
+    candidates: list[targets.Target], excluded: frozenset[str] | set[str]
+) -> list[targets.Target]:
+    """Those that take work and are not excluded."""
+    return [
+        target
+        for target in candidates
+        if target.state is targets.TargetState.READY
+        and target.target_id not in excluded
+    ]
+
+
 @attrs.frozen
 class Placer:
     """Chooses targets.
@@ -87,12 +107,7 @@
         Returns:
             The choice, or None if no target takes work.
         """
-        usable = [
-            target
-            for target in candidates
-            if target.state is targets.TargetState.READY
-            and target.target_id not in excluded
-        ]
+        usable = _usable(candidates, excluded)
         if not usable:
             return None
         costs = [
@@ -131,11 +146,10 @@
             return None
         if self.fill(candidates, service) > _BACKUP_FILL_MAX:
             return None
-        target = self.choose_refuge(
-            candidates, service, tokens, now_s, excluded
-        )
-        if target is None:
+        choice = self.choose(candidates, service, tokens, now_s, excluded)
+        if choice is None or choice.avoided:
             return None
+        target = choice.target
         held = self._held_tokens(target) + tokens
         if held > _BACKUP_FILL_MAX * service.engine.memory_tokens:
             return None
@@ -150,10 +164,18 @@
         excluded: set[str],
     ) -> targets.Target | None:
         """Chooses an engine that can take over a run, or None."""
-        choice = self.choose(candidates, service, tokens, now_s, excluded)
-        if choice is None or choice.avoided:
+        costs = [
+            (self._cost(target, service, tokens, now_s), target)
+            for target in _usable(candidates, excluded)
+        ]
+        costs = [pair for pair in costs if pair[0] < _AVOID_COST]
+        if not costs:
             return None
-        return choice.target
+        least = min(cost for cost, _ in costs)
+        weights = [
+            math.exp((least - cost) / _REFUGE_SPREAD) for cost, _ in costs
+        ]
+        return self.rng.choices(costs, weights)[0][1]
 
     def fill(
         self, candidates: list[targets.Target], service: tables.Service
@@ -186,10 +208,11 @@
         cost = load.running + load.peer_running
         if target.zone != self.zone:
             cost += _ZONE_COST
-        if target.warm_up_left_s > 0:
+        if now_s < load.warm_until_s:
             cost += _WARM_UP_COST
-        if now_s < load.avoid_until_s:
+        if load.is_avoided(now_s):
             cost += _AVOID_COST
+        cost += _FAILING_COST * load.outcomes.failed_share(now_s)
         if service.engine is not None and service.engine.memory_tokens:
             held = self._held_tokens(target) + tokens
             fill = held / service.engine.memory_tokens
--- a/packages/core/src/dotterelweir_core/gateway/targets.py
+++ b/packages/core/src/dotterelweir_core/gateway/targets.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import hashlib
 
 import attrs
 
@@ -28,7 +29,8 @@
         zone: Its availability zone.
         slots: Requests that it runs at once.
         state: Whether it takes new work.
-        warm_up_left_s: How much longer it is slow after its start.
+        warm_up_left_s: How much longer it is slow after its start. It
+            shrinks with each heartbeat, which changes nothing else.
         started_ms: Wall time of its start, in milliseconds; 0 if unknown.
     """
 
@@ -39,7 +41,7 @@
     zone: str
     slots: int
     state: TargetState
-    warm_up_left_s: float = 0.0
+    warm_up_left_s: float = attrs.field(default=0.0, eq=False)
     started_ms: int = 0
 
     @property
@@ -80,11 +82,25 @@
         self._entries: dict[str, _Entry] = {}
         self._by_service: dict[str, dict[str, Target]] = {}
         self.targets: dict[str, Target] = {}
+        self._fingerprint: str | None = None
 
     def of_service(self, service: str) -> list[Target]:
         """Every registered target of a service, draining ones too."""
         return list(self._by_service.get(service, {}).values())
 
+    @property
+    def fingerprint(self) -> str:
+        """Names what is known; equal for instances that know the same."""
+        if self._fingerprint is None:
+            rows = sorted(
+                (target.target_id, target.state.value, target.started_ms)
+                + (target.service, target.address, target.zone, target.slots)
+                for target in self.targets.values()
+            )
+            digest = hashlib.blake2b(repr(rows).encode(), digest_size=6)
+            self._fingerprint = digest.hexdigest()
+        return self._fingerprint
+
     def takes_work(self, target_id: str) -> bool:
         """Whether a target is registered and ready."""
         target = self.targets.get(target_id)
@@ -144,6 +160,8 @@
     def _store(
         self, target_id: str, before: Target | None, after: Target | None
     ) -> None:
+        if before != after:
+            self._fingerprint = None
         if before is not None:
             self._by_service.get(before.service, {}).pop(target_id, None)
             self.targets.pop(target_id, None)
--- a/packages/core/tests/gateway/test_placement.py
+++ b/packages/core/tests/gateway/test_placement.py
@@ -39,7 +39,7 @@
 
 def test_load_of_other_instances_counts(placer):
     """Guards against instances that all choose the same idle engine."""
-    placer.loads.set_peer_loads({'t1': load.DigestRow(6.0, 9000.0)})
+    placer.loads.set_peer('i2', {'t1': load.DigestRow(6.0, 9000.0)}, 99.0)
     placer.loads.get('t2').running = 3
     assert chosen(placer, [target('t1'), target('t2')]) == 't2'
 
@@ -108,7 +108,42 @@
     """Guards against a book that grows with each engine ever seen."""
     placer.loads.get('t1').running = 1
     placer.loads.forget('t1')
-    assert placer.loads.own() == {'t1': load.DigestRow(1)}
+    assert placer.loads.own(100.0) == {'t1': load.DigestRow(1)}
     placer.loads.get('t1').running = 0
     placer.loads.forget('t1')
-    assert placer.loads.own() == {}
+    assert placer.loads.own(100.0) == {}
+
+
+def test_runs_of_a_leaving_engine_spread(placer):
+    """Guards against one engine that all instances choose at once.
+
+    Load: an engine leaves, and the instances of its 12 runs, which cannot
+    know of each other's choices yet, look for another engine.
+    """
+    candidates = [target(f't{number}') for number in range(8)]
+    for number in range(8):
+        placer.loads.get(f't{number}').running = number % 2
+    taken = [
+        placer.choose_refuge(candidates, MODEL, 3000, 100.0, {'t0'}).target_id
+        for _ in range(12)
+    ]
+    assert len(set(taken)) >= 4
+    assert max(taken.count(name) for name in set(taken)) <= 6
+
+
+def test_a_refuge_has_room(placer):
+    """Guards against runs moved onto a full engine by chance."""
+    for name in ('t1', 't2'):
+        placer.loads.get(name).tokens = 26_000
+        placer.loads.get(name).running = 8
+    taken = {
+        placer.choose_refuge(
+            [target('t1'), target('t2'), target('t3')],
+            MODEL,
+            3000,
+            100.0,
+            set(),
+        ).target_id
+        for _ in range(20)
+    }
+    assert taken == {'t3'}
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -45,10 +45,12 @@
     Attributes:
         records: The records.
         end: Offset after the last record that was read.
+        more: Whether the stream has further records already.
     """
 
     records: tuple[Record, ...]
     end: int
+    more: bool = False
 
 
 class StoreUnavailable(Exception):
@@ -75,15 +77,12 @@
         """
 
     @abc.abstractmethod
-    async def read(
-        self, stream: StoreStream, offset: int, wait_s: float
-    ) -> Batch:
-        """The records from an offset on.
+    async def read(self, stream: StoreStream, offset: int) -> Batch:
+        """The records from an offset on; none if there are no new ones.
 
         Args:
             stream: The stream.
             offset: Offset of the first record.
-            wait_s: Longest time to wait for a first record, in seconds.
 
         Raises:
             StoreUnavailable: The store did not answer.
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -57,10 +57,12 @@
         return
     load = parts.loads.get(target.target_id)
     load.backup_tokens += tokens
+    parts.loads.announce()
     try:
         yield
     finally:
         load.backup_tokens -= tokens
+        parts.loads.announce()
 
 
 class Prefill:
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -14,6 +14,7 @@
 from dotterelweir_core import events
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import placement
+from dotterelweir_core.gateway import reading
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets
 from dotterelweird import lifecycle
@@ -23,6 +24,7 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import caller_server
 from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import digests
 from dotterelweird.gateway import following
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
@@ -32,6 +34,14 @@
 
 LOG = logging.getLogger(__name__)
 
+# Times between two reads of a stream by any instance, and of the random wait
+# after that, in seconds. Together they bound how old the knowledge of an
+# instance is that hears of no other; half a second is left of the time in
+# which a leaving target or an old version must be known everywhere.
+_TABLES_QUIET_S = 0.3
+_TABLES_SPREAD_S = 0.6
+_TARGETS_QUIET_S = 0.15
+_TARGETS_SPREAD_S = 0.5
 # Between two looks at whether a stopping process may end, in seconds.
 _STOP_CHECK_S = 0.05
 # Connections that wait to be accepted; a burst after a restart of many
@@ -103,36 +113,36 @@
         )
         self._targets.subscribe(self._parts.watch.announce)
         self._targets.subscribe(self._forget_gone)
+        self._targets.subscribe(self._note_warm_up)
         self._tables.subscribe(self._show_version)
         self._peers = peers.PeerExchange(
             settings,
             self._timers,
+            self._rng,
             self._loads,
+            self._store_session,
             self._parts.set_instances,
             self._targets.apply,
+            self._reports,
+            self._take_reports,
         )
         self._loads.subscribe(self._peers.load_changed)
-        self._tables_follower = following.StreamFollower(
-            store,
-            api.StoreStream.TABLES,
-            self._timers,
-            self._rng,
-            following.TABLES_WAIT_S,
-            lambda: 0.0,
-            self._tables.apply,
-            self._tables.apply,
-        )
-        self._targets_follower = following.StreamFollower(
-            store,
-            api.StoreStream.TARGETS,
-            self._timers,
-            self._rng,
-            following.TARGETS_WAIT_S,
-            self._targets_period_s,
-            self._targets.apply_snapshot,
-            self._apply_targets,
-            self._targets.store_returned,
-        )
+        self._streams = {
+            api.StoreStream.TABLES: self._follower(
+                store,
+                api.StoreStream.TABLES,
+                reading.ReadTurn(_TABLES_QUIET_S, _TABLES_SPREAD_S, self._rng),
+                self._tables,
+            ),
+            api.StoreStream.TARGETS: self._follower(
+                store,
+                api.StoreStream.TARGETS,
+                reading.ReadTurn(
+                    _TARGETS_QUIET_S, _TARGETS_SPREAD_S, self._rng
+                ),
+                self._targets,
+            ),
+        }
         self._followers: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
         self._callers = caller_server.CallerServer(
@@ -160,8 +170,8 @@
             LOG, events.GATEWAY_STARTED, instance_id=settings.instance_id
         )
         self._followers = [
-            asyncio.create_task(self._tables_follower.run()),
-            asyncio.create_task(self._targets_follower.run()),
+            asyncio.create_task(follower.run())
+            for follower in self._streams.values()
         ]
         self._servers = [
             await loop.create_server(
@@ -171,6 +181,12 @@
                 backlog=_BACKLOG,
             ),
             await self._serve_plain(settings.ready, self._answer_ready),
+            await self._serve_plain(
+                gateway_settings.Address(
+                    settings.callers.host, settings.peers_port
+                ),
+                self._answer_peer,
+            ),
         ]
         if settings.metrics is not None:
             self._servers.append(
@@ -203,13 +219,38 @@
         if change.after is None:
             self._loads.forget(change.target_id)
 
-    def _targets_period_s(self) -> float:
-        return following.targets_period_s(self._peers.instances)
+    def _note_warm_up(self, change: targets.TargetChange) -> None:
+        started = change.after
+        if started is not None and started.warm_up_left_s > 0:
+            load_of = self._loads.get(change.target_id)
+            now_s = self._timers.monotonic_s()
+            load_of.warm_until_s = now_s + started.warm_up_left_s
 
-    def _apply_targets(self, batch: api.Batch) -> None:
-        changed = self._targets.apply(batch)
-        if changed:
-            self._peers.send_records(changed)
+    def _follower(
+        self,
+        store: api.Store,
+        stream: api.StoreStream,
+        turn: reading.ReadTurn,
+        keeper: following.Keeper,
+    ) -> following.StreamFollower:
+        return following.StreamFollower(
+            store, stream, self._timers, turn, keeper, self._peers
+        )
+
+    def _reports(self) -> peers.Reports:
+        reports = {
+            stream: follower.report
+            for stream, follower in self._streams.items()
+        }
+        return {
+            stream: report
+            for stream, report in reports.items()
+            if report is not None
+        }
+
+    def _take_reports(self, host: str, reports: peers.Reports) -> None:
+        for stream, report in reports.items():
+            self._streams[stream].take_report(host, report)
 
     async def _serve_plain(
         self, address: gateway_settings.Address, handler
@@ -226,7 +267,16 @@
     def _is_ready(self) -> bool:
         if self._stop.stopping or self._tables.current is None:
             return False
-        return self._targets_follower.read_at_s > 0.0
+        return self._streams[api.StoreStream.TARGETS].known
+
+    async def _answer_peer(self, request: web.BaseRequest) -> web.Response:
+        """Gives another instance the records of a stream."""
+        name = request.path.removeprefix(peers.STATE_PATH)
+        for stream, follower in self._streams.items():
+            if name == stream.value and follower.report is not None:
+                body = digests.encode_batch(follower.state())
+                return web.Response(body=body)
+        return web.Response(status=404)
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         body, headers = self._statistics.render(
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -0,0 +1,188 @@
+"""Datagrams between gateways: their form and its check.
+
+JSON serves here instead of the peers' Cap'n Proto schema: that library costs
+each process several megabytes and start-up time, and digests are small.
+"""
+
+import base64
+import struct
+from typing import Any
+
+import attrs
+import orjson
+
+from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import spreading
+from dotterelweird.gateway import api
+from dotterelweird.gateway import following
+
+
+@attrs.frozen
+class Digest:
+    """What an instance tells of itself.
+
+    Attributes:
+        instance_id: Its name.
+        host: Its IP address.
+        zone: Its availability zone.
+        started_ms: Wall time of its start, in milliseconds.
+        sequence: Number of the digest; grows.
+        loads: Load that it causes, by target.
+        reports: What it knows of the store's streams; empty if not told.
+        known: Addresses of other instances; empty if not told.
+        leaving: Whether it ends now.
+    """
+
+    instance_id: str
+    host: str
+    zone: str
+    started_ms: int
+    sequence: int
+    loads: dict[str, gateway_load.DigestRow]
+    reports: dict[api.StoreStream, following.ReadReport] = attrs.field(
+        factory=dict
+    )
+    known: tuple[str, ...] = ()
+    leaving: bool = False
+
+
+@attrs.frozen
+class News:
+    """Records of targets that an instance has just read."""
+
+    records: tuple[api.Record, ...]
+
+
+# A mark that no JSON begins with, the number of a group, and their count.
+_WRAPPED_MARK = b'>'
+_WRAPPED = struct.Struct('>cHH')
+
+
+class DatagramInvalid(Exception):
+    """The bytes are no datagram of a gateway."""
+
+
+def encode(message: Digest | News) -> bytes:
+    """Encodes a message; names are short, as bytes have a price."""
+    match message:
+        case News():
+            return orjson.dumps(
+                {'n': [_encode_record(row) for row in message.records]}
+            )
+        case Digest():
+            body: dict[str, Any] = {
+                'i': message.instance_id,
+                'h': message.host,
+                'z': message.zone,
+                'b': message.started_ms,
+                's': message.sequence,
+                'l': [
+                    [target_id, *map(int, attrs.astuple(row))]
+                    for target_id, row in message.loads.items()
+                ],
+            }
+            if message.reports:
+                body['r'] = {
+                    stream.value: [
+                        report.position,
+                        report.content,
+                        int(report.age_s * 1000),
+                    ]
+                    for stream, report in message.reports.items()
+                }
+            if message.known:
+                body['k'] = message.known
+            if message.leaving:
+                body['x'] = 1
+            return orjson.dumps(body)
+
+
+def decode(data: bytes) -> Digest | News:
+    """Decodes a message.
+
+    Raises:
+        DatagramInvalid: It has another form.
+    """
+    try:
+        body = orjson.loads(data)
+        if 'n' in body:
+            return News(tuple(_decode_record(row) for row in body['n']))
+        return Digest(
+            instance_id=str(body['i']),
+            host=str(body['h']),
+            zone=str(body['z']),
+            started_ms=int(body['b']),
+            sequence=int(body['s']),
+            loads={
+                str(target_id): gateway_load.DigestRow(*map(float, row))
+                for target_id, *row in body['l']
+            },
+            reports={
+                api.StoreStream(name): following.ReadReport(
+                    int(position), str(content), float(age_ms) / 1000.0
+                )
+                for name, (position, content, age_ms) in body.get(
+                    'r', {}
+                ).items()
+            },
+            known=tuple(map(str, body.get('k', ()))),
+            leaving=bool(body.get('x')),
+        )
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
+
+
+def wrap(data: bytes, group: spreading.Group | None) -> bytes:
+    """Marks an encoded message that the receiver passes on to a group."""
+    if group is None:
+        return data
+    return _WRAPPED.pack(_WRAPPED_MARK, group.index, group.count) + data
+
+
+def unwrap(data: bytes) -> tuple[spreading.Group | None, bytes]:
+    """The group that a message is passed on to, and the message.
+
+    Raises:
+        DatagramInvalid: The mark is cut off or names no group.
+    """
+    if data[:1] != _WRAPPED_MARK:
+        return None, data
+    try:
+        _, index, count = _WRAPPED.unpack_from(data)
+    except struct.error as exc:
+        raise DatagramInvalid(str(exc)) from exc
+    if index >= count:
+        raise DatagramInvalid('no such group')
+    return spreading.Group(index, count), data[_WRAPPED.size :]
+
+
+def encode_batch(batch: api.Batch) -> bytes:
+    """Encodes records that an instance asked for."""
+    rows = [_encode_record(record) for record in batch.records]
+    return orjson.dumps({'records': rows, 'end': batch.end})
+
+
+def decode_batch(data: bytes) -> api.Batch:
+    """Decodes records that another instance gave.
+
+    Raises:
+        DatagramInvalid: They have another form.
+    """
+    try:
+        body = orjson.loads(data)
+        records = tuple(_decode_record(row) for row in body['records'])
+        return api.Batch(records, int(body['end']))
+    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+        raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
+
+
+def _encode_record(record: api.Record) -> list[Any]:
+    value = record.value
+    encoded = base64.b64encode(value).decode() if value else None
+    return [record.key, record.offset, encoded]
+
+
+def _decode_record(row: list[Any]) -> api.Record:
+    key, offset, value = row
+    decoded = base64.b64decode(value) if value else None
+    return api.Record(str(key), decoded, int(offset))
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -11,6 +11,7 @@
 from dotterelweir_core.gateway import targets
 from dotterelweird import timers
 from dotterelweird.gateway import api
+from dotterelweird.gateway import attempts
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import handover
@@ -86,13 +87,14 @@
             destination = self._parts.choose_refuge(self._exchange, refused)
             if destination is None:
                 break
-            move = await self._move(destination, False)
-            match move.result:
+            # Other instances must not fill the room meanwhile.
+            with attempts.counted_backup(
+                self._parts, destination, self._exchange.tokens
+            ):
+                result = await self._move_to(destination)
+            match result:
                 case api.MoveResult.MOVED:
-                    self._set_result(destination, move.handle)
-                    if await self._stop(destination) or self._link_ended:
-                        return
-                    refused.add(destination.target_id)
+                    return
                 case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
                     await timers.sleep(self._parts.timers, _PAUSE_S)
                 case _:
@@ -105,6 +107,16 @@
             refused=len(refused) - 1,
         )
 
+    async def _move_to(self, destination: targets.Target) -> api.MoveResult:
+        """Copies the run and then stops it."""
+        move = await self._move(destination, False)
+        if move.result is not api.MoveResult.MOVED:
+            return move.result
+        self._set_result(destination, move.handle)
+        if await self._stop(destination) or self._link_ended:
+            return api.MoveResult.MOVED
+        return api.MoveResult.FAILED
+
     async def _stop(self, destination: targets.Target) -> bool:
         """Stops the run and copies what is new.
 
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -1,12 +1,16 @@
 """Follows the tables and the targets in the platform's store."""
 
+import abc
+import asyncio
 from collections.abc import Callable
 import logging
-import random
+
+import attrs
 
 from dotterelweir_core import backoff
 from dotterelweir_core import events
 from dotterelweir_core import timers as core_timers
+from dotterelweir_core.gateway import reading
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets as gateway_targets
 from dotterelweird import timers
@@ -14,45 +18,40 @@
 
 LOG = logging.getLogger(__name__)
 
-# Longest time that one read waits for a change of the tables. A connection
-# that went silent is noticed after it, so it stays below the bound within
-# which a change must be in force.
-TABLES_WAIT_S = 1.5
-TARGETS_WAIT_S = 1.0
-# Least time between two reads of the targets by any instance: every
-# heartbeat is a record, and each read has a price. Instances tell each other
-# what they read, so each of them reads less often the more there are, up to
-# the bound, which keeps the time in which a leaving target must get no more
-# work even if what the others tell is lost.
-_TARGETS_PERIOD_S = 0.4
-_TARGETS_PERIOD_MAX_S = 1.2
 # Delays between failed calls, in seconds.
 _RETRY_FIRST_S = 0.1
 _RETRY_CAP_S = 0.8
+# Time in which news of a change usually arrive after the report of an
+# instance that has read it, in seconds; the reads of those that missed them
+# are spread over as much again.
+_NEWS_S = 0.05
 
 
-def targets_period_s(instances: int) -> float:
-    """Least time between two reads of the targets by one instance.
+@attrs.frozen
+class ReadReport:
+    """What an instance knows of a stream.
 
-    Args:
-        instances: Instances that read them.
+    Attributes:
+        position: Grows with what is known: a version or an offset.
+        content: Names what is known; equal for instances that know the same.
+        age_s: Time since a read of the store found it, in seconds.
     """
-    return min(_TARGETS_PERIOD_MAX_S, _TARGETS_PERIOD_S * instances)
+
+    position: int
+    content: str
+    age_s: float
 
 
 class StreamFollower:
-    """Reads one stream from its newest state on.
+    """Follows one stream, in turns with the other instances.
 
     Args:
         store: The platform's store.
         stream: The stream.
         timer_service: The timer service.
-        rng: Random source of the delays.
-        wait_s: Longest time that one read waits.
-        period_s: Gives the least time between two reads, in seconds.
-        apply_snapshot: Takes the newest record of every key.
-        apply_records: Takes further records in order.
-        returned: Is called when the store answers after an outage.
+        turn: Tells when it is this instance's turn to read.
+        keeper: Takes what is read.
+        peers: The other instances.
     """
 
     def __init__(
@@ -60,32 +59,76 @@
         store: api.Store,
         stream: api.StoreStream,
         timer_service: core_timers.TimerService,
-        rng: random.Random,
-        wait_s: float,
-        period_s: Callable[[], float],
-        apply_snapshot: Callable[[api.Batch], None],
-        apply_records: Callable[[api.Batch], object],
-        returned: Callable[[], None] = lambda: None,
+        turn: reading.ReadTurn,
+        keeper: 'Keeper',
+        peers: 'Peers',
     ) -> None:
         self._store = store
         self._stream = stream
         self._timers = timer_service
-        self._rng = rng
-        self._backoff = backoff.Backoff(rng, _RETRY_FIRST_S, _RETRY_CAP_S)
-        self._wait_s = wait_s
-        self._period_s = period_s
-        self._apply_snapshot = apply_snapshot
-        self._apply_records = apply_records
-        self._returned = returned
+        self._turn = turn
+        self._keeper = keeper
+        self._peers = peers
+        self._backoff = backoff.Backoff(turn.rng, _RETRY_FIRST_S, _RETRY_CAP_S)
+        self._woken = asyncio.Event()
         self._offset: int | None = None
+        # An instance that reported something newer, and what it knows.
+        self._ahead: str | None = None
+        self._ahead_content = ''
+        # What an instance reported and a later read did not confirm: it may
+        # wait for entries that come back after an outage.
+        self._refuted = ''
         self.available = False
-        self.read_at_s = 0.0
+        self.known = False
+
+    @property
+    def report(self) -> ReadReport | None:
+        """What this instance knows; None if that is not the store's state."""
+        if not self.known or not self._keeper.content:
+            return None
+        age_s = self._timers.monotonic_s() - self._turn.fresh_s
+        return ReadReport(self._position, self._keeper.content, age_s)
+
+    @property
+    def _position(self) -> int:
+        if self._keeper.position is not None:
+            return self._keeper.position
+        return self._offset if self._offset is not None else -1
+
+    def state(self) -> api.Batch:
+        """The records that hold what this instance knows."""
+        return api.Batch(self._keeper.records, self._offset or 0)
+
+    def take_report(self, host: str, report: ReadReport) -> None:
+        """Takes what another instance knows.
+
+        Args:
+            host: Its address.
+            report: What it knows.
+        """
+        now_s = self._timers.monotonic_s()
+        if self.known and not self._keeper.content:
+            return
+        if self.known and report.content == self._keeper.content:
+            if self._offset is not None and self._keeper.position is None:
+                # Nothing that matters lies in between.
+                self._offset = max(self._offset, report.position)
+            self._turn.record_read(now_s - report.age_s, self._peers.instances)
+            return
+        if report.position > self._position:
+            if report.content == self._refuted:
+                return
+            self._ahead, self._ahead_content = host, report.content
+            delay_s = _NEWS_S * (1.0 + self._turn.rng.random())
+            self._turn.hasten(now_s, delay_s)
+            self._woken.set()
 
     async def run(self) -> None:
         """Follows the stream until it is cancelled."""
         while True:
+            await self._wait_turn()
             try:
-                await self._step()
+                await self._read()
             except api.RecordsExpired:
                 events.log(
                     LOG,
@@ -96,41 +139,84 @@
                 self._offset = None
             except api.StoreUnavailable as exc:
                 self._mark_unavailable(str(exc))
+                await self._read_from_peer()
                 delay_s = self._backoff.next_delay_s()
                 await timers.sleep(self._timers, delay_s or _RETRY_CAP_S)
-            else:
-                period_s = self._period_s()
-                if period_s:
-                    # Instances that started together spread their reads.
-                    await timers.sleep(
-                        self._timers, period_s * self._rng.uniform(0.6, 1.4)
-                    )
-
-    async def _step(self) -> None:
+
+    async def _wait_turn(self) -> None:
+        while True:
+            left_s = self._turn.due_s - self._timers.monotonic_s()
+            if left_s <= 0:
+                return
+            self._woken.clear()
+            handle = self._timers.call_after(left_s, self._woken.set)
+            try:
+                await self._woken.wait()
+            finally:
+                handle.cancel()
+
+    async def _read(self) -> None:
+        began_s = self._timers.monotonic_s()
         if self._offset is None:
             batch = await self._store.newest(self._stream)
             self._mark_available()
-            self._apply_snapshot(batch)
+            self._keeper.apply_snapshot(batch)
         else:
-            batch = await self._store.read(
-                self._stream, self._offset, self._wait_s
-            )
+            batch = await self._store.read(self._stream, self._offset)
             self._mark_available()
-            self._apply_records(batch)
-        self._offset = batch.end
+            changed = self._keeper.apply(batch)
+            if changed:
+                self._peers.send_news(self._stream, changed)
+        self._offset = max(batch.end, self._offset or 0)
+        self.known = True
+        if batch.more:
+            return
+        if self._ahead is not None:
+            self._ahead = None
+            if self._ahead_content != self._keeper.content:
+                self._refuted = self._ahead_content
+        self._turn.record_read(began_s, self._peers.instances)
+        self._peers.send_reports()
+
+    async def _read_from_peer(self) -> None:
+        """Asks an instance that knows more, while the store is away."""
+        if self._ahead is None:
+            return
+        host, self._ahead = self._ahead, None
+        try:
+            batch = await self._peers.newest(self._stream, host)
+        except api.StoreUnavailable as exc:
+            events.log(
+                LOG,
+                events.PEER_STATE_FAILED,
+                stream=self._stream.value,
+                peer=host,
+                reason=str(exc),
+            )
+            return
+        self._keeper.apply_snapshot(batch)
+        self._offset = max(batch.end, self._offset or 0)
+        self.known = True
+        events.log(
+            LOG,
+            events.PEER_STATE_TAKEN,
+            stream=self._stream.value,
+            peer=host,
+            position=self._position,
+        )
 
     def _mark_available(self) -> None:
-        had_outage = self.read_at_s > 0.0 and not self.available
-        self.read_at_s = self._timers.monotonic_s()
         self._backoff.reset()
+        if self.available:
+            return
+        had_outage = self.known
+        self.available = True
+        events.log(LOG, events.STORE_REACHABLE, stream=self._stream.value)
         if had_outage:
-            self._returned()
-        if not self.available:
-            self.available = True
-            events.log(LOG, events.STORE_REACHABLE, stream=self._stream.value)
+            self._keeper.store_returned()
 
     def _mark_unavailable(self, reason: str) -> None:
-        if self.available or self.read_at_s == 0.0:
+        if self.available or not self.known:
             events.log(
                 LOG,
                 events.STORE_UNREACHABLE,
@@ -140,22 +226,104 @@
         self.available = False
 
 
-class TablesKeeper:
+class Keeper(abc.ABC):
+    """Keeps what a stream says.
+
+    Attributes:
+        position: Grows with what is known; None if the offset does.
+        content: Names what is known; empty while that is not the state of
+            the store.
+        records: The records that hold what is known.
+    """
+
+    position: int | None
+    content: str
+    records: tuple[api.Record, ...]
+
+    @abc.abstractmethod
+    def apply_snapshot(self, batch: api.Batch) -> None:
+        """Takes the newest record of every key."""
+
+    @abc.abstractmethod
+    def apply(self, batch: api.Batch) -> list[api.Record]:
+        """Takes further records in order.
+
+        Returns:
+            The records that changed something and are small enough to be
+            told to other instances.
+        """
+
+    @abc.abstractmethod
+    def store_returned(self) -> None:
+        """Takes note that the store answers again after an outage."""
+
+
+class Peers(abc.ABC):
+    """The other instances, as far as following the store needs them.
+
+    Attributes:
+        instances: Instances that are known, this one included.
+    """
+
+    instances: int
+
+    @abc.abstractmethod
+    def send_reports(self) -> None:
+        """Tells them what this instance knows now."""
+
+    @abc.abstractmethod
+    def send_news(
+        self, stream: api.StoreStream, records: list[api.Record]
+    ) -> None:
+        """Tells them of records that were just read."""
+
+    @abc.abstractmethod
+    async def newest(self, stream: api.StoreStream, host: str) -> api.Batch:
+        """The records that hold what one of them knows.
+
+        Raises:
+            StoreUnavailable: It did not answer.
+        """
+
+
+class TablesKeeper(Keeper):
     """The tables in force; never an older version after a newer one."""
 
     def __init__(self, store: api.Store) -> None:
         self._store = store
         self.current: gateway_tables.Tables | None = None
+        self.records: tuple[api.Record, ...] = ()
         self._listeners: list[Callable[[gateway_tables.Tables], None]] = []
 
+    @property
+    def position(self) -> int:
+        """Version of the tables in force; -1 before the first one."""
+        return self.current.version if self.current else -1
+
+    @property
+    def content(self) -> str:
+        """Names the tables in force."""
+        return str(self.position)
+
     def subscribe(
         self, listener: Callable[[gateway_tables.Tables], None]
     ) -> None:
         """Calls a function with each new version."""
         self._listeners.append(listener)
 
-    def apply(self, batch: api.Batch) -> None:
+    def store_returned(self) -> None:
+        """Does nothing: tables do not lapse."""
+
+    def apply_snapshot(self, batch: api.Batch) -> None:
         """Puts the newest tables of a batch in force."""
+        self.apply(batch)
+
+    def apply(self, batch: api.Batch) -> list[api.Record]:
+        """Puts the newest tables of a batch in force.
+
+        Returns:
+            Nothing: tables may be larger than a datagram.
+        """
         for record in batch.records:
             try:
                 decoded = self._store.decode_tables(record)
@@ -169,28 +337,30 @@
                 )
                 continue
             if decoded is not None:
-                self._put_in_force(decoded, record.offset)
+                self._put_in_force(decoded, record)
+        return []
 
     def _put_in_force(
-        self, decoded: gateway_tables.Tables, offset: int
+        self, decoded: gateway_tables.Tables, record: api.Record
     ) -> None:
         before = self.current.version if self.current else None
         if before is not None and decoded.version <= before:
             return
         self.current = decoded
+        self.records = (record,)
         events.log(
             LOG,
             events.TABLES_IN_FORCE,
             version=decoded.version,
             previous_version=before,
-            offset=offset,
+            offset=record.offset,
             routes=len(decoded.routes),
         )
         for listener in self._listeners:
             listener(decoded)
 
 
-class TargetsKeeper:
+class TargetsKeeper(Keeper):
     """The registered targets.
 
     Entries lapse while the store is away, and targets that live write them
@@ -216,6 +386,9 @@
         self._timers = timer_service
         self._settle_s = settle_s
         self._settled_at_s = 0.0
+        self._records: dict[str, api.Record] = {}
+        # Removals that were read and are not believed yet.
+        self._deferred = 0
         self._listeners: list[
             Callable[[gateway_targets.TargetChange], None]
         ] = []
@@ -226,6 +399,27 @@
         """Calls a function with each change of a target."""
         self._listeners.append(listener)
 
+    # Heartbeats change offsets only, so the follower's offset counts.
+    position = None
+
+    @property
+    def content(self) -> str:
+        """Names the registered targets; empty while removals are deferred.
+
+        An instance that told its targets then would make others believe
+        that the store still has them.
+        """
+        return '' if self._deferred else self._directory.fingerprint
+
+    @property
+    def records(self) -> tuple[api.Record, ...]:
+        """A record of every registered target."""
+        return tuple(
+            record
+            for key, record in self._records.items()
+            if key in self._directory.targets
+        )
+
     def store_returned(self) -> None:
         """Takes note that the store answers again after an outage."""
         self._settled_at_s = self._timers.monotonic_s() + self._settle_s
@@ -235,7 +429,7 @@
         wait_s = self._settled_at_s - self._timers.monotonic_s()
         if wait_s > 0 and self._directory.targets:
             self.apply(batch)
-            self._timers.call_after(wait_s, lambda: self.apply_snapshot(batch))
+            self._call_when_settled(lambda: self.apply_snapshot(batch))
             return
         records = {}
         for record in batch.records:
@@ -245,6 +439,7 @@
                 self._log_invalid(record, exc)
                 decoded = None
             records[record.key] = (decoded, record.offset)
+            self._records[record.key] = record
         for change in self._directory.apply_snapshot(records, batch.end):
             self._announce(change)
 
@@ -265,20 +460,36 @@
                 continue
             change = self._directory.apply(record.key, decoded, record.offset)
             if change is not None:
+                self._keep_record(record)
                 self._announce(change)
                 changed.append(record)
         return changed
 
+    def _keep_record(self, record: api.Record) -> None:
+        if record.value is None:
+            self._records.pop(record.key, None)
+        else:
+            self._records[record.key] = record
+
     def _defer(self, record: api.Record) -> bool:
         """Defers a removal that is read while entries come back."""
         wait_s = self._settled_at_s - self._timers.monotonic_s()
         if wait_s <= 0 or record.key not in self._directory.targets:
             return False
-        self._timers.call_after(
-            wait_s, lambda: self.apply(api.Batch((record,), 0))
-        )
+        self._call_when_settled(lambda: self.apply(api.Batch((record,), 0)))
         return True
 
+    def _call_when_settled(self, take: Callable[[], object]) -> None:
+        """Defers what was read until entries are back after an outage."""
+
+        def take_now() -> None:
+            self._deferred -= 1
+            take()
+
+        self._deferred += 1
+        wait_s = self._settled_at_s - self._timers.monotonic_s()
+        self._timers.call_after(max(0.0, wait_s), take_now)
+
     def _log_invalid(self, record: api.Record, exc: Exception) -> None:
         events.log(
             LOG,
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -193,7 +193,9 @@
             detail=detail,
             events=self._stream.cursor.delivered,
             last_event_id=self._stream.cursor.last_id,
-            taken_s=round(taken_s, 4),
+            first_s=_rounded(self._stream.first_s),
+            longest_pause_s=_rounded(self._stream.longest_pause_s),
+            taken_s=_rounded(taken_s),
         )
 
     async def _next_run(
@@ -262,6 +264,11 @@
         raise refusing.error_after(self._parts, self._exchange, last)
 
 
+def _rounded(time_s: float | None) -> float | None:
+    """A time as logs show it, to a tenth of a millisecond."""
+    return None if time_s is None else round(time_s, 4)
+
+
 class GenerationLost(errors.DotterelweirError):
     """A generation ended after part of it reached the caller."""
 
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -1,41 +1,52 @@
-"""Exchange between gateways: loads, membership and news of targets.
+"""Exchange between gateways: loads, membership and what they have read.
 
-Every instance sends its load digest to every other one: soon after it
-changed, and regularly. Datagrams may be lost; the next digest replaces them.
-JSON serves here instead of the peers' Cap'n Proto schema: that library costs
-each process several megabytes and start-up time, and digests are small.
+Every instance tells every other one its load soon after it changed, in a
+large deployment over relays, see ``spreading``. Datagrams may be lost; the
+next digest replaces them. What an instance read of the store is told to all,
+see ``following``.
 """
 
 import asyncio
-import base64
 from collections.abc import Callable
 import logging
-from typing import Any
+import random
 
+import aiohttp
 import attrs
-import orjson
 
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import spreading
 from dotterelweird.gateway import api
+from dotterelweird.gateway import digests
+from dotterelweird.gateway import following
 from dotterelweird.gateway import settings as gateway_settings
 
 LOG = logging.getLogger(__name__)
 
-# Time for which changes of the load are collected, in seconds: about one
-# decoding step of a busy batch, far below the time of a prefill.
-_COLLECT_S = 0.03
+# Time for which changes of the load are collected, in seconds: far below
+# the time of a prefill, so that other instances know of a request before
+# they place the next one.
+_COLLECT_S = 0.005
 # Between two digests without a change, in seconds, in a small deployment;
 # it grows with the deployment so that an instance's share stays bounded.
 _PERIOD_S = 0.5
 _PEERS_PER_PERIOD = 20
 # Periods of silence after which a peer's load is forgotten.
 _SILENT_PERIODS = 4
-# Peers whose addresses one digest passes on.
+# Peers whose addresses one digest passes on, drawn anew for each.
 _KNOWN_MAX = 16
 # Largest datagram, in bytes; larger ones are fragmented on usual links.
 _DATAGRAM_BYTES_MAX = 1_400
+# Records in one datagram; they have up to about 300 bytes each.
+_RECORDS_PER_DATAGRAM = 4
+# Time for the answer of a peer that is asked for what it knows, in seconds.
+_PEER_TIMEOUT_S = 0.5
+# Path under which a peer gives the records of a stream.
+STATE_PATH = '/records/'
+
+Reports = dict[api.StoreStream, following.ReadReport]
 
 
 @attrs.define
@@ -43,51 +54,63 @@
     """Another gateway.
 
     Attributes:
-        instance_id: Its name.
-        host: Its IP address.
-        started_ms: Wall time of its start, in milliseconds.
-        sequence: Number of its last digest.
+        member: Its name and where it is.
+        order: Start and number of its last digest.
         heard_s: Monotonic time of that.
-        loads: Load that it causes, by target.
     """
 
-    instance_id: str
-    host: str
-    started_ms: int
-    sequence: int
+    member: spreading.Member
+    order: tuple[int, int]
     heard_s: float
-    loads: dict[str, gateway_load.DigestRow]
 
 
-class PeerExchange(asyncio.DatagramProtocol):
+class PeerExchange(asyncio.DatagramProtocol, following.Peers):
     """Exchanges digests with the other gateways.
 
     Args:
         settings: Settings of the process.
         timer_service: The timer service.
+        rng: Random source.
         loads: Load of each target.
-        set_instances: Takes the number of instances, this one included.
-        apply_records: Takes records of targets that a peer has read.
+        session: HTTP client for the records of a peer.
+        set_instances: Takes the number of instances that share budgets,
+            this one included.
+        apply_news: Takes records of targets that a peer has read.
+        own_reports: Gives what this instance knows of the streams.
+        take_reports: Takes what a peer knows: its address and its reports.
     """
 
     def __init__(
         self,
         settings: gateway_settings.GatewaySettings,
         timer_service: timers.TimerService,
+        rng: random.Random,
         loads: gateway_load.LoadBook,
+        session: aiohttp.ClientSession,
         set_instances: Callable[[int], None],
-        apply_records: Callable[[api.Batch], None],
+        apply_news: Callable[[api.Batch], None],
+        own_reports: Callable[[], Reports],
+        take_reports: Callable[[str, Reports], None],
     ) -> None:
         self._settings = settings
         self._timers = timer_service
+        self._rng = rng
         self._loads = loads
+        self._session = session
         self._set_instances = set_instances
-        self._apply_records = apply_records
+        self._apply_news = apply_news
+        self._own_reports = own_reports
+        self._take_reports = take_reports
         self._peers: dict[str, Peer] = {}
+        # Every instance ever heard: one that is silent now may still serve
+        # its callers and use its share of the budgets.
+        self._ever_heard: set[str] = set()
+        # Addresses of instances that were not heard yet, or no longer.
         self._candidates = set(settings.seed_hosts)
         self._candidates.discard(settings.callers.host)
         self._started_ms = int(timer_service.wall_s() * 1000)
         self._sequence = 0
+        self._sent_s = float('-inf')
         self._transport: asyncio.DatagramTransport | None = None
         self._pending: timers.TimerHandle | None = None
         self._tick: timers.TimerHandle | None = None
@@ -128,91 +151,132 @@
         """Sends a digest soon."""
         if self._pending is None:
             self._pending = self._timers.call_after(
-                _COLLECT_S, self._send_digest
+                _COLLECT_S, self._send_loads
             )
 
-    def send_records(self, records: list[api.Record]) -> None:
+    def send_reports(self) -> None:
+        """Tells the peers what this instance knows now."""
+        if self._transport is not None:
+            self._broadcast(self._digest(reports=self._own_reports()))
+
+    def send_news(
+        self, stream: api.StoreStream, records: list[api.Record]
+    ) -> None:
         """Tells the peers of records that were just read."""
-        rows = [
-            [
-                record.key,
-                record.offset,
-                base64.b64encode(record.value).decode()
-                if record.value
-                else None,
-            ]
-            for record in records
-        ]
-        while rows:
-            part, rows = rows[:4], rows[4:]
-            self._broadcast({'id': self._settings.instance_id, 'news': part})
+        rest = tuple(records)
+        while rest and self._transport is not None:
+            part = rest[:_RECORDS_PER_DATAGRAM]
+            rest = rest[_RECORDS_PER_DATAGRAM:]
+            self._broadcast(digests.News(part))
+
+    async def newest(self, stream: api.StoreStream, host: str) -> api.Batch:
+        url = f'http://{host}:{self._settings.peers_port}'
+        timeout = aiohttp.ClientTimeout(total=_PEER_TIMEOUT_S)
+        try:
+            async with self._session.get(
+                url + STATE_PATH + stream.value, timeout=timeout
+            ) as answer:
+                answer.raise_for_status()
+                return digests.decode_batch(await answer.read())
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            digests.DatagramInvalid,
+        ) as exc:
+            raise api.StoreUnavailable(f'{type(exc).__name__}') from exc
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes a digest or news of a peer."""
         try:
-            message = orjson.loads(data)
-            if 'news' in message:
-                self._take_news(message['news'])
-            else:
-                self._take_digest(message, addr[0])
-        except (ValueError, KeyError, TypeError, AttributeError) as exc:
+            group, data = digests.unwrap(data)
+            message = digests.decode(data)
+        except digests.DatagramInvalid as exc:
             events.log(
                 LOG,
                 events.DATAGRAM_DROPPED,
                 sender=addr[0],
-                reason=f'{type(exc).__name__}: {exc}'[:80],
+                reason=str(exc)[:80],
             )
+            return
+        if group is not None:
+            self._pass_on(data, group, addr[0])
+        match message:
+            case digests.News(records=records):
+                self._apply_news(api.Batch(records, 0))
+            case digests.Digest():
+                self._take_digest(message)
 
-    def _take_news(self, rows: list[list[Any]]) -> None:
-        records = tuple(
-            api.Record(
-                str(key),
-                base64.b64decode(value) if value else None,
-                int(offset),
-            )
-            for key, offset, value in rows
-        )
-        self._apply_records(api.Batch(records, 0))
+    def _pass_on(
+        self, data: bytes, group: spreading.Group, sender: str
+    ) -> None:
+        """Passes a message on to the other members of a group."""
+        for member in spreading.passed_on(
+            self._members(), self._settings.zone, group
+        ):
+            if member.host != sender:
+                self._send(member.host, data)
+
+    def _members(self) -> list[spreading.Member]:
+        return [peer.member for peer in self._peers.values()]
 
-    def _take_digest(self, message: dict[str, Any], host: str) -> None:
-        instance_id = str(message['id'])
+    def _take_digest(self, digest: digests.Digest) -> None:
+        host = digest.host
+        instance_id = digest.instance_id
         if instance_id == self._settings.instance_id:
             return
-        order = (int(message['started_ms']), int(message['sequence']))
+        order = (digest.started_ms, digest.sequence)
         peer = self._peers.get(instance_id)
-        if peer and order <= (peer.started_ms, peer.sequence):
+        if peer and order <= peer.order:
             return
-        if message.get('leaving'):
-            self._candidates.discard(host)
+        if digest.leaving:
             self._drop(instance_id, 'leaving')
+            self._candidates.discard(host)
             return
-        loads = {
-            str(target_id): gateway_load.DigestRow(*map(float, row))
-            for target_id, *row in message['loads']
-        }
-        self._peers[instance_id] = Peer(
-            instance_id, host, *order, self._timers.monotonic_s(), loads
-        )
-        self._candidates.add(host)
-        for known in message['known']:
-            if known != self._settings.callers.host:
-                self._candidates.add(str(known))
+        now_s = self._timers.monotonic_s()
+        if peer is not None and peer.order[0] != digest.started_ms:
+            # A new start: what it counted before is over.
+            self._loads.drop_peer(instance_id)
+        member = spreading.Member(instance_id, host, digest.zone)
+        self._peers[instance_id] = Peer(member, order, now_s)
+        self._loads.set_peer(instance_id, digest.loads, now_s)
+        self._candidates.discard(host)
+        self._meet(digest.known)
         if peer is None:
-            self._set_instances(self.instances)
-            events.log(
-                LOG,
-                events.GATEWAY_PEER_CHANGED,
-                peer=instance_id,
-                state='heard',
-                instances=self.instances,
-            )
-            self.load_changed()
-        self._sum_loads()
+            self._welcome(instance_id, host)
+        if digest.reports:
+            self._take_reports(host, digest.reports)
+
+    def _meet(self, hosts: tuple[str, ...]) -> None:
+        """Sends a digest to instances that others know."""
+        heard = {member.host for member in self._members()}
+        heard.add(self._settings.callers.host)
+        for host in set(hosts) - heard - self._candidates:
+            self._candidates.add(host)
+            self._send_digest(host, self._digest(known=self._some_hosts()))
+
+    def _welcome(self, instance_id: str, host: str) -> None:
+        self._ever_heard.add(instance_id)
+        self._set_instances(len(self._ever_heard) + 1)
+        events.log(
+            LOG,
+            events.GATEWAY_PEER_CHANGED,
+            peer=instance_id,
+            state='heard',
+            instances=self.instances,
+        )
+        self._send_digest(
+            host,
+            self._digest(
+                known=self._some_hosts(), reports=self._own_reports()
+            ),
+        )
 
     def _drop(self, instance_id: str, reason: str) -> None:
         peer = self._peers.pop(instance_id, None)
         if peer is None:
             return
+        self._candidates.add(peer.member.host)
+        self._loads.drop_peer(instance_id)
         events.log(
             LOG,
             events.GATEWAY_PEER_CHANGED,
@@ -220,56 +284,67 @@
             state=reason,
             instances=self.instances,
         )
-        self._sum_loads()
-
-    def _sum_loads(self) -> None:
-        totals: dict[str, gateway_load.DigestRow] = {}
-        for peer in self._peers.values():
-            for target_id, row in peer.loads.items():
-                before = totals.get(target_id)
-                totals[target_id] = before + row if before else row
-        self._loads.set_peer_loads(totals)
 
     def _run_tick(self) -> None:
         if self._transport is None:
             return
         now_s = self._timers.monotonic_s()
         bound_s = _SILENT_PERIODS * self.period_s
-        for peer in list(self._peers.values()):
+        for instance_id, peer in list(self._peers.items()):
             if now_s - peer.heard_s > bound_s:
-                self._drop(peer.instance_id, 'silent')
-        self._send_digest()
+                self._drop(instance_id, 'silent')
+        regular = self._digest(
+            known=self._some_hosts(), reports=self._own_reports()
+        )
+        for host in list(self._candidates):
+            self._send_digest(host, regular)
+        if now_s - self._sent_s >= 0.9 * self.period_s:
+            self._broadcast(regular)
         self._tick = self._timers.call_after(self.period_s, self._run_tick)
 
-    def _send_digest(self) -> None:
-        if self._pending is not None:
-            self._pending.cancel()
-            self._pending = None
+    def _some_hosts(self) -> tuple[str, ...]:
+        hosts = [member.host for member in self._members()]
+        return tuple(self._rng.sample(hosts, min(_KNOWN_MAX, len(hosts))))
+
+    def _send_loads(self) -> None:
+        self._pending = None
         if self._transport is not None:
             self._broadcast(self._digest())
 
-    def _digest(self, leaving: bool = False) -> dict[str, Any]:
+    def _digest(
+        self,
+        known: tuple[str, ...] = (),
+        reports: Reports | None = None,
+        leaving: bool = False,
+    ) -> digests.Digest:
         self._sequence += 1
-        own = self._loads.own()
-        known = [peer.host for peer in self._peers.values()]
-        return {
-            'id': self._settings.instance_id,
-            'started_ms': self._started_ms,
-            'sequence': self._sequence,
-            'leaving': leaving,
-            'known': known[:_KNOWN_MAX],
-            'loads': [
-                [target_id, *attrs.astuple(row)]
-                for target_id, row in own.items()
-            ],
-        }
-
-    def _broadcast(self, message: dict[str, Any]) -> None:
-        if self._transport is None:
-            return
-        data = orjson.dumps(message)
+        return digests.Digest(
+            self._settings.instance_id,
+            self._settings.callers.host,
+            self._settings.zone,
+            self._started_ms,
+            self._sequence,
+            self._loads.own(self._timers.monotonic_s()),
+            reports or {},
+            known,
+            leaving,
+        )
+
+    def _broadcast(self, message: digests.Digest | digests.News) -> None:
+        data = self._encode(message)
+        self._sent_s = self._timers.monotonic_s()
+        for hop in spreading.plan(self._members(), self._rng):
+            self._send(hop.host, digests.wrap(data, hop.group))
+
+    def _send_digest(self, host: str, digest: digests.Digest) -> None:
+        self._send(host, self._encode(digest))
+
+    def _send(self, host: str, data: bytes) -> None:
+        if self._transport is not None:
+            self._transport.sendto(data, (host, self._settings.peers_port))
+
+    def _encode(self, message: digests.Digest | digests.News) -> bytes:
+        data = digests.encode(message)
         if len(data) > _DATAGRAM_BYTES_MAX:
             events.log(LOG, events.DATAGRAM_OVERSIZED, size_bytes=len(data))
-        hosts = {peer.host for peer in self._peers.values()}
-        for host in hosts | self._candidates:
-            self._transport.sendto(data, (host, self._settings.peers_port))
+        return data
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -1,5 +1,7 @@
 """Exchange between gateways, in virtual time."""
 
+import random
+
 import attrs
 import orjson
 import pytest
@@ -7,6 +9,7 @@
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import load
 from dotterelweird.gateway import api
+from dotterelweird.gateway import following
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
 
@@ -37,6 +40,8 @@
     loads: load.LoadBook = attrs.field(factory=load.LoadBook)
     instances: int = 1
     news: list = attrs.field(factory=list)
+    reports: dict = attrs.field(factory=dict)
+    heard: list = attrs.field(factory=list)
     exchange: peers.PeerExchange = attrs.field(init=False)
     closed: bool = False
 
@@ -44,9 +49,13 @@
         self.exchange = peers.PeerExchange(
             make_settings(f'node-{self.host}', self.host),
             self.network.timers,
+            random.Random(self.host),
             self.loads,
+            None,
             self.set_instances,
             self.news.append,
+            lambda: self.reports,
+            lambda host, reports: self.heard.append((host, reports)),
         )
 
     def set_instances(self, instances):
@@ -132,7 +141,9 @@
     """Guards against peers that learn of a leaving target by themselves."""
     first, second, third = network.nodes.values()
     record = api.Record('t1', b'{"state":"draining"}', 12)
-    first.exchange.send_records([record, api.Record('t2', None, 13)])
+    first.exchange.send_news(
+        api.StoreStream.TARGETS, [record, api.Record('t2', None, 13)]
+    )
     for node in (second, third):
         (batch,) = node.news
         assert batch.records == (record, api.Record('t2', None, 13))
@@ -145,11 +156,25 @@
         b'\xff\xfe',
         b'[]',
         b'{}',
-        b'{"news": 7}',
-        b'{"news": [["k"]]}',
-        orjson.dumps({'id': 'x', 'started_ms': 1, 'sequence': 'y'}),
+        b'{"n": 7}',
+        b'{"n": [["k"]]}',
+        b'>',
+        b'>\x00\x03\x00\x02{}',
+        b'>\x00\x00\x00\x00{}',
+        orjson.dumps({'i': 'x', 'h': 'h', 'z': 'a', 'b': 1, 's': 'y'}),
+        orjson.dumps(
+            {'i': 'x', 'h': 'h', 'z': 'a', 'b': 1, 's': 1, 'l': [['t', 'x']]}
+        ),
         orjson.dumps(
-            {'id': 'x', 'started_ms': 1, 'sequence': 1, 'loads': [['t', 'x']]}
+            {
+                'i': 'x',
+                'h': 'h',
+                'z': 'a',
+                'b': 1,
+                's': 1,
+                'l': [],
+                'r': {'t': 1},
+            }
         ),
     ],
 )
@@ -165,11 +190,57 @@
     """Guards against datagrams that overtake each other."""
     first = network.nodes['10.0.0.1']
     digest = {
-        'id': 'node-10.0.0.2',
-        'started_ms': 1,
-        'sequence': 1,
-        'known': [],
-        'loads': [['t', 9, 9, 0]],
+        'i': 'node-10.0.0.2',
+        'h': '10.0.0.2',
+        'z': 'a',
+        'b': 1,
+        's': 1,
+        'l': [['t', 9, 9, 0]],
     }
     first.exchange.datagram_received(orjson.dumps(digest), ('10.0.0.2', 1))
     assert first.loads.get('t').peer_running == 0
+
+
+def test_all_instances_of_a_large_deployment_find_each_other():
+    """Guards against an instance that knows its own zone only."""
+    network = Network()
+    for number in range(1, 61):
+        network.add(f'10.0.0.{number}')
+    network.timers.advance(8.0)
+    counts = {node.exchange.instances for node in network.nodes.values()}
+    assert counts == {60}
+
+
+def test_a_budget_is_shared_with_silent_instances(network):
+    """Guards against shares that grow while all instances still serve."""
+    network.cut.add('10.0.0.3')
+    network.timers.advance(4.0)
+    assert network.nodes['10.0.0.2'].exchange.instances == 2
+    network.add('10.0.0.4')
+    network.timers.advance(1.0)
+    assert network.nodes['10.0.0.2'].instances == 4
+
+
+def test_reports_reach_every_peer(network):
+    """Guards against instances that all read what one has read."""
+    first, second, third = network.nodes.values()
+    report = following.ReadReport(7, 'c', 0.25)
+    first.reports[api.StoreStream.TARGETS] = report
+    first.exchange.send_reports()
+    for node in (second, third):
+        host, reports = node.heard[-1]
+        assert host == '10.0.0.1'
+        assert reports == {api.StoreStream.TARGETS: report}
+
+
+def test_a_restarted_peer_counts_anew(network):
+    """Guards against load of a peer's earlier start that stays counted."""
+    first, second, _ = network.nodes.values()
+    first.loads.get('t').running = 2
+    first.exchange.load_changed()
+    network.timers.advance(0.1)
+    del network.nodes['10.0.0.1']
+    network.timers.advance(0.1)
+    network.add('10.0.0.1')
+    network.timers.advance(1.0)
+    assert second.loads.get('t').peer_running == 0
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -0,0 +1,216 @@
+"""Many instances that follow the store in turns."""
+
+import asyncio
+import random
+import types
+
+import attrs
+import pytest
+
+from dotterelweir_core.gateway import reading
+from dotterelweir_core.gateway import targets
+from dotterelweird import timers
+from dotterelweird.gateway import api
+from dotterelweird.gateway import following
+
+STREAM = api.StoreStream.TARGETS
+
+
+class MemoryStore(api.Store):
+    """A store in memory that counts reads and may turn some callers away."""
+
+    def __init__(self):
+        self.records = []
+        self.reads = 0
+        self.turned_away = set()
+
+    def view(self, host):
+        """The store as one instance sees it."""
+        return types.SimpleNamespace(
+            newest=lambda stream: self._call(host, 0),
+            read=lambda stream, offset: self._call(host, offset),
+            decode_target=self.decode_target,
+        )
+
+    def write(self, key, state):
+        value = state.encode() if state else None
+        self.records.append(api.Record(key, value, len(self.records)))
+
+    async def _call(self, host, offset):
+        self.reads += 1
+        await asyncio.sleep(0.002)
+        if host in self.turned_away:
+            raise api.StoreUnavailable('turned away')
+        return api.Batch(tuple(self.records[offset:]), len(self.records))
+
+    async def newest(self, stream):
+        raise NotImplementedError
+
+    async def read(self, stream, offset):
+        raise NotImplementedError
+
+    def decode_tables(self, record):
+        raise NotImplementedError
+
+    def decode_target(self, record):
+        if record.value is None:
+            return None
+        return targets.Target(
+            record.key,
+            'model',
+            '10.0.0.1',
+            80,
+            'a',
+            6,
+            targets.TargetState(record.value.decode()),
+        )
+
+
+@attrs.define(eq=False)
+class Instance(following.Peers):
+    """One instance; news and reports of others may be lost."""
+
+    host: str
+    fleet: 'Fleet'
+    directory: targets.TargetDirectory = attrs.field(
+        factory=targets.TargetDirectory
+    )
+    keeper: following.TargetsKeeper = attrs.field(init=False)
+    follower: following.StreamFollower = attrs.field(init=False)
+    asked: int = 0
+
+    def __attrs_post_init__(self):
+        fleet = self.fleet
+        view = fleet.store.view(self.host)
+        self.keeper = following.TargetsKeeper(
+            view, self.directory, fleet.timers, 0.5
+        )
+        self.follower = following.StreamFollower(
+            view,
+            STREAM,
+            fleet.timers,
+            reading.ReadTurn(0.15, 0.5, fleet.rng),
+            self.keeper,
+            self,
+        )
+
+    @property
+    def instances(self):
+        return len(self.fleet.instances)
+
+    def send_reports(self):
+        for other in self.others():
+            other.follower.take_report(self.host, self.follower.report)
+
+    def send_news(self, stream, records):
+        if not self.fleet.loses_news:
+            for other in self.others():
+                other.keeper.apply(api.Batch(tuple(records), 0))
+
+    async def newest(self, stream, host):
+        self.asked += 1
+        return self.fleet.by_host(host).follower.state()
+
+    def others(self):
+        return [one for one in self.fleet.instances if one is not self]
+
+
+class Fleet:
+    """Instances before one store."""
+
+    def __init__(self, size):
+        self.timers = timers.LoopTimerService(asyncio.get_running_loop())
+        self.rng = random.Random(3)
+        self.store = MemoryStore()
+        self.loses_news = False
+        self.instances = []
+        self.instances += [Instance(f'h{n}', self) for n in range(size)]
+        self._tasks = []
+
+    def by_host(self, host):
+        return next(one for one in self.instances if one.host == host)
+
+    async def start(self):
+        self._tasks = [
+            asyncio.create_task(one.follower.run()) for one in self.instances
+        ]
+        await self.until(lambda one: one.follower.known)
+
+    async def until(self, condition, bound_s=2.0):
+        """Waits until a condition holds at every instance."""
+        async with asyncio.timeout(bound_s):
+            while not all(condition(one) for one in self.instances):
+                await asyncio.sleep(0.005)
+
+    def stop(self):
+        for task in self._tasks:
+            task.cancel()
+
+
+@pytest.fixture
+async def fleet():
+    made = Fleet(20)
+    made.store.write('t1', 'ready')
+    made.store.write('t2', 'ready')
+    await made.start()
+    yield made
+    made.stop()
+
+
+async def test_one_read_serves_all(fleet):
+    """Guards against reads that grow with the number of instances."""
+    before = fleet.store.reads
+    await asyncio.sleep(1.5)
+    # Each instance by itself would read about three times a second.
+    assert fleet.store.reads - before < 25
+
+
+async def test_a_change_reaches_all_before_their_turn(fleet):
+    """Guards against a leaving target that stays in use somewhere."""
+    fleet.store.write('t1', 'draining')
+    await fleet.until(lambda one: not one.directory.takes_work('t1'), 0.9)
+
+
+async def test_lost_news_are_read(fleet):
+    """Guards against an instance that misses a datagram."""
+    fleet.loses_news = True
+    fleet.store.write('t1', 'draining')
+    await fleet.until(lambda one: not one.directory.takes_work('t1'), 0.9)
+
+
+async def test_an_instance_that_is_turned_away_learns_from_others(fleet):
+    """Guards against a store that serves only some instances."""
+    fleet.loses_news = True
+    fleet.store.turned_away = {'h0', 'h1'}
+    fleet.store.write('t1', 'draining')
+    await fleet.until(lambda one: not one.directory.takes_work('t1'))
+    assert fleet.by_host('h0').asked > 0
+
+
+async def test_instances_start_without_the_store_if_others_know(fleet):
+    """Guards against an instance that waits for a store it cannot reach."""
+    late = Instance('late', fleet)
+    fleet.store.turned_away = {'late'}
+    fleet.instances.append(late)
+    task = asyncio.create_task(late.follower.run())
+    await fleet.until(lambda one: one.follower.known)
+    task.cancel()
+    assert late.directory.takes_work('t1')
+
+
+async def test_two_beliefs_do_not_swamp_the_store(fleet):
+    """Guards against instances that make each other read again and again.
+
+    After an outage some instances wait for entries to come back, and others,
+    which did not notice the outage, do not.
+    """
+    for host in ('h0', 'h1', 'h2', 'h3'):
+        fleet.by_host(host).keeper.store_returned()
+    fleet.loses_news = True
+    before = fleet.store.reads
+    fleet.store.write('t1', None)
+    for _ in range(10):
+        fleet.store.write('t2', 'ready')
+        await asyncio.sleep(0.05)
+    assert fleet.store.reads - before < 80
+    await fleet.until(lambda one: not one.directory.takes_work('t1'))
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -26,6 +26,13 @@
     assert batch.end == 9
 
 
+def test_a_read_that_was_bounded_says_so():
+    """Guards against records left unread until the next turn."""
+    head = struct.pack('>QQ', 9, 0)
+    assert store.parse_records(head + record(b'a', b'1'), 7).more
+    assert not store.parse_records(head + record(b'a', b'1'), 8).more
+
+
 def test_an_empty_read_stays_where_it_is():
     """Guards against records that are skipped after a wait."""
     assert store.parse_records(HEAD, 7) == api.Batch((), 7)
