Pool the repeat budget; show a whole deployment to operators

Runs that were moved first paused 0.3 to 1 s, as their last copies waited behind the first copies of the others on the engine's link. Change: instances tell each other requests and repeats and share one allowance; silent ones keep an equal part. Last copies wait until 0.7 s after the notice; refuges in the run's own zone are preferred. Operators get fleet status, explain and report. Ruled out: a larger share for each instance; many of them together would exceed the allowance.

--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -162,6 +162,11 @@
         self.peers_port = free_port(self.host, socket.SOCK_DGRAM)
         self.session = aiohttp.ClientSession(auto_decompress=False)
 
+    @property
+    def peers_address(self) -> str:
+        """Where the gateway answers other gateways and operators."""
+        return f'{self.host}:{self.peers_port}'
+
     async def start_store(self) -> str:
         """Starts the store and gives its address."""
         await self._runner.setup()
--- /dev/null
+++ b/packages/cli/src/dotterelweir_cli/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""A deployment of gateways, seen as one."""
--- a/packages/cli/src/dotterelweir_cli/main.py
+++ b/packages/cli/src/dotterelweir_cli/main.py
@@ -7,6 +7,7 @@
 from dotterelweir_cli.commands import apply
 from dotterelweir_cli.commands import completion
 from dotterelweir_cli.commands import explain
+from dotterelweir_cli.commands import fleet
 from dotterelweir_cli.commands import pool
 from dotterelweir_cli.commands import route
 from dotterelweir_cli.commands import status
@@ -76,6 +77,7 @@
 main.add_command(apply.apply)
 main.add_command(completion.completion)
 main.add_command(explain.explain)
+main.add_command(fleet.fleet)
 main.add_command(pool.pool)
 main.add_command(route.route)
 main.add_command(status.status)
--- /dev/null
+++ b/packages/cli/tests/fleet/test_fleet.py
@@ -0,0 +1,211 @@
+"""The commands for a deployment of gateways."""
+
+import asyncio
+import json
+
+from click import testing
+import pytest
+
+from dotterelweir_cli import main
+from dotterelweir_cli.fleet import deployment
+from dotterelweir_cli.fleet import logs
+from dotterelweir_cli.fleet import report
+from dotterelweir_fakes.fleet import deployment as fleet
+
+
+def entry(second, message, **fields):
+    """One log line with the fields that every line has."""
+    return json.dumps(
+        {
+            'message': message,
+            'level': 'INFO',
+            'logger': 'x',
+            'instance_id': fields.pop('instance_id', 'i1'),
+            'zone': 'a',
+            'event': 1,
+            'time': f'2026-01-11T15:00:{second:06.3f}+00:00',
+            **fields,
+        }
+    )
+
+
+@pytest.fixture
+def log_files(tmp_path):
+    first = [
+        'a line of another program',
+        entry(
+            1, 'target-changed', target_id='t1', before='absent', after='ready'
+        ),
+        entry(
+            1, 'target-changed', target_id='t9', before='absent', after='ready'
+        ),
+        entry(
+            2,
+            'gateway-target-chosen',
+            request_id='r1',
+            target_id='t1',
+            backup_id='t2',
+        ),
+        entry(
+            3,
+            'gateway-attempt-ended',
+            request_id='r1',
+            target_id='t1',
+            end='interrupted',
+            first_s=0.2,
+            longest_pause_s=0.1,
+        ),
+        entry(
+            3.1,
+            'generation-carried-over',
+            request_id='r1',
+            source='t1',
+            target_id='t2',
+            way='copy kept',
+        ),
+        entry(
+            5,
+            'gateway-attempt-ended',
+            request_id='r1',
+            target_id='t2',
+            end='complete',
+            first_s=0.2,
+            longest_pause_s=0.3,
+        ),
+        entry(5, 'gateway-request-ended', request_id='r1', outcome='200'),
+    ]
+    second = [
+        entry(2.5, 'store-unreachable', instance_id='i2', stream='targets'),
+        'front-1 '
+        + entry(
+            4, 'gateway-request-ended', instance_id='i2', outcome='pool-empty'
+        ),
+    ]
+    paths = []
+    for name, rows in (('i1.log', first), ('i2.log', second)):
+        path = tmp_path / name
+        path.write_text('\n'.join(rows) + '\n')
+        paths.append(path)
+    return paths
+
+
+def invoke(*arguments):
+    return testing.CliRunner().invoke(
+        main.main, ['--output', 'json', 'fleet', *map(str, arguments)]
+    )
+
+
+def test_explain_shows_decisions_and_beliefs(log_files):
+    """Guards against an explanation that leaves out a handover."""
+    result = invoke('explain', 'r1', *log_files)
+    assert result.exit_code == 0
+    document = json.loads(result.stdout)
+    assert [row['event'] for row in document['decisions']] == [
+        'gateway-target-chosen',
+        'gateway-attempt-ended',
+        'generation-carried-over',
+        'gateway-attempt-ended',
+        'gateway-request-ended',
+    ]
+    # What another instance saw, and other targets, are no causes.
+    assert [row['target_id'] for row in document['beliefs']] == ['t1']
+
+
+def test_an_unknown_request_is_an_error(log_files):
+    """Guards against an empty explanation that looks like an answer."""
+    result = invoke('explain', 'r7', *log_files)
+    assert result.exit_code == 6
+    assert 'no line names request r7' in result.stderr
+
+
+def test_report_counts_and_draws(log_files, tmp_path):
+    """Guards against a report that misses outcomes, and a broken plot."""
+    plot = tmp_path / 'run.png'
+    result = invoke('report', *log_files, '--plot', plot)
+    assert result.exit_code == 0
+    document = json.loads(result.stdout)
+    assert document['requests ended: 200'] == 1
+    assert document['requests ended: pool-empty'] == 1
+    assert document['handovers: copy kept'] == 1
+    assert document['outages of the store seen'] == 1
+    assert document['lines skipped'] == 1
+    assert plot.read_bytes().startswith(b'\x89PNG')
+
+
+def test_report_of_an_unknown_format_is_an_error(log_files, tmp_path):
+    """Guards against a traceback for a mistyped file name."""
+    result = invoke('report', *log_files, '--plot', tmp_path / 'run.what')
+    assert result.exit_code == 2
+    assert 'cannot draw run.what' in result.stderr
+
+
+def test_report_of_no_lines():
+    """Guards against a crash on empty logs."""
+    figures = report.collect([])
+    assert report.table(figures) == [['outages of the store seen', 0]]
+
+
+@pytest.mark.parametrize(
+    'raw', [b'', b'text', b'{"time": 7}', b'{"message": "x"}', b'{broken']
+)
+def test_other_lines_are_skipped(raw):
+    """Guards against logs that end in the middle of a line."""
+    assert logs.parse(raw) is None
+
+
+def document(name, version=3, **changes):
+    return {
+        'instance_id': name,
+        'ready': True,
+        'stopping': False,
+        'running': 1,
+        'tables_version': version,
+        'streams': {'targets': {'store_answers': True, 'content': 'c'}},
+        'targets': [],
+        'peers': [],
+        **changes,
+    }
+
+
+def test_summary_names_what_differs():
+    """Guards against a laggard that a sum hides."""
+    found = deployment.Deployment(
+        {
+            'i1': document('i1', peers=[{}, {}]),
+            'i2': document('i2', version=2),
+            'i3': document(
+                'i3',
+                stopping=True,
+                streams={'targets': {'store_answers': False, 'content': 'd'}},
+            ),
+        },
+        {'i4': 'unreachable'},
+    )
+    sums = deployment.summary(found)
+    assert sums['older_tables'] == ['i2']
+    assert sums['store_does_not_answer'] == ['i3']
+    assert sums['stopping'] == ['i3']
+    assert sums['silent'] == ['i4']
+    assert sums['views_of_targets'] == 2
+    assert sums['hears_less_than_all'] == ['i2', 'i3']
+
+
+async def test_status_of_a_running_gateway():
+    """Guards against a status that a gateway does not give."""
+    running = fleet.Deployment()
+    address = await running.start_store()
+    await running.store.write_json('keyed.op', 'config', fleet.configuration())
+    await running.add_engine('engine-1', 'model')
+    await running.start(address)
+    await running.wait_ready()
+    try:
+        result = await asyncio.to_thread(
+            invoke, 'status', '--instance', running.peers_address
+        )
+    finally:
+        await running.close()
+    assert result.exit_code == 0, result.stderr
+    answer = json.loads(result.stdout)
+    assert answer['instances'] == answer['ready'] == 1
+    assert answer['tables_version'] == 1
+    assert [row['target'] for row in answer['targets']] == ['engine-1']
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -40,6 +40,9 @@
 # 2.7 times as often as another. All runs of an engine that leaves look for
 # another one at the same moment and must not all choose the same.
 _REFUGE_SPREAD = 2.0
+# Further cost of a refuge in another availability zone, in requests of load:
+# a copy takes twice as long there, and the engine may be gone before.
+_REFUGE_ZONE_COST = 2.0
 # Cost of a target during its warm-up, in requests of load.
 _WARM_UP_COST = 4.0
 
@@ -161,12 +164,22 @@
         service: tables.Service,
         tokens: int,
         now_s: float,
-        excluded: set[str],
+        source: targets.Target,
+        excluded: frozenset[str] | set[str] = frozenset(),
     ) -> targets.Target | None:
-        """Chooses an engine that can take over a run, or None."""
+        """Chooses an engine that can take over a run, or None.
+
+        Args:
+            candidates: Targets of the service.
+            service: The service.
+            tokens: Tokens that the run will hold.
+            now_s: Monotonic time.
+            source: Where the run is.
+            excluded: Targets that must not be used.
+        """
         costs = [
-            (self._cost(target, service, tokens, now_s), target)
-            for target in _usable(candidates, excluded)
+            (self._refuge_cost(target, source, service, tokens, now_s), target)
+            for target in _usable(candidates, {source.target_id, *excluded})
         ]
         costs = [pair for pair in costs if pair[0] < _AVOID_COST]
         if not costs:
@@ -177,6 +190,19 @@
         ]
         return self.rng.choices(costs, weights)[0][1]
 
+    def _refuge_cost(
+        self,
+        target: targets.Target,
+        source: targets.Target,
+        service: tables.Service,
+        tokens: int,
+        now_s: float,
+    ) -> float:
+        cost = self._cost(target, service, tokens, now_s)
+        if target.zone != source.zone:
+            cost += _REFUGE_ZONE_COST
+        return cost
+
     def fill(
         self, candidates: list[targets.Target], service: tables.Service
     ) -> float:
--- a/packages/core/tests/gateway/test_placement.py
+++ b/packages/core/tests/gateway/test_placement.py
@@ -13,10 +13,8 @@
 PLAIN = tables.Service('plain', 100)
 
 
-def target(name, zone='a', state=targets.TargetState.READY, warm_up_s=0.0):
-    return targets.Target(
-        name, 'model', '10.0.0.1', 80, zone, 6, state, warm_up_s
-    )
+def target(name, zone='a', state=targets.TargetState.READY):
+    return targets.Target(name, 'model', '10.0.0.1', 80, zone, 6, state)
 
 
 @pytest.fixture
@@ -124,7 +122,9 @@
     for number in range(8):
         placer.loads.get(f't{number}').running = number % 2
     taken = [
-        placer.choose_refuge(candidates, MODEL, 3000, 100.0, {'t0'}).target_id
+        placer.choose_refuge(
+            candidates, MODEL, 3000, 100.0, candidates[0]
+        ).target_id
         for _ in range(12)
     ]
     assert len(set(taken)) >= 4
@@ -142,8 +142,29 @@
             MODEL,
             3000,
             100.0,
-            set(),
+            target('t0'),
         ).target_id
         for _ in range(20)
     }
     assert taken == {'t3'}
+
+
+def test_a_refuge_is_rather_in_the_zone_of_the_run(placer):
+    """Guards against copies that are too slow to save their runs."""
+    candidates = [target('near', zone='b'), target('far', zone='c')]
+    taken = [
+        placer.choose_refuge(
+            candidates, MODEL, 3000, 100.0, target('t0', zone='b')
+        ).target_id
+        for _ in range(40)
+    ]
+    assert taken.count('near') > 25
+
+
+def test_a_warming_target_is_avoided(placer):
+    """Guards against work for a target that is slow after its start."""
+    placer.loads.get('t1').warm_until_s = 101.0
+    placer.loads.get('t2').running = 2
+    assert chosen(placer, [target('t1'), target('t2')]) == 't2'
+    placer.loads.get('t1').warm_until_s = 99.0
+    assert chosen(placer, [target('t1'), target('t2')]) == 't1'
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -31,8 +31,8 @@
         Raises:
             DotterelweirError: The call got no answer of a target.
         """
-        budget = self._parts.budget(exchange.service)
-        budget.record_request(self._parts.timers.monotonic_s())
+        budgets, service = self._parts.budgets, exchange.service.name
+        budgets.of(service).record_request(self._parts.timers.monotonic_s())
         failed: exchanges.Answered | None = None
         last: exchanges.Outcome | None = None
         arrived = False
@@ -40,7 +40,7 @@
             now_s = self._parts.timers.monotonic_s()
             if now_s >= exchange.deadline_s:
                 break
-            if arrived and not budget.take(now_s):
+            if arrived and not budgets.take(service, now_s):
                 break
             outcome = await self._attempt(exchange)
             if outcome is None:
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -7,6 +7,7 @@
 import signal
 import sys
 import time
+from typing import Any
 
 from aiohttp import web
 
@@ -15,6 +16,7 @@
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import reading
+from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets
 from dotterelweird import lifecycle
@@ -29,6 +31,7 @@
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
+from dotterelweird.gateway import status
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import target_client
 
@@ -105,6 +108,11 @@
             placement.Placer(settings.zone, self._loads, self._rng),
             self._statistics,
             self._rng,
+            repeats.BudgetBook(
+                settings.repeat_ratio,
+                settings.repeat_burst,
+                settings.repeat_window_s,
+            ),
         )
         store = adapter.store(self._store_session)
         self._tables = following.TablesKeeper(store)
@@ -120,13 +128,14 @@
             self._timers,
             self._rng,
             self._loads,
+            self._parts.budgets,
             self._store_session,
-            self._parts.set_instances,
             self._targets.apply,
             self._reports,
             self._take_reports,
         )
         self._loads.subscribe(self._peers.load_changed)
+        self._parts.budgets.subscribe(self._peers.load_changed)
         self._streams = {
             api.StoreStream.TABLES: self._follower(
                 store,
@@ -270,7 +279,9 @@
         return self._streams[api.StoreStream.TARGETS].known
 
     async def _answer_peer(self, request: web.BaseRequest) -> web.Response:
-        """Gives another instance the records of a stream."""
+        """Answers other instances and operators."""
+        if request.path == status.PATH:
+            return web.json_response(self._status())
         name = request.path.removeprefix(peers.STATE_PATH)
         for stream, follower in self._streams.items():
             if name == stream.value and follower.report is not None:
@@ -278,6 +289,23 @@
                 return web.Response(body=body)
         return web.Response(status=404)
 
+    def _status(self) -> dict[str, Any]:
+        now_s = self._timers.monotonic_s()
+        return {
+            'instance_id': self._settings.instance_id,
+            'zone': self._settings.zone,
+            'ready': self._is_ready(),
+            'stopping': self._stop.stopping,
+            'running': self._callers.running,
+            'tables_version': self.tables_version,
+            'streams': {
+                stream.value: status.stream_row(follower)
+                for stream, follower in self._streams.items()
+            },
+            'targets': status.target_rows(self._directory, self._loads, now_s),
+            'peers': self._peers.rows(),
+        }
+
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
         body, headers = self._statistics.render(
             request.headers.get('Accept', '')
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -34,8 +34,8 @@
         placer: Chooses targets.
         statistics: Counters and histograms.
         rng: Random source.
+        budgets: Budgets of repeats.
         watch: Tells generations of changes of their targets.
-        instances: Instances that share the repeat budgets.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -48,10 +48,9 @@
     placer: placement.Placer
     statistics: statistics.Statistics
     rng: random.Random
+    budgets: repeats.BudgetBook
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
-    instances: int = repeats.DEFAULT_INSTANCES
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
-    _budgets: dict[str, repeats.RepeatBudget] = attrs.field(factory=dict)
 
     def choose(
         self, exchange: exchanges.Exchange, excluded: set[str]
@@ -66,10 +65,15 @@
         return self.placer.choose_backup(*self._question(exchange), excluded)
 
     def choose_refuge(
-        self, exchange: exchanges.Exchange, excluded: set[str]
+        self,
+        exchange: exchanges.Exchange,
+        source: targets.Target,
+        excluded: frozenset[str] | set[str] = frozenset(),
     ) -> targets.Target | None:
-        """Chooses an engine that can take over a run."""
-        return self.placer.choose_refuge(*self._question(exchange), excluded)
+        """Chooses an engine that can take over a run from its source."""
+        return self.placer.choose_refuge(
+            *self._question(exchange), source, excluded
+        )
 
     def _question(
         self, exchange: exchanges.Exchange
@@ -82,18 +86,6 @@
             self.timers.monotonic_s(),
         )
 
-    def budget(self, service: tables.Service) -> repeats.RepeatBudget:
-        """The repeat budget of a service."""
-        budget = self._budgets.get(service.name)
-        if budget is None:
-            budget = self._budgets[service.name] = repeats.RepeatBudget(
-                self.settings.repeat_ratio,
-                self.settings.repeat_burst,
-                self.settings.repeat_window_s,
-                self.instances,
-            )
-        return budget
-
     def line(self, service: tables.Service) -> waiting.WaitingLine:
         """The requests that wait for room at a service's engines."""
         return self._lines.setdefault(service.name, waiting.WaitingLine())
@@ -101,13 +93,8 @@
     def set_settings(self, settings: gateway_settings.GatewaySettings) -> None:
         """Takes over changed settings."""
         self.settings = settings
-        for budget in self._budgets.values():
-            budget.ratio = settings.repeat_ratio
-            budget.burst = settings.repeat_burst
-            budget.window_s = settings.repeat_window_s
-
-    def set_instances(self, instances: int) -> None:
-        """Sets how many instances share the repeat budgets."""
-        self.instances = instances
-        for budget in self._budgets.values():
-            budget.instances = instances
+        self.budgets.set_bounds(
+            settings.repeat_ratio,
+            settings.repeat_burst,
+            settings.repeat_window_s,
+        )
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -12,6 +12,7 @@
 import orjson
 
 from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import spreading
 from dotterelweird.gateway import api
 from dotterelweird.gateway import following
@@ -28,6 +29,7 @@
         started_ms: Wall time of its start, in milliseconds.
         sequence: Number of the digest; grows.
         loads: Load that it causes, by target.
+        counts: Requests and repeats that it counted, by service.
         reports: What it knows of the store's streams; empty if not told.
         known: Addresses of other instances; empty if not told.
         leaving: Whether it ends now.
@@ -39,6 +41,7 @@
     started_ms: int
     sequence: int
     loads: dict[str, gateway_load.DigestRow]
+    counts: dict[str, repeats.Counts] = attrs.field(factory=dict)
     reports: dict[api.StoreStream, following.ReadReport] = attrs.field(
         factory=dict
     )
@@ -81,6 +84,11 @@
                     for target_id, row in message.loads.items()
                 ],
             }
+            if message.counts:
+                body['u'] = {
+                    service: attrs.astuple(counts)
+                    for service, counts in message.counts.items()
+                }
             if message.reports:
                 body['r'] = {
                     stream.value: [
@@ -117,6 +125,10 @@
                 str(target_id): gateway_load.DigestRow(*map(float, row))
                 for target_id, *row in body['l']
             },
+            counts={
+                str(service): repeats.Counts(int(requests), int(repeated))
+                for service, (requests, repeated) in body.get('u', {}).items()
+            },
             reports={
                 api.StoreStream(name): following.ReadReport(
                     int(position), str(content), float(age_ms) / 1000.0
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -26,6 +26,10 @@
 # Bound on a copy while the run goes on, in seconds. Copies queue on the links
 # of an engine that leaves; it stays for up to about this time.
 _COPY_TIMEOUT_S = 2.5
+# Time after the notice in which the first copies of all runs of an engine are
+# usually made, in seconds. A last copy made before waits in the queue behind
+# them, and its stream pauses.
+_FIRST_COPIES_S = 0.7
 # Bound on the last copy, in seconds: it holds what was generated since.
 _LAST_COPY_TIMEOUT_S = 1.0
 
@@ -51,6 +55,7 @@
         self._parts = parts
         self._exchange = exchange
         self._source = source
+        self._began_s = parts.timers.monotonic_s()
         self._result: handover.Handover | None = None
         self._confirmed = False
         self._link_ended = False
@@ -82,9 +87,11 @@
         self._task.cancel()
 
     async def _run(self) -> None:
-        refused: set[str] = {self._source.target_id}
+        refused: set[str] = set()
         for _ in range(_CALLS_MAX):
-            destination = self._parts.choose_refuge(self._exchange, refused)
+            destination = self._parts.choose_refuge(
+                self._exchange, self._source, refused
+            )
             if destination is None:
                 break
             # Other instances must not fill the room meanwhile.
@@ -104,7 +111,7 @@
             events.EVACUATION_FAILED,
             request_id=self._exchange.request.request_id,
             source=self._source.target_id,
-            refused=len(refused) - 1,
+            refused=len(refused),
         )
 
     async def _move_to(self, destination: targets.Target) -> api.MoveResult:
@@ -113,6 +120,9 @@
         if move.result is not api.MoveResult.MOVED:
             return move.result
         self._set_result(destination, move.handle)
+        taken_s = self._parts.timers.monotonic_s() - self._began_s
+        if taken_s < _FIRST_COPIES_S:
+            await timers.sleep(self._parts.timers, _FIRST_COPIES_S - taken_s)
         if await self._stop(destination) or self._link_ended:
             return api.MoveResult.MOVED
         return api.MoveResult.FAILED
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -70,8 +70,8 @@
             GenerationLost: The answer cannot be completed.
         """
         exchange = self._exchange
-        budget = self._parts.budget(exchange.service)
-        budget.record_request(self._parts.timers.monotonic_s())
+        budgets, service = self._parts.budgets, exchange.service.name
+        budgets.of(service).record_request(self._parts.timers.monotonic_s())
         await rooms.wait_for_room(self._parts, exchange)
         run = self._place()
         last: exchanges.StreamOutcome | None = None
@@ -93,13 +93,15 @@
             if run is None or now_s >= exchange.deadline_s:
                 break
             arrived = not isinstance(last, exchanges.NeverSent)
-            if arrived and not budget.take(now_s, urgent=run.copy is not None):
+            urgent = run.copy is not None
+            if arrived and not budgets.take(service, now_s, urgent):
                 events.log(
                     LOG,
                     events.REPEAT_BUDGET_EMPTY,
                     request_id=exchange.request.request_id,
-                    service=exchange.service.name,
-                    instances=budget.instances,
+                    service=service,
+                    instances=budgets.pool.instances,
+                    visible=budgets.pool.visible,
                 )
                 break
         return self._give_up(last)
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -273,9 +273,7 @@
             return exchanges.Interrupted('silence', silent=True)
         if not self._stream.started or self._evacuation is not None:
             return None
-        destination = run.backup or parts.choose_refuge(
-            exchange, {run.target.target_id}
-        )
+        destination = run.backup or parts.choose_refuge(exchange, run.target)
         if destination is None:
             return None
         found = await handover.stop_source(
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -10,6 +10,7 @@
 from collections.abc import Callable
 import logging
 import random
+from typing import Any
 
 import aiohttp
 import attrs
@@ -17,6 +18,7 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import spreading
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
@@ -72,9 +74,8 @@
         timer_service: The timer service.
         rng: Random source.
         loads: Load of each target.
+        budgets: Budgets of repeats.
         session: HTTP client for the records of a peer.
-        set_instances: Takes the number of instances that share budgets,
-            this one included.
         apply_news: Takes records of targets that a peer has read.
         own_reports: Gives what this instance knows of the streams.
         take_reports: Takes what a peer knows: its address and its reports.
@@ -86,8 +87,8 @@
         timer_service: timers.TimerService,
         rng: random.Random,
         loads: gateway_load.LoadBook,
+        budgets: repeats.BudgetBook,
         session: aiohttp.ClientSession,
-        set_instances: Callable[[int], None],
         apply_news: Callable[[api.Batch], None],
         own_reports: Callable[[], Reports],
         take_reports: Callable[[str, Reports], None],
@@ -96,8 +97,8 @@
         self._timers = timer_service
         self._rng = rng
         self._loads = loads
+        self._budgets = budgets
         self._session = session
-        self._set_instances = set_instances
         self._apply_news = apply_news
         self._own_reports = own_reports
         self._take_reports = take_reports
@@ -125,6 +126,19 @@
         """Instances that are known, this one included."""
         return len(self._peers) + 1
 
+    def rows(self) -> list[dict[str, Any]]:
+        """One row for each instance that is heard, for operators."""
+        now_s = self._timers.monotonic_s()
+        return [
+            {
+                'instance_id': peer.member.instance_id,
+                'host': peer.member.host,
+                'zone': peer.member.zone,
+                'heard_ago_s': round(now_s - peer.heard_s, 3),
+            }
+            for peer in self._peers.values()
+        ]
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts to send digests."""
         self._transport = transport
@@ -236,9 +250,11 @@
         if peer is not None and peer.order[0] != digest.started_ms:
             # A new start: what it counted before is over.
             self._loads.drop_peer(instance_id)
+            self._budgets.drop_peer(instance_id)
         member = spreading.Member(instance_id, host, digest.zone)
         self._peers[instance_id] = Peer(member, order, now_s)
         self._loads.set_peer(instance_id, digest.loads, now_s)
+        self._budgets.set_peer(instance_id, digest.counts, now_s)
         self._candidates.discard(host)
         self._meet(digest.known)
         if peer is None:
@@ -256,7 +272,7 @@
 
     def _welcome(self, instance_id: str, host: str) -> None:
         self._ever_heard.add(instance_id)
-        self._set_instances(len(self._ever_heard) + 1)
+        self._share_budgets()
         events.log(
             LOG,
             events.GATEWAY_PEER_CHANGED,
@@ -277,6 +293,7 @@
             return
         self._candidates.add(peer.member.host)
         self._loads.drop_peer(instance_id)
+        self._share_budgets()
         events.log(
             LOG,
             events.GATEWAY_PEER_CHANGED,
@@ -285,6 +302,11 @@
             instances=self.instances,
         )
 
+    def _share_budgets(self) -> None:
+        pool = self._budgets.pool
+        pool.instances = len(self._ever_heard) + 1
+        pool.visible = self.instances
+
     def _run_tick(self) -> None:
         if self._transport is None:
             return
@@ -325,6 +347,7 @@
             self._started_ms,
             self._sequence,
             self._loads.own(self._timers.monotonic_s()),
+            self._budgets.own(),
             reports or {},
             known,
             leaving,
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/status.py
@@ -0,0 +1,51 @@
+"""What an instance tells operators of itself."""
+
+from typing import Any
+
+from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import targets
+from dotterelweird.gateway import following
+
+# Path of the document on the port for other instances.
+PATH = '/status'
+
+
+def target_rows(
+    directory: targets.TargetDirectory,
+    loads: gateway_load.LoadBook,
+    now_s: float,
+) -> list[dict[str, Any]]:
+    """One row for each registered target.
+
+    Args:
+        directory: The registered targets.
+        loads: Load of each target.
+        now_s: Monotonic time.
+    """
+    rows = []
+    for target in directory.targets.values():
+        load = loads.get(target.target_id)
+        rows.append(
+            {
+                'target_id': target.target_id,
+                'service': target.service,
+                'zone': target.zone,
+                'state': target.state.value,
+                'running': load.running + load.peer_running,
+                'tokens': load.tokens + load.backup_tokens + load.peer_tokens,
+                'failed_share': round(load.outcomes.failed_share(now_s), 3),
+                'avoided': load.is_avoided(now_s),
+            }
+        )
+    return rows
+
+
+def stream_row(follower: following.StreamFollower) -> dict[str, Any]:
+    """What an instance knows of one stream of the store."""
+    report = follower.report
+    return {
+        'store_answers': follower.available,
+        'position': report.position if report else None,
+        'content': report.content if report else None,
+        'age_s': round(report.age_s, 3) if report else None,
+    }
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -8,6 +8,7 @@
 
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import repeats
 from dotterelweird.gateway import api
 from dotterelweird.gateway import following
 from dotterelweird.gateway import peers
@@ -38,7 +39,9 @@
     network: 'Network'
     host: str
     loads: load.LoadBook = attrs.field(factory=load.LoadBook)
-    instances: int = 1
+    budgets: repeats.BudgetBook = attrs.field(
+        factory=lambda: repeats.BudgetBook(0.2, 50.0, 10.0)
+    )
     news: list = attrs.field(factory=list)
     reports: dict = attrs.field(factory=dict)
     heard: list = attrs.field(factory=list)
@@ -51,16 +54,13 @@
             self.network.timers,
             random.Random(self.host),
             self.loads,
+            self.budgets,
             None,
-            self.set_instances,
             self.news.append,
             lambda: self.reports,
             lambda host, reports: self.heard.append((host, reports)),
         )
 
-    def set_instances(self, instances):
-        self.instances = instances
-
     def sendto(self, data, address):
         self.network.deliver(self, data, address[0])
 
@@ -98,7 +98,9 @@
 
 def test_instances_find_each_other_through_a_seed(network):
     """Guards against instances that only the seed knows."""
-    assert [node.instances for node in network.nodes.values()] == [3, 3, 3]
+    assert [
+        node.budgets.pool.instances for node in network.nodes.values()
+    ] == [3, 3, 3]
 
 
 def test_loads_are_summed_over_peers(network):
@@ -218,7 +220,8 @@
     assert network.nodes['10.0.0.2'].exchange.instances == 2
     network.add('10.0.0.4')
     network.timers.advance(1.0)
-    assert network.nodes['10.0.0.2'].instances == 4
+    pool = network.nodes['10.0.0.2'].budgets.pool
+    assert (pool.instances, pool.visible) == (4, 3)
 
 
 def test_reports_reach_every_peer(network):
@@ -244,3 +247,13 @@
     network.add('10.0.0.1')
     network.timers.advance(1.0)
     assert second.loads.get('t').peer_running == 0
+
+
+def test_repeats_reach_every_peer(network):
+    """Guards against instances that together exceed the budget."""
+    first, second, _ = network.nodes.values()
+    first.budgets.subscribe(first.exchange.load_changed)
+    while first.budgets.take('s', network.timers.monotonic_s(), urgent=True):
+        pass
+    network.timers.advance(0.05)
+    assert not second.budgets.take('s', network.timers.monotonic_s())
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -71,7 +71,7 @@
         assert answer.status == 200
     gateway._reload()
     assert gateway._stop.grace_s == 5.0
-    (budget,) = gateway._parts._budgets.values()
+    budget = gateway._parts.budgets.of('plain')
     assert budget.burst == 7.0
 
 
