Ask a store that is away less often in a large deployment

Change: delays grow with the instances that hear each other, up to four times; the first one that is answered tells the others, whose waits end then. Ruled out: one asker for all; a store may turn only that one away.

--- a/packages/core/src/dotterelweir_core/gateway/reading.py
+++ b/packages/core/src/dotterelweir_core/gateway/reading.py
@@ -52,6 +52,10 @@
         """Reads soon: another instance knows something newer."""
         self.due_s = min(self.due_s, now_s + delay_s)
 
+    def defer(self, now_s: float, delay_s: float) -> None:
+        """Reads later: the store did not answer."""
+        self.due_s = now_s + delay_s
+
     def _random_s(self, instances: int) -> float:
         steepness = math.log(max(1, instances)) + 1.0
         share = math.log1p(self.rng.random() * math.expm1(steepness))
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -13,14 +13,17 @@
 from dotterelweir_core.gateway import reading
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets as gateway_targets
-from dotterelweird import timers
 from dotterelweird.gateway import api
 
 LOG = logging.getLogger(__name__)
 
-# Delays between failed calls, in seconds.
+# Delays between failed calls, in seconds. They grow with the number of
+# instances that hear each other, up to a bound: the first one that the store
+# answers tells the others.
 _RETRY_FIRST_S = 0.1
 _RETRY_CAP_S = 0.8
+_INSTANCES_PER_RETRY = 12
+_RETRY_FACTOR_MAX = 4.0
 # Time in which news of a change usually arrive after the report of an
 # instance that has read it, in seconds; the reads of those that missed them
 # are spread over as much again.
@@ -140,8 +143,12 @@
             except api.StoreUnavailable as exc:
                 self._mark_unavailable(str(exc))
                 await self._read_from_peer()
-                delay_s = self._backoff.next_delay_s()
-                await timers.sleep(self._timers, delay_s or _RETRY_CAP_S)
+                self._turn.defer(self._timers.monotonic_s(), self._retry_s())
+
+    def _retry_s(self) -> float:
+        factor = self._peers.instances / _INSTANCES_PER_RETRY
+        factor = min(_RETRY_FACTOR_MAX, max(1.0, factor))
+        return factor * (self._backoff.next_delay_s() or _RETRY_CAP_S)
 
     async def _wait_turn(self) -> None:
         while True:
--- a/packages/daemon/tests/gateway/test_turns.py
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -214,3 +214,21 @@
         await asyncio.sleep(0.05)
     assert fleet.store.reads - before < 80
     await fleet.until(lambda one: not one.directory.takes_work('t1'))
+
+
+async def test_an_outage_costs_few_calls_and_ends_at_once():
+    """Guards against many instances that each keep asking a dead store."""
+    fleet = Fleet(60)
+    fleet.store.write('t1', 'ready')
+    await fleet.start()
+    try:
+        fleet.store.turned_away = {one.host for one in fleet.instances}
+        before = fleet.store.reads
+        await asyncio.sleep(2.2)
+        # With delays of up to 0.8 s each would ask about six times.
+        assert fleet.store.reads - before < 4 * 60
+        fleet.store.turned_away = set()
+        fleet.store.write('t1', 'draining')
+        await fleet.until(lambda one: not one.directory.takes_work('t1'), 1.5)
+    finally:
+        fleet.stop()
