--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -131,12 +131,14 @@
                 await self._open_proxy(name, host, int(port))
                 engine.address = self._proxies[name].address
                 await self._register(name, 'ready')
-        await self._open_proxy('store', '127.0.0.1', store_port)
         for number in range(1, self.size + 1):
+            # Each instance has its own link to the store.
+            link = f'{faults.STORE_LINK}{number}'
+            await self._open_proxy(link, '127.0.0.1', store_port)
             node = instances.Instance(
                 number,
                 self.directory,
-                self._proxies['store'].address,
+                self._proxies[link].address,
                 self.module,
             )
             self.nodes.append(node)
--- a/fakes/src/dotterelweir_fakes/soak/faults.py
+++ b/fakes/src/dotterelweir_fakes/soak/faults.py
@@ -17,6 +17,10 @@
 _PAUSE_S = (0.2, 1.2)
 # How long a fault lasts, in seconds.
 _LAST_S = (0.3, 2.5)
+# Links of instances to the store begin with this; their number follows.
+STORE_LINK = 'store-'
+# Most by which the wall clock of a restarted instance is off, in seconds.
+_SKEW_S = 120.0
 _BEHAVIOURS = (
     {'refuse': True},
     {'status': 500},
@@ -104,7 +108,10 @@
         await asyncio.sleep(self.rng.uniform(0.1, 0.8))
         for node in self.nodes:
             if not node.running:
-                node.start()
+                skewed = self.rng.random() < 0.3
+                node.start(
+                    self.rng.uniform(-_SKEW_S, _SKEW_S) if skewed else 0.0
+                )
 
     async def _pause(self) -> None:
         node = self.rng.choice(self.nodes)
@@ -120,7 +127,8 @@
         self.rng.choice(self.nodes).send(signal.SIGHUP)
 
     async def _link(self) -> None:
-        name = self.rng.choice([*self.engines, 'store'])
+        stores = [f'{STORE_LINK}{node.number}' for node in self.nodes]
+        name = self.rng.choice([*self.engines, self.rng.choice(stores)])
         self.disturb(name)
         match self.rng.choice(('cut', 'stall', 'one way', 'delay')):
             case 'cut':
@@ -156,7 +164,10 @@
         await self.register(name, 'ready')
 
     async def _store(self) -> None:
-        fault = self.rng.choice(('failing', 'silent', 'expire'))
+        fault = self.rng.choice(('failing', 'silent', 'expire', 'few'))
+        if fault == 'few':
+            await self._turn_some_away()
+            return
         if fault == 'expire':
             for topic in ('keyed.op', 'keyed.servers'):
                 self.store.expire(topic)
@@ -167,6 +178,17 @@
         finally:
             setattr(self.store, fault, False)
 
+    async def _turn_some_away(self) -> None:
+        """Lets the store serve some instances only."""
+        names = [
+            f'{STORE_LINK}{node.number}'
+            for node in self.rng.sample(self.nodes, len(self.nodes) // 2)
+        ]
+        for name in names:
+            self.rules.cut('caller', name)
+        await self._last()
+        self.rules.heal()
+
     async def _configure(self) -> None:
         self._version += self.rng.randint(1, 3)
         await self.store.write_json(
--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -10,6 +10,7 @@
 import attrs
 
 from dotterelweir_fakes.fleet import deployment as fleet
+from dotterelweir_fakes.soak import skewed_gateway
 
 # Time in which a process must be ready, in seconds; the users allow 12.
 READY_WITHIN_S = 12.0
@@ -52,8 +53,19 @@
         """Whether the process runs."""
         return self.process is not None and self.process.poll() is None
 
-    def start(self) -> None:
-        """Starts the process; its log is appended to a file."""
+    def start(self, skew_s: float = 0.0) -> None:
+        """Starts the process; its log is appended to a file.
+
+        Args:
+            skew_s: How far its wall clock is off, in seconds.
+        """
+        module, environment = self.module, {}
+        if skew_s:
+            environment = {
+                skewed_gateway.SKEW_VARIABLE: str(skew_s),
+                skewed_gateway.MODULE_VARIABLE: module,
+            }
+            module = skewed_gateway.__name__
         settings = self.directory / f'{self.name}.conf'
         settings.write_text(
             fleet.settings_text(
@@ -67,8 +79,12 @@
         )
         with (self.directory / f'{self.name}.log').open('ab') as log:
             self.process = subprocess.Popen(
-                [sys.executable, '-m', self.module],
-                env={**os.environ, 'DOTTERELWEIR_CONFIG': str(settings)},
+                [sys.executable, '-m', module],
+                env={
+                    **os.environ,
+                    **environment,
+                    'DOTTERELWEIR_CONFIG': str(settings),
+                },
                 cwd=self.directory,
                 stdout=log,
                 stderr=log,
--- /dev/null
+++ b/fakes/tests/soak/test_recovery.py
@@ -0,0 +1,114 @@
+"""Recovery of real processes after all of them are lost."""
+
+import asyncio
+import signal
+import time
+
+import aiohttp
+from aiohttp import web
+import pytest
+
+from dotterelweir_fakes.fleet import deployment as fleet
+from dotterelweir_fakes.fleet import engine as fleet_engine
+from dotterelweir_fakes.fleet import store as fleet_store
+from dotterelweir_fakes.soak import instances
+
+# Time within which a deployment serves again; the users' bound.
+_RECOVERED_WITHIN_S = 12.0
+
+
+@pytest.fixture
+async def store():
+    made = fleet_store.FakeStore()
+    runner = web.AppRunner(made.app, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    made.address = f'127.0.0.1:{runner.addresses[0][1]}'
+    await made.write_json('keyed.op', 'config', fleet.configuration())
+    yield made
+    await runner.cleanup()
+
+
+@pytest.fixture
+async def shop(store):
+    engine = fleet_engine.FakeEngine('shop-1')
+    await engine.start()
+    await store.write_json('keyed.servers', 'shop-1', engine.entry('plain'))
+    yield engine
+    await engine.stop()
+
+
+async def wait_served(node, bound_s):
+    """Waits until an instance serves a call, and gives how long it took."""
+    started_s = time.monotonic()
+    number = 0
+    async with (
+        asyncio.timeout(bound_s),
+        aiohttp.ClientSession() as session,
+    ):
+        while True:
+            number += 1
+            try:
+                async with session.post(
+                    f'http://{node.host}:{instances.CALLERS_PORT}/book/x',
+                    headers=fleet.request_headers('book', f'r{number}', 1000),
+                ) as answer:
+                    if answer.status == 200:
+                        return time.monotonic() - started_s
+            except aiohttp.ClientError:
+                # The process does not listen yet.
+                pass
+            await asyncio.sleep(0.05)
+
+
+@pytest.mark.parametrize('fault', ['', 'failing', 'silent'])
+async def test_all_instances_serve_again_after_a_kill(
+    tmp_path, store, shop, fault
+):
+    """Guards against a deployment that does not come back by itself.
+
+    The store may be away when the instances start, and returns later.
+    """
+    nodes = [
+        instances.Instance(number, tmp_path, store.address)
+        for number in (1, 2, 3)
+    ]
+    try:
+        for node in nodes:
+            node.start()
+        for node in nodes:
+            await wait_served(node, instances.READY_WITHIN_S)
+        for node in nodes:
+            node.send(signal.SIGKILL)
+        for node in nodes:
+            node.process.wait()
+        if fault:
+            setattr(store, fault, True)
+        for node in nodes:
+            node.start()
+        if fault:
+            await asyncio.sleep(2.0)
+            setattr(store, fault, False)
+        for node in nodes:
+            await wait_served(node, _RECOVERED_WITHIN_S)
+    finally:
+        for node in nodes:
+            await node.stop()
+
+
+async def test_an_instance_that_the_store_refuses_starts_from_others(
+    tmp_path, store, shop
+):
+    """Guards against a restarted instance that waits for its own link."""
+    first = instances.Instance(1, tmp_path, store.address)
+    # Nothing listens at the address that the second one has for the store.
+    second = instances.Instance(2, tmp_path, '127.0.0.1:9')
+    try:
+        first.start()
+        await wait_served(first, instances.READY_WITHIN_S)
+        second.start()
+        await wait_served(second, _RECOVERED_WITHIN_S)
+    finally:
+        for node in (first, second):
+            await node.stop()
