--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -221,6 +221,38 @@
         async with self.session.get(url) as answer:
             return answer.status
 
+    async def status(self) -> dict:
+        """What the gateway tells operators of itself."""
+        async with self.session.get(
+            f'http://{self.peers_address}/status'
+        ) as answer:
+            return await answer.json()
+
+    async def wait_store_answers(self, expected: bool) -> None:
+        """Waits until the gateway knows whether the store answers."""
+        async with asyncio.timeout(5):
+            while True:
+                streams = (await self.status())['streams'].values()
+                if all(row['store_answers'] is expected for row in streams):
+                    return
+                await asyncio.sleep(0.01)
+
+    async def wait_store_read(self) -> None:
+        """Waits until the gateway has read what was written until now."""
+        # A read that is under way may have begun before.
+        enough = {
+            topic: self.store.reads.get(topic, 0) + 2
+            for topic in ('keyed.op', 'keyed.servers')
+        }
+        async with asyncio.timeout(5):
+            while any(
+                self.store.reads.get(topic, 0) < count
+                for topic, count in enough.items()
+            ):
+                await asyncio.sleep(0.01)
+            # The last answer is on its way.
+            await self.status()
+
     async def close(self) -> None:
         """Ends everything."""
         await self.session.close()
--- a/fakes/src/dotterelweir_fakes/fleet/store.py
+++ b/fakes/src/dotterelweir_fakes/fleet/store.py
@@ -15,6 +15,7 @@
         failing: Answers every call with 503 while it is set.
         silent: Answers no call while it is set.
         calls: Calls that arrived, by name.
+        reads: Reads that were answered, by topic.
     """
 
     def __init__(self) -> None:
@@ -24,6 +25,7 @@
         self.failing = False
         self.silent = False
         self.calls: dict[str, int] = {}
+        self.reads: dict[str, int] = {}
         self.app = web.Application()
         self.app.router.add_get('/-/log-newest', self._newest)
         self.app.router.add_get('/-/log-read', self._read)
@@ -91,6 +93,7 @@
                 )
             except TimeoutError:
                 pass
+        self.reads[topic] = self.reads.get(topic, 0) + 1
         records = self._records.get(topic, [])
         body = struct.pack('>QQ', len(records), first)
         for key, value in records[offset:]:
--- a/packages/daemon/tests/gateway/test_following.py
+++ b/packages/daemon/tests/gateway/test_following.py
@@ -36,7 +36,7 @@
     await deployment.store.write_json(
         'keyed.op', 'config', fleet.configuration(4)
     )
-    await asyncio.sleep(0.3)
+    await deployment.wait_store_read()
     assert await status_of(deployment, 'book') == 404
 
 
@@ -45,7 +45,7 @@
     """Guards against a bad record that stops the instance."""
     await deployment.store.write('keyed.op', 'config', value)
     await deployment.store.write_json('keyed.op', 'other', {'version': 99})
-    await asyncio.sleep(0.2)
+    await deployment.wait_store_read()
     assert await status_of(deployment, 'book') == 200
 
 
@@ -67,7 +67,7 @@
     entry = deployment.engines['shop-1'].entry('plain') | change
     await deployment.store.write_json('keyed.servers', 'intruder', entry)
     await deployment.store.write('keyed.servers', 'noise', b'\xfe\xfe')
-    await asyncio.sleep(0.7)
+    await deployment.wait_store_read()
     assert await status_of(deployment, 'book') == 200
     assert set(deployment.gateway._directory.targets) == set(
         deployment.engines
@@ -78,7 +78,7 @@
 async def test_the_gateway_serves_while_the_store_is_away(deployment, fault):
     """Guards against an outage of the store that stops requests."""
     setattr(deployment.store, fault, True)
-    await asyncio.sleep(0.5)
+    await deployment.wait_store_answers(False)
     assert await status_of(deployment, 'book') == 200
     assert await deployment.ready_status() == 200
     setattr(deployment.store, fault, False)
@@ -91,7 +91,7 @@
 async def test_expired_records_are_read_anew(deployment):
     """Guards against a lost history that leaves the gateway behind."""
     deployment.store.failing = True
-    await asyncio.sleep(0.8)
+    await deployment.wait_store_answers(False)
     await deployment.store.write_json(
         'keyed.op', 'config', fleet.configuration(2, host='other.example')
     )
@@ -143,11 +143,12 @@
     """Guards against targets dropped for entries that lapsed meanwhile."""
     directory = deployment.gateway._directory
     deployment.store.failing = True
-    await asyncio.sleep(0.8)
+    await deployment.wait_store_answers(False)
     for name in ('shop-1', 'shop-2'):
         await deployment.store.write('keyed.servers', name, b'')
     deployment.store.failing = False
-    await asyncio.sleep(1.2)
+    await deployment.wait_store_answers(True)
+    await deployment.wait_store_read()
     assert directory.takes_work('shop-1')
     await deployment.register('shop-1', 'plain')
     async with asyncio.timeout(5):
