Follow the store on after a report without an age

Cause: an instance that started while the store lost answers took the targets from a peer and had no read of its own. Ruled out: lost answers alone (the other stream of the same instance went on), a wrong offset, a refuted report. Change: such an instance reports nothing until it has read; a fault while following is logged (328) and the following goes on.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -326,6 +326,13 @@
     logging.WARNING,
     'A peer did not give what it knows of a stream.',
 )
+FOLLOWER_FAILED = _event(
+    328,
+    'follower-failed',
+    logging.ERROR,
+    'Following a stream failed for a reason that is a fault of the program; '
+    'it goes on after a pause.',
+)
 # 35x: service calls, claims, leases and orders.
 SERVICE_ATTEMPT_FAILED = _event(
     350,
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -4,6 +4,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import math
 
 import attrs
 
@@ -86,8 +87,11 @@
 
     @property
     def report(self) -> ReadReport | None:
-        """What this instance knows; None if that is not the store's state."""
-        if not self.known or not self._keeper.content:
+        """What this instance knows; None if that is not the store's state.
+
+        It is None, too, for what a peer told and no read has confirmed yet.
+        """
+        if math.isinf(self._turn.fresh_s) or not self._keeper.content:
             return None
         age_s = self._timers.monotonic_s() - self._turn.fresh_s
         return ReadReport(self._position, self._keeper.content, age_s)
@@ -128,6 +132,21 @@
 
     async def run(self) -> None:
         """Follows the stream until it is cancelled."""
+        while True:
+            try:
+                await self._follow()
+            except Exception as exc:  # noqa: BLE001
+                # An instance that no longer follows the store would serve
+                # old tables without anybody noticing.
+                events.log(
+                    LOG,
+                    events.FOLLOWER_FAILED,
+                    stream=self._stream.value,
+                    reason=f'{type(exc).__name__}: {exc}'[:200],
+                )
+                self._turn.defer(self._timers.monotonic_s(), _RETRY_CAP_S)
+
+    async def _follow(self) -> None:
         while True:
             await self._wait_turn()
             try:
--- a/packages/daemon/tests/gateway/test_turns.py
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -11,6 +11,7 @@
 from dotterelweir_core.gateway import targets
 from dotterelweird import timers
 from dotterelweird.gateway import api
+from dotterelweird.gateway import digests
 from dotterelweird.gateway import following
 
 STREAM = api.StoreStream.TARGETS
@@ -99,8 +100,14 @@
         return len(self.fleet.instances)
 
     def send_reports(self):
+        reports = {STREAM: self.follower.report}
+        sent = digests.decode(
+            digests.encode(
+                digests.Digest('i', 'h', 'z', 0, 0, {}, {}, reports)
+            )
+        )
         for other in self.others():
-            other.follower.take_report(self.host, self.follower.report)
+            other.follower.take_report(self.host, sent.reports[STREAM])
 
     def send_news(self, stream, records):
         if not self.fleet.loses_news:
@@ -198,6 +205,23 @@
     assert late.directory.takes_work('t1')
 
 
+async def test_what_a_peer_told_is_no_report_of_a_read(fleet):
+    """Guards against a report without an age, which cannot be sent.
+
+    It ended the follower of the other stream of an instance that had started
+    while the store lost answers: the instance stayed on old tables.
+    """
+    late = Instance('late', fleet)
+    fleet.store.turned_away = {'late'}
+    fleet.instances.append(late)
+    task = asyncio.create_task(late.follower.run())
+    while not late.follower.known:
+        await asyncio.sleep(0.005)
+    assert late.follower.report is None
+    await fleet.until(lambda one: one.follower.report is not None)
+    task.cancel()
+
+
 async def test_two_beliefs_do_not_swamp_the_store(fleet):
     """Guards against instances that make each other read again and again.
 
@@ -232,3 +256,30 @@
         await fleet.until(lambda one: not one.directory.takes_work('t1'), 1.5)
     finally:
         fleet.stop()
+
+
+async def test_a_fault_of_the_program_does_not_end_the_following(
+    fleet, caplog
+):
+    """Guards against an instance that silently stays on what it knew."""
+    broken = fleet.by_host('h0')
+    usual, failed = broken.keeper.apply, []
+
+    def fail_once(batch):
+        if not failed:
+            failed.append(batch)
+            raise RuntimeError('a fault')
+        return usual(batch)
+
+    broken.keeper.apply = fail_once
+    fleet.store.write('t1', 'draining')
+    await fleet.until(lambda one: not one.directory.takes_work('t1'), 3.0)
+    async with asyncio.timeout(3.0):
+        while not failed:
+            await asyncio.sleep(0.01)
+    # The broken instance reads on after its fault.
+    read_s = broken.follower.report.age_s
+    async with asyncio.timeout(3.0):
+        while broken.follower.report.age_s >= read_s:
+            await asyncio.sleep(0.01)
+    assert 'follower-failed' in caplog.text
