--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -310,6 +310,8 @@
     def _run_tick(self) -> None:
         if self._transport is None:
             return
+        # First, so that a fault below does not end the exchange.
+        self._tick = self._timers.call_after(self.period_s, self._run_tick)
         now_s = self._timers.monotonic_s()
         bound_s = _SILENT_PERIODS * self.period_s
         for instance_id, peer in list(self._peers.items()):
@@ -322,7 +324,6 @@
             self._send_digest(host, regular)
         if now_s - self._sent_s >= 0.9 * self.period_s:
             self._broadcast(regular)
-        self._tick = self._timers.call_after(self.period_s, self._run_tick)
 
     def _some_hosts(self) -> tuple[str, ...]:
         hosts = [member.host for member in self._members()]
