Drop an unused mean, and keep peers' load apart from their counts

The mean time of calls was recorded and read nowhere. A peer's rows kept an empty row for each target that it ever used, because the counts of outcomes stood in them; each of its digests went over all of these and aged their outcomes. Load and counts are two tables now, and a digest costs what it holds. Behaviour is unchanged: the tests of load and placement keep their assertions.

--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -8,8 +8,6 @@
 
 import attrs
 
-# Weight of the newest sample in the mean time of a plain call.
-_SERVICE_TIME_WEIGHT = 0.2
 # Time for which a refusal counts as a full queue, in seconds: about the
 # time in which an engine of the usual size finishes one request.
 _REFUSED_S = 0.5
@@ -80,7 +78,6 @@
         peer_running: Requests of other instances in flight.
         peer_tokens: Tokens that those are expected to hold.
         peer_prefill_tokens: Prompt tokens of those without a first event.
-        mean_s: Mean time of a plain call; 0 before the first one.
         failures: Failures in a row.
         avoid_until_s: Monotonic time until which it gets no new work if
             another target can take it.
@@ -99,7 +96,6 @@
     peer_running: float = 0.0
     peer_tokens: float = 0.0
     peer_prefill_tokens: float = 0.0
-    mean_s: float = 0.0
     failures: int = 0
     avoid_until_s: float = 0.0
     warm_until_s: float = float('-inf')
@@ -113,17 +109,13 @@
         """Whether it gets no new work if another target can take it."""
         return now_s < self.avoid_until_s or self.outcomes.is_failing(now_s)
 
-    def record_success(self, taken_s: float, now_s: float) -> None:
+    def record_success(self, now_s: float) -> None:
         """Takes note of a request that ended well."""
         self.served += 1
         self.last_outcome_s = now_s
         self.outcomes.add(1.0, 0.0, now_s)
         self.failures = 0
         self.avoid_until_s = min(self.avoid_until_s, now_s)
-        if self.mean_s:
-            self.mean_s += _SERVICE_TIME_WEIGHT * (taken_s - self.mean_s)
-        else:
-            self.mean_s = taken_s
 
     def record_refusal(self, now_s: float) -> None:
         """Takes note of a refusal for lack of room."""
@@ -177,7 +169,10 @@
 
     def __init__(self) -> None:
         self._loads: dict[str, TargetLoad] = {}
+        # By instance and target: its present load, and the newest counts of
+        # outcomes that it told.
         self._peer_rows: dict[str, dict[str, DigestRow]] = {}
+        self._peer_counts: dict[str, dict[str, tuple[float, float]]] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -202,8 +197,8 @@
         if load is None or load.running or load.backup_tokens:
             return
         del self._loads[target_id]
-        for rows in self._peer_rows.values():
-            rows.pop(target_id, None)
+        for told in (*self._peer_rows.values(), *self._peer_counts.values()):
+            told.pop(target_id, None)
 
     def own(self, now_s: float) -> dict[str, DigestRow]:
         """Own load by target, for the load digest.
@@ -236,30 +231,40 @@
             rows: Its load by target.
             now_s: Monotonic time.
         """
-        before = self._peer_rows.get(peer_id)
-        after = dict(rows)
-        for target_id, old in (before or {}).items():
-            if target_id not in after:
-                # It keeps its outcomes; the target has no load of it now.
-                after[target_id] = DigestRow(
-                    served=old.served, failed=old.failed
-                )
-        for target_id, new in after.items():
-            old = (before or {}).get(target_id, _IDLE)
+        before = self._peer_rows.get(peer_id, {})
+        for target_id in before.keys() - rows.keys():
+            self._shift(self.get(target_id), before[target_id], _IDLE)
+        for target_id, row in rows.items():
             load = self.get(target_id)
-            self._shift(load, old, new)
-            # Of an instance heard for the first time only the load counts:
-            # its outcomes may be old.
-            if before is not None:
-                served = max(0.0, new.served - old.served)
-                failed = max(0.0, new.failed - old.failed)
-                load.outcomes.add(served, failed, now_s)
-        self._peer_rows[peer_id] = after
+            self._shift(load, before.get(target_id, _IDLE), row)
+        self._peer_rows[peer_id] = rows
+        self._add_outcomes(peer_id, rows, now_s)
+
+    def _add_outcomes(
+        self, peer_id: str, rows: dict[str, DigestRow], now_s: float
+    ) -> None:
+        """Adds what another instance counted since its last digest."""
+        counts = self._peer_counts.get(peer_id)
+        if counts is None:
+            # Heard for the first time: its outcomes may be old.
+            counts = self._peer_counts[peer_id] = {
+                target_id: (row.served, row.failed)
+                for target_id, row in rows.items()
+            }
+        for target_id, row in rows.items():
+            served, failed = counts.get(target_id, (0.0, 0.0))
+            counts[target_id] = (row.served, row.failed)
+            self.get(target_id).outcomes.add(
+                max(0.0, row.served - served),
+                max(0.0, row.failed - failed),
+                now_s,
+            )
 
     def drop_peer(self, peer_id: str) -> None:
         """Forgets the load of another instance."""
         for target_id, old in self._peer_rows.pop(peer_id, {}).items():
             self._shift(self.get(target_id), old, _IDLE)
+        self._peer_counts.pop(peer_id, None)
 
     def _shift(self, load: TargetLoad, old: DigestRow, new: DigestRow) -> None:
         load.peer_running += new.running - old.running
--- a/packages/core/tests/gateway/test_placement.py
+++ b/packages/core/tests/gateway/test_placement.py
@@ -80,7 +80,7 @@
     assert chosen(placer, [target('t1'), target('t2')], PLAIN, 0) == 't2'
     # Alone it is still used: it may have recovered.
     assert chosen(placer, [target('t1')], PLAIN, 0) == 't1'
-    bad.record_success(0.03, 100.0)
+    bad.record_success(100.0)
     assert chosen(placer, [target('t1'), target('t2')], PLAIN, 0) == 't1'
 
 
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -91,20 +91,19 @@
             outcome = await attempts.call(parts, exchange, target, until_s)
         ended_s = parts.timers.monotonic_s()
         attempts.record_end(parts, exchange, target, outcome, ended_s - now_s)
-        self._record(target.target_id, outcome, ended_s - now_s, ended_s)
+        self._record(target.target_id, outcome, ended_s)
         return outcome
 
     def _record(
         self,
         target_id: str,
         outcome: exchanges.Outcome,
-        taken_s: float,
         now_s: float,
     ) -> None:
         load = self._parts.loads.get(target_id)
         match outcome:
             case exchanges.Answered(status=status) if status < 500:
-                load.record_success(taken_s, now_s)
+                load.record_success(now_s)
             case exchanges.Answered():
                 # Some answers fail at every target; alone they say little.
                 pass
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -154,7 +154,7 @@
         load = self._parts.loads.get(run.target.target_id)
         match outcome:
             case exchanges.Complete():
-                load.record_success(now_s - sent_s, now_s)
+                load.record_success(now_s)
             case exchanges.Answered(status=status) if status >= 500:
                 load.record_failure(now_s)
             case exchanges.NotRun() if run.copy is None:
