--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -13,8 +13,8 @@
 from dotterelweird.gateway import calls
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
-from dotterelweird.gateway import following
 from dotterelweird.gateway import generations
+from dotterelweird.gateway import keepers
 from dotterelweird.gateway import stopping
 
 LOG = logging.getLogger(__name__)
@@ -42,7 +42,7 @@
     def __init__(
         self,
         parts: dependencies.Forwarding,
-        keeper: following.TablesKeeper,
+        keeper: keepers.TablesKeeper,
         stop: stopping.StopPlan,
     ) -> None:
         self._parts = parts
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -28,6 +28,7 @@
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import following
+from dotterelweird.gateway import keepers
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
@@ -115,8 +116,8 @@
             ),
         )
         store = adapter.store(self._store_session)
-        self._tables = following.TablesKeeper(store)
-        self._targets = following.TargetsKeeper(
+        self._tables = keepers.TablesKeeper(store)
+        self._targets = keepers.TargetsKeeper(
             store, self._directory, self._timers, settings.settle_s
         )
         self._targets.subscribe(self._parts.watch.announce)
@@ -137,20 +138,25 @@
         self._loads.subscribe(self._peers.load_changed)
         self._parts.budgets.subscribe(self._peers.load_changed)
         self._streams = {
-            api.StoreStream.TABLES: self._follower(
-                store,
-                api.StoreStream.TABLES,
-                reading.ReadTurn(_TABLES_QUIET_S, _TABLES_SPREAD_S, self._rng),
-                self._tables,
-            ),
-            api.StoreStream.TARGETS: self._follower(
-                store,
-                api.StoreStream.TARGETS,
-                reading.ReadTurn(
-                    _TARGETS_QUIET_S, _TARGETS_SPREAD_S, self._rng
+            stream: following.StreamFollower(
+                store, stream, self._timers, turn, keeper, self._peers
+            )
+            for stream, turn, keeper in (
+                (
+                    api.StoreStream.TABLES,
+                    reading.ReadTurn(
+                        _TABLES_QUIET_S, _TABLES_SPREAD_S, self._rng
+                    ),
+                    self._tables,
                 ),
-                self._targets,
-            ),
+                (
+                    api.StoreStream.TARGETS,
+                    reading.ReadTurn(
+                        _TARGETS_QUIET_S, _TARGETS_SPREAD_S, self._rng
+                    ),
+                    self._targets,
+                ),
+            )
         }
         self._followers: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
@@ -235,26 +241,11 @@
             now_s = self._timers.monotonic_s()
             load_of.warm_until_s = now_s + started.warm_up_left_s
 
-    def _follower(
-        self,
-        store: api.Store,
-        stream: api.StoreStream,
-        turn: reading.ReadTurn,
-        keeper: following.Keeper,
-    ) -> following.StreamFollower:
-        return following.StreamFollower(
-            store, stream, self._timers, turn, keeper, self._peers
-        )
-
     def _reports(self) -> peers.Reports:
-        reports = {
-            stream: follower.report
-            for stream, follower in self._streams.items()
-        }
         return {
             stream: report
-            for stream, report in reports.items()
-            if report is not None
+            for stream, follower in self._streams.items()
+            if (report := follower.report) is not None
         }
 
     def _take_reports(self, host: str, reports: peers.Reports) -> None:
--- a/packages/daemon/tests/gateway/test_turns.py
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -13,6 +13,7 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import following
+from dotterelweird.gateway import keepers
 
 STREAM = api.StoreStream.TARGETS
 
@@ -76,14 +77,14 @@
     directory: targets.TargetDirectory = attrs.field(
         factory=targets.TargetDirectory
     )
-    keeper: following.TargetsKeeper = attrs.field(init=False)
+    keeper: keepers.TargetsKeeper = attrs.field(init=False)
     follower: following.StreamFollower = attrs.field(init=False)
     asked: int = 0
 
     def __attrs_post_init__(self):
         fleet = self.fleet
         view = fleet.store.view(self.host)
-        self.keeper = following.TargetsKeeper(
+        self.keeper = keepers.TargetsKeeper(
             view, self.directory, fleet.timers, 0.5
         )
         self.follower = following.StreamFollower(
