Log the end of every attempt in one place

The end of a generation's attempt was counted and logged by a copy of attempts.record_end with more fields; it takes them as arguments now. The line of a changed peer stood twice. A message to many instances computed the group of each member once for every group instead of once. The fields of all lines are as before; ends of generations name the logger gateway.attempts.

--- a/packages/core/src/dotterelweir_core/gateway/spreading.py
+++ b/packages/core/src/dotterelweir_core/gateway/spreading.py
@@ -45,7 +45,7 @@
 
     def holds(self, instance_id: str) -> bool:
         """Whether an instance of the zone belongs to the group."""
-        return zlib.crc32(instance_id.encode()) % self.count == self.index
+        return _group_index(instance_id, self.count) == self.index
 
 
 @attrs.frozen
@@ -77,11 +77,13 @@
     hops = []
     for zone_members in by_zone.values():
         count = -(-len(zone_members) // GROUP_SIZE)
-        for index in range(count):
-            group = Group(index, count)
-            held = [m for m in zone_members if group.holds(m.instance_id)]
-            if held:
-                hops.append(Hop(rng.choice(held).host, group))
+        held: dict[int, list[Member]] = {}
+        for member in zone_members:
+            index = _group_index(member.instance_id, count)
+            held.setdefault(index, []).append(member)
+        for index, group_members in held.items():
+            relay = rng.choice(group_members)
+            hops.append(Hop(relay.host, Group(index, count)))
     return hops
 
 
@@ -98,3 +100,7 @@
         for member in members
         if member.zone == zone and group.holds(member.instance_id)
     ]
+
+
+def _group_index(instance_id: str, count: int) -> int:
+    return zlib.crc32(instance_id.encode()) % count
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -176,11 +176,25 @@
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
     target: targets.Target,
-    outcome: exchanges.Outcome,
+    outcome: exchanges.StreamOutcome,
     taken_s: float,
+    **facts: object,
 ) -> None:
-    """Logs and counts the end of an attempt."""
+    """Logs and counts the end of an attempt.
+
+    Args:
+        parts: Shared parts.
+        exchange: The request.
+        target: Where it went.
+        outcome: How the attempt ended.
+        taken_s: How long it took.
+        **facts: Further fields of the line.
+    """
     match outcome:
+        case exchanges.Complete():
+            end, detail = 'complete', ''
+        case exchanges.Interrupted(reason=detail):
+            end = 'interrupted'
         case exchanges.Answered(status=status):
             end, detail = 'answered', str(status)
         case exchanges.NotRun(status=status):
@@ -199,5 +213,6 @@
         target_id=target.target_id,
         end=end,
         detail=detail,
+        **facts,
         taken_s=round(taken_s, 4),
     )
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -173,31 +173,22 @@
     def _record_attempt(
         self, run: links.Run, outcome: exchanges.StreamOutcome, taken_s: float
     ) -> None:
-        match outcome:
-            case exchanges.Complete():
-                end, detail = 'complete', ''
-            case exchanges.Interrupted(reason=detail):
-                end = 'interrupted'
-            case _:
-                attempts.record_end(
-                    self._parts, self._exchange, run.target, outcome, taken_s
-                )
-                return
-        self._parts.statistics.attempts.inc(
-            {'target': run.target.target_id, 'end': end}
-        )
-        events.log(
-            LOG,
-            events.GATEWAY_ATTEMPT_ENDED,
-            request_id=self._exchange.request.request_id,
-            target_id=run.target.target_id,
-            end=end,
-            detail=detail,
-            events=self._stream.cursor.delivered,
-            last_event_id=self._stream.cursor.last_id,
-            first_s=_rounded(self._stream.first_s),
-            longest_pause_s=_rounded(self._stream.longest_pause_s),
-            taken_s=_rounded(taken_s),
+        facts = {}
+        if isinstance(outcome, exchanges.Complete | exchanges.Interrupted):
+            stream = self._stream
+            facts = {
+                'events': stream.cursor.delivered,
+                'last_event_id': stream.cursor.last_id,
+                'first_s': _rounded(stream.first_s),
+                'longest_pause_s': _rounded(stream.longest_pause_s),
+            }
+        attempts.record_end(
+            self._parts,
+            self._exchange,
+            run.target,
+            outcome,
+            taken_s,
+            **facts,
         )
 
     async def _next_run(
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -50,9 +50,6 @@
         exchange: The request.
         stream: The caller's side.
         run: Where the generation runs.
-
-    Attributes:
-        evacuated: Whether the run was being moved off an engine that leaves.
     """
 
     def __init__(
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -273,13 +273,7 @@
     def _welcome(self, instance_id: str, host: str) -> None:
         self._ever_heard.add(instance_id)
         self._share_budgets()
-        events.log(
-            LOG,
-            events.GATEWAY_PEER_CHANGED,
-            peer=instance_id,
-            state='heard',
-            instances=self.instances,
-        )
+        self._log_change(instance_id, 'heard')
         self._send_digest(
             host,
             self._digest(
@@ -294,11 +288,14 @@
         self._candidates.add(peer.member.host)
         self._loads.drop_peer(instance_id)
         self._share_budgets()
+        self._log_change(instance_id, reason)
+
+    def _log_change(self, instance_id: str, state: str) -> None:
         events.log(
             LOG,
             events.GATEWAY_PEER_CHANGED,
             peer=instance_id,
-            state=reason,
+            state=state,
             instances=self.instances,
         )
 
