Play the tests of turns in virtual time; wait for conditions in the others

Seven tests slept for fixed times. A fault while following is now met by the instance that the test is about. Four tests of leaving engines share their preparation, and the proxies of the soak listen as those of the links do.

--- a/fakes/src/dotterelweir_fakes/links/gateway.py
+++ b/fakes/src/dotterelweir_fakes/links/gateway.py
@@ -42,13 +42,16 @@
 
     async def open(self) -> None:
         """Listens."""
-        self._server = await asyncio.start_server(self._accept, _HOST, 0)
-        self.connect_port = self._server.sockets[0].getsockname()[1]
+        await self._listen()
         loop = asyncio.get_running_loop()
         self._datagrams, _ = await loop.create_datagram_endpoint(
             lambda: _Datagrams(self._relay), local_addr=(_HOST, self._own)
         )
 
+    async def _listen(self) -> None:
+        self._server = await asyncio.start_server(self._accept, _HOST, 0)
+        self.connect_port = self._server.sockets[0].getsockname()[1]
+
     async def close(self) -> None:
         """Ends every connection."""
         if self._server is not None:
--- a/fakes/src/dotterelweir_fakes/soak/proxies.py
+++ b/fakes/src/dotterelweir_fakes/soak/proxies.py
@@ -34,8 +34,7 @@
 
     async def open(self) -> None:
         """Listens on a free port."""
-        self._server = await asyncio.start_server(self._accept, '127.0.0.1', 0)
-        self.connect_port = self._server.sockets[0].getsockname()[1]
+        await self._listen()
         self._own = self.connect_port
         self._rules.name(self._own, 'caller', 'any')
         self._rules.name(self._port, self._name, 'any')
--- a/fakes/tests/soak/test_recovery.py
+++ b/fakes/tests/soak/test_recovery.py
@@ -62,6 +62,14 @@
             await asyncio.sleep(0.05)
 
 
+async def wait_called(store, count):
+    """Waits until the store got so many further calls."""
+    enough = sum(store.calls.values()) + count
+    async with asyncio.timeout(instances.READY_WITHIN_S):
+        while sum(store.calls.values()) < enough:
+            await asyncio.sleep(0.02)
+
+
 @pytest.mark.parametrize('fault', ['', 'failing', 'silent'])
 async def test_all_instances_serve_again_after_a_kill(
     tmp_path, store, shop, fault
@@ -88,7 +96,7 @@
         for node in nodes:
             node.start()
         if fault:
-            await asyncio.sleep(2.0)
+            await wait_called(store, 2 * len(nodes))
             setattr(store, fault, False)
         for node in nodes:
             await wait_served(node, _RECOVERED_WITHIN_S)
--- a/packages/daemon/tests/gateway/test_caller_limits.py
+++ b/packages/daemon/tests/gateway/test_caller_limits.py
@@ -132,7 +132,7 @@
                 answer = await reader.readuntil(b'\r\n\r\n')
             assert answer.split()[1] == b'200'
             # Longer than the bound on a head, less than the idle time.
-            await asyncio.sleep(0.2)
+            assert await read_end(deployment, head()) == b''
             await reader.read(65536)
     finally:
         writer.close()
--- a/packages/daemon/tests/gateway/test_calls.py
+++ b/packages/daemon/tests/gateway/test_calls.py
@@ -143,7 +143,9 @@
         async with asyncio.timeout(0.2):
             async with deployment.request('read', deadline_ms=3000):
                 pass
-    await asyncio.sleep(0.2)
+    async with asyncio.timeout(1.0):
+        while not any(shop.cancelled for shop in shops(deployment)):
+            await asyncio.sleep(0.01)
     cancelled = [c for shop in shops(deployment) for c in shop.cancelled]
     assert cancelled == ['request-1']
 
@@ -176,7 +178,7 @@
         for shop in shops(deployment):
             shop.address = f'{host}:{port}'
             await deployment.register(shop.target_id, 'plain')
-        await asyncio.sleep(0.8)
+        await deployment.wait_store_read()
         async with deployment.request('book', deadline_ms=150) as answer:
             assert answer.status == 503
         for client in clients:
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -26,6 +26,31 @@
         deployment.gateway._loads.get(name).tokens += 28_000
 
 
+def place_run_without_copy(deployment):
+    """Prepares a run that lasts longer than two reads of the store.
+
+    Returns:
+        The engine that will run it, and the other one.
+    """
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.event_s = 0.05
+    first.behaviour.events = second.behaviour.events = 30
+    fill_memory(deployment)
+    return first, second
+
+
+async def read_while_leaving(deployment):
+    """Reads a stream whose engine says after its first event that it leaves.
+
+    Returns:
+        What came after the first events.
+    """
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        await deployment.register('engine-1', 'model', 'draining')
+        return await answer.read()
+
+
 async def test_a_stream_is_forwarded_whole(deployment):
     """Guards against lost or changed events."""
     async with deployment.request('guide') as answer:
@@ -115,14 +140,8 @@
 
 async def test_a_run_leaves_with_its_engine(deployment):
     """Guards against runs that end when their engine leaves after notice."""
-    first, second = place_on(deployment, 'engine-1')
-    first.behaviour.event_s = 0.05
-    first.behaviour.events = second.behaviour.events = 30
-    fill_memory(deployment)
-    async with deployment.request('guide') as answer:
-        await answer.content.readany()
-        await deployment.register('engine-1', 'model', 'draining')
-        rest = await answer.read()
+    first, second = place_run_without_copy(deployment)
+    rest = await read_while_leaving(deployment)
     assert whole(30).endswith(rest)
     assert [move['last'] for move in first.moves] == [False, True]
     assert second.received[0]['kv-from'] == f'{first.address}/h1'
@@ -155,7 +174,9 @@
     async with deployment.request('guide') as answer:
         await answer.content.readany()
         answer.close()
-    await asyncio.sleep(0.2)
+    async with asyncio.timeout(1.0):
+        while not first.cancelled:
+            await asyncio.sleep(0.01)
     assert first.cancelled == ['request-1']
 
 
@@ -177,10 +198,7 @@
     Seen on the bench's day scale-1 (Zwojex, seed 12): the leaving engine
     did not know the run for a moment, and the run was lost with it.
     """
-    first, second = place_on(deployment, 'engine-1')
-    first.behaviour.event_s = 0.05
-    first.behaviour.events = second.behaviour.events = 30
-    fill_memory(deployment)
+    first, second = place_run_without_copy(deployment)
     async with deployment.request('guide') as answer:
         await answer.content.readany()
         first.behaviour.move_status = 404
@@ -197,16 +215,9 @@
 
 async def test_a_run_that_ends_during_its_move_is_complete(deployment):
     """Guards against complete streams that wait for their evacuation."""
-    first, _ = place_on(deployment, 'engine-1')
-    # Longer than the time between two reads of the store.
-    first.behaviour.event_s = 0.05
-    first.behaviour.events = 30
+    first, _ = place_run_without_copy(deployment)
     first.behaviour.move_status = 503
-    fill_memory(deployment)
-    async with deployment.request('guide') as answer:
-        await answer.content.readany()
-        await deployment.register('engine-1', 'model', 'draining')
-        rest = await answer.read()
+    rest = await read_while_leaving(deployment)
     assert whole(30).endswith(rest)
     assert first.ran == ['request-1']
 
@@ -218,16 +229,9 @@
     run failed, the run ended at its source, and its whole answer was then
     given up for a copy that was gone.
     """
-    first, second = place_on(deployment, 'engine-1')
-    # Longer than the time between two reads of the store.
-    first.behaviour.event_s = 0.05
-    first.behaviour.events = 30
+    first, second = place_run_without_copy(deployment)
     first.behaviour.final_move_status = 503
-    fill_memory(deployment)
-    async with deployment.request('guide') as answer:
-        await answer.content.readany()
-        await deployment.register('engine-1', 'model', 'draining')
-        rest = await answer.read()
+    rest = await read_while_leaving(deployment)
     assert whole(30).endswith(rest)
     assert [move['last'] for move in first.moves] == [False, True]
     assert second.received == []
--- a/packages/daemon/tests/gateway/test_turns.py
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -1,4 +1,4 @@
-"""Many instances that follow the store in turns."""
+"""Many instances that follow the store in turns, in virtual time."""
 
 import asyncio
 import random
@@ -7,6 +7,7 @@
 import attrs
 import pytest
 
+from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import reading
 from dotterelweir_core.gateway import targets
 from dotterelweird import timers
@@ -16,12 +17,15 @@
 from dotterelweird.gateway import keepers
 
 STREAM = api.StoreStream.TARGETS
+# Turns of the event loop in which every task that was woken has run.
+_SETTLE_TURNS = 6
 
 
 class MemoryStore(api.Store):
     """A store in memory that counts reads and may turn some callers away."""
 
-    def __init__(self):
+    def __init__(self, timer_service):
+        self._timers = timer_service
         self.records = []
         self.reads = 0
         self.turned_away = set()
@@ -40,7 +44,7 @@
 
     async def _call(self, host, offset):
         self.reads += 1
-        await asyncio.sleep(0.002)
+        await timers.sleep(self._timers, 0.002)
         if host in self.turned_away:
             raise api.StoreUnavailable('turned away')
         return api.Batch(tuple(self.records[offset:]), len(self.records))
@@ -77,18 +81,19 @@
     directory: targets.TargetDirectory = attrs.field(
         factory=targets.TargetDirectory
     )
+    view: types.SimpleNamespace = attrs.field(init=False)
     keeper: keepers.TargetsKeeper = attrs.field(init=False)
     follower: following.StreamFollower = attrs.field(init=False)
     asked: int = 0
 
     def __attrs_post_init__(self):
         fleet = self.fleet
-        view = fleet.store.view(self.host)
+        self.view = fleet.store.view(self.host)
         self.keeper = keepers.TargetsKeeper(
-            view, self.directory, fleet.timers, 0.5
+            self.view, self.directory, fleet.timers, 0.5
         )
         self.follower = following.StreamFollower(
-            view,
+            self.view,
             STREAM,
             fleet.timers,
             reading.ReadTurn(0.15, 0.5, fleet.rng),
@@ -127,9 +132,9 @@
     """Instances before one store."""
 
     def __init__(self, size):
-        self.timers = timers.LoopTimerService(asyncio.get_running_loop())
+        self.timers = core_timers.VirtualTimerService()
         self.rng = random.Random(3)
-        self.store = MemoryStore()
+        self.store = MemoryStore(self.timers)
         self.loses_news = False
         self.instances = []
         self.instances += [Instance(f'h{n}', self) for n in range(size)]
@@ -144,11 +149,24 @@
         ]
         await self.until(lambda one: one.follower.known)
 
+    async def advance(self, seconds):
+        """Moves time on and lets every task that is due run."""
+        end_s = self.timers.monotonic_s() + seconds
+        while True:
+            for _ in range(_SETTLE_TURNS):
+                await asyncio.sleep(0)
+            due_s = self.timers.next_due_s()
+            if due_s is None or due_s > end_s:
+                break
+            self.timers.advance_to(due_s)
+        self.timers.advance_to(end_s)
+
     async def until(self, condition, bound_s=2.0):
-        """Waits until a condition holds at every instance."""
-        async with asyncio.timeout(bound_s):
-            while not all(condition(one) for one in self.instances):
-                await asyncio.sleep(0.005)
+        """Moves time on until a condition holds at every instance."""
+        end_s = self.timers.monotonic_s() + bound_s
+        while not all(condition(one) for one in self.instances):
+            assert self.timers.monotonic_s() < end_s
+            await self.advance(0.002)
 
     def stop(self):
         for task in self._tasks:
@@ -168,7 +186,7 @@
 async def test_one_read_serves_all(fleet):
     """Guards against reads that grow with the number of instances."""
     before = fleet.store.reads
-    await asyncio.sleep(1.5)
+    await fleet.advance(1.5)
     # Each instance by itself would read about three times a second.
     assert fleet.store.reads - before < 25
 
@@ -186,6 +204,18 @@
     await fleet.until(lambda one: not one.directory.takes_work('t1'), 0.9)
 
 
+async def test_lost_news_are_read_soon_after_the_first_read(fleet):
+    """Guards against a change that waits for the turn of each instance."""
+    fleet.loses_news = True
+    fleet.store.write('t1', 'draining')
+
+    def knows(one):
+        return not one.directory.takes_work('t1')
+
+    await fleet.until(lambda _: any(map(knows, fleet.instances)))
+    await fleet.until(knows, 0.15)
+
+
 async def test_an_instance_that_is_turned_away_learns_from_others(fleet):
     """Guards against a store that serves only some instances."""
     fleet.loses_news = True
@@ -216,8 +246,7 @@
     fleet.store.turned_away = {'late'}
     fleet.instances.append(late)
     task = asyncio.create_task(late.follower.run())
-    while not late.follower.known:
-        await asyncio.sleep(0.005)
+    await fleet.until(lambda one: one.follower.known)
     assert late.follower.report is None
     await fleet.until(lambda one: one.follower.report is not None)
     task.cancel()
@@ -236,11 +265,38 @@
     fleet.store.write('t1', None)
     for _ in range(10):
         fleet.store.write('t2', 'ready')
-        await asyncio.sleep(0.05)
+        await fleet.advance(0.05)
     assert fleet.store.reads - before < 80
     await fleet.until(lambda one: not one.directory.takes_work('t1'))
 
 
+async def test_a_lasting_difference_does_not_swamp_the_store(fleet):
+    """Guards against reads again and again for what no read confirms.
+
+    One instance cannot decode an entry that the others can, as in the middle
+    of an update of the program.
+    """
+    other = fleet.by_host('h0')
+    usual = fleet.store.decode_target
+
+    def decode(record):
+        if record.key == 't3':
+            raise api.RecordInvalid('of a newer form')
+        return usual(record)
+
+    other.view.decode_target = decode
+    fleet.store.write('t3', 'ready')
+    await fleet.until(
+        lambda one: one is other or one.directory.takes_work('t3')
+    )
+    before = fleet.store.reads
+    for _ in range(20):
+        fleet.store.write('t2', 'ready')
+        await fleet.advance(0.1)
+    # Two parties, each of which reads once in 0.15 s at most.
+    assert fleet.store.reads - before <= 2 * 2.0 / 0.15
+
+
 async def test_an_outage_costs_few_calls_and_ends_at_once():
     """Guards against many instances that each keep asking a dead store."""
     fleet = Fleet(60)
@@ -249,7 +305,7 @@
     try:
         fleet.store.turned_away = {one.host for one in fleet.instances}
         before = fleet.store.reads
-        await asyncio.sleep(2.2)
+        await fleet.advance(2.2)
         # With delays of up to 0.8 s each would ask about six times.
         assert fleet.store.reads - before < 4 * 60
         fleet.store.turned_away = set()
@@ -273,14 +329,15 @@
         return usual(batch)
 
     broken.keeper.apply = fail_once
+    # News would meet the fault at the instance that tells them.
+    fleet.loses_news = True
     fleet.store.write('t1', 'draining')
     await fleet.until(lambda one: not one.directory.takes_work('t1'), 3.0)
-    async with asyncio.timeout(3.0):
-        while not failed:
-            await asyncio.sleep(0.01)
+    assert failed
     # The broken instance reads on after its fault.
     read_s = broken.follower.report.age_s
-    async with asyncio.timeout(3.0):
-        while broken.follower.report.age_s >= read_s:
-            await asyncio.sleep(0.01)
+    await fleet.until(
+        lambda one: one is not broken or one.follower.report.age_s < read_s,
+        3.0,
+    )
     assert 'follower-failed' in caplog.text
