--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -1,6 +1,7 @@
 """A gateway in this process before stand-ins of the platform."""
 
 import asyncio
+import contextlib
 import os
 import socket
 
@@ -80,11 +81,29 @@
     return headers
 
 
-def free_port(host: str, kind: int = socket.SOCK_STREAM) -> int:
-    """A port that is free now."""
-    with socket.socket(socket.AF_INET, kind) as probe:
-        probe.bind((host, 0))
-        return probe.getsockname()[1]
+def free_ports(host: str, count: int) -> list[int]:
+    """Ports that are free now, for TCP and for UDP, all different.
+
+    Args:
+        host: The address.
+        count: How many.
+    """
+    with contextlib.ExitStack() as stack:
+        found: list[int] = []
+        while len(found) < count:
+            probe = stack.enter_context(socket.socket())
+            probe.bind((host, 0))
+            port = probe.getsockname()[1]
+            datagrams = stack.enter_context(
+                socket.socket(type=socket.SOCK_DGRAM)
+            )
+            try:
+                datagrams.bind((host, port))
+            except OSError:
+                # Only its datagrams are in use: the next probe gets another.
+                continue
+            found.append(port)
+        return found
 
 
 def configuration(version: int = 1, **changes: object) -> dict:
@@ -157,9 +176,7 @@
         self.reloaded: gateway_settings.GatewaySettings | None = None
         self._runner = web.AppRunner(self.store.app, shutdown_timeout=0.05)
         self.host = own_address()
-        self.callers_port = free_port(self.host)
-        self.ready_port = free_port(self.host)
-        self.peers_port = free_port(self.host, socket.SOCK_DGRAM)
+        self.callers_port = self.ready_port = self.peers_port = 0
         self.session = aiohttp.ClientSession(auto_decompress=False)
 
     @property
@@ -193,7 +210,10 @@
         await self.store.write_json('keyed.servers', target_id, entry)
 
     async def start(self, store_address: str) -> None:
-        """Starts the gateway and waits until it is ready."""
+        """Starts the gateway."""
+        # Probed after the store listens, which takes any free port.
+        ports = free_ports(self.host, 4)
+        self.callers_port, self.ready_port, self.peers_port, metrics = ports
         text = settings_text(
             'gateway-1',
             self.host,
@@ -201,7 +221,7 @@
             store_address,
             2,
         )
-        decoded = settings_file.decode(text, metrics_port=free_port(self.host))
+        decoded = settings_file.decode(text, metrics_port=metrics)
         self.gateway = composition.Gateway(
             decoded.gateway,
             adapter.PlatformAdapter(decoded.store),
--- a/packages/cli/src/dotterelweir_cli/commands/fleet.py
+++ b/packages/cli/src/dotterelweir_cli/commands/fleet.py
@@ -1,5 +1,6 @@
 """The ``fleet`` commands: a deployment of gateways as a whole."""
 
+from collections.abc import Callable
 import pathlib
 
 import click
@@ -9,6 +10,7 @@
 from dotterelweir_cli import output
 from dotterelweir_cli.fleet import deployment
 from dotterelweir_cli.fleet import logs
+from dotterelweir_cli.fleet import losses
 
 # Time around a request in which the beliefs of its instance are shown, in
 # seconds: heartbeats of targets are about one second apart.
@@ -125,12 +127,66 @@
     else:
         output.print_table(['figure', 'value'], rows)
     if plot is not None:
-        try:
-            reports.draw(figures, plot)
-        except (OSError, ValueError) as exc:
-            raise exits.CommandError(
-                exits.ExitCode.USAGE, f'cannot draw {plot.name}: {exc}'
-            ) from exc
+        _draw(lambda path: reports.draw(figures, path), plot)
+
+
+@fleet.command(name='losses')
+@_LOG_FILES
+@click.option(
+    '--plot',
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help='File for the plot, such as losses.png or losses.svg.',
+)
+@context.pass_context
+def show_losses(
+    ctx: context.Context,
+    files: tuple[pathlib.Path, ...],
+    plot: pathlib.Path | None,
+) -> None:
+    """Gives every request that was lost or late its cause."""
+    ledger = losses.collect(logs.read(files).lines)
+    rows = losses.table(ledger)
+    groups = losses.groups(ledger)
+    if ctx.as_json:
+        output.print_json(
+            {
+                'owed': ledger.owed,
+                'lost_or_late': len(ledger.losses),
+                'unattributed_share': round(ledger.unattributed_share, 4),
+                'causes': [
+                    {'cause': cause, 'requests': count, 'tokens': tokens}
+                    for cause, count, tokens in rows
+                ],
+                **groups,
+            }
+        )
+    else:
+        click.echo(
+            f'{len(ledger.losses)} of {ledger.owed} requests lost or late, '
+            f'{ledger.unattributed_share:.1%} of them without a cause'
+        )
+        output.print_table(['cause', 'requests', 'tokens'], rows)
+        for name, counts in groups.items():
+            click.echo()
+            output.print_table(
+                [name, 'requests'], [list(row) for row in counts.items()]
+            )
+    if plot is not None:
+        _draw(lambda path: losses.draw(ledger, path), plot)
+
+
+def _draw(draw: Callable[[pathlib.Path], None], path: pathlib.Path) -> None:
+    """Draws a plot into a file.
+
+    Raises:
+        CommandError: The file cannot be written, or has an unknown suffix.
+    """
+    try:
+        draw(path)
+    except (OSError, ValueError) as exc:
+        raise exits.CommandError(
+            exits.ExitCode.USAGE, f'cannot draw {path.name}: {exc}'
+        ) from exc
 
 
 def _document(line: logs.Line) -> dict[str, object]:
--- a/packages/cli/src/dotterelweir_cli/fleet/logs.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/logs.py
@@ -22,12 +22,14 @@
     Attributes:
         at: When it was written.
         instance_id: Who wrote it.
+        zone: Availability zone of the instance.
         message: Name of the event.
         fields: Inputs and outcomes.
     """
 
     at: datetime.datetime
     instance_id: str
+    zone: str
     message: str
     fields: dict[str, Any]
 
@@ -74,6 +76,7 @@
         return Line(
             datetime.datetime.fromisoformat(body['time']),
             body['instance_id'],
+            str(body.get('zone', '')),
             body['message'],
             {
                 name: value
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -232,6 +232,8 @@
             now_s: Monotonic time.
         """
         before = self._peer_rows.get(peer_id, {})
+        if rows == before and peer_id in self._peer_counts:
+            return
         for target_id in before.keys() - rows.keys():
             self._shift(self.get(target_id), before[target_id], _IDLE)
         for target_id, row in rows.items():
--- a/packages/core/src/dotterelweir_core/gateway/repeats.py
+++ b/packages/core/src/dotterelweir_core/gateway/repeats.py
@@ -179,6 +179,8 @@
         """
         for service, total in totals.items():
             before = self._peer_totals.get((peer_id, service))
+            if total == before:
+                continue
             self._peer_totals[peer_id, service] = total
             if before is None:
                 # When it counted them is unknown: its repeats may be new,
--- a/packages/core/src/dotterelweir_core/gateway/spreading.py
+++ b/packages/core/src/dotterelweir_core/gateway/spreading.py
@@ -61,45 +61,81 @@
     group: Group | None
 
 
-def plan(members: list[Member], rng: random.Random) -> list[Hop]:
-    """Plans a message to all members.
+class Roster:
+    """All other instances, and the groups that they form in their zones.
 
-    Args:
-        members: All other instances.
-        rng: Random source of the relays; another one each time, so that a
-            dead relay loses single messages only.
+    Groups are kept until an instance joins or leaves: a large deployment
+    sends and passes on a hundred messages a second.
     """
-    if len(members) <= GROUP_SIZE:
-        return [Hop(member.host, None) for member in members]
-    by_zone: dict[str, list[Member]] = {}
-    for member in members:
-        by_zone.setdefault(member.zone, []).append(member)
-    hops = []
-    for zone_members in by_zone.values():
-        count = -(-len(zone_members) // GROUP_SIZE)
-        held: dict[int, list[Member]] = {}
-        for member in zone_members:
-            index = _group_index(member.instance_id, count)
-            held.setdefault(index, []).append(member)
-        for index, group_members in held.items():
-            relay = rng.choice(group_members)
-            hops.append(Hop(relay.host, Group(index, count)))
-    return hops
-
-
-def passed_on(members: list[Member], zone: str, group: Group) -> list[Member]:
-    """To whom a relay passes a message on.
-
-    Args:
-        members: All other instances that the relay knows.
-        zone: The relay's zone.
-        group: The group that the message names.
-    """
-    return [
-        member
-        for member in members
-        if member.zone == zone and group.holds(member.instance_id)
-    ]
+
+    def __init__(self) -> None:
+        self._members: dict[str, Member] = {}
+        self.hosts: set[str] = set()
+        self._groups: dict[str, dict[Group, list[Member]]] = {}
+        self._by_group: dict[tuple[str, Group], list[Member]] = {}
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def add(self, member: Member) -> None:
+        """Adds an instance, or changes where it is."""
+        if self._members.get(member.instance_id) != member:
+            self._members[member.instance_id] = member
+            self._forget_groups()
+
+    def remove(self, instance_id: str) -> None:
+        """Removes an instance."""
+        if self._members.pop(instance_id, None) is not None:
+            self._forget_groups()
+
+    def _forget_groups(self) -> None:
+        self.hosts = {member.host for member in self._members.values()}
+        self._groups.clear()
+        self._by_group.clear()
+
+    def plan(self, rng: random.Random) -> list[Hop]:
+        """Plans a message to all members.
+
+        Args:
+            rng: Random source of the relays; another one each time, so that
+                a dead relay loses single messages only.
+        """
+        if len(self._members) <= GROUP_SIZE:
+            return [Hop(one.host, None) for one in self._members.values()]
+        if not self._groups:
+            self._form_groups()
+        return [
+            Hop(rng.choice(members).host, group)
+            for groups in self._groups.values()
+            for group, members in groups.items()
+        ]
+
+    def _form_groups(self) -> None:
+        by_zone: dict[str, list[Member]] = {}
+        for member in self._members.values():
+            by_zone.setdefault(member.zone, []).append(member)
+        for zone, zone_members in by_zone.items():
+            count = -(-len(zone_members) // GROUP_SIZE)
+            groups = self._groups.setdefault(zone, {})
+            for member in zone_members:
+                group = Group(_group_index(member.instance_id, count), count)
+                groups.setdefault(group, []).append(member)
+
+    def of_group(self, zone: str, group: Group) -> list[Member]:
+        """To whom a relay passes a message on.
+
+        Args:
+            zone: The relay's zone.
+            group: The group that the message names.
+        """
+        members = self._by_group.get((zone, group))
+        if members is None:
+            members = self._by_group[zone, group] = [
+                member
+                for member in self._members.values()
+                if member.zone == zone and group.holds(member.instance_id)
+            ]
+        return members
 
 
 def _group_index(instance_id: str, count: int) -> int:
--- a/packages/core/tests/gateway/test_spreading.py
+++ b/packages/core/tests/gateway/test_spreading.py
@@ -14,13 +14,20 @@
     ]
 
 
+def roster_of(members):
+    roster = spreading.Roster()
+    for member in members:
+        roster.add(member)
+    return roster
+
+
 def spread(everyone, origin, dead=frozenset(), seed=1):
     """Sends one message; gives who got it and the most sends of one."""
     rng = random.Random(seed)
     by_host = {member.host: member for member in everyone}
     got, sends = [], {}
     others = [member for member in everyone if member != origin]
-    hops = spreading.plan(others, rng)
+    hops = roster_of(others).plan(rng)
     sends[origin.host] = len(hops)
     for hop in hops:
         relay = by_host[hop.host]
@@ -30,7 +37,7 @@
         if hop.group is None:
             continue
         known = [m for m in everyone if m not in (relay, origin)]
-        next_ones = spreading.passed_on(known, relay.zone, hop.group)
+        next_ones = roster_of(known).of_group(relay.zone, hop.group)
         sends[relay.host] = len(next_ones)
         got += [m.instance_id for m in next_ones]
     return got, max(sends.values())
@@ -56,7 +63,7 @@
 def test_few_messages_cross_zones():
     """Guards against bytes between zones that grow with every instance."""
     everyone = members_of(90)
-    hops = spreading.plan(everyone[1:], random.Random(1))
+    hops = roster_of(everyone[1:]).plan(random.Random(1))
     hosts = {m.host: m for m in everyone}
     crossing = [h for h in hops if hosts[h.host].zone != everyone[0].zone]
     assert len(crossing) <= 6
@@ -71,3 +78,19 @@
         reached |= set(spread(everyone, everyone[0], dead, seed)[0])
     alive = {m.instance_id for m in everyone[1:]} - dead
     assert alive <= reached
+
+
+def test_groups_follow_who_is_there():
+    """Guards against messages to members that left, or none to new ones."""
+    everyone = members_of(90)
+    roster = roster_of(everyone[1:80])
+    roster.plan(random.Random(1))
+    for member in everyone[80:]:
+        roster.add(member)
+    for member in everyone[1:20]:
+        roster.remove(member.instance_id)
+    got = set()
+    for hop in roster.plan(random.Random(1)):
+        zone = next(m.zone for m in everyone if m.host == hop.host)
+        got |= {m.instance_id for m in roster.of_group(zone, hop.group)}
+    assert got == {member.instance_id for member in everyone[20:]}
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -131,6 +131,8 @@
             cost=round(choice.cost, 2),
             candidates=choice.candidates,
             backup_id=run.backup.target_id if run.backup else None,
+            route=exchange.route.name,
+            tokens=exchange.tokens,
             tables_version=exchange.tables_version,
         )
         return run
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -35,7 +35,7 @@
 # Between two digests without a change, in seconds, in a small deployment;
 # it grows with the deployment so that an instance's share stays bounded.
 _PERIOD_S = 0.5
-_PEERS_PER_PERIOD = 20
+_PEERS_PER_PERIOD = 8
 # Periods of silence after which a peer's load is forgotten.
 _SILENT_PERIODS = 4
 # Peers whose addresses one digest passes on, drawn anew for each.
@@ -104,6 +104,7 @@
         self._own_reports = own_reports
         self._take_reports = take_reports
         self._peers: dict[str, Peer] = {}
+        self._roster = spreading.Roster()
         # Every instance ever heard: one that is silent now may still serve
         # its callers and use its share of the budgets.
         self._ever_heard: set[str] = set()
@@ -226,15 +227,10 @@
         self, data: bytes, group: spreading.Group, sender: str
     ) -> None:
         """Passes a message on to the other members of a group."""
-        for member in spreading.passed_on(
-            self._members(), self._settings.zone, group
-        ):
+        for member in self._roster.of_group(self._settings.zone, group):
             if member.host != sender:
                 self._send(member.host, data)
 
-    def _members(self) -> list[spreading.Member]:
-        return [peer.member for peer in self._peers.values()]
-
     def _take_digest(self, digest: digests.Digest) -> None:
         host = digest.host
         instance_id = digest.instance_id
@@ -255,10 +251,12 @@
             self._budgets.drop_peer(instance_id)
         member = spreading.Member(instance_id, host, digest.zone)
         self._peers[instance_id] = Peer(member, order, now_s)
+        self._roster.add(member)
         self._loads.set_peer(instance_id, digest.loads, now_s)
         self._budgets.set_peer(instance_id, digest.counts, now_s)
         self._candidates.discard(host)
-        self._meet(digest.known)
+        if digest.known:
+            self._meet(digest.known)
         if peer is None:
             self._welcome(instance_id, host)
         if digest.reports:
@@ -266,9 +264,9 @@
 
     def _meet(self, hosts: tuple[str, ...]) -> None:
         """Sends a digest to instances that others know."""
-        heard = {member.host for member in self._members()}
-        heard.add(self._settings.callers.host)
-        for host in set(hosts) - heard - self._candidates:
+        new = set(hosts) - self._roster.hosts - self._candidates
+        new.discard(self._settings.callers.host)
+        for host in new:
             self._candidates.add(host)
             self._send_digest(host, self._digest(known=self._some_hosts()))
 
@@ -287,6 +285,7 @@
         peer = self._peers.pop(instance_id, None)
         if peer is None:
             return
+        self._roster.remove(instance_id)
         self._candidates.add(peer.member.host)
         self._loads.drop_peer(instance_id)
         self._share_budgets()
@@ -325,7 +324,7 @@
             self._broadcast(regular)
 
     def _some_hosts(self) -> tuple[str, ...]:
-        hosts = [member.host for member in self._members()]
+        hosts = sorted(self._roster.hosts)
         return tuple(self._rng.sample(hosts, min(_KNOWN_MAX, len(hosts))))
 
     def _send_loads(self) -> None:
@@ -356,7 +355,7 @@
     def _broadcast(self, message: digests.Digest | digests.News) -> None:
         data = self._encode(message)
         self._sent_s = self._timers.monotonic_s()
-        for hop in spreading.plan(self._members(), self._rng):
+        for hop in self._roster.plan(self._rng):
             self._send(hop.host, digests.wrap(data, hop.group))
 
     def _send_digest(self, host: str, digest: digests.Digest) -> None:
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -62,6 +62,29 @@
     await asyncio.sleep(0)
 
 
+async def test_requests_read_while_the_process_ends_are_answered(deployment):
+    """Guards against requests cut off in the moment in which a process ends.
+
+    Operators of similar systems saw it at planned stops under load.
+    """
+    for name in ('shop-1', 'shop-2'):
+        deployment.engines[name].behaviour.delay_s = 0.2
+
+    async def book(number):
+        async with deployment.request('book', f'request-{number}') as answer:
+            await answer.read()
+            return answer.status
+
+    async with asyncio.TaskGroup() as group:
+        calls = [group.create_task(book(number)) for number in range(40)]
+        while (await deployment.status())['running'] < len(calls):
+            await asyncio.sleep(0.005)
+        gateway, deployment.gateway = deployment.gateway, None
+        gateway.begin_stop()
+        await gateway.close()
+    assert [call.result() for call in calls] == [200] * len(calls)
+
+
 async def test_a_reload_takes_changed_settings_over(deployment):
     """Guards against a SIGHUP that changes nothing or ends the process."""
     gateway = deployment.gateway
