--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -1,8 +1,5 @@
 """Parts that the forwarding of requests shares."""
 
-import collections
-from collections.abc import Iterator
-import contextlib
 import random
 
 import aiohttp
@@ -58,28 +55,11 @@
     memory: bounded.AnswerMemory
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
-    # Runs of each service that look for another engine, without a copy yet.
-    _homeless: collections.Counter[str] = attrs.field(
-        factory=collections.Counter
-    )
     _releaser: releasing.CopyReleaser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self._releaser = releasing.CopyReleaser(self.runs)
 
-    @contextlib.contextmanager
-    def looking_for_refuge(self, service: tables.Service) -> Iterator[None]:
-        """Keeps new long generations from taking the room of a run."""
-        self._homeless[service.name] += 1
-        try:
-            yield
-        finally:
-            self._homeless[service.name] -= 1
-
-    def has_homeless(self, service: tables.Service) -> bool:
-        """Whether a run of a service looks for another engine."""
-        return self._homeless[service.name] > 0
-
     def release(
         self,
         source: targets.Target,
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -111,10 +111,6 @@
         self._task.add_done_callback(lambda _: self._release(self._result))
 
     async def _run(self) -> None:
-        with self._parts.looking_for_refuge(self._exchange.service):
-            await self._find_refuge()
-
-    async def _find_refuge(self) -> None:
         refused_at_s: dict[str, float] = {}
         while not self._link_ended:
             now_s = self._parts.timers.monotonic_s()
--- a/packages/daemon/src/dotterelweird/gateway/rooms.py
+++ b/packages/daemon/src/dotterelweird/gateway/rooms.py
@@ -64,13 +64,7 @@
 def _has_room(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> bool:
-    """Whether some engine has room; true if none is known at all.
-
-    Runs of an engine that leaves go first: they are lost without room, and
-    a new one only starts later.
-    """
-    if parts.has_homeless(exchange.service):
-        return False
+    """Whether some engine has room; true if none is known at all."""
     ready = [
         target
         for target in parts.directory.of_service(exchange.service.name)
