Resume an evacuated run without waiting for the call that stops it

Change: the run goes on as soon as its link has ended. The call that stops it goes on in the background, so that a run whose link broke off by itself is stopped, too; a later copy that it makes is freed. Ruled out: cancelling that call with the link, which could leave a run working at an engine that does not notice a closed connection.

--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -30,9 +30,6 @@
 # Bound on the call that stops the run, in seconds. The copy that it makes is
 # not waited for: it would queue behind the first copies of other runs.
 _STOP_TIMEOUT_S = 1.0
-# Time in which the copy made by the call that stops the run is still worth
-# waiting for, in seconds: less than reading anew what the first copy lacks.
-_LAST_COPY_WAIT_S = 0.03
 
 
 class Evacuation:
@@ -66,12 +63,13 @@
         self._task = asyncio.create_task(self._run())
 
     async def result(self) -> handover.Handover | None:
-        """Where the run goes on, now that its link has ended."""
+        """Where the run goes on, now that its link has ended.
+
+        The call that stops the run is not waited for: the link has ended,
+        and there is a copy.
+        """
         self._link_ended = True
-        if self.stopping:
-            timeout_s = None if self._result is None else _LAST_COPY_WAIT_S
-            await asyncio.wait({self._task}, timeout=timeout_s)
-        else:
+        if not self.stopping:
             self._task.cancel()
             await asyncio.wait({self._task})
         self._taken = self._result is not None
@@ -96,19 +94,16 @@
         return self._confirmed
 
     def close(self) -> None:
-        """Ends the move; a copy that nobody uses is freed."""
+        """Ends the move; a copy that nobody uses is freed.
+
+        A call that is under way goes on: the engine may complete its copy,
+        and must get the order to stop even if the link broke off before.
+        """
         self._link_ended = True
-        if self._taken or self._task.done():
-            self._task.cancel()
-            if not self._taken:
-                self._release(self._result)
-            return
         if not self._in_call:
             self._task.cancel()
-            self._release(self._result)
-            return
-        # The engine may complete a copy that is under way.
-        self._task.add_done_callback(lambda _: self._release(self._result))
+        if not self._taken:
+            self._task.add_done_callback(lambda _: self._release(self._result))
 
     async def _run(self) -> None:
         refused_at_s: dict[str, float] = {}
@@ -125,12 +120,7 @@
             if destination is None:
                 await timers.sleep(self._parts.timers, _PAUSE_S)
                 continue
-            # Other instances must not fill the room meanwhile.
-            with attempts.counted_backup(
-                self._parts, destination, self._exchange.tokens
-            ):
-                result = await self._move_to(destination)
-            match result:
+            match await self._move_to(destination):
                 case api.MoveResult.MOVED:
                     return
                 case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
@@ -143,7 +133,11 @@
 
     async def _move_to(self, destination: targets.Target) -> api.MoveResult:
         """Copies the run and then stops it."""
-        move = await self._move(destination, False)
+        # Other instances must not fill the room meanwhile.
+        with attempts.counted_backup(
+            self._parts, destination, self._exchange.tokens
+        ):
+            move = await self._move(destination, False)
         if move.result is not api.MoveResult.MOVED:
             return move.result
         former = self._result
@@ -168,9 +162,7 @@
                 self._set_result(destination, move.handle)
             case api.MoveResult.STOPPED:
                 self._confirmed = True
-                # The first copy is used already if the caller waited.
-                if not self._taken:
-                    self._set_result(self._source, move.handle)
+                self._set_result(self._source, move.handle)
             case api.MoveResult.NO_RUN if not self._taken:
                 # It ended before it could be stopped.
                 self._release(self._result)
@@ -185,9 +177,12 @@
 
     def _set_result(self, target: targets.Target, handle: str) -> None:
         copy = api.RunCopy(self._source.address, handle)
-        self._result = handover.Handover(
-            target, copy, handover.HandoverWay.EVACUATED
-        )
+        made = handover.Handover(target, copy, handover.HandoverWay.EVACUATED)
+        if not self._taken:
+            self._result = made
+        elif self._result is None or copy != self._result.copy:
+            # The run went on already, from an older copy.
+            self._release(made)
 
     def _release(self, unused: handover.Handover | None) -> None:
         """Frees a copy that nobody will use."""
