Hear instances that restart with an earlier wall time

Cause: grown and large deployments have clocks that step. An instance that starts again after its clock stepped back says an earlier start, so that its peers took its digests for late ones until it counted as silent: 2 s with six instances, 49 s with 195. Its load stayed what it was before. Change: a digest of another start is believed once the known start has been silent for 0.5 s. Saving of plots and freeing of copies stand once. Ruled out: other uses of the wall clock in the gateway; there is none besides log lines. Figures: the new test fails on the former code.

--- a/packages/cli/src/dotterelweir_cli/fleet/losses.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/losses.py
@@ -290,11 +290,10 @@
         ValueError: The suffix names no format.
     """
     # Drawing takes a second to load, which other uses need not wait for.
-    import matplotlib  # noqa: PLC0415
-
-    matplotlib.use('Agg')
     from matplotlib import pyplot  # noqa: PLC0415
 
+    from dotterelweir_cli.fleet import plots  # noqa: PLC0415
+
     by_cause: dict[Cause, collections.Counter[int]] = {}
     for loss in ledger.losses:
         counts = by_cause.setdefault(loss.cause, collections.Counter())
@@ -314,8 +313,4 @@
         axis.legend(fontsize='x-small', loc='upper right')
     axis.set_xlabel('seconds after the first line')
     axis.set_ylabel(f'tokens lost or late in {WINDOW_S:g} s')
-    drawn.tight_layout()
-    try:
-        drawn.savefig(path, dpi=100)
-    finally:
-        pyplot.close(drawn)
+    plots.save(drawn, path)
--- a/packages/cli/src/dotterelweir_cli/fleet/report.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/report.py
@@ -4,13 +4,10 @@
 import pathlib
 
 import attrs
-import matplotlib
+from matplotlib import pyplot
 
 from dotterelweir_cli.fleet import logs
-
-matplotlib.use('Agg')
-
-from matplotlib import pyplot  # noqa: E402
+from dotterelweir_cli.fleet import plots
 
 # Width of the bins of all figures, in seconds.
 _BIN_S = 1.0
@@ -131,11 +128,7 @@
     axes[3].set_xlabel('seconds after the first line')
     for axis in axes:
         axis.grid(alpha=0.3)
-    drawn.tight_layout()
-    try:
-        drawn.savefig(path, dpi=100)
-    finally:
-        pyplot.close(drawn)
+    plots.save(drawn, path)
 
 
 def _draw_counts(
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -39,6 +39,7 @@
         budgets: Budgets of repeats.
         memory: Memory for answers that are read as a whole.
         watch: Tells generations of changes of their targets.
+        releaser: Frees copies of runs that nobody will use.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -55,19 +56,10 @@
     memory: bounded.AnswerMemory
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
-    _releaser: releasing.CopyReleaser = attrs.field(init=False)
+    releaser: releasing.CopyReleaser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self._releaser = releasing.CopyReleaser(self.runs)
-
-    def release(
-        self,
-        source: targets.Target,
-        destination: targets.Target,
-        copy: api.RunCopy,
-    ) -> None:
-        """Frees a copy of a run that nobody will use."""
-        self._releaser.release(source, destination, copy)
+        self.releaser = releasing.CopyReleaser(self.runs)
 
     def choose(
         self, exchange: exchanges.Exchange, excluded: set[str]
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -187,7 +187,9 @@
     def _release(self, unused: handover.Handover | None) -> None:
         """Frees a copy that nobody will use."""
         if unused is not None:
-            self._parts.release(self._source, unused.target, unused.copy)
+            self._parts.releaser.release(
+                self._source, unused.target, unused.copy
+            )
 
     async def _move(
         self, destination: targets.Target, final: bool
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -38,6 +38,10 @@
 _PEERS_PER_PERIOD = 8
 # Periods of silence after which a peer's load is forgotten.
 _SILENT_PERIODS = 4
+# Time without a digest of a start after which another start is believed,
+# whatever its wall time, in seconds: datagrams are not under way for longer,
+# and a process takes about as long to start.
+_RESTART_S = 0.5
 # Peers whose addresses one digest passes on, drawn anew for each.
 _KNOWN_MAX = 16
 # Largest datagram, in bytes; larger ones are fragmented on usual links.
@@ -238,13 +242,17 @@
             return
         order = (digest.started_ms, digest.sequence)
         peer = self._peers.get(instance_id)
-        if peer and order <= peer.order:
+        now_s = self._timers.monotonic_s()
+        if (
+            peer
+            and order <= peer.order
+            and not self._has_restarted(peer, digest.started_ms, now_s)
+        ):
             return
         if digest.leaving:
             self._drop(instance_id, 'leaving')
             self._candidates.discard(host)
             return
-        now_s = self._timers.monotonic_s()
         if peer is not None and peer.order[0] != digest.started_ms:
             # A new start: what it counted before is over.
             self._loads.drop_peer(instance_id)
@@ -262,6 +270,16 @@
         if digest.reports:
             self._take_reports(host, digest.reports)
 
+    def _has_restarted(
+        self, peer: Peer, started_ms: int, now_s: float
+    ) -> bool:
+        """Whether a digest that seems older is of a newer start.
+
+        The wall clock of an instance may have stepped back before the start.
+        """
+        other_start = started_ms != peer.order[0]
+        return other_start and now_s - peer.heard_s > _RESTART_S
+
     def _meet(self, hosts: tuple[str, ...]) -> None:
         """Sends a digest to instances that others know."""
         new = set(hosts) - self._roster.hosts - self._candidates
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -189,8 +189,12 @@
     assert first.news == []
 
 
-def test_an_old_digest_changes_nothing(network):
-    """Guards against datagrams that overtake each other."""
+def send_digest_of_other_start(network):
+    """Sends a digest of node 2 whose start has an earlier wall time.
+
+    Returns:
+        The node that gets it.
+    """
     first = network.nodes['10.0.0.1']
     digest = {
         'i': 'node-10.0.0.2',
@@ -201,9 +205,31 @@
         'l': [['t', 9, 9, 0]],
     }
     first.exchange.datagram_received(orjson.dumps(digest), ('10.0.0.2', 1))
+    return first
+
+
+def test_an_old_digest_changes_nothing(network):
+    """Guards against datagrams that overtake each other."""
+    first = send_digest_of_other_start(network)
     assert first.loads.get('t').peer_running == 0
 
 
+def test_a_restart_with_an_earlier_wall_time_is_heard(network):
+    """Guards against instances that are ignored after their clock stepped.
+
+    In a large deployment it takes most of a minute until an instance counts
+    as silent, and until then its digests looked old.
+    """
+    second = network.nodes['10.0.0.2']
+    second.loads.get('t').running = 2
+    second.exchange.load_changed()
+    network.timers.advance(0.05)
+    network.cut.add('10.0.0.2')
+    network.timers.advance(0.6)
+    first = send_digest_of_other_start(network)
+    assert first.loads.get('t').peer_running == 9
+
+
 def test_all_instances_of_a_large_deployment_find_each_other():
     """Guards against an instance that knows its own zone only."""
     network = Network()
