--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -173,6 +173,8 @@
         self.store = fleet_store.FakeStore()
         self.engines: dict[str, fleet_engine.FakeEngine] = {}
         self.gateway: composition.Gateway | None = None
+        self._second: composition.Gateway | None = None
+        self._store_address = ''
         self.reloaded: gateway_settings.GatewaySettings | None = None
         self._runner = web.AppRunner(self.store.app, shutdown_timeout=0.05)
         self.host = own_address()
@@ -209,8 +211,30 @@
         entry = self.engines[target_id].entry(service, state)
         await self.store.write_json('keyed.servers', target_id, entry)
 
+    async def start_second(self) -> composition.Gateway:
+        """Starts another gateway, whose seed is the first one."""
+        host = own_address(2)
+        callers, ready, metrics = free_ports(host, 3)
+        text = settings_text(
+            'gateway-2',
+            host,
+            (callers, ready, self.peers_port),
+            self._store_address,
+            2,
+            (self.host,),
+        )
+        decoded = settings_file.decode(text, metrics_port=metrics)
+        self._second = composition.Gateway(
+            decoded.gateway,
+            adapter.PlatformAdapter(decoded.store),
+            lambda: decoded.gateway,
+        )
+        await self._second.start()
+        return self._second
+
     async def start(self, store_address: str) -> None:
         """Starts the gateway."""
+        self._store_address = store_address
         # Probed after the store listens, which takes any free port.
         ports = free_ports(self.host, 4)
         self.callers_port, self.ready_port, self.peers_port, metrics = ports
@@ -276,8 +300,9 @@
     async def close(self) -> None:
         """Ends everything."""
         await self.session.close()
-        if self.gateway is not None:
-            await self.gateway.close()
+        for gateway in (self._second, self.gateway):
+            if gateway is not None:
+                await gateway.close()
         for engine in self.engines.values():
             await engine.stop()
         await self._runner.cleanup()
--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -43,6 +43,8 @@
             connection is closed.
         trickle_after: Events after which it sends only parts of events.
         trickle_s: Time between two such parts, in seconds.
+        leaving: Says in every answer that it leaves.
+        retry_after: Retry-After of its refusals; empty for none.
     """
 
     refuse: bool = False
@@ -66,6 +68,8 @@
     flood: bytes = b''
     trickle_after: int | None = None
     trickle_s: float = 0.05
+    leaving: bool = False
+    retry_after: str = ''
 
 
 class FakeEngine:
@@ -81,6 +85,7 @@
         moves: Every order to copy a run, in order.
         released: Handles of copies that were freed, in order.
         flooded_bytes: Bytes of floods that it sent.
+        started_ms: Wall time of its start, in milliseconds.
     """
 
     def __init__(self, target_id: str) -> None:
@@ -93,6 +98,7 @@
         self.moves: list[dict] = []
         self.released: list[str] = []
         self.flooded_bytes = 0
+        self.started_ms = 0
         self._running: dict[str, asyncio.Event] = {}
         self.address = ''
         self._server: asyncio.Server | None = None
@@ -126,14 +132,15 @@
             'state': state,
             'warmupLeftMs': 0,
             'seq': 1,
+            'born': self.started_ms,
         }
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == '/-/kv-move':
-            return await self._move(request)
+            return self._noted(await self._move(request))
         if request.path.startswith(_HANDLE_PATH):
             self.released.append(request.path.removeprefix(_HANDLE_PATH))
-            return web.Response(status=200)
+            return self._noted(web.Response(status=200))
         body = await request.read()
         headers = {name.lower(): v for name, v in request.headers.items()}
         self.received.append(headers)
@@ -143,7 +150,9 @@
             return web.Response(status=421)
         copy_missing = 'kv-from' in headers and not behaviour.has_copies
         if behaviour.refuse or copy_missing:
-            return web.Response(status=503, headers={'X-Not-Executed': '1'})
+            return self._noted(
+                web.Response(status=503, headers={'X-Not-Executed': '1'})
+            )
         self.ran.append(request_id)
         try:
             return await self._run(request, headers, body)
@@ -222,8 +231,18 @@
         transport.abort()
         raise ConnectionResetError
 
+    def _noted(self, answer: web.Response) -> web.Response:
+        """Adds what it says of itself to an answer of its own."""
+        if self.behaviour.leaving:
+            answer.headers['Server-Leaving'] = '1'
+        if self.behaviour.retry_after and answer.status == 503:
+            answer.headers['Retry-After'] = self.behaviour.retry_after
+        return answer
+
     def _headers(self, request_id: str) -> dict[str, str]:
         headers = {}
+        if self.behaviour.leaving:
+            headers['Server-Leaving'] = '1'
         if self.behaviour.sealed:
             headers['X-Upstream-Seal'] = f'seal-{self.target_id}'
         if self.behaviour.echo_id:
--- a/fakes/src/dotterelweir_fakes/fleet/store.py
+++ b/fakes/src/dotterelweir_fakes/fleet/store.py
@@ -14,6 +14,7 @@
     Attributes:
         failing: Answers every call with 503 while it is set.
         silent: Answers no call while it is set.
+        era: Era that every answer names; None to name none.
         calls: Calls that arrived, by name.
         reads: Reads that were answered, by topic.
     """
@@ -24,9 +25,13 @@
         self._changed = asyncio.Condition()
         self.failing = False
         self.silent = False
+        self.era: int | None = None
+        # Records of each topic in the copy from which it comes back.
+        self._copied: dict[str, int] = {}
         self.calls: dict[str, int] = {}
         self.reads: dict[str, int] = {}
         self.app = web.Application()
+        self.app.on_response_prepare.append(self._name_era)
         self.app.router.add_get('/-/log-newest', self._newest)
         self.app.router.add_get('/-/log-read', self._read)
 
@@ -46,6 +51,25 @@
         """Drops every record but the newest of each key."""
         self._first[topic] = len(self._records.get(topic, []))
 
+    def copy(self) -> None:
+        """Makes the copy from which the store may come back."""
+        self._copied = {
+            topic: len(records) for topic, records in self._records.items()
+        }
+
+    def rewind(self) -> None:
+        """Comes back from the copy; what was written since is gone."""
+        self.era = (self.era or 0) + 1
+        for topic, records in self._records.items():
+            del records[self._copied.get(topic, 0) :]
+            self._first[topic] = min(self._first.get(topic, 0), len(records))
+
+    async def _name_era(
+        self, request: web.Request, answer: web.StreamResponse
+    ) -> None:
+        if self.era is not None:
+            answer.headers['Store-Era'] = str(self.era)
+
     async def _refuse(self, call: str) -> web.Response | None:
         self.calls[call] = self.calls.get(call, 0) + 1
         while self.silent:
@@ -80,7 +104,7 @@
         topic = request.query['topic']
         offset = int(request.query['from'])
         first = self._first.get(topic, 0)
-        if offset < first:
+        if not first <= offset <= len(self._records.get(topic, [])):
             return web.json_response({'first': first}, status=410)
         wait_s = int(request.query.get('waitMs', '0')) / 1000.0
         async with self._changed:
--- a/fakes/src/dotterelweir_fakes/soak/faults.py
+++ b/fakes/src/dotterelweir_fakes/soak/faults.py
@@ -33,6 +33,8 @@
     {'hang': True},
     {'event_s': 0.1},
     {'has_copies': False},
+    {'refuse': True, 'retry_after': '0.8'},
+    {'leaving': True},
 )
 
 
@@ -155,6 +157,10 @@
             engine.behaviour = fleet_engine.Behaviour(
                 events=usual.events, event_s=0.02
             )
+            if 'leaving' in fault:
+                # It is used again as a new start only.
+                engine.started_ms += 1
+                await self.register(name, 'ready')
 
     async def _leave(self) -> None:
         name = self.rng.choice(list(self.engines))
@@ -164,10 +170,15 @@
         await self.register(name, 'ready')
 
     async def _store(self) -> None:
-        fault = self.rng.choice(('failing', 'silent', 'expire', 'few'))
+        fault = self.rng.choice(
+            ('failing', 'silent', 'expire', 'few', 'rewind')
+        )
         if fault == 'few':
             await self._turn_some_away()
             return
+        if fault == 'rewind':
+            await self._rewind()
+            return
         if fault == 'expire':
             for topic in ('keyed.op', 'keyed.servers'):
                 self.store.expire(topic)
@@ -178,6 +189,19 @@
         finally:
             setattr(self.store, fault, False)
 
+    async def _rewind(self) -> None:
+        """Lets the store come back from a copy, short of the newest writes.
+
+        The operator and the engines write theirs again.
+        """
+        self.store.copy()
+        await self._last()
+        self.store.rewind()
+        await self._last()
+        await self._write_tables()
+        for name in self.engines:
+            await self.register(name, 'ready')
+
     async def _turn_some_away(self) -> None:
         """Lets the store serve some instances only."""
         names = [
@@ -191,6 +215,9 @@
 
     async def _configure(self) -> None:
         self._version += self.rng.randint(1, 3)
+        await self._write_tables()
+
+    async def _write_tables(self) -> None:
         await self.store.write_json(
             'keyed.op',
             'config',
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -332,6 +332,31 @@
     logging.WARNING,
     'A peer did not give what it knows of a stream.',
 )
+STORE_REWOUND = _event(
+    329,
+    'store-rewound',
+    logging.WARNING,
+    'The store came back from an older copy; its records are read anew.',
+)
+TARGET_ANNOUNCED_LEAVING = _event(
+    330,
+    'target-announced-leaving',
+    logging.INFO,
+    'A target said in an answer that it leaves; it gets nothing new.',
+)
+TARGET_PAUSED = _event(
+    331,
+    'target-paused',
+    logging.INFO,
+    'A target that refused a request wants nothing for some time.',
+)
+WAITED_FOR_PAUSE = _event(
+    332,
+    'waited-for-pause',
+    logging.INFO,
+    'A request waits because every target that could serve it wants nothing '
+    'now, and one of them will in time.',
+)
 FOLLOWER_FAILED = _event(
     328,
     'follower-failed',
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -10,6 +10,7 @@
 import attrs
 
 from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import targets
 
@@ -64,7 +65,7 @@
     avoided: bool
 
 
-def _usable(
+def _ready(
     candidates: list[targets.Target], excluded: frozenset[str] | set[str]
 ) -> list[targets.Target]:
     """Those that take work and are not excluded."""
@@ -84,11 +85,13 @@
         zone: Availability zone of this instance.
         loads: Load of every target.
         rng: Random source that breaks ties.
+        pause_book: Until when targets want nothing from this instance.
     """
 
     zone: str
     loads: gateway_load.LoadBook
     rng: random.Random
+    pause_book: pauses.PauseBook = attrs.field(factory=pauses.PauseBook)
 
     def choose(
         self,
@@ -110,7 +113,7 @@
         Returns:
             The choice, or None if no target takes work.
         """
-        usable = _usable(candidates, excluded)
+        usable = self._usable(candidates, excluded, now_s)
         if not usable:
             return None
         costs = [
@@ -122,6 +125,45 @@
         )
         return Choice(target, cost, len(usable), cost >= _AVOID_COST)
 
+    def paused_until_s(
+        self,
+        candidates: list[targets.Target],
+        excluded: frozenset[str] | set[str] = frozenset(),
+    ) -> float | None:
+        """When the first of some targets takes requests.
+
+        Args:
+            candidates: Targets of the service.
+            excluded: Targets that must not be used.
+
+        Returns:
+            The monotonic time, in the past for a target without a pause;
+            None if no target takes work.
+        """
+        return min(
+            (
+                self.pause_book.until_s(target)
+                for target in _ready(candidates, excluded)
+            ),
+            default=None,
+        )
+
+    def _usable(
+        self,
+        candidates: list[targets.Target],
+        excluded: frozenset[str] | set[str],
+        now_s: float,
+    ) -> list[targets.Target]:
+        """Those that take requests now and are not excluded.
+
+        A pause is no cost to weigh: a target in one gets nothing at all.
+        """
+        return [
+            target
+            for target in _ready(candidates, excluded)
+            if not self.pause_book.is_paused(target, now_s)
+        ]
+
     def has_room(
         self, target: targets.Target, service: tables.Service, tokens: int
     ) -> bool:
@@ -179,7 +221,9 @@
         """
         costs = [
             (self._refuge_cost(target, source, service, tokens, now_s), target)
-            for target in _usable(candidates, {source.target_id, *excluded})
+            for target in self._usable(
+                candidates, {source.target_id, *excluded}, now_s
+            )
         ]
         costs = [pair for pair in costs if pair[0] < _AVOID_COST]
         if not costs:
--- a/packages/core/src/dotterelweir_core/gateway/targets.py
+++ b/packages/core/src/dotterelweir_core/gateway/targets.py
@@ -1,14 +1,22 @@
 """Targets of the gateway, folded from a stream of records.
 
 The records of a target come in the order of their offsets, but a snapshot
-may be older than what was read before. Offsets decide what is newer.
+may be older than what was read before. Offsets decide what is newer, within
+one era of the store: a store that came back from an older copy gives
+offsets out again, and the copy may name targets that have left since.
 """
 
+import collections
 import enum
 import hashlib
 
 import attrs
 
+# Departures that are remembered, so that neither a copy of the store nor a
+# late answer brings a target back. A large deployment replaces some hundred
+# targets on an ordinary day.
+_DEPARTURES_MAX = 4_096
+
 
 class TargetState(enum.Enum):
     """Whether a target takes new work."""
@@ -65,17 +73,60 @@
     after: Target | None
 
 
+@attrs.frozen
+class Departure:
+    """One start of a target that leaves or has left.
+
+    Attributes:
+        target_id: Name of the target.
+        started_ms: Wall time of that start, in milliseconds; 0 if unknown.
+        announced: Whether the target itself said so, which holds whatever
+            the store says of this start.
+    """
+
+    target_id: str
+    started_ms: int
+    announced: bool
+
+
 @attrs.define
 class _Entry:
+    era: int
     offset: int
     target: Target | None
 
 
+class _Departures:
+    """The newest departure of each target; the oldest are forgotten."""
+
+    def __init__(self) -> None:
+        self._rows: collections.OrderedDict[str, Departure] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, departure: Departure) -> None:
+        self._rows[departure.target_id] = departure
+        self._rows.move_to_end(departure.target_id)
+        if len(self._rows) > _DEPARTURES_MAX:
+            self._rows.popitem(last=False)
+
+    def get(self, target_id: str) -> Departure | None:
+        return self._rows.get(target_id)
+
+    def discard(self, target_id: str) -> None:
+        self._rows.pop(target_id, None)
+
+    def newest(self, count: int) -> tuple[Departure, ...]:
+        return tuple(self._rows.values())[-count:]
+
+
 class TargetDirectory:
     """The targets that are registered, by service.
 
     Attributes:
-        targets: Every registered target by its name.
+        targets: Every registered target by its name. One that said that it
+            leaves is draining, whatever the store says.
+        era: Counts the eras of the store that were seen.
     """
 
     def __init__(self) -> None:
@@ -85,6 +136,13 @@
         self._fingerprint: str | None = None
         # Offset up to which the newest snapshot named every target.
         self._snapshot_end = 0
+        # Offset up to which records of the era may come from an older copy
+        # of the store; None before the first snapshot of the era.
+        self._copy_end: int | None = None
+        # Targets that left by what the store said, and those that said so.
+        self._departed = _Departures()
+        self._announced = _Departures()
+        self.era = 0
 
     def of_service(self, service: str) -> list[Target]:
         """Every registered target of a service, draining ones too."""
@@ -92,12 +150,17 @@
 
     @property
     def fingerprint(self) -> str:
-        """Names what is known; equal for instances that know the same."""
+        """Names what the store says; equal for instances that know the same.
+
+        What targets said of themselves does not count: instances that were
+        told of it later would read the store for it in vain.
+        """
         if self._fingerprint is None:
             rows = sorted(
                 (target.target_id, target.state.value, target.started_ms)
                 + (target.service, target.address, target.zone, target.slots)
-                for target in self.targets.values()
+                for entry in self._entries.values()
+                if (target := entry.target) is not None
             )
             digest = hashlib.blake2b(repr(rows).encode(), digest_size=6)
             self._fingerprint = digest.hexdigest()
@@ -123,17 +186,22 @@
             matters to requests.
         """
         entry = self._entries.get(target_id)
-        if entry is not None and offset <= entry.offset:
+        if entry is not None and (self.era, offset) <= (
+            entry.era,
+            entry.offset,
+        ):
             return None
         if entry is None and offset < self._snapshot_end:
             # Late news of a target that was gone by the last snapshot.
             return None
+        if target is not None and self._is_outdated(target, entry, offset):
+            return None
         before = entry.target if entry else None
-        self._entries[target_id] = _Entry(offset, target)
-        self._store(target_id, before, target)
+        self._entries[target_id] = _Entry(self.era, offset, target)
+        self._note_departure(target_id, before, target)
         if before == target:
             return None
-        return TargetChange(target_id, before, target)
+        return self._replace(target_id, before, target)
 
     def apply_snapshot(
         self, records: dict[str, tuple[Target | None, int]], end: int
@@ -148,29 +216,129 @@
             The changes. A target that is missing is gone, unless its last
             record is not older than the snapshot.
         """
+        self.note_copy(end)
         changes = []
         for target_id, (target, offset) in records.items():
             change = self.apply(target_id, target, offset)
             if change is not None:
                 changes.append(change)
         for target_id, entry in list(self._entries.items()):
-            if target_id in records or entry.offset >= end:
+            if target_id in records:
+                continue
+            if (entry.era, entry.offset) >= (self.era, end):
                 continue
             if entry.target is not None:
-                self._store(target_id, entry.target, None)
-                changes.append(TargetChange(target_id, entry.target, None))
+                self._note_departure(target_id, entry.target, None)
+                change = self._replace(target_id, entry.target, None)
+                if change is not None:
+                    changes.append(change)
             del self._entries[target_id]
         self._snapshot_end = max(self._snapshot_end, end)
         return changes
 
-    def _store(
+    def begin_era(self) -> None:
+        """Takes note that the store came back from an older copy."""
+        self.era += 1
+        self._snapshot_end = 0
+        self._copy_end = None
+
+    def note_copy(self, end: int) -> None:
+        """Takes note of the end of a snapshot; the first of an era counts."""
+        if self._copy_end is None:
+            self._copy_end = end
+
+    def departures(self, count: int) -> tuple[Departure, ...]:
+        """The newest departures of either kind, at most so many of each."""
+        return self._announced.newest(count) + self._departed.newest(count)
+
+    def apply_departure(self, departure: Departure) -> TargetChange | None:
+        """Applies what a target said of itself, or what a peer knows.
+
+        Args:
+            departure: Which start of which target leaves or has left.
+
+        Returns:
+            The change; None if nothing changes.
+        """
+        target_id = departure.target_id
+        entry = self._entries.get(target_id)
+        target = entry.target if entry else None
+        same = target is not None and target.started_ms == departure.started_ms
+        if departure.announced:
+            known = self._announced.get(target_id)
+            if known == departure:
+                return None
+            self._announced.add(departure)
+            shown = self.targets.get(target_id)
+            if not same or shown is None:
+                return None
+            return self._show(target_id, shown, self._seen(target))
+        if target is None:
+            self._departed.add(departure)
+            return None
+        if not same or target.state is TargetState.DRAINING:
+            return None
+        if self._copy_end is not None and entry.offset >= self._copy_end:
+            # It registered since, which the peer has not read yet.
+            return None
+        self._departed.add(departure)
+        self._entries[target_id] = _Entry(entry.era, entry.offset, None)
+        return self._replace(target_id, target, None)
+
+    def _is_outdated(
+        self, target: Target, entry: _Entry | None, offset: int
+    ) -> bool:
+        """Whether a record comes from a copy and is known to be overtaken."""
+        if self._copy_end is not None and offset >= self._copy_end:
+            return False
+        known = entry.target if entry else None
+        if known is not None and target.started_ms < known.started_ms:
+            return True
+        if target.state is TargetState.DRAINING:
+            return False
+        departure = self._departed.get(target.target_id)
+        return (
+            departure is not None and target.started_ms <= departure.started_ms
+        )
+
+    def _note_departure(
         self, target_id: str, before: Target | None, after: Target | None
     ) -> None:
+        if after is not None and after.state is TargetState.READY:
+            self._departed.discard(target_id)
+            return
+        left = after or before
+        if left is not None:
+            self._departed.add(Departure(target_id, left.started_ms, False))
+
+    def _seen(self, target: Target | None) -> Target | None:
+        """What requests see of a registered target."""
+        if target is None or target.state is not TargetState.READY:
+            return target
+        departure = self._announced.get(target.target_id)
+        if departure is None or departure.started_ms != target.started_ms:
+            return target
+        return attrs.evolve(target, state=TargetState.DRAINING)
+
+    def _replace(
+        self, target_id: str, before: Target | None, after: Target | None
+    ) -> TargetChange | None:
+        """Shows what the store says now; None if requests see no change."""
         if before != after:
             self._fingerprint = None
+        return self._show(
+            target_id, self.targets.get(target_id), self._seen(after)
+        )
+
+    def _show(
+        self, target_id: str, before: Target | None, after: Target | None
+    ) -> TargetChange | None:
         if before is not None:
             self._by_service.get(before.service, {}).pop(target_id, None)
             self.targets.pop(target_id, None)
         if after is not None:
             self._by_service.setdefault(after.service, {})[target_id] = after
             self.targets[target_id] = after
+        if before == after:
+            return None
+        return TargetChange(target_id, before, after)
--- /dev/null
+++ b/packages/core/tests/gateway/test_pauses.py
@@ -0,0 +1,34 @@
+"""Pauses that targets ask for."""
+
+from dotterelweir_core.gateway import pauses
+from dotterelweir_core.gateway import targets
+
+
+def target(started_ms=1):
+    return targets.Target(
+        't1',
+        'model',
+        '10.0.0.1',
+        80,
+        'a',
+        8,
+        targets.TargetState.READY,
+        started_ms=started_ms,
+    )
+
+
+def test_the_latest_end_of_several_pauses_holds():
+    """Guards against a short pause that ends a long one."""
+    book = pauses.PauseBook()
+    book.extend(target(), 30.0)
+    book.extend(target(), 12.0)
+    assert book.is_paused(target(), 29.9)
+    assert not book.is_paused(target(), 30.0)
+
+
+def test_a_new_start_has_no_pause():
+    """Guards against a restarted target that is left alone for a year."""
+    book = pauses.PauseBook()
+    book.extend(target(), 31_536_000.0)
+    assert book.is_paused(target(), 1.0)
+    assert not book.is_paused(target(started_ms=2), 1.0)
--- a/packages/core/tests/gateway/test_placement.py
+++ b/packages/core/tests/gateway/test_placement.py
@@ -168,3 +168,22 @@
     assert chosen(placer, [target('t1'), target('t2')]) == 't2'
     placer.loads.get('t1').warm_until_s = 99.0
     assert chosen(placer, [target('t1'), target('t2')]) == 't1'
+
+
+def test_a_paused_target_gets_nothing_whatever_the_load(placer):
+    """Guards against a pause that is weighed like load.
+
+    Load: the only engine without a pause is full and fails.
+    """
+    placer.pause_book.extend(target('t1'), 101.0)
+    full = placer.loads.get('t2')
+    full.running, full.tokens = 30, 40_000
+    for _ in range(5):
+        full.record_unreachable(100.0)
+    both = [target('t1'), target('t2')]
+    assert chosen(placer, both) == 't2'
+    assert chosen(placer, both, excluded={'t2'}) is None
+    assert placer.paused_until_s(both, {'t2'}) == 101.0
+    assert placer.choose_refuge(both, MODEL, 3000, 100.0, both[1]) is None
+    choice = placer.choose([target('t1')], MODEL, 3000, 101.0)
+    assert choice.target.target_id == 't1'
--- a/packages/core/tests/gateway/test_targets.py
+++ b/packages/core/tests/gateway/test_targets.py
@@ -72,3 +72,113 @@
     assert list(directory.targets) == ['t2']
     # A target that starts again under its name is newer.
     assert directory.apply('t1', target(), 8).after == target()
+
+
+def started(name='t1', started_ms=1000, state=targets.TargetState.READY):
+    return targets.Target(
+        name, 'model', '10.0.0.1', 80, 'a', 8, state, started_ms=started_ms
+    )
+
+
+def said(started_ms=1000):
+    return targets.Departure('t1', started_ms, announced=True)
+
+
+def test_a_target_that_said_it_leaves_stays_draining():
+    """Guards against new work while the store still says ready."""
+    directory = targets.TargetDirectory()
+    directory.apply('t1', started(), 3)
+    change = directory.apply_departure(said())
+    assert change.after.state is targets.TargetState.DRAINING
+    assert directory.apply_departure(said()) is None
+    # Heartbeats, an outage and a rewind all say ready.
+    assert directory.apply('t1', started(), 5) is None
+    directory.apply('t1', None, 6)
+    directory.apply('t1', started(), 7)
+    directory.begin_era()
+    directory.apply_snapshot({'t1': (started(), 2)}, 4)
+    directory.apply('t1', started(), 8)
+    assert not directory.takes_work('t1')
+    assert directory.apply('t1', started(started_ms=2000), 9) is not None
+    assert directory.takes_work('t1')
+
+
+def test_what_a_target_said_is_no_difference_to_the_store():
+    """Guards against reads of the store by those who were not told."""
+    directory = targets.TargetDirectory()
+    directory.apply('t1', started(), 3)
+    before = directory.fingerprint
+    directory.apply_departure(said())
+    assert directory.fingerprint == before
+
+
+@pytest.mark.parametrize('registered', [False, True])
+def test_a_departure_of_another_start_changes_nothing(registered):
+    """Guards against a new start that is taken for the one that left."""
+    directory = targets.TargetDirectory()
+    if registered:
+        directory.apply('t1', started(started_ms=2000), 3)
+    assert directory.apply_departure(said()) is None
+    directory.apply('t1', started(started_ms=2000), 4)
+    assert directory.takes_work('t1')
+
+
+def test_records_of_a_new_era_are_newer():
+    """Guards against records that wait for offsets of before a rewind."""
+    directory = targets.TargetDirectory()
+    directory.apply('t1', started(), 500)
+    directory.begin_era()
+    directory.apply_snapshot({'t1': (started(), 100)}, 120)
+    draining = started(state=targets.TargetState.DRAINING)
+    assert directory.apply('t1', draining, 121).after == draining
+
+
+@pytest.mark.parametrize(
+    'last', [None, started(state=targets.TargetState.DRAINING)]
+)
+def test_a_copy_does_not_bring_back_who_left(last):
+    """Guards against targets in use again after the store came back."""
+    directory = targets.TargetDirectory()
+    directory.apply('t1', started(), 3)
+    directory.apply('t1', last, 10)
+    directory.begin_era()
+    directory.apply_snapshot({'t1': (started(), 3)}, 5)
+    assert not directory.takes_work('t1')
+    # One that lives after all registers again.
+    directory.apply('t1', started(), 5)
+    assert directory.takes_work('t1')
+
+
+def test_a_copy_does_not_bring_back_an_earlier_start():
+    """Guards against the address of a start that has ended."""
+    directory = targets.TargetDirectory()
+    directory.apply('t1', started(), 3)
+    directory.apply('t1', started(started_ms=2000), 10)
+    for _ in range(2):
+        directory.begin_era()
+        directory.apply_snapshot({'t1': (started(), 3)}, 5)
+    assert directory.targets['t1'].started_ms == 2000
+
+
+def test_a_new_instance_is_told_who_left_before_a_rewind():
+    """Guards against a restarted instance that only knows the copy."""
+    directory = targets.TargetDirectory()
+    directory.apply_snapshot({'t1': (started(), 3)}, 5)
+    left = targets.Departure('t1', 1000, announced=False)
+    assert directory.apply_departure(left).after is None
+    assert not directory.takes_work('t1')
+    directory.apply('t1', started(), 6)
+    assert directory.takes_work('t1')
+    # Old news of a peer do not undo what the store said since.
+    assert directory.apply_departure(left) is None
+    assert directory.takes_work('t1')
+
+
+def test_departures_are_bounded():
+    """Guards against memory that grows with each target that ever left."""
+    directory = targets.TargetDirectory()
+    for number in range(5_000):
+        directory.apply_departure(
+            targets.Departure(f't{number}', 1, announced=True)
+        )
+    assert len(directory.departures(10_000)) == 4_096
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -4,6 +4,7 @@
 """
 
 import abc
+from collections.abc import Callable
 from collections.abc import Sequence
 import enum
 
@@ -46,11 +47,14 @@
         records: The records.
         end: Offset after the last record that was read.
         more: Whether the stream has further records already.
+        era: Era of the store that the offsets belong to. It rises when the
+            store comes back from an older copy; 0 if the store names none.
     """
 
     records: tuple[Record, ...]
     end: int
     more: bool = False
+    era: int = 0
 
 
 class StoreUnavailable(Exception):
@@ -186,6 +190,26 @@
     last_event_id: int | None = None
 
 
+@attrs.frozen
+class TargetNotice:
+    """What a target says of itself beside an answer.
+
+    Attributes:
+        leaving: Whether it leaves and wants no new work.
+        pause_s: Time for which it wants nothing at all from this instance,
+            in seconds; 0 for none.
+    """
+
+    leaving: bool = False
+    pause_s: float = 0.0
+
+
+NO_NOTICE = TargetNotice()
+
+# Takes what a target said of itself.
+NoticeListener = Callable[[targets.Target, TargetNotice], None]
+
+
 @attrs.frozen
 class AnswerFacts:
     """What the head of a target's answer says.
@@ -195,12 +219,14 @@
         own: Whether the answer belongs to the request.
         sealed: Whether the target signed it.
         headers: Headers that are forwarded to the caller.
+        notice: What the target says of itself.
     """
 
     not_run: bool
     own: bool
     sealed: bool
     headers: Headers
+    notice: TargetNotice = NO_NOTICE
 
 
 class Dialect(abc.ABC):
@@ -318,5 +344,12 @@
         """Names and formats of requests and answers."""
 
     @abc.abstractmethod
-    def run_control(self, session: aiohttp.ClientSession) -> RunControl:
-        """Control of runs at model engines."""
+    def run_control(
+        self, session: aiohttp.ClientSession, take_notice: NoticeListener
+    ) -> RunControl:
+        """Control of runs at model engines.
+
+        Args:
+            session: HTTP client.
+            take_notice: Takes what an engine says of itself in its answers.
+        """
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -111,6 +111,21 @@
     )
 
 
+def decode_answer(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    target: targets.Target,
+    answer: aiohttp.ClientResponse,
+) -> api.AnswerFacts:
+    """Decodes the head of an answer and takes what the target says there."""
+    facts = parts.dialect.decode_answer(
+        exchange.request.request_id, answer.status, answer.raw_headers
+    )
+    if facts.notice != api.NO_NOTICE:
+        parts.take_notice(target, facts.notice)
+    return facts
+
+
 async def call(
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
@@ -134,15 +149,14 @@
     try:
         async with asyncio.timeout(until_s - now_s):
             answer = await send(parts, exchange, options, mark)
+            # Before the body, which may take long or break off.
+            facts = decode_answer(parts, exchange, target, answer)
             body = await parts.memory.read(answer)
     except (aiohttp.ClientError, TimeoutError) as exc:
         return outcome_of_error(exc, mark)
     finally:
         if answer is not None:
             answer.close()
-    facts = parts.dialect.decode_answer(
-        exchange.request.request_id, answer.status, answer.raw_headers
-    )
     return classify(answer.status, facts, body)
 
 
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -6,6 +6,7 @@
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import pausing
 from dotterelweird.gateway import refusing
 
 LOG = logging.getLogger(__name__)
@@ -71,6 +72,9 @@
         parts = self._parts
         now_s = parts.timers.monotonic_s()
         choice = parts.choose(exchange, exchange.tried)
+        if choice is None and await pausing.wait_in_time(parts, exchange):
+            now_s = parts.timers.monotonic_s()
+            choice = parts.choose(exchange, exchange.tried)
         if choice is None:
             return None
         target = choice.target
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -14,6 +14,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import reading
 from dotterelweir_core.gateway import repeats
@@ -30,6 +31,7 @@
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import following
 from dotterelweird.gateway import keepers
+from dotterelweird.gateway import notices
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
@@ -97,6 +99,7 @@
         self._store_session = target_client.open_store_session()
         self._directory = targets.TargetDirectory()
         self._loads = load.LoadBook()
+        pause_book = pauses.PauseBook()
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
         self._parts = dependencies.Forwarding(
@@ -104,10 +107,12 @@
             self._timers,
             self._session,
             dialect,
-            adapter.run_control(self._session),
+            adapter.run_control(self._session, self._take_notice),
             self._directory,
             self._loads,
-            placement.Placer(settings.zone, self._loads, self._rng),
+            placement.Placer(
+                settings.zone, self._loads, self._rng, pause_book
+            ),
             self._statistics,
             self._rng,
             repeats.BudgetBook(
@@ -116,6 +121,8 @@
                 settings.repeat_window_s,
             ),
             bounded.AnswerMemory.of_process(settings.memory_bytes),
+            pause_book,
+            self._take_notice,
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store)
@@ -133,15 +140,30 @@
             self._loads,
             self._parts.budgets,
             self._store_session,
-            self._targets.apply,
+            self._take_news,
+            self._directory.departures,
+            self._targets.apply_departure,
             self._reports,
             self._take_reports,
         )
+        self._notices = notices.NoticeTaker(
+            self._targets,
+            pause_book,
+            self._peers,
+            self._timers,
+            self._statistics,
+        )
         self._loads.subscribe(self._peers.load_changed)
         self._parts.budgets.subscribe(self._peers.load_changed)
         self._streams = {
             stream: following.StreamFollower(
-                store, stream, self._timers, turn, keeper, self._peers
+                store,
+                stream,
+                self._timers,
+                turn,
+                keeper,
+                self._peers,
+                self._statistics,
             )
             for stream, turn, keeper in (
                 (
@@ -261,6 +283,14 @@
             if (report := follower.report) is not None
         }
 
+    def _take_notice(
+        self, target: targets.Target, notice: api.TargetNotice
+    ) -> None:
+        self._notices.take(target, notice)
+
+    def _take_news(self, batch: api.Batch) -> None:
+        self._streams[api.StoreStream.TARGETS].take_news(batch)
+
     def _take_reports(self, host: str, reports: peers.Reports) -> None:
         for stream, report in reports.items():
             self._streams[stream].take_report(host, report)
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -7,6 +7,7 @@
 
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import tables
@@ -38,6 +39,8 @@
         rng: Random source.
         budgets: Budgets of repeats.
         memory: Memory for answers that are read as a whole.
+        pause_book: Until when targets want nothing from this instance.
+        take_notice: Takes what a target says of itself in an answer.
         watch: Tells generations of changes of their targets.
         releaser: Frees copies of runs that nobody will use.
     """
@@ -54,12 +57,16 @@
     rng: random.Random
     budgets: repeats.BudgetBook
     memory: bounded.AnswerMemory
+    pause_book: pauses.PauseBook
+    take_notice: api.NoticeListener
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
     _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
     releaser: releasing.CopyReleaser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.releaser = releasing.CopyReleaser(self.runs)
+        self.releaser = releasing.CopyReleaser(
+            self.runs, self.timers, self.pause_book
+        )
 
     def choose(
         self, exchange: exchanges.Exchange, excluded: set[str]
@@ -84,6 +91,21 @@
             *self._question(exchange), source, excluded
         )
 
+    def paused_until_s(self, exchange: exchanges.Exchange) -> float | None:
+        """When the first pause ends that keeps a request from being sent.
+
+        Returns:
+            The monotonic time; None if no target is ready besides those
+            that were tried.
+        """
+        return self.placer.paused_until_s(
+            self.directory.of_service(exchange.service.name), exchange.tried
+        )
+
+    def is_paused(self, target: targets.Target) -> bool:
+        """Whether a target wants nothing from this instance now."""
+        return self.pause_book.is_paused(target, self.timers.monotonic_s())
+
     def _question(
         self, exchange: exchanges.Exchange
     ) -> tuple[list[targets.Target], tables.Service, int, float]:
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -14,6 +14,7 @@
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import spreading
+from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import following
 
@@ -51,9 +52,25 @@
 
 @attrs.frozen
 class News:
-    """Records of targets that an instance has just read."""
+    """Records of targets that an instance has just read.
+
+    Attributes:
+        records: The records.
+        era: Era of the store that their offsets belong to.
+    """
 
     records: tuple[api.Record, ...]
+    era: int = 0
+
+
+@attrs.frozen
+class Departures:
+    """Targets that leave or have left, as far as an instance knows."""
+
+    rows: tuple[targets.Departure, ...]
+
+
+Message = Digest | News | Departures
 
 
 # A mark that no JSON begins with, the number of a group, and their count.
@@ -65,12 +82,20 @@
     """The bytes are no datagram of a gateway."""
 
 
-def encode(message: Digest | News) -> bytes:
+def encode(message: Message) -> bytes:
     """Encodes a message; names are short, as bytes have a price."""
     match message:
         case News():
+            rows = [_encode_record(row) for row in message.records]
+            return orjson.dumps({'n': rows, 'e': message.era})
+        case Departures():
             return orjson.dumps(
-                {'n': [_encode_record(row) for row in message.records]}
+                {
+                    'd': [
+                        [row.target_id, row.started_ms, int(row.announced)]
+                        for row in message.rows
+                    ]
+                }
             )
         case Digest():
             body: dict[str, Any] = {
@@ -95,6 +120,7 @@
                         report.position,
                         report.content,
                         int(report.age_s * 1000),
+                        report.era,
                     ]
                     for stream, report in message.reports.items()
                 }
@@ -105,7 +131,7 @@
             return orjson.dumps(body)
 
 
-def decode(data: bytes) -> Digest | News:
+def decode(data: bytes) -> Message:
     """Decodes a message.
 
     Raises:
@@ -114,7 +140,15 @@
     try:
         body = orjson.loads(data)
         if 'n' in body:
-            return News(tuple(_decode_record(row) for row in body['n']))
+            records = tuple(_decode_record(row) for row in body['n'])
+            return News(records, int(body['e']))
+        if 'd' in body:
+            return Departures(
+                tuple(
+                    targets.Departure(str(name), int(started), bool(announced))
+                    for name, started, announced in body['d']
+                )
+            )
         return Digest(
             instance_id=str(body['i']),
             host=str(body['h']),
@@ -131,9 +165,12 @@
             },
             reports={
                 api.StoreStream(name): following.ReadReport(
-                    int(position), str(content), float(age_ms) / 1000.0
+                    int(position),
+                    str(content),
+                    float(age_ms) / 1000.0,
+                    int(era),
                 )
-                for name, (position, content, age_ms) in body.get(
+                for name, (position, content, age_ms, era) in body.get(
                     'r', {}
                 ).items()
             },
@@ -171,7 +208,7 @@
 def encode_batch(batch: api.Batch) -> bytes:
     """Encodes records that an instance asked for."""
     rows = [_encode_record(record) for record in batch.records]
-    return orjson.dumps({'records': rows, 'end': batch.end})
+    return orjson.dumps({'records': rows, 'end': batch.end, 'era': batch.era})
 
 
 def decode_batch(data: bytes) -> api.Batch:
@@ -183,7 +220,7 @@
     try:
         body = orjson.loads(data)
         records = tuple(_decode_record(row) for row in body['records'])
-        return api.Batch(records, int(body['end']))
+        return api.Batch(records, int(body['end']), era=int(body['era']))
     except (ValueError, KeyError, TypeError, AttributeError) as exc:
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
 
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -117,7 +117,7 @@
             destination = self._parts.choose_refuge(
                 self._exchange, self._source, refused
             )
-            if destination is None:
+            if destination is None or self._parts.is_paused(self._source):
                 await timers.sleep(self._parts.timers, _PAUSE_S)
                 continue
             match await self._move_to(destination):
@@ -154,6 +154,8 @@
         Returns:
             Moved if the run has stopped or ended.
         """
+        if self._parts.is_paused(self._source):
+            return api.MoveResult.BUSY
         self.stopping = True
         move = await self._move(destination, True)
         match move.result:
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -12,6 +12,7 @@
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import reading
 from dotterelweird.gateway import api
+from dotterelweird.gateway import statistics
 
 LOG = logging.getLogger(__name__)
 
@@ -26,6 +27,9 @@
 # instance that has read it, in seconds; the reads of those that missed them
 # are spread over as much again.
 _NEWS_S = 0.05
+# Time for which answers of a lower era are taken for late ones, in seconds;
+# then the store itself is believed. Calls are under way for less than that.
+_ERA_FALL_S = 5.0
 
 
 @attrs.frozen
@@ -36,11 +40,13 @@
         position: Grows with what is known: a version or an offset.
         content: Names what is known; equal for instances that know the same.
         age_s: Time since a read of the store found it, in seconds.
+        era: Era of the store that an offset belongs to.
     """
 
     position: int
     content: str
     age_s: float
+    era: int = 0
 
 
 @attrs.frozen
@@ -68,6 +74,7 @@
         turn: Tells when it is this instance's turn to read.
         keeper: Takes what is read.
         peers: The other instances.
+        counters: Counters of the process.
     """
 
     def __init__(
@@ -78,6 +85,7 @@
         turn: reading.ReadTurn,
         keeper: 'Keeper',
         peers: 'Peers',
+        counters: statistics.Statistics,
     ) -> None:
         self._store = store
         self._stream = stream
@@ -85,6 +93,7 @@
         self._turn = turn
         self._keeper = keeper
         self._peers = peers
+        self._counters = counters
         self._backoff = backoff.Backoff(turn.rng, _RETRY_FIRST_S, _RETRY_CAP_S)
         self._woken = asyncio.Event()
         self._offset: int | None = None
@@ -93,6 +102,14 @@
         # What an instance reported and a later read did not confirm: it may
         # wait for entries that come back after an outage.
         self._refuted = ''
+        # Era of the offset; None before the first read.
+        self._era: int | None = None
+        # Whether the store named it, and not a peer alone.
+        self._era_confirmed = False
+        # Highest era that a peer named and a later read did not confirm.
+        self._refuted_era = -1
+        # When the store began to answer with a lower era.
+        self._fallen_since_s: float | None = None
         self.available = False
         self.known = False
 
@@ -105,7 +122,9 @@
         if math.isinf(self._turn.fresh_s) or not self._keeper.content:
             return None
         age_s = self._timers.monotonic_s() - self._turn.fresh_s
-        return ReadReport(self._position, self._keeper.content, age_s)
+        return ReadReport(
+            self._position, self._keeper.content, age_s, self._era or 0
+        )
 
     @property
     def _position(self) -> int:
@@ -115,7 +134,9 @@
 
     def state(self) -> api.Batch:
         """The records that hold what this instance knows."""
-        return api.Batch(self._keeper.records, self._offset or 0)
+        return api.Batch(
+            self._keeper.records, self._offset or 0, era=self._era or 0
+        )
 
     def take_report(self, host: str, report: ReadReport) -> None:
         """Takes what another instance knows.
@@ -127,19 +148,46 @@
         now_s = self._timers.monotonic_s()
         if self.known and not self._keeper.content:
             return
-        if self.known and report.content == self._keeper.content:
+        if self.known and self._says_the_same(report):
             if self._offset is not None and self._keeper.position is None:
                 # Nothing that matters lies in between.
                 self._offset = max(self._offset, report.position)
             self._turn.record_read(now_s - report.age_s, self._peers.instances)
             return
-        if report.position > self._position:
-            if report.content == self._refuted:
-                return
+        if self._is_ahead(report):
             self._ahead = _Ahead(host, report, now_s - report.age_s)
-            delay_s = _NEWS_S * (1.0 + self._turn.rng.random())
-            self._turn.hasten(now_s, delay_s)
-            self._woken.set()
+            self._hasten()
+
+    def take_news(self, batch: api.Batch) -> None:
+        """Takes records that another instance has just read."""
+        if batch.era == self._era:
+            self._keeper.apply(batch)
+        elif self._era is not None and batch.era > self._era:
+            # Their order to what is known here is told by the store alone.
+            if batch.era > self._refuted_era:
+                self._refuted_era = batch.era
+                self._hasten()
+
+    def _says_the_same(self, report: ReadReport) -> bool:
+        if report.content != self._keeper.content:
+            return False
+        # A read of another era does not confirm an offset.
+        return self._keeper.position is not None or report.era == self._era
+
+    def _is_ahead(self, report: ReadReport) -> bool:
+        if report.content == self._refuted:
+            return False
+        if self._keeper.position is not None or report.era == self._era:
+            return report.position > self._position
+        if self._era is None:
+            return True
+        return report.era > max(self._era, self._refuted_era)
+
+    def _hasten(self) -> None:
+        now_s = self._timers.monotonic_s()
+        delay_s = _NEWS_S * (1.0 + self._turn.rng.random())
+        self._turn.hasten(now_s, delay_s)
+        self._woken.set()
 
     async def run(self) -> None:
         """Follows the stream until it is cancelled."""
@@ -181,7 +229,7 @@
         ahead = self._ahead
         if not self.known or ahead is None:
             return False
-        if ahead.report.content != self._keeper.content:
+        if not self._says_the_same(ahead.report):
             return False
         self._ahead = None
         if self._offset is not None and self._keeper.position is None:
@@ -211,25 +259,86 @@
         began_s = self._timers.monotonic_s()
         if self._offset is None:
             batch = await self._store.newest(self._stream)
+            self._check_era(batch.era)
             self._mark_available()
             self._keeper.apply_snapshot(batch)
         else:
             batch = await self._store.read(self._stream, self._offset)
+            rewound = self._check_era(batch.era)
             self._mark_available()
+            if rewound:
+                # The offset names other records now; all are read anew.
+                return
             changed = self._keeper.apply(batch)
             if changed:
-                self._peers.send_news(self._stream, changed)
+                self._peers.send_news(self._stream, changed, batch.era)
+        self._era_confirmed = True
         self._offset = max(batch.end, self._offset or 0)
         self.known = True
         if batch.more:
             return
-        if self._ahead is not None:
-            if self._ahead.report.content != self._keeper.content:
-                self._refuted = self._ahead.report.content
-            self._ahead = None
+        await self._settle_ahead()
         self._turn.record_read(began_s, self._peers.instances)
         self._peers.send_reports()
 
+    async def _settle_ahead(self) -> None:
+        """Compares what the store says with what another instance said."""
+        ahead = self._ahead
+        if ahead is None:
+            return
+        if self._era is not None and ahead.report.era > self._era:
+            self._refuted_era = max(self._refuted_era, ahead.report.era)
+        if not self._says_the_same(ahead.report):
+            if self._keeper.position is not None and self._is_ahead(
+                ahead.report
+            ):
+                # A store that came back from a copy has an older version.
+                await self._read_from_peer()
+            else:
+                self._refuted = ahead.report.content
+        self._ahead = None
+
+    def _check_era(self, era: int) -> bool:
+        """Takes note of the era of an answer of the store.
+
+        Returns:
+            Whether another era than before has begun.
+
+        Raises:
+            StoreUnavailable: It is lower; the answer is taken for a late
+                one of before.
+        """
+        known = self._era if self._era_confirmed else None
+        if known is not None and era < known:
+            now_s = self._timers.monotonic_s()
+            if self._fallen_since_s is None:
+                self._fallen_since_s = now_s
+            if now_s - self._fallen_since_s < _ERA_FALL_S:
+                raise api.StoreUnavailable(f'era {era} after {self._era}')
+        self._fallen_since_s = None
+        return self._enter_era(era)
+
+    def _enter_era(self, era: int) -> bool:
+        """Enters an era; gives whether it is another one than before."""
+        if era == self._era:
+            return False
+        before, self._era = self._era, era
+        if before is None:
+            return False
+        events.log(
+            LOG,
+            events.STORE_REWOUND,
+            stream=self._stream.value,
+            era=era,
+            previous_era=before,
+            offset=self._offset,
+        )
+        self._counters.rewinds.inc({'stream': self._stream.value})
+        self._offset = None
+        self._refuted = ''
+        self._keeper.store_rewound()
+        return True
+
     async def _read_from_peer(self) -> None:
         """Asks an instance that knows more, while the store is away."""
         if self._ahead is None:
@@ -246,8 +355,17 @@
                 reason=str(exc),
             )
             return
-        self._keeper.apply_snapshot(batch)
-        self._offset = max(batch.end, self._offset or 0)
+        if self._keeper.position is not None:
+            # Versions grow from era to era; offsets do not.
+            self._keeper.apply(batch)
+        elif self._era is not None and batch.era < self._era:
+            return
+        else:
+            if batch.era != self._era:
+                self._enter_era(batch.era)
+                self._era_confirmed = False
+            self._keeper.apply_snapshot(batch)
+            self._offset = max(batch.end, self._offset or 0)
         self.known = True
         events.log(
             LOG,
@@ -309,6 +427,13 @@
     def store_returned(self) -> None:
         """Takes note that the store answers again after an outage."""
 
+    @abc.abstractmethod
+    def store_rewound(self) -> None:
+        """Takes note that the store came back from an older copy.
+
+        Its offsets are given out again.
+        """
+
 
 class Peers(abc.ABC):
     """The other instances, as far as following the store needs them.
@@ -325,9 +450,15 @@
 
     @abc.abstractmethod
     def send_news(
-        self, stream: api.StoreStream, records: list[api.Record]
+        self, stream: api.StoreStream, records: list[api.Record], era: int
     ) -> None:
-        """Tells them of records that were just read."""
+        """Tells them of records that were just read.
+
+        Args:
+            stream: The stream.
+            records: The records.
+            era: Era of the store that their offsets belong to.
+        """
 
     @abc.abstractmethod
     async def newest(self, stream: api.StoreStream, host: str) -> api.Batch:
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -19,6 +19,7 @@
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import links
+from dotterelweird.gateway import pausing
 from dotterelweird.gateway import refusing
 from dotterelweird.gateway import rooms
 
@@ -73,7 +74,7 @@
         budgets, service = self._parts.budgets, exchange.service.name
         budgets.of(service).record_request(self._parts.timers.monotonic_s())
         await rooms.wait_for_room(self._parts, exchange)
-        run = self._place()
+        run = await self._place()
         last: exchanges.StreamOutcome | None = None
         while run is not None:
             link = links.Link(self._parts, exchange, self._stream, run)
@@ -114,12 +115,16 @@
             return True
         return self._exchange.runs + 1 >= self._exchange.route.attempts_max
 
-    def _place(self) -> links.Run | None:
+    async def _place(self) -> links.Run | None:
         """Chooses a target that starts the generation anew."""
         exchange = self._exchange
         if len(exchange.tried) >= _TARGETS_MAX:
             return None
         choice = self._parts.choose(exchange, exchange.tried)
+        if choice is None and await pausing.wait_in_time(
+            self._parts, exchange
+        ):
+            choice = self._parts.choose(exchange, exchange.tried)
         if choice is None:
             return None
         run = links.Run(choice.target, self._choose_backup(choice.target))
@@ -205,15 +210,15 @@
                 if resumed is not None:
                     return resumed
                 self._exchange.record_run()
-                return self._restart()
+                return await self._restart()
             case exchanges.NeverSent() | exchanges.NotRun():
                 if run.copy is not None:
                     # Without the copy only a resumable route may go on.
-                    return self._restart()
-                return self._place()
+                    return await self._restart()
+                return await self._place()
             case _:
                 self._exchange.record_run()
-                return self._restart()
+                return await self._restart()
 
     async def _carry_over(
         self,
@@ -225,6 +230,8 @@
         found = await link.find_handover()
         if found is None:
             return None
+        if not await pausing.wait_for_target(self._parts, found.target):
+            return None
         self._parts.statistics.recoveries.inc({'way': found.way.name.lower()})
         events.log(
             LOG,
@@ -240,13 +247,13 @@
             found.target, self._choose_backup(found.target), found.copy
         )
 
-    def _restart(self) -> links.Run | None:
+    async def _restart(self) -> links.Run | None:
         exchange = self._exchange
         if not exchange.route.resumable:
             return None
         if exchange.runs >= exchange.route.attempts_max:
             return None
-        return self._place()
+        return await self._place()
 
     def _give_up(
         self, last: exchanges.StreamOutcome | None
--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -57,6 +57,9 @@
         backup: Where its memory is copied to, or was while it ran.
     """
     request_id = exchange.request.request_id
+    if parts.is_paused(source):
+        kept = api.RunCopy(backup.address, request_id)
+        return Handover(backup, kept, HandoverWay.BACKUP_UNREACHED)
     move = await parts.runs.move(
         request_id, source, backup, final=True, timeout_s=_STOP_TIMEOUT_S
     )
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -3,6 +3,8 @@
 from collections.abc import Callable
 import logging
 
+import attrs
+
 from dotterelweir_core import events
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import tables as gateway_tables
@@ -41,6 +43,9 @@
     def store_returned(self) -> None:
         """Does nothing: tables do not lapse."""
 
+    def store_rewound(self) -> None:
+        """Does nothing: versions grow from era to era."""
+
     def apply_snapshot(self, batch: api.Batch) -> None:
         """Puts the newest tables of a batch in force."""
         self.apply(batch)
@@ -145,8 +150,33 @@
         """Takes note that the store answers again after an outage."""
         self._settled_at_s = self._timers.monotonic_s() + self._settle_s
 
+    def store_rewound(self) -> None:
+        """Takes note that the store came back from an older copy.
+
+        Targets that registered after the copy was made register again.
+        """
+        self.store_returned()
+        self._directory.begin_era()
+        # Any record of the new era is newer.
+        self._records = {
+            key: attrs.evolve(record, offset=0)
+            for key, record in self._records.items()
+        }
+
+    def apply_departure(self, departure: gateway_targets.Departure) -> bool:
+        """Takes note that a target leaves or has left.
+
+        Returns:
+            Whether that was news for a registered target.
+        """
+        change = self._directory.apply_departure(departure)
+        if change is not None:
+            self._announce(change)
+        return change is not None
+
     def apply_snapshot(self, batch: api.Batch) -> None:
         """Takes the newest record of every target."""
+        self._directory.note_copy(batch.end)
         wait_s = self._settled_at_s - self._timers.monotonic_s()
         if wait_s > 0 and self._directory.targets:
             self.apply(batch)
@@ -202,10 +232,12 @@
 
     def _call_when_settled(self, take: Callable[[], object]) -> None:
         """Defers what was read until entries are back after an outage."""
+        era = self._directory.era
 
         def take_now() -> None:
             self._deferred -= 1
-            take()
+            if era == self._directory.era:
+                take()
 
         self._deferred += 1
         wait_s = self._settled_at_s - self._timers.monotonic_s()
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -163,11 +163,7 @@
             if interrupted is not None:
                 return interrupted
             answer = sending.result()
-            facts = parts.dialect.decode_answer(
-                exchange.request.request_id,
-                answer.status,
-                answer.raw_headers,
-            )
+            facts = attempts.decode_answer(parts, exchange, run.target, answer)
             if answer.status != 200 or not (facts.own and facts.sealed):
                 async with asyncio.timeout(self._time_left_s()):
                     body = await parts.memory.read(answer)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -0,0 +1,81 @@
+"""Waits for targets that asked for a pause, if one ends in time."""
+
+import logging
+
+from dotterelweir_core import events
+from dotterelweir_core.gateway import targets
+from dotterelweird import timers
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+
+LOG = logging.getLogger(__name__)
+
+# Share of the time left that a wait may take: the rest is for the answer.
+_LEFT_SHARE_MAX = 0.5
+# Longest wait after the arrival, as a multiple of the objective. Callers give
+# up a stream without a first event after four times the objective.
+_OBJECTIVES_MAX = 2.5
+# Longest gap within a stream for a pause, in seconds: callers give a stream
+# up after two.
+_GAP_S = 1.5
+
+
+def left_s(
+    parts: dependencies.Forwarding, exchange: exchanges.Exchange
+) -> float:
+    """Time until a pause ends that alone keeps a request from being sent.
+
+    Returns:
+        The time in seconds; 0 if no target is paused, or if the request
+        cannot be sent after a pause either.
+    """
+    free_s = parts.paused_until_s(exchange)
+    if free_s is None:
+        return 0.0
+    return max(0.0, free_s - parts.timers.monotonic_s())
+
+
+async def wait_for_target(
+    parts: dependencies.Forwarding, target: targets.Target
+) -> bool:
+    """Waits for the one engine that a generation can go on at.
+
+    Returns:
+        Whether the engine takes requests, now or after a short pause.
+    """
+    now_s = parts.timers.monotonic_s()
+    wait_s = parts.pause_book.until_s(target) - now_s
+    if wait_s > _GAP_S:
+        return False
+    if wait_s > 0:
+        await timers.sleep(parts.timers, wait_s)
+    return True
+
+
+async def wait_in_time(
+    parts: dependencies.Forwarding, exchange: exchanges.Exchange
+) -> bool:
+    """Waits for the end of a pause, unless that would be too late.
+
+    Returns:
+        Whether it waited, so that a target may be free now.
+    """
+    wait_s = left_s(parts, exchange)
+    now_s = parts.timers.monotonic_s()
+    bound_s = min(
+        _LEFT_SHARE_MAX * (exchange.deadline_s - now_s),
+        exchange.arrived_s
+        + _OBJECTIVES_MAX * exchange.route.objective_s
+        - now_s,
+    )
+    if not 0.0 < wait_s <= bound_s:
+        return False
+    events.log(
+        LOG,
+        events.WAITED_FOR_PAUSE,
+        request_id=exchange.request.request_id,
+        service=exchange.service.name,
+        wait_s=round(wait_s, 3),
+    )
+    await timers.sleep(parts.timers, wait_s)
+    return True
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -20,6 +20,7 @@
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import spreading
+from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import bounded
 from dotterelweird.gateway import digests
@@ -48,6 +49,9 @@
 _DATAGRAM_BYTES_MAX = 1_400
 # Records in one datagram; they have up to about 300 bytes each.
 _RECORDS_PER_DATAGRAM = 4
+# Departures of each kind that an instance is told when it is first heard; a
+# row has about 35 bytes, and both kinds share a datagram.
+_DEPARTURES_TOLD = 16
 # Time for the answer of a peer that is asked for what it knows, in seconds.
 _PEER_TIMEOUT_S = 0.5
 # Path under which a peer gives the records of a stream.
@@ -82,6 +86,8 @@
         budgets: Budgets of repeats.
         session: HTTP client for the records of a peer.
         apply_news: Takes records of targets that a peer has read.
+        departures: Gives the newest departures of targets, at most so many.
+        apply_departure: Takes a departure that a peer knows.
         own_reports: Gives what this instance knows of the streams.
         take_reports: Takes what a peer knows: its address and its reports.
     """
@@ -95,6 +101,8 @@
         budgets: repeats.BudgetBook,
         session: aiohttp.ClientSession,
         apply_news: Callable[[api.Batch], None],
+        departures: Callable[[int], tuple[targets.Departure, ...]],
+        apply_departure: Callable[[targets.Departure], None],
         own_reports: Callable[[], Reports],
         take_reports: Callable[[str, Reports], None],
     ) -> None:
@@ -105,6 +113,8 @@
         self._budgets = budgets
         self._session = session
         self._apply_news = apply_news
+        self._departures = departures
+        self._apply_departure = apply_departure
         self._own_reports = own_reports
         self._take_reports = take_reports
         self._peers: dict[str, Peer] = {}
@@ -180,14 +190,19 @@
             self._broadcast(self._digest(reports=self._own_reports()))
 
     def send_news(
-        self, stream: api.StoreStream, records: list[api.Record]
+        self, stream: api.StoreStream, records: list[api.Record], era: int
     ) -> None:
         """Tells the peers of records that were just read."""
         rest = tuple(records)
         while rest and self._transport is not None:
             part = rest[:_RECORDS_PER_DATAGRAM]
             rest = rest[_RECORDS_PER_DATAGRAM:]
-            self._broadcast(digests.News(part))
+            self._broadcast(digests.News(part, era))
+
+    def send_departure(self, departure: targets.Departure) -> None:
+        """Tells the peers that a target said that it leaves."""
+        if self._transport is not None:
+            self._broadcast(digests.Departures((departure,)))
 
     async def newest(self, stream: api.StoreStream, host: str) -> api.Batch:
         url = f'http://{host}:{self._settings.peers_port}'
@@ -223,7 +238,10 @@
             self._pass_on(data, group, addr[0])
         match message:
             case digests.News(records=records):
-                self._apply_news(api.Batch(records, 0))
+                self._apply_news(api.Batch(records, 0, era=message.era))
+            case digests.Departures(rows=rows):
+                for departure in rows:
+                    self._apply_departure(departure)
             case digests.Digest():
                 self._take_digest(message)
 
@@ -298,6 +316,10 @@
                 known=self._some_hosts(), reports=self._own_reports()
             ),
         )
+        # It may have started after they left, while the store names them.
+        departures = self._departures(_DEPARTURES_TOLD)
+        if departures:
+            self._send(host, self._encode(digests.Departures(departures)))
 
     def _drop(self, instance_id: str, reason: str) -> None:
         peer = self._peers.pop(instance_id, None)
@@ -370,7 +392,7 @@
             leaving,
         )
 
-    def _broadcast(self, message: digests.Digest | digests.News) -> None:
+    def _broadcast(self, message: digests.Message) -> None:
         data = self._encode(message)
         self._sent_s = self._timers.monotonic_s()
         for hop in self._roster.plan(self._rng):
@@ -383,7 +405,7 @@
         if self._transport is not None:
             self._transport.sendto(data, (host, self._settings.peers_port))
 
-    def _encode(self, message: digests.Digest | digests.News) -> bytes:
+    def _encode(self, message: digests.Message) -> bytes:
         data = digests.encode(message)
         if len(data) > _DATAGRAM_BYTES_MAX:
             events.log(LOG, events.DATAGRAM_OVERSIZED, size_bytes=len(data))
--- a/packages/daemon/src/dotterelweird/gateway/refusing.py
+++ b/packages/daemon/src/dotterelweird/gateway/refusing.py
@@ -3,6 +3,7 @@
 from dotterelweir_core import errors
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import pausing
 
 # Bounds of the time after which a caller may come back, in seconds. Callers
 # that were refused together come back spread over the range.
@@ -15,7 +16,14 @@
 def retry_after_s(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> float:
-    """When the caller may come back, in seconds."""
+    """When the caller may come back, in seconds.
+
+    If only pauses of targets keep the request from being sent, that is
+    after the first of them, however far away.
+    """
+    pause_s = pausing.left_s(parts, exchange)
+    if pause_s:
+        return pause_s + parts.rng.uniform(0.0, _RETRY_AFTER_MIN_S)
     left_s = exchange.deadline_s - parts.timers.monotonic_s()
     bound_s = max(0.0, _HEEDED_SHARE * left_s)
     return min(
--- a/packages/daemon/src/dotterelweird/gateway/releasing.py
+++ b/packages/daemon/src/dotterelweird/gateway/releasing.py
@@ -4,6 +4,8 @@
 import logging
 
 from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 
@@ -22,10 +24,19 @@
 
     Args:
         runs: Control of runs at model engines.
+        timer_service: The timer service.
+        pause_book: Until when engines want nothing from this instance.
     """
 
-    def __init__(self, runs: api.RunControl) -> None:
+    def __init__(
+        self,
+        runs: api.RunControl,
+        timer_service: timers.TimerService,
+        pause_book: pauses.PauseBook,
+    ) -> None:
         self._runs = runs
+        self._timers = timer_service
+        self._pauses = pause_book
         # The event loop itself keeps only weak references to tasks.
         self._tasks: set[asyncio.Task] = set()
 
@@ -55,6 +66,8 @@
         # The source frees it at both engines, but may be gone.
         freed_by = None
         for engine in (source, destination):
+            if self._pauses.is_paused(engine, self._timers.monotonic_s()):
+                continue
             if await self._runs.release(engine, copy, _RELEASE_TIMEOUT_S):
                 freed_by = engine.target_id
                 break
--- a/packages/daemon/src/dotterelweird/gateway/rooms.py
+++ b/packages/daemon/src/dotterelweird/gateway/rooms.py
@@ -64,11 +64,12 @@
 def _has_room(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> bool:
-    """Whether some engine has room; true if none is known at all."""
+    """Whether some engine has room; true if none takes work at all."""
     ready = [
         target
         for target in parts.directory.of_service(exchange.service.name)
         if target.state is targets.TargetState.READY
+        and not parts.is_paused(target)
     ]
     return not ready or any(
         parts.placer.has_room(target, exchange.service, exchange.tokens)
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -17,6 +17,8 @@
         recoveries: Streams that went on after their target, by way.
         first_byte_s: Time to the first byte of an answer, in seconds.
         answer_s: Time to the end of an answer, in seconds.
+        notices: What targets said of themselves, by kind.
+        rewinds: Times that the store came back from an older copy.
         running: Requests in flight at callers.
         tables_version: Version of the tables in force.
     """
@@ -38,6 +40,16 @@
             'Streams that went on at another target',
             registry=self._registry,
         )
+        self.notices = aioprometheus.Counter(
+            'dotterelweir_gateway_target_notices_total',
+            'Targets that said that they leave, or asked for a pause',
+            registry=self._registry,
+        )
+        self.rewinds = aioprometheus.Counter(
+            'dotterelweir_gateway_store_rewinds_total',
+            'Times that the store came back from an older copy',
+            registry=self._registry,
+        )
         self.first_byte_s = aioprometheus.Histogram(
             'dotterelweir_gateway_first_byte_seconds',
             'Time to the first byte of an answer',
--- a/packages/daemon/tests/gateway/test_following.py
+++ b/packages/daemon/tests/gateway/test_following.py
@@ -164,3 +164,60 @@
     async with asyncio.timeout(1.5):
         while 'shop-1' in deployment.gateway._directory.targets:
             await asyncio.sleep(0.02)
+
+
+@pytest.fixture
+async def rewound(deployment):
+    """A gateway whose store came back from a copy.
+
+    The copy has an old key, and a target that has left since.
+    """
+    store = deployment.store
+    store.era = 1
+    old = fleet.configuration(2)
+    old['tenants'][0]['keys'].append('old-key')
+    await store.write_json('keyed.op', 'config', old)
+    await deployment.wait_store_read()
+    store.copy()
+    await store.write_json('keyed.op', 'config', fleet.configuration(3))
+    await store.write('keyed.servers', 'shop-2', b'')
+    async with asyncio.timeout(4):
+        while (
+            deployment.gateway.tables_version != 3
+            or 'shop-2' in deployment.gateway._directory.targets
+        ):
+            await asyncio.sleep(0.02)
+    store.rewind()
+    return deployment
+
+
+async def status_with_key(deployment, key):
+    async with deployment.request('book', Api_Key=key) as answer:
+        await answer.read()
+        return answer.status
+
+
+async def test_a_rewind_brings_nothing_back(rewound):
+    """Guards against withdrawn keys and targets that left, in use again."""
+    for _ in range(3):
+        await rewound.wait_store_read()
+        assert await status_with_key(rewound, 'old-key') == 401
+        assert not rewound.gateway._directory.takes_work('shop-2')
+    assert await status_with_key(rewound, fleet.KEY) == 200
+    # Offsets are given out again.
+    await rewound.store.write_json(
+        'keyed.op', 'config', fleet.configuration(4, host='other.example')
+    )
+    await wait_for_status(rewound, 'book', 404)
+
+
+async def test_an_instance_that_starts_after_a_rewind_asks_its_peers(rewound):
+    """Guards against withdrawn keys in use at a restarted instance."""
+    late = await rewound.start_second()
+    async with asyncio.timeout(5):
+        while late.tables_version != 3:
+            await asyncio.sleep(0.02)
+    async with asyncio.timeout(5):
+        while late._directory.takes_work('shop-2'):
+            await asyncio.sleep(0.02)
+    assert late._directory.takes_work('shop-1')
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_notices.py
@@ -0,0 +1,249 @@
+"""What targets say of themselves in their answers, on real connections."""
+
+import asyncio
+
+import pytest
+
+from dotterelweir_fakes.fleet import deployment as fleet
+
+
+def received(deployment, name):
+    """How many requests an engine got."""
+    return len(deployment.engines[name].received)
+
+
+async def answer_of(deployment, route, number=0, **options):
+    async with deployment.request(
+        route, f'request-{number}', **options
+    ) as answer:
+        await answer.read()
+        return answer
+
+
+async def send_until(deployment, route, name):
+    """Sends requests until one has reached an engine."""
+    for number in range(100):
+        if received(deployment, name):
+            return
+        await answer_of(deployment, route, number)
+    raise AssertionError(f'{name} got nothing')
+
+
+@pytest.mark.parametrize(
+    ('route', 'name', 'behaviour'),
+    [
+        ('book', 'shop-1', {}),
+        ('read', 'shop-1', {'status': 500}),
+        ('book', 'shop-1', {'refuse': True}),
+        ('guide', 'engine-1', {}),
+        ('check', 'engine-1', {'refuse': True}),
+    ],
+)
+async def test_a_target_that_says_it_leaves_gets_nothing_new(
+    deployment, route, name, behaviour
+):
+    """Guards against work for a target that the store still calls ready."""
+    engine = deployment.engines[name]
+    engine.behaviour.leaving = True
+    for field, value in behaviour.items():
+        setattr(engine.behaviour, field, value)
+    await send_until(deployment, route, name)
+    engine.behaviour.leaving = False
+    # Its entry stays ready, and lapses and returns.
+    service = 'model' if name.startswith('engine') else 'plain'
+    await deployment.register(name, service)
+    await deployment.store.write('keyed.servers', name, b'')
+    await deployment.register(name, service)
+    await deployment.wait_store_read()
+    before = received(deployment, name)
+    for number in range(20):
+        await answer_of(deployment, route, 100 + number)
+    assert received(deployment, name) == before
+
+
+async def test_a_new_start_of_a_target_that_left_is_used(deployment):
+    """Guards against a name that is never used again."""
+    engine = deployment.engines['shop-1']
+    engine.behaviour.leaving = True
+    await send_until(deployment, 'book', 'shop-1')
+    engine.behaviour.leaving = False
+    engine.started_ms = 1_700_000_000_000
+    await deployment.register('shop-1', 'plain')
+    directory = deployment.gateway._directory
+    async with asyncio.timeout(2):
+        while not directory.takes_work('shop-1'):
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    'behaviour',
+    [
+        {'echo_id': False},
+        {
+            'raw': b'HTTP/1.1 200 OK\r\nServer-Leaving: 1\r\n'
+            b'X-Upstream-Seal: s\r\nX-Attempt-Id: other\r\n'
+            b'Content-Length: 1\r\n\r\nx'
+        },
+    ],
+)
+async def test_an_answer_of_another_request_says_nothing(
+    deployment, behaviour
+):
+    """Guards against a damaged answer that takes a target out of use."""
+    engine = deployment.engines['shop-1']
+    engine.behaviour.leaving = True
+    for field, value in behaviour.items():
+        setattr(engine.behaviour, field, value)
+    await send_until(deployment, 'book', 'shop-1')
+    assert deployment.gateway._directory.takes_work('shop-1')
+
+
+async def switch_backups_off(deployment):
+    """Makes runs depend on being moved when their engine leaves."""
+    changed = fleet.configuration(2)
+    changed['services'][1]['engine']['backups'] = False
+    await deployment.store.write_json('keyed.op', 'config', changed)
+    async with asyncio.timeout(3):
+        while deployment.gateway.tables_version != 2:
+            await asyncio.sleep(0.01)
+
+
+async def start_streams(deployment, count):
+    """Starts long streams.
+
+    Returns:
+        Their tasks, and the two engines, the busier one first.
+    """
+    engines = [deployment.engines[n] for n in ('engine-1', 'engine-2')]
+    streams = [
+        asyncio.create_task(answer_of(deployment, 'guide', number))
+        for number in range(count)
+    ]
+    async with asyncio.timeout(2):
+        while sum(len(engine.ran) for engine in engines) < count:
+            await asyncio.sleep(0.01)
+    return streams, sorted(engines, key=lambda engine: -len(engine.ran))
+
+
+async def test_runs_move_when_their_engine_says_that_it_leaves(deployment):
+    """Guards against runs that wait for the store to name a leaving engine."""
+    await switch_backups_off(deployment)
+    for name in ('engine-1', 'engine-2'):
+        deployment.engines[name].behaviour.event_s = 0.02
+        deployment.engines[name].behaviour.events = 60
+    streams, (leaving, _) = await start_streams(deployment, 6)
+    leaving.behaviour.leaving = True
+    # Short requests to both engines bring the notice.
+    await asyncio.gather(
+        *(answer_of(deployment, 'check', 100 + n) for n in range(8))
+    )
+    answers = await asyncio.gather(*streams)
+    assert {answer.status for answer in answers} == {200}
+    assert any(move['last'] for move in leaving.moves)
+
+
+async def test_a_paused_target_gets_nothing_until_the_end(deployment):
+    """Guards against requests to a target that asked for a pause."""
+    engine = deployment.engines['shop-1']
+    engine.behaviour.refuse = True
+    engine.behaviour.retry_after = '0.6'
+    await send_until(deployment, 'book', 'shop-1')
+    loop = asyncio.get_running_loop()
+    end_s = loop.time() + 0.5
+    engine.behaviour.refuse = False
+    before = received(deployment, 'shop-1')
+    number = 100
+    while loop.time() < end_s:
+        number += 1
+        assert (await answer_of(deployment, 'book', number)).status == 200
+    assert received(deployment, 'shop-1') == before
+    # The other one leaves, so that a free target must be used.
+    deployment.engines['shop-2'].behaviour.leaving = True
+    async with asyncio.timeout(3):
+        while received(deployment, 'shop-1') == before:
+            number += 1
+            await answer_of(deployment, 'book', number)
+
+
+@pytest.mark.parametrize('route', ['book', 'check'])
+async def test_a_request_waits_for_a_pause_that_ends_in_time(
+    deployment, route
+):
+    """Guards against refusals of what can be served in time."""
+    for engine in deployment.engines.values():
+        engine.behaviour.refuse = True
+        engine.behaviour.retry_after = '0.3'
+    assert (await answer_of(deployment, route)).status == 503
+    for engine in deployment.engines.values():
+        engine.behaviour.refuse = False
+    assert (await answer_of(deployment, route, 1)).status == 200
+
+
+@pytest.mark.parametrize('route', ['book', 'read', 'guide', 'check'])
+async def test_a_request_that_all_pauses_outlast_is_refused_at_once(
+    deployment, route
+):
+    """Guards against callers who wait for what is known to fail."""
+    for engine in deployment.engines.values():
+        engine.behaviour.refuse = True
+        engine.behaviour.retry_after = '20.5'
+    await answer_of(deployment, route)
+    counts = {name: received(deployment, name) for name in deployment.engines}
+    loop = asyncio.get_running_loop()
+    began_s = loop.time()
+    answer = await answer_of(deployment, route, 1)
+    assert loop.time() - began_s < 0.5
+    assert answer.status == 503
+    assert 19.0 < float(answer.headers['Retry-After']) < 21.0
+    assert counts == {
+        name: received(deployment, name) for name in deployment.engines
+    }
+
+
+@pytest.mark.parametrize(
+    'text', ['-5', 'nan', 'soon', '0', 'Fri, 04 Dec 2026 12:00:00 GMT']
+)
+async def test_a_retry_after_that_is_no_time_is_no_pause(deployment, text):
+    """Guards against targets that are left alone for a bad header."""
+    engine = deployment.engines['shop-1']
+    engine.behaviour.refuse = True
+    engine.behaviour.retry_after = text
+    await send_until(deployment, 'book', 'shop-1')
+    target = deployment.gateway._directory.targets['shop-1']
+    assert not deployment.gateway._parts.is_paused(target)
+
+
+async def test_a_pause_of_a_year_ends_with_a_new_start(deployment):
+    """Guards against a target that is lost for a year."""
+    engine = deployment.engines['shop-1']
+    engine.behaviour.refuse = True
+    engine.behaviour.retry_after = '1e308'
+    await send_until(deployment, 'book', 'shop-1')
+    engine.behaviour.refuse = False
+    before = received(deployment, 'shop-1')
+    for number in range(100, 120):
+        await answer_of(deployment, 'book', number)
+    assert received(deployment, 'shop-1') == before
+    engine.started_ms = 1_700_000_000_000
+    await deployment.register('shop-1', 'plain')
+    deployment.engines['shop-2'].behaviour.leaving = True
+    async with asyncio.timeout(3):
+        while received(deployment, 'shop-1') == before:
+            number += 1
+            await answer_of(deployment, 'book', number)
+
+
+async def test_a_paused_engine_gets_no_orders(deployment):
+    """Guards against moves and releases that a paused engine must not get."""
+    await switch_backups_off(deployment)
+    for name in ('engine-1', 'engine-2'):
+        behaviour = deployment.engines[name].behaviour
+        behaviour.event_s, behaviour.events = 0.02, 60
+        behaviour.move_status, behaviour.retry_after = 503, '30'
+    streams, (engine, _) = await start_streams(deployment, 4)
+    runs = len(engine.ran)
+    await deployment.register(engine.target_id, 'model', 'draining')
+    await asyncio.gather(*streams)
+    # Each of its runs asked once at most before the pause was known.
+    assert 0 < len(engine.moves) <= runs
+    assert engine.released == []
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -9,6 +9,7 @@
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import repeats
+from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import following
 from dotterelweird.gateway import peers
@@ -44,6 +45,8 @@
         factory=lambda: repeats.BudgetBook(0.2, 50.0, 10.0)
     )
     news: list = attrs.field(factory=list)
+    departed: list = attrs.field(factory=list)
+    known_departures: tuple = ()
     reports: dict = attrs.field(factory=dict)
     heard: list = attrs.field(factory=list)
     exchange: peers.PeerExchange = attrs.field(init=False)
@@ -58,6 +61,8 @@
             self.budgets,
             None,
             self.news.append,
+            lambda count: self.known_departures[:count],
+            self.departed.append,
             lambda: self.reports,
             lambda host, reports: self.heard.append((host, reports)),
         )
@@ -145,10 +150,11 @@
     first, second, third = network.nodes.values()
     record = api.Record('t1', b'{"state":"draining"}', 12)
     first.exchange.send_news(
-        api.StoreStream.TARGETS, [record, api.Record('t2', None, 13)]
+        api.StoreStream.TARGETS, [record, api.Record('t2', None, 13)], 4
     )
     for node in (second, third):
         (batch,) = node.news
+        assert batch.era == 4
         assert batch.records == (record, api.Record('t2', None, 13))
 
 
@@ -161,6 +167,8 @@
         b'{}',
         b'{"n": 7}',
         b'{"n": [["k"]]}',
+        b'{"n": [], "e": "x"}',
+        b'{"d": [["t1"]]}',
         b'>',
         b'>\x00\x03\x00\x02{}',
         b'>\x00\x00\x00\x00{}',
@@ -254,7 +262,7 @@
 def test_reports_reach_every_peer(network):
     """Guards against instances that all read what one has read."""
     first, second, third = network.nodes.values()
-    report = following.ReadReport(7, 'c', 0.25)
+    report = following.ReadReport(7, 'c', 0.25, era=3)
     first.reports[api.StoreStream.TARGETS] = report
     first.exchange.send_reports()
     for node in (second, third):
@@ -284,3 +292,25 @@
         pass
     network.timers.advance(0.05)
     assert not second.budgets.take('s', network.timers.monotonic_s())
+
+
+DEPARTURE = targets.Departure('t1', 1_700_000_000_000, announced=True)
+
+
+def test_a_departure_reaches_every_peer(network):
+    """Guards against work that peers give to a target that said it leaves."""
+    first, second, third = network.nodes.values()
+    first.exchange.send_departure(DEPARTURE)
+    assert second.departed == third.departed == [DEPARTURE]
+    assert first.departed == []
+
+
+def test_an_instance_that_starts_is_told_who_left(network):
+    """Guards against targets that a restarted instance uses again.
+
+    The store may have come back from a copy that still names them.
+    """
+    network.nodes['10.0.0.1'].known_departures = (DEPARTURE,)
+    late = network.add('10.0.0.4')
+    network.timers.advance(1.0)
+    assert DEPARTURE in late.departed
--- a/packages/daemon/tests/gateway/test_turns.py
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -16,6 +16,7 @@
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import following
 from dotterelweird.gateway import keepers
+from dotterelweird.gateway import statistics
 
 STREAM = api.StoreStream.TARGETS
 # Turns of the event loop in which every task that was woken has run.
@@ -29,6 +30,7 @@
         self._timers = timer_service
         self.records = []
         self.reads = 0
+        self.era = 0
         self.turned_away = set()
 
     def view(self, host):
@@ -43,12 +45,20 @@
         value = state.encode() if state else None
         self.records.append(api.Record(key, value, len(self.records)))
 
+    def rewind(self, end):
+        """Comes back from a copy that had so many records."""
+        self.era += 1
+        del self.records[end:]
+
     async def _call(self, host, offset):
         self.reads += 1
         await timers.sleep(self._timers, 0.002)
         if host in self.turned_away:
             raise api.StoreUnavailable('turned away')
-        return api.Batch(tuple(self.records[offset:]), len(self.records))
+        if offset > len(self.records):
+            raise api.RecordsExpired('no such offset')
+        rest = tuple(self.records[offset:])
+        return api.Batch(rest, len(self.records), era=self.era)
 
     async def newest(self, stream):
         raise NotImplementedError
@@ -100,6 +110,7 @@
             reading.ReadTurn(0.15, 0.5, fleet.rng),
             self.keeper,
             self,
+            statistics.Statistics(),
         )
 
     @property
@@ -116,13 +127,13 @@
         for other in self.others():
             other.follower.take_report(self.host, sent.reports[STREAM])
 
-    def send_news(self, stream, records):
+    def send_news(self, stream, records, era):
         if not self.fleet.loses_news:
-            batch = api.Batch(tuple(records), 0)
+            batch = api.Batch(tuple(records), 0, era=era)
             for other in self.others():
                 self.fleet.timers.call_after(
                     self.fleet.news_delay_s,
-                    functools.partial(other.keeper.apply, batch),
+                    functools.partial(other.follower.take_news, batch),
                 )
 
     async def newest(self, stream, host):
@@ -368,3 +379,151 @@
         3.0,
     )
     assert 'follower-failed' in caplog.text
+
+
+@pytest.fixture
+async def rewound(fleet):
+    """A fleet that knows that t1 left, before a store that forgot it."""
+    fleet.store.write('t1', None)
+    await fleet.until(lambda one: 't1' not in one.directory.targets)
+    for _ in range(5):
+        fleet.store.write('t2', 'ready')
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    return fleet
+
+
+async def test_a_rewind_is_noticed_by_all(rewound):
+    """Guards against records that wait for offsets of before a rewind."""
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'))
+
+
+async def test_a_rewind_is_noticed_when_its_offsets_are_reached_again(fleet):
+    """Guards against a hole in what is read after a rewind."""
+    fleet.store.write('t2', 'ready')
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    fleet.store.write('t2', 'draining')
+    fleet.store.write('t1', 'ready')
+    await fleet.until(lambda one: not one.directory.takes_work('t2'))
+    assert all(one.directory.takes_work('t1') for one in fleet.instances)
+
+
+async def test_who_left_before_a_rewind_does_not_come_back(rewound):
+    """Guards against a target in use again that had left."""
+    for _ in range(30):
+        await rewound.advance(0.1)
+        assert not any(
+            one.directory.takes_work('t1') for one in rewound.instances
+        )
+
+
+async def test_who_is_missing_from_a_copy_may_register_again(fleet):
+    """Guards against targets dropped because they are younger than a copy."""
+    fleet.store.write('t3', 'ready')
+    await fleet.until(lambda one: one.directory.takes_work('t3'))
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    await fleet.advance(0.4)
+    assert all(one.directory.takes_work('t3') for one in fleet.instances)
+    fleet.store.write('t3', 'ready')
+    await fleet.advance(2.0)
+    assert all(one.directory.takes_work('t3') for one in fleet.instances)
+
+
+async def test_who_does_not_register_again_after_a_rewind_is_gone(fleet):
+    """Guards against targets that are believed in for ever."""
+    fleet.store.write('t3', 'ready')
+    await fleet.until(lambda one: one.directory.takes_work('t3'))
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    await fleet.until(lambda one: 't3' not in one.directory.targets, 3.0)
+
+
+async def test_two_rewinds_in_a_row(rewound):
+    """Guards against what was deferred for the first rewind."""
+    await rewound.advance(0.2)
+    rewound.store.rewind(1)
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'))
+    await rewound.advance(1.5)
+    assert not any(one.directory.takes_work('t1') for one in rewound.instances)
+    rewound.store.write('t1', 'ready')
+    await rewound.until(lambda one: one.directory.takes_work('t1'))
+
+
+async def test_an_instance_in_a_cut_catches_up_with_two_rewinds(fleet):
+    """Guards against an instance that saw none of the eras between."""
+    fleet.loses_news = True
+    fleet.store.turned_away = {'h0'}
+    fleet.store.rewind(1)
+    await fleet.advance(1.0)
+    fleet.store.rewind(1)
+    fleet.store.write('t2', 'ready')
+    fleet.store.write('t1', 'draining')
+    await fleet.advance(1.0)
+    fleet.store.turned_away = set()
+    await fleet.until(lambda one: not one.directory.takes_work('t1'), 3.0)
+    assert fleet.by_host('h0').directory.takes_work('t2')
+
+
+async def test_a_late_answer_of_a_former_era_changes_nothing(rewound):
+    """Guards against a store whose era seems to fall."""
+    await rewound.advance(1.0)
+    rewound.store.era = 0
+    rewound.store.write('t1', 'ready')
+    await rewound.advance(2.0)
+    assert not any(one.directory.takes_work('t1') for one in rewound.instances)
+    rewound.store.era = 1
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'), 3.0)
+
+
+async def test_a_store_that_stays_at_a_lower_era_is_believed(rewound):
+    """Guards against instances that ignore a replaced store for ever."""
+    await rewound.advance(1.0)
+    rewound.store.era = 0
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'), 9.0)
+
+
+async def test_a_peer_with_a_higher_era_costs_few_reads(fleet):
+    """Guards against a peer that makes all others read again and again."""
+    before = fleet.store.reads
+    bogus = following.ReadReport(99, 'other', 0.0, era=7)
+    record = api.Record('t1', b'draining', 99)
+    for _ in range(30):
+        for one in fleet.instances:
+            one.follower.take_report('h0', bogus)
+            one.follower.take_news(api.Batch((record,), 0, era=7))
+        await fleet.advance(0.05)
+    assert fleet.store.reads - before < 80
+    assert all(one.directory.takes_work('t1') for one in fleet.instances)
+    fleet.store.write('t2', 'draining')
+    await fleet.until(lambda one: not one.directory.takes_work('t2'))
+
+
+async def test_news_of_a_former_era_change_nothing(rewound):
+    """Guards against news of a peer that has not noticed the rewind."""
+    await rewound.advance(1.0)
+    record = api.Record('t2', None, 900)
+    for one in rewound.instances:
+        one.follower.take_news(api.Batch((record,), 0, era=0))
+    assert all(one.directory.takes_work('t2') for one in rewound.instances)
+
+
+async def test_an_instance_that_starts_after_a_rewind_is_told_by_peers(
+    rewound,
+):
+    """Guards against offsets of peers that a later record cannot overtake."""
+    await rewound.advance(1.5)
+    late = Instance('late', rewound)
+    rewound.store.turned_away = {'late'}
+    rewound.instances.append(late)
+    task = asyncio.create_task(late.follower.run())
+    await rewound.until(lambda one: one.follower.known)
+    rewound.store.turned_away = set()
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'))
+    task.cancel()
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -1,11 +1,16 @@
 """Formats of the platform's store."""
 
+import contextlib
 import struct
 
+import aiohttp
+from aiohttp import web
+import orjson
 import pytest
 
 from dotterelweir_platform import store
 from dotterelweird.gateway import api
+from dotterelweird.gateway import settings as gateway_settings
 
 HEAD = struct.pack('>QQ', 9, 0)
 
@@ -15,6 +20,27 @@
     return struct.pack('>I', len(content)) + content
 
 
+@contextlib.asynccontextmanager
+async def store_answering(bodies, eras):
+    """A client of a store that gives some answers in turn."""
+    answers = iter(zip(bodies, eras, strict=True))
+
+    async def answer(request):
+        body, era = next(answers)
+        headers = {'Store-Era': era} if era else {}
+        return web.Response(body=body, headers=headers)
+
+    runner = web.ServerRunner(web.Server(answer))
+    await runner.setup()
+    await web.TCPSite(runner, '127.0.0.1', 0).start()
+    address = gateway_settings.Address(*runner.addresses[0][:2])
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield store.PlatformStore(session, address)
+    finally:
+        await runner.cleanup()
+
+
 def test_records_are_numbered_from_the_asked_offset():
     """Guards against offsets that are one off."""
     body = HEAD + record(b'a', b'1') + record(b'b', b'')
@@ -52,3 +78,27 @@
     """Guards against a cut answer that is taken for a short one."""
     with pytest.raises(api.StoreUnavailable):
         store.parse_records(body, 7)
+
+
+@pytest.mark.parametrize(
+    ('text', 'era'), [('7', 7), ('', 0), ('x', 0), ('-1', 0), ('²', 0)]
+)
+async def test_every_answer_names_its_era(text, era):
+    """Guards against offsets of one era that are used in another."""
+    async with store_answering([HEAD], [text]) as client:
+        batch = await client.read(api.StoreStream.TARGETS, 7)
+    assert batch.era == era
+
+
+async def test_pages_of_two_eras_are_no_snapshot():
+    """Guards against a snapshot that is joined of two histories."""
+    page = orjson.dumps(
+        {
+            'items': [{'key': 'a', 'value': '', 'offset': 1}],
+            'hasMore': True,
+            'end': 2,
+        }
+    )
+    async with store_answering([page, page], ['1', '2']) as client:
+        with pytest.raises(api.StoreUnavailable):
+            await client.newest(api.StoreStream.TARGETS)
