Defer removals from the first read of the store by anybody

The store had turned the instance away until 11.5 s. Its peers kept it up to date, so that its own turn to read came at 15.3 s, and only then did it count the store as back and defer removals for two seconds.

Instances now note when the store answered anybody, which reports of peers tell, also those of instances that defer removals themselves. The deferral runs from the first answer after a time without any; an instance that alone was turned away defers nothing. Two tests in virtual time fail before.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -318,7 +318,8 @@
             return web.json_response(self._status())
         name = request.path.removeprefix(peers.STATE_PATH)
         for stream, follower in self._streams.items():
-            if name == stream.value and follower.report is not None:
+            report = follower.report
+            if name == stream.value and report is not None and report.content:
                 body = digests.encode_batch(follower.state())
                 return web.Response(body=body)
         return web.Response(status=404)
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -30,6 +30,9 @@
 # Time for which answers of a lower era are taken for late ones, in seconds;
 # then the store itself is believed. Calls are under way for less than that.
 _ERA_FALL_S = 5.0
+# Time without a read of the store by anybody after which it counts as having
+# been away for all, in seconds: twice the longest time between two turns.
+_AWAY_S = 1.5
 
 
 @attrs.frozen
@@ -39,6 +42,8 @@
     Attributes:
         position: Grows with what is known: a version or an offset.
         content: Names what is known; equal for instances that know the same.
+            Empty for one that waits for entries to come back: it only tells
+            that the store answers.
         age_s: Time since a read of the store found it, in seconds.
         era: Era of the store that an offset belongs to.
     """
@@ -110,16 +115,16 @@
         self._refuted_era = -1
         # When the store began to answer with a lower era.
         self._fallen_since_s: float | None = None
+        # Since when the store has answered somebody, and the newest time.
+        self._answers_since_s = float('-inf')
+        self._answered_s = float('-inf')
         self.available = False
         self.known = False
 
     @property
     def report(self) -> ReadReport | None:
-        """What this instance knows; None if that is not the store's state.
-
-        It is None, too, for what a peer told and no read has confirmed yet.
-        """
-        if math.isinf(self._turn.fresh_s) or not self._keeper.content:
+        """What this instance knows; None if no read has confirmed it."""
+        if math.isinf(self._turn.fresh_s):
             return None
         age_s = self._timers.monotonic_s() - self._turn.fresh_s
         return ReadReport(
@@ -146,7 +151,8 @@
             report: What it knows.
         """
         now_s = self._timers.monotonic_s()
-        if self.known and not self._keeper.content:
+        self._note_answer(now_s - report.age_s)
+        if not report.content or (self.known and not self._keeper.content):
             return
         if self.known and self._says_the_same(report):
             if self._offset is not None and self._keeper.position is None:
@@ -260,12 +266,12 @@
         if self._offset is None:
             batch = await self._store.newest(self._stream)
             self._check_era(batch.era)
-            self._mark_available()
+            self._mark_available(began_s)
             self._keeper.apply_snapshot(batch)
         else:
             batch = await self._store.read(self._stream, self._offset)
             rewound = self._check_era(batch.era)
-            self._mark_available()
+            self._mark_available(began_s)
             if rewound:
                 # The offset names other records now; all are read anew.
                 return
@@ -375,15 +381,23 @@
             position=self._position,
         )
 
-    def _mark_available(self) -> None:
+    def _note_answer(self, read_s: float) -> None:
+        """Takes note that the store answered somebody at some time."""
+        if read_s - self._answered_s > _AWAY_S:
+            self._answers_since_s = read_s
+        self._answered_s = max(self._answered_s, read_s)
+
+    def _mark_available(self, read_s: float) -> None:
         self._backoff.reset()
+        self._note_answer(read_s)
         if self.available:
             return
         had_outage = self.known
         self.available = True
         events.log(LOG, events.STORE_REACHABLE, stream=self._stream.value)
         if had_outage:
-            self._keeper.store_returned()
+            # Others may have read it before, or all the while.
+            self._keeper.store_returned(self._answers_since_s)
 
     def _mark_unavailable(self, reason: str) -> None:
         if self.available or not self.known:
@@ -424,8 +438,13 @@
         """
 
     @abc.abstractmethod
-    def store_returned(self) -> None:
-        """Takes note that the store answers again after an outage."""
+    def store_returned(self, since_s: float) -> None:
+        """Takes note that the store answers again after an outage.
+
+        Args:
+            since_s: Monotonic time since when it has answered somebody; long
+                ago if it was away for this instance only.
+        """
 
     @abc.abstractmethod
     def store_rewound(self) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -40,7 +40,7 @@
         """Calls a function with each new version."""
         self._listeners.append(listener)
 
-    def store_returned(self) -> None:
+    def store_returned(self, since_s: float) -> None:
         """Does nothing: tables do not lapse."""
 
     def store_rewound(self) -> None:
@@ -146,16 +146,18 @@
             if key in self._directory.targets
         )
 
-    def store_returned(self) -> None:
+    def store_returned(self, since_s: float) -> None:
         """Takes note that the store answers again after an outage."""
-        self._settled_at_s = self._timers.monotonic_s() + self._settle_s
+        self._settled_at_s = max(
+            self._settled_at_s, since_s + self._settle_s
+        )
 
     def store_rewound(self) -> None:
         """Takes note that the store came back from an older copy.
 
         Targets that registered after the copy was made register again.
         """
-        self.store_returned()
+        self.store_returned(self._timers.monotonic_s())
         self._directory.begin_era()
         # Any record of the new era is newer.
         self._records = {
