Count a short outage of the store as one, too

An outage that this instance noticed and that nobody saw end is one, however short: test_entries_that_lapsed_in_an_outage_may_come_back failed once of two runs of the suite.

The deferral now runs from the first answer to anybody after the failure that this instance saw, or after a later time without any.

--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -115,9 +115,11 @@
         self._refuted_era = -1
         # When the store began to answer with a lower era.
         self._fallen_since_s: float | None = None
-        # Since when the store has answered somebody, and the newest time.
-        self._answers_since_s = float('-inf')
+        # Since when the store has answered somebody again, after it failed
+        # this instance; None before. And the newest time that it did.
+        self._answers_since_s: float | None = None
         self._answered_s = float('-inf')
+        self._failed_s = float('-inf')
         self.available = False
         self.known = False
 
@@ -383,9 +385,12 @@
 
     def _note_answer(self, read_s: float) -> None:
         """Takes note that the store answered somebody at some time."""
-        if read_s - self._answered_s > _AWAY_S:
+        if read_s <= max(self._answered_s, self._failed_s):
+            return
+        away = read_s - self._answered_s > _AWAY_S
+        if away or self._answers_since_s is None:
             self._answers_since_s = read_s
-        self._answered_s = max(self._answered_s, read_s)
+        self._answered_s = read_s
 
     def _mark_available(self, read_s: float) -> None:
         self._backoff.reset()
@@ -395,7 +400,7 @@
         had_outage = self.known
         self.available = True
         events.log(LOG, events.STORE_REACHABLE, stream=self._stream.value)
-        if had_outage:
+        if had_outage and self._answers_since_s is not None:
             # Others may have read it before, or all the while.
             self._keeper.store_returned(self._answers_since_s)
 
@@ -407,6 +412,9 @@
                 stream=self._stream.value,
                 reason=reason,
             )
+        if self.available:
+            self._failed_s = self._timers.monotonic_s()
+            self._answers_since_s = None
         self.available = False
 
 
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -148,9 +148,7 @@
 
     def store_returned(self, since_s: float) -> None:
         """Takes note that the store answers again after an outage."""
-        self._settled_at_s = max(
-            self._settled_at_s, since_s + self._settle_s
-        )
+        self._settled_at_s = max(self._settled_at_s, since_s + self._settle_s)
 
     def store_rewound(self) -> None:
         """Takes note that the store came back from an older copy.
