Admit generations by what their prompts cost the next ones

Now: runs whose output takes no longer than their prompt wait for no memory and have a line of their own; a prompt that can wait is sent only where the next urgent one would still be on time; the earliest due time goes first; an avoided engine has no room. How fast engines read prompts is learned from runs that found no other prompt.

--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -105,6 +105,16 @@
     last_outcome_s: float = float('-inf')
     outcomes: Outcomes = attrs.field(factory=Outcomes)
 
+    @property
+    def held_tokens(self) -> float:
+        """Tokens that runs and copies of all instances will hold there."""
+        return self.tokens + self.backup_tokens + self.peer_tokens
+
+    @property
+    def waiting_prompt_tokens(self) -> float:
+        """Prompt tokens of all instances without a first event."""
+        return self.prefill_tokens + self.peer_prefill_tokens
+
     def is_avoided(self, now_s: float) -> bool:
         """Whether it gets no new work if another target can take it."""
         return now_s < self.avoid_until_s or self.outcomes.is_failing(now_s)
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -4,6 +4,7 @@
 whose memory is nearly full, while some targets are slow, failing or leaving.
 """
 
+from collections.abc import Callable
 import math
 import random
 
@@ -24,10 +25,6 @@
 # Share of an engine's memory above which a further token is expensive: the
 # engine preempts running requests when the memory is full.
 _MEMORY_KNEE = 0.7
-# Expected share of the memory, with all runs at their full length, up to
-# which long runs are admitted. Runs end one after another, so that the sum
-# of their full lengths is not reached.
-_ADMITTED_FILL_MAX = 1.0
 # Expected share of the memory up to which copies of runs are kept.
 _BACKUP_FILL_MAX = 0.75
 # Cost of a full memory, in requests of load.
@@ -100,6 +97,7 @@
         tokens: int,
         now_s: float,
         excluded: frozenset[str] | set[str] = frozenset(),
+        admits: Callable[[targets.Target], bool] | None = None,
     ) -> Choice | None:
         """Chooses the cheapest target that takes work.
 
@@ -109,6 +107,8 @@
             tokens: Tokens that the request will hold; 0 for plain calls.
             now_s: Monotonic time.
             excluded: Targets that must not be used.
+            admits: Whether a target has room for the request; others are
+                used only if none has. None if that is not asked.
 
         Returns:
             The choice, or None if no target takes work.
@@ -116,6 +116,8 @@
         usable = self._usable(candidates, excluded, now_s)
         if not usable:
             return None
+        if admits is not None:
+            usable = [one for one in usable if admits(one)] or usable
         costs = [
             (self._cost(target, service, tokens, now_s), target)
             for target in usable
@@ -164,16 +166,6 @@
             if not self.pause_book.is_paused(target, now_s)
         ]
 
-    def has_room(
-        self, target: targets.Target, service: tables.Service, tokens: int
-    ) -> bool:
-        """Whether a run can end at a target without a full memory."""
-        if service.engine is None or not service.engine.memory_tokens:
-            return True
-        held = self._held_tokens(target)
-        bound = _ADMITTED_FILL_MAX * service.engine.memory_tokens
-        return held == 0 or held + tokens <= bound
-
     def choose_backup(
         self,
         candidates: list[targets.Target],
@@ -264,8 +256,7 @@
         return held / (len(ready) * service.engine.memory_tokens)
 
     def _held_tokens(self, target: targets.Target) -> float:
-        load = self.loads.get(target.target_id)
-        return load.tokens + load.backup_tokens + load.peer_tokens
+        return self.loads.get(target.target_id).held_tokens
 
     def _cost(
         self,
@@ -287,8 +278,7 @@
             held = self._held_tokens(target) + tokens
             fill = held / service.engine.memory_tokens
             cost += _MEMORY_COST * max(0.0, fill - _MEMORY_KNEE)
-            waiting = load.prefill_tokens + load.peer_prefill_tokens
-            cost += waiting / _PREFILL_TOKENS_PER_REQUEST
+            cost += load.waiting_prompt_tokens / _PREFILL_TOKENS_PER_REQUEST
         elif target.slots:
             # A queue behind full slots costs a whole call for each request.
             cost *= 6.0 / target.slots
--- a/packages/core/src/dotterelweir_core/gateway/tables.py
+++ b/packages/core/src/dotterelweir_core/gateway/tables.py
@@ -155,6 +155,7 @@
     organisations: dict[str, Organisation] | None
     limits: CallerLimits
     _by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False)
+    _objectives_s: dict[str, float] = attrs.field(init=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         by_host: dict[str, list[Route]] = {}
@@ -163,6 +164,25 @@
         for routes in by_host.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
         object.__setattr__(self, '_by_host', by_host)
+        objectives_s: dict[str, float] = {}
+        for route in self.routes:
+            if route.kind is not RequestKind.STREAM:
+                continue
+            for service in route.services:
+                known_s = objectives_s.get(service.name, route.objective_s)
+                objectives_s[service.name] = min(known_s, route.objective_s)
+        object.__setattr__(self, '_objectives_s', objectives_s)
+
+    def shortest_objective_s(self, service: str) -> float:
+        """The shortest objective of the generations of a service.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The time in seconds; 0 if no route of generations names it.
+        """
+        return self._objectives_s.get(service, 0.0)
 
     def match(self, host: str, path: str) -> Route | None:
         """The route with the longest matching prefix, or None.
--- a/packages/core/src/dotterelweir_core/gateway/waiting.py
+++ b/packages/core/src/dotterelweir_core/gateway/waiting.py
@@ -1,8 +1,6 @@
-"""Order of long generations that wait for free engine memory.
+"""Order of generations that wait until an engine admits them.
 
-Answers the load of a crest: more long generations arrive than the engines'
-memory holds. Sent at once, they would make the engines preempt running
-ones, whose streams then pause for longer than their callers accept.
+Answers the load of a crest, see ``admission``.
 """
 
 import attrs
@@ -28,6 +26,11 @@
     arrived_s: float
     objective_s: float
 
+    @property
+    def due_s(self) -> float:
+        """Monotonic time of its objective."""
+        return self.arrived_s + self.objective_s
+
     def is_on_time(self, now_s: float) -> bool:
         """Whether it can still get its first event in time."""
         return now_s - self.arrived_s < _ON_TIME_SHARE * self.objective_s
@@ -41,8 +44,9 @@
 class WaitingLine:
     """Requests of one service that wait for room at this instance.
 
-    Those that can still be on time go first, in the order of their arrival;
-    one that is late anyway loses little by waiting longer.
+    Those that can still be on time go first, those with the earliest due
+    time before the others; one that is late anyway loses little by waiting
+    longer.
     """
 
     _tickets: list[Ticket] = attrs.field(factory=list)
@@ -62,6 +66,6 @@
         """Whether a request is the first to get room."""
         first = min(
             self._tickets,
-            key=lambda other: (not other.is_on_time(now_s), other.arrived_s),
+            key=lambda other: (not other.is_on_time(now_s), other.due_s),
         )
         return first is ticket
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -192,6 +192,7 @@
             tables.version,
             arrived_s,
             arrived_s + timeout_s,
+            tables.shortest_objective_s(service.name),
         )
 
     def _whole(self, answered: exchanges.Answered) -> web.Response:
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -13,6 +13,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
@@ -113,6 +114,7 @@
             placement.Placer(
                 settings.zone, self._loads, self._rng, pause_book
             ),
+            admission.Admission(self._loads),
             self._statistics,
             self._rng,
             repeats.BudgetBook(
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -1,11 +1,13 @@
 """Parts that the forwarding of requests shares."""
 
+import functools
 import random
 
 import aiohttp
 import attrs
 
 from dotterelweir_core import timers
+from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
@@ -35,6 +37,7 @@
         directory: The registered targets.
         loads: Load of each target.
         placer: Chooses targets.
+        admission: Decides when a generation may be sent to an engine.
         statistics: Counters and histograms.
         rng: Random source.
         budgets: Budgets of repeats.
@@ -53,6 +56,7 @@
     directory: targets.TargetDirectory
     loads: load.LoadBook
     placer: placement.Placer
+    admission: admission.Admission
     statistics: statistics.Statistics
     rng: random.Random
     budgets: repeats.BudgetBook
@@ -60,7 +64,9 @@
     pause_book: pauses.PauseBook
     take_notice: api.NoticeListener
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
-    _lines: dict[str, waiting.WaitingLine] = attrs.field(factory=dict)
+    _lines: dict[tuple[str, bool], waiting.WaitingLine] = attrs.field(
+        factory=dict
+    )
     releaser: releasing.CopyReleaser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -72,7 +78,21 @@
         self, exchange: exchanges.Exchange, excluded: set[str]
     ) -> placement.Choice | None:
         """Chooses a target for a request."""
-        return self.placer.choose(*self._question(exchange), excluded)
+        admits = None
+        if exchange.service.engine is not None:
+            admits = functools.partial(self.admits, exchange)
+        return self.placer.choose(*self._question(exchange), excluded, admits)
+
+    def admits(
+        self, exchange: exchanges.Exchange, target: targets.Target
+    ) -> bool:
+        """Whether a generation may be sent to an engine now."""
+        return self.admission.admits(
+            target,
+            exchange.service,
+            exchange.demand,
+            self.timers.monotonic_s(),
+        )
 
     def choose_backup(
         self, exchange: exchanges.Exchange, excluded: set[str]
@@ -117,9 +137,16 @@
             self.timers.monotonic_s(),
         )
 
-    def line(self, service: tables.Service) -> waiting.WaitingLine:
-        """The requests that wait for room at a service's engines."""
-        return self._lines.setdefault(service.name, waiting.WaitingLine())
+    def line(self, exchange: exchanges.Exchange) -> waiting.WaitingLine:
+        """The requests with which one waits for a service's engines.
+
+        Brief runs have a line of their own: a long one that finds no memory
+        must not keep them waiting, who need none for long.
+        """
+        service = exchange.service
+        rate = self.admission.rate(service).tokens_per_s
+        key = (service.name, exchange.demand.is_brief(rate))
+        return self._lines.setdefault(key, waiting.WaitingLine())
 
     def set_settings(self, settings: gateway_settings.GatewaySettings) -> None:
         """Takes over changed settings."""
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import tables
 from dotterelweird.gateway import api
 
@@ -18,6 +19,8 @@
         tables_version: Version of the tables that chose the route.
         arrived_s: Monotonic time of its arrival.
         deadline_s: Monotonic time at which it is given up.
+        shortest_objective_s: The shortest objective of the generations of
+            its service, in seconds.
         tried: Targets that got it or could not be reached.
         runs: Runs from the start that may have begun.
         may_have_run: Whether any target may have begun to run it; a
@@ -35,6 +38,7 @@
     tables_version: int
     arrived_s: float
     deadline_s: float
+    shortest_objective_s: float
     tried: set[str] = attrs.field(factory=set)
     runs: int = 0
     may_have_run: bool = False
@@ -60,10 +64,21 @@
         """Name of the organisation, if there is one."""
         return self.organisation.name if self.organisation else None
 
+    @property
+    def demand(self) -> admission.Demand:
+        """What a run needs, and by when."""
+        return admission.Demand(
+            self.request.prompt_tokens,
+            self.request.output_tokens_expected,
+            self.route.objective_s,
+            self.shortest_objective_s,
+            self.arrived_s,
+        )
+
     @property
     def tokens(self) -> int:
         """Tokens that a run is expected to hold at its end."""
-        return self.request.prompt_tokens + self.request.output_tokens_expected
+        return self.demand.tokens
 
 
 @attrs.frozen
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -65,6 +65,8 @@
         self._run = run
         self._load = parts.loads.get(run.target.target_id)
         self._evacuation: evacuation.Evacuation | None = None
+        # When the request was sent, if no other prompt waited there.
+        self._read_alone_s: float | None = None
         # Where the generation goes on, if its source was stopped already.
         self._handover: handover.Handover | None = None
 
@@ -79,6 +81,8 @@
         counted_prefill = exchange.request.prompt_tokens
         if run.copy is not None:
             counted_prefill = 0
+        elif not self._load.waiting_prompt_tokens:
+            self._read_alone_s = self._parts.timers.monotonic_s()
         prefill = attempts.Prefill(self._load, counted_prefill)
         watched = [run.target.target_id]
         if run.backup is not None:
@@ -247,6 +251,7 @@
                 patience_s = _SILENCE_S
                 prefill.end()
                 self._parts.loads.announce()
+                self._record_rate()
                 # The engine may have begun to leave before the first event.
                 self._evacuate_if_needed()
             await self._stream.write(out)
@@ -260,6 +265,15 @@
         await self._stream.begin(facts.headers)
         return exchanges.Complete()
 
+    def _record_rate(self) -> None:
+        """Takes note of how fast the engine read the prompt."""
+        if self._read_alone_s is None:
+            return
+        now_s = self._parts.timers.monotonic_s()
+        self._parts.admission.rate(self._exchange.service).record(
+            self._exchange.request.prompt_tokens, now_s - self._read_alone_s
+        )
+
     async def _on_silence(self) -> exchanges.Interrupted | None:
         """Finds out why a link is silent.
 
--- a/packages/daemon/src/dotterelweird/gateway/rooms.py
+++ b/packages/daemon/src/dotterelweird/gateway/rooms.py
@@ -1,4 +1,4 @@
-"""Holds long generations back until an engine's memory has room."""
+"""Holds generations back until an engine admits them."""
 
 import logging
 
@@ -19,14 +19,14 @@
 async def wait_for_room(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> None:
-    """Waits until a long generation may be sent.
+    """Waits until a generation may be sent.
 
-    Resumable generations are short and do not wait.
+    Resumable generations do not wait: another engine can start them anew.
     """
     if exchange.route.resumable or _has_room(parts, exchange):
         return
     ticket = waiting.Ticket(exchange.arrived_s, exchange.route.objective_s)
-    line = parts.line(exchange.service)
+    line = parts.line(exchange)
     line.add(ticket)
     try:
         now_s = await _wait(parts, exchange, line, ticket)
@@ -71,7 +71,4 @@
         if target.state is targets.TargetState.READY
         and not parts.is_paused(target)
     ]
-    return not ready or any(
-        parts.placer.has_room(target, exchange.service, exchange.tokens)
-        for target in ready
-    )
+    return not ready or any(parts.admits(exchange, target) for target in ready)
