Refuse generations that no engine has room for in time, and claim room in turn

Short generations waited until 2.5 times their objective and were then sent, room or not, before those that could still be on time; these became late in turn. And a new engine got five prompts within 10 ms, since the waiting lines of all instances look at once.

Now: whoever has waited for 3.2 times the objective is refused (503, not run); callers leave at 4 times. Room that was seen is taken after a random time of up to 8 ms for each instance, 0.3 s at most, if it is still there.

--- a/packages/core/src/dotterelweir_core/gateway/waiting.py
+++ b/packages/core/src/dotterelweir_core/gateway/waiting.py
@@ -3,15 +3,36 @@
 Answers the load of a crest, see ``admission``.
 """
 
+import random
+
 import attrs
 
 # Share of the objective within which a waiting request still counts as one
 # that can be on time; the rest is the time of its prefill.
 _ON_TIME_SHARE = 0.65
 # Longest wait, as a multiple of the objective. Callers give up a stream
-# without a first event after four times the objective; the request is sent
-# before that, room or not.
-_WAIT_SHARE_MAX = 2.5
+# without a first event after four times the objective. One that has waited
+# until little is left of that is refused: sent to a full engine, it would
+# make those late that can still be on time, and they the next ones.
+_WAIT_SHARE_MAX = 3.2
+# Time until other instances know of what one of them sent, in seconds, and
+# the most of it that one waits, which a large deployment would exceed.
+_NEWS_S = 0.008
+_CLAIM_MAX_S = 0.3
+
+
+def claim_delay_s(instances: int, rng: random.Random) -> float:
+    """Time from seeing room to taking it, in seconds.
+
+    All instances see it at the same moment, a new engine above all. Each one
+    looks again after a random time, so that it knows of most that were
+    sooner.
+
+    Args:
+        instances: Instances that hear each other.
+        rng: Random source.
+    """
+    return rng.uniform(0.0, min(_CLAIM_MAX_S, _NEWS_S * instances))
 
 
 @attrs.define(eq=False)
@@ -36,7 +57,7 @@
         return now_s - self.arrived_s < _ON_TIME_SHARE * self.objective_s
 
     def has_waited_out(self, now_s: float) -> bool:
-        """Whether it must be sent now."""
+        """Whether it must not wait any longer."""
         return now_s - self.arrived_s >= _WAIT_SHARE_MAX * self.objective_s
 
 
