--- a/packages/cli/src/dotterelweir_cli/fleet/losses.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/losses.py
@@ -21,7 +21,7 @@
 # Time before the end of a request in which silent peers mean a cut zone, in
 # seconds: instances count as silent after two seconds in a small deployment.
 _CUT_S = 6.0
-# Share of the objective from which a wait for memory explains a late start.
+# Share of the objective from which a wait for room explains a late start.
 _WAIT_SHARE = 0.3
 # Outcomes that are the caller's own doing and no loss.
 _NOT_OWED = frozenset(
@@ -50,10 +50,11 @@
     TARGET_UNREACHABLE = 'no target reached'
     NO_TARGET = 'no target known'
     TIMED_OUT = 'no answer in time'
+    NO_ROOM = 'refused: no engine had room in time'
     INSTANCE_STOPPING = 'instance stopping or not ready'
     CALLER_LEFT_WAITING = 'caller left before the first event'
     CALLER_LEFT = 'caller left or its connection broke'
-    LATE_ROOM = 'late: waited for memory'
+    LATE_ROOM = 'late: waited for room'
     LATE_RETRY = 'late: sent more than once'
     LATE_PREFILL = 'late: slow start at the engine'
     LATE_HANDOVER = 'late: pause at a handover'
@@ -69,6 +70,7 @@
     'target-refused': Cause.TARGET_REFUSED,
     'target-failed': Cause.TARGET_FAILED,
     'request-timeout': Cause.TIMED_OUT,
+    'queue-timeout': Cause.NO_ROOM,
     'shutting-down': Cause.INSTANCE_STOPPING,
     'not-ready': Cause.INSTANCE_STOPPING,
 }
--- a/packages/cli/tests/fleet/test_losses.py
+++ b/packages/cli/tests/fleet/test_losses.py
@@ -138,6 +138,7 @@
     ),
     ([chosen(), ended('500')], losses.Cause.TARGET_FAILED),
     ([ended('target-refused')], losses.Cause.TARGET_REFUSED),
+    ([waited(4.8), ended('queue-timeout')], losses.Cause.NO_ROOM),
     ([chosen(), ended('cancelled')], losses.Cause.CALLER_LEFT),
     ([chosen()], losses.Cause.INSTANCE_ENDED),
     ([ended('a-new-kind')], losses.Cause.UNKNOWN),
