--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 MINUTES ?= 1
 PYTEST_ARGS ?= -n 4
 
-.PHONY: install lint format test ci demo measure soak docs clean
+.PHONY: install lint format test ci demo measure experiment soak docs clean
 
 install: $(VENV)/.installed
 
@@ -37,6 +37,9 @@
 measure: install
 	$(BIN)/python -m dotterelweir_fakes measure $(if $(SEEDS),--seeds "$(SEEDS)") $(if $(SCENARIO),--scenario $(SCENARIO))
 
+experiment: install
+	$(BIN)/python -m dotterelweir_fakes experiment $(if $(FILE),$(FILE),docs/experiments/crest.json5)
+
 soak: install
 	$(BIN)/python -m dotterelweir_fakes soak --seed $(SEED) --minutes $(MINUTES)
 
--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -2,6 +2,7 @@
 
 import click
 
+from dotterelweir_fakes import experiment
 from dotterelweir_fakes import measure
 from dotterelweir_fakes import relay_cost
 from dotterelweir_fakes import service
@@ -21,6 +22,7 @@
 
 main.add_command(demo_command.demo)
 main.add_command(engine_command.engine)
+main.add_command(experiment.experiment)
 main.add_command(links_command.linked)
 main.add_command(measure.measure)
 main.add_command(pages_command.docs)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/experiment.py
@@ -0,0 +1,195 @@
+"""The ``experiment`` command: rules of admission under loads of a file."""
+
+from concurrent import futures
+import math
+import pathlib
+import statistics
+from typing import Any
+
+import attrs
+import click
+import json5
+import matplotlib
+import orjson
+import tabulate
+
+from dotterelweir_fakes.measurement import crest
+from dotterelweir_fakes.measurement import engine
+
+matplotlib.use('Agg')
+
+from matplotlib import pyplot  # noqa: E402
+
+# Standard errors of a 95 % confidence interval.
+_INTERVAL = 1.96
+
+
+@attrs.frozen
+class Row:
+    """What the callers of one kind got under one rule.
+
+    Attributes:
+        load: Name of the load.
+        rule: The rule.
+        kind: Kind of generation.
+        on_time: Mean share on time.
+        interval: Half of its 95 % confidence interval over the seeds.
+        served: Mean share that was served, on time or late.
+    """
+
+    load: str
+    rule: crest.Rule
+    kind: str
+    on_time: float
+    interval: float
+    served: float
+
+
+def decode(text: str) -> dict[str, crest.Crest]:
+    """Decodes the loads of a file: JSON with comments.
+
+    Raises:
+        ValueError: The file has another form.
+    """
+    try:
+        return {
+            name: _decode_load(row) for name, row in json5.loads(text).items()
+        }
+    except (TypeError, KeyError, AttributeError) as exc:
+        raise ValueError(f'{type(exc).__name__}: {exc}') from exc
+
+
+def _decode_load(row: dict[str, Any]) -> crest.Crest:
+    fields = dict(row)
+    fields['kinds'] = tuple(crest.Kind(**kind) for kind in row['kinds'])
+    fields['bursts'] = tuple(
+        crest.Burst(**burst) for burst in row.get('bursts', ())
+    )
+    fields['costs'] = engine.EngineCosts(**row['costs'])
+    return crest.Crest(**fields)
+
+
+def _play(
+    task: tuple[str, crest.Crest, crest.Rule, int],
+) -> dict[str, crest.Tally]:
+    _, load, rule, seed = task
+    return crest.play(load, seed, rule)
+
+
+def run(loads: dict[str, crest.Crest], seeds: int, workers: int) -> list[Row]:
+    """Plays every load with every rule and every seed.
+
+    Args:
+        loads: The loads by name.
+        seeds: How many seeds, from 1.
+        workers: Worker processes.
+    """
+    tasks = [
+        (name, load, rule, seed)
+        for name, load in loads.items()
+        for rule in crest.Rule
+        for seed in range(1, seeds + 1)
+    ]
+    with futures.ProcessPoolExecutor(workers) as pool:
+        played = list(pool.map(_play, tasks))
+    found: dict[tuple[str, crest.Rule, str], list[crest.Tally]] = {}
+    for (name, _, rule, _), tallies in zip(tasks, played, strict=True):
+        for kind, tally in tallies.items():
+            found.setdefault((name, rule, kind), []).append(tally)
+    return [_summarise(*key, tallies) for key, tallies in found.items()]
+
+
+def _summarise(
+    load: str, rule: crest.Rule, kind: str, tallies: list[crest.Tally]
+) -> Row:
+    shares = [tally.on_time_share for tally in tallies]
+    interval = 0.0
+    if len(shares) > 1:
+        error = statistics.stdev(shares) / math.sqrt(len(shares))
+        interval = _INTERVAL * error
+    served = statistics.mean(
+        (tally.on_time + tally.late) / max(1, tally.asked) for tally in tallies
+    )
+    return Row(load, rule, kind, statistics.mean(shares), interval, served)
+
+
+def draw(rows: list[Row], path: pathlib.Path) -> None:
+    """Draws the shares on time with their intervals.
+
+    Args:
+        rows: The results.
+        path: File to write, whose suffix chooses the format.
+    """
+    groups = list(dict.fromkeys((row.load, row.kind) for row in rows))
+    drawn, axis = pyplot.subplots(figsize=(9, 4.5))
+    width = 0.8 / len(crest.Rule)
+    for index, rule in enumerate(crest.Rule):
+        of_rule = [row for row in rows if row.rule is rule]
+        axis.bar(
+            [
+                groups.index((row.load, row.kind)) + index * width
+                for row in of_rule
+            ],
+            [row.on_time for row in of_rule],
+            width,
+            yerr=[row.interval for row in of_rule],
+            label=rule.value,
+        )
+    axis.set_xticks(
+        [position + width for position in range(len(groups))],
+        [f'{load}: {kind}' for load, kind in groups],
+        rotation=20,
+        ha='right',
+    )
+    axis.set_ylabel('share on time')
+    axis.set_ylim(0.0, 1.05)
+    axis.legend(fontsize='small', loc='lower right')
+    drawn.tight_layout()
+    drawn.savefig(path, dpi=110)
+    pyplot.close(drawn)
+
+
+@click.command()
+@click.argument('file', type=click.Path(exists=True, path_type=pathlib.Path))
+@click.option('--seeds', default=8, show_default=True, help='How many.')
+@click.option(
+    '--workers', default=2, show_default=True, help='Worker processes.'
+)
+@click.option(
+    '--plot',
+    type=click.Path(path_type=pathlib.Path),
+    help='Draw the shares into this file.',
+)
+def experiment(
+    file: pathlib.Path, seeds: int, workers: int, plot: pathlib.Path | None
+) -> None:
+    """Plays the loads of FILE with each rule of admission, in virtual time.
+
+    The last line is one JSON object.
+    """
+    try:
+        loads = decode(file.read_text())
+    except ValueError as exc:
+        raise click.ClickException(f'{file}: {exc}') from exc
+    rows = run(loads, seeds, workers)
+    click.echo(
+        tabulate.tabulate(
+            [
+                [
+                    row.load,
+                    row.kind,
+                    row.rule.value,
+                    f'{row.on_time:.3f} ± {row.interval:.3f}',
+                    f'{row.served:.3f}',
+                ]
+                for row in rows
+            ],
+            headers=['load', 'kind', 'sent', 'on time', 'served'],
+        )
+    )
+    if plot is not None:
+        draw(rows, plot)
+    told = [
+        attrs.asdict(row) | {'rule': row.rule.name.lower()} for row in rows
+    ]
+    click.echo(orjson.dumps({'seeds': seeds, 'rows': told}).decode())
