--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -10,6 +10,7 @@
 from dotterelweir_core import backoff
 from dotterelweir_core import events
 from dotterelweir_core import timers as core_timers
+from dotterelweir_core.gateway import eras
 from dotterelweir_core.gateway import reading
 from dotterelweird.gateway import api
 from dotterelweird.gateway import statistics
@@ -27,9 +28,6 @@
 # instance that has read it, in seconds; the reads of those that missed them
 # are spread over as much again.
 _NEWS_S = 0.05
-# Time for which answers of a lower era are taken for late ones, in seconds;
-# then the store itself is believed. Calls are under way for less than that.
-_ERA_FALL_S = 5.0
 # Time without a read of the store by anybody after which it counts as having
 # been away for all, in seconds: twice the longest time between two turns.
 _AWAY_S = 1.5
@@ -107,14 +105,8 @@
         # What an instance reported and a later read did not confirm: it may
         # wait for entries that come back after an outage.
         self._refuted = ''
-        # Era of the offset; None before the first read.
-        self._era: int | None = None
-        # Whether the store named it, and not a peer alone.
-        self._era_confirmed = False
-        # Highest era that a peer named and a later read did not confirm.
-        self._refuted_era = -1
-        # When the store began to answer with a lower era.
-        self._fallen_since_s: float | None = None
+        # The era that the offset belongs to.
+        self._eras = eras.EraTracker()
         # Since when the store has answered somebody again, after it failed
         # this instance; None before. And the newest time that it did.
         self._answers_since_s: float | None = None
@@ -129,9 +121,8 @@
         if math.isinf(self._turn.fresh_s):
             return None
         age_s = self._timers.monotonic_s() - self._turn.fresh_s
-        return ReadReport(
-            self._position, self._keeper.content, age_s, self._era or 0
-        )
+        era = self._eras.era or 0
+        return ReadReport(self._position, self._keeper.content, age_s, era)
 
     @property
     def _position(self) -> int:
@@ -141,9 +132,8 @@
 
     def state(self) -> api.Batch:
         """The records that hold what this instance knows."""
-        return api.Batch(
-            self._keeper.records, self._offset or 0, era=self._era or 0
-        )
+        era = self._eras.era or 0
+        return api.Batch(self._keeper.records, self._offset or 0, era=era)
 
     def take_report(self, host: str, report: ReadReport) -> None:
         """Takes what another instance knows.
@@ -153,43 +143,43 @@
             report: What it knows.
         """
         now_s = self._timers.monotonic_s()
-        self._note_answer(now_s - report.age_s)
+        read_s = now_s - max(0.0, report.age_s)
+        self._note_answer(read_s)
         if not report.content or (self.known and not self._keeper.content):
             return
         if self.known and self._says_the_same(report):
             if self._offset is not None and self._keeper.position is None:
                 # Nothing that matters lies in between.
                 self._offset = max(self._offset, report.position)
-            self._turn.record_read(now_s - report.age_s, self._peers.instances)
+            self._turn.record_read(read_s, self._peers.instances)
             return
         if self._is_ahead(report):
-            self._ahead = _Ahead(host, report, now_s - report.age_s)
+            self._ahead = _Ahead(host, report, read_s)
             self._hasten()
 
     def take_news(self, batch: api.Batch) -> None:
         """Takes records that another instance has just read."""
-        if batch.era == self._era:
+        if batch.era == self._eras.era:
             self._keeper.apply(batch)
-        elif self._era is not None and batch.era > self._era:
+        elif self._eras.is_news(batch.era):
             # Their order to what is known here is told by the store alone.
-            if batch.era > self._refuted_era:
-                self._refuted_era = batch.era
-                self._hasten()
+            self._eras.refute(batch.era)
+            self._hasten()
 
     def _says_the_same(self, report: ReadReport) -> bool:
         if report.content != self._keeper.content:
             return False
         # A read of another era does not confirm an offset.
-        return self._keeper.position is not None or report.era == self._era
+        return (
+            self._keeper.position is not None or report.era == self._eras.era
+        )
 
     def _is_ahead(self, report: ReadReport) -> bool:
         if report.content == self._refuted:
             return False
-        if self._keeper.position is not None or report.era == self._era:
+        if self._keeper.position is not None or report.era == self._eras.era:
             return report.position > self._position
-        if self._era is None:
-            return True
-        return report.era > max(self._era, self._refuted_era)
+        return self._eras.era is None or self._eras.is_news(report.era)
 
     def _hasten(self) -> None:
         now_s = self._timers.monotonic_s()
@@ -267,12 +257,12 @@
         began_s = self._timers.monotonic_s()
         if self._offset is None:
             batch = await self._store.newest(self._stream)
-            self._check_era(batch.era)
+            self._take_era(batch.era)
             self._mark_available(began_s)
             self._keeper.apply_snapshot(batch)
         else:
             batch = await self._store.read(self._stream, self._offset)
-            rewound = self._check_era(batch.era)
+            rewound = self._take_era(batch.era)
             self._mark_available(began_s)
             if rewound:
                 # The offset names other records now; all are read anew.
@@ -280,7 +270,6 @@
             changed = self._keeper.apply(batch)
             if changed:
                 self._peers.send_news(self._stream, changed, batch.era)
-        self._era_confirmed = True
         self._offset = max(batch.end, self._offset or 0)
         self.known = True
         if batch.more:
@@ -294,8 +283,8 @@
         ahead = self._ahead
         if ahead is None:
             return
-        if self._era is not None and ahead.report.era > self._era:
-            self._refuted_era = max(self._refuted_era, ahead.report.era)
+        if self._eras.is_news(ahead.report.era):
+            self._eras.refute(ahead.report.era)
         if not self._says_the_same(ahead.report):
             if self._keeper.position is not None and self._is_ahead(
                 ahead.report
@@ -306,38 +295,31 @@
                 self._refuted = ahead.report.content
         self._ahead = None
 
-    def _check_era(self, era: int) -> bool:
-        """Takes note of the era of an answer of the store.
+    def _take_era(self, era: int) -> bool:
+        """Takes the era of an answer of the store.
 
         Returns:
             Whether another era than before has begun.
 
         Raises:
-            StoreUnavailable: It is lower; the answer is taken for a late
-                one of before.
+            StoreUnavailable: The answer counts as a late one of before.
         """
-        known = self._era if self._era_confirmed else None
-        if known is not None and era < known:
-            now_s = self._timers.monotonic_s()
-            if self._fallen_since_s is None:
-                self._fallen_since_s = now_s
-            if now_s - self._fallen_since_s < _ERA_FALL_S:
-                raise api.StoreUnavailable(f'era {era} after {self._era}')
-        self._fallen_since_s = None
-        return self._enter_era(era)
-
-    def _enter_era(self, era: int) -> bool:
-        """Enters an era; gives whether it is another one than before."""
-        if era == self._era:
-            return False
-        before, self._era = self._era, era
-        if before is None:
+        before = self._eras.era
+        change = self._eras.take_answer(era, self._timers.monotonic_s())
+        if change is eras.EraChange.LATE:
+            raise api.StoreUnavailable(f'era {era} after {before}')
+        if change is not eras.EraChange.OTHER:
             return False
+        self._begin_era(before)
+        return True
+
+    def _begin_era(self, before: int | None) -> None:
+        """Forgets what only held in the era before."""
         events.log(
             LOG,
             events.STORE_REWOUND,
             stream=self._stream.value,
-            era=era,
+            era=self._eras.era,
             previous_era=before,
             offset=self._offset,
         )
@@ -345,7 +327,6 @@
         self._offset = None
         self._refuted = ''
         self._keeper.store_rewound()
-        return True
 
     async def _read_from_peer(self) -> None:
         """Asks an instance that knows more, while the store is away."""
@@ -363,17 +344,8 @@
                 reason=str(exc),
             )
             return
-        if self._keeper.position is not None:
-            # Versions grow from era to era; offsets do not.
-            self._keeper.apply(batch)
-        elif self._era is not None and batch.era < self._era:
+        if not self._take_peer_state(batch):
             return
-        else:
-            if batch.era != self._era:
-                self._enter_era(batch.era)
-                self._era_confirmed = False
-            self._keeper.apply_snapshot(batch)
-            self._offset = max(batch.end, self._offset or 0)
         self.known = True
         events.log(
             LOG,
@@ -383,6 +355,22 @@
             position=self._position,
         )
 
+    def _take_peer_state(self, batch: api.Batch) -> bool:
+        """Takes what a peer knows; gives whether it was of use."""
+        if self._keeper.position is not None:
+            # Versions grow from era to era; offsets do not.
+            self._keeper.apply(batch)
+            return True
+        before = self._eras.era
+        match self._eras.take_peer(batch.era):
+            case eras.EraChange.LATE:
+                return False
+            case eras.EraChange.OTHER:
+                self._begin_era(before)
+        self._keeper.apply_snapshot(batch)
+        self._offset = max(batch.end, self._offset or 0)
+        return True
+
     def _note_answer(self, read_s: float) -> None:
         """Takes note that the store answered somebody at some time."""
         if read_s <= max(self._answered_s, self._failed_s):
