--- a/fakes/src/dotterelweir_fakes/experiment.py
+++ b/fakes/src/dotterelweir_fakes/experiment.py
@@ -14,6 +14,7 @@
 import tabulate
 
 from dotterelweir_fakes.measurement import crest
+from dotterelweir_fakes.measurement import crest_load
 from dotterelweir_fakes.measurement import engine
 
 matplotlib.use('Agg')
@@ -45,7 +46,7 @@
     served: float
 
 
-def decode(text: str) -> dict[str, crest.Crest]:
+def decode(text: str) -> dict[str, crest_load.Crest]:
     """Decodes the loads of a file: JSON with comments.
 
     Raises:
@@ -59,24 +60,26 @@
         raise ValueError(f'{type(exc).__name__}: {exc}') from exc
 
 
-def _decode_load(row: dict[str, Any]) -> crest.Crest:
+def _decode_load(row: dict[str, Any]) -> crest_load.Crest:
     fields = dict(row)
-    fields['kinds'] = tuple(crest.Kind(**kind) for kind in row['kinds'])
+    fields['kinds'] = tuple(crest_load.Kind(**kind) for kind in row['kinds'])
     fields['bursts'] = tuple(
-        crest.Burst(**burst) for burst in row.get('bursts', ())
+        crest_load.Burst(**burst) for burst in row.get('bursts', ())
     )
     fields['costs'] = engine.EngineCosts(**row['costs'])
-    return crest.Crest(**fields)
+    return crest_load.Crest(**fields)
 
 
 def _play(
-    task: tuple[str, crest.Crest, crest.Rule, int],
+    task: tuple[str, crest_load.Crest, crest.Rule, int],
 ) -> dict[str, crest.Tally]:
     _, load, rule, seed = task
     return crest.play(load, seed, rule)
 
 
-def run(loads: dict[str, crest.Crest], seeds: int, workers: int) -> list[Row]:
+def run(
+    loads: dict[str, crest_load.Crest], seeds: int, workers: int
+) -> list[Row]:
     """Plays every load with every rule and every seed.
 
     Args:
--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -18,6 +18,8 @@
 HOST = 'shop.example'
 KEY = 'key-1'
 ORGANISATION = 'org-1'
+# Time from the request to stop to the end of a gateway, in seconds.
+_GRACE_S = 2
 
 
 def own_address(number: int = 1) -> str:
@@ -215,15 +217,10 @@
         """Starts another gateway, whose seed is the first one."""
         host = own_address(2)
         callers, ready, metrics = free_ports(host, 3)
-        text = settings_text(
-            'gateway-2',
-            host,
-            (callers, ready, self.peers_port),
-            self._store_address,
-            2,
-            (self.host,),
+        ports = (callers, ready, self.peers_port)
+        decoded = self._decode_settings(
+            'gateway-2', host, ports, metrics, (self.host,)
         )
-        decoded = settings_file.decode(text, metrics_port=metrics)
         self._second = composition.Gateway(
             decoded.gateway,
             adapter.PlatformAdapter(decoded.store),
@@ -236,16 +233,11 @@
         """Starts the gateway."""
         self._store_address = store_address
         # Probed after the store listens, which takes any free port.
-        ports = free_ports(self.host, 4)
-        self.callers_port, self.ready_port, self.peers_port, metrics = ports
-        text = settings_text(
-            'gateway-1',
-            self.host,
-            (self.callers_port, self.ready_port, self.peers_port),
-            store_address,
-            2,
+        *ports, metrics = free_ports(self.host, 4)
+        self.callers_port, self.ready_port, self.peers_port = ports
+        decoded = self._decode_settings(
+            'gateway-1', self.host, tuple(ports), metrics
         )
-        decoded = settings_file.decode(text, metrics_port=metrics)
         self.gateway = composition.Gateway(
             decoded.gateway,
             adapter.PlatformAdapter(decoded.store),
@@ -253,6 +245,20 @@
         )
         await self.gateway.start()
 
+    def _decode_settings(
+        self,
+        name: str,
+        host: str,
+        ports: tuple[int, int, int],
+        metrics_port: int,
+        seeds: tuple[str, ...] = (),
+    ) -> settings_file.PlatformSettings:
+        """The settings of one gateway, as ``settings_text`` takes them."""
+        text = settings_text(
+            name, host, ports, self._store_address, _GRACE_S, seeds
+        )
+        return settings_file.decode(text, metrics_port=metrics_port)
+
     async def wait_ready(self, status: int = 200) -> None:
         """Waits until the readiness check gives a status."""
         async with asyncio.timeout(5):
@@ -281,12 +287,13 @@
                     return
                 await asyncio.sleep(0.01)
 
-    async def wait_store_read(self) -> None:
+    async def wait_store_read(
+        self, topics: tuple[str, ...] = ('keyed.op', 'keyed.servers')
+    ) -> None:
         """Waits until the gateway has read what was written until now."""
         # A read that is under way may have begun before.
         enough = {
-            topic: self.store.reads.get(topic, 0) + 2
-            for topic in ('keyed.op', 'keyed.servers')
+            topic: self.store.reads.get(topic, 0) + 2 for topic in topics
         }
         async with asyncio.timeout(5):
             while any(
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/fleet/followers.py
@@ -0,0 +1,206 @@
+"""Instances that follow a store in turns, in memory and virtual time."""
+
+import asyncio
+from collections.abc import Callable
+import functools
+import random
+import types
+
+import attrs
+
+from dotterelweir_core import timers as core_timers
+from dotterelweir_core.gateway import reading
+from dotterelweir_core.gateway import targets
+from dotterelweird import timers
+from dotterelweird.gateway import api
+from dotterelweird.gateway import digests
+from dotterelweird.gateway import following
+from dotterelweird.gateway import keepers
+from dotterelweird.gateway import statistics
+from dotterelweird.gateway import stream_api
+
+STREAM = api.StoreStream.TARGETS
+# Turns of the event loop in which every task that was woken has run.
+_SETTLE_TURNS = 6
+
+
+class MemoryStore(api.Store):
+    """A store in memory that counts reads and may turn some callers away."""
+
+    def __init__(self, timer_service: core_timers.TimerService) -> None:
+        self._timers = timer_service
+        self.records: list[api.Record] = []
+        self.reads = 0
+        self.era = 0
+        self.turned_away: set[str] = set()
+
+    def view(self, host: str) -> types.SimpleNamespace:
+        """The store as one instance sees it."""
+        return types.SimpleNamespace(
+            newest=lambda stream: self._call(host, 0),
+            read=lambda stream, offset: self._call(host, offset),
+            decode_target=self.decode_target,
+        )
+
+    def write(self, key: str, state: str | None) -> None:
+        """Appends the state of a target; None removes it."""
+        value = state.encode() if state else None
+        self.records.append(api.Record(key, value, len(self.records)))
+
+    def rewind(self, end: int) -> None:
+        """Comes back from a copy that had so many records."""
+        self.era += 1
+        del self.records[end:]
+
+    async def _call(self, host: str, offset: int) -> api.Batch:
+        self.reads += 1
+        await timers.sleep(self._timers, 0.002)
+        if host in self.turned_away:
+            raise api.StoreUnavailable('turned away')
+        if offset > len(self.records):
+            raise api.RecordsExpired('no such offset')
+        rest = tuple(self.records[offset:])
+        return api.Batch(rest, len(self.records), era=self.era)
+
+    async def newest(self, stream: api.StoreStream) -> api.Batch:
+        raise NotImplementedError
+
+    async def read(self, stream: api.StoreStream, offset: int) -> api.Batch:
+        raise NotImplementedError
+
+    def decode_tables(self, record: api.Record) -> None:
+        raise NotImplementedError
+
+    def decode_target(self, record: api.Record) -> targets.Target | None:
+        if record.value is None:
+            return None
+        return targets.Target(
+            record.key,
+            'model',
+            '10.0.0.1',
+            80,
+            'a',
+            6,
+            targets.TargetState(record.value.decode()),
+        )
+
+
+@attrs.define(eq=False)
+class Instance(stream_api.Peers):
+    """One instance; news and reports of others may be lost."""
+
+    host: str
+    fleet: 'Fleet'
+    directory: targets.TargetDirectory = attrs.field(
+        factory=targets.TargetDirectory
+    )
+    view: types.SimpleNamespace = attrs.field(init=False)
+    keeper: keepers.TargetsKeeper = attrs.field(init=False)
+    follower: following.StreamFollower = attrs.field(init=False)
+    asked: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        fleet = self.fleet
+        self.view = fleet.store.view(self.host)
+        self.keeper = keepers.TargetsKeeper(
+            self.view, self.directory, fleet.timers, fleet.settle_s
+        )
+        self.follower = following.StreamFollower(
+            self.view,
+            STREAM,
+            fleet.timers,
+            reading.ReadTurn(0.15, 0.5, fleet.rng),
+            self.keeper,
+            self,
+            statistics.Statistics(),
+        )
+
+    @property
+    def instances(self) -> int:
+        return len(self.fleet.instances)
+
+    def send_reports(self) -> None:
+        if self.follower.report is None:
+            return
+        reports = {STREAM: self.follower.report}
+        sent = digests.decode(
+            digests.encode(
+                digests.Digest('i', 'h', 'z', 0, 0, {}, {}, reports)
+            )
+        )
+        for other in self.others():
+            other.follower.take_report(self.host, sent.reports[STREAM])
+
+    def send_news(
+        self, stream: api.StoreStream, records: list[api.Record], era: int
+    ) -> None:
+        if not self.fleet.loses_news:
+            batch = api.Batch(tuple(records), 0, era=era)
+            for other in self.others():
+                self.fleet.timers.call_after(
+                    self.fleet.news_delay_s,
+                    functools.partial(other.follower.take_news, batch),
+                )
+
+    async def newest(self, stream: api.StoreStream, host: str) -> api.Batch:
+        self.asked += 1
+        follower = self.fleet.by_host(host).follower
+        if follower.report is None or not follower.report.content:
+            raise api.StoreUnavailable('not known here')
+        return follower.state()
+
+    def others(self) -> list['Instance']:
+        """All instances but this one."""
+        return [one for one in self.fleet.instances if one is not self]
+
+
+class Fleet:
+    """Instances before one store."""
+
+    def __init__(self, size: int, settle_s: float = 0.5) -> None:
+        self.settle_s = settle_s
+        self.timers = core_timers.VirtualTimerService()
+        self.rng = random.Random(3)
+        self.store = MemoryStore(self.timers)
+        self.loses_news = False
+        self.news_delay_s = 0.0
+        self.instances: list[Instance] = []
+        self.instances += [Instance(f'h{n}', self) for n in range(size)]
+        self._tasks: list[asyncio.Task] = []
+
+    def by_host(self, host: str) -> Instance:
+        """The instance with an address."""
+        return next(one for one in self.instances if one.host == host)
+
+    async def start(self) -> None:
+        """Lets all instances follow, and waits until they know the store."""
+        self._tasks = [
+            asyncio.create_task(one.follower.run()) for one in self.instances
+        ]
+        await self.until(lambda one: one.follower.known)
+
+    async def advance(self, seconds: float) -> None:
+        """Moves time on and lets every task that is due run."""
+        end_s = self.timers.monotonic_s() + seconds
+        while True:
+            for _ in range(_SETTLE_TURNS):
+                await asyncio.sleep(0)
+            due_s = self.timers.next_due_s()
+            if due_s is None or due_s > end_s:
+                break
+            self.timers.advance_to(due_s)
+        self.timers.advance_to(end_s)
+
+    async def until(
+        self, condition: Callable[[Instance], bool], bound_s: float = 2.0
+    ) -> None:
+        """Moves time on until a condition holds at every instance."""
+        end_s = self.timers.monotonic_s() + bound_s
+        while not all(condition(one) for one in self.instances):
+            assert self.timers.monotonic_s() < end_s
+            await self.advance(0.002)
+
+    def stop(self) -> None:
+        """Ends the following."""
+        for task in self._tasks:
+            task.cancel()
--- a/fakes/src/dotterelweir_fakes/measurement/crest.py
+++ b/fakes/src/dotterelweir_fakes/measurement/crest.py
@@ -20,10 +20,9 @@
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import waiting
 from dotterelweir_core.targets import model
+from dotterelweir_fakes.measurement import crest_load
 from dotterelweir_fakes.measurement import engine as engines
 
-# Between two looks of a waiting generation, in seconds, as in the gateway.
-_CHECK_S = 0.04
 # Time until other instances know of a change of load, in seconds.
 _DIGEST_S = 0.008
 _SERVICE = 'model'
@@ -37,64 +36,6 @@
     ADMISSION = 'when an engine admits it'
 
 
-@attrs.frozen
-class Kind:
-    """One kind of generation.
-
-    Attributes:
-        name: Its name.
-        per_s: Requests in a second.
-        prompt_tokens: Mean size of a prompt; sizes spread by a third.
-        output_tokens: Mean size of an output; drawn from an exponential
-            distribution.
-        objective_s: Time to the first event within which it is on time.
-        pause_s: Longest pause between tokens within which it is on time.
-    """
-
-    name: str
-    per_s: float
-    prompt_tokens: int
-    output_tokens: int
-    objective_s: float
-    pause_s: float = 0.18
-
-
-@attrs.frozen
-class Burst:
-    """A time in which more requests of one kind arrive."""
-
-    kind: str
-    from_s: float
-    to_s: float
-    factor: float
-
-
-@attrs.frozen
-class Crest:
-    """A deployment and its load.
-
-    Attributes:
-        kinds: What is asked.
-        bursts: When more is asked.
-        engine_count: Engines.
-        costs: Times and sizes of an engine.
-        instances: Gateways, which take requests in turn.
-        seconds: How long requests arrive.
-        replace_s: Time between two replacements of an engine, in seconds;
-            0 for none. It takes no new work and ends when its runs have.
-        absence_s: Time until the new engine takes work, in seconds.
-    """
-
-    kinds: tuple[Kind, ...]
-    bursts: tuple[Burst, ...] = ()
-    engine_count: int = 6
-    costs: engines.EngineCosts = attrs.field(factory=engines.EngineCosts)
-    instances: int = 7
-    seconds: float = 30.0
-    replace_s: float = 0.0
-    absence_s: float = 2.5
-
-
 @attrs.define
 class Tally:
     """What the callers of one kind got.
@@ -130,7 +71,7 @@
 
 @attrs.define(eq=False)
 class _Request:
-    kind: Kind
+    kind: crest_load.Kind
     prompt_tokens: int
     output_tokens: int
     arrived_s: float
@@ -144,7 +85,7 @@
     longest_pause_s: float = 0.0
 
 
-def play(crest: Crest, seed: int, rule: Rule) -> dict[str, Tally]:
+def play(crest: crest_load.Crest, seed: int, rule: Rule) -> dict[str, Tally]:
     """Plays a crest and gives what the callers of each kind got.
 
     Args:
@@ -158,7 +99,7 @@
 
 
 class _Play:
-    def __init__(self, crest: Crest, seed: int, rule: Rule) -> None:
+    def __init__(self, crest: crest_load.Crest, seed: int, rule: Rule) -> None:
         self._crest = crest
         self._rule = rule
         self._rng = random.Random(seed)
@@ -238,7 +179,7 @@
         if self._timers.monotonic_s() < self._crest.seconds:
             self._timers.call_after(self._crest.replace_s, self._replace)
 
-    def _schedule_arrival(self, kind: Kind) -> None:
+    def _schedule_arrival(self, kind: crest_load.Kind) -> None:
         now_s = self._timers.monotonic_s()
         if now_s >= self._crest.seconds:
             return
@@ -253,7 +194,7 @@
 
         self._timers.call_after(self._rng.expovariate(per_s), arrive)
 
-    def _arrive(self, kind: Kind) -> None:
+    def _arrive(self, kind: crest_load.Kind) -> None:
         self.tallies[kind.name].asked += 1
         request = _Request(
             kind,
@@ -268,7 +209,7 @@
         ticket = waiting.Ticket(request.arrived_s, kind.objective_s)
         line = self._line(request)
         line.add(ticket)
-        self._look_later(request, ticket, line)
+        self._look_later(request, waiting.Search(ticket, line))
 
     def _line(self, request: _Request) -> waiting.WaitingLine:
         instance = request.instance
@@ -278,30 +219,22 @@
             brief = False
         return instance.lines.setdefault(brief, waiting.WaitingLine())
 
-    def _look_later(
-        self,
-        request: _Request,
-        ticket: waiting.Ticket,
-        line: waiting.WaitingLine,
-        claims: bool = False,
-    ) -> None:
-        """Looks for room after a while, as ``rooms`` of the gateway does."""
+    def _look_later(self, request: _Request, search: waiting.Search) -> None:
+        """Looks for room after a while."""
 
         def look() -> None:
             now_s = self._timers.monotonic_s()
-            found = line.is_next(ticket, now_s) and self._has_room(request)
-            if found and claims:
-                line.remove(ticket)
+            found = search.look(now_s, lambda: self._has_room(request))
+            if found is waiting.Look.WAIT:
+                self._look_later(request, search)
+                return
+            search.line.remove(search.ticket)
+            if found is waiting.Look.FOUND:
                 self._send(request)
-            elif ticket.has_waited_out(now_s):
-                line.remove(ticket)
-                self.tallies[request.kind.name].refused += 1
             else:
-                self._look_later(request, ticket, line, claims=found)
+                self.tallies[request.kind.name].refused += 1
 
-        delay_s = _CHECK_S * self._rng.uniform(0.5, 1.5)
-        if claims:
-            delay_s = waiting.claim_delay_s(len(self._instances), self._rng)
+        delay_s = search.delay_s(len(self._instances), self._rng)
         self._timers.call_after(delay_s, look)
 
     def _demand(self, request: _Request) -> admission.Demand:
--- a/fakes/tests/test_experiment.py
+++ b/fakes/tests/test_experiment.py
@@ -9,6 +9,7 @@
 from dotterelweir_fakes import __main__ as program
 from dotterelweir_fakes import experiment
 from dotterelweir_fakes.measurement import crest
+from dotterelweir_fakes.measurement import crest_load
 
 EXAMPLE = pathlib.Path(__file__).parents[2] / 'docs/experiments/crest.json5'
 # One engine and few requests, so that a play takes no time.
@@ -30,7 +31,7 @@
 def test_the_example_can_be_read():
     """Guards against an example that falls behind the model."""
     loads = experiment.decode(EXAMPLE.read_text())
-    assert all(isinstance(load, crest.Crest) for load in loads.values())
+    assert all(isinstance(load, crest_load.Crest) for load in loads.values())
 
 
 @pytest.mark.parametrize(
--- a/packages/cli/src/dotterelweir_cli/commands/fleet.py
+++ b/packages/cli/src/dotterelweir_cli/commands/fleet.py
@@ -24,6 +24,19 @@
 )
 
 
+def _plot_option(stem: str) -> Callable:
+    """The option that names the file of a plot.
+
+    Args:
+        stem: Name of the file in the example, without a suffix.
+    """
+    return click.option(
+        '--plot',
+        type=click.Path(dir_okay=False, path_type=pathlib.Path),
+        help=f'File for the plot, such as {stem}.png or {stem}.svg.',
+    )
+
+
 @click.group()
 def fleet() -> None:
     """Asks all gateways of a deployment, or reads their logs."""
@@ -102,11 +115,7 @@
 
 @fleet.command()
 @_LOG_FILES
-@click.option(
-    '--plot',
-    type=click.Path(dir_okay=False, path_type=pathlib.Path),
-    help='File for the plots, such as run.png or run.svg.',
-)
+@_plot_option('run')
 @context.pass_context
 def report(
     ctx: context.Context,
@@ -132,11 +141,7 @@
 
 @fleet.command(name='losses')
 @_LOG_FILES
-@click.option(
-    '--plot',
-    type=click.Path(dir_okay=False, path_type=pathlib.Path),
-    help='File for the plot, such as losses.png or losses.svg.',
-)
+@_plot_option('losses')
 @context.pass_context
 def show_losses(
     ctx: context.Context,
--- a/packages/cli/src/dotterelweir_cli/fleet/losses.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/losses.py
@@ -300,19 +300,8 @@
     for loss in ledger.losses:
         counts = by_cause.setdefault(loss.cause, collections.Counter())
         counts[int(loss.at_s / WINDOW_S)] += loss.tokens
-    last = max((max(counts) for counts in by_cause.values()), default=0)
-    times_s = [WINDOW_S * index for index in range(last + 1)]
     drawn, axis = pyplot.subplots(figsize=(10, 5))
-    if by_cause:
-        axis.stackplot(
-            times_s,
-            [
-                [counts.get(index, 0) for index in range(last + 1)]
-                for counts in by_cause.values()
-            ],
-            labels=[cause.value for cause in by_cause],
-        )
-        axis.legend(fontsize='x-small', loc='upper right')
+    plots.stack(axis, by_cause, WINDOW_S)
     axis.set_xlabel('seconds after the first line')
     axis.set_ylabel(f'tokens lost or late in {WINDOW_S:g} s')
     plots.save(drawn, path)
--- a/packages/cli/src/dotterelweir_cli/fleet/report.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/report.py
@@ -136,17 +136,5 @@
     counts: dict[str, collections.Counter[int]],
     label: str,
 ) -> None:
-    last = max((max(one) for one in counts.values() if one), default=0)
-    indices = list(range(last + 1))
-    if counts:
-        names = sorted(counts)
-        axis.stackplot(
-            [index * _BIN_S for index in indices],
-            [
-                [counts[name].get(i, 0) / _BIN_S for i in indices]
-                for name in names
-            ],
-            labels=names,
-        )
-        axis.legend(fontsize='x-small', loc='upper right')
+    plots.stack(axis, dict(sorted(counts.items())), _BIN_S, 1.0 / _BIN_S)
     axis.set_ylabel(label)
--- a/packages/core/src/dotterelweir_core/gateway/admission.py
+++ b/packages/core/src/dotterelweir_core/gateway/admission.py
@@ -17,16 +17,17 @@
 # They end one after another, so that the sum of their full lengths is not
 # reached.
 _FILL_MAX = 1.0
-# Time that an engine takes for a token of an output, in seconds, to tell
-# whether a run holds memory for long.
-_TOKEN_S = 0.01
+# Time that an engine takes for a token of an output, in seconds, seen on a
+# calm day: tells whether a run holds memory for long, and whether it ends
+# before a stopping instance does.
+TOKEN_S = 0.01
 # Share of the shortest objective for which prompts may keep an engine busy
 # when a further one is sent there that can wait: a request with the shortest
 # objective that comes next is then still on time.
 _RESERVED_SHARE = 0.35
 # Share of its objective within which a request should get its first event;
 # the rest covers what is unknown of the engine.
-_ON_TIME_SHARE = 0.8
+_FIRST_EVENT_SHARE = 0.8
 # A request is urgent if its objective is at most this multiple of the
 # shortest one of its service.
 _URGENT_FACTOR = 1.5
@@ -68,7 +69,7 @@
         Args:
             prompt_rate: Prompt tokens that an engine reads in a second.
         """
-        return _TOKEN_S * self.output_tokens * prompt_rate <= (
+        return TOKEN_S * self.output_tokens * prompt_rate <= (
             self.prompt_tokens
         )
 
@@ -136,16 +137,46 @@
             demand: What the generation needs.
             now_s: Monotonic time.
         """
-        if self._loads.get(target.target_id).is_avoided(now_s):
+        load = self._loads.get(target.target_id)
+        if load.is_avoided(now_s):
             # It holds nothing because everybody stays away from it.
             return False
         rate = self.rate(service).tokens_per_s
-        if not demand.is_brief(rate):
-            if not self.has_memory(target, service, demand.tokens):
-                return False
-        waiting = self._loads.get(target.target_id).waiting_prompt_tokens
+        if not demand.is_brief(rate) and not self.has_memory(
+            target, service, demand.tokens
+        ):
+            return False
+        waiting = load.waiting_prompt_tokens
         return waiting <= _waiting_max(demand, rate, now_s)
 
+    def has_room(
+        self,
+        usable: list[targets.Target],
+        service: tables.Service,
+        demand: Demand,
+        now_s: float,
+    ) -> bool:
+        """Whether a generation need not wait.
+
+        It need not if no engine can be used at all, or if all that can are
+        avoided: then there is nothing to wait for, and one of the avoided
+        may serve the request.
+
+        Args:
+            usable: Engines that take requests now.
+            service: Their service.
+            demand: What the generation needs.
+            now_s: Monotonic time.
+        """
+        if all(
+            self._loads.get(target.target_id).is_avoided(now_s)
+            for target in usable
+        ):
+            return True
+        return any(
+            self.admits(target, service, demand, now_s) for target in usable
+        )
+
     def has_memory(
         self, target: targets.Target, service: tables.Service, tokens: int
     ) -> bool:
@@ -162,5 +193,7 @@
     reserved = rate * _RESERVED_SHARE * demand.shortest_objective_s
     if not demand.is_urgent:
         return reserved
-    left_s = _ON_TIME_SHARE * demand.objective_s - (now_s - demand.arrived_s)
+    left_s = _FIRST_EVENT_SHARE * demand.objective_s - (
+        now_s - demand.arrived_s
+    )
     return max(reserved, rate * left_s - demand.prompt_tokens)
--- a/packages/core/src/dotterelweir_core/gateway/pauses.py
+++ b/packages/core/src/dotterelweir_core/gateway/pauses.py
@@ -4,8 +4,7 @@
 wants no request at all, and each one sent to it before delays its recovery.
 """
 
-import collections
-
+from dotterelweir_core import newest
 from dotterelweir_core.gateway import targets
 
 # Pauses that are remembered; the oldest are forgotten. More than the targets
@@ -21,8 +20,8 @@
 
     def __init__(self) -> None:
         # By name and start of the target.
-        self._until_s: collections.OrderedDict[tuple[str, int], float] = (
-            collections.OrderedDict()
+        self._until_s: newest.NewestMap[tuple[str, int], float] = (
+            newest.NewestMap(_PAUSES_MAX)
         )
 
     def extend(self, target: targets.Target, until_s: float) -> None:
@@ -33,10 +32,8 @@
             until_s: Monotonic time of its end.
         """
         key = (target.target_id, target.started_ms)
-        self._until_s[key] = max(until_s, self._until_s.get(key, until_s))
-        self._until_s.move_to_end(key)
-        if len(self._until_s) > _PAUSES_MAX:
-            self._until_s.popitem(last=False)
+        known_s = self._until_s.get(key, until_s)
+        self._until_s.put(key, max(until_s, known_s))
 
     def until_s(self, target: targets.Target) -> float:
         """Monotonic time until which a target wants nothing."""
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -63,7 +63,8 @@
 
 
 def _ready(
-    candidates: list[targets.Target], excluded: frozenset[str] | set[str]
+    candidates: list[targets.Target],
+    excluded: frozenset[str] | set[str] = frozenset(),
 ) -> list[targets.Target]:
     """Those that take work and are not excluded."""
     return [
@@ -113,7 +114,7 @@
         Returns:
             The choice, or None if no target takes work.
         """
-        usable = self._usable(candidates, excluded, now_s)
+        usable = self.usable(candidates, now_s, excluded)
         if not usable:
             return None
         if admits is not None:
@@ -150,11 +151,11 @@
             default=None,
         )
 
-    def _usable(
+    def usable(
         self,
         candidates: list[targets.Target],
-        excluded: frozenset[str] | set[str],
         now_s: float,
+        excluded: frozenset[str] | set[str] = frozenset(),
     ) -> list[targets.Target]:
         """Those that take requests now and are not excluded.
 
@@ -213,8 +214,8 @@
         """
         costs = [
             (self._refuge_cost(target, source, service, tokens, now_s), target)
-            for target in self._usable(
-                candidates, {source.target_id, *excluded}, now_s
+            for target in self.usable(
+                candidates, now_s, {source.target_id, *excluded}
             )
         ]
         costs = [pair for pair in costs if pair[0] < _AVOID_COST]
@@ -245,11 +246,7 @@
         """Expected share of the memory of a service's ready engines."""
         if service.engine is None or not service.engine.memory_tokens:
             return 0.0
-        ready = [
-            target
-            for target in candidates
-            if target.state is targets.TargetState.READY
-        ]
+        ready = _ready(candidates)
         if not ready:
             return 1.0
         held = sum(self._held_tokens(target) for target in ready)
--- a/packages/core/src/dotterelweir_core/gateway/targets.py
+++ b/packages/core/src/dotterelweir_core/gateway/targets.py
@@ -6,12 +6,13 @@
 offsets out again, and the copy may name targets that have left since.
 """
 
-import collections
 import enum
 import hashlib
 
 import attrs
 
+from dotterelweir_core import newest
+
 # Departures that are remembered, so that neither a copy of the store nor a
 # late answer brings a target back. A large deployment replaces some hundred
 # targets on an ordinary day.
@@ -96,28 +97,9 @@
     target: Target | None
 
 
-class _Departures:
-    """The newest departure of each target; the oldest are forgotten."""
-
-    def __init__(self) -> None:
-        self._rows: collections.OrderedDict[str, Departure] = (
-            collections.OrderedDict()
-        )
-
-    def add(self, departure: Departure) -> None:
-        self._rows[departure.target_id] = departure
-        self._rows.move_to_end(departure.target_id)
-        if len(self._rows) > _DEPARTURES_MAX:
-            self._rows.popitem(last=False)
-
-    def get(self, target_id: str) -> Departure | None:
-        return self._rows.get(target_id)
-
-    def discard(self, target_id: str) -> None:
-        self._rows.pop(target_id, None)
-
-    def newest(self, count: int) -> tuple[Departure, ...]:
-        return tuple(self._rows.values())[-count:]
+def _departures() -> newest.NewestMap[str, Departure]:
+    """Departures by target; the oldest are forgotten."""
+    return newest.NewestMap(_DEPARTURES_MAX)
 
 
 class TargetDirectory:
@@ -140,8 +122,8 @@
         # of the store; None before the first snapshot of the era.
         self._copy_end: int | None = None
         # Targets that left by what the store said, and those that said so.
-        self._departed = _Departures()
-        self._announced = _Departures()
+        self._departed = _departures()
+        self._announced = _departures()
         self.era = 0
 
     def of_service(self, service: str) -> list[Target]:
@@ -249,7 +231,8 @@
 
     def departures(self, count: int) -> tuple[Departure, ...]:
         """The newest departures of either kind, at most so many of each."""
-        return self._announced.newest(count) + self._departed.newest(count)
+        announced, departed = self._announced.values(), self._departed.values()
+        return (*tuple(announced)[-count:], *tuple(departed)[-count:])
 
     def apply_departure(self, departure: Departure) -> TargetChange | None:
         """Applies what a target said of itself, or what a peer knows.
@@ -268,20 +251,20 @@
             known = self._announced.get(target_id)
             if known == departure:
                 return None
-            self._announced.add(departure)
+            self._announced.put(target_id, departure)
             shown = self.targets.get(target_id)
             if not same or shown is None:
                 return None
             return self._show(target_id, shown, self._seen(target))
         if target is None:
-            self._departed.add(departure)
+            self._departed.put(target_id, departure)
             return None
         if not same or target.state is TargetState.DRAINING:
             return None
         if self._copy_end is not None and entry.offset >= self._copy_end:
             # It registered since, which the peer has not read yet.
             return None
-        self._departed.add(departure)
+        self._departed.put(target_id, departure)
         self._entries[target_id] = _Entry(entry.era, entry.offset, None)
         return self._replace(target_id, target, None)
 
@@ -305,11 +288,12 @@
         self, target_id: str, before: Target | None, after: Target | None
     ) -> None:
         if after is not None and after.state is TargetState.READY:
-            self._departed.discard(target_id)
+            self._departed.pop(target_id, None)
             return
         left = after or before
         if left is not None:
-            self._departed.add(Departure(target_id, left.started_ms, False))
+            departure = Departure(target_id, left.started_ms, False)
+            self._departed.put(target_id, departure)
 
     def _seen(self, target: Target | None) -> Target | None:
         """What requests see of a registered target."""
--- a/packages/core/src/dotterelweir_core/gateway/waiting.py
+++ b/packages/core/src/dotterelweir_core/gateway/waiting.py
@@ -3,6 +3,8 @@
 Answers the load of a crest, see ``admission``.
 """
 
+from collections.abc import Callable
+import enum
 import random
 
 import attrs
@@ -15,6 +17,9 @@
 # until little is left of that is refused: sent to a full engine, it would
 # make those late that can still be on time, and they the next ones.
 _WAIT_SHARE_MAX = 3.2
+# Between two looks for room, in seconds; digests of other instances arrive
+# within about this time.
+_CHECK_S = 0.04
 # Time until other instances know of what one of them sent, in seconds, and
 # the most of it that one waits, which a large deployment would exceed.
 _NEWS_S = 0.008
@@ -90,3 +95,54 @@
             key=lambda other: (not other.is_on_time(now_s), other.due_s),
         )
         return first is ticket
+
+
+class Look(enum.Enum):
+    """What came of a look for room."""
+
+    WAIT = 'wait on'
+    FOUND = 'room was found and is taken'
+    TOO_LATE = 'no room was found in time'
+
+
+@attrs.define
+class Search:
+    """One request that looks for room again and again.
+
+    Attributes:
+        ticket: The request.
+        line: The line that it waits in.
+        claims: Whether room was seen and is taken at the next look, if it is
+            still there.
+    """
+
+    ticket: Ticket
+    line: WaitingLine
+    claims: bool = False
+
+    def delay_s(self, instances: int, rng: random.Random) -> float:
+        """Time until the next look, in seconds.
+
+        Args:
+            instances: Instances that hear each other.
+            rng: Random source.
+        """
+        if self.claims:
+            return claim_delay_s(instances, rng)
+        return _CHECK_S * rng.uniform(0.5, 1.5)
+
+    def look(self, now_s: float, has_room: Callable[[], bool]) -> Look:
+        """Looks for room.
+
+        Args:
+            now_s: Monotonic time.
+            has_room: Whether there is room now; asked when it is the
+                request's turn.
+        """
+        claimed = self.claims
+        self.claims = self.line.is_next(self.ticket, now_s) and has_room()
+        if self.claims and claimed:
+            return Look.FOUND
+        if self.ticket.has_waited_out(now_s):
+            return Look.TOO_LATE
+        return Look.WAIT
--- a/packages/core/src/dotterelweir_core/policy/lengths.py
+++ b/packages/core/src/dotterelweir_core/policy/lengths.py
@@ -11,6 +11,8 @@
 import attrs
 import hdrh.histogram
 
+from dotterelweir_core import newest
+
 _LONGEST_TOKENS = 1 << 20
 # One significant digit keeps a histogram below 4 KB; the estimate is far
 # less certain than that anyway.
@@ -150,10 +152,9 @@
 
     def __init__(self, default_tokens: int, pairs_max: int = 1_024) -> None:
         self._default = default_profile(float(default_tokens))
-        self._pairs_max = pairs_max
         self._routes: dict[str, _Lengths] = {}
-        self._pairs: collections.OrderedDict[tuple[str, str], _Lengths] = (
-            collections.OrderedDict()
+        self._pairs: newest.NewestMap[tuple[str, str], _Lengths] = (
+            newest.NewestMap(pairs_max)
         )
 
     def record(self, route: str, organisation: str, tokens: int) -> None:
@@ -165,10 +166,8 @@
         key = (route, organisation)
         pair = self._pairs.get(key)
         if pair is None:
-            pair = self._pairs[key] = _Lengths()
-            if len(self._pairs) > self._pairs_max:
-                self._pairs.popitem(last=False)
-        self._pairs.move_to_end(key)
+            pair = _Lengths()
+        self._pairs.put(key, pair)
         pair.record(tokens)
 
     def profile(self, route: str, organisation: str) -> Profile:
--- a/packages/core/src/dotterelweir_core/targets/prefixes.py
+++ b/packages/core/src/dotterelweir_core/targets/prefixes.py
@@ -1,10 +1,11 @@
 """Bounded index of the prompt prefixes that each engine has cached."""
 
-import collections
 import enum
 
 import attrs
 
+from dotterelweir_core import newest
+
 
 class CacheEventKind(enum.StrEnum):
     """What happened to a cached prefix."""
@@ -39,9 +40,8 @@
     """
 
     def __init__(self, hashes_max: int) -> None:
-        self._hashes_max = hashes_max
-        self._hashes: collections.OrderedDict[int, None] = (
-            collections.OrderedDict()
+        self._hashes: newest.NewestMap[int, None] = newest.NewestMap(
+            hashes_max
         )
         self._next_sequence: int | None = None
 
@@ -91,10 +91,7 @@
         self._next_sequence = event.sequence + 1
         match event.kind:
             case CacheEventKind.STORED:
-                self._hashes[event.prefix_hash] = None
-                self._hashes.move_to_end(event.prefix_hash)
-                if len(self._hashes) > self._hashes_max:
-                    self._hashes.popitem(last=False)
+                self._hashes.put(event.prefix_hash, None)
             case CacheEventKind.REMOVED:
                 self._hashes.pop(event.prefix_hash, None)
         return complete
--- a/packages/core/tests/gateway/test_waiting.py
+++ b/packages/core/tests/gateway/test_waiting.py
@@ -46,3 +46,27 @@
     delays_s = [waiting.claim_delay_s(instances, rng) for _ in range(200)]
     assert 0.8 * bound_s < max(delays_s) <= bound_s
     assert min(delays_s) < 0.1 * bound_s
+
+
+def test_room_is_taken_at_the_second_look():
+    """Guards against instances that all take the room that they see."""
+    line = waiting.WaitingLine()
+    ticket = waiting.Ticket(0.0, 1.5)
+    line.add(ticket)
+    search = waiting.Search(ticket, line)
+    seen = [
+        search.look(0.1 * number, lambda room=room: room)
+        for number, room in enumerate((True, False, True, True))
+    ]
+    wait = waiting.Look.WAIT
+    assert seen == [wait, wait, wait, waiting.Look.FOUND]
+
+
+def test_a_search_ends_when_it_has_waited_out():
+    """Guards against requests held until their callers give up."""
+    line = waiting.WaitingLine()
+    ticket = waiting.Ticket(0.0, 1.0)
+    line.add(ticket)
+    search = waiting.Search(ticket, line)
+    assert search.look(3.1, lambda: False) is waiting.Look.WAIT
+    assert search.look(3.3, lambda: False) is waiting.Look.TOO_LATE
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -70,14 +70,11 @@
         self, exchange: exchanges.Exchange
     ) -> exchanges.Outcome | None:
         parts = self._parts
-        now_s = parts.timers.monotonic_s()
-        choice = parts.choose(exchange, exchange.tried)
-        if choice is None and await pausing.wait_in_time(parts, exchange):
-            now_s = parts.timers.monotonic_s()
-            choice = parts.choose(exchange, exchange.tried)
+        choice = await pausing.choose_in_time(parts, exchange)
         if choice is None:
             return None
         target = choice.target
+        now_s = parts.timers.monotonic_s()
         until_s = exchange.deadline_s
         first = exchange.runs + 1 < exchange.route.attempts_max
         if exchange.route.repeatable and first:
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -33,6 +33,7 @@
 from dotterelweird.gateway import following
 from dotterelweird.gateway import keepers
 from dotterelweird.gateway import notices
+from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
@@ -123,7 +124,6 @@
                 settings.repeat_window_s,
             ),
             bounded.AnswerMemory.of_process(settings.memory_bytes),
-            pause_book,
             self._take_notice,
         )
         store = adapter.store(self._store_session)
@@ -318,7 +318,7 @@
         """Answers other instances and operators."""
         if request.path == status.PATH:
             return web.json_response(self._status())
-        name = request.path.removeprefix(peers.STATE_PATH)
+        name = request.path.removeprefix(peer_state.PATH)
         for stream, follower in self._streams.items():
             report = follower.report
             if name == stream.value and report is not None and report.content:
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -9,7 +9,6 @@
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load
-from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import tables
@@ -42,7 +41,6 @@
         rng: Random source.
         budgets: Budgets of repeats.
         memory: Memory for answers that are read as a whole.
-        pause_book: Until when targets want nothing from this instance.
         take_notice: Takes what a target says of itself in an answer.
         watch: Tells generations of changes of their targets.
         releaser: Frees copies of runs that nobody will use.
@@ -61,7 +59,6 @@
     rng: random.Random
     budgets: repeats.BudgetBook
     memory: bounded.AnswerMemory
-    pause_book: pauses.PauseBook
     take_notice: api.NoticeListener
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
     _lines: dict[tuple[str, bool], waiting.WaitingLine] = attrs.field(
@@ -71,7 +68,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.releaser = releasing.CopyReleaser(
-            self.runs, self.timers, self.pause_book
+            self.runs, self.timers, self.placer.pause_book
         )
 
     def choose(
@@ -80,18 +77,22 @@
         """Chooses a target for a request."""
         admits = None
         if exchange.service.engine is not None:
-            admits = functools.partial(self.admits, exchange)
+            admits = functools.partial(
+                self.admission.admits,
+                service=exchange.service,
+                demand=exchange.demand,
+                now_s=self.timers.monotonic_s(),
+            )
         return self.placer.choose(*self._question(exchange), excluded, admits)
 
-    def admits(
-        self, exchange: exchanges.Exchange, target: targets.Target
-    ) -> bool:
-        """Whether a generation may be sent to an engine now."""
-        return self.admission.admits(
-            target,
-            exchange.service,
-            exchange.demand,
-            self.timers.monotonic_s(),
+    def has_room(self, exchange: exchanges.Exchange) -> bool:
+        """Whether a generation need not wait for an engine."""
+        now_s = self.timers.monotonic_s()
+        usable = self.placer.usable(
+            self.directory.of_service(exchange.service.name), now_s
+        )
+        return self.admission.has_room(
+            usable, exchange.service, exchange.demand, now_s
         )
 
     def choose_backup(
@@ -111,20 +112,11 @@
             *self._question(exchange), source, excluded
         )
 
-    def paused_until_s(self, exchange: exchanges.Exchange) -> float | None:
-        """When the first pause ends that keeps a request from being sent.
-
-        Returns:
-            The monotonic time; None if no target is ready besides those
-            that were tried.
-        """
-        return self.placer.paused_until_s(
-            self.directory.of_service(exchange.service.name), exchange.tried
-        )
-
     def is_paused(self, target: targets.Target) -> bool:
         """Whether a target wants nothing from this instance now."""
-        return self.pause_book.is_paused(target, self.timers.monotonic_s())
+        return self.placer.pause_book.is_paused(
+            target, self.timers.monotonic_s()
+        )
 
     def _question(
         self, exchange: exchanges.Exchange
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -16,7 +16,7 @@
 from dotterelweir_core.gateway import spreading
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
-from dotterelweird.gateway import following
+from dotterelweird.gateway import stream_api
 
 
 @attrs.frozen
@@ -43,7 +43,7 @@
     sequence: int
     loads: dict[str, gateway_load.DigestRow]
     counts: dict[str, repeats.Counts] = attrs.field(factory=dict)
-    reports: dict[api.StoreStream, following.ReadReport] = attrs.field(
+    reports: dict[api.StoreStream, stream_api.ReadReport] = attrs.field(
         factory=dict
     )
     known: tuple[str, ...] = ()
@@ -164,7 +164,7 @@
                 for service, (requests, repeated) in body.get('u', {}).items()
             },
             reports={
-                api.StoreStream(name): following.ReadReport(
+                api.StoreStream(name): stream_api.ReadReport(
                     int(position),
                     str(content),
                     float(age_ms) / 1000.0,
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -1,6 +1,5 @@
 """Follows the tables and the targets in the platform's store."""
 
-import abc
 import asyncio
 import logging
 import math
@@ -14,6 +13,7 @@
 from dotterelweir_core.gateway import reading
 from dotterelweird.gateway import api
 from dotterelweird.gateway import statistics
+from dotterelweird.gateway import stream_api
 
 LOG = logging.getLogger(__name__)
 
@@ -33,25 +33,6 @@
 _AWAY_S = 1.5
 
 
-@attrs.frozen
-class ReadReport:
-    """What an instance knows of a stream.
-
-    Attributes:
-        position: Grows with what is known: a version or an offset.
-        content: Names what is known; equal for instances that know the same.
-            Empty for one that waits for entries to come back: it only tells
-            that the store answers.
-        age_s: Time since a read of the store found it, in seconds.
-        era: Era of the store that an offset belongs to.
-    """
-
-    position: int
-    content: str
-    age_s: float
-    era: int = 0
-
-
 @attrs.frozen
 class _Ahead:
     """What another instance knows that this one does not.
@@ -63,7 +44,7 @@
     """
 
     host: str
-    report: ReadReport
+    report: stream_api.ReadReport
     read_s: float
 
 
@@ -86,8 +67,8 @@
         stream: api.StoreStream,
         timer_service: core_timers.TimerService,
         turn: reading.ReadTurn,
-        keeper: 'Keeper',
-        peers: 'Peers',
+        keeper: stream_api.Keeper,
+        peers: stream_api.Peers,
         counters: statistics.Statistics,
     ) -> None:
         self._store = store
@@ -116,13 +97,15 @@
         self.known = False
 
     @property
-    def report(self) -> ReadReport | None:
+    def report(self) -> stream_api.ReadReport | None:
         """What this instance knows; None if no read has confirmed it."""
         if math.isinf(self._turn.fresh_s):
             return None
         age_s = self._timers.monotonic_s() - self._turn.fresh_s
         era = self._eras.era or 0
-        return ReadReport(self._position, self._keeper.content, age_s, era)
+        return stream_api.ReadReport(
+            self._position, self._keeper.content, age_s, era
+        )
 
     @property
     def _position(self) -> int:
@@ -135,7 +118,7 @@
         era = self._eras.era or 0
         return api.Batch(self._keeper.records, self._offset or 0, era=era)
 
-    def take_report(self, host: str, report: ReadReport) -> None:
+    def take_report(self, host: str, report: stream_api.ReadReport) -> None:
         """Takes what another instance knows.
 
         Args:
@@ -166,7 +149,7 @@
             self._eras.refute(batch.era)
             self._hasten()
 
-    def _says_the_same(self, report: ReadReport) -> bool:
+    def _says_the_same(self, report: stream_api.ReadReport) -> bool:
         if report.content != self._keeper.content:
             return False
         # A read of another era does not confirm an offset.
@@ -174,7 +157,7 @@
             self._keeper.position is not None or report.era == self._eras.era
         )
 
-    def _is_ahead(self, report: ReadReport) -> bool:
+    def _is_ahead(self, report: stream_api.ReadReport) -> bool:
         if report.content == self._refuted:
             return False
         if self._keeper.position is not None or report.era == self._eras.era:
@@ -404,81 +387,3 @@
             self._failed_s = self._timers.monotonic_s()
             self._answers_since_s = None
         self.available = False
-
-
-class Keeper(abc.ABC):
-    """Keeps what a stream says.
-
-    Attributes:
-        position: Grows with what is known; None if the offset does.
-        content: Names what is known; empty while that is not the state of
-            the store.
-        records: The records that hold what is known.
-    """
-
-    position: int | None
-    content: str
-    records: tuple[api.Record, ...]
-
-    @abc.abstractmethod
-    def apply_snapshot(self, batch: api.Batch) -> None:
-        """Takes the newest record of every key."""
-
-    @abc.abstractmethod
-    def apply(self, batch: api.Batch) -> list[api.Record]:
-        """Takes further records in order.
-
-        Returns:
-            The records that changed something and are small enough to be
-            told to other instances.
-        """
-
-    @abc.abstractmethod
-    def store_returned(self, since_s: float) -> None:
-        """Takes note that the store answers again after an outage.
-
-        Args:
-            since_s: Monotonic time since when it has answered somebody; long
-                ago if it was away for this instance only.
-        """
-
-    @abc.abstractmethod
-    def store_rewound(self) -> None:
-        """Takes note that the store came back from an older copy.
-
-        Its offsets are given out again.
-        """
-
-
-class Peers(abc.ABC):
-    """The other instances, as far as following the store needs them.
-
-    Attributes:
-        instances: Instances that are known, this one included.
-    """
-
-    instances: int
-
-    @abc.abstractmethod
-    def send_reports(self) -> None:
-        """Tells them what this instance knows now."""
-
-    @abc.abstractmethod
-    def send_news(
-        self, stream: api.StoreStream, records: list[api.Record], era: int
-    ) -> None:
-        """Tells them of records that were just read.
-
-        Args:
-            stream: The stream.
-            records: The records.
-            era: Era of the store that their offsets belong to.
-        """
-
-    @abc.abstractmethod
-    async def newest(self, stream: api.StoreStream, host: str) -> api.Batch:
-        """The records that hold what one of them knows.
-
-        Raises:
-            StoreUnavailable: It did not answer.
-        """
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -12,6 +12,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
@@ -28,16 +29,15 @@
 # Targets that one request is sent to before it is given up, whether they
 # ran it or not.
 _TARGETS_MAX = 6
-# Usual time to the first event and for each token, in seconds, to estimate
-# whether a generation ends before a stopping process does. Seen on a calm
-# day: 0.65 s at the median, and about 10 ms a token.
+# Usual time to the first event, in seconds, to estimate whether a generation
+# ends before a stopping process does. Seen on a calm day: 0.65 s at the
+# median.
 _START_S = 0.7
-_TOKEN_S = 0.01
 
 
 def expected_s(request: api.CallerRequest) -> float:
     """How long a generation is expected to take, in seconds."""
-    return _START_S + _TOKEN_S * request.output_tokens_expected
+    return _START_S + admission.TOKEN_S * request.output_tokens_expected
 
 
 class Generation:
@@ -120,11 +120,7 @@
         exchange = self._exchange
         if len(exchange.tried) >= _TARGETS_MAX:
             return None
-        choice = self._parts.choose(exchange, exchange.tried)
-        if choice is None and await pausing.wait_in_time(
-            self._parts, exchange
-        ):
-            choice = self._parts.choose(exchange, exchange.tried)
+        choice = await pausing.choose_in_time(self._parts, exchange)
         if choice is None:
             return None
         run = links.Run(choice.target, self._choose_backup(choice.target))
--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -57,14 +57,13 @@
         backup: Where its memory is copied to, or was while it ran.
     """
     request_id = exchange.request.request_id
+    kept = api.RunCopy(backup.address, request_id)
     if parts.is_paused(source):
-        kept = api.RunCopy(backup.address, request_id)
         return Handover(backup, kept, HandoverWay.BACKUP_UNREACHED)
     move = await parts.runs.move(
         request_id, source, backup, final=True, timeout_s=_STOP_TIMEOUT_S
     )
     moved = api.RunCopy(source.address, move.handle)
-    kept = api.RunCopy(backup.address, request_id)
     match move.result:
         case api.MoveResult.MOVED:
             return Handover(backup, moved, HandoverWay.MOVED)
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -10,12 +10,12 @@
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets as gateway_targets
 from dotterelweird.gateway import api
-from dotterelweird.gateway import following
+from dotterelweird.gateway import stream_api
 
 LOG = logging.getLogger(__name__)
 
 
-class TablesKeeper(following.Keeper):
+class TablesKeeper(stream_api.Keeper):
     """The tables in force; never an older version after a newer one."""
 
     def __init__(self, store: api.Store) -> None:
@@ -86,7 +86,7 @@
             listener(decoded)
 
 
-class TargetsKeeper(following.Keeper):
+class TargetsKeeper(stream_api.Keeper):
     """The registered targets.
 
     Entries lapse while the store is away, and targets that live write them
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -3,6 +3,7 @@
 import logging
 
 from dotterelweir_core import events
+from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import targets
 from dotterelweird import timers
 from dotterelweird.gateway import dependencies
@@ -29,7 +30,9 @@
         The time in seconds; 0 if no target is paused, or if the request
         cannot be sent after a pause either.
     """
-    free_s = parts.paused_until_s(exchange)
+    free_s = parts.placer.paused_until_s(
+        parts.directory.of_service(exchange.service.name), exchange.tried
+    )
     if free_s is None:
         return 0.0
     return max(0.0, free_s - parts.timers.monotonic_s())
@@ -44,7 +47,7 @@
         Whether the engine takes requests, now or after a short pause.
     """
     now_s = parts.timers.monotonic_s()
-    wait_s = parts.pause_book.until_s(target) - now_s
+    wait_s = parts.placer.pause_book.until_s(target) - now_s
     if wait_s > _GAP_S:
         return False
     if wait_s > 0:
@@ -52,7 +55,21 @@
     return True
 
 
-async def wait_in_time(
+async def choose_in_time(
+    parts: dependencies.Forwarding, exchange: exchanges.Exchange
+) -> placement.Choice | None:
+    """Chooses a target that was not tried, after a pause if need be.
+
+    Returns:
+        The choice; None if no target takes the request in time.
+    """
+    choice = parts.choose(exchange, exchange.tried)
+    if choice is None and await _wait_in_time(parts, exchange):
+        choice = parts.choose(exchange, exchange.tried)
+    return choice
+
+
+async def _wait_in_time(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> bool:
     """Waits for the end of a pause, unless that would be too late.
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/peer_state.py
@@ -0,0 +1,41 @@
+"""What an instance asks another one for: the records that it knows."""
+
+import aiohttp
+
+from dotterelweird.gateway import api
+from dotterelweird.gateway import bounded
+from dotterelweird.gateway import digests
+
+# Path under which an instance gives the records of a stream.
+PATH = '/records/'
+# Time for the answer, in seconds.
+_TIMEOUT_S = 0.5
+
+
+async def fetch(
+    session: aiohttp.ClientSession, address: str, stream: api.StoreStream
+) -> api.Batch:
+    """Asks an instance for the records that hold what it knows.
+
+    Args:
+        session: HTTP client.
+        address: Where it answers other instances, as ``host:port``.
+        stream: The stream.
+
+    Raises:
+        StoreUnavailable: It did not answer.
+    """
+    timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
+    try:
+        async with session.get(
+            f'http://{address}{PATH}{stream.value}', timeout=timeout
+        ) as answer:
+            answer.raise_for_status()
+            body = await bounded.read(answer, bounded.ANSWER_BYTES_MAX)
+            return digests.decode_batch(body)
+    except (
+        aiohttp.ClientError,
+        TimeoutError,
+        digests.DatagramInvalid,
+    ) as exc:
+        raise api.StoreUnavailable(f'{type(exc).__name__}') from exc
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -22,10 +22,10 @@
 from dotterelweir_core.gateway import spreading
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
-from dotterelweird.gateway import bounded
 from dotterelweird.gateway import digests
-from dotterelweird.gateway import following
+from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import settings as gateway_settings
+from dotterelweird.gateway import stream_api
 
 LOG = logging.getLogger(__name__)
 
@@ -52,12 +52,8 @@
 # Departures of each kind that an instance is told when it is first heard; a
 # row has about 35 bytes, and both kinds share a datagram.
 _DEPARTURES_TOLD = 16
-# Time for the answer of a peer that is asked for what it knows, in seconds.
-_PEER_TIMEOUT_S = 0.5
-# Path under which a peer gives the records of a stream.
-STATE_PATH = '/records/'
 
-Reports = dict[api.StoreStream, following.ReadReport]
+Reports = dict[api.StoreStream, stream_api.ReadReport]
 
 
 @attrs.define
@@ -75,7 +71,7 @@
     heard_s: float
 
 
-class PeerExchange(asyncio.DatagramProtocol, following.Peers):
+class PeerExchange(asyncio.DatagramProtocol, stream_api.Peers):
     """Exchanges digests with the other gateways.
 
     Args:
@@ -205,21 +201,8 @@
             self._broadcast(digests.Departures((departure,)))
 
     async def newest(self, stream: api.StoreStream, host: str) -> api.Batch:
-        url = f'http://{host}:{self._settings.peers_port}'
-        timeout = aiohttp.ClientTimeout(total=_PEER_TIMEOUT_S)
-        try:
-            async with self._session.get(
-                url + STATE_PATH + stream.value, timeout=timeout
-            ) as answer:
-                answer.raise_for_status()
-                body = await bounded.read(answer, bounded.ANSWER_BYTES_MAX)
-                return digests.decode_batch(body)
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            digests.DatagramInvalid,
-        ) as exc:
-            raise api.StoreUnavailable(f'{type(exc).__name__}') from exc
+        address = f'{host}:{self._settings.peers_port}'
+        return await peer_state.fetch(self._session, address, stream)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Takes a digest or news of a peer."""
--- a/packages/daemon/src/dotterelweird/gateway/rooms.py
+++ b/packages/daemon/src/dotterelweird/gateway/rooms.py
@@ -4,7 +4,6 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
-from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import waiting
 from dotterelweird import timers
 from dotterelweird.gateway import dependencies
@@ -13,10 +12,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Between two looks for room, in seconds; digests of other instances arrive
-# within about this time.
-_CHECK_S = 0.04
-
 
 async def wait_for_room(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
@@ -28,13 +23,13 @@
     Raises:
         DotterelweirError: No engine has room for it in time.
     """
-    if exchange.route.resumable or _has_room(parts, exchange):
+    if exchange.route.resumable or parts.has_room(exchange):
         return
     ticket = waiting.Ticket(exchange.arrived_s, exchange.route.objective_s)
     line = parts.line(exchange)
     line.add(ticket)
     try:
-        found = await _wait(parts, exchange, line, ticket)
+        found = await _search(parts, exchange, waiting.Search(ticket, line))
     finally:
         line.remove(ticket)
     waited_s = parts.timers.monotonic_s() - exchange.arrived_s
@@ -54,48 +49,17 @@
         )
 
 
-async def _wait(
+async def _search(
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
-    line: waiting.WaitingLine,
-    ticket: waiting.Ticket,
-) -> bool:
-    """Waits for the turn of a ticket, and gives whether it came in time."""
-    claims = False
-    while True:
-        delay_s = _CHECK_S * parts.rng.uniform(0.5, 1.5)
-        if claims:
-            instances = parts.budgets.pool.visible
-            delay_s = waiting.claim_delay_s(instances, parts.rng)
-        await timers.sleep(parts.timers, delay_s)
-        now_s = parts.timers.monotonic_s()
-        if line.is_next(ticket, now_s) and _has_room(parts, exchange):
-            if claims:
-                return True
-            claims = True
-        else:
-            claims = False
-        if ticket.has_waited_out(now_s):
-            return False
-
-
-def _has_room(
-    parts: dependencies.Forwarding, exchange: exchanges.Exchange
+    search: waiting.Search,
 ) -> bool:
-    """Whether some engine has room.
-
-    It is true if none takes work at all, or if all that do are avoided: then
-    there is nothing to wait for, and one of them may serve the request.
-    """
-    ready = [
-        target
-        for target in parts.directory.of_service(exchange.service.name)
-        if target.state is targets.TargetState.READY
-        and not parts.is_paused(target)
-    ]
-    now_s = parts.timers.monotonic_s()
-    if all(
-        parts.loads.get(target.target_id).is_avoided(now_s) for target in ready
-    ):
-        return True
-    return any(parts.admits(exchange, target) for target in ready)
+    """Looks for room, and gives whether it was found in time."""
+    look = waiting.Look.WAIT
+    while look is waiting.Look.WAIT:
+        instances = parts.budgets.pool.visible
+        await timers.sleep(parts.timers, search.delay_s(instances, parts.rng))
+        look = search.look(
+            parts.timers.monotonic_s(), lambda: parts.has_room(exchange)
+        )
+    return look is waiting.Look.FOUND
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -11,9 +11,9 @@
 from dotterelweir_core.gateway import repeats
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
-from dotterelweird.gateway import following
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import settings as gateway_settings
+from dotterelweird.gateway import stream_api
 
 
 def make_settings(name, host):
@@ -262,7 +262,7 @@
 def test_reports_reach_every_peer(network):
     """Guards against instances that all read what one has read."""
     first, second, third = network.nodes.values()
-    report = following.ReadReport(7, 'c', 0.25, era=3)
+    report = stream_api.ReadReport(7, 'c', 0.25, era=3)
     first.reports[api.StoreStream.TARGETS] = report
     first.exchange.send_reports()
     for node in (second, third):
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_rewinds.py
@@ -0,0 +1,159 @@
+"""Instances whose store comes back from an older copy, in virtual time."""
+
+import asyncio
+
+import pytest
+
+from dotterelweir_fakes.fleet import followers
+from dotterelweird.gateway import api
+from dotterelweird.gateway import stream_api
+
+
+@pytest.fixture
+async def rewound(fleet):
+    """A fleet that knows that t1 left, before a store that forgot it."""
+    fleet.store.write('t1', None)
+    await fleet.until(lambda one: 't1' not in one.directory.targets)
+    for _ in range(5):
+        fleet.store.write('t2', 'ready')
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    return fleet
+
+
+async def test_a_rewind_is_noticed_by_all(rewound):
+    """Guards against records that wait for offsets of before a rewind."""
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'))
+
+
+async def test_a_rewind_is_noticed_when_its_offsets_are_reached_again(fleet):
+    """Guards against a hole in what is read after a rewind."""
+    fleet.store.write('t2', 'ready')
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    fleet.store.write('t2', 'draining')
+    fleet.store.write('t1', 'ready')
+    await fleet.until(lambda one: not one.directory.takes_work('t2'))
+    assert all(one.directory.takes_work('t1') for one in fleet.instances)
+
+
+async def test_who_left_before_a_rewind_does_not_come_back(rewound):
+    """Guards against a target in use again that had left."""
+    for _ in range(30):
+        await rewound.advance(0.1)
+        assert not any(
+            one.directory.takes_work('t1') for one in rewound.instances
+        )
+
+
+async def test_who_is_missing_from_a_copy_may_register_again(fleet):
+    """Guards against targets dropped because they are younger than a copy."""
+    fleet.store.write('t3', 'ready')
+    await fleet.until(lambda one: one.directory.takes_work('t3'))
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    await fleet.advance(0.4)
+    assert all(one.directory.takes_work('t3') for one in fleet.instances)
+    fleet.store.write('t3', 'ready')
+    await fleet.advance(2.0)
+    assert all(one.directory.takes_work('t3') for one in fleet.instances)
+
+
+async def test_who_does_not_register_again_after_a_rewind_is_gone(fleet):
+    """Guards against targets that are believed in for ever."""
+    fleet.store.write('t3', 'ready')
+    await fleet.until(lambda one: one.directory.takes_work('t3'))
+    await fleet.advance(1.0)
+    fleet.store.rewind(2)
+    await fleet.until(lambda one: 't3' not in one.directory.targets, 3.0)
+
+
+async def test_two_rewinds_in_a_row(rewound):
+    """Guards against what was deferred for the first rewind."""
+    await rewound.advance(0.2)
+    rewound.store.rewind(1)
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'))
+    await rewound.advance(1.5)
+    assert not any(one.directory.takes_work('t1') for one in rewound.instances)
+    rewound.store.write('t1', 'ready')
+    await rewound.until(lambda one: one.directory.takes_work('t1'))
+
+
+async def test_an_instance_in_a_cut_catches_up_with_two_rewinds(fleet):
+    """Guards against an instance that saw none of the eras between."""
+    fleet.loses_news = True
+    fleet.store.turned_away = {'h0'}
+    fleet.store.rewind(1)
+    await fleet.advance(1.0)
+    fleet.store.rewind(1)
+    fleet.store.write('t2', 'ready')
+    fleet.store.write('t1', 'draining')
+    await fleet.advance(1.0)
+    fleet.store.turned_away = set()
+    await fleet.until(lambda one: not one.directory.takes_work('t1'), 3.0)
+    # Its next heartbeat; the one before may be part of the copy.
+    fleet.store.write('t2', 'ready')
+    await fleet.until(lambda one: one.directory.takes_work('t2'))
+
+
+async def test_a_late_answer_of_a_former_era_changes_nothing(rewound):
+    """Guards against a store whose era seems to fall."""
+    await rewound.advance(1.0)
+    rewound.store.era = 0
+    rewound.store.write('t1', 'ready')
+    await rewound.advance(2.0)
+    assert not any(one.directory.takes_work('t1') for one in rewound.instances)
+    rewound.store.era = 1
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'), 3.0)
+
+
+async def test_a_store_that_stays_at_a_lower_era_is_believed(rewound):
+    """Guards against instances that ignore a replaced store for ever."""
+    await rewound.advance(1.0)
+    rewound.store.era = 0
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'), 9.0)
+
+
+async def test_a_peer_with_a_higher_era_costs_few_reads(fleet):
+    """Guards against a peer that makes all others read again and again."""
+    before = fleet.store.reads
+    bogus = stream_api.ReadReport(99, 'other', 0.0, era=7)
+    record = api.Record('t1', b'draining', 99)
+    for _ in range(30):
+        for one in fleet.instances:
+            one.follower.take_report('h0', bogus)
+            one.follower.take_news(api.Batch((record,), 0, era=7))
+        await fleet.advance(0.05)
+    assert fleet.store.reads - before < 80
+    assert all(one.directory.takes_work('t1') for one in fleet.instances)
+    fleet.store.write('t2', 'draining')
+    await fleet.until(lambda one: not one.directory.takes_work('t2'))
+
+
+async def test_news_of_a_former_era_change_nothing(rewound):
+    """Guards against news of a peer that has not noticed the rewind."""
+    await rewound.advance(1.0)
+    record = api.Record('t2', None, 900)
+    for one in rewound.instances:
+        one.follower.take_news(api.Batch((record,), 0, era=0))
+    assert all(one.directory.takes_work('t2') for one in rewound.instances)
+
+
+async def test_an_instance_that_starts_after_a_rewind_is_told_by_peers(
+    rewound,
+):
+    """Guards against offsets of peers that a later record cannot overtake."""
+    await rewound.advance(1.5)
+    late = followers.Instance('late', rewound)
+    rewound.store.turned_away = {'late'}
+    rewound.instances.append(late)
+    task = asyncio.create_task(late.follower.run())
+    await rewound.until(lambda one: one.follower.known)
+    rewound.store.turned_away = set()
+    rewound.store.write('t2', 'draining')
+    await rewound.until(lambda one: not one.directory.takes_work('t2'))
+    task.cancel()
