Believe removals after an outage only once a later read has looked

Cause: entries that lapse while the store is away come back within the settling time of two seconds, but a removal that was read before was believed when that time was over, while the new entry still waited in the store for the next read, up to 0.65 s later. Work was torn from a target that had registered again in time.

Now a removal is believed after the first read that began when the settling time was over, and 1 s after it at the latest, since a store that is away again must not keep a target in use. The test waits for reads of the targets alone, which leaves it time on a slow machine.

Second fault, found in the review: what the store says of a target that announced its leaving first changes nothing for requests, so the keeper dropped the record.

Ruled out: an entry that the follower skipped (offsets were in order), an outage that was not noticed (both streams logged it).

--- a/fakes/src/dotterelweir_fakes/fleet/followers.py
+++ b/fakes/src/dotterelweir_fakes/fleet/followers.py
@@ -157,10 +157,12 @@
 class Fleet:
     """Instances before one store."""
 
-    def __init__(self, size: int, settle_s: float = 0.5) -> None:
+    def __init__(
+        self, size: int, settle_s: float = 0.5, seed: int = 3
+    ) -> None:
         self.settle_s = settle_s
         self.timers = core_timers.VirtualTimerService()
-        self.rng = random.Random(3)
+        self.rng = random.Random(seed)
         self.store = MemoryStore(self.timers)
         self.loses_news = False
         self.news_delay_s = 0.0
--- a/fakes/tests/system/test_failures.py
+++ b/fakes/tests/system/test_failures.py
@@ -103,7 +103,10 @@
     system.balancer.urls = (victim.caller_url,)
     await system.until_ready(1)
     first = asyncio.create_task(system.book('booking-1', 'key-1'))
-    await system.until(lambda: system.events(victim, 'target-chosen'))
+    await system.until(
+        lambda: first.done() or system.events(victim, 'target-chosen')
+    )
+    assert not first.done(), (first.result(), victim.child.output())
     victim.child.kill()
     assert (await first).outcome.value == 'broken'
     system.cluster.instances.remove(victim)
--- a/packages/core/src/dotterelweir_core/gateway/targets.py
+++ b/packages/core/src/dotterelweir_core/gateway/targets.py
@@ -148,6 +148,11 @@
             self._fingerprint = digest.hexdigest()
         return self._fingerprint
 
+    def registered(self, target_id: str) -> Target | None:
+        """What the store says of a target; None if it is not registered."""
+        entry = self._entries.get(target_id)
+        return entry.target if entry else None
+
     def takes_work(self, target_id: str) -> bool:
         """Whether a target is registered and ready."""
         target = self.targets.get(target_id)
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -257,6 +257,7 @@
         self.known = True
         if batch.more:
             return
+        self._keeper.read_ended(began_s)
         await self._settle_ahead()
         self._turn.record_read(began_s, self._peers.instances)
         self._peers.send_reports()
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -14,6 +14,11 @@
 
 LOG = logging.getLogger(__name__)
 
+# Time after the settling time in which a read that finds the entries that
+# came back in it should have ended, in seconds: the longest time between two
+# reads, and the call itself. Later ones are not waited for.
+_LAST_READ_S = 1.0
+
 
 class TablesKeeper(stream_api.Keeper):
     """The tables in force; never an older version after a newer one."""
@@ -43,6 +48,9 @@
     def store_returned(self, since_s: float) -> None:
         """Does nothing: tables do not lapse."""
 
+    def read_ended(self, began_s: float) -> None:
+        """Does nothing: no change of the tables waits for a read."""
+
     def store_rewound(self) -> None:
         """Does nothing: versions grow from era to era."""
 
@@ -91,7 +99,8 @@
 
     Entries lapse while the store is away, and targets that live write them
     again within the settling time after its return. A removal that is read
-    in that time is believed after it, unless a newer entry came meanwhile.
+    in that time is believed after the first read that began later, unless
+    that read found a newer entry.
 
     Args:
         store: The platform's store.
@@ -113,8 +122,8 @@
         self._settle_s = settle_s
         self._settled_at_s = 0.0
         self._records: dict[str, api.Record] = {}
-        # Removals that were read and are not believed yet.
-        self._deferred = 0
+        # What was read and is not believed yet.
+        self._deferred: list[Callable[[], object]] = []
         self._listeners: list[
             Callable[[gateway_targets.TargetChange], None]
         ] = []
@@ -150,6 +159,11 @@
         """Takes note that the store answers again after an outage."""
         self._settled_at_s = max(self._settled_at_s, since_s + self._settle_s)
 
+    def read_ended(self, began_s: float) -> None:
+        """Believes what was deferred, if entries were back at that time."""
+        if began_s >= self._settled_at_s:
+            self._take_deferred()
+
     def store_rewound(self) -> None:
         """Takes note that the store came back from an older copy.
 
@@ -209,11 +223,14 @@
                 continue
             if decoded is None and self._defer(record):
                 continue
+            before = self._directory.registered(record.key)
             change = self._directory.apply(record.key, decoded, record.offset)
-            if change is not None:
+            # Requests may see no change: the target said so before.
+            if self._directory.registered(record.key) != before:
                 self._keep_record(record)
-                self._announce(change)
                 changed.append(record)
+            if change is not None:
+                self._announce(change)
         return changed
 
     def _keep_record(self, record: api.Record) -> None:
@@ -234,14 +251,20 @@
         """Defers what was read until entries are back after an outage."""
         era = self._directory.era
 
-        def take_now() -> None:
-            self._deferred -= 1
+        def take_in_era() -> None:
             if era == self._directory.era:
                 take()
 
-        self._deferred += 1
+        self._deferred.append(take_in_era)
         wait_s = self._settled_at_s - self._timers.monotonic_s()
-        self._timers.call_after(max(0.0, wait_s), take_now)
+        self._timers.call_after(
+            max(0.0, wait_s) + _LAST_READ_S, self._take_deferred
+        )
+
+    def _take_deferred(self) -> None:
+        deferred, self._deferred = self._deferred, []
+        for take in deferred:
+            take()
 
     def _announce(self, change: gateway_targets.TargetChange) -> None:
         events.log(
--- a/packages/daemon/src/dotterelweird/gateway/stream_api.py
+++ b/packages/daemon/src/dotterelweird/gateway/stream_api.py
@@ -62,6 +62,14 @@
                 ago if it was away for this instance only.
         """
 
+    @abc.abstractmethod
+    def read_ended(self, began_s: float) -> None:
+        """Takes note that a read of the store found all that it held.
+
+        Args:
+            began_s: Monotonic time when the read began.
+        """
+
     @abc.abstractmethod
     def store_rewound(self) -> None:
         """Takes note that the store came back from an older copy.
--- a/packages/daemon/tests/gateway/test_following.py
+++ b/packages/daemon/tests/gateway/test_following.py
@@ -148,7 +148,8 @@
         await deployment.store.write('keyed.servers', name, b'')
     deployment.store.failing = False
     await deployment.wait_store_answers(True)
-    await deployment.wait_store_read()
+    # The settling time is too short for two reads of the tables as well.
+    await deployment.wait_store_read(('keyed.servers',))
     assert directory.takes_work('shop-1')
     await deployment.register('shop-1', 'plain')
     async with asyncio.timeout(5):
--- a/packages/daemon/tests/gateway/test_turns.py
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -2,6 +2,9 @@
 
 import asyncio
 
+import pytest
+
+from dotterelweir_core.gateway import targets
 from dotterelweir_fakes.fleet import followers
 from dotterelweird.gateway import api
 
@@ -231,3 +234,92 @@
         await fleet.until(lambda one: 't1' not in one.directory.targets, 2.0)
     finally:
         fleet.stop()
+
+
+@pytest.mark.parametrize('seed', range(8))
+async def test_an_entry_that_came_back_in_time_outlives_its_removal(seed):
+    """Guards against work torn from a target that registered again in time.
+
+    Its new entry waits in the store for the next read when the removal that
+    was read before is believed. Failed once as a test with real processes.
+    """
+    fleet = followers.Fleet(1, settle_s=2.0, seed=seed)
+    fleet.store.write('t1', 'ready')
+    fleet.store.write('t2', 'ready')
+    await fleet.start()
+    try:
+        alone = fleet.by_host('h0')
+        fleet.store.turned_away = {'h0'}
+        await fleet.advance(2.0)
+        fleet.store.write('t1', None)
+        fleet.store.write('t2', None)
+        fleet.store.turned_away = set()
+        await fleet.until(lambda one: one.follower.available)
+        returned_s = fleet.timers.monotonic_s()
+        await fleet.advance(1.99)
+        fleet.store.write('t1', 'ready')
+        while 't2' in alone.directory.targets:
+            assert fleet.timers.monotonic_s() < returned_s + 3.0
+            assert alone.directory.takes_work('t1')
+            await fleet.advance(0.002)
+        assert alone.directory.takes_work('t1')
+    finally:
+        fleet.stop()
+
+
+async def test_removals_are_believed_when_no_read_follows():
+    """Guards against a target that stays in use through another outage."""
+    fleet = followers.Fleet(1, settle_s=2.0)
+    fleet.store.write('t1', 'ready')
+    fleet.store.write('t2', 'ready')
+    await fleet.start()
+    try:
+        fleet.store.turned_away = {'h0'}
+        await fleet.advance(2.0)
+        fleet.store.write('t1', None)
+        fleet.store.turned_away = set()
+        await fleet.until(lambda one: one.follower.available)
+        await fleet.advance(1.0)
+        fleet.store.turned_away = {'h0'}
+        await fleet.until(lambda one: 't1' not in one.directory.targets, 2.1)
+    finally:
+        fleet.stop()
+
+
+async def test_what_the_store_says_of_an_announced_leaving_is_passed_on(
+    fleet,
+):
+    """Guards against a report that names other targets than are handed out.
+
+    A target said that it leaves before the store did; requests see no change
+    when the store follows.
+    """
+    departure = targets.Departure('t1', 0, True)
+    for one in fleet.instances:
+        assert one.keeper.apply_departure(departure)
+    before = fleet.by_host('h0').keeper.content
+    fleet.store.write('t1', 'draining')
+    await fleet.until(lambda one: one.keeper.content != before)
+    for one in fleet.instances:
+        states = {
+            record.key: fleet.store.decode_target(record).state
+            for record in one.follower.state().records
+        }
+        assert states == {
+            't1': targets.TargetState.DRAINING,
+            't2': targets.TargetState.READY,
+        }
+
+
+async def test_news_of_an_announced_leaving_save_reads(fleet):
+    """Guards against reads by all for a change that was found once."""
+    departure = targets.Departure('t1', 0, True)
+    for one in fleet.instances:
+        one.keeper.apply_departure(departure)
+    contents = {one.keeper.content for one in fleet.instances}
+    await fleet.advance(1.0)
+    before = fleet.store.reads
+    fleet.store.write('t1', 'draining')
+    await fleet.until(lambda one: one.keeper.content not in contents)
+    # The read that found it, and those that were under way.
+    assert fleet.store.reads - before <= 4
