--- a/packages/daemon/tests/gateway/test_floods.py
+++ b/packages/daemon/tests/gateway/test_floods.py
@@ -125,20 +125,26 @@
     assert first.moves == second.received == []
 
 
+async def ask_without_reading(deployment, deadline_ms):
+    """Sends a generation's request whose answer nobody reads."""
+    _, writer = await asyncio.open_connection(
+        deployment.host, deployment.callers_port, limit=1024
+    )
+    writer.write(
+        b'POST /guide/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-1\r\n'
+        b'X-Attempt-Id: r1\r\nX-Deadline-Ms: %d\r\n'
+        b'X-Token-Usage: 100,40\r\nContent-Length: 0\r\n\r\n' % deadline_ms
+    )
+    return writer
+
+
 async def test_a_caller_that_does_not_read_is_left_at_its_deadline(deployment):
     """Guards against callers that hold a stream open without reading it."""
     first = deployment.engines['engine-1']
     deployment.gateway._loads.get('engine-2').running = 3
     first.behaviour.raw = CHUNKED + b'100000\r\n'
     first.behaviour.flood = b'id: 1\ndata: x\n\n' + b'\n' * 65_000
-    reader, writer = await asyncio.open_connection(
-        deployment.host, deployment.callers_port, limit=1024
-    )
-    writer.write(
-        b'POST /guide/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-1\r\n'
-        b'X-Attempt-Id: r1\r\nX-Deadline-Ms: 500\r\n'
-        b'X-Token-Usage: 100,40\r\nContent-Length: 0\r\n\r\n'
-    )
+    writer = await ask_without_reading(deployment, 500)
     async with asyncio.timeout(3):
         while (await deployment.status())['running'] == 0:
             await asyncio.sleep(0.01)
@@ -155,14 +161,7 @@
         engine.behaviour.events = 4_000
         engine.behaviour.event_s = 0.0
         engine.behaviour.event_bytes = 32_000
-    _, writer = await asyncio.open_connection(
-        deployment.host, deployment.callers_port, limit=1024
-    )
-    writer.write(
-        b'POST /guide/x HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-1\r\n'
-        b'X-Attempt-Id: r1\r\nX-Deadline-Ms: 600\r\n'
-        b'X-Token-Usage: 100,40\r\nContent-Length: 0\r\n\r\n'
-    )
+    writer = await ask_without_reading(deployment, 600)
     began_s = asyncio.get_running_loop().time()
     async with asyncio.timeout(3):
         while (await deployment.status())['running'] == 0:
