Bound the numbers that callers, targets, the store and peers send

Cause, found by a fuzz of everything in platform/ that reads foreign bytes: a text or a number of an unusual form raised errors that nobody expects there, or went on as it was.

- A target's entry with the port '²', or with 5,000 digits, raised ValueError instead of the declared error: the follower met it again at each read and never got past that record.
An address that is no address went into URLs; a start of 1e300 could not be told to peers.
- A caller's sizes: 'inf' was answered 500; 1e300 did not fit the load digests, so that the instance told nothing while the request ran and its peers took its engines for idle.
A false size also counted beyond an engine's memory, and one of ten million tokens took the learned rate of reading from 10,000 to 15 million tokens a second, which let all prompts through at once.
- A caller's time that is nan or infinite was used as a deadline.
- An era of more than 64 bits, and offsets and keys of another type in a page of the store.

Ruled out, by the same fuzz: the configuration, records of a read, notices, datagrams and answers of peers raise only what is declared.

--- a/packages/core/src/dotterelweir_core/gateway/admission.py
+++ b/packages/core/src/dotterelweir_core/gateway/admission.py
@@ -92,6 +92,9 @@
     # Weights of a faster and of a slower run.
     _RISE = 0.3
     _FALL = 0.05
+    # Most of one run, as a multiple of the rate: callers name the size of
+    # their prompts, and a false one must not let all others through.
+    _RUN_MAX = 2.0
 
     def record(self, tokens: int, taken_s: float) -> None:
         """Takes note of a prompt.
@@ -102,7 +105,7 @@
         """
         if tokens <= 0 or taken_s <= 0:
             return
-        seen = tokens / taken_s
+        seen = min(tokens / taken_s, self._RUN_MAX * self.tokens_per_s)
         weight = self._RISE if seen > self.tokens_per_s else self._FALL
         self.tokens_per_s += weight * (seen - self.tokens_per_s)
 
--- a/packages/core/tests/gateway/test_admission.py
+++ b/packages/core/tests/gateway/test_admission.py
@@ -106,6 +106,15 @@
     assert demand(prompt, output).is_brief(rate) is brief
 
 
+def test_a_false_size_hardly_moves_the_rate():
+    """Guards against admission without bounds for what one caller claims."""
+    rate = admission.PromptRate()
+    for _ in range(40):
+        rate.record(2000, 0.2)
+    rate.record(10_000_000, 0.2)
+    assert rate.tokens_per_s < 1.5 * 10_000
+
+
 def test_the_rate_is_learned():
     """Guards against bounds for engines of another speed.
 
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -80,10 +80,21 @@
 
     @property
     def demand(self) -> admission.Demand:
-        """What a run needs, and by when."""
+        """What a run needs, and by when.
+
+        No run holds more than an engine's memory, whatever its caller says:
+        an engine must not look full to all instances for one false hint.
+        """
+        prompt_tokens = self.request.prompt_tokens
+        output_tokens = self.request.output_tokens_expected
+        engine = self.service.engine
+        if engine is not None and engine.memory_tokens:
+            prompt_tokens = min(prompt_tokens, engine.memory_tokens)
+            left_tokens = engine.memory_tokens - prompt_tokens
+            output_tokens = min(output_tokens, left_tokens)
         return admission.Demand(
-            self.request.prompt_tokens,
-            self.request.output_tokens_expected,
+            prompt_tokens,
+            output_tokens,
             self.route.objective_s,
             self.shortest_objective_s,
             self.arrived_s,
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -78,7 +78,7 @@
     async def follow(self) -> exchanges.StreamOutcome:
         """Sends the request and passes the events on."""
         parts, exchange, run = self._parts, self._exchange, self._run
-        counted_prefill = exchange.request.prompt_tokens
+        counted_prefill = exchange.demand.prompt_tokens
         if run.copy is not None:
             counted_prefill = 0
         elif not self._load.waiting_prompt_tokens:
@@ -273,7 +273,7 @@
             return
         now_s = self._parts.timers.monotonic_s()
         self._parts.admission.rate(self._exchange.service).record(
-            self._exchange.request.prompt_tokens, now_s - self._read_alone_s
+            self._exchange.demand.prompt_tokens, now_s - self._read_alone_s
         )
 
     async def _on_silence(self) -> exchanges.Interrupted | None:
--- a/packages/daemon/tests/gateway/test_bad_input.py
+++ b/packages/daemon/tests/gateway/test_bad_input.py
@@ -84,3 +84,48 @@
     async with deployment.request('book', body=b'x' * 17_000_000) as answer:
         assert answer.status == 413
     assert runs(deployment) == []
+
+
+@pytest.mark.parametrize(
+    'usage', ['inf,inf', '-inf,5', '1e300,1e300', 'nan,1', '5,' + '9' * 400]
+)
+async def test_sizes_that_are_none_spoil_nothing(deployment, usage):
+    """Guards against a caller that keeps an instance from telling its load.
+
+    Its peers would forget it as silent, and take its engines for idle.
+    """
+    second = await deployment.start_second()
+    async with asyncio.timeout(3):
+        while not second._peers.rows():
+            await asyncio.sleep(0.01)
+    for engine in deployment.engines.values():
+        engine.behaviour.event_s = 0.03
+    memory_tokens = 34_193
+    async with deployment.request(
+        'guide', X_Token_Usage=usage, X_Length_Hint='1e300'
+    ) as answer:
+        assert answer.status == 200
+        await answer.content.readany()
+        async with asyncio.timeout(1):
+            while not any(_peer_loads(second)):
+                await asyncio.sleep(0.005)
+        assert max(_peer_loads(second)) <= 2 * memory_tokens
+        await answer.read()
+    async with asyncio.timeout(1):
+        while any(_peer_loads(second)):
+            await asyncio.sleep(0.005)
+
+
+def _peer_loads(gateway):
+    """Tokens that other instances hold at each engine."""
+    return [
+        gateway._loads.get(name).peer_tokens
+        for name in ('engine-1', 'engine-2')
+    ]
+
+
+@pytest.mark.parametrize('time_left', ['nan', 'inf', '-inf', 'soon'])
+async def test_a_time_that_is_none_is_malformed(deployment, time_left):
+    """Guards against a deadline that no comparison ever reaches."""
+    async with deployment.request('read', X_Deadline_Ms=time_left) as answer:
+        assert answer.status == 400
--- /dev/null
+++ b/tests/adapter/test_foreign_bytes.py
@@ -0,0 +1,324 @@
+"""Bytes that others send: only the declared errors, and bounded values."""
+
+import base64
+import struct
+
+import hypothesis
+from hypothesis import strategies
+import orjson
+import pytest
+import yarl
+
+from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import targets
+from dotterelweir_platform import configuration
+from dotterelweir_platform import registrations
+from dotterelweir_platform import store
+from dotterelweir_platform import wire
+from dotterelweird.gateway import api
+from dotterelweird.gateway import digests
+
+CASES = hypothesis.settings(max_examples=300, deadline=None)
+
+ENTRY = {
+    'service': 'model',
+    'addr': '10.0.0.1:8000',
+    'zone': 'a',
+    'version': '1',
+    'slots': 24,
+    'state': 'ready',
+    'warmupLeftMs': 0,
+    'seq': 1,
+    'born': 1_780_000_000_000,
+}
+CONFIGURATION = {
+    'version': 1,
+    'routes': [
+        {
+            'name': 'r',
+            'host': 'shop.example',
+            'pathPrefix': '/a',
+            'kind': 'stream',
+            'timeoutMs': 3000,
+            'targetLatencyMs': 300,
+            'service': 'model',
+        }
+    ],
+    'services': [
+        {'name': 'model', 'engine': {'slots': 24, 'kvTokens': 30_000}}
+    ],
+    'tenants': [{'name': 'o', 'keys': ['k']}],
+    'limits': {'headerBytes': 8192},
+}
+
+# Texts that look like numbers and are none, or are no usual ones.
+ODD_TEXTS = strategies.sampled_from(
+    [
+        '',
+        '²',
+        '١',
+        'nan',
+        'inf',
+        '-inf',
+        '1e400',
+        '1e300',
+        '-1',
+        '1e18',
+        '9' * 25,
+        '9' * 5000,
+        '0x10',
+        '1_000',
+        ' 7 ',
+        '10.0.0.1:²',
+        '10.0.0.1:' + '9' * 5000,
+        '10.0.0.1/x:80',
+        'a b:80',
+        'user@10.0.0.1:80',
+        '[::1]:80',
+        '\ud800',
+    ]
+)
+LEAVES = (
+    strategies.none()
+    | strategies.booleans()
+    | strategies.integers()
+    | strategies.floats(allow_nan=False, allow_infinity=False)
+    | strategies.text(max_size=20)
+    | ODD_TEXTS.filter(lambda text: text != '\ud800')
+)
+JSON = strategies.recursive(
+    LEAVES,
+    lambda inner: (
+        strategies.lists(inner, max_size=3)
+        | strategies.dictionaries(
+            strategies.text(max_size=8), inner, max_size=3
+        )
+    ),
+    max_leaves=6,
+)
+
+
+def dump(value):
+    """Bytes of a value; larger integers become texts of digits."""
+
+    def limited(part):
+        match part:
+            case dict():
+                return {name: limited(inner) for name, inner in part.items()}
+            case list():
+                return [limited(inner) for inner in part]
+            case int() if abs(part) >= 2**63:
+                return float(part) if abs(part) < 10**300 else str(part)
+            case _:
+                return part
+
+    return orjson.dumps(limited(value))
+
+
+@strategies.composite
+def mutated(draw, valid):
+    """A valid value with a part replaced, dropped or added."""
+
+    def change(value):
+        if isinstance(value, dict) and value and draw(strategies.booleans()):
+            name = draw(strategies.sampled_from(sorted(value)))
+            rest = {key: part for key, part in value.items() if key != name}
+            if draw(strategies.integers(0, 5)) == 0:
+                return rest
+            return rest | {name: change(value[name])}
+        if isinstance(value, list) and value and draw(strategies.booleans()):
+            return [change(value[0]), *value[1:]]
+        return draw(JSON)
+
+    return change(valid)
+
+
+def encodes(target):
+    """Whether a departure of a target can be told to other instances."""
+    row = targets.Departure(target.target_id, target.started_ms, True)
+    return digests.decode(digests.encode(digests.Departures((row,))))
+
+
+@CASES
+@hypothesis.given(mutated(ENTRY))
+@hypothesis.example(ENTRY | {'addr': '10.0.0.1:²'})
+@hypothesis.example(ENTRY | {'addr': '10.0.0.1:' + '9' * 5000})
+@hypothesis.example(ENTRY | {'addr': '10.0.0.1/x:80'})
+@hypothesis.example(ENTRY | {'born': 1e300})
+@hypothesis.example(ENTRY | {'slots': 1e300})
+@hypothesis.example(ENTRY | {'warmupLeftMs': -1e308})
+def test_an_entry_is_a_sound_target_or_invalid(entry):
+    """Guards against a record of another writer that ends the following.
+
+    An error besides the declared one is met again at each read, so that the
+    instance never gets past the record.
+    """
+    try:
+        target = registrations.decode('t1', dump(entry))
+    except api.RecordInvalid:
+        return
+    url = yarl.URL(f'http://{target.address}/x', encoded=True)
+    assert (url.host, url.port) == (target.host.strip('[]'), target.port)
+    assert 0 < target.slots < 2**31
+    assert encodes(target)
+
+
+@CASES
+@hypothesis.given(strategies.binary(max_size=200))
+def test_bytes_are_no_entry(value):
+    """Guards against unreadable bytes that end the following."""
+    with pytest.raises(api.RecordInvalid):
+        registrations.decode('t1', value)
+
+
+@CASES
+@hypothesis.given(mutated(CONFIGURATION))
+def test_a_configuration_is_sound_or_invalid(value):
+    """Guards against a bad configuration that ends the following."""
+    try:
+        decoded = configuration.decode(dump(value))
+    except api.RecordInvalid:
+        return
+    decoded.match('shop.example', '/a')
+
+
+HEADER_VALUES = (
+    ODD_TEXTS
+    | strategies.text(max_size=30)
+    | strategies.floats().map(str)
+    | strategies.integers().map(str)
+)
+
+
+@CASES
+@hypothesis.given(HEADER_VALUES, HEADER_VALUES, HEADER_VALUES, HEADER_VALUES)
+@hypothesis.example('inf', '5', '5', '1')
+@hypothesis.example('1e300', '1e300', '5', '1')
+@hypothesis.example('5', '9' * 5000, '9' * 25, '1')
+@hypothesis.example('5', '5', '5', '9' * 25)
+@hypothesis.example('5', '5', 'nan', '1')
+def test_a_request_is_malformed_or_has_bounded_counts(
+    prompt, output, time_left, event_id
+):
+    """Guards against a caller that spoils what others know of the load.
+
+    Counts go into the load digests; one that does not fit keeps this
+    instance from telling its load, and one beyond the precision of the
+    others' sums wipes out what they knew.
+    """
+    headers = [
+        (name.encode(), text.encode('utf-8', 'surrogateescape'))
+        for name, text in (
+            (wire.TOKENS, f'{prompt},{output}'),
+            (wire.OUTPUT_HINT, output),
+            (wire.TIME_LEFT, time_left),
+            (wire.LAST_EVENT_ID, event_id),
+        )
+        if '\ud800' not in text
+    ]
+    try:
+        request = wire.PlatformDialect().decode_request(
+            'POST', '/a', headers, b''
+        )
+    except ValueError:
+        return
+    tokens = request.prompt_tokens + request.output_tokens_expected
+    assert 0 <= tokens < 2**31
+    row = load.DigestRow(1, tokens, request.prompt_tokens)
+    told = digests.Digest('i', 'h', 'z', 0, 1, {'t1': row})
+    assert digests.decode(digests.encode(told)).loads == {'t1': row}
+    if request.timeout_s is not None:
+        assert min(30.0, request.timeout_s) <= 30.0
+    if request.last_event_id is not None:
+        assert request.last_event_id < 2**63
+
+
+@CASES
+@hypothesis.given(strategies.integers(200, 599), HEADER_VALUES, HEADER_VALUES)
+@hypothesis.example(503, '9' * 5000, '1')
+def test_a_notice_has_a_finite_pause(status, retry_after, leaving):
+    """Guards against a header of a target that breaks an attempt."""
+    notice = wire.decode_notice(
+        status, [(wire.RETRY_AFTER, retry_after), (wire.LEAVING, leaving)]
+    )
+    assert 0.0 <= notice.pause_s <= 31_536_000.0
+
+
+@CASES
+@hypothesis.given(HEADER_VALUES)
+@hypothesis.example('9' * 5000)
+@hypothesis.example('9' * 25)
+def test_an_era_can_be_told(text):
+    """Guards against an era that ends the reads or the exchange."""
+    era = store.parse_era(text)
+    assert 0 <= era < 2**63
+
+
+PAGE = {
+    'items': [
+        {'key': 't1', 'value': base64.b64encode(b'x').decode(), 'offset': 3}
+    ],
+    'hasMore': False,
+    'end': 4,
+}
+
+
+@CASES
+@hypothesis.given(mutated(PAGE))
+@hypothesis.example(PAGE | {'end': 1e300})
+def test_a_page_is_sound_or_the_store_unavailable(page):
+    """Guards against an answer of the store that ends the following."""
+    try:
+        parsed = store.parse_page(dump(page))
+    except api.StoreUnavailable:
+        return
+    assert 0 <= parsed['end'] < 2**63
+    for record in parsed['records']:
+        assert isinstance(record.key, str)
+        assert 0 <= record.offset < 2**63
+
+
+@CASES
+@hypothesis.given(strategies.binary(max_size=120), strategies.integers(0, 9))
+def test_records_are_sound_or_the_store_unavailable(body, cut):
+    """Guards against a cut answer of the store that ends the following."""
+    head = struct.pack('>QQI', 9, 0, max(0, len(body) - cut))
+    for answer in (body, head + body):
+        try:
+            batch = store.parse_records(answer, 3)
+        except api.StoreUnavailable:
+            continue
+        assert batch.end == 3 + len(batch.records)
+
+
+DIGEST = {
+    'i': 'i',
+    'h': 'h',
+    'z': 'z',
+    'b': 1,
+    's': 1,
+    'l': [['t1', 1, 2, 3, 4, 5]],
+    'u': {'model': [1, 2]},
+    'r': {'targets': [1, 'c', 5, 0]},
+    'k': ['h2'],
+}
+
+
+@CASES
+@hypothesis.given(mutated(DIGEST))
+def test_a_datagram_is_sound_or_dropped(body):
+    """Guards against a datagram that raises in the exchange."""
+    try:
+        digests.decode(dump(body))
+    except digests.DatagramInvalid:
+        return
+
+
+@CASES
+@hypothesis.given(mutated({'records': [['t1', 3, None]], 'end': 4, 'era': 0}))
+def test_a_peer_s_records_are_sound_or_dropped(body):
+    """Guards against a peer's answer that ends the following."""
+    try:
+        digests.decode_batch(dump(body))
+    except digests.DatagramInvalid:
+        return
