--- a/packages/daemon/src/dotterelweird/gateway/peer_state.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_state.py
@@ -28,9 +28,12 @@
     timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
     try:
         async with session.get(
-            f'http://{address}{PATH}{stream.value}', timeout=timeout
+            f'http://{address}{PATH}{stream.value}',
+            allow_redirects=False,
+            timeout=timeout,
         ) as answer:
-            answer.raise_for_status()
+            if answer.status != 200:
+                raise api.StoreUnavailable(f'status {answer.status}')
             body = await bounded.read(answer, bounded.ANSWER_BYTES_MAX)
             return digests.decode_batch(body)
     except (
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -1,6 +1,7 @@
 """Bytes that others send: only the declared errors, and bounded values."""
 
 import base64
+import random
 import struct
 
 import hypothesis
@@ -18,7 +19,7 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
 
-CASES = hypothesis.settings(max_examples=300, deadline=None)
+CASES = hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
 
 ENTRY = {
     'service': 'model',
@@ -173,13 +174,38 @@
 
 @CASES
 @hypothesis.given(mutated(CONFIGURATION))
+@hypothesis.example(
+    CONFIGURATION | {'routes': [CONFIGURATION['routes'][0] | {'host': 7}]}
+)
+@hypothesis.example(
+    CONFIGURATION
+    | {'routes': [CONFIGURATION['routes'][0] | {'pathPrefix': []}]}
+)
+@hypothesis.example(
+    CONFIGURATION
+    | {
+        'routes': [
+            CONFIGURATION['routes'][0]
+            | {'backends': [{'service': 'a', 'weight': 0}] * 2}
+        ]
+    }
+)
+@hypothesis.example(
+    CONFIGURATION
+    | {'routes': [CONFIGURATION['routes'][0] | {'service': None}]}
+)
+@hypothesis.example(CONFIGURATION | {'limits': {'idleMs': -5}})
 def test_a_configuration_is_sound_or_invalid(value):
     """Guards against a bad configuration that ends the following."""
     try:
         decoded = configuration.decode(dump(value))
     except api.RecordInvalid:
         return
-    decoded.match('shop.example', '/a')
+    assert decoded.limits.idle_s >= 0.0
+    route = decoded.match('shop.example', '/a')
+    if route is not None:
+        assert isinstance(route.pick_service(random.Random(1)), str)
+        assert min(route.timeout_s, route.objective_s, route.event_gap_s) >= 0
 
 
 HEADER_VALUES = (
