Refuse streams over HTTP/1.0 before they run

Cause: such a caller takes no chunks; the run began at an engine, and the answer failed with 500 when its head was to be sent. Ended by closing the connection instead, a lost stream would look complete.

Ruled out: calls, whose answers have a length.

Before: the new test gets 500, after the run. After: 400, nothing has run; the tests of bad input and of generations pass.

--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+import aiohttp
 from aiohttp import web
 
 from dotterelweir_core import errors
@@ -137,6 +138,12 @@
         if exchange.route.kind is not gateway_tables.RequestKind.STREAM:
             answered = await self._calls.forward(exchange)
             return self._whole(answered)
+        if caller.version < aiohttp.HttpVersion11:
+            # Without chunks a stream that ends early looks complete.
+            raise errors.DotterelweirError(
+                errors.ErrorKind.MALFORMED_REQUEST,
+                'a stream needs HTTP/1.1',
+            )
         generation = generations.Generation(self._parts, exchange, caller)
         result = await generation.forward()
         if isinstance(result, exchanges.Answered):
--- a/packages/daemon/tests/gateway/test_bad_input.py
+++ b/packages/daemon/tests/gateway/test_bad_input.py
@@ -129,3 +129,20 @@
     """Guards against a deadline that no comparison ever reaches."""
     async with deployment.request('read', X_Deadline_Ms=time_left) as answer:
         assert answer.status == 400
+
+
+async def test_a_stream_over_an_older_protocol_is_not_run(deployment):
+    """Guards against runs whose answer cannot be sent.
+
+    HTTP/1.0 has no chunks, and without them a stream that ends early looks
+    complete.
+    """
+    answer = await send_raw(
+        deployment,
+        b'POST /guide/x HTTP/1.0\r\nHost: shop.example\r\nApi-Key: key-1\r\n'
+        b'X-Attempt-Id: r1\r\nX-Token-Usage: 100,40\r\n'
+        b'Content-Length: 0\r\n\r\n',
+    )
+    assert answer.split(b' ')[1] == b'400'
+    for name in ('engine-1', 'engine-2'):
+        assert deployment.engines[name].ran == []
