Let a test of a killed instance wait until the service has the call

Cause of the listed test's failures, traced: an instance logs which service it chose before it sends the call there. The product was right: the caller is told that it is unknown whether the call ran.

Ruled out: the claim's decision, suspected before. A decision of 1.2 s ends the call with claims-unavailable, which the test now tells at once; in the failed run the call was chosen and the kill came after it.

The test waits for the service to have the call in hand, which is what it was meant to wait for; everything that it checks stays, and the call must not have ended before.

--- a/fakes/tests/system/test_failures.py
+++ b/fakes/tests/system/test_failures.py
@@ -103,9 +103,8 @@
     system.balancer.urls = (victim.caller_url,)
     await system.until_ready(1)
     first = asyncio.create_task(system.book('booking-1', 'key-1'))
-    await system.until(
-        lambda: first.done() or system.events(victim, 'target-chosen')
-    )
+    # The instance chooses the service before it sends the booking there.
+    await system.until(lambda: first.done() or _has_booking(system, url))
     assert not first.done(), (first.result(), victim.child.output())
     victim.child.kill()
     assert (await first).outcome.value == 'broken'
@@ -120,6 +119,12 @@
     assert await system.executions('booking-1') == 1
 
 
+async def _has_booking(system, url):
+    """Whether the service has a call in hand."""
+    async with system.http.get(f'{url}/v1/load') as answer:
+        return (await answer.json())['running'] > 0
+
+
 async def _executed(system, key):
     return await system.executions(key) >= 1
 
