Pass on no encoded bodies, no changed paths, and refusals for form at once

- A body with a Content-Encoding is not the target's: callers ask for none.
Such an answer, a stream too, was passed on as a success.
- yarl drops an empty query and a fragment when it parses a URL, so that a target got another path than the caller sent.
The URL is built from its parts now.
- A target that refuses a request for its form, one without an id, was counted as full; the request went on to up to five others, each of which was then avoided for half a second, by other instances too.
The caller got 503 and was told to come back.
Its answer is final now.

Before: 8 of 13 cases of paths and encodings and 3 of 3 without an id fail.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -82,6 +82,7 @@
         behaviour: What it does.
         ran: Ids of requests that it began to run, in order.
         received: Headers of every request, in order.
+        paths: Path and query of every request, in order.
         resumed: Event ids after which runs went on here.
         cancelled: Ids of requests whose connection closed while they ran.
         moves: Every order to copy a run, in order.
@@ -95,6 +96,7 @@
         self.behaviour = Behaviour()
         self.ran: list[str] = []
         self.received: list[dict[str, str]] = []
+        self.paths: list[str] = []
         self.resumed: list[int] = []
         self.cancelled: list[str] = []
         self.moves: list[dict] = []
@@ -146,11 +148,16 @@
         body = await request.read()
         headers = {name.lower(): v for name, v in request.headers.items()}
         self.received.append(headers)
+        self.paths.append(request.raw_path)
         request_id = headers.get('x-attempt-id', '')
         behaviour = self.behaviour
         if headers.get('x-expect-instance') != self.target_id:
             return web.Response(status=421)
         copy_missing = 'kv-from' in headers and not behaviour.has_copies
+        if not request_id:
+            return self._noted(
+                web.Response(status=400, headers={'X-Not-Executed': '1'})
+            )
         if behaviour.refuse or copy_missing:
             return self._noted(
                 web.Response(status=503, headers={'X-Not-Executed': '1'})
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -218,6 +218,7 @@
         not_run: Whether the target states that the request did not run.
         own: Whether the answer belongs to the request.
         sealed: Whether the target signed it.
+        encoded: Whether its body has an encoding, which nobody asked for.
         headers: Headers that are forwarded to the caller.
         notice: What the target says of itself.
     """
@@ -225,9 +226,15 @@
     not_run: bool
     own: bool
     sealed: bool
+    encoded: bool
     headers: Headers
     notice: TargetNotice = NO_NOTICE
 
+    @property
+    def vouched(self) -> bool:
+        """Whether the body may be taken for the target's answer."""
+        return self.own and self.sealed and not self.encoded
+
 
 class Dialect(abc.ABC):
     """Names and formats of requests and answers."""
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -22,6 +22,8 @@
 # target's answer with one of them and without its own statement that the
 # request did not run must not reach the caller.
 PROMISING_STATUSES = frozenset({408, 421, 429, 503})
+# Status with which a target refuses a request for its form.
+_MALFORMED_STATUS = 400
 
 
 @contextlib.contextmanager
@@ -100,7 +102,13 @@
     """
     request, target = exchange.request, options.target
     exchange.tried.add(target.target_id)
-    url = yarl.URL(f'http://{target.address}{request.raw_path}', encoded=True)
+    # Parsed, an empty query and a fragment would be dropped.
+    url = yarl.URL.build(
+        scheme='http',
+        authority=target.address,
+        path=request.raw_path,
+        encoded=True,
+    )
     return await parts.session.request(
         request.method,
         url,
@@ -175,12 +183,17 @@
     status: int, facts: api.AnswerFacts, body: bytes
 ) -> exchanges.Outcome:
     """What a whole answer of a target means."""
+    if facts.not_run and status == _MALFORMED_STATUS:
+        # Every target says the same of such a request.
+        return exchanges.Answered(status, facts.headers, body)
     if facts.not_run:
         return exchanges.NotRun(status)
     if not facts.own:
         return exchanges.Broken('answer of another request')
     if not facts.sealed:
         return exchanges.Broken('answer without a signature')
+    if facts.encoded:
+        return exchanges.Broken('answer with an encoding')
     if status in PROMISING_STATUSES or status < 200:
         return exchanges.Broken(f'status {status} without a statement')
     return exchanges.Answered(status, facts.headers, body)
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -168,7 +168,7 @@
                 return interrupted
             answer = sending.result()
             facts = attempts.decode_answer(parts, exchange, run.target, answer)
-            if answer.status != 200 or not (facts.own and facts.sealed):
+            if answer.status != 200 or not facts.vouched:
                 async with asyncio.timeout(self._time_left_s()):
                     body = await parts.memory.read(answer)
                 return attempts.classify(answer.status, facts, body)
--- a/packages/daemon/tests/gateway/test_bad_input.py
+++ b/packages/daemon/tests/gateway/test_bad_input.py
@@ -146,3 +146,64 @@
     assert answer.split(b' ')[1] == b'400'
     for name in ('engine-1', 'engine-2'):
         assert deployment.engines[name].ran == []
+
+
+@pytest.mark.parametrize(
+    'path',
+    [
+        b'/read/x?',
+        b'/read/x?a=b&&',
+        b'/read/x?a=b?c=%zz',
+        b'/read/%2e%2e/a%2Fb',
+        b'/read//a/../b/.',
+        b'/read/x;a=1|"<>',
+        b'/read/x?a=b#c',
+    ],
+)
+async def test_a_path_arrives_as_it_was_sent(deployment, path):
+    """Guards against a request that runs with another path or query."""
+    answer = await send_raw(
+        deployment,
+        b'GET %b HTTP/1.1\r\nHost: shop.example\r\nApi-Key: key-1\r\n'
+        b'X-Attempt-Id: r1\r\nConnection: close\r\n\r\n' % path,
+    )
+    assert answer.split(b' ')[1] == b'200'
+    paths = [one for name in SHOPS for one in deployment.engines[name].paths]
+    assert paths == [path.decode()]
+
+
+@pytest.mark.parametrize('route', ['book', 'guide'])
+@pytest.mark.parametrize('coding', [b'gzip', b'identity, br', b'x'])
+async def test_an_encoded_body_is_not_the_targets(deployment, route, coding):
+    """Guards against a success whose body no target made.
+
+    Callers ask for no encoding.
+    """
+    framing = b'Content-Encoding: ' + coding + b'\r\n'
+    if route == 'book':
+        body = b'Content-Length: 4\r\n\r\nbody'
+    else:
+        body = (
+            b'Transfer-Encoding: chunked\r\n\r\n'
+            b'f\r\nid: 1\ndata: x\n\n\r\n0\r\n\r\n'
+        )
+    for engine in deployment.engines.values():
+        engine.behaviour.raw = HEAD + framing + body
+    async with deployment.request(route) as answer:
+        assert answer.status == 502
+        assert b'body' not in await answer.read()
+    ran = [len(engine.ran) for engine in deployment.engines.values()]
+    assert sum(ran) == 1
+
+
+@pytest.mark.parametrize('route', ['read', 'guide', 'check'])
+async def test_a_request_that_no_target_accepts_is_sent_once(
+    deployment, route
+):
+    """Guards against targets avoided for requests that are malformed."""
+    async with deployment.request(route, request_id='') as answer:
+        assert answer.status == 400
+    engines = deployment.engines
+    assert sum(len(engine.received) for engine in engines.values()) == 1
+    loads = deployment.gateway._loads
+    assert not any(loads.get(name).failed for name in engines)
