Let late requests take room after those that can be on time

Cause: each instance orders its own line by due time, but instances take room from each other at random: one whose requests were all late got it as often as one whose requests could still be on time.

Late requests wait for the longest random time of the others before theirs. No instance tells more than before.

--- a/fakes/src/dotterelweir_fakes/measurement/crest.py
+++ b/fakes/src/dotterelweir_fakes/measurement/crest.py
@@ -234,7 +234,9 @@
             else:
                 self.tallies[request.kind.name].refused += 1
 
-        delay_s = search.delay_s(len(self._instances), self._rng)
+        delay_s = search.delay_s(
+            self._timers.monotonic_s(), len(self._instances), self._rng
+        )
         self._timers.call_after(delay_s, look)
 
     def _demand(self, request: _Request) -> admission.Demand:
--- a/packages/core/src/dotterelweir_core/gateway/waiting.py
+++ b/packages/core/src/dotterelweir_core/gateway/waiting.py
@@ -26,18 +26,21 @@
 _CLAIM_MAX_S = 0.3
 
 
-def claim_delay_s(instances: int, rng: random.Random) -> float:
+def claim_delay_s(instances: int, on_time: bool, rng: random.Random) -> float:
     """Time from seeing room to taking it, in seconds.
 
     All instances see it at the same moment, a new engine above all. Each one
     looks again after a random time, so that it knows of most that were
-    sooner.
+    sooner. A request that is late anyway lets those of all instances go
+    first that can still be on time.
 
     Args:
         instances: Instances that hear each other.
+        on_time: Whether the request can still be on time.
         rng: Random source.
     """
-    return rng.uniform(0.0, min(_CLAIM_MAX_S, _NEWS_S * instances))
+    bound_s = min(_CLAIM_MAX_S, _NEWS_S * instances)
+    return rng.uniform(0.0, bound_s) + (0.0 if on_time else bound_s)
 
 
 @attrs.define(eq=False)
@@ -120,15 +123,19 @@
     line: WaitingLine
     claims: bool = False
 
-    def delay_s(self, instances: int, rng: random.Random) -> float:
+    def delay_s(
+        self, now_s: float, instances: int, rng: random.Random
+    ) -> float:
         """Time until the next look, in seconds.
 
         Args:
+            now_s: Monotonic time.
             instances: Instances that hear each other.
             rng: Random source.
         """
         if self.claims:
-            return claim_delay_s(instances, rng)
+            on_time = self.ticket.is_on_time(now_s)
+            return claim_delay_s(instances, on_time, rng)
         return _CHECK_S * rng.uniform(0.5, 1.5)
 
     def look(self, now_s: float, has_room: Callable[[], bool]) -> Look:
--- a/packages/core/tests/gateway/test_waiting.py
+++ b/packages/core/tests/gateway/test_waiting.py
@@ -43,11 +43,30 @@
 def test_instances_take_room_one_after_another(instances, bound_s):
     """Guards against a new engine that all instances fill at once."""
     rng = random.Random(1)
-    delays_s = [waiting.claim_delay_s(instances, rng) for _ in range(200)]
+    delays_s = [
+        waiting.claim_delay_s(instances, True, rng) for _ in range(200)
+    ]
     assert 0.8 * bound_s < max(delays_s) <= bound_s
     assert min(delays_s) < 0.1 * bound_s
 
 
+def test_late_requests_let_those_of_other_instances_go_first():
+    """Guards against a crest in which everybody becomes late.
+
+    Each instance knows its own line alone; one whose requests are all late
+    takes room from another one's that can still be on time.
+    """
+    line = waiting.WaitingLine()
+    ticket = waiting.Ticket(0.0, 2.0)
+    line.add(ticket)
+    search = waiting.Search(ticket, line)
+    rng = random.Random(1)
+    search.look(0.1, lambda: True)
+    on_time_s = [search.delay_s(0.2, 7, rng) for _ in range(200)]
+    late_s = [search.delay_s(1.9, 7, rng) for _ in range(200)]
+    assert max(on_time_s) <= min(late_s)
+
+
 def test_room_is_taken_at_the_second_look():
     """Guards against instances that all take the room that they see."""
     line = waiting.WaitingLine()
--- a/packages/daemon/src/dotterelweird/gateway/rooms.py
+++ b/packages/daemon/src/dotterelweird/gateway/rooms.py
@@ -59,7 +59,10 @@
     look = waiting.Look.WAIT
     while look is waiting.Look.WAIT:
         instances = parts.budgets.pool.visible
-        await timers.sleep(parts.timers, search.delay_s(instances, parts.rng))
+        delay_s = search.delay_s(
+            parts.timers.monotonic_s(), instances, parts.rng
+        )
+        await timers.sleep(parts.timers, delay_s)
         parts.check_stop(exchange)
         look = search.look(
             parts.timers.monotonic_s(), lambda: parts.has_room(exchange)
