Count a stream that its caller left as that in the ledger of losses

Cause: the attempt's new end, 'caller lost', was not known to the ledger, which took such a stream for one whose engine was gone without a copy.

Before: the new case fails. After: the tests of the fleet commands pass.

--- a/packages/cli/src/dotterelweir_cli/fleet/losses.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/losses.py
@@ -214,8 +214,11 @@
 def _lost_cause(found: list[logs.Line]) -> Cause:
     """Why a generation ended after part of it had reached its caller."""
     ends = [line for line in found if line.message == 'gateway-attempt-ended']
-    if ends and ends[-1].fields['end'] in ('not run', 'never sent'):
-        return Cause.COPY_GONE
+    match ends[-1].fields['end'] if ends else '':
+        case 'caller lost':
+            return Cause.CALLER_LEFT
+        case 'not run' | 'never sent':
+            return Cause.COPY_GONE
     source = ends[-1].fields['target_id'] if ends else None
     moves = [
         line
--- a/packages/cli/tests/fleet/test_losses.py
+++ b/packages/cli/tests/fleet/test_losses.py
@@ -102,6 +102,10 @@
         [chosen(), attempt('not run'), ended('stream-lost')],
         losses.Cause.COPY_GONE,
     ),
+    (
+        [chosen(), attempt('caller lost'), ended('stream-lost')],
+        losses.Cause.CALLER_LEFT,
+    ),
     (
         [
             chosen(),
