--- a/Makefile
+++ b/Makefile
@@ -6,8 +6,9 @@
 SEED ?= 1
 MINUTES ?= 1
 PYTEST_ARGS ?= -n 4
+CASES ?= 10000
 
-.PHONY: install lint format test ci demo measure experiment soak docs clean
+.PHONY: install lint format test ci demo measure experiment soak fuzz docs clean
 
 install: $(VENV)/.installed
 
@@ -40,6 +41,9 @@
 experiment: install
 	$(BIN)/python -m dotterelweir_fakes experiment $(if $(FILE),$(FILE),docs/experiments/crest.json5)
 
+fuzz: install
+	FUZZ_CASES=$(CASES) $(BIN)/pytest $(PYTEST_ARGS) --hypothesis-seed=$(SEED) tests/adapter/test_foreign_bytes.py
+
 soak: install
 	$(BIN)/python -m dotterelweir_fakes soak --seed $(SEED) --minutes $(MINUTES)
 
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -1,6 +1,7 @@
 """Bytes that others send: only the declared errors, and bounded values."""
 
 import base64
+import os
 import random
 import struct
 
@@ -19,7 +20,13 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
 
-CASES = hypothesis.settings(max_examples=300, deadline=None, derandomize=True)
+# ``make fuzz`` asks for more cases, drawn anew from its seed.
+FUZZ_CASES = os.environ.get('FUZZ_CASES')
+CASES = hypothesis.settings(
+    max_examples=int(FUZZ_CASES or 300),
+    deadline=None,
+    derandomize=FUZZ_CASES is None,
+)
 
 ENTRY = {
     'service': 'model',
