Set up followers, full engines and waiting lines of tests in one place

Cause: seven tests wrote the same set-up of followers in memory and its end, and two files had the same full engines and the same wait until a generation stands in line. followers.running and the fixtures fill and until_waiting serve them all.

Ruled out: a changed test.

--- a/fakes/src/dotterelweir_fakes/fleet/followers.py
+++ b/fakes/src/dotterelweir_fakes/fleet/followers.py
@@ -1,7 +1,9 @@
 """Instances that follow a store in turns, in memory and virtual time."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
+import contextlib
 import functools
 import random
 import types
@@ -206,3 +208,24 @@
         """Ends the following."""
         for task in self._tasks:
             task.cancel()
+
+
+@contextlib.asynccontextmanager
+async def running(
+    size: int, settle_s: float = 0.5, seed: int = 3
+) -> AsyncIterator[Fleet]:
+    """Instances that know the targets t1 and t2, and follow the store.
+
+    Args:
+        size: How many.
+        settle_s: The settling time after an outage, in seconds.
+        seed: Seed of their turns.
+    """
+    fleet = Fleet(size, settle_s, seed)
+    fleet.store.write('t1', 'ready')
+    fleet.store.write('t2', 'ready')
+    await fleet.start()
+    try:
+        yield fleet
+    finally:
+        fleet.stop()
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -1,5 +1,7 @@
 """A gateway before stand-ins of the platform, and followers in memory."""
 
+import asyncio
+
 import pytest
 
 from dotterelweir_fakes.fleet import deployment as fleet_deployment
@@ -26,12 +28,32 @@
         await running.close()
 
 
+@pytest.fixture
+def fill(deployment):
+    """Lets the model engines look as if they held so many tokens."""
+
+    def set_tokens(tokens):
+        for name in ('engine-1', 'engine-2'):
+            deployment.gateway._loads.get(name).tokens = tokens
+
+    return set_tokens
+
+
+@pytest.fixture
+def until_waiting(deployment):
+    """Waits until some generation waits for room, or none does."""
+
+    async def wait(expected=True):
+        lines = deployment.gateway._parts._lines
+        async with asyncio.timeout(1):
+            while any(map(len, lines.values())) is not expected:
+                await asyncio.sleep(0.005)
+
+    return wait
+
+
 @pytest.fixture
 async def fleet():
     """Twenty instances that follow a store with two targets."""
-    made = followers.Fleet(20)
-    made.store.write('t1', 'ready')
-    made.store.write('t2', 'ready')
-    await made.start()
-    yield made
-    made.stop()
+    async with followers.running(20) as made:
+        yield made
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -67,10 +67,9 @@
     assert first.received[0]['x-kv-backup'] == second.address
 
 
-async def test_no_backup_is_kept_when_memory_is_short(deployment):
+async def test_no_backup_is_kept_when_memory_is_short(deployment, fill):
     """Guards against copies that displace running generations."""
-    for name in ('engine-1', 'engine-2'):
-        deployment.gateway._loads.get(name).tokens = 30_000
+    fill(30_000)
     async with deployment.request('guide') as answer:
         await answer.read()
     received = [
--- a/packages/daemon/tests/gateway/test_rooms.py
+++ b/packages/daemon/tests/gateway/test_rooms.py
@@ -7,12 +7,6 @@
 ENGINES = ('engine-1', 'engine-2')
 
 
-def fill(deployment, tokens):
-    """Lets the engines look as if they held so many tokens."""
-    for name in ENGINES:
-        deployment.gateway._loads.get(name).tokens = tokens
-
-
 def ran(deployment):
     return [
         request_id
@@ -21,22 +15,24 @@
     ]
 
 
-async def test_a_generation_without_room_is_refused_as_not_run(deployment):
+async def test_a_generation_without_room_is_refused_as_not_run(
+    deployment, fill
+):
     """Guards against late generations that are sent to full engines.
 
     The callers of the stand-in wait for 2 s; the objective is 0.3 s.
     """
-    fill(deployment, 60_000)
+    fill(60_000)
     async with deployment.request('guide') as answer:
         assert answer.status == 503
         assert float(answer.headers['Retry-After']) > 0
     assert ran(deployment) == []
 
 
-async def test_a_generation_is_sent_when_there_is_room(deployment):
+async def test_a_generation_is_sent_when_there_is_room(deployment, fill):
     """Guards against generations that wait although an engine is free."""
-    fill(deployment, 60_000)
-    asyncio.get_running_loop().call_later(0.2, fill, deployment, 0)
+    fill(60_000)
+    asyncio.get_running_loop().call_later(0.2, fill, 0)
     async with deployment.request('guide') as answer:
         assert answer.status == 200
         await answer.read()
@@ -45,10 +41,10 @@
 
 @pytest.mark.parametrize('route', ['guide', 'check'])
 async def test_nothing_is_waited_for_if_every_engine_is_avoided(
-    deployment, route
+    deployment, fill, route
 ):
     """Guards against refusals while engines that had failed serve again."""
-    fill(deployment, 60_000)
+    fill(60_000)
     now_s = asyncio.get_running_loop().time()
     for name in ENGINES:
         for _ in range(6):
@@ -59,21 +55,18 @@
     assert ran(deployment) == ['request-1']
 
 
-async def test_a_caller_that_leaves_gives_its_place_up(deployment):
+async def test_a_caller_that_leaves_gives_its_place_up(
+    deployment, fill, until_waiting
+):
     """Guards against a line that waits for somebody who has left."""
-    fill(deployment, 60_000)
+    fill(60_000)
     leaving = asyncio.create_task(
         deployment.request('guide', 'request-1').__aenter__()
     )
-    lines = deployment.gateway._parts._lines
-    async with asyncio.timeout(1):
-        while not any(len(line) for line in lines.values()):
-            await asyncio.sleep(0.01)
+    await until_waiting()
     leaving.cancel()
-    async with asyncio.timeout(1):
-        while any(len(line) for line in lines.values()):
-            await asyncio.sleep(0.01)
-    fill(deployment, 0)
+    await until_waiting(False)
+    fill(0)
     async with deployment.request('guide', 'request-2') as answer:
         assert answer.status == 200
         await answer.read()
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -87,31 +87,29 @@
     assert [call.result() for call in calls] == [200] * len(calls)
 
 
-async def _wait_in_line(deployment):
-    """Sends a generation that finds every engine full."""
-    for name in ENGINES:
-        deployment.gateway._loads.get(name).tokens = 60_000
+@pytest.fixture
+async def asked(deployment, fill, until_waiting):
+    """A generation that waits because every engine is full."""
+    fill(60_000)
 
     async def ask():
         async with deployment.request('guide') as answer:
             await answer.read()
             return answer.status, answer.headers.get('Retry-After')
 
-    asked = asyncio.create_task(ask())
-    lines = deployment.gateway._parts._lines
-    async with asyncio.timeout(1):
-        while not any(len(line) for line in lines.values()):
-            await asyncio.sleep(0.005)
-    return asked
+    task = asyncio.create_task(ask())
+    await until_waiting()
+    return task
 
 
-async def test_a_waiting_generation_is_refused_when_a_stop_begins(deployment):
+async def test_a_waiting_generation_is_refused_when_a_stop_begins(
+    deployment, asked
+):
     """Guards against requests that wait until the process ends.
 
     With the stand-in's grace time of 2 s no generation of 40 tokens would
     end in time.
     """
-    asked = await _wait_in_line(deployment)
     deployment.gateway.begin_stop()
     async with asyncio.timeout(0.2):
         status, retry_after = await asked
@@ -119,15 +117,15 @@
     assert 0.0 < float(retry_after) < 0.15
 
 
-async def test_a_generation_that_waited_into_a_stop_is_not_sent(deployment):
+async def test_a_generation_that_waited_into_a_stop_is_not_sent(
+    deployment, asked, fill
+):
     """Guards against streams that a stop cuts off.
 
     The generation was taken before the stop and finds room after it.
     """
-    asked = await _wait_in_line(deployment)
     deployment.gateway.begin_stop()
-    for name in ENGINES:
-        deployment.gateway._loads.get(name).tokens = 0
+    fill(0)
     assert (await asked)[0] == 503
     assert all(not deployment.engines[name].ran for name in ENGINES)
 
--- a/packages/daemon/tests/gateway/test_turns.py
+++ b/packages/daemon/tests/gateway/test_turns.py
@@ -48,10 +48,7 @@
     Reports and news take different relays, so that a report may come first.
     Seen on the large deployment: 13 of 195 instances read after each change.
     """
-    fleet = followers.Fleet(60)
-    fleet.store.write('t1', 'ready')
-    await fleet.start()
-    try:
+    async with followers.running(60) as fleet:
         fleet.news_delay_s = 0.03
         before = fleet.store.reads
         for state in ('draining', 'ready') * 5:
@@ -59,8 +56,6 @@
             await fleet.advance(0.5)
         # By turns alone they read about four times a second.
         assert fleet.store.reads - before < 2 * 4 * 5
-    finally:
-        fleet.stop()
 
 
 async def test_an_instance_that_is_turned_away_learns_from_others(fleet):
@@ -147,10 +142,7 @@
 
 async def test_an_outage_costs_few_calls_and_ends_at_once():
     """Guards against many instances that each keep asking a dead store."""
-    fleet = followers.Fleet(60)
-    fleet.store.write('t1', 'ready')
-    await fleet.start()
-    try:
+    async with followers.running(60) as fleet:
         fleet.store.turned_away = {one.host for one in fleet.instances}
         before = fleet.store.reads
         await fleet.advance(2.2)
@@ -159,8 +151,6 @@
         fleet.store.turned_away = set()
         fleet.store.write('t1', 'draining')
         await fleet.until(lambda one: not one.directory.takes_work('t1'), 1.5)
-    finally:
-        fleet.stop()
 
 
 async def test_a_fault_of_the_program_does_not_end_the_following(
@@ -198,11 +188,7 @@
     had turned away learned from its peers, took its own turn four seconds
     after the end, and deferred removals for two seconds then.
     """
-    fleet = followers.Fleet(20, settle_s=2.0)
-    fleet.store.write('t1', 'ready')
-    fleet.store.write('t2', 'ready')
-    await fleet.start()
-    try:
+    async with followers.running(20, settle_s=2.0) as fleet:
         fleet.loses_news = True
         fleet.store.turned_away = {'h0'}
         turned_away = fleet.by_host('h0').follower
@@ -213,17 +199,11 @@
         assert not turned_away.available
         fleet.store.write('t1', None)
         await fleet.until(lambda one: 't1' not in one.directory.targets, 0.9)
-    finally:
-        fleet.stop()
 
 
 async def test_removals_are_deferred_from_the_first_read_of_anybody():
     """Guards against deferrals that begin anew with each instance's turn."""
-    fleet = followers.Fleet(20, settle_s=2.0)
-    fleet.store.write('t1', 'ready')
-    fleet.store.write('t2', 'ready')
-    await fleet.start()
-    try:
+    async with followers.running(20, settle_s=2.0) as fleet:
         fleet.store.turned_away = {one.host for one in fleet.instances}
         await fleet.advance(4.0)
         fleet.store.write('t1', None)
@@ -232,8 +212,6 @@
         assert fleet.by_host('h0').directory.takes_work('t1')
         fleet.store.turned_away = set()
         await fleet.until(lambda one: 't1' not in one.directory.targets, 2.0)
-    finally:
-        fleet.stop()
 
 
 @pytest.mark.parametrize('seed', range(8))
@@ -243,11 +221,7 @@
     Its new entry waits in the store for the next read when the removal that
     was read before is believed. Failed once as a test with real processes.
     """
-    fleet = followers.Fleet(1, settle_s=2.0, seed=seed)
-    fleet.store.write('t1', 'ready')
-    fleet.store.write('t2', 'ready')
-    await fleet.start()
-    try:
+    async with followers.running(1, settle_s=2.0, seed=seed) as fleet:
         alone = fleet.by_host('h0')
         fleet.store.turned_away = {'h0'}
         await fleet.advance(2.0)
@@ -263,17 +237,11 @@
             assert alone.directory.takes_work('t1')
             await fleet.advance(0.002)
         assert alone.directory.takes_work('t1')
-    finally:
-        fleet.stop()
 
 
 async def test_removals_are_believed_when_no_read_follows():
     """Guards against a target that stays in use through another outage."""
-    fleet = followers.Fleet(1, settle_s=2.0)
-    fleet.store.write('t1', 'ready')
-    fleet.store.write('t2', 'ready')
-    await fleet.start()
-    try:
+    async with followers.running(1, settle_s=2.0) as fleet:
         fleet.store.turned_away = {'h0'}
         await fleet.advance(2.0)
         fleet.store.write('t1', None)
@@ -282,8 +250,6 @@
         await fleet.advance(1.0)
         fleet.store.turned_away = {'h0'}
         await fleet.until(lambda one: 't1' not in one.directory.targets, 2.1)
-    finally:
-        fleet.stop()
 
 
 async def test_what_the_store_says_of_an_announced_leaving_is_passed_on(
