Tell requests cut off by an exit from callers that left

Callers of a stopping instance got a closed connection, but the log said 'cancelled' as for a caller that disconnects, and 'fleet losses' counted such requests under the caller. The outcome is now 'cut-off', event 237 marks the decision to exit with the number of requests in flight, and event 224 says how long after SIGTERM a request arrived. No decision changes.

--- a/packages/cli/src/dotterelweir_cli/fleet/losses.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/losses.py
@@ -56,6 +56,7 @@
     TIMED_OUT = 'no answer in time'
     NO_CAPACITY = 'refused: no engine had room in time'
     INSTANCE_STOPPING = 'instance stopping or not ready'
+    CUT_OFF = 'instance ended before the answer was complete'
     CALLER_LEFT_WAITING = 'caller left before the first event'
     CALLER_LEFT = 'caller left or its connection broke'
     LATE_CAPACITY_WAIT = 'late: waited for room'
@@ -214,6 +215,8 @@
     if outcome == 'cancelled':
         waiting = 'objective_s' in fields and 'first_s' not in fields
         return Cause.CALLER_LEFT_WAITING if waiting else Cause.CALLER_LEFT
+    if outcome == 'cut-off':
+        return Cause.CUT_OFF
     if _has_event(request_lines, 'repeat-budget-empty'):
         return Cause.RETRY_BUDGET_EMPTY
     if _was_zone_partitioned(end_line, peer_changes):
--- a/packages/cli/tests/fleet/test_losses.py
+++ b/packages/cli/tests/fleet/test_losses.py
@@ -182,6 +182,7 @@
         losses.Cause.NO_CAPACITY,
     ),
     ([target_chosen(), request_ended('cancelled')], losses.Cause.CALLER_LEFT),
+    ([target_chosen(), request_ended('cut-off')], losses.Cause.CUT_OFF),
     ([target_chosen()], losses.Cause.INSTANCE_ENDED),
     ([request_ended('a-new-kind')], losses.Cause.UNKNOWN),
 ]
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -238,6 +238,13 @@
     'A request was not sent to an engine, as several engines have crashed on '
     'parts of its prompt.',
 )
+GATEWAY_CLOSING = _event(
+    237,
+    'gateway-closing',
+    logging.INFO,
+    'A gateway process closes its connections before it exits, with the '
+    'number of requests that it cuts off.',
+)
 GATEWAY_PEER_CHANGED = _event(
     229,
     'gateway-peer-changed',
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -25,6 +25,8 @@
 # connection is closed, in seconds. An immediate close would reset the
 # connection, and the caller could lose the refusal.
 _LINGER_S = 1.0
+# Outcome of a request in flight when the process closed its connections.
+_CUT_OFF = 'cut-off'
 
 
 class CallerServer:
@@ -105,6 +107,10 @@
             if request is None:
                 # The rest of the request was not read.
                 response.force_close()
+        except asyncio.CancelledError:
+            if self._parts.stop_plan.closing:
+                outcome = _CUT_OFF
+            raise
         finally:
             self.running -= 1
             self._parts.statistics.running.set({}, self.running)
@@ -228,6 +234,10 @@
         arrived_s: float,
     ) -> None:
         taken_s = self._parts.timers.monotonic_s() - arrived_s
+        fields = _log_fields(exchange) if exchange else {}
+        stopping_for_s = self._parts.stop_plan.stopping_for_s(arrived_s)
+        if stopping_for_s > 0:
+            fields['stopping_for_s'] = round(stopping_for_s, 4)
         self._parts.statistics.requests.inc({'outcome': outcome})
         self._parts.statistics.answer_s.observe({}, taken_s)
         events.log(
@@ -237,7 +247,7 @@
             path=request.path if request else '',
             outcome=outcome,
             taken_s=round(taken_s, 4),
-            **(_log_fields(exchange) if exchange else {}),
+            **fields,
         )
 
 
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -263,6 +263,15 @@
         self._peers.close()
         self._lifecycle.stop()
         await self._drain_accepted()
+        self._stop_plan.closing = True
+        events.log(
+            LOG,
+            events.GATEWAY_CLOSING,
+            stopping_for_s=round(
+                self._stop_plan.stopping_for_s(self._timers.monotonic_s()), 4
+            ),
+            running=self._callers.running,
+        )
         await self._callers.server.shutdown(_SHUTDOWN_TIMEOUT_S)
         await self._session.close()
         await self._store_session.close()
--- a/packages/daemon/src/dotterelweird/gateway/stopping.py
+++ b/packages/daemon/src/dotterelweird/gateway/stopping.py
@@ -29,16 +29,31 @@
         grace_s: Time from the request to stop to the forced end, in seconds.
         stop_requested_s: Monotonic time of the request to stop, in seconds;
             None if there was none.
+        closing: Whether connections are being closed before the exit.
     """
 
     grace_s: float
     stop_requested_s: float | None = None
+    closing: bool = False
 
     @property
     def stopping(self) -> bool:
         """Whether a stop of the process was requested."""
         return self.stop_requested_s is not None
 
+    def stopping_for_s(self, now_s: float) -> float:
+        """Returns the time since the request to stop, in seconds.
+
+        Args:
+            now_s: Monotonic time, in seconds.
+
+        Returns:
+            The time; not positive before the request, or without one.
+        """
+        if self.stop_requested_s is None:
+            return 0.0
+        return now_s - self.stop_requested_s
+
     def uses_length_hints(self, now_s: float) -> bool:
         """Whether length hints of callers decide which requests are accepted.
 
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -227,3 +227,33 @@
     assert 'dotterelweir_gateway_requests_total{outcome="200"} 1' in text
     assert 'dotterelweir_gateway_tables_version 1' in text
     assert 'dotterelweir_gateway_attempts_total{end="answered"' in text
+
+
+async def test_a_request_cut_off_by_the_exit_is_logged_as_such(
+    deployment, caplog
+):
+    """Guards against cut requests that look like callers that left."""
+    caplog.set_level('INFO')
+    for name in ('shop-1', 'shop-2'):
+        deployment.engines[name].behaviour.hang = True
+    gateway, deployment.gateway = deployment.gateway, None
+
+    async def book():
+        async with deployment.request('book') as answer:
+            await answer.read()
+
+    call = asyncio.create_task(book())
+    async with asyncio.timeout(1):
+        while gateway._callers.running == 0:
+            await asyncio.sleep(0.005)
+    gateway.begin_stop()
+    gateway._stop_plan.stop_requested_s -= gateway._stop_plan.grace_s
+    await gateway.close()
+    await asyncio.gather(call, return_exceptions=True)
+    ends = [
+        record.fields
+        for record in caplog.records
+        if getattr(record, 'event', None) in (224, 237)
+    ]
+    assert ends[0]['running'] == 1
+    assert ends[1]['outcome'] == 'cut-off'
