Reproduce requests cut off late in a stop with a real process

Callers on kept connections send generations and calls 3.2 to 7.6 s after SIGTERM, while a long stream keeps the process running.

--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -30,6 +30,7 @@
         directory: Directory for its settings and logs.
         store_address: Address on which this instance reaches the store.
         module: Python module that the process runs.
+        grace_s: Time from SIGTERM to the end of the process, in seconds.
         process: The newest process; None before the first start.
         disturbed_s: Monotonic time of the newest disturbance, in seconds.
     """
@@ -38,6 +39,7 @@
     directory: pathlib.Path
     store_address: str
     module: str = 'dotterelweir_platform'
+    grace_s: int = GRACE_S
     process: subprocess.Popen | None = None
     disturbed_s: float = 0.0
 
@@ -78,7 +80,7 @@
                 self.host,
                 (CALLERS_PORT, READY_PORT, PEERS_PORT),
                 self.store_address,
-                GRACE_S,
+                self.grace_s,
                 (fleet.own_address(1), fleet.own_address(2)),
             )
         )
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_stop_process.py
@@ -0,0 +1,191 @@
+"""Tests of planned stops with a real process, real sockets and real time."""
+
+import asyncio
+import signal
+import time
+
+from aiohttp import web
+import attrs
+import pytest
+
+from dotterelweir_fakes.fleet import deployment as fleet
+from dotterelweir_fakes.fleet import engine as fleet_engine
+from dotterelweir_fakes.fleet import store as fleet_store
+from dotterelweir_fakes.soak import instances
+
+GRACE_S = 8
+ENDED_WITHOUT_ANSWER = 0
+NOT_RUN = 503
+# Times of the requests on connections that were idle, in seconds after
+# SIGTERM. The load balancer sends no new connections by then.
+SEND_TIMES_S = [3.2 + 0.09 * number for number in range(50)]
+
+
+@attrs.define
+class KeptConnection:
+    """A caller's connection that is kept open between requests."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+
+    async def send(self, route, request_id, output_tokens=40):
+        """Sends a request.
+
+        Returns:
+            Status of the whole answer; 0 if the connection ended without.
+        """
+        headers = fleet.request_headers(route, request_id, 60_000)
+        if route in ('guide', 'check'):
+            headers['X-Token-Usage'] = f'100,{output_tokens}'
+            headers['X-Length-Hint'] = str(output_tokens)
+        head = ''.join(f'{name}: {v}\r\n' for name, v in headers.items())
+        self.writer.write(
+            f'POST /{route}/x HTTP/1.1\r\nContent-Length: 4\r\n{head}\r\n'
+            'body'.encode()
+        )
+        try:
+            return await self._read_answer()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            return ENDED_WITHOUT_ANSWER
+
+    async def _read_answer(self):
+        head = (await self.reader.readuntil(b'\r\n\r\n')).decode().lower()
+        if 'transfer-encoding: chunked' in head:
+            size_bytes = None
+            while size_bytes != 0:
+                line = await self.reader.readuntil(b'\r\n')
+                size_bytes = int(line, 16)
+                await self.reader.readexactly(size_bytes + 2)
+        else:
+            length_bytes = int(
+                head.partition('content-length:')[2].split('\r\n')[0]
+            )
+            await self.reader.readexactly(length_bytes)
+        return int(head.split()[1])
+
+
+@pytest.fixture
+async def store():
+    """Runs a store whose tables allow requests of up to a minute."""
+    running = fleet_store.FakeStore()
+    runner = web.AppRunner(running.app, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, '127.0.0.1', 0)
+    await site.start()
+    await running.write_json(
+        'keyed.op', 'config', fleet.configuration(timeoutMs=60_000)
+    )
+    running.address = f'127.0.0.1:{runner.addresses[0][1]}'
+    try:
+        yield running
+    finally:
+        await runner.cleanup()
+
+
+@pytest.fixture
+async def engines(store):
+    """Runs an engine and a plain target."""
+    running = {}
+    for service in ('model', 'plain'):
+        engine = running[service] = fleet_engine.FakeEngine(service)
+        await engine.start()
+        await store.write_json(
+            'keyed.servers', service, engine.entry(service, 'ready')
+        )
+    try:
+        yield running
+    finally:
+        for engine in running.values():
+            await engine.stop()
+
+
+@pytest.fixture
+async def instance(store, engines, tmp_path):
+    """Runs a gateway process."""
+    node = instances.Instance(1, tmp_path, store.address, grace_s=GRACE_S)
+    node.start()
+    async with asyncio.timeout(instances.READY_TIMEOUT_S):
+        while not await _is_ready(node):
+            await asyncio.sleep(0.05)
+    try:
+        yield node
+    finally:
+        node.send_signal(signal.SIGKILL)
+        node.process.wait()
+
+
+@pytest.fixture
+def connect(instance):
+    """Returns a function that opens a connection of a caller."""
+
+    async def open_connection():
+        return KeptConnection(
+            *await asyncio.open_connection(
+                instance.host, instances.CALLERS_PORT
+            )
+        )
+
+    return open_connection
+
+
+async def _is_ready(node):
+    try:
+        reader, writer = await asyncio.open_connection(
+            node.host, instances.READY_PORT
+        )
+    except ConnectionError:
+        return False
+    writer.write(b'GET /-/readyz HTTP/1.1\r\nHost: x\r\n\r\n')
+    line = await reader.readline()
+    writer.close()
+    return b' 200 ' in line
+
+
+async def _send_late(connection, stop_s, delay_s, route, request_id):
+    await asyncio.sleep(stop_s + delay_s - time.monotonic())
+    return await connection.send(route, request_id, output_tokens=140)
+
+
+@pytest.mark.parametrize(
+    ('route', 'service', 'behaviour'),
+    [
+        ('guide', 'model', {'event_s': 0.15, 'events': 35}),
+        ('book', 'plain', {'delay_s': 1.5}),
+    ],
+    ids=['stream', 'call'],
+)
+async def test_a_stop_cuts_off_no_request_that_arrives_late(
+    instance, engines, connect, route, service, behaviour
+):
+    """Guards against requests that are begun and then end unanswered."""
+    kept = [await connect() for _ in SEND_TIMES_S]
+    for number, connection in enumerate(kept):
+        assert await connection.send('read', f'first-{number}') == 200
+    engines['model'].behaviour = attrs.evolve(
+        engines['model'].behaviour, event_s=0.15, events=1000
+    )
+    long = await connect()
+    stream = asyncio.create_task(long.send('guide', 'long', 2000))
+    async with asyncio.timeout(5):
+        while 'long' not in engines['model'].ran:
+            await asyncio.sleep(0.01)
+    engine = engines[service]
+    engine.behaviour = fleet_engine.Behaviour(**behaviour)
+    stop_s = time.monotonic()
+    instance.send_signal(signal.SIGTERM)
+    statuses = await asyncio.gather(
+        *(
+            _send_late(connection, stop_s, delay_s, route, f'late-{number}')
+            for number, (connection, delay_s) in enumerate(
+                zip(kept, SEND_TIMES_S, strict=True)
+            )
+        )
+    )
+    await stream
+    ran = {
+        number: status
+        for number, status in enumerate(statuses)
+        if f'late-{number}' in engine.ran
+    }
+    assert ENDED_WITHOUT_ANSWER not in ran.values()
+    assert NOT_RUN not in ran.values()
