Bound requests that begin during a stop by their deadlines

Callers on kept connections sent requests 3 s and more after SIGTERM, while a long stream kept the process running. They were passed on and cut without an answer at the end of the grace time, calls that may not be repeated among them.

Cause: a request was accepted if an assumed duration (0.7 s and 10 ms a token, 0.3 s for a call) was at most 0.6 of the time left. Nothing bounded the real duration: not the engines' pace, not their queues, and not the time that the caller allows. The class is a promise that rests on an estimate although a bound is known.

Now the request's deadline decides: one that ends before the answers of a stop are due is served. An estimate counts only in the first 3 s, while the load balancer may still send callers here, and it follows the observed durations of the service. Everything else is refused as not run; its caller can connect to another instance at once.

One assertion of test_a_request_that_cannot_end_in_time_is_not_begun stated the fault: 4.4 s after SIGTERM a request without a bound was to be accepted because it was expected to take 1 s. It is replaced by its opposite, and by checks of the deadline on both sides of the bound. test_late_in_a_stop_a_length_hint_is_ignored now uses deadlines beyond the stop, as otherwise the deadline decides and not the hint.

--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -95,6 +95,7 @@
             exchange = self._create_exchange(request, arrived_s)
             response = await self._answer(http_request, exchange)
             outcome = str(response.status)
+            self._record_duration(exchange, response.status)
         except generations.GenerationLost:
             outcome = 'stream-lost'
             # A regular close would make the partial answer look complete.
@@ -170,6 +171,16 @@
             return self._build_response(result)
         return result
 
+    def _record_duration(
+        self, exchange: exchanges.Exchange, status: int
+    ) -> None:
+        if status == 200:
+            taken_s = self._parts.timers.monotonic_s() - exchange.arrived_s
+            factor = self._parts.duration_factors.for_service(
+                exchange.service.name
+            )
+            factor.record(exchange.expected_duration_s, taken_s)
+
     def _create_exchange(
         self, request: api.CallerRequest, arrived_s: float
     ) -> exchanges.Exchange:
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -9,6 +9,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import admission
+from dotterelweir_core.gateway import durations
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import retry_budget
@@ -47,6 +48,7 @@
         notice_listener: Called with each notice of a target.
         stop_plan: State and time limits of a stop of the process.
         prompt_guard: Keeps prompts that crash engines away from them.
+        duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         releaser: Frees copies of runs that will not be used.
     """
@@ -67,6 +69,9 @@
     notice_listener: api.NoticeListener
     stop_plan: stopping.StopPlan
     prompt_guard: prompt_guards.PromptGuard
+    duration_factors: durations.DurationFactors = attrs.field(
+        factory=durations.DurationFactors
+    )
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
     _request_queues: dict[tuple[str, bool], waiting.RequestQueue] = (
         attrs.field(factory=dict)
@@ -159,10 +164,13 @@
                 process exits.
         """
         now_s = self.timers.monotonic_s()
-        needed_s = exchange.expected_duration_s
+        usual_s = exchange.expected_duration_s
         if not self.stop_plan.uses_length_hints(now_s):
-            needed_s = exchange.longest_duration_s
-        if exchange.may_have_run or self.stop_plan.may_finish(now_s, needed_s):
+            usual_s = exchange.longest_duration_s
+        factor = self.duration_factors.for_service(exchange.service.name).value
+        if exchange.may_have_run or self.stop_plan.may_begin(
+            now_s, exchange.deadline_s, factor * usual_s
+        ):
             return
         raise errors.DotterelweirError(
             errors.ErrorKind.SHUTTING_DOWN,
--- a/packages/daemon/src/dotterelweird/gateway/stopping.py
+++ b/packages/daemon/src/dotterelweird/gateway/stopping.py
@@ -1,10 +1,14 @@
 """Decides which requests a stopping process accepts and when it may exit."""
 
+import math
+
 import attrs
 
-# Time for which a stopping process still accepts requests, in seconds. The
-# load balancer probes readiness each second and needs two failures.
-DRAIN_DELAY_S = 3.0
+# Time for which a stopping process accepts requests by their expected
+# duration, in seconds. The load balancer probes readiness each second and
+# needs two failures. Later requests come on kept connections only; their
+# callers can connect to another instance at once.
+_DRAIN_DELAY_S = 3.0
 # Time after which a caller may retry when a stopping process refuses it, in
 # seconds. Its next connection goes to another instance.
 RETRY_AFTER_S = 0.05
@@ -12,10 +16,12 @@
 # it accepts only requests that end in time at their maximum length: a hint may
 # be wrong, and hardly any caller depends on this instance by then.
 _HINTS_USED_S = 2.5
-# Time before the end of the grace time by which requests must have ended, in
+# Time before the end of the grace time by which the process must exit, in
 # seconds; it is left for closing.
 _RESERVE_S = 0.3
-
+# Time before the exit by which each request must have its answer, as a share
+# of the grace time. The rest of the grace time is left for writing answers.
+_ANSWER_SHARE = 0.05
 # Share of the remaining time that a request may be expected to take. The rest
 # is a margin, because lengths of generations are estimates.
 _EXPECTED_SHARE_MAX = 0.6
@@ -36,6 +42,10 @@
     stop_requested_s: float | None = None
     closing: bool = False
 
+    @property
+    def _drain_delay_s(self) -> float:
+        return min(_DRAIN_DELAY_S, self.grace_s / 2)
+
     @property
     def stopping(self) -> bool:
         """Whether a stop of the process was requested."""
@@ -65,16 +75,37 @@
             or now_s - self.stop_requested_s < _HINTS_USED_S
         )
 
-    def may_finish(self, now_s: float, expected_s: float) -> bool:
-        """Whether a request that begins now is expected to end in time.
+    @property
+    def answers_due_s(self) -> float:
+        """Monotonic time by which requests have their answers, in seconds.
+
+        Infinite without a request to stop.
+        """
+        if self.stop_requested_s is None:
+            return math.inf
+        lead_s = _RESERVE_S + _ANSWER_SHARE * self.grace_s
+        return self.stop_requested_s + self.grace_s - lead_s
+
+    def may_begin(
+        self, now_s: float, deadline_s: float, expected_s: float
+    ) -> bool:
+        """Whether a request may be sent to a target now.
+
+        Its own deadline bounds a request for certain. An expected duration
+        can be wrong, and counts only while other callers may still be sent
+        to this instance.
 
         Args:
             now_s: Monotonic time, in seconds.
+            deadline_s: Monotonic time at which the request is given up, in
+                seconds.
             expected_s: Time that the request is expected to take, in seconds.
         """
-        if self.stop_requested_s is None:
+        if deadline_s <= self.answers_due_s:
             return True
-        remaining_s = self.stop_requested_s + self.grace_s - _RESERVE_S - now_s
+        if self.stopping_for_s(now_s) >= self._drain_delay_s:
+            return False
+        remaining_s = self.answers_due_s - now_s
         return expected_s <= _EXPECTED_SHARE_MAX * remaining_s
 
     def may_exit(self, now_s: float, running: int) -> bool:
@@ -88,9 +119,8 @@
             return False
         if self.must_exit(now_s):
             return True
-        stopping_for_s = now_s - self.stop_requested_s
-        return running == 0 and stopping_for_s >= min(
-            DRAIN_DELAY_S, self.grace_s / 2
+        return (
+            running == 0 and self.stopping_for_s(now_s) >= self._drain_delay_s
         )
 
     def must_exit(self, now_s: float) -> bool:
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -5,6 +5,7 @@
 import attrs
 import pytest
 
+from dotterelweir_fakes.fleet import deployment as fleet_deployment
 from dotterelweir_platform import settings_file
 from dotterelweird.gateway import stopping
 
@@ -18,12 +19,43 @@
     after SIGTERM was cut off at the end of the grace time.
     """
     plan = stopping.StopPlan(grace_s=8.0)
-    assert plan.may_finish(100.0, 30.0)
+    assert plan.may_begin(100.0, 160.0, 30.0)
     plan.stop_requested_s = 100.0
-    assert plan.may_finish(100.1, 4.0)
-    assert not plan.may_finish(100.1, 10.0)
-    assert not plan.may_finish(104.4, 3.0)
-    assert plan.may_finish(104.4, 1.0)
+    assert plan.may_begin(100.1, 160.0, 4.0)
+    assert not plan.may_begin(100.1, 160.0, 10.0)
+    assert not plan.may_begin(104.4, 160.0, 3.0)
+    assert not plan.may_begin(104.4, 160.0, 1.0)
+    assert plan.may_begin(104.4, 107.2, 1.0)
+    assert plan.may_begin(104.4, 107.2, 10.0)
+    assert not plan.may_begin(104.4, 107.6, 1.0)
+
+
+@pytest.fixture
+async def long_deadlines(deployment):
+    """Lets requests on all routes take longer than a stop."""
+    await deployment.store.write_json(
+        'keyed.op',
+        'config',
+        fleet_deployment.configuration(2, timeoutMs=90_000),
+    )
+    async with asyncio.timeout(5):
+        while deployment.gateway.tables_version != 2:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(('observed_s', 'status'), [(1.0, 200), (2.0, 503)])
+async def test_a_stop_expects_slow_targets_to_stay_slow(
+    deployment, long_deadlines, observed_s, status
+):
+    """Guards against requests accepted at a rate that targets do not have."""
+    parts = deployment.gateway._parts
+    parts.duration_factors.for_service('model').record(1.0, observed_s)
+    deployment.gateway._stop_plan.grace_s = 4.0
+    deployment.gateway.begin_stop()
+    async with deployment.request(
+        'guide', X_Token_Usage='100,80', deadline_ms=80_000
+    ) as answer:
+        assert answer.status == status
 
 
 @pytest.mark.parametrize(
@@ -158,7 +190,7 @@
     ('stopping_for_s', 'status'), [(1.0, 200), (2.6, 503)]
 )
 async def test_late_in_a_stop_a_length_hint_is_ignored(
-    deployment, stopping_for_s, status
+    deployment, long_deadlines, stopping_for_s, status
 ):
     """Guards against streams that a stop cuts off.
 
@@ -171,7 +203,10 @@
     gateway.begin_stop()
     gateway._stop_plan.stop_requested_s -= stopping_for_s
     async with deployment.request(
-        'guide', X_Token_Usage='100,4000', X_Length_Hint='40'
+        'guide',
+        X_Token_Usage='100,4000',
+        X_Length_Hint='40',
+        deadline_ms=80_000,
     ) as answer:
         await answer.read()
         assert answer.status == status
