Check before each attempt whether a stop leaves time for it

A request that its first target refuses as not run is sent to another one. The check whether a stop would cut it off was made at its arrival and after waits, not before such a further attempt, so that a request that had arrived in time could be sent late and cut without an answer.

The check is now part of the choice of a target, which precedes every send. test_a_refused_request_is_not_sent_again_late_in_a_stop failed before: the second target ran the call and the generation.

--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -81,6 +81,7 @@
         DotterelweirError: The process is stopping and would cut the request
             off.
     """
+    parts.check_stop(exchange)
     choice = parts.choose(exchange, exchange.tried)
     if choice is None and await _wait_for_pause_end(parts, exchange):
         parts.check_stop(exchange)
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -292,3 +292,30 @@
     ]
     assert ends[0]['running'] == 1
     assert ends[1]['outcome'] == 'cut-off'
+
+
+@pytest.mark.parametrize(
+    ('route', 'names'), [('book', ('shop-1', 'shop-2')), ('guide', ENGINES)]
+)
+async def test_a_refused_request_is_not_sent_again_late_in_a_stop(
+    deployment, long_deadlines, route, names
+):
+    """Guards against a further attempt that a stop cuts off."""
+    targets = [deployment.engines[name] for name in names]
+    for target in targets:
+        target.behaviour.delay_s = 0.05
+        target.behaviour.refusal_id = 'request-1'
+    gateway = deployment.gateway
+
+    async def send():
+        async with deployment.request(route, deadline_ms=80_000) as answer:
+            return answer.status
+
+    call = asyncio.create_task(send())
+    async with asyncio.timeout(1):
+        while not any(target.ran for target in targets):
+            await asyncio.sleep(0.005)
+    gateway.begin_stop()
+    gateway._stop_plan.stop_requested_s -= 1.5
+    assert await call == 503
+    assert sum(len(target.ran) for target in targets) == 1
