Answer requests in flight before a stopping gateway exits

Callers whose request was in flight at the end of the grace time got a closed connection and no answer, also when nothing of the request had been sent to a target. The exit cancelled the handlers.

An answer that has begun is broken off, so that it does not look complete. What a request may claim comes from the attempt in progress: until its outcome is recorded, a request whose head was handed to the network may have run. A reload during the stop moves that time.

test_a_call_that_outlasts_the_grace_time_gets_an_answer, on a real process, failed before: the connection ended without an answer 7.7 s after SIGTERM.

--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -128,6 +128,7 @@
     """
     request, target = exchange.request, options.target
     exchange.tried.add(target.target_id)
+    exchange.sending = send_state
     send_state.request_id = request.request_id
     # Parsing the path would drop an empty query and a fragment.
     url = yarl.URL.build(
@@ -281,7 +282,7 @@
     taken_s: float,
     **fields: object,
 ) -> None:
-    """Logs and counts the end of an attempt.
+    """Logs and counts the end of an attempt and clears it in the exchange.
 
     Args:
         parts: Dependencies shared by all requests.
@@ -291,6 +292,7 @@
         taken_s: Duration of the attempt, in seconds.
         **fields: Further fields of the log event.
     """
+    exchange.sending = None
     match outcome:
         case exchanges.Complete():
             end, detail = 'complete', ''
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -9,6 +9,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.gateway import tables as gateway_tables
+from dotterelweird.callers import inflight
 from dotterelweird.gateway import api
 from dotterelweird.gateway import caller_connections
 from dotterelweird.gateway import calls
@@ -16,6 +17,7 @@
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import generations
 from dotterelweird.gateway import keepers
+from dotterelweird.gateway import stopping
 
 LOG = logging.getLogger(__name__)
 
@@ -37,7 +39,6 @@
         keeper: Holds the tables in force.
 
     Attributes:
-        running: Number of requests that are being handled.
         server: The HTTP server for callers.
     """
 
@@ -49,7 +50,7 @@
         self._parts = parts
         self._keeper = keeper
         self._calls = calls.CallForwarder(parts)
-        self.running = 0
+        self._in_flight = inflight.InFlight()
         self.server = caller_connections.CallerConnections(
             self._handle,
             self._limits,
@@ -63,6 +64,19 @@
             auto_decompress=False,
         )
 
+    @property
+    def running(self) -> int:
+        """Number of requests that are being handled."""
+        return self._in_flight.count
+
+    def end_requests(self) -> None:
+        """Ends every request now, also those that are read later.
+
+        A request without an answer gets one that states whether it may have
+        run. An answer that has begun is broken off.
+        """
+        self._in_flight.hand_over()
+
     def _make_request(
         self, message, payload, protocol, writer, task
     ) -> web.BaseRequest:
@@ -84,27 +98,40 @@
     async def _handle(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
-        self.running += 1
+        with self._in_flight.track():
+            self._parts.statistics.running.set({}, self.running)
+            response = await self._respond(http_request)
         self._parts.statistics.running.set({}, self.running)
+        if self._parts.stop_plan.stopping:
+            response.force_close()
+        return response
+
+    async def _respond(
+        self, http_request: web.BaseRequest
+    ) -> web.StreamResponse:
         arrived_s = self._parts.timers.monotonic_s()
         request: api.CallerRequest | None = None
         exchange: exchanges.Exchange | None = None
         outcome = 'cancelled'
         try:
-            request = await self._decode(http_request)
-            exchange = self._create_exchange(request, arrived_s)
-            response = await self._answer(http_request, exchange)
+            with self._in_flight.interruptible():
+                request = await self._decode(http_request)
+                exchange = self._create_exchange(request, arrived_s)
+                response = await self._answer(http_request, exchange)
             outcome = str(response.status)
             self._record_duration(exchange, response.status)
         except generations.GenerationLost:
             outcome = 'stream-lost'
-            # A regular close would make the partial answer look complete.
-            if http_request.transport is not None:
-                http_request.transport.abort()
+            _abort(http_request)
             raise
         except errors.DotterelweirError as exc:
-            outcome = exc.kind.value
-            response = self._build_refusal(request, exc)
+            if exchange is not None and exchange.answer_begun:
+                outcome = _CUT_OFF
+                _abort(http_request)
+                raise generations.GenerationLost from exc
+            error = _true_error(exc, exchange)
+            outcome = error.kind.value
+            response = self._build_refusal(request, error)
             if request is None:
                 # The rest of the request was not read.
                 response.force_close()
@@ -113,11 +140,7 @@
                 outcome = _CUT_OFF
             raise
         finally:
-            self.running -= 1
-            self._parts.statistics.running.set({}, self.running)
             self._log_end(request, exchange, outcome, arrived_s)
-        if self._parts.stop_plan.stopping:
-            response.force_close()
         return response
 
     async def _decode(
@@ -262,6 +285,43 @@
         )
 
 
+def _abort(http_request: web.BaseRequest) -> None:
+    """Aborts the connection of a partial answer.
+
+    A regular close would make it look complete.
+    """
+    if http_request.transport is not None:
+        http_request.transport.abort()
+
+
+def _true_error(
+    error: errors.DotterelweirError, exchange: exchanges.Exchange | None
+) -> errors.DotterelweirError:
+    """Returns the error that a caller may be sent.
+
+    Args:
+        error: The error that ended the request.
+        exchange: The request; None if it was not matched to a route.
+
+    Returns:
+        The error. In place of a refusal by a stop, which states that the
+        request has not run, an error that promises nothing if a target may
+        have started to run it.
+    """
+    if error.kind is not errors.ErrorKind.SHUTTING_DOWN:
+        return error
+    if exchange is None or not exchange.may_be_running:
+        return errors.DotterelweirError(
+            errors.ErrorKind.SHUTTING_DOWN,
+            retry_after_s=stopping.RETRY_AFTER_S,
+        )
+    return errors.DotterelweirError(
+        errors.ErrorKind.REQUEST_TIMEOUT,
+        'the instance stops before the answer is complete',
+        execution=errors.Execution.UNKNOWN,
+    )
+
+
 def _log_fields(exchange: exchanges.Exchange) -> dict[str, object]:
     """Returns the log fields that show whether a request met its objective."""
     route = exchange.route
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -13,6 +13,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pauses
@@ -202,6 +203,7 @@
         }
         self._follower_tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
+        self._answers_timer: core_timers.TimerHandle | None = None
         self._callers = caller_server.CallerServer(self._parts, self._tables)
 
     async def run(self) -> None:
@@ -263,6 +265,8 @@
         self._peers.close()
         self._lifecycle.stop()
         await self._drain_accepted()
+        if self._answers_timer is not None:
+            self._answers_timer.cancel()
         self._stop_plan.closing = True
         events.log(
             LOG,
@@ -384,6 +388,15 @@
         if not self._stop_plan.stopping:
             self._stop_plan.stop_requested_s = self._timers.monotonic_s()
             self._lifecycle.drain()
+            self._schedule_last_answers()
+
+    def _schedule_last_answers(self) -> None:
+        if self._answers_timer is not None:
+            self._answers_timer.cancel()
+        delay_s = self._stop_plan.answers_due_s - self._timers.monotonic_s()
+        self._answers_timer = self._timers.call_after(
+            max(0.0, delay_s), self._callers.end_requests
+        )
 
     def _record_tables_version(self, tables: gateway_tables.Tables) -> None:
         self._statistics.tables_version.set({}, tables.version)
@@ -399,5 +412,7 @@
             events.log(LOG, events.GATEWAY_RELOAD_FAILED, reason=exc.detail)
             return
         self._stop_plan.grace_s = settings.grace_s
+        if self._stop_plan.stopping:
+            self._schedule_last_answers()
         self._parts.set_settings(settings)
         events.log(LOG, events.GATEWAY_RELOADED, grace_s=settings.grace_s)
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -7,6 +7,7 @@
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import tables
 from dotterelweird.gateway import api
+from dotterelweird.gateway import target_client
 
 # Usual time to the first event of a generation without a wait for capacity, in
 # seconds. The median measured on a day of low load is 0.65 s.
@@ -35,6 +36,7 @@
             started.
         may_have_run: Whether any target may have started to run the
             request; a refusal must then not state that it has not run.
+        sending: The attempt in progress; None between attempts.
         first_s: Time from the arrival to the first event of a generation,
             in seconds; None before it.
         longest_pause_s: Longest pause between two writes to the caller, in
@@ -52,6 +54,7 @@
     tried: set[str] = attrs.field(factory=set)
     runs_started: int = 0
     may_have_run: bool = False
+    sending: target_client.SendState | None = None
     first_s: float | None = None
     longest_pause_s: float = 0.0
 
@@ -60,6 +63,17 @@
         self.runs_started += 1
         self.may_have_run = True
 
+    @property
+    def may_be_running(self) -> bool:
+        """Whether a target may have run the request or may run it now."""
+        in_progress = self.sending is not None and self.sending.sent
+        return self.may_have_run or in_progress
+
+    @property
+    def answer_begun(self) -> bool:
+        """Whether part of a streamed answer was sent to the caller."""
+        return self.first_s is not None
+
     def timing(self) -> dict[str, float]:
         """Returns a generation's times for logs; empty before its start."""
         if self.first_s is None:
--- a/packages/daemon/tests/gateway/test_stop_process.py
+++ b/packages/daemon/tests/gateway/test_stop_process.py
@@ -16,6 +16,7 @@
 GRACE_S = 8
 ENDED_WITHOUT_ANSWER = 0
 NOT_RUN = 503
+RESULT_UNKNOWN = 504
 # Times of the requests on connections that were idle, in seconds after
 # SIGTERM. The load balancer sends no new connections by then.
 SEND_TIMES_S = [3.2 + 0.09 * number for number in range(50)]
@@ -189,3 +190,20 @@
     }
     assert ENDED_WITHOUT_ANSWER not in ran.values()
     assert NOT_RUN not in ran.values()
+
+
+async def test_a_call_that_outlasts_the_grace_time_gets_an_answer(
+    instance, engines, connect
+):
+    """Guards against connections that the exit closes without an answer."""
+    engines['plain'].behaviour = fleet_engine.Behaviour(delay_s=30.0)
+    call = asyncio.create_task((await connect()).send('book', 'long'))
+    async with asyncio.timeout(5):
+        while 'long' not in engines['plain'].ran:
+            await asyncio.sleep(0.01)
+    instance.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(GRACE_S):
+        assert await call == RESULT_UNKNOWN
+        while instance.running:
+            await asyncio.sleep(0.01)
+    assert instance.process.returncode == 0
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import aiohttp
 import attrs
 import pytest
 
@@ -319,3 +320,88 @@
     gateway._stop_plan.stop_requested_s -= 1.5
     assert await call == 503
     assert sum(len(target.ran) for target in targets) == 1
+
+
+@pytest.fixture
+def stop_at_the_end(deployment):
+    """Returns a function that begins a stop whose answers are due soon."""
+
+    def stop():
+        gateway = deployment.gateway
+        due_after_s = gateway._stop_plan.grace_s - 0.45
+        gateway.begin_stop()
+        gateway._stop_plan.stop_requested_s -= due_after_s
+        gateway._schedule_last_answers()
+
+    return stop
+
+
+async def _send_and_wait_until_it_runs(deployment, route, names):
+    async def send():
+        async with deployment.request(route) as answer:
+            await answer.read()
+            return answer.status
+
+    call = asyncio.create_task(send())
+    async with asyncio.timeout(1):
+        while not any(deployment.engines[name].ran for name in names):
+            await asyncio.sleep(0.005)
+    return call
+
+
+@pytest.mark.parametrize(
+    ('route', 'names'), [('book', ('shop-1', 'shop-2')), ('guide', ENGINES)]
+)
+async def test_a_request_that_runs_at_the_end_of_a_stop_gets_an_answer(
+    deployment, stop_at_the_end, route, names
+):
+    """Guards against connections that the exit closes without an answer."""
+    for name in names:
+        deployment.engines[name].behaviour.hang = True
+    call = await _send_and_wait_until_it_runs(deployment, route, names)
+    stop_at_the_end()
+    async with asyncio.timeout(0.5):
+        assert await call == 504
+
+
+async def test_a_stream_that_a_stop_breaks_off_does_not_look_complete(
+    deployment, stop_at_the_end
+):
+    """Guards against a partial answer with a regular end."""
+    for name in ENGINES:
+        deployment.engines[name].behaviour.silent_after = 3
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        stop_at_the_end()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with asyncio.timeout(0.5):
+                await answer.read()
+
+
+async def test_a_queued_request_at_the_end_of_a_stop_is_refused_as_not_run(
+    deployment, long_deadlines, queued_request, stop_at_the_end
+):
+    """Guards against a queue that holds requests until the exit."""
+    stop_at_the_end()
+    async with asyncio.timeout(0.5):
+        assert (await queued_request)[0] == 503
+    assert all(not deployment.engines[name].ran for name in ENGINES)
+
+
+async def test_a_reload_during_a_stop_moves_the_time_of_the_last_answers(
+    deployment,
+):
+    """Guards against requests that are cut when the grace time shrinks."""
+    names = ('shop-1', 'shop-2')
+    for name in names:
+        deployment.engines[name].behaviour.hang = True
+    gateway = deployment.gateway
+    gateway._stop_plan.grace_s = 60.0
+    call = await _send_and_wait_until_it_runs(deployment, 'book', names)
+    gateway.begin_stop()
+    deployment.settings_after_reload = attrs.evolve(
+        gateway._settings, grace_s=0.4
+    )
+    gateway._reload()
+    async with asyncio.timeout(0.5):
+        assert await call == 504
