Wait for unsent answers before a stopping gateway exits

A caller that reads slowly lost a whole answer that its target had given: 3 s after SIGTERM the process counted no running request and exited, while the answer still waited in its write buffer.

Cause: a request stops running when its handler returns, before the HTTP library writes the answer, and nothing looked at the buffers of the connections. The decision to exit, and the wait before the connections are closed, now count connections with a request that was read and is not answered, or with unsent bytes. A caller that never reads delays the exit to the end of the grace time at most.

test_the_exit_waits_for_answers_that_are_not_sent_yet, on a real process with an answer of 4 MB, failed before: the connection ended within the answer.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -27,6 +27,8 @@
         events: Number of events of a generation.
         event_s: Time between two events, in seconds.
         event_bytes: Size of the padding of each event, in bytes.
+        answer_bytes: Size of the padding of each response that is no
+            stream, in bytes.
         cut_after: Number of events after which it aborts the connection;
             None for never.
         silent_after: Number of events after which it sends nothing more;
@@ -79,6 +81,7 @@
     events: int = 10
     event_s: float = 0.005
     event_bytes: int = 0
+    answer_bytes: int = 0
     cut_after: int | None = None
     silent_after: int | None = None
     hang: bool = False
@@ -253,7 +256,8 @@
             loop.call_later(0.001, self._send_extra, request.transport)
         return web.Response(
             status=behaviour.status,
-            body=b'answer to ' + request_id.encode() + b' ' + body,
+            body=b'answer to %b %b%b'
+            % (request_id.encode(), body, b'x' * behaviour.answer_bytes),
             headers=self._headers(request_id),
         )
 
--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -58,6 +58,11 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def log(self) -> pathlib.Path:
+        """Log file of its processes."""
+        return self.directory / f'{self.name}.log'
+
     def start(self, skew_s: float = 0.0) -> None:
         """Writes the settings and starts the process.
 
@@ -85,7 +90,7 @@
             )
         )
         self.disturbed_s = time.monotonic()
-        with (self.directory / f'{self.name}.log').open('ab') as log:
+        with self.log.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', module],
                 env={
--- a/packages/daemon/src/dotterelweird/gateway/caller_connections.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_connections.py
@@ -32,6 +32,14 @@
         self.limits = limits
         self.timers = timer_service
 
+    @property
+    def unfinished(self) -> int:
+        """Number of connections with unread requests or unsent answers."""
+        return sum(
+            connection.has_request or transport.get_write_buffer_size() > 0
+            for connection, transport in self._connections.items()
+        )
+
     def __call__(self) -> web_protocol.RequestHandler:
         return _CallerProtocol(
             self,
@@ -57,6 +65,11 @@
         self._in_head = False
         self._last_payload: streams.StreamReader | None = None
 
+    @property
+    def has_request(self) -> bool:
+        """Whether a request was read whose answer is not written yet."""
+        return self._request_in_progress or bool(self._messages)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Starts the timeout for the first request."""
         super().connection_made(transport)
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -69,6 +69,15 @@
         """Number of requests that are being handled."""
         return self._in_flight.count
 
+    @property
+    def unfinished(self) -> int:
+        """Number of requests whose answers have not left the process.
+
+        A request stops running before its answer is written, and an answer
+        to a caller that reads slowly waits in the process.
+        """
+        return max(self.running, self.server.unfinished)
+
     def end_requests(self) -> None:
         """Ends every request now, also those that are read later.
 
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -214,7 +214,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         while not self._stop_plan.may_exit(
-            self._timers.monotonic_s(), self._callers.running
+            self._timers.monotonic_s(), self._callers.unfinished
         ):
             await timers.sleep(self._timers, _STOP_POLL_INTERVAL_S)
         await self.close()
@@ -286,7 +286,7 @@
         Their connections are closed with the answers, so that no further
         requests follow. The wait ends with the grace time at the latest.
         """
-        while self._callers.running and not self._stop_plan.must_exit(
+        while self._callers.unfinished and not self._stop_plan.must_exit(
             self._timers.monotonic_s()
         ):
             await timers.sleep(self._timers, _STOP_POLL_INTERVAL_S)
--- a/packages/daemon/src/dotterelweird/gateway/stopping.py
+++ b/packages/daemon/src/dotterelweird/gateway/stopping.py
@@ -108,19 +108,21 @@
         remaining_s = self.answers_due_s - now_s
         return expected_s <= _EXPECTED_SHARE_MAX * remaining_s
 
-    def may_exit(self, now_s: float, running: int) -> bool:
+    def may_exit(self, now_s: float, unfinished: int) -> bool:
         """Whether the process may exit now.
 
         Args:
             now_s: Monotonic time, in seconds.
-            running: Number of requests that are being handled.
+            unfinished: Number of requests whose answers have not left the
+                process.
         """
         if self.stop_requested_s is None:
             return False
         if self.must_exit(now_s):
             return True
         return (
-            running == 0 and self.stopping_for_s(now_s) >= self._drain_delay_s
+            unfinished == 0
+            and self.stopping_for_s(now_s) >= self._drain_delay_s
         )
 
     def must_exit(self, now_s: float) -> bool:
--- a/packages/daemon/tests/gateway/test_stop_process.py
+++ b/packages/daemon/tests/gateway/test_stop_process.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import signal
+import socket
 import time
 
 from aiohttp import web
@@ -30,11 +31,16 @@
     writer: asyncio.StreamWriter
 
     async def send(self, route, request_id, output_tokens=40):
-        """Sends a request.
+        """Sends a request and reads its answer.
 
         Returns:
             Status of the whole answer; 0 if the connection ended without.
         """
+        self.write(route, request_id, output_tokens)
+        return await self.read_answer()
+
+    def write(self, route, request_id, output_tokens=40):
+        """Sends a request."""
         headers = fleet.request_headers(route, request_id, 60_000)
         if route in ('guide', 'check'):
             headers['X-Token-Usage'] = f'100,{output_tokens}'
@@ -44,6 +50,13 @@
             f'POST /{route}/x HTTP/1.1\r\nContent-Length: 4\r\n{head}\r\n'
             'body'.encode()
         )
+
+    async def read_answer(self):
+        """Reads the answer to a request.
+
+        Returns:
+            Status of the whole answer; 0 if the connection ended without.
+        """
         try:
             return await self._read_answer()
         except (asyncio.IncompleteReadError, ConnectionError):
@@ -207,3 +220,27 @@
         while instance.running:
             await asyncio.sleep(0.01)
     assert instance.process.returncode == 0
+
+
+async def test_the_exit_waits_for_answers_that_are_not_sent_yet(
+    instance, engines
+):
+    """Guards against answers lost with the process, as a caller is slow."""
+    engines['plain'].behaviour = fleet_engine.Behaviour(answer_bytes=4_000_000)
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    address = (instance.host, instances.CALLERS_PORT)
+    await asyncio.get_running_loop().sock_connect(sock, address)
+    slow = KeptConnection(
+        *await asyncio.open_connection(sock=sock, limit=4096)
+    )
+    slow.write('book', 'large')
+    async with asyncio.timeout(5):
+        while 'request-ended' not in instance.log.read_text():
+            await asyncio.sleep(0.01)
+    stop_s = time.monotonic()
+    instance.send_signal(signal.SIGTERM)
+    # Longer than the time after which an idle process exits.
+    await asyncio.sleep(stop_s + 4.0 - time.monotonic())
+    assert await slow.read_answer() == 200
