Refuse requests that are read while connections are being closed

A request on a kept connection that was read just before the HTTP library shuts its connections down was still handled: it was sent to a target, and 50 ms later its handler was cancelled and its connection closed without an answer.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -276,6 +276,8 @@
             ),
             running=self._callers.running,
         )
+        # A request may still be read until its connection is closed.
+        self._callers.end_requests()
         await self._callers.server.shutdown(_SHUTDOWN_TIMEOUT_S)
         await self._session.close()
         await self._store_session.close()
