Close no connection in a stop without having announced it

A stream that begins before SIGTERM tells its caller that the connection stays open. When it ended during the stop, the connection was closed at once, so that the caller's next request could cross the close. A stream that began during the stop did not announce the close either.

The close now happens only with an answer whose head announces it. test_a_stream_that_ends_in_a_stop_keeps_its_connection failed before: no connection was left after the stream.

--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -111,7 +111,9 @@
             self._parts.statistics.running.set({}, self.running)
             response = await self._respond(http_request)
         self._parts.statistics.running.set({}, self.running)
-        if self._parts.stop_plan.stopping:
+        if self._parts.stop_plan.stopping and not response.prepared:
+            # The header announces the close. A caller that was not told would
+            # use the connection again while it is closed.
             response.force_close()
         return response
 
--- a/packages/daemon/src/dotterelweird/gateway/caller_stream.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_stream.py
@@ -84,6 +84,8 @@
         for name, value in headers:
             self._response.headers.add(name, value)
         self._response.enable_chunked_encoding()
+        if parts.stop_plan.stopping:
+            self._response.force_close()
         exchange.first_s = parts.timers.monotonic_s() - exchange.arrived_s
         parts.statistics.first_byte_s.observe(
             {'route': exchange.route.name}, exchange.first_s
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -427,3 +427,17 @@
     assert not any(
         deployment.engines[name].ran for name in ('shop-1', 'shop-2')
     )
+
+
+async def test_a_stream_that_ends_in_a_stop_keeps_its_connection(deployment):
+    """Guards against callers whose next request crosses a sudden close."""
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        deployment.gateway.begin_stop()
+        await answer.read()
+    assert len(deployment.gateway._callers.server.connections) == 1
+    async with deployment.request(
+        'guide', 'request-2', X_Token_Usage='100,4'
+    ) as answer:
+        assert answer.status == 200
+        assert answer.headers['Connection'] == 'close'
