Reject deeply nested records instead of reading them without end

What callers saw: another writer left one entry with a field nested 1,000 levels deep among the targets. From then on the instance followed no target any more: the follower logged gateway-follower-failed every 0.8 s, read the same record again, and never got past it. An instance that started then never became ready. The same held for a version of the configuration and for a peer's answer; such a datagram raised an undeclared error.

Cause: the parser accepts 1,024 levels, which is more than the recursion limit of Python. The message of a field with the wrong type quoted its value, and that repr raised RecursionError, which no decoder declared. The quoted value also put up to 400 kB of a record into one log line.

--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -65,9 +65,33 @@
     """The store no longer has the records at the requested offset."""
 
 
+# Errors that bytes from outside the process may cause in a decoder. Reading a
+# deeply nested value can exceed the recursion limit.
+DECODE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+# Maximum length of the reason in a log line, which may quote the record.
+_REASON_CHARS_MAX = 200
+
+
 class RecordInvalid(Exception):
     """A record of the store cannot be decoded."""
 
+    @classmethod
+    def from_error(cls, error: Exception) -> 'RecordInvalid':
+        """Returns the error of a record, with a reason of bounded length.
+
+        Args:
+            error: The error of the decoder.
+        """
+        reason = f'{type(error).__name__}: {error}'
+        return cls(reason[:_REASON_CHARS_MAX])
+
 
 class Store(abc.ABC):
     """Client of the platform's store, limited to what the gateway reads."""
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -241,7 +241,7 @@
             known_hosts=tuple(map(str, body.get('k', ()))),
             leaving=bool(body.get('x')),
         )
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except api.DECODE_ERRORS as exc:
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
 
 
@@ -305,7 +305,7 @@
         body = orjson.loads(data)
         records = tuple(_decode_record(row) for row in body['records'])
         return api.Batch(records, int(body['end']), era=int(body['era']))
-    except (ValueError, KeyError, TypeError, AttributeError) as exc:
+    except api.DECODE_ERRORS as exc:
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
 
 
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -183,6 +183,69 @@
     assert is_departure_encodable(target)
 
 
+# Values that orjson does not encode, and values of an extreme size. The parser
+# accepts 1,024 levels of nesting, which is more than the recursion limit.
+EXTREME_VALUES = [
+    b'[' * 1000 + b']' * 1000,
+    b'{"a":' * 1000 + b'1' + b'}' * 1000,
+    b'[' * 100_000,
+    b'"' + b'x' * 200_000 + b'"',
+    b'[' + b'7,' * 100_000 + b'7]',
+    b'1e999',
+    b'-1e308',
+    b'1e308',
+    b'9' * 400,
+    b'18446744073709551616',
+    b'9223372036854775808',
+    b'NaN',
+    b'-Infinity',
+    b'"\\ud800"',
+    b'"\xff"',
+    b'""',
+    b'-1',
+    b'0.5',
+    b'true',
+    b'null',
+]
+
+
+def encode_with_raw(document, name, raw):
+    """Encodes a document with one field replaced by raw bytes."""
+    rest = {key: part for key, part in document.items() if key != name}
+    encoded = orjson.dumps(rest)[:-1]
+    return encoded + b',"' + name.encode() + b'":' + raw + b'}'
+
+
+@pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
+@pytest.mark.parametrize('name', sorted(REGISTRATION))
+def test_an_extreme_field_is_a_valid_target_or_rejected(name, raw):
+    """Guards against one field of a record that stops the follower."""
+    try:
+        target = registrations.decode(
+            't1', encode_with_raw(REGISTRATION, name, raw)
+        )
+    except api.RecordInvalid as exc:
+        assert len(str(exc)) <= 200
+        return
+    assert is_departure_encodable(target)
+
+
+@pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
+@pytest.mark.parametrize('name', [*sorted(CONFIGURATION), 'name', 'host'])
+def test_an_extreme_configuration_is_valid_or_rejected(name, raw):
+    """Guards against one field of the configuration that stops the reads."""
+    if name in CONFIGURATION:
+        encoded = encode_with_raw(CONFIGURATION, name, raw)
+    else:
+        route = encode_with_raw(CONFIGURATION['routes'][0], name, raw)
+        routes = b'[' + route + b']'
+        encoded = encode_with_raw(CONFIGURATION, 'routes', routes)
+    try:
+        configuration.decode(encoded)
+    except api.RecordInvalid as exc:
+        assert len(str(exc)) <= 200
+
+
 @CASES
 @hypothesis.given(strategies.binary(max_size=200))
 def test_arbitrary_bytes_are_no_registration(value):
@@ -367,3 +430,26 @@
         digests.decode_batch(encode_json(body))
     except digests.DatagramInvalid:
         return
+
+
+@pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
+@pytest.mark.parametrize('name', [*sorted(DIGEST), 'n', 'd', 'q', 'o'])
+def test_an_extreme_datagram_is_valid_or_dropped(name, raw):
+    """Guards against one field of a datagram that raises another error."""
+    for field in (raw, b'[[' + raw + b',1,1]]'):
+        try:
+            digests.decode(encode_with_raw(DIGEST | {'e': 0}, name, field))
+        except digests.DatagramInvalid:
+            continue
+
+
+@pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
+@pytest.mark.parametrize('name', ['records', 'end', 'era'])
+def test_extreme_records_of_a_peer_are_valid_or_dropped(name, raw):
+    """Guards against one field of a peer's answer that ends the reads."""
+    batch = {'records': [], 'end': 4, 'era': 0}
+    for field in (raw, b'[[' + raw + b',1,null]]', b'[["t1",' + raw + b',1]]'):
+        try:
+            digests.decode_batch(encode_with_raw(batch, name, field))
+        except digests.DatagramInvalid:
+            continue
