--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -123,22 +123,15 @@
         The answer, with its body still unread.
 
     Raises:
-        aiohttp.ClientError: The connection failed before the head was
-            complete.
+        aiohttp.ClientError: The address cannot be used, or the connection
+            failed before the head was complete.
     """
     request, target = exchange.request, options.target
     exchange.tried.add(target.target_id)
     send_state.request_id = request.request_id
-    # Parsing the path would drop an empty query and a fragment.
-    url = yarl.URL.build(
-        scheme='http',
-        authority=target.address,
-        path=request.raw_path,
-        encoded=True,
-    )
     return await parts.session.request(
         request.method,
-        url,
+        _build_url(target, request.raw_path),
         headers=parts.dialect.attempt_headers(request, options),
         data=request.body or None,
         allow_redirects=False,
@@ -146,6 +139,27 @@
     )
 
 
+def _build_url(target: targets.Target, raw_path: str) -> yarl.URL:
+    """Returns the URL of a path at a target.
+
+    Raises:
+        aiohttp.InvalidURL: The address of the target cannot be used.
+    """
+    try:
+        # Parsing the path would drop an empty query and a fragment.
+        url = yarl.URL.build(
+            scheme='http',
+            authority=target.address,
+            path=raw_path,
+            encoded=True,
+        )
+        # An encoded address is parsed at the first access to a part of it.
+        url.raw_user  # noqa: B018
+    except ValueError as exc:
+        raise aiohttp.InvalidURL(target.address) from exc
+    return url
+
+
 def decode_answer(
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -5,6 +5,7 @@
 import orjson
 import pytest
 
+from dotterelweir_core.gateway import targets
 from dotterelweir_fakes.fleet import deployment as fleet
 
 DEEP = b'[' * 1000 + b']' * 1000
@@ -50,3 +51,39 @@
     async with asyncio.timeout(4):
         while deployment.gateway.tables_version != 3:
             await asyncio.sleep(0.02)
+
+
+async def statuses(deployment, routes=('read', 'book')):
+    """Sends requests one after the other and returns their statuses."""
+    received = []
+    for number in range(12):
+        for route in routes:
+            async with deployment.request(
+                route, request_id=f'{route}-{number}'
+            ) as answer:
+                await answer.read()
+                received.append(answer.status)
+    return received
+
+
+@pytest.mark.parametrize(
+    'host', ['fe80::1%eth0', '::1', '[::1', '10.0.0.1]', 'a b', '']
+)
+async def test_an_unusable_address_counts_as_never_sent(deployment, host):
+    """Guards against 500 for the requests that such a target gets."""
+    target = targets.Target(
+        'odd', 'plain', host, 80, 'zone-a', 8, targets.TargetState.READY
+    )
+    deployment.gateway._directory.apply('odd', target, 1_000)
+    assert set(await statuses(deployment)) == {200}
+
+
+@pytest.mark.parametrize(
+    'key', ['shop-1\r\nX-Attempt-Id: 1', 'shop\x001', '', 'x' * 255]
+)
+async def test_an_odd_key_fails_no_request(deployment, key):
+    """Guards against 500 for requests to a target whose id is no header."""
+    entry = deployment.engines['shop-1'].entry('plain')
+    await deployment.store.write_json('keyed.servers', key, entry)
+    await deployment.wait_store_read(('keyed.servers',))
+    assert set(await statuses(deployment)) == {200}
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -5,6 +5,7 @@
 """
 
 import base64
+import ipaddress
 import os
 import random
 import struct
@@ -153,10 +154,23 @@
     return change(valid)
 
 
-def is_departure_encodable(target):
-    """Whether the departure of a target fits into a message to peers."""
+def check_usable(target):
+    """Checks that requests can be sent to a target and peers told of it."""
+    url = yarl.URL.build(
+        scheme='http', authority=target.address, path='/x', encoded=True
+    )
+    assert (url.host, url.port) == (target.host.strip('[]'), target.port)
+    assert url == yarl.URL(f'http://{target.address}/x')
+    assert ipaddress.ip_address(url.host) and 1 <= url.port <= 65_535
+    assert 0 < target.slots < 2**31
+    assert 0 <= target.warm_up_left_s <= 86_400
+    assert 0 <= target.started_ms <= 10**13
+    assert 1 <= len(target.service) <= 255
+    assert 1 <= len(target.zone) <= 255
+    assert target.target_id and target.target_id.isprintable()
     row = targets.Departure(target.target_id, target.started_ms, True)
-    return digests.decode(digests.encode(digests.Departures((row,))))
+    message = digests.Departures((row,))
+    assert digests.decode(digests.encode(message)) == message
 
 
 @CASES
@@ -177,10 +191,7 @@
         target = registrations.decode('t1', encode_json(registration))
     except api.RecordInvalid:
         return
-    url = yarl.URL(f'http://{target.address}/x', encoded=True)
-    assert (url.host, url.port) == (target.host.strip('[]'), target.port)
-    assert 0 < target.slots < 2**31
-    assert is_departure_encodable(target)
+    check_usable(target)
 
 
 # Values that orjson does not encode, and values of an extreme size. The parser
@@ -227,7 +238,87 @@
     except api.RecordInvalid as exc:
         assert len(str(exc)) <= 200
         return
-    assert is_departure_encodable(target)
+    check_usable(target)
+
+
+ADDRESS_PARTS = strategies.sampled_from(
+    ['10.0.0.1', '::1', 'fe80::1', '%eth0', '[', ']', ':', ':80', '80', '/']
+) | strategies.text(max_size=3)
+
+
+@CASES
+@hypothesis.given(strategies.lists(ADDRESS_PARTS, max_size=6).map(''.join))
+@hypothesis.example('fe80::1%eth0:80')
+@hypothesis.example('[fe80::1%eth0]:80')
+@hypothesis.example('::1:80')
+@hypothesis.example('[10.0.0.1]:80')
+@hypothesis.example('[::1:80')
+@hypothesis.example('10.0.0.1]:80')
+@hypothesis.example('0.0.0.0:80')
+@hypothesis.example('10.0.0.1:0')
+@hypothesis.example('10.0.0.1:65536')
+@hypothesis.example('10.0.0.1:-1')
+def test_an_address_is_usable_or_rejected(address):
+    """Guards against an address that fails the requests sent to it."""
+    try:
+        target = registrations.decode(
+            't1', encode_json(REGISTRATION | {'addr': address})
+        )
+    except api.RecordInvalid:
+        return
+    check_usable(target)
+    assert not ipaddress.ip_address(target.host.strip('[]')).is_unspecified
+
+
+@CASES
+@hypothesis.given(strategies.binary(max_size=255))
+@hypothesis.example(b'')
+@hypothesis.example(b'\xff\xfe')
+@hypothesis.example(b't1\r\nX-Attempt-Id: 1')
+@hypothesis.example(b'\x00' * 255)
+@hypothesis.example(b'x' * 255)
+def test_a_key_is_a_usable_id_or_rejected(key):
+    """Guards against an id that is no header value, which fails requests."""
+    value = orjson.dumps(REGISTRATION)
+    for errors in ('replace', 'surrogateescape'):
+        try:
+            target = registrations.decode(key.decode(errors=errors), value)
+        except api.RecordInvalid:
+            continue
+        check_usable(target)
+
+
+@pytest.mark.parametrize(
+    ('name', 'value'),
+    [
+        ('born', 1.5e15),
+        ('born', 1_780_000_000_000.5),
+        ('born', -1),
+        ('warmupLeftMs', 1e308),
+        ('warmupLeftMs', -1),
+        ('slots', 1.5),
+        ('seq', 'x'),
+        ('zone', ''),
+    ],
+)
+def test_a_field_out_of_range_is_rejected(name, value):
+    """Guards against numbers that no engine states of itself."""
+    with pytest.raises(api.RecordInvalid):
+        registrations.decode('t1', encode_json(REGISTRATION | {name: value}))
+
+
+def test_the_usual_registrations_are_accepted():
+    """Guards against checks that reject engines."""
+    for change in (
+        {},
+        {'addr': '[fd00::1]:65535'},
+        {'slots': 24.0, 'born': 1.78e12},
+        {'warmupLeftMs': 1234.5},
+    ):
+        target = registrations.decode(
+            'engine-1', encode_json(REGISTRATION | change)
+        )
+        check_usable(target)
 
 
 @pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
