--- a/fakes/src/dotterelweir_fakes/fleet/store.py
+++ b/fakes/src/dotterelweir_fakes/fleet/store.py
@@ -42,7 +42,8 @@
 
         Args:
             topic: Name of the topic.
-            key: Key of the record.
+            key: Key of the record, with surrogates for bytes that are not
+                UTF-8.
             value: Value of the record; an empty one removes the key.
 
         Returns:
@@ -137,6 +138,7 @@
         records = self._records.get(topic, [])
         body = struct.pack('>QQ', len(records), first)
         for key, value in records[offset:]:
-            content = bytes([len(key)]) + key.encode() + value
+            encoded_key = key.encode(errors='surrogateescape')
+            content = bytes([len(encoded_key)]) + encoded_key + value
             body += struct.pack('>I', len(content)) + content
         return web.Response(body=body)
--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -79,11 +79,116 @@
 
 
 @pytest.mark.parametrize(
-    'key', ['shop-1\r\nX-Attempt-Id: 1', 'shop\x001', '', 'x' * 255]
+    'key',
+    [
+        'shop-1\r\nX-Attempt-Id: 1',
+        'shop\x001',
+        '',
+        'x' * 255,
+        '\udcff\udcfe',
+        '\udcff' * 255,
+    ],
 )
 async def test_an_odd_key_fails_no_request(deployment, key):
     """Guards against 500 for requests to a target whose id is no header."""
     entry = deployment.engines['shop-1'].entry('plain')
     await deployment.store.write_json('keyed.servers', key, entry)
-    await deployment.wait_store_read(('keyed.servers',))
+    await deployment.add_engine('shop-3', 'plain')
+    for gateway in (deployment.gateway, await deployment.start_second()):
+        async with asyncio.timeout(4):
+            while 'shop-3' not in gateway._directory.targets:
+                await asyncio.sleep(0.02)
     assert set(await statuses(deployment)) == {200}
+
+
+ODD_ENTRIES = [
+    (name, raw)
+    for name in ('addr', 'born', 'service', 'slots', 'state', 'warmupLeftMs')
+    for raw in (
+        DEEP,
+        b'[' * 100_000,
+        b'"' + b'x' * 200_000 + b'"',
+        b'1e999',
+        b'1e308',
+        b'9' * 400,
+        b'18446744073709551616',
+        b'NaN',
+        b'-1',
+        b'null',
+    )
+] + [
+    ('addr', orjson.dumps(address))
+    for address in (
+        'fe80::1%eth0:80',
+        '::1:80',
+        '[10.0.0.1]:80',
+        '10.0.0.1:0',
+        '10.0.0.1:65536',
+        '10.0.0.1:-1',
+        '10.0.0.1:²',
+    )
+]
+ODD_KEYS = ['', '\udcff\udcfe', 'shop\r\n1', 'shop\x00', 'shop\u2028', '²' * 9]
+
+
+async def write_odd_entries(deployment, prefix):
+    engine = deployment.engines['shop-1']
+    for number, (name, raw) in enumerate(ODD_ENTRIES):
+        await deployment.store.write(
+            'keyed.servers',
+            f'{prefix}-{number}',
+            raw_entry(engine, name, raw),
+        )
+    for value in (b'\xff\xfe', b'7', b'[]', b'{}', DEEP):
+        await deployment.store.write('keyed.servers', f'{prefix}-raw', value)
+    for key in ODD_KEYS:
+        # Another target has the address, so this one answers with 421.
+        await deployment.store.write_json(
+            'keyed.servers', key, engine.entry('plain')
+        )
+
+
+@pytest.fixture
+async def deployment_with_odd_entries():
+    """Runs a gateway whose first snapshot has odd entries."""
+    running = fleet.Deployment()
+    address = await running.start_store()
+    await running.store.write_json('keyed.op', 'config', fleet.configuration())
+    for target_id in ('shop-1', 'shop-2'):
+        await running.add_engine(target_id, 'plain')
+    await write_odd_entries(running, 'snapshot')
+    for target_id in ('engine-1', 'engine-2'):
+        await running.add_engine(target_id, 'model')
+    await running.start(address)
+    try:
+        await running.wait_ready()
+        yield running
+    finally:
+        await running.close()
+
+
+async def test_odd_entries_beside_sound_ones_fail_no_request(
+    deployment_with_odd_entries,
+):
+    """Guards against odd entries that end a process, its reads or requests."""
+    deployment = deployment_with_odd_entries
+    routes = ('read', 'book', 'guide', 'check')
+    sound = set(deployment.engines) | {'²' * 9}
+    await wait_for_targets(deployment.gateway, sound)
+    assert set(await statuses(deployment, routes)) == {200}
+    await write_odd_entries(deployment, 'record')
+    await deployment.add_engine('shop-3', 'plain')
+    await wait_for_targets(deployment.gateway, sound | {'shop-3'})
+    assert set(await statuses(deployment, routes)) == {200}
+    # Sound entries replace odd ones, and are removed again.
+    for key in ('record-0', 'snapshot-0', 'record-raw'):
+        await deployment.store.write_json(
+            'keyed.servers', key, deployment.engines['shop-1'].entry('plain')
+        )
+        await wait_for_targets(deployment.gateway, sound | {'shop-3', key})
+        await deployment.store.write('keyed.servers', key, b'')
+        await wait_for_targets(deployment.gateway, sound | {'shop-3'})
+    await deployment.store.write('keyed.servers', 'shop-2', b'')
+    expected = (sound | {'shop-3'}) - {'shop-2'}
+    await wait_for_targets(deployment.gateway, expected)
+    assert set(await statuses(deployment, routes)) == {200}
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -467,8 +467,36 @@
 @hypothesis.example(PAGE | {'end': 1e300})
 def test_a_page_is_valid_or_the_store_unavailable(page):
     """Guards against an answer of the store that stops the follower."""
+    check_page(encode_json(page))
+
+
+@CASES
+@hypothesis.given(strategies.binary(max_size=255))
+@hypothesis.example(b'\xff')
+@hypothesis.example(b'\\ud800')
+def test_a_page_with_any_key_is_valid_or_the_store_unavailable(key):
+    """Guards against a key that raises an undeclared error."""
+    escaped = key.replace(b'\\', b'').replace(b'"', b'')
+    for quoted in (key, escaped):
+        item = b'{"key":"%b","value":"","offset":3}' % quoted
+        check_page(b'{"items":[%b],"hasMore":false,"end":4}' % item)
+
+
+@pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
+@pytest.mark.parametrize('name', ['items', 'hasMore', 'end', 'key', 'offset'])
+def test_an_extreme_page_is_valid_or_the_store_unavailable(name, raw):
+    """Guards against an offset that no message to peers can hold."""
+    if name in PAGE:
+        check_page(encode_with_raw(PAGE, name, raw))
+        return
+    item = encode_with_raw(PAGE['items'][0], name, raw)
+    check_page(encode_with_raw(PAGE, 'items', b'[' + item + b']'))
+
+
+def check_page(body):
+    """Checks the offsets and keys of a page, if it is valid."""
     try:
-        parsed = store.parse_page(encode_json(page))
+        parsed = store.parse_page(body)
     except api.StoreUnavailable:
         return
     assert 0 <= parsed['end'] < 2**63
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -35,6 +35,13 @@
         headers = {'Store-Era': era} if era else {}
         return web.Response(body=body, headers=headers)
 
+    async with store_that_answers(answer) as client:
+        yield client
+
+
+@contextlib.asynccontextmanager
+async def store_that_answers(answer):
+    """Runs a store with the given handler of requests; yields a client."""
     runner = web.ServerRunner(web.Server(answer))
     await runner.setup()
     await web.TCPSite(runner, '127.0.0.1', 0).start()
@@ -97,6 +104,59 @@
     assert batch.era == era
 
 
+@pytest.mark.parametrize(
+    'key',
+    [b'"\xff\xfe"', b'"\\udcff\\udcfe"', b'"\\ud800"', b'""', b'"a\\u0000"'],
+)
+async def test_a_key_that_is_not_text_does_not_hide_a_page(key):
+    """Guards against a snapshot that one odd key makes unreadable."""
+    page = (
+        b'{"items":[{"key":"a","value":"eA==","offset":1},{"key":%b,'
+        b'"value":"eA==","offset":2}],"hasMore":%b,"end":3}'
+    )
+    pages = [page % (key, b'true'), page % (b'"z"', b'false')]
+    async with store_with_answers(pages, ['', '']) as client:
+        batch = await client.read_snapshot(api.StoreStream.TARGETS)
+    assert [record.key for record in batch.records][::3] == ['a', 'z']
+
+
+def test_a_key_has_the_same_name_in_snapshots_and_reads():
+    """Guards against a removal that does not name the entry it removes."""
+    body = READ_HEADER + encode_record(b'\xff', b'1')
+    page = b'{"items":[{"key":"\xff","value":"MQ==","offset":7}],'
+    page += b'"hasMore":false,"end":8}'
+    assert store.parse_records(body, 7).records == tuple(
+        store.parse_page(page)['records']
+    )
+
+
+async def test_the_next_page_begins_after_the_bytes_of_the_last_key():
+    """Guards against a page that is read again without end."""
+    queries = []
+
+    async def answer(request):
+        queries.append(request.rel_url.raw_query_string)
+        more = b'true' if len(queries) < 2 else b'false'
+        return web.Response(
+            body=b'{"items":[{"key":"\xffa b","value":"","offset":1}],'
+            b'"hasMore":%b,"end":2}' % more
+        )
+
+    async with store_that_answers(answer) as client:
+        await client.read_snapshot(api.StoreStream.TARGETS)
+    assert queries[1].endswith('&after=%FFa+b')
+
+
+async def test_pages_that_do_not_advance_are_rejected():
+    """Guards against a snapshot that grows until the memory is full."""
+    page = (
+        b'{"items":[{"key":"a","value":"","offset":1}],"hasMore":true,"end":2}'
+    )
+    async with store_with_answers([page] * 9, [''] * 9) as client:
+        with pytest.raises(api.StoreUnavailable, match='sent twice'):
+            await client.read_snapshot(api.StoreStream.TARGETS)
+
+
 async def test_pages_of_two_eras_are_rejected():
     """Guards against a snapshot that mixes records of two eras."""
     page = orjson.dumps(
