Log only the first invalid records of a batch

Fix: the records of a batch are decoded in one place, which logs the first eight invalid ones and their number, `invalid_records`. Bytes of invalid records are not kept.

Evidence: without the change both cases of test_many_odd_entries_are_logged_in_few_lines fail; with it the tests of odd entries and of the followers pass (66).

--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 import logging
+from typing import Generic
+from typing import TypeVar
 
 import attrs
 
@@ -18,6 +20,11 @@
 # without a new read, in seconds. It covers the longest time between two reads
 # of the targets and the usual time of a call.
 _READ_DELAY_MAX_S = 1.0
+# Maximum number of invalid records of a batch that are logged, so that many of
+# them do not displace other lines in the bounded output.
+_INVALID_LOGGED_MAX = 8
+
+_Decoded = TypeVar('_Decoded')
 
 
 class TablesKeeper(stream_api.Keeper):
@@ -76,12 +83,7 @@
         Returns:
             No records, as tables may be larger than a datagram.
         """
-        for record in batch.records:
-            try:
-                decoded = self._store.decode_tables(record)
-            except api.RecordInvalid as exc:
-                _log_invalid(record, exc)
-                continue
+        for record, decoded in _decode(batch, self._store.decode_tables).valid:
             if decoded is not None:
                 self._put_in_force(decoded, record)
         return []
@@ -233,13 +235,12 @@
             self.apply(batch)
             self._defer_until_settled(lambda: self.apply_snapshot(batch))
             return
-        records = {}
-        for record in batch.records:
-            try:
-                decoded = self._store.decode_target(record)
-            except api.RecordInvalid as exc:
-                _log_invalid(record, exc)
-                decoded = None
+        decoded_batch = _decode(batch, self._store.decode_target)
+        records = {
+            record.key: (None, record.offset)
+            for record, _ in decoded_batch.invalid
+        }
+        for record, decoded in decoded_batch.valid:
             records[record.key] = (decoded, record.offset)
             self._records[record.key] = record
         for change in self._directory.apply_snapshot(records, batch.end):
@@ -255,12 +256,7 @@
             The records that changed the registered state of a target.
         """
         changed = []
-        for record in batch.records:
-            try:
-                decoded = self._store.decode_target(record)
-            except api.RecordInvalid as exc:
-                _log_invalid(record, exc)
-                continue
+        for record, decoded in _decode(batch, self._store.decode_target).valid:
             if decoded is None and self._defer_removal(record):
                 continue
             before = self._directory.registered(record.key)
@@ -333,11 +329,41 @@
             listener(change)
 
 
-def _log_invalid(record: api.Record, exc: api.RecordInvalid) -> None:
-    events.log(
-        LOG,
-        events.STORE_RECORD_INVALID,
-        key=record.key,
-        offset=record.offset,
-        reason=str(exc),
-    )
+@attrs.frozen
+class _DecodedBatch(Generic[_Decoded]):
+    """Records of a batch by whether they can be decoded.
+
+    Attributes:
+        valid: The valid records with what they contain.
+        invalid: The invalid records with the reasons.
+    """
+
+    valid: list[tuple[api.Record, _Decoded | None]]
+    invalid: list[tuple[api.Record, str]]
+
+
+def _decode(
+    batch: api.Batch, decode: Callable[[api.Record], _Decoded | None]
+) -> _DecodedBatch[_Decoded]:
+    """Decodes the records of a batch and logs the first invalid ones.
+
+    Args:
+        batch: The records.
+        decode: Decodes one record.
+    """
+    decoded_batch = _DecodedBatch[_Decoded]([], [])
+    for record in batch.records:
+        try:
+            decoded_batch.valid.append((record, decode(record)))
+        except api.RecordInvalid as exc:
+            decoded_batch.invalid.append((record, str(exc)))
+    for record, reason in decoded_batch.invalid[:_INVALID_LOGGED_MAX]:
+        events.log(
+            LOG,
+            events.STORE_RECORD_INVALID,
+            key=record.key,
+            offset=record.offset,
+            reason=reason,
+            invalid_records=len(decoded_batch.invalid),
+        )
+    return decoded_batch
--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -5,8 +5,13 @@
 import orjson
 import pytest
 
+from dotterelweir_core import timers
 from dotterelweir_core.gateway import targets
 from dotterelweir_fakes.fleet import deployment as fleet
+from dotterelweir_platform import store
+from dotterelweird.gateway import api
+from dotterelweird.gateway import keepers
+from dotterelweird.gateway import settings
 
 DEEP = b'[' * 1000 + b']' * 1000
 
@@ -192,3 +197,22 @@
     expected = (sound | {'shop-3'}) - {'shop-2'}
     await wait_for_targets(deployment.gateway, expected)
     assert set(await statuses(deployment, routes)) == {200}
+
+
+@pytest.mark.parametrize('method', ['apply', 'apply_snapshot'])
+def test_many_odd_entries_are_logged_in_few_lines(caplog, method):
+    """Guards against odd entries that displace other lines of the log."""
+    keeper = keepers.TargetsKeeper(
+        store.PlatformStore(None, settings.Address('127.0.0.1', 1)),
+        targets.TargetDirectory(),
+        timers.VirtualTimerService(),
+        2.0,
+    )
+    odd = orjson.dumps({'addr': '10.0.0.1:1', 'state': 'x' * 200_000})
+    records = tuple(api.Record(f't{n}', odd, n) for n in range(10_000))
+    getattr(keeper, method)(api.Batch(records, 10_000))
+    lines = [line for line in caplog.records if line.event == 323]
+    assert 1 <= len(lines) <= 8
+    assert lines[0].fields['invalid_records'] == 10_000
+    assert max(len(str(line.fields)) for line in lines) < 500
+    assert keeper.records == ()
