Refuse requests at a stop before readiness

Callers of an instance that got SIGTERM before it had read its tables were told 404 "no route matches" for routes that exist, a final answer. The grace period accepted requests in the state draining, also if it followed starting. The lifecycle now records whether the instance was ever ready, and only then are requests accepted in the grace period.

--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -47,8 +47,13 @@
         self.grace_over = False
 
     def refusal(self) -> errors.ErrorKind | None:
-        """Returns why new requests are refused, or None."""
-        if self._lifecycle.state == 'draining' and not self.grace_over:
+        """Returns why new requests are refused, or None.
+
+        An instance that stops before it was ready has no tables to route by,
+        so it accepts nothing in the grace period.
+        """
+        in_grace = self._lifecycle.state == 'draining' and not self.grace_over
+        if in_grace and self._lifecycle.has_been_ready:
             return None
         return self.unready()
 
--- a/packages/daemon/src/dotterelweird/lifecycle.py
+++ b/packages/daemon/src/dotterelweird/lifecycle.py
@@ -24,9 +24,13 @@
 
     ``mark_ready``, ``drain`` and ``stop`` change the state. A call that the
     current state does not allow has no effect.
+
+    Attributes:
+        has_been_ready: Whether the state was ready at some time.
     """
 
     def __init__(self) -> None:
+        self.has_been_ready = False
         self._listeners: list[Callable[[str], None]] = []
         self._machine = transitions.Machine(
             model=self,
@@ -64,6 +68,7 @@
         return self.state == 'ready'
 
     def _notify(self) -> None:
+        self.has_been_ready |= self.ready
         events.log(LOG, _STATE_EVENTS[self.state])
         for listener in self._listeners:
             listener(self.state)
--- a/packages/daemon/tests/test_instance.py
+++ b/packages/daemon/tests/test_instance.py
@@ -36,3 +36,14 @@
     readiness.grace_over = grace_over
     assert readiness.refusal() is refusal
     assert readiness.unready() is unready
+
+
+def test_an_instance_stopped_before_it_was_ready_accepts_no_request():
+    """Guards against requests that are routed before the tables were read.
+
+    The callers got the final answer "no route" for routes that exist.
+    """
+    cycle = lifecycle.Lifecycle()
+    readiness = instance.Readiness(cycle)
+    cycle.drain()
+    assert readiness.refusal() is SHUTTING_DOWN
