End the watches of operators at a stop

A stopping instance did not end while an operator watched its changes: the HTTP library waits 60 s for the handler, twice, and the handler waited for changes forever. With a platform deadline the process was killed instead. The feed now ends its watchers when the operators' port shuts down.

--- a/fakes/tests/system/test_planned_stops.py
+++ b/fakes/tests/system/test_planned_stops.py
@@ -21,3 +21,17 @@
     assert answer['code'] == 'shutting-down', answer
     assert answer['execution'] == 'not run'
     assert await unready.child.wait() == 0, unready.child.output()
+
+
+async def test_an_operator_who_watches_does_not_delay_a_stop(start_system):
+    """Guards against a process that outlives its last request by a minute."""
+    system = await start_system(
+        instances=1, engines=1, services=1, drain_grace_s=0.1
+    )
+    watched = system.cluster.instances[0]
+    url = f'{watched.admin_url}/admin/v1/watch'
+    async with system.http.get(url) as response:
+        watched.child.terminate()
+        text = (await response.read()).decode()
+    assert 'instance-stopped' in text
+    assert await watched.child.wait(timeout_s=5.0) == 0
--- a/packages/daemon/src/dotterelweird/admin/feed.py
+++ b/packages/daemon/src/dotterelweird/admin/feed.py
@@ -47,8 +47,8 @@
         """Adds a watcher.
 
         Returns:
-            The queue of its changes; the caller must pass it to
-            ``close_watcher`` when it no longer reads from it.
+            The queue of its changes, which ends with None; the caller must
+            pass it to ``close_watcher`` when it no longer reads from it.
         """
         queue: asyncio.Queue = asyncio.Queue(_QUEUE_MAX_CHANGES)
         self._watchers[queue] = 0
@@ -57,3 +57,11 @@
     def close_watcher(self, queue: asyncio.Queue) -> None:
         """Removes the watcher with this queue."""
         self._watchers.pop(queue, None)
+
+    def end(self) -> None:
+        """Queues None for each watcher, after which no change follows."""
+        watchers, self._watchers = self._watchers, {}
+        for queue in watchers:
+            if queue.full():
+                queue.get_nowait()
+            queue.put_nowait(None)
--- a/packages/daemon/src/dotterelweird/admin/server.py
+++ b/packages/daemon/src/dotterelweird/admin/server.py
@@ -44,6 +44,7 @@
     def app(self) -> web.Application:
         """Returns a new aiohttp application with all handlers."""
         app = web.Application()
+        app.on_shutdown.append(self._end_watches)
         app.add_routes(
             [
                 web.get('/healthz', self._healthz),
@@ -57,6 +58,10 @@
         )
         return app
 
+    async def _end_watches(self, app: web.Application) -> None:
+        # The runner waits a minute for handlers that do not end.
+        self._feed.end()
+
     async def _healthz(self, request: web.Request) -> web.Response:
         return web.json_response({'state': self._lifecycle.state})
 
@@ -103,6 +108,8 @@
                 except TimeoutError:
                     await response.write(b': keep-alive\n\n')
                     continue
+                if change is None:
+                    break
                 data = orjson.dumps(change, default=str)
                 await response.write(b'data: ' + data + b'\n\n')
         except ConnectionError:
