Wait for slow readers before the process ends

A caller that read slowly lost the end of its answer at a planned stop. The count of requests in flight drops before the HTTP library writes the answer, and a closed connection sends the rest of its write buffer only while the event loop runs, so up to 64 KB per connection were dropped at the exit. The callers' port is now closed once the write buffers are empty, after at most 60 s; requests that arrive meanwhile are refused as before. The library's own wait of 60 s for handlers, which applied twice, is 0.1 s: what still runs at that point only refuses.

--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -28,6 +28,9 @@
 # higher so that a field that is too large is answered with a problem document;
 # above its own limit the parser answers with status 400.
 _PARSER_LIMIT_RATIO = 16
+# Time for handlers that still run when the port closes, and again after their
+# cancellation. Requests in flight have ended before, so these only refuse.
+_SHUTDOWN_TIMEOUT_S = 0.1
 
 Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
 
@@ -56,6 +59,7 @@
         make_app(components),
         access_log=None,
         handler_cancellation=True,
+        shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
         max_field_size=limit,
         max_line_size=limit,
     )
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -16,6 +16,7 @@
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.callers import inflight
+from dotterelweird.callers import port as callers_port
 from dotterelweird.claims import service as claims_service
 from dotterelweird.orders import service as orders_service
 from dotterelweird.peers import service as peers_service
@@ -29,6 +30,9 @@
 # Requests that are still running are handed over this long before the platform
 # stops the process.
 _HANDOVER_LEAD_S = 2.0
+# Longest wait for callers to read answers that are complete. A caller that
+# stopped reading would otherwise keep the process running.
+_SEND_LIMIT_S = 60.0
 
 
 class Readiness:
@@ -193,7 +197,9 @@
             self._tables_task.cancel()
             await asyncio.gather(self._tables_task, return_exceptions=True)
         await components.peers.stop()
-        await components.callers.cleanup()
+        await callers_port.close(
+            components.callers, components.timer, _SEND_LIMIT_S
+        )
         await components.services.close()
         components.lifecycle.stop()
         await components.admin.cleanup()
