Stop the claim streams within one time limit

A stop waited up to 2 s for each claim stream in turn to append its outcomes. With several streams and a log that is down, the sum exceeded the 2 s between the handover and the platform's deadline, and the process was killed before it had told its peers that it leaves. All streams now stop at the same time.

The test failed before: with four streams, stop had not ended after its limit.

--- a/packages/daemon/src/dotterelweird/claims/service.py
+++ b/packages/daemon/src/dotterelweird/claims/service.py
@@ -3,6 +3,7 @@
 A key belongs to one of several claim streams, chosen by its hash.
 """
 
+import asyncio
 import random
 import uuid
 
@@ -74,11 +75,11 @@
         """Appends queued outcomes and releases, then stops.
 
         Args:
-            drain_s: Longest wait for each stream to append them, in
-                seconds.
+            drain_s: Longest wait for all of them, in seconds.
         """
-        for stream in self._streams:
-            await stream.stop(drain_s)
+        await asyncio.gather(
+            *(stream.stop(drain_s) for stream in self._streams)
+        )
 
     async def claim(
         self, request: claims_api.ClaimRequest
--- a/packages/daemon/tests/claims/test_claims_service.py
+++ b/packages/daemon/tests/claims/test_claims_service.py
@@ -175,3 +175,20 @@
     await simulation.finish([stopped])
     last = simulation.log.streams['claims-0'][-1]
     assert isinstance(records.decode(last.data), records.Outcome)
+
+
+async def test_all_streams_share_the_time_to_stop(claims_simulation):
+    """Guards against a stop that takes its time limit once per stream."""
+    platform = settings_model.Platform('log', 'list', claim_partitions=4)
+    simulation = await claims_simulation(platform=platform)
+    simulation.log.down = True
+    waiting = [_claim(simulation, 'a', f'k{n}') for n in range(40)]
+    await simulation.settle()
+    stop = simulation.instances['a'].claims.stop(1.0)
+    stopped = asyncio.create_task(stop)
+    await simulation.settle()
+    simulation.timer.advance(1.0)
+    await simulation.settle()
+    assert stopped.done()
+    for task in waiting:
+        task.cancel()
