End a drain with a deadline before the deadline

A call that may not be repeated runs on after its caller was told "unknown", so that its outcome is recorded. A drain waited for it without limit: the platform killed the process, no outcome was appended, and a repeat of the call at another instance waited. The same happened with a caller that sent only a part of its request or did not read its answer.

The time is now divided in one place (drain_times): handover, giving up of calls, appends and closing of the ports all end before the deadline. Calls given up are cancelled, which records the outcome "unknown".

Evidence: a real process with a deadline of 3 s and a booking that takes 20 s.

--- a/fakes/tests/system/test_planned_stops.py
+++ b/fakes/tests/system/test_planned_stops.py
@@ -107,3 +107,40 @@
     writer.close()
     assert answers.count(b'"execution_number"') == answered == capacity - 1
     assert await stopping.child.wait() == 0
+
+
+async def test_a_stop_with_a_deadline_records_calls_it_gives_up(start_system):
+    """Guards against a killed process whose calls have no outcome."""
+    system = await start_system(
+        instances=2,
+        engines=1,
+        services=1,
+        drain_grace_s=0.1,
+        drain_deadline_s=3.0,
+    )
+    stopping, other = system.cluster.instances
+    await system.send_json(
+        f'{system.cluster.service_urls[0]}/faults', {'delay_s': 20.0}, 'PUT'
+    )
+    system.use_only(stopping)
+    await system.wait_until_ready(1)
+    call = asyncio.create_task(system.book('given-up', 'key-1'))
+    await system.wait_until(call_has_been_sent(system))
+    stopping.child.terminate()
+    assert await stopping.child.wait(timeout_s=3.0) == 0
+    assert (await call).execution == 'unknown'
+    system.use_only(other)
+    await system.wait_until_ready(1)
+    async with asyncio.timeout(1.0):
+        repeat = await system.book('given-up', 'key-1')
+    assert repeat.execution == 'unknown', repeat
+
+
+def call_has_been_sent(system):
+    """Returns a condition: the service handles a call."""
+
+    async def is_running():
+        load = await system.load_report(system.cluster.service_urls[0])
+        return load['running'] == 1
+
+    return is_running
--- a/packages/daemon/src/dotterelweird/callers/inflight.py
+++ b/packages/daemon/src/dotterelweird/callers/inflight.py
@@ -19,6 +19,7 @@
 
     def __init__(self) -> None:
         self._scopes: set[scopes.Scope] = set()
+        self._calls: set[asyncio.Task] = set()
         self._cleanup_tasks: set[asyncio.Task] = set()
         self._empty = asyncio.Event()
         self._empty.set()
@@ -37,6 +38,17 @@
             if self.count == 0:
                 self._empty.set()
 
+    @contextlib.contextmanager
+    def track_call(self) -> Iterator[None]:
+        """Counts the current task as a call that outlives its caller."""
+        task = asyncio.current_task()
+        self._calls.add(task)
+        try:
+            with self.track():
+                yield
+        finally:
+            self._calls.discard(task)
+
     @contextlib.contextmanager
     def interruptible(self) -> Iterator[None]:
         """Lets ``hand_over`` interrupt the block.
@@ -75,6 +87,17 @@
         for scope in tuple(self._scopes):
             scope.interrupt(_shutdown_error())
 
+    async def abort_calls(self) -> None:
+        """Cancels the calls that ``hand_over`` left running.
+
+        Their callers have been answered; they run on only to record their
+        outcomes, which are unknown once they are cancelled.
+        """
+        calls = tuple(self._calls)
+        for task in calls:
+            task.cancel()
+        await asyncio.gather(*calls, return_exceptions=True)
+
     async def wait_empty(self) -> None:
         """Waits until no request is being answered."""
         await self._empty.wait()
--- a/packages/daemon/src/dotterelweird/callers/port.py
+++ b/packages/daemon/src/dotterelweird/callers/port.py
@@ -5,12 +5,16 @@
 from aiohttp import web
 
 from dotterelweir_core import timers
+from dotterelweird.callers import inflight
 
 _CHECK_PERIOD_S = 0.01
 
 
 async def close(
-    runner: web.AppRunner, timer: timers.TimerService, limit_s: float
+    runner: web.AppRunner,
+    in_flight: inflight.InFlight,
+    timer: timers.TimerService,
+    limit_s: float,
 ) -> None:
     """Waits until the callers have taken their answers, then closes.
 
@@ -20,24 +24,27 @@
 
     Args:
         runner: Runner of the callers' port.
+        in_flight: Requests that are being answered.
         timer: Clock and timers.
         limit_s: Longest wait, in seconds.
     """
     if runner.server is not None:
-        await _wait_sent(runner.server, timer, limit_s)
+        await _wait_sent(runner.server, in_flight, timer, limit_s)
     await runner.cleanup()
 
 
 async def _wait_sent(
-    server: web.Server, timer: timers.TimerService, limit_s: float
+    server: web.Server,
+    in_flight: inflight.InFlight,
+    timer: timers.TimerService,
+    limit_s: float,
 ) -> None:
     ended = asyncio.get_running_loop().create_future()
     end_s = timer.monotonic_s() + limit_s
 
     def check() -> None:
-        if not ended.done() and (
-            timer.monotonic_s() >= end_s or not _unsent_bytes(server)
-        ):
+        all_sent = in_flight.count == 0 and _unsent_bytes(server) == 0
+        if not ended.done() and (all_sent or timer.monotonic_s() >= end_s):
             ended.set_result(None)
 
     check()
--- a/packages/daemon/src/dotterelweird/callers/service_calls.py
+++ b/packages/daemon/src/dotterelweird/callers/service_calls.py
@@ -148,7 +148,7 @@
             task.exception()
 
     async def _run(self, call: _Call) -> web.Response:
-        with self._in_flight.track():
+        with self._in_flight.track_call():
             key = _idempotency_key(call.request.headers)
             if call.route.repeatable or key is None:
                 response = await self._attempts.run(
--- a/packages/daemon/src/dotterelweird/instance.py
+++ b/packages/daemon/src/dotterelweird/instance.py
@@ -10,9 +10,11 @@
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.membership import messages
 from dotterelweird import dispatch
+from dotterelweird import drain_times
 from dotterelweird import lifecycle as lifecycle_module
 from dotterelweird import metrics as metrics_module
 from dotterelweird import notices
+from dotterelweird import scopes
 from dotterelweird import timers
 from dotterelweird.admin import feed as admin_feed
 from dotterelweird.callers import inflight
@@ -27,12 +29,6 @@
 
 _READINESS_PERIOD_S = 0.05
 _GAUGE_PERIOD_S = 1.0
-# Requests that are still running are handed over this long before the platform
-# stops the process.
-_HANDOVER_LEAD_S = 2.0
-# Longest wait for callers to read answers that are complete. A caller that
-# stopped reading would otherwise keep the process running.
-_SEND_LIMIT_S = 60.0
 
 
 class Readiness:
@@ -168,23 +164,43 @@
         New requests are accepted until the end of the grace period.
         """
         components = self._components
+        settings, timer = components.settings, components.timer
+        begun_s = timer.monotonic_s()
+        times = drain_times.plan(
+            settings.drain_grace_s, settings.drain_deadline_s
+        )
         components.lifecycle.drain()
-        deadline_s = components.settings.drain_deadline_s
-        grace_s = components.settings.drain_grace_s
-        if deadline_s is not None:
-            components.timer.call_after(
-                max(0.0, deadline_s - _HANDOVER_LEAD_S),
-                components.in_flight.hand_over,
-            )
-            grace_s = min(grace_s, deadline_s / 2)
-        await timers.sleep(components.timer, grace_s)
+        if times.handover_s is not None:
+            timer.call_after(times.handover_s, components.in_flight.hand_over)
+        await timers.sleep(timer, times.grace_s)
         components.readiness.grace_over = True
-        await components.in_flight.wait_empty()
-        await self._stop()
-
-    async def _stop(self) -> None:
+        await self._finish_requests(times, begun_s)
+        await self._stop(times, begun_s)
+
+    async def _finish_requests(
+        self, times: drain_times.DrainTimes, begun_s: float
+    ) -> None:
+        in_flight = self._components.in_flight
+        if times.calls_end_s is None:
+            await in_flight.wait_empty()
+            await in_flight.wait_cleanup()
+            return
+        timer = self._components.timer
+        remaining_s = times.calls_end_s - (timer.monotonic_s() - begun_s)
+        timeout_error = errors.DotterelweirError(
+            errors.ErrorKind.SHUTTING_DOWN
+        )
+        try:
+            with scopes.deadline(timer, max(0.0, remaining_s), timeout_error):
+                await in_flight.wait_empty()
+                await in_flight.wait_cleanup()
+        except errors.DotterelweirError:
+            await in_flight.abort_calls()
+
+    async def _stop(
+        self, times: drain_times.DrainTimes, begun_s: float
+    ) -> None:
         components = self._components
-        await components.in_flight.wait_cleanup()
         for handle in (self._gauge_timer, self._readiness_timer):
             if handle is not None:
                 handle.cancel()
@@ -192,13 +208,17 @@
         await components.monitor.stop()
         if components.orders is not None:
             await components.orders.stop()
-        await components.claims.stop()
+        await components.claims.stop(times.append_limit_s)
         if self._tables_task is not None:
             self._tables_task.cancel()
             await asyncio.gather(self._tables_task, return_exceptions=True)
         await components.peers.stop()
+        elapsed_s = components.timer.monotonic_s() - begun_s
         await callers_port.close(
-            components.callers, components.timer, _SEND_LIMIT_S
+            components.callers,
+            components.in_flight,
+            components.timer,
+            times.send_limit_s(elapsed_s),
         )
         await components.services.close()
         components.lifecycle.stop()
--- a/packages/daemon/src/dotterelweird/peers/service.py
+++ b/packages/daemon/src/dotterelweird/peers/service.py
@@ -25,6 +25,9 @@
 # Attempts to find a port number that is free for both UDP and TCP when the
 # operating system chooses it.
 PORT_ATTEMPTS = 10
+# Time for snapshots that are being sent when the port closes. Peers read them
+# elsewhere.
+_SHUTDOWN_TIMEOUT_S = 0.1
 
 
 @attrs.frozen
@@ -102,7 +105,11 @@
     async def start(self) -> None:
         """Opens the ports and starts to join the group."""
         host = self._settings.peers.listen.host
-        self._runner = web.AppRunner(self._server.app(), access_log=None)
+        self._runner = web.AppRunner(
+            self._server.app(),
+            access_log=None,
+            shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
+        )
         await self._runner.setup()
         await self._open_ports(host)
         self._membership = state.Membership(
