Call an engine again that broke off the call to stop a run

What callers could see: two engines at work on one generation after its link broke off. An engine resets connections beyond its maximum number; if it did so with the call that stops the run, it counted as not reached.

Cause: every call without an answer counted as not reached: a refused connection, a connection that was made and broke off, and a timeout.

Why this works: a call that breaks off is repeated within its time limit. An engine that has ended refuses the connection, and its run continues; a live one answers whether it has the run. An engine that breaks off every call is not known to have stopped, and the generation ends as lost. A timeout after a reset is no sign of an end either.

--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -343,7 +343,12 @@
     NO_RUN = 'no such run'
     BUSY = 'another call is in progress'
     FAILED = 'failed'
+    # No connection was made, as with an engine that has ended.
     UNREACHABLE = 'unreachable'
+    # The engine may have ended during the call, or reset this connection
+    # alone, as it does beyond its maximum number of connections.
+    BROKEN = 'connection broken off'
+    TIMED_OUT = 'not answered in time'
 
 
 @attrs.frozen
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -139,7 +139,11 @@
                     return
                 case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
                     await timers.sleep(self._parts.timers, _RETRY_DELAY_S)
-                case api.MoveResult.UNREACHABLE:
+                case (
+                    api.MoveResult.UNREACHABLE
+                    | api.MoveResult.BROKEN
+                    | api.MoveResult.TIMED_OUT
+                ):
                     refused_at_s[destination.target_id] = now_s
                     await timers.sleep(self._parts.timers, _RETRY_DELAY_S)
                 case _:
--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -15,7 +15,7 @@
 # between availability zones takes up to 0.25 s.
 _STOP_TIMEOUT_S = 0.4
 # Delay before an engine is called again that answered without stopping the
-# run, in seconds.
+# run or broke the call off, in seconds.
 _RETRY_DELAY_S = 0.1
 
 
@@ -54,7 +54,8 @@
 
     A run that continued at a second engine while the first one still worked
     on it would run twice. Only an engine that cannot be reached is taken as
-    stopped without its confirmation.
+    stopped without its confirmation. A call that breaks off is repeated: an
+    engine that has ended then refuses the connection, a live one answers.
 
     Args:
         parts: Dependencies shared by all requests.
@@ -64,15 +65,15 @@
             the memory is copied to now.
 
     Returns:
-        Where the run can continue; None if the engine is paused for too long
-        or answered without stopping the run.
+        Where the run can continue; None if the engine is paused for too
+        long, answered without stopping the run or kept breaking off the call.
     """
     if not await pausing.wait_for_target(parts, source):
         return None
     request_id = exchange.request.request_id
     backup_copy = api.RunCopy(backup.address, request_id)
     deadline_s = parts.timers.monotonic_s() + _STOP_TIMEOUT_S
-    answered = False
+    answered = broken = False
     while True:
         left_s = deadline_s - parts.timers.monotonic_s()
         if left_s <= 0:
@@ -91,7 +92,13 @@
             case api.MoveResult.UNREACHABLE if not answered:
                 way = HandoverWay.BACKUP_UNREACHED
                 return Handover(backup, backup_copy, way)
-        answered = True
+            case api.MoveResult.TIMED_OUT if not (answered or broken):
+                way = HandoverWay.BACKUP_UNREACHED
+                return Handover(backup, backup_copy, way)
+            case api.MoveResult.BROKEN:
+                broken = True
+            case _:
+                answered = True
         left_s = deadline_s - parts.timers.monotonic_s()
         if left_s <= _RETRY_DELAY_S:
             return None
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -196,6 +196,43 @@
     assert second.received_headers == []
 
 
+async def test_a_run_goes_on_when_its_engine_ends_during_the_stop(deployment):
+    """Guards against runs lost with an engine that ends while it is called."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.cut_after = 4
+
+    async def end(request):
+        await first.stop()
+        request.transport.abort()
+        raise ConnectionResetError
+
+    first._move = end
+    async with deployment.request('guide') as answer:
+        assert await answer.read() == expected_events()
+    assert second.resumed_after == [4]
+
+
+async def test_a_stop_is_called_again_after_a_reset(deployment):
+    """Guards against runs lost with one reset of the call to stop them."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.cut_after = 4
+    original_move = first._move
+    resets = []
+
+    async def reset_once(request):
+        if resets:
+            return await original_move(request)
+        resets.append(request)
+        request.transport.abort()
+        raise ConnectionResetError
+
+    first._move = reset_once
+    async with deployment.request('guide') as answer:
+        assert await answer.read() == expected_events()
+    assert [move['last'] for move in first.move_orders] == [True]
+    assert second.resumed_after == [4]
+
+
 @pytest.fixture
 def set_stop_results(deployment, monkeypatch):
     """Returns a function that sets the results of calls that stop runs.
