Close idle connections at once when a gateway exits

For about 55 ms after the decision to exit, requests on kept connections were read by the process, discarded and answered with a close: the HTTP library keeps idle connections for the timeout of its shutdown and drops what arrives. A caller cannot tell such a request from one that ran, so a call that may not be repeated is lost.

Connections without a request are now closed first; what the process has not read then ends with a reset.

--- a/packages/daemon/src/dotterelweird/gateway/caller_connections.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_connections.py
@@ -40,6 +40,16 @@
             for connection, transport in self._connections.items()
         )
 
+    def close_idle(self) -> None:
+        """Closes every connection without a request in progress.
+
+        The HTTP library would keep them open until the timeout of its
+        shutdown, and discard what it reads from them.
+        """
+        for connection in self.connections:
+            if not connection.has_request:
+                connection.force_close()
+
     def __call__(self) -> web_protocol.RequestHandler:
         return _CallerProtocol(
             self,
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -278,6 +278,7 @@
         )
         # A request may still be read until its connection is closed.
         self._callers.end_requests()
+        self._callers.server.close_idle()
         await self._callers.server.shutdown(_SHUTDOWN_TIMEOUT_S)
         await self._session.close()
         await self._store_session.close()
