Leave streams that have begun to the end of the grace time

The last answers of a stop broke off every stream 0.7 s before the end of a grace time of 8 s, also those whose engine was done and whose caller was still reading; what waited in the write buffer was discarded.

Only a request whose answer has not begun can be given another one, so only these are ended then. The test of a stream that is broken off moves to the exit, where this happens now.

--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -1,15 +1,18 @@
 """Server for callers: decodes, routes, forwards and answers requests."""
 
 import asyncio
+from collections.abc import Iterator
+import contextlib
 import logging
 
 import aiohttp
 from aiohttp import web
+import attrs
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.gateway import tables as gateway_tables
-from dotterelweird.callers import inflight
+from dotterelweird import scopes
 from dotterelweird.gateway import api
 from dotterelweird.gateway import caller_connections
 from dotterelweird.gateway import calls
@@ -31,6 +34,24 @@
 _CUT_OFF = 'cut-off'
 
 
+@attrs.define(eq=False)
+class _PendingRequest:
+    """A request that is being handled.
+
+    Attributes:
+        scope: Interrupts the handling of the request.
+        exchange: The request; None until it was decoded.
+    """
+
+    scope: scopes.Scope
+    exchange: exchanges.Exchange | None = None
+
+    @property
+    def answer_begun(self) -> bool:
+        """Whether part of a streamed answer was sent to the caller."""
+        return self.exchange is not None and self.exchange.answer_begun
+
+
 class CallerServer:
     """Accepts requests of callers and answers them.
 
@@ -39,6 +60,7 @@
         keeper: Holds the tables in force.
 
     Attributes:
+        running: Number of requests that are being handled.
         server: The HTTP server for callers.
     """
 
@@ -50,7 +72,9 @@
         self._parts = parts
         self._keeper = keeper
         self._calls = calls.CallForwarder(parts)
-        self._in_flight = inflight.InFlight()
+        self.running = 0
+        self._pending: set[_PendingRequest] = set()
+        self._ending = False
         self.server = caller_connections.CallerConnections(
             self._handle,
             self._limits,
@@ -64,11 +88,6 @@
             auto_decompress=False,
         )
 
-    @property
-    def running(self) -> int:
-        """Number of requests that are being handled."""
-        return self._in_flight.count
-
     @property
     def unfinished(self) -> int:
         """Number of requests whose answers have not left the process.
@@ -78,13 +97,22 @@
         """
         return max(self.running, self.server.unfinished)
 
-    def end_requests(self) -> None:
-        """Ends every request now, also those that are read later.
+    def answer_pending(self) -> None:
+        """Answers every request whose answer has not begun.
 
-        A request without an answer gets one that states whether it may have
-        run. An answer that has begun is broken off.
+        The answer states whether the request may have run. Requests that are
+        read later are refused.
         """
-        self._in_flight.hand_over()
+        self._ending = True
+        for pending in tuple(self._pending):
+            if not pending.answer_begun:
+                pending.scope.interrupt(_shutdown_error())
+
+    def break_off(self) -> None:
+        """Ends every request; answers that have begun stay incomplete."""
+        self._ending = True
+        for pending in tuple(self._pending):
+            pending.scope.interrupt(_shutdown_error())
 
     def _make_request(
         self, message, payload, protocol, writer, task
@@ -107,16 +135,38 @@
     async def _handle(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
-        with self._in_flight.track():
-            self._parts.statistics.running.set({}, self.running)
+        self._set_running(self.running + 1)
+        try:
             response = await self._respond(http_request)
-        self._parts.statistics.running.set({}, self.running)
+        finally:
+            self._set_running(self.running - 1)
         if self._parts.stop_plan.stopping and not response.prepared:
             # The header announces the close. A caller that was not told would
             # use the connection again while it is closed.
             response.force_close()
         return response
 
+    def _set_running(self, running: int) -> None:
+        self.running = running
+        self._parts.statistics.running.set({}, running)
+
+    @contextlib.contextmanager
+    def _interruptible(self) -> Iterator[_PendingRequest]:
+        """Lets a stop interrupt the block.
+
+        Raises:
+            DotterelweirError: SHUTTING_DOWN if a stop ends the request.
+        """
+        if self._ending:
+            raise _shutdown_error()
+        with scopes.Scope() as scope:
+            pending = _PendingRequest(scope)
+            self._pending.add(pending)
+            try:
+                yield pending
+            finally:
+                self._pending.discard(pending)
+
     async def _respond(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
@@ -125,9 +175,10 @@
         exchange: exchanges.Exchange | None = None
         outcome = 'cancelled'
         try:
-            with self._in_flight.interruptible():
+            with self._interruptible() as pending:
                 request = await self._decode(http_request)
                 exchange = self._create_exchange(request, arrived_s)
+                pending.exchange = exchange
                 response = await self._answer(http_request, exchange)
             outcome = str(response.status)
             self._record_duration(exchange, response.status)
@@ -305,6 +356,13 @@
         http_request.transport.abort()
 
 
+def _shutdown_error() -> errors.DotterelweirError:
+    return errors.DotterelweirError(
+        errors.ErrorKind.SHUTTING_DOWN,
+        retry_after_s=stopping.RETRY_AFTER_S,
+    )
+
+
 def _true_error(
     error: errors.DotterelweirError, exchange: exchanges.Exchange | None
 ) -> errors.DotterelweirError:
@@ -322,10 +380,7 @@
     if error.kind is not errors.ErrorKind.SHUTTING_DOWN:
         return error
     if exchange is None or not exchange.may_be_running:
-        return errors.DotterelweirError(
-            errors.ErrorKind.SHUTTING_DOWN,
-            retry_after_s=stopping.RETRY_AFTER_S,
-        )
+        return error
     return errors.DotterelweirError(
         errors.ErrorKind.REQUEST_TIMEOUT,
         'the instance stops before the answer is complete',
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -277,7 +277,7 @@
             running=self._callers.running,
         )
         # A request may still be read until its connection is closed.
-        self._callers.end_requests()
+        self._callers.break_off()
         self._callers.server.close_idle()
         await self._callers.server.shutdown(_SHUTDOWN_TIMEOUT_S)
         await self._session.close()
@@ -398,7 +398,7 @@
             self._answers_timer.cancel()
         delay_s = self._stop_plan.answers_due_s - self._timers.monotonic_s()
         self._answers_timer = self._timers.call_after(
-            max(0.0, delay_s), self._callers.end_requests
+            max(0.0, delay_s), self._callers.answer_pending
         )
 
     def _record_tables_version(self, tables: gateway_tables.Tables) -> None:
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -1,12 +1,14 @@
 """Tests of a gateway's graceful stop, settings reload and metrics."""
 
 import asyncio
+import socket
 
 import aiohttp
 import attrs
 import pytest
 
 from dotterelweir_fakes.fleet import deployment as fleet_deployment
+from dotterelweir_fakes.fleet import engine as fleet_engine
 from dotterelweir_platform import settings_file
 from dotterelweird.gateway import composition
 from dotterelweird.gateway import stopping
@@ -358,14 +360,17 @@
 
 
 async def test_a_stream_that_a_stop_breaks_off_does_not_look_complete(
-    deployment, stop_at_the_end
+    deployment,
 ):
     """Guards against a partial answer with a regular end."""
     for name in ENGINES:
         deployment.engines[name].behaviour.silent_after = 3
     async with deployment.request('guide') as answer:
         await answer.content.readany()
-        stop_at_the_end()
+        gateway, deployment.gateway = deployment.gateway, None
+        gateway.begin_stop()
+        gateway._stop_plan.stop_requested_s -= gateway._stop_plan.grace_s
+        await gateway.close()
         with pytest.raises(aiohttp.ClientPayloadError):
             async with asyncio.timeout(0.5):
                 await answer.read()
@@ -472,3 +477,45 @@
     finally:
         writer.close()
         await closing
+
+
+async def test_a_stream_that_its_engine_completed_is_not_broken_off(
+    deployment, long_deadlines
+):
+    """Guards against whole answers lost because their caller reads slowly."""
+    for name in ENGINES:
+        deployment.engines[name].behaviour = fleet_engine.Behaviour(
+            events=4, event_s=0.0, event_bytes=60_000
+        )
+    sock = socket.socket()
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+    sock.setblocking(False)
+    await asyncio.get_running_loop().sock_connect(
+        sock, (deployment.host, deployment.callers_port)
+    )
+    reader, writer = await asyncio.open_connection(sock=sock, limit=4096)
+    server = deployment.gateway._callers.server
+    async with asyncio.timeout(1):
+        while not server.connections:
+            await asyncio.sleep(0)
+    (transport,) = server._connections.values()
+    transport.get_extra_info('socket').setsockopt(
+        socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+    )
+    headers = fleet_deployment.request_headers('guide', 'request-1', 60_000)
+    head = ''.join(f'{name}: {value}\r\n' for name, value in headers.items())
+    writer.write(f'GET /guide/x HTTP/1.1\r\n{head}\r\n'.encode())
+    async with asyncio.timeout(2):
+        while not any(deployment.engines[name].ran for name in ENGINES) or any(
+            deployment.engines[name]._stop_events for name in ENGINES
+        ):
+            await asyncio.sleep(0.01)
+    deployment.gateway.begin_stop()
+    deployment.gateway._callers.answer_pending()
+    answer = b''
+    async with asyncio.timeout(5):
+        while not answer.endswith(b'\r\n0\r\n\r\n'):
+            data = await reader.read(4096)
+            assert data, 'the answer ended early'
+            answer += data
+    writer.close()
