Leave more time for late signals and for the exit of a gateway

A busy process can handle SIGTERM some tenths of a second late, so that its last acceptance by an estimate falls after the 3 s from which a cut request counts as lost. And a process that had to exit ended 20 ms before SIGKILL: from the decision to the end it took up to 0.27 s.

Estimates count for 2.5 s now, which covers the probes of the load balancer, and the length that they assume no longer changes within that time. Unfinished answers are counted only in a stop.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -213,12 +213,15 @@
             loop.add_signal_handler(signal_number, self.begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
-        while not self._stop_plan.may_exit(
-            self._timers.monotonic_s(), self._callers.unfinished
-        ):
+        while not self._may_exit():
             await timers.sleep(self._timers, _STOP_POLL_INTERVAL_S)
         await self.close()
 
+    def _may_exit(self) -> bool:
+        return self._stop_plan.stopping and self._stop_plan.may_exit(
+            self._timers.monotonic_s(), self._callers.unfinished
+        )
+
     async def start(self) -> None:
         """Opens the listeners and starts to follow the store."""
         settings = self._settings
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -164,12 +164,9 @@
                 process exits.
         """
         now_s = self.timers.monotonic_s()
-        usual_s = exchange.expected_duration_s
-        if not self.stop_plan.uses_length_hints(now_s):
-            usual_s = exchange.longest_duration_s
         factor = self.duration_factors.for_service(exchange.service.name).value
         if exchange.may_have_run or self.stop_plan.may_begin(
-            now_s, exchange.deadline_s, factor * usual_s
+            now_s, exchange.deadline_s, factor * exchange.expected_duration_s
         ):
             return
         raise errors.DotterelweirError(
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -1,7 +1,5 @@
 """State of a forwarded request and the outcomes of its attempts."""
 
-import math
-
 import attrs
 
 from dotterelweir_core.gateway import admission
@@ -90,17 +88,10 @@
 
     @property
     def expected_duration_s(self) -> float:
-        """Duration with an output of the expected length, in seconds."""
-        return self._duration_s(self.request.output_tokens_expected)
-
-    @property
-    def longest_duration_s(self) -> float:
-        """Duration with an output of the maximum length, in seconds."""
-        return self._duration_s(self.request.output_tokens_max or math.inf)
-
-    def _duration_s(self, output_tokens: float) -> float:
+        """Usual duration with an output of the expected length, in seconds."""
         if self.route.kind is not tables.RequestKind.STREAM:
             return min(self.route.objective_s, _PLAIN_CALL_S)
+        output_tokens = self.request.output_tokens_expected
         return _FIRST_EVENT_S + admission.OUTPUT_TOKEN_S * output_tokens
 
     @property
--- a/packages/daemon/src/dotterelweird/gateway/stopping.py
+++ b/packages/daemon/src/dotterelweird/gateway/stopping.py
@@ -4,21 +4,20 @@
 
 import attrs
 
-# Time for which a stopping process accepts requests by their expected
-# duration, in seconds. The load balancer probes readiness each second and
-# needs two failures. Later requests come on kept connections only; their
-# callers can connect to another instance at once.
+# Shortest time from the request to stop to the exit, in seconds. The load
+# balancer probes readiness each second and needs two failures.
 _DRAIN_DELAY_S = 3.0
 # Time after which a caller may retry when a stopping process refuses it, in
 # seconds. Its next connection goes to another instance.
 RETRY_AFTER_S = 0.05
-# Time for which a stopping process relies on length hints, in seconds. Later
-# it accepts only requests that end in time at their maximum length: a hint may
-# be wrong, and hardly any caller depends on this instance by then.
-_HINTS_USED_S = 2.5
+# Time for which a stopping process accepts requests by their expected
+# duration, in seconds. Later requests come on kept connections only; their
+# callers can connect to another instance. It is shorter than the drain delay,
+# as a busy process may handle the signal late.
+_ESTIMATES_USED_S = 2.5
 # Time before the end of the grace time by which the process must exit, in
 # seconds; it is left for closing.
-_RESERVE_S = 0.3
+_RESERVE_S = 0.35
 # Time before the exit by which each request must have its answer, as a share
 # of the grace time. The rest of the grace time is left for writing answers.
 _ANSWER_SHARE = 0.05
@@ -42,10 +41,6 @@
     stop_requested_s: float | None = None
     closing: bool = False
 
-    @property
-    def _drain_delay_s(self) -> float:
-        return min(_DRAIN_DELAY_S, self.grace_s / 2)
-
     @property
     def stopping(self) -> bool:
         """Whether a stop of the process was requested."""
@@ -64,17 +59,6 @@
             return 0.0
         return now_s - self.stop_requested_s
 
-    def uses_length_hints(self, now_s: float) -> bool:
-        """Whether length hints of callers decide which requests are accepted.
-
-        Args:
-            now_s: Monotonic time, in seconds.
-        """
-        return (
-            self.stop_requested_s is None
-            or now_s - self.stop_requested_s < _HINTS_USED_S
-        )
-
     @property
     def answers_due_s(self) -> float:
         """Monotonic time by which requests have their answers, in seconds.
@@ -103,7 +87,9 @@
         """
         if deadline_s <= self.answers_due_s:
             return True
-        if self.stopping_for_s(now_s) >= self._drain_delay_s:
+        if self.stopping_for_s(now_s) >= min(
+            _ESTIMATES_USED_S, self.grace_s / 2
+        ):
             return False
         remaining_s = self.answers_due_s - now_s
         return expected_s <= _EXPECTED_SHARE_MAX * remaining_s
@@ -120,10 +106,8 @@
             return False
         if self.must_exit(now_s):
             return True
-        return (
-            unfinished == 0
-            and self.stopping_for_s(now_s) >= self._drain_delay_s
-        )
+        drain_delay_s = min(_DRAIN_DELAY_S, self.grace_s / 2)
+        return unfinished == 0 and self.stopping_for_s(now_s) >= drain_delay_s
 
     def must_exit(self, now_s: float) -> bool:
         """Whether the process must exit now, even if requests are running.
