--- a/fakes/src/dotterelweir_fakes/soak/broken_gateway.py
+++ b/fakes/src/dotterelweir_fakes/soak/broken_gateway.py
@@ -7,7 +7,7 @@
 import os
 
 from dotterelweir_core.gateway import tables
-from dotterelweir_platform import __main__ as platform_main
+from dotterelweir_platform import command as platform_main
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import exchange as exchanges
 
--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -3,7 +3,7 @@
 from click import testing
 import pytest
 
-from dotterelweir_platform import __main__ as entry_point
+from dotterelweir_platform import command as entry_point
 from dotterelweir_platform import settings_file
 
 SETTINGS_TEXT = """
--- a/tests/adapter/test_start.py
+++ b/tests/adapter/test_start.py
@@ -5,7 +5,7 @@
 import subprocess
 import sys
 
-from dotterelweir_platform import __main__ as program
+from dotterelweir_platform import command as program
 
 EXIT_CODE_INVALID_SETTINGS = 3
 
