Check the ranges of what datagrams and peers' answers contain

What operators saw: one datagram that names a host with a null character, or one that cannot be encoded, closed the socket of the exchange. The instance heard nothing of its peers any more and sent them nothing, until it was restarted. A host that is a name was resolved while the event loop waited. A position, era or start time such as 1e300 was accepted; once an instance passed it on in its own digest, no digest of it could be encoded.

Cause: asyncio ends a datagram transport at every error of a send that is no OSError. Decoders converted values (int, float, str) in place of checking their types and ranges, so that "nan", "inf" and 1e300 passed.

Fix: hosts must be IP addresses, as the design has it; integers have at most 63 bits, and loads and times are finite numbers up to 2**53. Anything else is a dropped datagram, or an answer of a peer that is not used.

The followers' stand-in sends an IP address in place of the name "h".

--- a/fakes/src/dotterelweir_fakes/fleet/followers.py
+++ b/fakes/src/dotterelweir_fakes/fleet/followers.py
@@ -158,7 +158,7 @@
         reports = {STREAM: self.follower.report}
         decoded = digests.decode(
             digests.encode(
-                digests.Digest('i', 'h', 'z', 0, 0, {}, {}, reports)
+                digests.Digest('i', '10.0.0.1', 'z', 0, 0, {}, {}, reports)
             )
         )
         for other in self.others():
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -6,6 +6,7 @@
 """
 
 import base64
+import ipaddress
 import struct
 from typing import Any
 
@@ -101,6 +102,13 @@
 _RELAY_HEADER = struct.Struct('>cHH')
 
 
+# Greatest integer in a message, which every JSON library can encode.
+_INTEGER_MAX = 2**63 - 1
+# Greatest number of a load or time in a message. Sums of such numbers stay
+# finite.
+_NUMBER_MAX = 2**53
+
+
 class DatagramInvalid(Exception):
     """The bytes encode no message or batch of a gateway."""
 
@@ -191,11 +199,13 @@
         body = orjson.loads(data)
         if 'n' in body:
             records = tuple(_decode_record(row) for row in body['n'])
-            return RecordNotice(records, int(body['e']))
+            return RecordNotice(records, _decode_integer(body['e']))
         if 'd' in body:
             return Departures(
                 tuple(
-                    targets.Departure(str(name), int(started), bool(announced))
+                    targets.Departure(
+                        str(name), _decode_integer(started), bool(announced)
+                    )
                     for name, started, announced in body['d']
                 )
             )
@@ -206,7 +216,7 @@
                         str(request_id),
                         str(target_id),
                         frozenset(map(str, parts)),
-                        float(age_ms) / 1000.0,
+                        _decode_number(age_ms) / 1000.0,
                     )
                     for request_id, target_id, age_ms, *parts in body['q']
                 )
@@ -215,30 +225,34 @@
             return quarantine.SoundParts(frozenset(map(str, body['o'])))
         return Digest(
             instance_id=str(body['i']),
-            host=str(body['h']),
+            host=_decode_host(body['h']),
             zone=str(body['z']),
-            started_ms=int(body['b']),
-            sequence=int(body['s']),
+            started_ms=_decode_integer(body['b']),
+            sequence=_decode_integer(body['s']),
             loads={
-                str(target_id): gateway_load.DigestRow(*map(float, row))
+                str(target_id): gateway_load.DigestRow(
+                    *map(_decode_number, row)
+                )
                 for target_id, *row in body['l']
             },
             counts={
-                str(service): retry_budget.Counts(int(requests), int(repeated))
+                str(service): retry_budget.Counts(
+                    _decode_integer(requests), _decode_integer(repeated)
+                )
                 for service, (requests, repeated) in body.get('u', {}).items()
             },
             reports={
                 api.StoreStream(name): stream_api.ReadReport(
-                    int(position),
+                    _decode_integer(position, lowest=-1),
                     str(content),
-                    float(age_ms) / 1000.0,
-                    int(era),
+                    _decode_number(age_ms) / 1000.0,
+                    _decode_integer(era),
                 )
                 for name, (position, content, age_ms, era) in body.get(
                     'r', {}
                 ).items()
             },
-            known_hosts=tuple(map(str, body.get('k', ()))),
+            known_hosts=tuple(map(_decode_host, body.get('k', ()))),
             leaving=bool(body.get('x')),
         )
     except api.DECODE_ERRORS as exc:
@@ -304,7 +318,8 @@
     try:
         body = orjson.loads(data)
         records = tuple(_decode_record(row) for row in body['records'])
-        return api.Batch(records, int(body['end']), era=int(body['era']))
+        end, era = map(_decode_integer, (body['end'], body['era']))
+        return api.Batch(records, end, era=era)
     except api.DECODE_ERRORS as exc:
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
 
@@ -318,4 +333,45 @@
 def _decode_record(row: list[Any]) -> api.Record:
     key, offset, value = row
     decoded = base64.b64decode(value) if value else None
-    return api.Record(str(key), decoded, int(offset))
+    return api.Record(str(key), decoded, _decode_integer(offset))
+
+
+def _decode_host(value: object) -> str:
+    """Returns a value that must be an IP address.
+
+    A name would be resolved while the event loop waits, and asyncio closes
+    the socket at the first one that it cannot encode.
+
+    Raises:
+        ValueError: The value is not an IP address.
+    """
+    if not isinstance(value, str):
+        raise ValueError('a host is not a string')
+    ipaddress.ip_address(value)
+    return value
+
+
+def _decode_integer(value: object, lowest: int = 0) -> int:
+    """Returns a value that must be an integer in the range of messages.
+
+    Args:
+        value: The value.
+        lowest: Smallest number that is accepted.
+
+    Raises:
+        ValueError: The value is not an integer or is out of range.
+    """
+    if type(value) is not int or not lowest <= value <= _INTEGER_MAX:
+        raise ValueError('not an integer, or out of range')
+    return value
+
+
+def _decode_number(value: object) -> float:
+    """Returns a value that must be a number in the range of messages.
+
+    Raises:
+        ValueError: The value is not a number or is out of range.
+    """
+    if type(value) not in (int, float) or not abs(value) <= _NUMBER_MAX:
+        raise ValueError('not a number, or out of range')
+    return float(value)
--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -216,3 +216,28 @@
     assert lines[0].fields['invalid_records'] == 10_000
     assert max(len(str(line.fields)) for line in lines) < 500
     assert keeper.records == ()
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'k': ['\x00']},
+        {'h': '\x00'},
+        {'k': ['name.invalid']},
+        {'r': {'targets': [1e300, 'c', 5, 0]}},
+        {'r': {'tables': [1e300, 'c', 5, 1e300]}},
+        {'b': 1e300},
+    ],
+)
+async def test_an_odd_datagram_does_not_end_the_exchange(deployment, change):
+    """Guards against an instance that hears nothing of its peers any more."""
+    digest = {'i': 'x', 'h': '127.0.0.9', 'z': 'z', 'b': 1, 's': 1, 'l': []}
+    exchange = deployment.gateway._peers
+    exchange.datagram_received(orjson.dumps(digest | change), ('127.0.0.9', 9))
+    await asyncio.sleep(0.7)
+    second = await deployment.start_second()
+    async with asyncio.timeout(4):
+        while second.tables_version is None or exchange.instance_count < 2:
+            await asyncio.sleep(0.02)
+    assert exchange._transport is not None
+    assert exchange._candidates <= {'127.0.0.9'}
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -424,7 +424,7 @@
     tokens = request.prompt_tokens + request.output_tokens_expected
     assert 0 <= tokens < 2**31
     row = load.DigestRow(1, tokens, request.prompt_tokens)
-    digest = digests.Digest('i', 'h', 'z', 0, 1, {'t1': row})
+    digest = digests.Digest('i', '10.0.0.1', 'z', 0, 1, {'t1': row})
     assert digests.decode(digests.encode(digest)).loads == {'t1': row}
     if request.timeout_s is not None:
         assert min(30.0, request.timeout_s) <= 30.0
@@ -520,14 +520,14 @@
 
 DIGEST = {
     'i': 'i',
-    'h': 'h',
+    'h': '10.0.0.1',
     'z': 'z',
     'b': 1,
     's': 1,
     'l': [['t1', 1, 2, 3, 4, 5]],
     'u': {'model': [1, 2]},
     'r': {'targets': [1, 'c', 5, 0]},
-    'k': ['h2'],
+    'k': ['10.0.0.2'],
 }
 
 
@@ -535,31 +535,49 @@
 @hypothesis.given(mutated(DIGEST))
 def test_a_datagram_is_valid_or_dropped(body):
     """Guards against a datagram that raises an undeclared error."""
+    check_datagram(encode_json(body))
+
+
+def check_datagram(data):
+    """Checks that the content of a valid message can be sent on."""
     try:
-        digests.decode(encode_json(body))
+        message = digests.decode(data)
     except digests.DatagramInvalid:
         return
+    digests.encode(message)
+    if isinstance(message, digests.Digest):
+        for host in (message.host, *message.known_hosts):
+            assert ipaddress.ip_address(host)
+        for report in message.reports.values():
+            assert -1 <= report.position < 2**63
+            assert 0 <= report.era < 2**63
+            assert abs(report.age_s) < 2**53
 
 
 @CASES
 @hypothesis.given(mutated({'records': [['t1', 3, None]], 'end': 4, 'era': 0}))
 def test_records_of_a_peer_are_valid_or_dropped(body):
     """Guards against an answer of a peer that stops the follower."""
+    check_batch(encode_json(body))
+
+
+def check_batch(data):
+    """Checks that the records of a peer can be sent on, if they are valid."""
     try:
-        digests.decode_batch(encode_json(body))
+        batch = digests.decode_batch(data)
     except digests.DatagramInvalid:
         return
+    assert digests.decode_batch(digests.encode_batch(batch)) == batch
 
 
 @pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
 @pytest.mark.parametrize('name', [*sorted(DIGEST), 'n', 'd', 'q', 'o'])
 def test_an_extreme_datagram_is_valid_or_dropped(name, raw):
     """Guards against one field of a datagram that raises another error."""
-    for field in (raw, b'[[' + raw + b',1,1]]'):
-        try:
-            digests.decode(encode_with_raw(DIGEST | {'e': 0}, name, field))
-        except digests.DatagramInvalid:
-            continue
+    report = b'{"targets":[' + raw + b',"c",' + raw + b',0]}'
+    for field in (raw, b'[[' + raw + b',1,1]]', b'[["a",' + raw + b',1]]'):
+        check_datagram(encode_with_raw(DIGEST | {'e': 0}, name, field))
+    check_datagram(encode_with_raw(DIGEST, 'r', report))
 
 
 @pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
@@ -568,7 +586,4 @@
     """Guards against one field of a peer's answer that ends the reads."""
     batch = {'records': [], 'end': 4, 'era': 0}
     for field in (raw, b'[[' + raw + b',1,null]]', b'[["t1",' + raw + b',1]]'):
-        try:
-            digests.decode_batch(encode_with_raw(batch, name, field))
-        except digests.DatagramInvalid:
-            continue
+        check_batch(encode_with_raw(batch, name, field))
