Reject configurations with numbers or names out of range

What callers could see: a version of the configuration is read whole or not at all, but a version number of 1e300, two weights of 1e308, a body limit of -1 or an organisation's name with a line break were put in force (seen with a running gateway, but for the weights). From the code, requests then get 500 or 413: the choice among the weights raises ValueError (seen in the fuzz test), and the HTTP library refuses the name as a header. No later version is higher than 1e300, and no digest can hold it.

A version that is not so is ignored, and the one in force stays.

--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -241,3 +241,28 @@
             await asyncio.sleep(0.02)
     assert exchange._transport is not None
     assert exchange._candidates <= {'127.0.0.9'}
+
+
+@pytest.mark.parametrize(
+    'change',
+    [
+        {'version': 1e300},
+        {'version': True},
+        {'tenants': [{'name': 'a\r\nb', 'keys': [fleet.KEY]}]},
+        {'limits': {'bodyBytes': -1}},
+        {'limits': {'idleMs': 1e308}},
+    ],
+)
+async def test_an_odd_version_keeps_the_tables_in_force(deployment, change):
+    """Guards against tables with which requests or digests fail."""
+    odd = fleet.configuration(2) | change
+    await deployment.store.write_json('keyed.op', 'config', odd)
+    await deployment.wait_store_read(('keyed.op',))
+    assert deployment.gateway.tables_version == 1
+    assert set(await statuses(deployment)) == {200}
+    await deployment.store.write_json(
+        'keyed.op', 'config', fleet.configuration(3)
+    )
+    async with asyncio.timeout(4):
+        while deployment.gateway.tables_version != 3:
+            await asyncio.sleep(0.02)
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -322,7 +322,9 @@
 
 
 @pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
-@pytest.mark.parametrize('name', [*sorted(CONFIGURATION), 'name', 'host'])
+@pytest.mark.parametrize(
+    'name', [*sorted(CONFIGURATION), 'name', 'host', 'timeoutMs', 'attempts']
+)
 def test_an_extreme_configuration_is_valid_or_rejected(name, raw):
     """Guards against one field of the configuration that stops the reads."""
     if name in CONFIGURATION:
@@ -332,9 +334,11 @@
         routes = b'[' + route + b']'
         encoded = encode_with_raw(CONFIGURATION, 'routes', routes)
     try:
-        configuration.decode(encoded)
+        decoded = configuration.decode(encoded)
     except api.RecordInvalid as exc:
         assert len(str(exc)) <= 200
+        return
+    check_tables(decoded)
 
 
 @CASES
@@ -367,18 +371,45 @@
     CONFIGURATION
     | {'routes': [CONFIGURATION['routes'][0] | {'service': None}]}
 )
+@hypothesis.example(
+    CONFIGURATION
+    | {
+        'routes': [
+            CONFIGURATION['routes'][0]
+            | {'backends': [{'service': 'a', 'weight': 1e308}] * 2}
+        ]
+    }
+)
 @hypothesis.example(CONFIGURATION | {'limits': {'idleMs': -5}})
+@hypothesis.example(CONFIGURATION | {'limits': {'headerMs': 1e308}})
+@hypothesis.example(CONFIGURATION | {'limits': {'bodyBytes': -1}})
+@hypothesis.example(CONFIGURATION | {'version': 1e300})
+@hypothesis.example(
+    CONFIGURATION | {'tenants': [{'name': 'a\r\nb', 'keys': ['k']}]}
+)
 def test_a_configuration_is_valid_or_rejected(value):
     """Guards against an invalid configuration that stops the follower."""
     try:
         decoded = configuration.decode(encode_json(value))
     except api.RecordInvalid:
         return
-    assert decoded.limits.idle_timeout_s >= 0.0
+    check_tables(decoded)
+
+
+def check_tables(decoded):
+    """Checks that tables can be put in force and told to peers."""
+    assert 0 <= decoded.version < 2**63
+    limits = decoded.limits
+    assert 0 <= min(limits.header_bytes, limits.body_bytes)
+    assert 0 <= limits.idle_timeout_s <= 1e8
+    assert 0 <= limits.header_timeout_s <= 1e8
+    for organisation in (decoded.organisations or {}).values():
+        assert organisation.name.isprintable()
     route = decoded.match('shop.example', '/a')
     if route is not None:
         assert isinstance(route.pick_service(random.Random(1)), str)
-        assert min(route.timeout_s, route.objective_s, route.event_gap_s) >= 0
+        for time_s in (route.timeout_s, route.objective_s, route.event_gap_s):
+            assert 0 <= time_s <= 1e8
 
 
 HEADER_VALUES = (
