Skip deeply nested records of the log and rows of the instance list

What operators would see: a log record whose version or kind is nested 1,000 levels deep ended the fold and the replay with RecursionError, at every start anew; such a row made the whole instance list unreadable. An incarnation or port of 2**64-1 was accepted, and the reason of a skipped record could be megabytes long.

Cause: error messages quoted the value, as in the decoders of the gateway.

Fix: nested values are named by their type, reasons and quoted rows have a bounded length, and a row that is nested too deeply is skipped like any other malformed one. Integers have at most 63 bits, ports are 1 to 65535.

--- a/packages/core/src/dotterelweir_core/tables/records.py
+++ b/packages/core/src/dotterelweir_core/tables/records.py
@@ -21,6 +21,10 @@
 
 VERSION = 1
 EDIT_ID_MAX_CHARS = 128
+# Maximum length of the reason for which a record is skipped.
+_REASON_CHARS_MAX = 2_000
+# Maximum length of a value in it.
+_QUOTE_CHARS_MAX = 80
 
 
 class UnreadableRecordError(ValueError):
@@ -94,15 +98,22 @@
         raise UnreadableRecordError('not a JSON object')
     version = document.pop('version', None)
     if type(version) is not int or version != VERSION:
-        raise UnreadableRecordError(f'unknown version {version!r}')
+        raise UnreadableRecordError(f'unknown version {_quote(version)}')
     kind = document.pop('kind', None)
     if not isinstance(kind, str) or kind not in _CLASSES_BY_KIND:
-        raise UnreadableRecordError(f'unknown kind {kind!r}')
+        raise UnreadableRecordError(f'unknown kind {_quote(kind)}')
     record = structure(document, _CLASSES_BY_KIND[kind])
     _check_bounds(record)
     return record
 
 
+def _quote(value: Any) -> str:
+    """Returns a value for an error message, or its type if it is nested."""
+    if isinstance(value, (dict, list)):
+        return f'of type {type(value).__name__}'
+    return repr(value)[:_QUOTE_CHARS_MAX]
+
+
 def structure(document: Any, cls: type) -> Any:
     """Structures decoded JSON as a data class, without type coercion.
 
@@ -120,7 +131,7 @@
         problems = '; '.join(
             cattrs.transform_error(error, format_exception=_format_error)
         )
-        raise UnreadableRecordError(problems) from error
+        raise UnreadableRecordError(problems[:_REASON_CHARS_MAX]) from error
     except RecursionError as error:
         raise UnreadableRecordError('nested too deeply') from error
 
--- a/packages/logservice/src/dotterelweir_logservice/http.py
+++ b/packages/logservice/src/dotterelweir_logservice/http.py
@@ -27,6 +27,21 @@
 _NETWORK_ERRORS = (aiohttp.ClientError, asyncio.TimeoutError, OSError)
 
 
+# Errors of values with another type or range, or nested so deeply that their
+# representation exceeds the recursion limit.
+_DECODE_ERRORS = (
+    KeyError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
+# Maximum length of what a log line quotes.
+_TEXT_CHARS_MAX = 200
+_INTEGER_MAX = 2**63 - 1
+_PORT_MAX = 65_535
+
+
 @attrs.frozen
 class _Response:
     status: int
@@ -171,7 +186,7 @@
         document = self._client.decode_json(response)
         try:
             return _parse_page(document)
-        except (KeyError, TypeError, ValueError, binascii.Error) as error:
+        except (*_DECODE_ERRORS, binascii.Error) as error:
             raise self._client.make_error('sent a malformed page') from error
 
 
@@ -223,12 +238,12 @@
         for row in document:
             try:
                 listed.append(_parse_row(row))
-            except (KeyError, TypeError, ValueError) as error:
+            except _DECODE_ERRORS as error:
                 events.log(
                     LOG,
                     events.INSTANCE_ROW_SKIPPED,
-                    row=str(row)[:200],
-                    error=repr(error),
+                    row=_describe_row(row),
+                    error=repr(error)[:_TEXT_CHARS_MAX],
                 )
         return tuple(listed)
 
@@ -285,19 +300,29 @@
 
 
 def _require_integer(value: Any) -> int:
-    if type(value) is not int or value < 0:
+    if type(value) is not int or not 0 <= value <= _INTEGER_MAX:
         raise ValueError(f'not an integer of 0 or more: {value!r}')
     return value
 
 
+def _describe_row(row: Any) -> str:
+    try:
+        return str(row)[:_TEXT_CHARS_MAX]
+    except RecursionError:
+        return 'nested too deeply'
+
+
 def _parse_row(row: Any) -> api.ListedInstance:
+    port = _require_integer(row['port'])
+    if not 1 <= port <= _PORT_MAX:
+        raise ValueError(f'not a port: {port}')
     target = model.Target(
         target_id=_require_text(row['target_id']),
         incarnation=_require_integer(row['incarnation']),
         service=_require_text(row['service']),
         zone=_require_text(row['zone']),
         host=_require_text(row['host']),
-        port=_require_integer(row['port']),
+        port=port,
     )
     return api.ListedInstance(target, model.TargetState(row['state']))
 
