Refuse requests still being received at the handover

A caller that sent its request slowly got a closed connection instead of an answer when a drain with a deadline ended: the handover interrupts requests only where they wait for a target or an answer, not while their body is read. Reading the body can now be interrupted as well; the answer is "not run".

The test failed before: the caller of a real process read an empty answer.

--- a/fakes/tests/system/test_planned_stops.py
+++ b/fakes/tests/system/test_planned_stops.py
@@ -5,6 +5,12 @@
 import socket
 
 LOG_DOWN = {'down': True}
+WITH_DEADLINE = {
+    'engines': 1,
+    'services': 1,
+    'drain_grace_s': 0.1,
+    'drain_deadline_s': 3.0,
+}
 
 
 async def test_a_stop_before_readiness_refuses_every_request(start_system):
@@ -49,7 +55,9 @@
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, receive_bytes)
     port = int(instance.caller_url.rpartition(':')[2])
     await asyncio.get_running_loop().sock_connect(sock, ('127.0.0.1', port))
-    return await asyncio.open_connection(sock=sock, limit=receive_bytes or 1)
+    return await asyncio.open_connection(
+        sock=sock, limit=receive_bytes or 65_536
+    )
 
 
 def booking(key):
@@ -111,13 +119,7 @@
 
 async def test_a_stop_with_a_deadline_records_calls_it_gives_up(start_system):
     """Guards against a killed process whose calls have no outcome."""
-    system = await start_system(
-        instances=2,
-        engines=1,
-        services=1,
-        drain_grace_s=0.1,
-        drain_deadline_s=3.0,
-    )
+    system = await start_system(instances=2, **WITH_DEADLINE)
     stopping, other = system.cluster.instances
     await system.send_json(
         f'{system.cluster.service_urls[0]}/faults', {'delay_s': 20.0}, 'PUT'
@@ -136,6 +138,27 @@
     assert repeat.execution == 'unknown', repeat
 
 
+async def test_a_stop_refuses_a_request_that_stays_incomplete(start_system):
+    """Guards against an incomplete request that keeps the process running."""
+    system = await start_system(instances=1, **WITH_DEADLINE)
+    stopping = system.cluster.instances[0]
+    reader, writer = await connect(stopping)
+    writer.write(booking('incomplete')[:-5])
+    await writer.drain()
+
+    async def is_answering():
+        status = await system.query_admin(stopping, 'status')
+        return status['requests']['answering'] == 1
+
+    await system.wait_until(is_answering)
+    stopping.child.terminate()
+    answer = await reader.read()
+    writer.close()
+    assert b'"shutting-down"' in answer, answer
+    assert b'"not run"' in answer
+    assert await stopping.child.wait(timeout_s=3.0) == 0
+
+
 def call_has_been_sent(system):
     """Returns a condition: the service handles a call."""
 
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -98,7 +98,8 @@
         request[requests.ORGANISATION] = self._organisation(request)
         if request.path == _STREAMS_PATH and request.method == 'GET':
             return await streams.handle(self._components, request)
-        body = await request.read()
+        with self._components.in_flight.interruptible():
+            body = await request.read()
         completion = None
         if request.method == 'POST' and (
             request.path in requests.COMPLETION_PATHS
