Close kept connections from the begin of a drain

A caller with a kept connection got its answers in the grace period without a word that the instance stops, and its next request was refused, or crossed the close of the idle connection at the exit, where it cannot tell whether the request ran. Every answer whose headers are sent while the instance is draining now says "Connection: close", streams and refusals included; the special case for one kind of refusal is gone.

The test failed before: the answer had no such header.

--- a/fakes/tests/system/test_planned_stops.py
+++ b/fakes/tests/system/test_planned_stops.py
@@ -159,6 +159,24 @@
     assert await stopping.child.wait(timeout_s=3.0) == 0
 
 
+async def test_answers_in_the_grace_period_close_connections(start_system):
+    """Guards against requests that cross the close of a kept connection."""
+    system = await start_system(instances=1, engines=1, services=1)
+    stopping = system.cluster.instances[0]
+    reader, writer = await connect(stopping)
+    stopping.child.terminate()
+    await system.wait_until(
+        lambda: system.events(stopping, 'instance-draining')
+    )
+    writer.write(booking('in-grace'))
+    answer = await reader.read()
+    writer.close()
+    assert answer.startswith(b'HTTP/1.1 200 OK'), answer
+    assert b'\r\nConnection: close\r\n' in answer
+    # The connection ended with the answer, not with the process.
+    assert stopping.child.running
+
+
 def call_has_been_sent(system):
     """Returns a condition: the service handles a call."""
 
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -42,6 +42,7 @@
         middlewares=[server.middleware],
         client_max_size=components.settings.callers.body_max_bytes,
     )
+    app.on_response_prepare.append(server.announce_close)
     app.router.add_get('/healthz', server.health)
     app.router.add_get('/readyz', server.ready)
     app.router.add_route('*', '/{path:.*}', server.dispatch)
@@ -85,6 +86,19 @@
             raise errors.DotterelweirError(kind)
         return web.Response(text='ok\n')
 
+    async def announce_close(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Closes connections after their next answer while stopping.
+
+        A further request on the connection would soon be refused, or cross
+        the close of the connection.
+        """
+        unready_kind = self._components.unready_reason()
+        if unready_kind is errors.ErrorKind.SHUTTING_DOWN:
+            response.force_close()
+            response.headers['Connection'] = 'close'
+
     async def dispatch(self, request: web.Request) -> web.StreamResponse:
         """Answers all requests other than health checks.
 
@@ -219,11 +233,7 @@
             detail=error.detail,
         )
         self._record_outcome(request, error.kind.value)
-        response = problems.response(error, request_id)
-        if error.kind is errors.ErrorKind.SHUTTING_DOWN:
-            # A further request on this connection would be refused as well.
-            response.force_close()
-        return response
+        return problems.response(error, request_id)
 
     def _fail(self, request: web.Request) -> web.Response:
         request_id = request[requests.REQUEST_ID]
