End the grace period well before the handover

With a deadline of 4 s or less, requests were accepted until the handover or beyond it, so calls were begun and given up within milliseconds. Callers of calls that may not be repeated were told "unknown" only because of the stop. The grace period now ends halfway to the handover at the latest; what comes later is refused with "not run".

--- a/fakes/tests/system/test_planned_stops.py
+++ b/fakes/tests/system/test_planned_stops.py
@@ -177,6 +177,36 @@
     assert stopping.child.running
 
 
+async def test_calls_accepted_late_are_not_given_up(start_system):
+    """Guards against "unknown" for short calls because of the stop alone."""
+    system = await start_system(
+        instances=1, **WITH_DEADLINE | {'drain_grace_s': 2.0}
+    )
+    await system.send_json(
+        f'{system.cluster.service_urls[0]}/faults', {'delay_s': 0.2}, 'PUT'
+    )
+    stopping = system.cluster.instances[0]
+
+    async def book(number):
+        reader, writer = await connect(stopping)
+        writer.write(booking(f'late-{number}'))
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    stopping.child.terminate()
+    await system.wait_until(
+        lambda: system.events(stopping, 'instance-draining')
+    )
+    calls = []
+    while not (calls and calls[-1].done() and b' 503 ' in calls[-1].result()):
+        calls.append(asyncio.create_task(book(len(calls))))
+        await asyncio.sleep(0.05)
+    answers = await asyncio.gather(*calls)
+    assert b' 200 OK' in answers[0]
+    assert [each for each in answers if b'"unknown"' in each] == []
+
+
 def call_has_been_sent(system):
     """Returns a condition: the service handles a call."""
 
--- a/packages/daemon/src/dotterelweird/drain_times.py
+++ b/packages/daemon/src/dotterelweird/drain_times.py
@@ -57,9 +57,12 @@
     if deadline_s is None:
         return DrainTimes(grace_s)
     lead_s = min(_LEAD_S, deadline_s / 2)
+    handover_s = deadline_s - lead_s
     return DrainTimes(
-        min(grace_s, deadline_s / 2),
-        deadline_s - lead_s,
+        # The request accepted last still has half of the time before the
+        # handover to get its answer.
+        min(grace_s, handover_s / 2),
+        handover_s,
         deadline_s - lead_s / 2,
         lead_s / 4,
         deadline_s - lead_s / 4,
--- a/packages/daemon/tests/test_drain_times.py
+++ b/packages/daemon/tests/test_drain_times.py
@@ -13,3 +13,10 @@
     assert times.calls_end_s + times.append_limit_s <= times.exit_s
     assert times.send_limit_s(times.calls_end_s) > 0
     assert times.exit_s < deadline_s
+
+
+@pytest.mark.parametrize('deadline_s', [0.5, 1.0, 4.0, 30.0])
+def test_no_request_is_accepted_just_before_the_handover(deadline_s):
+    """Guards against calls that are begun and given up at once."""
+    times = drain_times.plan(2.0, deadline_s)
+    assert times.grace_s <= times.handover_s / 2
