Drain on SIGHUP

SIGHUP, as from a closed terminal, ended an instance at once: every stream and call was cut. It now begins a drain like SIGTERM and SIGINT. An instance that was started with SIGHUP ignored, as by nohup, still ignores it.

--- a/fakes/tests/system/test_planned_stops.py
+++ b/fakes/tests/system/test_planned_stops.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import json
+import signal
 import socket
 
+import pytest
+
 LOG_DOWN = {'down': True}
 WITH_DEADLINE = {
     'engines': 1,
@@ -207,6 +210,34 @@
     assert [each for each in answers if b'"unknown"' in each] == []
 
 
+@pytest.mark.parametrize(
+    'signals',
+    [
+        (signal.SIGHUP,),
+        (signal.SIGTERM, signal.SIGTERM),
+        (signal.SIGTERM, signal.SIGINT, signal.SIGHUP),
+    ],
+)
+async def test_signals_of_a_stop_cut_no_request(start_system, signals):
+    """Guards against signals that end the process at once."""
+    system = await start_system(
+        instances=1, engines=1, services=1, drain_grace_s=0.1
+    )
+    system.use_only(system.cluster.instances[0])
+    stopping = system.cluster.instances[0]
+    stream = await system.start_stream(200)
+    for number in signals:
+        stopping.child.process.send_signal(number)
+        await system.wait_until(
+            lambda: (
+                system.events(stopping, 'instance-draining')
+                or not stopping.child.running
+            )
+        )
+    assert (await stream).outcome.value == 'whole'
+    assert await stopping.child.wait() == 0
+
+
 def call_has_been_sent(system):
     """Returns a condition: the service handles a call."""
 
--- a/packages/daemon/src/dotterelweird/composition.py
+++ b/packages/daemon/src/dotterelweird/composition.py
@@ -56,6 +56,10 @@
     if number // 100 in (1, 3, 4, 6) and event.level >= logging.INFO
 )
 
+# SIGHUP, which a closed terminal sends, would otherwise end the process at
+# once. An instance reads its settings only at its start, so it reloads none.
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+
 
 class Composition:
     """Creates one instance's components; needs a running event loop.
@@ -316,7 +320,9 @@
 
 
 async def run(settings: settings_model.Settings) -> None:
-    """Runs one instance until SIGTERM or SIGINT, then drains it.
+    """Runs one instance until a signal, then drains it.
+
+    The signals are SIGTERM, SIGINT and SIGHUP.
 
     Args:
         settings: Settings of the instance.
@@ -327,7 +333,12 @@
     logs.configure(settings.log_level, settings.instance_id, settings.zone)
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
+    for number in _STOP_SIGNALS:
+        # The command nohup starts a process with SIGHUP ignored.
+        if number == signal.SIGHUP and (
+            signal.getsignal(number) is signal.SIG_IGN
+        ):
+            continue
         loop.add_signal_handler(number, stop.set)
     async with (
         aiohttp.ClientSession() as platform_session,
