Confirm the stop of a moved run while the call that stops it is in progress

What callers could see: two engines at work on one generation while an engine drains. The link of the run ended while the engine was called to stop it, the generation went on from its first copy at once, and the call failed later.

Cause: a call in progress was taken for a stop. Waiting for it is no way out: it is answered behind the copies of other runs, and streams become late.

Why this works: once the link has ended, the engine is called to stop the run again. If the further call gives no confirmation, the first one decides.

--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -31,6 +31,9 @@
 # Timeout of the call that stops the run, in seconds. The copy made by this
 # call may queue behind others; the generation continues from the first copy.
 _STOP_TIMEOUT_S = 1.0
+# Time after the end of the link within which the answer to that call saves a
+# further call, in seconds. Both may arrive at the same moment.
+_ANSWER_GRACE_S = 0.02
 
 
 class Evacuation:
@@ -59,6 +62,8 @@
         self._result: handover.Handover | None = None
         self._result_used = False
         self._source_stopped = False
+        # Result of the last call that stops the run; None before it.
+        self._stop_result: api.MoveResult | None = None
         self._link_ended = False
         self._call_in_progress = False
         self._calls = 0
@@ -73,7 +78,8 @@
         there already.
 
         Returns:
-            The handover, or None if there is no copy to continue from.
+            The handover, or None if there is no copy to continue from or the
+            source did not stop the run.
         """
         self._link_ended = True
         if not self.stopping:
@@ -88,12 +94,55 @@
                 source=self._source.target_id,
                 calls=self._calls,
             )
-        return self._result
+        if self._result is None or self._source_stopped:
+            return self._result
+        return await self._confirm_stop(self._result)
 
-    @property
-    def awaits_stop(self) -> bool:
-        """Whether the source has neither stopped the run nor is called to."""
-        return not (self._source_stopped or self.stopping)
+    async def _confirm_stop(
+        self, found: handover.Handover
+    ) -> handover.Handover | None:
+        """Calls the source, which has not confirmed yet that it stopped.
+
+        A call to stop the run that is in progress is no confirmation, and is
+        answered late if its copy queues behind others. An engine that has
+        stopped the run answers a further call at once: it has no such run.
+
+        Args:
+            found: The first copy.
+
+        Returns:
+            The newest copy, or None if the source did not stop the run.
+        """
+        if self.stopping:
+            await asyncio.wait({self._task}, timeout=_ANSWER_GRACE_S)
+        if self._source_stopped:
+            return found
+        stopped = await handover.stop_source(
+            self._parts, self._exchange, self._source, found.target
+        )
+        match stopped:
+            case handover.Handover(
+                way=handover.HandoverWay.MOVED | handover.HandoverWay.STAYED
+            ):
+                return stopped
+            case handover.Handover(
+                way=handover.HandoverWay.BACKUP
+                | handover.HandoverWay.BACKUP_UNREACHED
+            ):
+                return found
+        if self.stopping:
+            await asyncio.wait({self._task})
+            match self._stop_result:
+                case (
+                    api.MoveResult.MOVED
+                    | api.MoveResult.STOPPED
+                    | api.MoveResult.NO_RUN
+                ):
+                    return found
+                case api.MoveResult.BUSY | api.MoveResult.FAILED:
+                    return None
+        # Not answered in time, or answered without stopping the run.
+        return None if stopped is None else found
 
     async def has_stopped_source(self) -> bool:
         """Whether the source confirms that it stopped the run.
@@ -181,6 +230,7 @@
             return api.MoveResult.BUSY
         self.stopping = self.stop_called = True
         move = await self._move(destination, True)
+        self._stop_result = move.result
         match move.result:
             case api.MoveResult.MOVED:
                 self._source_stopped = True
--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -27,6 +27,7 @@
     STAYED = 'stopped and kept at its engine'
     BACKUP = 'copy kept meanwhile, engine has no such run'
     BACKUP_UNREACHED = 'copy kept meanwhile, engine not reached'
+    BACKUP_UNANSWERED = 'copy kept meanwhile, no answer of the engine in time'
 
 
 @attrs.frozen
@@ -93,7 +94,7 @@
                 way = HandoverWay.BACKUP_UNREACHED
                 return Handover(backup, backup_copy, way)
             case api.MoveResult.TIMED_OUT if not (answered or broken):
-                way = HandoverWay.BACKUP_UNREACHED
+                way = HandoverWay.BACKUP_UNANSWERED
                 return Handover(backup, backup_copy, way)
             case api.MoveResult.BROKEN if not broken:
                 broken = True
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -140,39 +140,14 @@
         if self._handover is not None:
             return self._handover
         if self._evacuation is not None:
-            found = await self._evacuation.result()
-            if found is not None and self._evacuation.awaits_stop:
-                return await self._stop_evacuated(found)
-            if found is not None:
-                return found
+            # A run has no backup while it is moved.
+            return await self._evacuation.result()
         if self._run.backup is None:
             return None
         return await handover.stop_source(
             self._parts, self._exchange, self._run.target, self._run.backup
         )
 
-    async def _stop_evacuated(
-        self, found: handover.Handover
-    ) -> handover.Handover | None:
-        """Stops a run of which a draining engine has only made a copy.
-
-        Args:
-            found: The copy.
-
-        Returns:
-            The newest copy, or None if the engine did not stop the run.
-        """
-        stopped = await handover.stop_source(
-            self._parts, self._exchange, self._run.target, found.target
-        )
-        if stopped is None:
-            return None
-        match stopped.way:
-            case handover.HandoverWay.MOVED | handover.HandoverWay.STAYED:
-                return stopped
-            case _:
-                return found
-
     def close(self) -> None:
         """Ends a move in progress."""
         if self._evacuation is not None:
@@ -391,7 +366,10 @@
             case handover.HandoverWay.BACKUP:
                 # The engine may resume the run, see ``MoveResult.NO_RUN``.
                 return None
-            case handover.HandoverWay.BACKUP_UNREACHED:
+            case (
+                handover.HandoverWay.BACKUP_UNREACHED
+                | handover.HandoverWay.BACKUP_UNANSWERED
+            ):
                 # The connection to a partitioned zone may recover.
                 if run.backup is None or not self._is_alive(found.target):
                     self._stop_unconfirmed = True
