--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -27,6 +27,7 @@
     STAYED = 'stopped and kept at its engine'
     BACKUP = 'copy kept meanwhile, engine has no such run'
     BACKUP_UNREACHED = 'copy kept meanwhile, engine not reached'
+    BACKUP_UNANSWERED = 'copy kept meanwhile, no answer of the engine in time'
 
 
 @attrs.frozen
@@ -93,10 +94,14 @@
                 way = HandoverWay.BACKUP_UNREACHED
                 return Handover(backup, backup_copy, way)
             case api.MoveResult.TIMED_OUT if not (answered or broken):
-                way = HandoverWay.BACKUP_UNREACHED
+                way = HandoverWay.BACKUP_UNANSWERED
                 return Handover(backup, backup_copy, way)
-            case api.MoveResult.BROKEN:
+            case api.MoveResult.BROKEN if not broken:
                 broken = True
+                # An engine that ends late in the call is called again, too.
+                deadline_s = parts.timers.monotonic_s() + _STOP_TIMEOUT_S
+            case api.MoveResult.BROKEN:
+                pass
             case _:
                 answered = True
         left_s = deadline_s - parts.timers.monotonic_s()
