Judge LOST around planned stops of real processes

Seen: the soak never judged the platform's rule LOST around planned work, and its grace time was 3 s.

The new command "stops" plans one stop at a time, without any other fault: SIGTERM, SIGKILL 8 s later, restart, 3 s of calm. Some stops get a second signal; some works are a SIGHUP or a new configuration. 80 callers per work use a kept connection for the first time, spread over the whole grace time, and a long stream keeps most processes running until its end. Pace of the engines, lengths, hints, deadlines and slow readers vary by seed. losses.Cut judges what callers and engines saw.

The engines of the soak move to a module of their own.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PYTEST_ARGS ?= -n 4
 CASES ?= 10000
 
-.PHONY: install lint format test ci demo measure experiment soak fuzz docs clean
+.PHONY: install lint format test ci demo measure experiment soak stops fuzz docs clean
 
 install: $(VENV)/.installed
 
@@ -47,6 +47,9 @@
 soak: install
 	$(BIN)/python -m dotterelweir_fakes soak --seed $(SEED) --minutes $(MINUTES)
 
+stops: install
+	$(BIN)/python -m dotterelweir_fakes stops --seed $(SEED)
+
 docs: install
 	$(BIN)/python -m dotterelweir_fakes docs
 
--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -13,6 +13,7 @@
 from dotterelweir_fakes.pages import command as pages_command
 from dotterelweir_fakes.platform import command as platform_command
 from dotterelweir_fakes.soak import command as soak_command
+from dotterelweir_fakes.soak import stops
 
 
 @click.group()
@@ -31,6 +32,7 @@
 main.add_command(service.command)
 main.add_command(slopes.slopes)
 main.add_command(soak_command.soak)
+main.add_command(stops.stops)
 
 if __name__ == '__main__':
     main()
--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -183,6 +183,10 @@
             'born': self.started_ms,
         }
 
+    def behaviour_of(self, request_id: str) -> Behaviour:
+        """Returns how it handles one request; the same for all by default."""
+        return self.behaviour
+
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path == '/-/kv-move':
             return self._add_notices(await self._move(request))
@@ -218,9 +222,9 @@
     async def _run(
         self, request: web.BaseRequest, headers: dict[str, str], body: bytes
     ) -> web.StreamResponse:
-        """Runs an accepted request and responds according to ``behaviour``."""
-        behaviour = self.behaviour
+        """Runs an accepted request and responds according to its behaviour."""
         request_id = headers.get('x-attempt-id', '')
+        behaviour = self.behaviour_of(request_id)
         if behaviour.hang:
             await asyncio.sleep(3600)
         if behaviour.delay_s:
@@ -332,7 +336,7 @@
         headers: dict[str, str],
         request_id: str,
     ) -> web.StreamResponse:
-        behaviour = self.behaviour
+        behaviour = self.behaviour_of(request_id)
         first = 1
         if 'last-event-id' in headers:
             first = int(headers['last-event-id']) + 1
--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -1,7 +1,6 @@
 """The ``soak`` command: gateway processes under load and random faults."""
 
 import asyncio
-from collections.abc import Callable
 import datetime
 import functools
 import os
@@ -17,24 +16,22 @@
 import orjson
 
 from dotterelweir_fakes.fleet import deployment as fleet
-from dotterelweir_fakes.fleet import engine as fleet_engine
 from dotterelweir_fakes.fleet import store as fleet_store
 from dotterelweir_fakes.links import rules as links_rules
 from dotterelweir_fakes.soak import broken_gateway
+from dotterelweir_fakes.soak import engines as soak_engines
 from dotterelweir_fakes.soak import faults
 from dotterelweir_fakes.soak import guarantees
 from dotterelweir_fakes.soak import instances
 from dotterelweir_fakes.soak import proxies
 
-_EVENTS_PER_ANSWER = 30
 _ROUTES = ('book', 'read', 'guide', 'check')
 # The kind of a route, not the method, states what may be repeated.
 _METHODS = ('POST', 'POST', 'GET', 'PUT', 'DELETE')
 # Time for open requests to end after the last fault, in seconds.
 _SETTLE_S = 5.0
-# Ids of a shared part of prompts and of a part that crashes engines.
+# Id of a shared part of prompts.
 _SHARED_PART = 'a1'
-_DEADLY_PART = 'dead'
 _DEADLY_SHARE = 0.05
 # An instance without disturbance for this time is in touch, in seconds.
 _STABLE_S = 3.0
@@ -44,52 +41,6 @@
 _DEADLY_RUNS_MAX = 3
 
 
-class SoakEngine(fleet_engine.FakeEngine):
-    """An engine that records its runs in the ledger.
-
-    Attributes:
-        runs: Runs in progress.
-        crash: Called with the id of a request that crashes the engine.
-    """
-
-    def __init__(
-        self,
-        target_id: str,
-        ledger: guarantees.Ledger,
-        crash: Callable[[str], None],
-    ) -> None:
-        super().__init__(target_id)
-        self.crash = crash
-        self._ledger = ledger
-        self.runs: list[guarantees.Run] = []
-        self.behaviour = fleet_engine.Behaviour(
-            events=_EVENTS_PER_ANSWER, event_s=0.02
-        )
-
-    async def _run(
-        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
-    ) -> web.StreamResponse:
-        loop = asyncio.get_running_loop()
-        run = self._ledger.begin_run(
-            headers.get('x-attempt-id', ''),
-            self.target_id,
-            'kv-from' in headers or 'last-event-id' in headers,
-            loop.time(),
-        )
-        self.runs.append(run)
-        if f'{_DEADLY_PART}:' in headers.get('x-prompt-prefix', ''):
-            # The head of the answer gets through before the crash.
-            self.behaviour = attrs.evolve(
-                self.behaviour, crash_part=f'{_DEADLY_PART}:30'
-            )
-            loop.call_later(0.01, self.crash, headers['x-attempt-id'])
-        try:
-            return await super()._run(request, headers, body)
-        finally:
-            run.ended_s = loop.time()
-            self.runs.remove(run)
-
-
 async def _send_once(
     request: aiohttp.ClientRequest, handler: aiohttp.ClientHandlerType
 ) -> aiohttp.ClientResponse:
@@ -129,7 +80,7 @@
     ledger: guarantees.Ledger = attrs.field(factory=guarantees.Ledger)
     rules: links_rules.Rules = attrs.field(factory=links_rules.Rules)
     store: fleet_store.FakeStore = attrs.field(factory=fleet_store.FakeStore)
-    engines: dict[str, SoakEngine] = attrs.field(factory=dict)
+    engines: dict[str, soak_engines.SoakEngine] = attrs.field(factory=dict)
     nodes: list[instances.Instance] = attrs.field(factory=list)
     _proxies: dict[str, proxies.BackendProxy] = attrs.field(factory=dict)
     _injector: faults.FaultInjector | None = None
@@ -193,7 +144,7 @@
         for number in range(3):
             for kind in ('model', 'plain'):
                 name = f'{kind}-{number}'
-                engine = self.engines[name] = SoakEngine(
+                engine = self.engines[name] = soak_engines.SoakEngine(
                     name,
                     self.ledger,
                     functools.partial(self._crash, name),
@@ -215,11 +166,7 @@
             )
             self.nodes.append(node)
             node.start()
-        async with asyncio.timeout(instances.READY_TIMEOUT_S):
-            async with aiohttp.ClientSession() as session:
-                for node in self.nodes:
-                    while not await _is_ready(session, node):
-                        await asyncio.sleep(0.05)
+        await asyncio.gather(*(node.wait_ready() for node in self.nodes))
 
     async def _run_load_and_faults(
         self, rng: random.Random, injector: faults.FaultInjector
@@ -310,7 +257,9 @@
         if route in ('guide', 'check'):
             parts = [f'{_SHARED_PART}:40', f'{request_id.encode().hex()}:30']
             if self.deadly_part != 'none' and rng.random() < _DEADLY_SHARE:
-                parts.insert(rng.randrange(2), f'{_DEADLY_PART}:30')
+                parts.insert(
+                    rng.randrange(2), f'{soak_engines.DEADLY_PART}:30'
+                )
                 self._receivers[request_id] = node
             headers['X-Prompt-Prefix'] = ','.join(parts)
         body = b''
@@ -318,7 +267,7 @@
         if route in ('guide', 'check'):
             expected = b''.join(
                 b'id: %d\ndata: token-%d\n\n' % (n, n)
-                for n in range(1, _EVENTS_PER_ANSWER + 1)
+                for n in range(1, soak_engines.EVENTS_PER_ANSWER + 1)
             )
         try:
             async with session.request(
@@ -336,18 +285,6 @@
         self.ledger.record_answer(request_id, answer.status, body, expected)
 
 
-async def _is_ready(
-    session: aiohttp.ClientSession, node: instances.Instance
-) -> bool:
-    url = f'http://{node.host}:{instances.READY_PORT}/-/readyz'
-    try:
-        async with session.get(url) as answer:
-            return answer.status == 200
-    except aiohttp.ClientError:
-        # The process does not listen yet.
-        return False
-
-
 @click.command()
 @click.option('--seed', type=int, required=True)
 @click.option('--minutes', type=float, default=0.5, show_default=True)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/engines.py
@@ -0,0 +1,80 @@
+"""Engines of soak tests, which record their runs."""
+
+import asyncio
+from collections.abc import Callable
+
+from aiohttp import web
+import attrs
+
+from dotterelweir_fakes.fleet import engine as fleet_engine
+from dotterelweir_fakes.soak import guarantees
+
+EVENTS_PER_ANSWER = 30
+# Id of a part of prompts that crashes engines.
+DEADLY_PART = 'dead'
+
+
+class SoakEngine(fleet_engine.FakeEngine):
+    """An engine that records its runs in the ledger.
+
+    Attributes:
+        runs: Runs in progress.
+        crash: Called with the id of a request that crashes the engine.
+    """
+
+    def __init__(
+        self,
+        target_id: str,
+        ledger: guarantees.Ledger,
+        crash: Callable[[str], None] = lambda request_id: None,
+    ) -> None:
+        super().__init__(target_id)
+        self.crash = crash
+        self._ledger = ledger
+        self.runs: list[guarantees.Run] = []
+        self.behaviour = fleet_engine.Behaviour(
+            events=EVENTS_PER_ANSWER, event_s=0.02
+        )
+
+    async def _run(
+        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        loop = asyncio.get_running_loop()
+        run = self._ledger.begin_run(
+            headers.get('x-attempt-id', ''),
+            self.target_id,
+            'kv-from' in headers or 'last-event-id' in headers,
+            loop.time(),
+        )
+        self.runs.append(run)
+        if f'{DEADLY_PART}:' in headers.get('x-prompt-prefix', ''):
+            # The head of the answer gets through before the crash.
+            self.behaviour = attrs.evolve(
+                self.behaviour, crash_part=f'{DEADLY_PART}:30'
+            )
+            loop.call_later(0.01, self.crash, headers['x-attempt-id'])
+        try:
+            return await super()._run(request, headers, body)
+        finally:
+            run.ended_s = loop.time()
+            self.runs.remove(run)
+
+
+class PlannedEngine(SoakEngine):
+    """An engine that handles each request as planned for it.
+
+    Attributes:
+        behaviours: Behaviour by id of the request.
+    """
+
+    def __init__(
+        self,
+        target_id: str,
+        ledger: guarantees.Ledger,
+        behaviours: dict[str, fleet_engine.Behaviour],
+    ) -> None:
+        super().__init__(target_id, ledger)
+        self.behaviours = behaviours
+
+    def behaviour_of(self, request_id: str) -> fleet_engine.Behaviour:
+        return self.behaviours.get(request_id, self.behaviour)
--- a/fakes/src/dotterelweir_fakes/soak/guarantees.py
+++ b/fakes/src/dotterelweir_fakes/soak/guarantees.py
@@ -6,6 +6,8 @@
 and at one target at a time.
 """
 
+from collections.abc import Sequence
+
 import attrs
 
 # Longest time for which two targets may run one request at once, in seconds.
@@ -69,6 +71,10 @@
         self._runs.setdefault(request_id, []).append(run)
         return run
 
+    def runs_of(self, request_id: str) -> Sequence[Run]:
+        """Returns the runs of a request until now, in order."""
+        return self._runs.get(request_id, ())
+
     def expect_at_most_once(self, request_id: str) -> None:
         """Records that a request may run at most once."""
         self._at_most_once.add(request_id)
--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -8,6 +8,7 @@
 import sys
 import time
 
+import aiohttp
 import attrs
 
 from dotterelweir_fakes.fleet import deployment as fleet
@@ -31,6 +32,7 @@
         store_address: Address on which this instance reaches the store.
         module: Python module that the process runs.
         process: The newest process; None before the first start.
+        grace_s: Time from SIGTERM to the end of the process, in seconds.
         disturbed_s: Monotonic time of the newest disturbance, in seconds.
     """
 
@@ -39,6 +41,7 @@
     store_address: str
     module: str = 'dotterelweir_platform'
     process: subprocess.Popen | None = None
+    grace_s: int = GRACE_S
     disturbed_s: float = 0.0
 
     @property
@@ -78,7 +81,7 @@
                 self.host,
                 (CALLERS_PORT, READY_PORT, PEERS_PORT),
                 self.store_address,
-                GRACE_S,
+                self.grace_s,
                 (fleet.own_address(1), fleet.own_address(2)),
             )
         )
@@ -103,6 +106,23 @@
             if number != signal.SIGHUP:
                 self.disturbed_s = time.monotonic()
 
+    async def wait_ready(self) -> None:
+        """Waits until its readiness check responds with status 200."""
+        url = f'http://{self.host}:{READY_PORT}/-/readyz'
+        async with (
+            asyncio.timeout(READY_TIMEOUT_S),
+            aiohttp.ClientSession() as session,
+        ):
+            while True:
+                try:
+                    async with session.get(url) as answer:
+                        if answer.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    # The process does not listen yet.
+                    pass
+                await asyncio.sleep(0.05)
+
     async def stop(self) -> None:
         """Stops the process; kills it after five seconds."""
         self.send_signal(signal.SIGCONT)
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/kept_callers.py
@@ -0,0 +1,232 @@
+"""Callers that keep their connections while processes are stopped."""
+
+import asyncio
+from collections.abc import Callable
+import random
+
+import attrs
+
+from dotterelweir_fakes.fleet import engine as fleet_engine
+from dotterelweir_fakes.soak import guarantees
+from dotterelweir_fakes.soak import instances
+from dotterelweir_fakes.soak import kept_connections
+from dotterelweir_fakes.soak import losses
+from dotterelweir_fakes.soak import planned_requests
+
+# Time for which new connections still reach a stopping process, in seconds:
+# the load balancer needs two failed probes.
+_ROTATION_S = 1.5
+_SLOW_SHARE = 0.1
+
+
+@attrs.define
+class Callers:
+    """Sends requests and judges what becomes of them.
+
+    Attributes:
+        ledger: Runs and answers of all requests.
+        nodes: Gateway instances.
+        trace: Writes a line to the log of the run.
+        behaviours: How engines handle each request, by its id.
+        stopped_s: Monotonic time of the SIGTERM to each instance that is
+            being stopped, by name, in seconds.
+        counts: Number of requests by outcome.
+    """
+
+    ledger: guarantees.Ledger
+    nodes: list[instances.Instance]
+    trace: Callable[[str], None]
+    behaviours: dict[str, fleet_engine.Behaviour] = attrs.field(factory=dict)
+    stopped_s: dict[str, float] = attrs.field(factory=dict)
+    counts: dict[str, int] = attrs.field(factory=dict)
+    _rng: random.Random = attrs.field(factory=lambda: random.Random(0))
+
+    async def run_caller(
+        self, home: instances.Instance, maker: planned_requests.RequestMaker
+    ) -> None:
+        """Sends requests on kept connections, mostly to one process.
+
+        Args:
+            home: The process; another one while it takes no connections.
+            maker: Makes the requests.
+        """
+        think_s = maker.rng.choice((0.1, 2.0, 6.0))
+        slow = maker.rng.random() < _SLOW_SHARE
+        node = home
+        connection: kept_connections.KeptConnection | None = None
+        try:
+            while True:
+                await asyncio.sleep(maker.rng.uniform(0.0, think_s))
+                usable = connection is not None and not connection.ended
+                if not usable or (node is not home and self._takes_new(home)):
+                    if connection is not None:
+                        connection.close()
+                    node = home if self._takes_new(home) else self._other(home)
+                    connection = await self._open(node, slow)
+                    if connection is None:
+                        continue
+                reply = await self._send(node, connection, maker.make(slow))
+                if reply.status in (429, 503):
+                    # The next request goes to another process.
+                    connection.close()
+                    node = self._other(node)
+                    connection = await self._open(node, slow)
+        finally:
+            if connection is not None:
+                connection.close()
+
+    async def run_idle_caller(
+        self,
+        node: instances.Instance,
+        maker: planned_requests.RequestMaker,
+        send_s: float,
+    ) -> None:
+        """Uses a connection for the first time at a given time.
+
+        A refused caller sends another request to another process.
+
+        Args:
+            node: The process.
+            maker: Makes the requests.
+            send_s: Monotonic time of the request, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        slow = maker.rng.random() < _SLOW_SHARE
+        request = maker.make(slow)
+        await asyncio.sleep(self._rng.uniform(0.0, 0.8))
+        connection = await self._open(node, slow)
+        if connection is None:
+            return
+        await asyncio.sleep(max(0.0, send_s - loop.time()))
+        if connection.ended:
+            connection.close()
+            self.count('closed_idle')
+            return
+        reply = await self._send(node, connection, request)
+        connection.close()
+        if reply.status in (429, 503) and len(self.nodes) > 1:
+            await self.send_alone(self._other(node), maker.make())
+
+    async def send_alone(
+        self,
+        node: instances.Instance,
+        request: planned_requests.PlannedRequest,
+    ) -> None:
+        """Sends a request on a connection of its own."""
+        connection = await self._open(node, False)
+        if connection is not None:
+            await self._send(node, connection, request)
+            connection.close()
+
+    def count(self, name: str) -> None:
+        """Counts an outcome."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _takes_new(self, node: instances.Instance) -> bool:
+        """Whether the load balancer sends new connections to a process."""
+        stopped_s = self.stopped_s.get(node.name)
+        now_s = asyncio.get_running_loop().time()
+        return stopped_s is None or now_s < stopped_s + _ROTATION_S
+
+    def _other(self, node: instances.Instance) -> instances.Instance:
+        others = [n for n in self.nodes if n is not node]
+        ready = [n for n in others if self._takes_new(n)]
+        return self._rng.choice(ready or others or [node])
+
+    async def _open(
+        self, node: instances.Instance, slow: bool
+    ) -> kept_connections.KeptConnection | None:
+        try:
+            return await kept_connections.KeptConnection.open(
+                node.host, instances.CALLERS_PORT, slow
+            )
+        except OSError:
+            self.count('unconnected')
+            return None
+
+    async def _send(
+        self,
+        node: instances.Instance,
+        connection: kept_connections.KeptConnection,
+        request: planned_requests.PlannedRequest,
+    ) -> kept_connections.Reply:
+        request_id = request.request_id
+        self.ledger.requests += 1
+        self.behaviours[request_id] = request.behaviour
+        if request.route in ('book', 'guide'):
+            self.ledger.expect_at_most_once(request_id)
+        # The process may be gone when the connection ends.
+        process = node.process
+        reply = await connection.send(
+            request.content, request.timeout_s + 0.3, request.rate_bytes_s
+        )
+        body = bytes(reply.body)
+        if reply.complete:
+            self.ledger.record_answer(
+                request_id, reply.status, body, request.expected
+            )
+            self._count_answer(node, request, reply)
+            return reply
+        if reply.status == 200:
+            self.ledger.record_partial_answer(
+                request_id, body, request.expected
+            )
+        same = process is node.process
+        stopped_s = self.stopped_s.get(node.name) if same else None
+        cut = losses.Cut(
+            reply.sent_s,
+            reply.ended_s,
+            reply.sent_s + request.timeout_s,
+            reply.reset,
+            stopped_s,
+        )
+        # The engine records the end of a run a moment later.
+        await asyncio.sleep(0.05)
+        runs = self.ledger.runs_of(request_id)
+        verdict = cut.judge(runs)
+        self.count(verdict.value)
+        if verdict is losses.Verdict.LOST:
+            text = _describe(node.name, request, cut, runs)
+            self.ledger.violations.append(text)
+            self.trace(text)
+        return reply
+
+    def _count(self, name: str) -> None:
+        self.counts[name] = self.counts.get(name, 0) + 1
+
+    def _count_answer(
+        self,
+        node: instances.Instance,
+        request: planned_requests.PlannedRequest,
+        reply: kept_connections.Reply,
+    ) -> None:
+        in_time = reply.ended_s < reply.sent_s + request.timeout_s
+        outcome = 'whole'
+        if reply.status in (429, 503):
+            outcome = 'refused'
+        elif reply.status != 200:
+            outcome = 'unknown' if in_time else 'timeout'
+        if self.stopped_s.get(node.name, reply.sent_s) < reply.sent_s:
+            outcome += '_while_stopping'
+        self.count(outcome)
+
+
+def _describe(
+    name: str,
+    request: planned_requests.PlannedRequest,
+    cut: losses.Cut,
+    runs: list[guarantees.Run],
+) -> str:
+    """Describes a lost request; times are seconds after SIGTERM if any."""
+    base_s = cut.sent_s if cut.stopped_s is None else cut.stopped_s
+    ran = ', '.join(
+        f'{run.target_id} {run.begun_s - base_s:.2f} to '
+        + ('?' if run.ended_s is None else f'{run.ended_s - base_s:.2f}')
+        for run in runs
+    )
+    return (
+        f'{request.request_id}: lost at {name}, stopping: '
+        f'{cut.stopped_s is not None}, sent {cut.sent_s - base_s:.2f}, '
+        f'connection ended {cut.ended_s - base_s:.2f}, '
+        f'reset: {cut.reset}, ran: {ran or "never"}'
+    )
