--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -31,6 +31,7 @@
         directory: Directory for its settings and logs.
         store_address: Address on which this instance reaches the store.
         module: Python module that the process runs.
+        grace_s: Time from SIGTERM to the end of the process, in seconds.
         process: The newest process; None before the first start.
         grace_s: Time from SIGTERM to the end of the process, in seconds.
         disturbed_s: Monotonic time of the newest disturbance, in seconds.
@@ -40,6 +41,7 @@
     directory: pathlib.Path
     store_address: str
     module: str = 'dotterelweir_platform'
+    grace_s: int = GRACE_S
     process: subprocess.Popen | None = None
     grace_s: int = GRACE_S
     disturbed_s: float = 0.0
@@ -59,6 +61,11 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def log(self) -> pathlib.Path:
+        """Log file of its processes."""
+        return self.directory / f'{self.name}.log'
+
     def start(self, skew_s: float = 0.0) -> None:
         """Writes the settings and starts the process.
 
@@ -86,7 +93,7 @@
             )
         )
         self.disturbed_s = time.monotonic()
-        with (self.directory / f'{self.name}.log').open('ab') as log:
+        with self.log.open('ab') as log:
             self.process = subprocess.Popen(
                 [sys.executable, '-m', module],
                 env={
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -13,6 +13,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pauses
@@ -202,6 +203,7 @@
         }
         self._follower_tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
+        self._answers_timer: core_timers.TimerHandle | None = None
         self._callers = caller_server.CallerServer(self._parts, self._tables)
 
     async def run(self) -> None:
@@ -212,7 +214,7 @@
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
         while not self._stop_plan.may_exit(
-            self._timers.monotonic_s(), self._callers.running
+            self._timers.monotonic_s(), self._callers.unfinished
         ):
             await timers.sleep(self._timers, _STOP_POLL_INTERVAL_S)
         await self.close()
@@ -263,6 +265,19 @@
         self._peers.close()
         self._lifecycle.stop()
         await self._drain_accepted()
+        if self._answers_timer is not None:
+            self._answers_timer.cancel()
+        self._stop_plan.closing = True
+        events.log(
+            LOG,
+            events.GATEWAY_CLOSING,
+            stopping_for_s=round(
+                self._stop_plan.stopping_for_s(self._timers.monotonic_s()), 4
+            ),
+            running=self._callers.running,
+        )
+        # A request may still be read until its connection is closed.
+        self._callers.end_requests()
         await self._callers.server.shutdown(_SHUTDOWN_TIMEOUT_S)
         await self._session.close()
         await self._store_session.close()
@@ -273,7 +288,7 @@
         Their connections are closed with the answers, so that no further
         requests follow. The wait ends with the grace time at the latest.
         """
-        while self._callers.running and not self._stop_plan.must_exit(
+        while self._callers.unfinished and not self._stop_plan.must_exit(
             self._timers.monotonic_s()
         ):
             await timers.sleep(self._timers, _STOP_POLL_INTERVAL_S)
@@ -375,6 +390,15 @@
         if not self._stop_plan.stopping:
             self._stop_plan.stop_requested_s = self._timers.monotonic_s()
             self._lifecycle.drain()
+            self._schedule_last_answers()
+
+    def _schedule_last_answers(self) -> None:
+        if self._answers_timer is not None:
+            self._answers_timer.cancel()
+        delay_s = self._stop_plan.answers_due_s - self._timers.monotonic_s()
+        self._answers_timer = self._timers.call_after(
+            max(0.0, delay_s), self._callers.end_requests
+        )
 
     def _record_tables_version(self, tables: gateway_tables.Tables) -> None:
         self._statistics.tables_version.set({}, tables.version)
@@ -390,5 +414,7 @@
             events.log(LOG, events.GATEWAY_RELOAD_FAILED, reason=exc.detail)
             return
         self._stop_plan.grace_s = settings.grace_s
+        if self._stop_plan.stopping:
+            self._schedule_last_answers()
         self._parts.set_settings(settings)
         events.log(LOG, events.GATEWAY_RELOADED, grace_s=settings.grace_s)
--- a/packages/daemon/tests/gateway/test_stopping.py
+++ b/packages/daemon/tests/gateway/test_stopping.py
@@ -2,9 +2,11 @@
 
 import asyncio
 
+import aiohttp
 import attrs
 import pytest
 
+from dotterelweir_fakes.fleet import deployment as fleet_deployment
 from dotterelweir_platform import settings_file
 from dotterelweird.gateway import stopping
 
@@ -18,12 +20,43 @@
     after SIGTERM was cut off at the end of the grace time.
     """
     plan = stopping.StopPlan(grace_s=8.0)
-    assert plan.may_finish(100.0, 30.0)
+    assert plan.may_begin(100.0, 160.0, 30.0)
     plan.stop_requested_s = 100.0
-    assert plan.may_finish(100.1, 4.0)
-    assert not plan.may_finish(100.1, 10.0)
-    assert not plan.may_finish(104.4, 3.0)
-    assert plan.may_finish(104.4, 1.0)
+    assert plan.may_begin(100.1, 160.0, 4.0)
+    assert not plan.may_begin(100.1, 160.0, 10.0)
+    assert not plan.may_begin(104.4, 160.0, 3.0)
+    assert not plan.may_begin(104.4, 160.0, 1.0)
+    assert plan.may_begin(104.4, 107.2, 1.0)
+    assert plan.may_begin(104.4, 107.2, 10.0)
+    assert not plan.may_begin(104.4, 107.6, 1.0)
+
+
+@pytest.fixture
+async def long_deadlines(deployment):
+    """Lets requests on all routes take longer than a stop."""
+    await deployment.store.write_json(
+        'keyed.op',
+        'config',
+        fleet_deployment.configuration(2, timeoutMs=90_000),
+    )
+    async with asyncio.timeout(5):
+        while deployment.gateway.tables_version != 2:
+            await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(('observed_s', 'status'), [(1.0, 200), (2.0, 503)])
+async def test_a_stop_expects_slow_targets_to_stay_slow(
+    deployment, long_deadlines, observed_s, status
+):
+    """Guards against requests accepted at a rate that targets do not have."""
+    parts = deployment.gateway._parts
+    parts.duration_factors.for_service('model').record(1.0, observed_s)
+    deployment.gateway._stop_plan.grace_s = 4.0
+    deployment.gateway.begin_stop()
+    async with deployment.request(
+        'guide', X_Token_Usage='100,80', deadline_ms=80_000
+    ) as answer:
+        assert answer.status == status
 
 
 @pytest.mark.parametrize(
@@ -158,7 +191,7 @@
     ('stopping_for_s', 'status'), [(1.0, 200), (2.6, 503)]
 )
 async def test_late_in_a_stop_a_length_hint_is_ignored(
-    deployment, stopping_for_s, status
+    deployment, long_deadlines, stopping_for_s, status
 ):
     """Guards against streams that a stop cuts off.
 
@@ -171,7 +204,10 @@
     gateway.begin_stop()
     gateway._stop_plan.stop_requested_s -= stopping_for_s
     async with deployment.request(
-        'guide', X_Token_Usage='100,4000', X_Length_Hint='40'
+        'guide',
+        X_Token_Usage='100,4000',
+        X_Length_Hint='40',
+        deadline_ms=80_000,
     ) as answer:
         await answer.read()
         assert answer.status == status
@@ -227,3 +263,181 @@
     assert 'dotterelweir_gateway_requests_total{outcome="200"} 1' in text
     assert 'dotterelweir_gateway_tables_version 1' in text
     assert 'dotterelweir_gateway_attempts_total{end="answered"' in text
+
+
+async def test_a_request_cut_off_by_the_exit_is_logged_as_such(
+    deployment, caplog
+):
+    """Guards against cut requests that look like callers that left."""
+    caplog.set_level('INFO')
+    for name in ENGINES:
+        deployment.engines[name].behaviour.silent_after = 3
+    gateway, deployment.gateway = deployment.gateway, None
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        gateway.begin_stop()
+        gateway._stop_plan.stop_requested_s -= gateway._stop_plan.grace_s
+        await gateway.close()
+    ends = [
+        record.fields
+        for record in caplog.records
+        if getattr(record, 'event', None) in (224, 237)
+    ]
+    assert ends[0]['running'] == 1
+    assert ends[1]['outcome'] == 'cut-off'
+
+
+@pytest.mark.parametrize(
+    ('route', 'names'), [('book', ('shop-1', 'shop-2')), ('guide', ENGINES)]
+)
+async def test_a_refused_request_is_not_sent_again_late_in_a_stop(
+    deployment, long_deadlines, route, names
+):
+    """Guards against a further attempt that a stop cuts off."""
+    targets = [deployment.engines[name] for name in names]
+    for target in targets:
+        target.behaviour.delay_s = 0.05
+        target.behaviour.refusal_id = 'request-1'
+    gateway = deployment.gateway
+
+    async def send():
+        async with deployment.request(route, deadline_ms=80_000) as answer:
+            return answer.status
+
+    call = asyncio.create_task(send())
+    async with asyncio.timeout(1):
+        while not any(target.ran for target in targets):
+            await asyncio.sleep(0.005)
+    gateway.begin_stop()
+    gateway._stop_plan.stop_requested_s -= 1.5
+    assert await call == 503
+    assert sum(len(target.ran) for target in targets) == 1
+
+
+@pytest.fixture
+def stop_at_the_end(deployment):
+    """Returns a function that begins a stop whose answers are due soon."""
+
+    def stop():
+        gateway = deployment.gateway
+        due_after_s = gateway._stop_plan.grace_s - 0.45
+        gateway.begin_stop()
+        gateway._stop_plan.stop_requested_s -= due_after_s
+        gateway._schedule_last_answers()
+
+    return stop
+
+
+async def _send_and_wait_until_it_runs(deployment, route, names):
+    async def send():
+        async with deployment.request(route) as answer:
+            await answer.read()
+            return answer.status
+
+    call = asyncio.create_task(send())
+    async with asyncio.timeout(1):
+        while not any(deployment.engines[name].ran for name in names):
+            await asyncio.sleep(0.005)
+    return call
+
+
+@pytest.mark.parametrize(
+    ('route', 'names'), [('book', ('shop-1', 'shop-2')), ('guide', ENGINES)]
+)
+async def test_a_request_that_runs_at_the_end_of_a_stop_gets_an_answer(
+    deployment, stop_at_the_end, route, names
+):
+    """Guards against connections that the exit closes without an answer."""
+    for name in names:
+        deployment.engines[name].behaviour.hang = True
+    call = await _send_and_wait_until_it_runs(deployment, route, names)
+    stop_at_the_end()
+    async with asyncio.timeout(0.5):
+        assert await call == 504
+
+
+async def test_a_stream_that_a_stop_breaks_off_does_not_look_complete(
+    deployment, stop_at_the_end
+):
+    """Guards against a partial answer with a regular end."""
+    for name in ENGINES:
+        deployment.engines[name].behaviour.silent_after = 3
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        stop_at_the_end()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with asyncio.timeout(0.5):
+                await answer.read()
+
+
+async def test_a_queued_request_at_the_end_of_a_stop_is_refused_as_not_run(
+    deployment, long_deadlines, queued_request, stop_at_the_end
+):
+    """Guards against a queue that holds requests until the exit."""
+    stop_at_the_end()
+    async with asyncio.timeout(0.5):
+        assert (await queued_request)[0] == 503
+    assert all(not deployment.engines[name].ran for name in ENGINES)
+
+
+async def test_a_reload_during_a_stop_moves_the_time_of_the_last_answers(
+    deployment,
+):
+    """Guards against requests that are cut when the grace time shrinks."""
+    names = ('shop-1', 'shop-2')
+    for name in names:
+        deployment.engines[name].behaviour.hang = True
+    gateway = deployment.gateway
+    gateway._stop_plan.grace_s = 60.0
+    call = await _send_and_wait_until_it_runs(deployment, 'book', names)
+    gateway.begin_stop()
+    deployment.settings_after_reload = attrs.evolve(
+        gateway._settings, grace_s=0.4
+    )
+    gateway._reload()
+    async with asyncio.timeout(0.5):
+        assert await call == 504
+
+
+async def test_a_request_read_while_connections_are_closed_is_not_sent(
+    deployment,
+):
+    """Guards against requests that are sent to a target and cut at once."""
+    gateway, deployment.gateway = deployment.gateway, None
+    server = gateway._callers.server
+    shut_down = server.shutdown
+
+    async def shut_down_after_a_request(timeout_s):
+        call = asyncio.create_task(deployment.request('book').__aenter__())
+        async with asyncio.timeout(1):
+            while not server.requests_count:
+                await asyncio.sleep(0)
+        await shut_down(timeout_s)
+        statuses.append((await call).status)
+
+    statuses = []
+    server.shutdown = shut_down_after_a_request
+    async with deployment.session.get(
+        f'http://{deployment.host}:{deployment.callers_port}/none'
+    ):
+        server.requests_count = 0
+    gateway.begin_stop()
+    await gateway.close()
+    assert statuses == [503]
+    assert not any(
+        deployment.engines[name].ran for name in ('shop-1', 'shop-2')
+    )
+
+
+async def test_a_stream_that_ends_in_a_stop_keeps_its_connection(deployment):
+    """Guards against callers whose next request crosses a sudden close."""
+    async with deployment.request('guide') as answer:
+        await answer.content.readany()
+        deployment.gateway.begin_stop()
+        await answer.read()
+    assert len(deployment.gateway._callers.server.connections) == 1
+    async with deployment.request(
+        'guide', 'request-2', X_Token_Usage='100,4'
+    ) as answer:
+        assert answer.status == 200
+        assert answer.headers['Connection'] == 'close'
