--- a/fakes/src/dotterelweir_fakes/soak/engines.py
+++ b/fakes/src/dotterelweir_fakes/soak/engines.py
@@ -78,3 +78,14 @@
 
     def behaviour_of(self, request_id: str) -> fleet_engine.Behaviour:
         return self.behaviours.get(request_id, self.behaviour)
+
+    async def _run(
+        self, request: web.BaseRequest, headers: dict[str, str], body: bytes
+    ) -> web.StreamResponse:
+        request_id = headers.get('x-attempt-id', '')
+        if self._ledger.runs_of(request_id):
+            # Only the first engine of a request pauses.
+            self.behaviours[request_id] = attrs.evolve(
+                self.behaviour_of(request_id), pause_after=None
+            )
+        return await super()._run(request, headers, body)
--- a/fakes/src/dotterelweir_fakes/soak/kept_callers.py
+++ b/fakes/src/dotterelweir_fakes/soak/kept_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random
 
 import attrs
@@ -17,6 +18,10 @@
 # the load balancer needs two failed probes.
 _ROTATION_S = 1.5
 _SLOW_SHARE = 0.1
+# Delay of this test's event loop that is a disturbance, in seconds: its
+# engines are silent meanwhile. Instances take shorter delays as usual.
+_STALL_S = 0.25
+_STABLE_S = 3.0
 
 
 @attrs.define
@@ -31,6 +36,8 @@
         stopped_s: Monotonic time of the SIGTERM to each instance that is
             being stopped, by name, in seconds.
         counts: Number of requests by outcome.
+        stalled_s: Monotonic time of the newest delay of the event loop, in
+            seconds.
     """
 
     ledger: guarantees.Ledger
@@ -39,6 +46,7 @@
     behaviours: dict[str, fleet_engine.Behaviour] = attrs.field(factory=dict)
     stopped_s: dict[str, float] = attrs.field(factory=dict)
     counts: dict[str, int] = attrs.field(factory=dict)
+    stalled_s: float = -math.inf
     _rng: random.Random = attrs.field(factory=lambda: random.Random(0))
 
     async def run_caller(
@@ -118,6 +126,17 @@
             await self._send(node, connection, request)
             connection.close()
 
+    async def watch_stalls(self) -> None:
+        """Records delays of the event loop until it is cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            before_s = loop.time()
+            await asyncio.sleep(0.02)
+            if loop.time() > before_s + _STALL_S:
+                self.stalled_s = loop.time()
+                self.count('stalls')
+                self.trace(f'stall of {loop.time() - before_s:.2f} s')
+
     def count(self, name: str) -> None:
         """Counts an outcome."""
         self.counts[name] = self.counts.get(name, 0) + 1
@@ -184,6 +203,16 @@
         await asyncio.sleep(0.05)
         runs = self.ledger.runs_of(request_id)
         verdict = cut.judge(runs)
+        if self.stalled_s > reply.sent_s - _STABLE_S:
+            verdict = losses.Verdict.DISTURBED
+        elif (
+            verdict is losses.Verdict.LOST
+            and request.behaviour.pause_after is not None
+            and stopped_s is None
+        ):
+            # The rule does not cover the silence of an engine without any
+            # planned work.
+            verdict = losses.Verdict.SILENT
         self.count(verdict.value)
         if verdict is losses.Verdict.LOST:
             text = _describe(node.name, request, cut, runs)
--- a/fakes/src/dotterelweir_fakes/soak/losses.py
+++ b/fakes/src/dotterelweir_fakes/soak/losses.py
@@ -18,8 +18,14 @@
 
 
 class Verdict(enum.Enum):
-    """What an answer that is missing or incomplete counts as."""
+    """What an answer that is missing or incomplete counts as.
 
+    ``Cut.judge`` returns neither of the first two: a delay of the test itself
+    disturbed the request, or its engine paused without any planned work.
+    """
+
+    DISTURBED = 'disturbed'
+    SILENT = 'silent'
     OVERDUE = 'overdue'
     CROSSED = 'crossed'
     EXCUSED = 'excused'
--- a/fakes/src/dotterelweir_fakes/soak/planned_requests.py
+++ b/fakes/src/dotterelweir_fakes/soak/planned_requests.py
@@ -13,6 +13,8 @@
 # Timeouts of plain routes and of streams, in seconds.
 PLAIN_TIMEOUT_S = 4.0
 STREAM_TIMEOUT_S = 40.0
+# Range of the pauses of engines, in seconds.
+_PAUSE_S = (0.5, 2.5)
 # A deadline that is not reached, in milliseconds.
 _FAR_DEADLINE_MS = 60_000
 
@@ -65,6 +67,8 @@
         first_event_s: Longest time to the first event, in seconds.
         plain_s: Longest time to the answer of a plain service, in seconds.
         tokens_max: Length of the longest answer, in tokens.
+        paused_share: Share of streams that their engine interrupts for a
+            while, as it does when it preempts a run.
         made: Number of requests made.
     """
 
@@ -74,6 +78,7 @@
     first_event_s: float
     plain_s: float
     tokens_max: int
+    paused_share: float
     made: int = 0
 
     @classmethod
@@ -87,6 +92,7 @@
             first_event_s=rng.choice((0.05, 0.05, 0.3, 2.0)),
             plain_s=rng.uniform(0.05, 1.5),
             tokens_max=rng.choice((80, 160, 400)),
+            paused_share=rng.choice((0.0, 0.0, 0.2)),
         )
 
     def fork(self, name: str) -> 'RequestMaker':
@@ -121,6 +127,10 @@
             event_bytes=2000 if slow else 0,
         )
         taken_s = behaviour.delay_s + events * behaviour.event_s
+        if self.rng.random() < self.paused_share:
+            behaviour.pause_after = self.rng.randrange(events)
+            behaviour.pause_s = self.rng.uniform(*_PAUSE_S)
+            taken_s += behaviour.pause_s
         longest = round(tokens * self.rng.choice((1.0, 1.2, 3.0)))
         headers = {'X-Token-Usage': f'100,{longest}'}
         match self.rng.choice(('exact', 'exact', 'wrong', 'none')):
@@ -165,9 +175,8 @@
         slow: bool,
     ) -> PlannedRequest:
         self.made += 1
-        request_id = (
-            f'{self.name}-{self.made}-{route}{"-slow" if slow else ""}'
-        )
+        marks = '-slow' * slow + '-pause' * (behaviour.pause_after is not None)
+        request_id = f'{self.name}-{self.made}-{route}{marks}'
         expected = expected or b'answer to %b %b' % (request_id.encode(), body)
         headers = {
             **fleet.request_headers(route, request_id, deadline_ms),
--- a/fakes/src/dotterelweir_fakes/soak/stops.py
+++ b/fakes/src/dotterelweir_fakes/soak/stops.py
@@ -82,6 +82,7 @@
                 for node in self.nodes
                 for number in range(_CALLERS_PER_INSTANCE)
             ]
+            callers.append(asyncio.create_task(self.callers.watch_stalls()))
             await asyncio.sleep(_CALM_S)
             for number in range(self.stop_count):
                 await self._work(
