Count losses without planned work by the rule for any time

The rule LOST counts each request around planned work, but more than three of an instance at other times.

--- a/fakes/src/dotterelweir_fakes/soak/losses.py
+++ b/fakes/src/dotterelweir_fakes/soak/losses.py
@@ -15,17 +15,21 @@
 _SLACK_S = 0.2
 _EXCUSED_SENT_S = 3.0
 _LAST_PART = 1.0 / 6.0
+# Time after SIGHUP for which the rule covers requests that are sent, in
+# seconds, and how many requests an instance may lose without planned work.
+RELOAD_S = 2.0
+UNPLANNED_MAX = 3
 
 
 class Verdict(enum.Enum):
     """What an answer that is missing or incomplete counts as.
 
     ``Cut.judge`` returns neither of the first two: a delay of the test itself
-    disturbed the request, or its engine paused without any planned work.
+    disturbed the request, or there was no planned work.
     """
 
     DISTURBED = 'disturbed'
-    SILENT = 'silent'
+    UNPLANNED = 'lost_unplanned'
     OVERDUE = 'overdue'
     CROSSED = 'crossed'
     EXCUSED = 'excused'
--- a/fakes/src/dotterelweir_fakes/soak/stops.py
+++ b/fakes/src/dotterelweir_fakes/soak/stops.py
@@ -95,6 +95,7 @@
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
         self.ledger.check()
+        self.callers.check()
         return {
             'seed': self.seed,
             'instances': self.instance_count,
@@ -171,6 +172,7 @@
                 case 'stop':
                     await self._stop(node)
                 case 'reload':
+                    self.callers.reloaded_s[node.name] = loop.time()
                     node.send_signal(signal.SIGHUP)
                 case 'configure':
                     await self._configure()
