--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -213,12 +213,15 @@
             loop.add_signal_handler(signal_number, self.begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         await self.start()
-        while not self._stop_plan.may_exit(
-            self._timers.monotonic_s(), self._callers.unfinished
-        ):
+        while not self._may_exit():
             await timers.sleep(self._timers, _STOP_POLL_INTERVAL_S)
         await self.close()
 
+    def _may_exit(self) -> bool:
+        return self._stop_plan.stopping and self._stop_plan.may_exit(
+            self._timers.monotonic_s(), self._callers.unfinished
+        )
+
     async def start(self) -> None:
         """Opens the listeners and starts to follow the store."""
         settings = self._settings
@@ -277,7 +280,8 @@
             running=self._callers.running,
         )
         # A request may still be read until its connection is closed.
-        self._callers.end_requests()
+        self._callers.break_off()
+        self._callers.server.close_idle()
         await self._callers.server.shutdown(_SHUTDOWN_TIMEOUT_S)
         await self._session.close()
         await self._store_session.close()
@@ -397,7 +401,7 @@
             self._answers_timer.cancel()
         delay_s = self._stop_plan.answers_due_s - self._timers.monotonic_s()
         self._answers_timer = self._timers.call_after(
-            max(0.0, delay_s), self._callers.end_requests
+            max(0.0, delay_s), self._callers.answer_pending
         )
 
     def _record_tables_version(self, tables: gateway_tables.Tables) -> None:
