--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -8,6 +8,7 @@
 import sys
 import time
 
+import aiohttp
 import attrs
 
 from dotterelweir_fakes.fleet import deployment as fleet
@@ -32,6 +33,7 @@
         module: Python module that the process runs.
         grace_s: Time from SIGTERM to the end of the process, in seconds.
         process: The newest process; None before the first start.
+        grace_s: Time from SIGTERM to the end of the process, in seconds.
         disturbed_s: Monotonic time of the newest disturbance, in seconds.
     """
 
@@ -41,6 +43,7 @@
     module: str = 'dotterelweir_platform'
     grace_s: int = GRACE_S
     process: subprocess.Popen | None = None
+    grace_s: int = GRACE_S
     disturbed_s: float = 0.0
 
     @property
@@ -110,6 +113,23 @@
             if number != signal.SIGHUP:
                 self.disturbed_s = time.monotonic()
 
+    async def wait_ready(self) -> None:
+        """Waits until its readiness check responds with status 200."""
+        url = f'http://{self.host}:{READY_PORT}/-/readyz'
+        async with (
+            asyncio.timeout(READY_TIMEOUT_S),
+            aiohttp.ClientSession() as session,
+        ):
+            while True:
+                try:
+                    async with session.get(url) as answer:
+                        if answer.status == 200:
+                            return
+                except aiohttp.ClientError:
+                    # The process does not listen yet.
+                    pass
+                await asyncio.sleep(0.05)
+
     async def stop(self) -> None:
         """Stops the process; kills it after five seconds."""
         self.send_signal(signal.SIGCONT)
