Keep a silent link that no other attempt can replace

Streams ended as lost while their engine was at work: after a second of silence the link was given up, or the call that stops the run was made, and only then the retry budget and the number of attempts were looked at.

Whether another attempt is allowed is asked first. Without one the link is kept until an event, the end of the link or the deadline. test_a_silent_link_that_nothing_can_replace_is_kept failed before for a run that is moved: its engine was told to stop the run.

--- a/packages/core/src/dotterelweir_core/gateway/retry_budget.py
+++ b/packages/core/src/dotterelweir_core/gateway/retry_budget.py
@@ -101,8 +101,8 @@
         self._window.append((now_s, counts))
         self._sums = _add(self._sums, counts)
 
-    def take(self, now_s: float, urgent: bool = False) -> bool:
-        """Takes one retry from the budget and returns whether one was left.
+    def has_retry(self, now_s: float, urgent: bool = False) -> bool:
+        """Returns whether a retry is left, without taking it.
 
         Args:
             now_s: Monotonic time, in seconds.
@@ -115,7 +115,16 @@
         )
         allowance = self.ratio * self._sums.requests + self.burst * burst_share
         share = _URGENT_SHARE if urgent else _NORMAL_SHARE
-        if self._sums.retries + 1 > share * allowance:
+        return self._sums.retries + 1 <= share * allowance
+
+    def take(self, now_s: float, urgent: bool = False) -> bool:
+        """Takes one retry from the budget and returns whether one was left.
+
+        Args:
+            now_s: Monotonic time, in seconds.
+            urgent: Whether the request is lost without the retry.
+        """
+        if not self.has_retry(now_s, urgent):
             return False
         self._total = _add(self._total, Counts(0, 1))
         self.record(Counts(0, 1), now_s)
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -342,6 +342,8 @@
             Why the generation must continue elsewhere; None to keep waiting.
         """
         parts, exchange, run = self._parts, self._exchange, self._run
+        if not self._may_continue_elsewhere():
+            return None
         if exchange.route.resumable:
             if self._is_alive(run.target):
                 return None
@@ -377,6 +379,24 @@
         self._handover = found
         return exchanges.Interrupted('silence', silent=True)
 
+    def _may_continue_elsewhere(self) -> bool:
+        """Whether another attempt is allowed if this link is given up.
+
+        A silent engine may still be at work, so a link that nothing can
+        replace is kept.
+        """
+        parts, exchange = self._parts, self._exchange
+        resumable = exchange.route.resumable
+        if resumable and (
+            exchange.runs_started + 1 >= exchange.route.attempts_max
+            or parts.choose(exchange, exchange.tried) is None
+        ):
+            return False
+        budget = parts.budgets.for_service(exchange.service.name)
+        return budget.has_retry(
+            parts.timers.monotonic_s(), urgent=not resumable
+        )
+
     def _is_alive(self, target: targets.Target) -> bool:
         """Whether this instance recently received an event of a target."""
         load = self._parts.loads.get(target.target_id)
