Count no pause of the gateway's own process as silence of an engine

A process that is starved or paused for a second finds the timers of all its streams due at once. Each link counted as silent, although events may have waited in its socket; runs were stopped and moved or, without a retry left, lost.

A timer that fires more than 0.1 s late shows such a pause; the silence is then measured anew. test_a_pause_of_the_process_is_no_silence_of_an_engine failed before: the engine was told to stop a run that was at work.

--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -20,6 +20,9 @@
 # Silence within a stream after which its engine is called to stop the run, in
 # seconds: several times the pause of a preempted or slowed run.
 _SILENCE_TIMEOUT_S = 1.0
+# Delay of a timer, in seconds, above which this process was paused or starved.
+# What arrived meanwhile is read after the timer fires.
+_LATE_TIMER_S = 0.1
 # Time without a first event, as a multiple of the objective, after which a
 # resumable request is sent to another engine unless its engine is alive.
 _FIRST_EVENT_TIMEOUT_FACTOR = 1.4
@@ -245,13 +248,15 @@
         silence_timeout_s = self._initial_silence_timeout_s()
         while True:
             left_s = self._time_left_s()
-            done, _ = await asyncio.wait(
-                {sending}, timeout=min(left_s, silence_timeout_s)
-            )
+            wait_s = min(left_s, silence_timeout_s)
+            due_s = self._parts.timers.monotonic_s() + wait_s
+            done, _ = await asyncio.wait({sending}, timeout=wait_s)
             if done:
                 return None
             if left_s <= silence_timeout_s:
                 return exchanges.TimedOut()
+            if self._was_paused(due_s):
+                continue
             interrupted = await self._handle_silence()
             if interrupted is not None:
                 return interrupted
@@ -275,19 +280,20 @@
         # a byte now and then has stalled as much as a silent one.
         last_progress_s = self._parts.timers.monotonic_s()
         while True:
+            now_s = self._parts.timers.monotonic_s()
             left_s = self._time_left_s()
-            silent_s = self._parts.timers.monotonic_s() - last_progress_s
+            wait_s = last_progress_s + silence_timeout_s - now_s
+            due_s = now_s + min(left_s, wait_s)
             try:
-                async with asyncio.timeout(
-                    min(left_s, silence_timeout_s - silent_s)
-                ):
+                async with asyncio.timeout(due_s - now_s):
                     chunk = await answer.content.readany()
             except TimeoutError:
-                if left_s <= silence_timeout_s - silent_s:
+                if left_s <= wait_s:
                     return exchanges.TimedOut()
-                interrupted = await self._handle_silence()
-                if interrupted is not None:
-                    return interrupted
+                if not self._was_paused(due_s):
+                    interrupted = await self._handle_silence()
+                    if interrupted is not None:
+                        return interrupted
                 last_progress_s = self._parts.timers.monotonic_s()
                 continue
             if not chunk:
@@ -379,6 +385,14 @@
         self._handover = found
         return exchanges.Interrupted('silence', silent=True)
 
+    def _was_paused(self, due_s: float) -> bool:
+        """Whether this process was paused while it waited for an engine.
+
+        Args:
+            due_s: Monotonic time at which the wait was to end, in seconds.
+        """
+        return self._parts.timers.monotonic_s() - due_s > _LATE_TIMER_S
+
     def _may_continue_elsewhere(self) -> bool:
         """Whether another attempt is allowed if this link is given up.
 
--- a/packages/daemon/tests/gateway/test_silence.py
+++ b/packages/daemon/tests/gateway/test_silence.py
@@ -1,5 +1,8 @@
 """Tests of links on which nothing arrives for a while."""
 
+import asyncio
+import time
+
 import pytest
 
 from dotterelweird.gateway import links
@@ -27,3 +30,19 @@
         assert await answer.read() == EVENTS
     assert engine.move_orders == []
     assert deployment.engines['engine-2'].received_headers == []
+
+
+@pytest.mark.parametrize('route', ['guide', 'check'])
+async def test_a_pause_of_the_process_is_no_silence_of_an_engine(
+    deployment, engine, route
+):
+    """Guards against streams that a starved process moves or gives up."""
+    engine.behaviour.event_s = 0.04
+    async with deployment.request(route) as answer:
+        await answer.content.readany()
+        loop = asyncio.get_running_loop()
+        for delay_s in (0.01, 0.09):
+            loop.call_later(delay_s, time.sleep, 0.4)
+        await answer.read()
+    assert engine.move_orders == []
+    assert deployment.engines['engine-2'].received_headers == []
