Give a gateway half a second to end before it is killed

A stream that is broken off ends its handler as cancelled, without a traceback, and the exit is half a second before the end of the grace time. This is within its last sixth, in which the platform's rule excuses a cut.

--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -190,7 +190,8 @@
             if exchange is not None and exchange.answer_begun:
                 outcome = _CUT_OFF
                 _abort(http_request)
-                raise generations.GenerationLost from exc
+                # Any other error is logged with a traceback for each stream.
+                raise asyncio.CancelledError from exc
             error = _true_error(exc, exchange)
             outcome = error.kind.value
             response = self._build_refusal(request, error)
--- a/packages/daemon/src/dotterelweird/gateway/stopping.py
+++ b/packages/daemon/src/dotterelweird/gateway/stopping.py
@@ -17,7 +17,7 @@
 _ESTIMATES_USED_S = 2.5
 # Time before the end of the grace time by which the process must exit, in
 # seconds; it is left for closing.
-_RESERVE_S = 0.35
+_RESERVE_S = 0.5
 # Time before the exit by which each request must have its answer, as a share
 # of the grace time. The rest of the grace time is left for writing answers.
 _ANSWER_SHARE = 0.05
