Decode and record the limits that targets name in their answers

The adapter now decodes the header; event 340 and the counter of notices record each change. Nothing is sent or refused differently.

Answers overtake each other, so a statement has an interval: it was made after its request was sent and before its answer arrived. The newer of two statements holds, and the lower rate if neither is newer. The times count suspensions of the machine, since an answer that is read after one is old. Only a proper answer to the request shows by the lack of the header that a limit has ended.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -402,6 +402,13 @@
     'A request waits because every target that could serve it is paused and '
     'the pause of one of them ends in time.',
 )
+TARGET_LIMIT_CHANGED = _event(
+    340,
+    'target-limit-changed',
+    logging.WARNING,
+    'A target named a limit on its request rate, changed it or ended it; the '
+    'rate is empty without a limit.',
+)
 FOLLOWER_FAILED = _event(
     328,
     'follower-failed',
--- a/packages/core/src/dotterelweir_core/timers.py
+++ b/packages/core/src/dotterelweir_core/timers.py
@@ -30,6 +30,14 @@
     def wall_s(self) -> float:
         """Returns the wall-clock time, in seconds since the Unix epoch."""
 
+    def elapsed_s(self) -> float:
+        """Returns the time of a clock that never stands still, in seconds.
+
+        Unlike the monotonic clock, it counts the time for which the machine
+        is suspended.
+        """
+        return self.monotonic_s()
+
     @abc.abstractmethod
     def call_after(self, delay_s: float, callback: Callback) -> TimerHandle:
         """Schedules one call of a function.
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -246,16 +246,22 @@
         leaving: Whether the target is leaving and accepts no new work.
         pause_s: Time for which this instance must not send the target any
             request, in seconds; 0 for none.
+        limit_per_s: Requests per second that the target accepts from all
+            instances together; infinite if the answer shows that it has no
+            limit, None if the answer says nothing about a limit.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
+    limit_per_s: float | None = None
 
 
 NO_NOTICE = TargetNotice()
 
-# Handles a notice of a target.
-NoticeListener = Callable[[targets.Target, TargetNotice], None]
+# Handles a notice of a target. The last argument is the time of the send of
+# the request that was answered, in seconds, by a clock that counts
+# suspensions; None if it is unknown.
+NoticeListener = Callable[[targets.Target, TargetNotice, float | None], None]
 
 
 @attrs.frozen
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -130,6 +130,7 @@
     exchange.tried.add(target.target_id)
     exchange.sending = send_state
     send_state.request_id = request.request_id
+    send_state.started_s = parts.timers.elapsed_s()
     return await parts.session.request(
         request.method,
         _build_url(target, request.raw_path),
@@ -166,6 +167,7 @@
     exchange: exchanges.Exchange,
     target: targets.Target,
     answer: aiohttp.ClientResponse,
+    send_state: target_client.SendState,
 ) -> api.AnswerFacts:
     """Decodes the head of an answer and applies the target's notice in it.
 
@@ -174,6 +176,7 @@
         exchange: The request.
         target: The target that answered.
         answer: The answer.
+        send_state: State of the attempt.
     """
     facts = parts.dialect.decode_answer(
         exchange.request.request_id, answer.status, answer.raw_headers
@@ -181,7 +184,7 @@
     if facts.echoed_id != exchange.request.request_id:
         _record_unmatched(parts, exchange, target, answer.status, facts)
     if facts.notice != api.NO_NOTICE:
-        parts.notice_listener(target, facts.notice)
+        parts.notice_listener(target, facts.notice, send_state.started_s)
     return facts
 
 
@@ -233,7 +236,7 @@
             answer = await send(parts, exchange, options, send_state)
             # The notice must not wait for the body, which may be slow or
             # incomplete.
-            facts = decode_answer(parts, exchange, target, answer)
+            facts = decode_answer(parts, exchange, target, answer, send_state)
             body = await parts.memory.read(answer)
     except (aiohttp.ClientError, TimeoutError) as exc:
         return outcome_of_error(exc, send_state)
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -18,6 +18,7 @@
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
+from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import reading
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import tables as gateway_tables
@@ -113,6 +114,7 @@
         self._directory = targets.TargetDirectory()
         self._loads = load.LoadRegistry()
         pause_registry = pauses.PauseRegistry()
+        limit_registry = rate_limits.LimitRegistry()
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
         self._parts = dependencies.Forwarding(
@@ -165,6 +167,7 @@
         self._notices = notices.NoticeHandler(
             self._targets,
             pause_registry,
+            limit_registry,
             self._peers,
             self._timers,
             self._statistics,
@@ -322,9 +325,12 @@
         }
 
     def _handle_notice(
-        self, target: targets.Target, notice: api.TargetNotice
+        self,
+        target: targets.Target,
+        notice: api.TargetNotice,
+        sent_s: float | None = None,
     ) -> None:
-        self._notices.handle(target, notice)
+        self._notices.handle(target, notice, sent_s)
 
     def _apply_peer_batch(self, batch: api.Batch) -> None:
         self._followers[api.StoreStream.TARGETS].apply_record_notice(batch)
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -209,7 +209,9 @@
             if interrupted is not None:
                 return interrupted
             answer = sending.result()
-            facts = attempts.decode_answer(parts, exchange, run.target, answer)
+            facts = attempts.decode_answer(
+                parts, exchange, run.target, answer, send_state
+            )
             if answer.status != 200 or not facts.is_authentic:
                 async with asyncio.timeout(self._time_left_s()):
                     body = await parts.memory.read(answer)
--- a/packages/daemon/src/dotterelweird/gateway/notices.py
+++ b/packages/daemon/src/dotterelweird/gateway/notices.py
@@ -1,12 +1,14 @@
 """Handles the notices that targets attach to their answers."""
 
 import logging
+import math
 
 import attrs
 
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import pauses
+from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import keepers
@@ -18,11 +20,12 @@
 
 @attrs.frozen
 class NoticeHandler:
-    """Handles departures and pauses that targets announce.
+    """Handles departures, pauses and limits that targets announce.
 
     Attributes:
         keeper: Holds the registered targets.
         pause_registry: Ends of the pauses that targets have requested.
+        limits: Limits on the request rates of targets.
         peer_exchange: Sends departures to the other instances.
         timers: The timer service.
         statistics: Metrics of the process.
@@ -30,16 +33,24 @@
 
     keeper: keepers.TargetsKeeper
     pause_registry: pauses.PauseRegistry
+    limits: rate_limits.LimitRegistry
     peer_exchange: peers.PeerExchange
     timers: timers.TimerService
     statistics: statistics.Statistics
 
-    def handle(self, target: targets.Target, notice: api.TargetNotice) -> None:
+    def handle(
+        self,
+        target: targets.Target,
+        notice: api.TargetNotice,
+        sent_s: float | None,
+    ) -> None:
         """Handles a notice of a target.
 
         Args:
             target: The target.
             notice: The notice.
+            sent_s: Time at which the answered request was sent, in seconds,
+                by a clock that counts suspensions; None if it is unknown.
         """
         if notice.leaving:
             self._handle_departure(target)
@@ -54,6 +65,29 @@
                 pause_s=notice.pause_s,
             )
 
+        if notice.limit_per_s is not None:
+            self._handle_limit(target, notice.limit_per_s, sent_s)
+
+    def _handle_limit(
+        self, target: targets.Target, rate_per_s: float, sent_s: float | None
+    ) -> None:
+        now_s = self.timers.elapsed_s()
+        statement = rate_limits.LimitStatement(
+            target.target_id,
+            target.started_ms,
+            rate_per_s,
+            math.inf if sent_s is None else now_s - sent_s,
+        )
+        if not self.limits.apply(statement, now_s):
+            return
+        self.statistics.notices.inc({'kind': 'limit'})
+        events.log(
+            LOG,
+            events.TARGET_LIMIT_CHANGED,
+            target_id=target.target_id,
+            rate_per_s=rate_per_s if math.isfinite(rate_per_s) else None,
+        )
+
     def _handle_departure(self, target: targets.Target) -> None:
         departure = targets.Departure(
             target.target_id, target.started_ms, announced=True
--- a/packages/daemon/src/dotterelweird/gateway/target_client.py
+++ b/packages/daemon/src/dotterelweird/gateway/target_client.py
@@ -34,10 +34,13 @@
         sent: Whether the head was handed to the network. If not, no target
             can have run the request.
         request_id: Id of the request, for logs.
+        started_s: Time at which the attempt began, in seconds, by a clock
+            that counts suspensions; None before that.
     """
 
     sent: bool = False
     request_id: str = ''
+    started_s: float | None = None
 
 
 async def _record_head_sent(
--- a/packages/daemon/src/dotterelweird/timers.py
+++ b/packages/daemon/src/dotterelweird/timers.py
@@ -30,6 +30,9 @@
     def wall_s(self) -> float:
         return time.time()
 
+    def elapsed_s(self) -> float:
+        return time.clock_gettime(time.CLOCK_BOOTTIME)
+
     def call_after(
         self, delay_s: float, callback: timers.Callback
     ) -> timers.TimerHandle:
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -1,5 +1,7 @@
 """Encoding and decoding of the headers of requests and answers."""
 
+import math
+
 import pytest
 
 from dotterelweir_core.gateway import targets
@@ -139,3 +141,53 @@
     headers = [(b'X-Upstream-Seal', b's'), (b'Connection', b'X-Upstream-Seal')]
     assert not DIALECT.decode_answer('r1', 200, headers).sealed
     assert DIALECT.decode_answer('r1', 200, headers[:1]).sealed
+
+
+def decode_limit(status, *headers):
+    """Returns the limit in the notice of an answer to request ``r1``."""
+    echo = (b'X-Attempt-Id', b'r1')
+    return DIALECT.decode_answer('r1', status, [echo, *headers]).notice
+
+
+SEALED = (b'X-Upstream-Seal', b's')
+
+
+@pytest.mark.parametrize(
+    ('text', 'limit_per_s'),
+    [
+        (b'1.4', 1.4),
+        (b' 0.1 ', 0.1),
+        (b'0', 0.0),
+        (b'-3', 0.0),
+        (b'1e400', math.inf),
+        (b'nan', None),
+        (b'', None),
+        (b'few', None),
+        (b'9' * 5000, math.inf),
+    ],
+)
+def test_a_limit_is_decoded(text, limit_per_s):
+    """Guards against a limit that is not read, or that fails an attempt."""
+    notice = decode_limit(200, SEALED, (b'Server-Limit', text))
+    assert notice.limit_per_s == limit_per_s
+
+
+def test_a_limit_stands_in_any_answer():
+    """Guards against limits that only successful answers carry."""
+    refusal = [
+        (b'X-Not-Executed', b'1'),
+        (b'Retry-After', b'2'),
+        (b'Server-Leaving', b'1'),
+        (b'Server-Limit', b'0.5'),
+    ]
+    assert decode_limit(503, *refusal) == api.TargetNotice(True, 2.0, 0.5)
+    assert decode_limit(500, (b'Server-Limit', b'2')).limit_per_s == 2.0
+
+
+def test_only_a_proper_answer_shows_that_there_is_no_limit():
+    """Guards against a spoilt answer that ends a limit."""
+    assert decode_limit(200, SEALED).limit_per_s == math.inf
+    assert decode_limit(200) == api.NO_NOTICE
+    assert decode_limit(421, (b'Server-Limit', b'2')) == api.NO_NOTICE
+    other = [(b'X-Attempt-Id', b'r2'), SEALED, (b'Server-Limit', b'2')]
+    assert DIALECT.decode_answer('r1', 200, other).notice == api.NO_NOTICE
