--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -62,6 +62,8 @@
             and end with their connection. A run that is stopped then ends
             after a whole event with a regular close.
         leaving: Whether its responses announce that it is leaving.
+        limit: Value of the header ``Server-Limit`` of its responses; empty
+            for none.
         retry_after: ``Retry-After`` of its refusals; empty for none.
         refusal_id: Id that its refusal of a request that it runs names, as
             if it repeated an earlier refusal; empty for a refusal that names
@@ -103,6 +105,7 @@
     trickle_s: float = 0.05
     close_delimited: bool = False
     leaving: bool = False
+    limit: str = ''
     retry_after: str = ''
     refusal_id: str | None = None
     refusal_status: int = 503
@@ -122,6 +125,8 @@
         received_headers: Headers of every request, in order; their names
             are in lower case.
         paths: Path and query of every request, in order.
+        arrivals_s: Monotonic time of every request, calls that control runs
+            included, in order, in seconds.
         resumed_after: For each resumed run, the id of the last event before
             it was resumed, in order.
         cancelled: Ids of the requests whose connection closed while they
@@ -139,6 +144,7 @@
         self.ran: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.paths: list[str] = []
+        self.arrivals_s: list[float] = []
         self.resumed_after: list[int] = []
         self.cancelled: list[str] = []
         self.move_orders: list[dict] = []
@@ -191,6 +197,7 @@
         return self.behaviour
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.arrivals_s.append(asyncio.get_running_loop().time())
         if request.path == '/-/kv-move':
             return self._add_notices(await self._move(request))
         if request.path.startswith(_HANDLE_PATH):
@@ -320,6 +327,8 @@
         """Adds target notices to a response that is not from a run."""
         if self.behaviour.leaving:
             response.headers['Server-Leaving'] = '1'
+        if self.behaviour.limit:
+            response.headers['Server-Limit'] = self.behaviour.limit
         if self.behaviour.retry_after and response.status == 503:
             response.headers['Retry-After'] = self.behaviour.retry_after
         return response
@@ -328,6 +337,8 @@
         headers = {}
         if self.behaviour.leaving:
             headers['Server-Leaving'] = '1'
+        if self.behaviour.limit:
+            headers['Server-Limit'] = self.behaviour.limit
         if self.behaviour.sealed:
             headers['X-Upstream-Seal'] = f'seal-{self.target_id}'
         if self.behaviour.echo_id:
