--- a/packages/core/src/dotterelweir_core/errors.py
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -35,6 +35,7 @@
     REQUEST_TIMEOUT = 'request-timeout'
     TARGET_UNREACHABLE = 'target-unreachable'
     TARGET_REFUSED = 'target-refused'
+    TARGET_LIMITED = 'target-limited'
     TARGET_FAILED = 'target-failed'
     GENERATION_LOST = 'generation-lost'
     RESUME_INVALID = 'resume-invalid'
@@ -116,6 +117,9 @@
     ErrorKind.TARGET_REFUSED: ErrorResponse(
         503, 'The targets refused the request', True
     ),
+    ErrorKind.TARGET_LIMITED: ErrorResponse(
+        503, 'The targets accept no further request in time', True
+    ),
     ErrorKind.TARGET_FAILED: ErrorResponse(502, 'The target failed', True),
     ErrorKind.GENERATION_LOST: ErrorResponse(
         502, 'The generation ended before its answer was complete', True
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -409,6 +409,13 @@
     'A target named a limit on its request rate, changed it or ended it; the '
     'rate is empty without a limit.',
 )
+TURN_DECIDED = _event(
+    341,
+    'turn-decided',
+    logging.INFO,
+    'The coordinator of a limited target gave a request its turn or refused '
+    'it, or did not answer.',
+)
 FOLLOWER_FAILED = _event(
     328,
     'follower-failed',
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -14,6 +14,7 @@
 
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import pauses
+from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import targets
 
@@ -48,6 +49,9 @@
 _TAKEOVER_ZONE_COST = 2.0
 # Cost of a target during its warm-up, in running requests.
 _WARM_UP_COST = 4.0
+# Cost of a target that limits its request rate, in running requests. It gets
+# requests while the others are busier than that.
+_LIMITED_COST = 2.0
 
 
 @attrs.frozen
@@ -67,19 +71,6 @@
     avoided: bool
 
 
-def _ready(
-    candidates: list[targets.Target],
-    excluded: frozenset[str] | set[str] = frozenset(),
-) -> list[targets.Target]:
-    """Returns the candidates that are ready and not excluded."""
-    return [
-        target
-        for target in candidates
-        if target.state is targets.TargetState.READY
-        and target.target_id not in excluded
-    ]
-
-
 @attrs.frozen
 class Placer:
     """Chooses the target of a request, a backup or a takeover.
@@ -89,6 +80,7 @@
         loads: Load of every target.
         rng: Random source for ties and weighted choices.
         pause_registry: Pauses that targets requested from this instance.
+        limits: Limits on the request rates of targets.
     """
 
     zone: str
@@ -97,6 +89,9 @@
     pause_registry: pauses.PauseRegistry = attrs.field(
         factory=pauses.PauseRegistry
     )
+    limits: rate_limits.LimitRegistry = attrs.field(
+        factory=rate_limits.LimitRegistry
+    )
 
     def choose(
         self,
@@ -139,6 +134,24 @@
         )
         return Choice(target, cost, len(usable), cost >= _AVOID_COST)
 
+    def ready(
+        self,
+        candidates: list[targets.Target],
+        excluded: frozenset[str] | set[str] = frozenset(),
+    ) -> list[targets.Target]:
+        """Returns the candidates that are ready and not excluded.
+
+        Args:
+            candidates: Targets of the service.
+            excluded: Ids of targets that must not be used.
+        """
+        return [
+            target
+            for target in candidates
+            if target.state is targets.TargetState.READY
+            and target.target_id not in excluded
+        ]
+
     def paused_until_s(
         self,
         candidates: list[targets.Target],
@@ -157,7 +170,7 @@
         return min(
             (
                 self.pause_registry.pause_end_s(target)
-                for target in _ready(candidates, excluded)
+                for target in self.ready(candidates, excluded)
             ),
             default=None,
         )
@@ -180,7 +193,7 @@
         """
         return [
             target
-            for target in _ready(candidates, excluded)
+            for target in self.ready(candidates, excluded)
             if not self.pause_registry.is_paused(target, now_s)
         ]
 
@@ -298,7 +311,7 @@
         """
         if service.engine is None or not service.engine.memory_tokens:
             return 0.0
-        ready = _ready(candidates)
+        ready = self.ready(candidates)
         if not ready:
             return 1.0
         held = sum(self._held_tokens(target) for target in ready)
@@ -321,6 +334,8 @@
             cost += _ZONE_COST
         if now_s < load.warm_until_s:
             cost += _WARM_UP_COST
+        if self.limits.is_limited(target):
+            cost += _LIMITED_COST
         if load.is_avoided(now_s):
             cost += _AVOID_COST
         cost += _FAILING_COST * load.outcomes.failed_share(now_s)
--- a/packages/core/src/dotterelweir_core/gateway/rate_limits.py
+++ b/packages/core/src/dotterelweir_core/gateway/rate_limits.py
@@ -19,6 +19,9 @@
 
 # Rate of a target without a limit, in requests per second.
 UNLIMITED = math.inf
+# Limit from which on a target counts as unlimited, in requests per second.
+# All instances together send a single target less.
+_RATE_MAX_PER_S = 10_000.0
 
 
 @attrs.frozen
@@ -102,6 +105,8 @@
         key = (statement.target_id, statement.started_ms)
         known = self._limits.get(key)
         rate_per_s = statement.rate_per_s
+        if rate_per_s >= _RATE_MAX_PER_S:
+            rate_per_s = UNLIMITED
         new = _KnownLimit(
             rate_per_s,
             now_s - statement.sent_age_s,
@@ -142,15 +147,16 @@
         return tuple(in_force[-count:])
 
     def statement(
-        self, target: targets.Target, now_s: float
+        self, target_id: str, started_ms: int, now_s: float
     ) -> LimitStatement | None:
         """Returns the newest statement of a target; None without one.
 
         Args:
-            target: The target.
+            target_id: Id of the target.
+            started_ms: Wall time of the target's start, in milliseconds.
             now_s: Time of the clock that counts suspensions, in seconds.
         """
-        key = (target.target_id, target.started_ms)
+        key = (target_id, started_ms)
         known = self._limits.get(key)
         return None if known is None else self._statement(key, known, now_s)
 
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -18,7 +18,6 @@
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
-from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import reading
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import tables as gateway_tables
@@ -34,6 +33,7 @@
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import following
 from dotterelweird.gateway import keepers
+from dotterelweird.gateway import limiting
 from dotterelweird.gateway import notices
 from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import peers
@@ -114,7 +114,14 @@
         self._directory = targets.TargetDirectory()
         self._loads = load.LoadRegistry()
         pause_registry = pauses.PauseRegistry()
-        limit_registry = rate_limits.LimitRegistry()
+        limiter = limiting.TargetLimiter(
+            settings.instance_id,
+            self._timers,
+            self._statistics,
+            self._send_to_peer,
+            self._broadcast,
+            self._view_peers,
+        )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
         self._parts = dependencies.Forwarding(
@@ -126,7 +133,11 @@
             self._directory,
             self._loads,
             placement.Placer(
-                settings.zone, self._loads, self._rng, pause_registry
+                settings.zone,
+                self._loads,
+                self._rng,
+                pause_registry,
+                limiter.limits,
             ),
             admission.Admission(self._loads),
             self._statistics,
@@ -140,6 +151,7 @@
             self._handle_notice,
             self._stop_plan,
             prompt_guard.PromptGuard(self._timers, self._statistics),
+            limiter,
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store)
@@ -163,11 +175,12 @@
             self._collect_reports,
             self._handle_peer_reports,
             self._parts.prompt_guard,
+            limiter,
         )
         self._notices = notices.NoticeHandler(
             self._targets,
             pause_registry,
-            limit_registry,
+            limiter,
             self._peers,
             self._timers,
             self._statistics,
@@ -332,6 +345,15 @@
     ) -> None:
         self._notices.handle(target, notice, sent_s)
 
+    def _send_to_peer(self, host: str, message: digests.Message) -> None:
+        self._peers.send_to(host, message)
+
+    def _broadcast(self, message: digests.Message) -> None:
+        self._peers.send_to_all(message)
+
+    def _view_peers(self) -> limiting.PeerView:
+        return self._peers.view()
+
     def _apply_peer_batch(self, batch: api.Batch) -> None:
         self._followers[api.StoreStream.TARGETS].apply_record_notice(batch)
 
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -19,6 +19,7 @@
 from dotterelweird.gateway import answer_bodies
 from dotterelweird.gateway import api
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import limiting
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import releasing
 from dotterelweird.gateway import settings as gateway_settings
@@ -48,6 +49,7 @@
         notice_listener: Called with each notice of a target.
         stop_plan: State and time limits of a stop of the process.
         prompt_guard: Keeps prompts that crash engines away from them.
+        limiter: Keeps requests within the limits of targets.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         releaser: Frees copies of runs that will not be used.
@@ -69,6 +71,7 @@
     notice_listener: api.NoticeListener
     stop_plan: stopping.StopPlan
     prompt_guard: prompt_guards.PromptGuard
+    limiter: limiting.TargetLimiter
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
@@ -80,7 +83,10 @@
 
     def __attrs_post_init__(self) -> None:
         self.releaser = releasing.CopyReleaser(
-            self.run_control, self.timers, self.placer.pause_registry
+            self.run_control,
+            self.timers,
+            self.placer.pause_registry,
+            self.limiter,
         )
 
     def choose(
@@ -180,6 +186,21 @@
             target, self.timers.monotonic_s()
         )
 
+    def accepts_work(self, target: targets.Target) -> bool:
+        """Whether a target is ready and not paused."""
+        return self.directory.takes_work(
+            target.target_id
+        ) and not self.is_paused(target)
+
+    def is_limited(self, exchange: exchanges.Exchange) -> bool:
+        """Whether a ready target of a service limits its request rate."""
+        return any(
+            self.limiter.limits.is_limited(target)
+            for target in self.placer.ready(
+                self.directory.of_service(exchange.service.name)
+            )
+        )
+
     def _placement_arguments(
         self, exchange: exchanges.Exchange
     ) -> tuple[list[targets.Target], tables.Service, int, float]:
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -7,6 +7,7 @@
 
 import base64
 import ipaddress
+import math
 import struct
 from typing import Any
 
@@ -16,8 +17,10 @@
 from dotterelweir_core.gateway import broadcast
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import quarantine
+from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import targets
+from dotterelweir_core.gateway import turns
 from dotterelweird.gateway import api
 from dotterelweird.gateway import stream_api
 
@@ -92,7 +95,14 @@
 
 
 Message = (
-    Digest | RecordNotice | Departures | PromptCrashes | quarantine.SoundParts
+    Digest
+    | RecordNotice
+    | Departures
+    | PromptCrashes
+    | quarantine.SoundParts
+    | rate_limits.LimitStatement
+    | turns.TurnRequest
+    | turns.TurnAnswer
 )
 
 
@@ -152,6 +162,16 @@
             )
         case quarantine.SoundParts():
             return orjson.dumps({'o': sorted(message.parts)})
+        case rate_limits.LimitStatement():
+            return orjson.dumps({'m': _encode_statement(message)})
+        case turns.TurnRequest():
+            row = [message.number, message.wait_max_s, int(message.urgent)]
+            row += _encode_statement(message.statement)
+            return orjson.dumps({'t': row})
+        case turns.TurnAnswer():
+            row = [message.number, int(message.granted), message.wait_s]
+            row += _encode_statement(message.statement)
+            return orjson.dumps({'a': row})
         case Digest():
             body: dict[str, Any] = {
                 'i': message.instance_id,
@@ -223,6 +243,24 @@
             )
         if 'o' in body:
             return quarantine.SoundParts(frozenset(map(str, body['o'])))
+        if 'm' in body:
+            return _decode_statement(body['m'])
+        if 't' in body:
+            number, wait_max_s, urgent, *statement = body['t']
+            return turns.TurnRequest(
+                _decode_integer(number),
+                _decode_statement(statement),
+                _decode_duration_s(wait_max_s),
+                bool(urgent),
+            )
+        if 'a' in body:
+            number, granted, wait_s, *statement = body['a']
+            return turns.TurnAnswer(
+                _decode_integer(number),
+                bool(granted),
+                _decode_duration_s(wait_s),
+                _decode_statement(statement),
+            )
         return Digest(
             instance_id=str(body['i']),
             host=_decode_host(body['h']),
@@ -336,6 +374,45 @@
     return api.Record(str(key), decoded, _decode_integer(offset))
 
 
+def _encode_statement(statement: rate_limits.LimitStatement) -> list[Any]:
+    # JSON has no infinite numbers; the library encodes them as null.
+    return [
+        statement.target_id,
+        statement.started_ms,
+        statement.rate_per_s,
+        statement.sent_age_s,
+        statement.received_age_s,
+    ]
+
+
+def _decode_statement(row: list[Any]) -> rate_limits.LimitStatement:
+    target_id, started_ms, rate_per_s, sent_age_s, received_age_s = row
+    return rate_limits.LimitStatement(
+        str(target_id),
+        _decode_integer(started_ms),
+        _decode_unbounded(rate_per_s),
+        _decode_unbounded(sent_age_s),
+        _decode_duration_s(received_age_s),
+    )
+
+
+def _decode_unbounded(value: object) -> float:
+    """Returns a number of at least 0, infinite if it is missing."""
+    return math.inf if value is None else _decode_duration_s(value)
+
+
+def _decode_duration_s(value: object) -> float:
+    """Returns a number of at least 0.
+
+    Raises:
+        ValueError: The value is not a number, is negative or out of range.
+    """
+    number = _decode_number(value)
+    if number < 0:
+        raise ValueError('a negative number')
+    return number
+
+
 def _decode_host(value: object) -> str:
     """Returns a value that must be an IP address.
 
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -269,6 +269,10 @@
     async def _move(
         self, destination: targets.Target, final: bool
     ) -> api.MoveOutcome:
+        if not await self._parts.limiter.acquire(
+            self._source, self._exchange.request.request_id, urgent=True
+        ):
+            return api.MoveOutcome(api.MoveResult.BUSY)
         self._calls += 1
         self._call_in_progress = True
         try:
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -280,8 +280,8 @@
         """Finds a copy from which an interrupted run can continue.
 
         Returns:
-            The run, or None if there is no copy or its engine is paused for
-            too long.
+            The run, or None if there is no copy or its engine does not
+            accept it in time.
         """
         if self._moved_before_start and not self._stream.started:
             # A request without any event at two engines may crash a third.
@@ -290,7 +290,9 @@
         if found is None:
             return None
         self._moved_before_start = not self._stream.started
-        if not await pausing.wait_for_target(self._parts, found.target):
+        if not await pausing.wait_for_target(
+            self._parts, self._exchange, found.target
+        ):
             return None
         self._parts.statistics.recoveries.inc({'way': found.way.name.lower()})
         events.log(
--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -66,10 +66,10 @@
             the memory is copied to now.
 
     Returns:
-        Where the run can continue; None if the engine is paused for too
-        long, answered without stopping the run or kept breaking off the call.
+        Where the run can continue; None if the engine accepts no call in
+        time, answered without stopping the run or kept breaking off the call.
     """
-    if not await pausing.wait_for_target(parts, source):
+    if not await pausing.wait_for_target(parts, exchange, source):
         return None
     request_id = exchange.request.request_id
     backup_copy = api.RunCopy(backup.address, request_id)
@@ -108,5 +108,7 @@
         if left_s <= _RETRY_DELAY_S:
             return None
         await timers.sleep(parts.timers, _RETRY_DELAY_S)
+        if not await pausing.wait_for_target(parts, exchange, source):
+            return None
         if parts.is_paused(source):
             return None
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -0,0 +1,387 @@
+"""Keeps the requests of all instances within the limits of targets.
+
+Every request to a limited target, control calls included, needs a turn from
+the target's coordinator, see ``dotterelweir_core.gateway.turns``.
+"""
+
+import asyncio
+from collections.abc import Callable
+import itertools
+import logging
+
+import attrs
+
+from dotterelweir_core import bounded_map
+from dotterelweir_core import events
+from dotterelweir_core import timers
+from dotterelweir_core.gateway import rate_limits
+from dotterelweir_core.gateway import targets
+from dotterelweir_core.gateway import turns
+from dotterelweird import timers as loop_timers
+from dotterelweird.gateway import statistics
+
+LOG = logging.getLogger(__name__)
+
+# Time for which an answer of a coordinator is awaited before it is asked once
+# more, in seconds. A datagram may be lost, and a busy instance answers late.
+_ANSWER_TIMEOUT_S = 0.06
+_ASKS_MAX = 2
+# Time for which a coordinator that did not answer is not asked, in seconds.
+_SILENT_S = 1.0
+# Delays after which a changed limit is sent again, in seconds; a datagram may
+# be lost. They last until a peer that was cut off counts as silent, and so as
+# new when it returns.
+_NEWS_DELAYS_S = (0.1, 0.5, 1.0, 2.0)
+# Shortest time between two changes of one limit that are sent, in seconds. A
+# target may name another limit in each answer.
+_NEWS_INTERVAL_S = 0.2
+# Maximum number of limited targets that are kept; the oldest are evicted
+# first. A large deployment has fewer targets.
+_TARGETS_MAX = 4_096
+
+LimiterMessage = (
+    rate_limits.LimitStatement | turns.TurnRequest | turns.TurnAnswer
+)
+
+
+@attrs.frozen
+class Peer:
+    """Another instance that may coordinate a target.
+
+    Attributes:
+        instance_id: Id of the instance.
+        host: Its IP address.
+    """
+
+    instance_id: str
+    host: str
+
+
+@attrs.frozen
+class PeerView:
+    """The other instances as this one sees them.
+
+    Attributes:
+        peers: The reachable ones.
+        reachable_share: Reachable instances, this one included, as a share
+            of these and of those that have become silent lately. A part of
+            the deployment that is cut off uses its share of the limits.
+    """
+
+    peers: tuple[Peer, ...] = ()
+    reachable_share: float = 1.0
+
+
+@attrs.define(eq=False)
+class _PendingRequest:
+    """A request for a turn that a coordinator has not answered yet."""
+
+    host: str
+    answer: asyncio.Future
+
+
+@attrs.define
+class _LimitedTarget:
+    """State of one limited target.
+
+    Attributes:
+        next_turn_s: Monotonic time before which the coordinator has no free
+            turn, in seconds.
+        schedule: Turns that this instance gives as a coordinator; None if it
+            was not asked yet.
+        news_sent_s: Monotonic time at which news of the limit was sent last,
+            in seconds.
+        news_timers: Sends of the newest change that are still due.
+    """
+
+    next_turn_s: float = float('-inf')
+    schedule: turns.TurnSchedule | None = None
+    news_sent_s: float = float('-inf')
+    news_timers: list[timers.TimerHandle] = attrs.field(factory=list)
+
+
+class TargetLimiter:
+    """Obtains and gives turns at targets that limit their request rate.
+
+    Args:
+        instance_id: Id of this instance.
+        timer_service: The timer service.
+        stats: Metrics of the process.
+        send: Sends a message to the instance at an IP address.
+        broadcast: Sends a message to all instances.
+        view: Returns the other instances.
+
+    Attributes:
+        limits: Limits of all targets.
+    """
+
+    def __init__(
+        self,
+        instance_id: str,
+        timer_service: timers.TimerService,
+        stats: statistics.Statistics,
+        send: Callable[[str, LimiterMessage], None],
+        broadcast: Callable[[LimiterMessage], None],
+        view: Callable[[], PeerView],
+    ) -> None:
+        self._instance_id = instance_id
+        self._timers = timer_service
+        self._statistics = stats
+        self._send = send
+        self._broadcast = broadcast
+        self._view = view
+        self.limits = rate_limits.LimitRegistry()
+        self._targets: bounded_map.BoundedMap[
+            tuple[str, int], _LimitedTarget
+        ] = bounded_map.BoundedMap(_TARGETS_MAX)
+        self._pending: dict[int, _PendingRequest] = {}
+        self._numbers = itertools.count(1)
+        # Monotonic time until which a coordinator is not asked, by its id.
+        self._silent_until_s: dict[str, float] = {}
+        # Coordinators by target, for the peers that they were ranked among.
+        self._ranked_peers: tuple[Peer, ...] = ()
+        self._ranked: dict[str, tuple[str, ...]] = {}
+
+    # What targets and other instances state.
+
+    def report(self, statement: rate_limits.LimitStatement) -> None:
+        """Applies a statement in an answer to this instance.
+
+        Args:
+            statement: The statement.
+        """
+        if self._apply(statement, 'own'):
+            self._schedule_news(statement.target_id, statement.started_ms)
+
+    def _apply(
+        self, statement: rate_limits.LimitStatement, origin: str
+    ) -> bool:
+        if not self.limits.apply(statement, self._timers.elapsed_s()):
+            return False
+        rate_per_s = statement.rate_per_s
+        self._statistics.notices.inc({'kind': 'limit'})
+        events.log(
+            LOG,
+            events.TARGET_LIMIT_CHANGED,
+            target_id=statement.target_id,
+            rate_per_s=rate_per_s
+            if rate_per_s < rate_limits.UNLIMITED
+            else None,
+            origin=origin,
+        )
+        return True
+
+    def _schedule_news(self, target_id: str, started_ms: int) -> None:
+        """Sends a changed limit to all instances, several times."""
+        key = (target_id, started_ms)
+        entry = self._target(key)
+        for timer in entry.news_timers:
+            timer.cancel()
+        now_s = self._timers.monotonic_s()
+        first_s = max(0.0, entry.news_sent_s + _NEWS_INTERVAL_S - now_s)
+        if not first_s:
+            self._send_news(key)
+        delays_s = [first_s] if first_s else []
+        delays_s += [first_s + delay_s for delay_s in _NEWS_DELAYS_S]
+        entry.news_timers = [
+            self._timers.call_after(delay_s, lambda: self._send_news(key))
+            for delay_s in delays_s
+        ]
+
+    def _send_news(self, key: tuple[str, int]) -> None:
+        statement = self.limits.statement(*key, self._timers.elapsed_s())
+        if statement is not None:
+            self._target(key).news_sent_s = self._timers.monotonic_s()
+            self._broadcast(statement)
+
+    def handle_message(self, message: LimiterMessage, host: str) -> None:
+        """Handles a message of another instance.
+
+        Args:
+            message: The message.
+            host: IP address of the instance.
+        """
+        match message:
+            case rate_limits.LimitStatement():
+                self._apply(message, host)
+            case turns.TurnRequest():
+                self._apply(message.statement, host)
+                self._send(host, self._answer(message))
+            case turns.TurnAnswer():
+                pending = self._pending.get(message.number)
+                if pending is None or pending.host != host:
+                    return
+                if not pending.answer.done():
+                    pending.answer.set_result(message)
+
+    # Turns that this instance needs.
+
+    def next_turn_s(self, target: targets.Target) -> float:
+        """Returns the monotonic time of the next free turn, as known here.
+
+        Args:
+            target: The target.
+
+        Returns:
+            Time in seconds; minus infinity if the target has no limit or
+            may have a free turn now.
+        """
+        if not self.limits.is_limited(target):
+            return float('-inf')
+        return self._target(_key(target)).next_turn_s
+
+    async def acquire(
+        self,
+        target: targets.Target,
+        request_id: str,
+        wait_max_s: float = 0.0,
+        urgent: bool = False,
+    ) -> bool:
+        """Obtains a turn for one request, and waits for it.
+
+        Args:
+            target: The target.
+            request_id: Id of the caller's request, for logs.
+            wait_max_s: Longest wait for the turn, in seconds.
+            urgent: Whether work that has begun is lost without the turn.
+
+        Returns:
+            Whether the request may be sent now.
+        """
+        if not self.limits.is_limited(target):
+            return True
+        known = self._target(_key(target))
+        now_s = self._timers.monotonic_s()
+        if known.next_turn_s - now_s > wait_max_s and not urgent:
+            return False
+        answer = await self._ask_coordinators(target, wait_max_s, urgent)
+        granted = answer is not None and answer.granted
+        if not self.limits.is_limited(target):
+            # The coordinator has newer news of the target.
+            return True
+        decision = 'unanswered'
+        if answer is not None:
+            decision = 'granted' if granted else 'refused'
+        self._statistics.limit_turns.inc({'decision': decision})
+        events.log(
+            LOG,
+            events.TURN_DECIDED,
+            request_id=request_id,
+            target_id=target.target_id,
+            rate_per_s=self.limits.rate_per_s(target),
+            decision=decision,
+            wait_s=None if answer is None else round(answer.wait_s, 3),
+            urgent=urgent,
+        )
+        if not granted:
+            if answer is not None:
+                now_s = self._timers.monotonic_s()
+                known.next_turn_s = now_s + answer.wait_s
+            return False
+        if answer.wait_s > 0:
+            await loop_timers.sleep(self._timers, answer.wait_s)
+        return True
+
+    async def _ask_coordinators(
+        self, target: targets.Target, wait_max_s: float, urgent: bool
+    ) -> turns.TurnAnswer | None:
+        """Asks the coordinators in turn until one answers."""
+        hosts = {peer.instance_id: peer.host for peer in self._view().peers}
+        ranked = self._rank_coordinators(target.target_id)
+        for coordinator in ranked:
+            now_s = self._timers.monotonic_s()
+            if now_s < self._silent_until_s.get(coordinator, now_s):
+                continue
+            request = turns.TurnRequest(
+                next(self._numbers),
+                self.limits.statement(*_key(target), self._timers.elapsed_s()),
+                wait_max_s,
+                urgent,
+            )
+            if coordinator == self._instance_id:
+                return self._answer(request)
+            answer = await self._ask(hosts[coordinator], request)
+            if answer is not None:
+                self._apply(answer.statement, hosts[coordinator])
+                return answer
+            self._silent_until_s[coordinator] = (
+                self._timers.monotonic_s() + _SILENT_S
+            )
+        return None
+
+    async def _ask(
+        self, host: str, request: turns.TurnRequest
+    ) -> turns.TurnAnswer | None:
+        """Asks one coordinator; returns None if it does not answer."""
+        answer = asyncio.get_running_loop().create_future()
+        self._pending[request.number] = _PendingRequest(host, answer)
+        try:
+            for _ in range(_ASKS_MAX):
+                self._send(host, request)
+                await asyncio.wait({answer}, timeout=_ANSWER_TIMEOUT_S)
+                if answer.done():
+                    return answer.result()
+            return None
+        finally:
+            del self._pending[request.number]
+
+    # Turns that this instance gives.
+
+    def _answer(self, request: turns.TurnRequest) -> turns.TurnAnswer:
+        """Gives a turn as a coordinator, or refuses it."""
+        statement = request.statement
+        key = (statement.target_id, statement.started_ms)
+        known = self.limits.statement(*key, self._timers.elapsed_s())
+        if known is None or known.rate_per_s == rate_limits.UNLIMITED:
+            return turns.TurnAnswer(
+                request.number, True, 0.0, known or statement
+            )
+        rank = self._own_rank(statement.target_id)
+        view = self._view()
+        rate_per_s = view.reachable_share * turns.turn_rate_per_s(
+            known.rate_per_s, rank
+        )
+        now_s = self._timers.monotonic_s()
+        entry = self._target(key)
+        if entry.schedule is None:
+            entry.schedule = turns.TurnSchedule(rate_per_s, now_s)
+        entry.schedule.set_rate(rate_per_s, now_s)
+        wait_s = entry.schedule.reserve(
+            now_s, request.wait_max_s, request.urgent and rank == 0
+        )
+        return turns.TurnAnswer(
+            request.number,
+            wait_s is not None,
+            entry.schedule.wait_s(now_s) if wait_s is None else wait_s,
+            known,
+        )
+
+    def _own_rank(self, target_id: str) -> int | None:
+        ranked = self._rank_coordinators(target_id)
+        if self._instance_id not in ranked:
+            return None
+        return ranked.index(self._instance_id)
+
+    def _rank_coordinators(self, target_id: str) -> tuple[str, ...]:
+        peers = self._view().peers
+        if peers is not self._ranked_peers:
+            self._ranked_peers = peers
+            self._ranked.clear()
+        ranked = self._ranked.get(target_id)
+        if ranked is None:
+            instance_ids = [peer.instance_id for peer in peers]
+            ranked = self._ranked[target_id] = turns.rank_coordinators(
+                [self._instance_id, *instance_ids], target_id
+            )
+        return ranked
+
+    def _target(self, key: tuple[str, int]) -> _LimitedTarget:
+        entry = self._targets.get(key)
+        if entry is None:
+            entry = _LimitedTarget()
+            self._targets.put(key, entry)
+        return entry
+
+
+def _key(target: targets.Target) -> tuple[str, int]:
+    return target.target_id, target.started_ms
--- a/packages/daemon/src/dotterelweird/gateway/notices.py
+++ b/packages/daemon/src/dotterelweird/gateway/notices.py
@@ -12,6 +12,7 @@
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import keepers
+from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import statistics
 
@@ -25,7 +26,7 @@
     Attributes:
         keeper: Holds the registered targets.
         pause_registry: Ends of the pauses that targets have requested.
-        limits: Limits on the request rates of targets.
+        limiter: Keeps requests within the limits of targets.
         peer_exchange: Sends departures to the other instances.
         timers: The timer service.
         statistics: Metrics of the process.
@@ -33,7 +34,7 @@
 
     keeper: keepers.TargetsKeeper
     pause_registry: pauses.PauseRegistry
-    limits: rate_limits.LimitRegistry
+    limiter: limiting.TargetLimiter
     peer_exchange: peers.PeerExchange
     timers: timers.TimerService
     statistics: statistics.Statistics
@@ -78,15 +79,7 @@
             rate_per_s,
             math.inf if sent_s is None else now_s - sent_s,
         )
-        if not self.limits.apply(statement, now_s):
-            return
-        self.statistics.notices.inc({'kind': 'limit'})
-        events.log(
-            LOG,
-            events.TARGET_LIMIT_CHANGED,
-            target_id=target.target_id,
-            rate_per_s=rate_per_s if math.isfinite(rate_per_s) else None,
-        )
+        self.limiter.report(statement)
 
     def _handle_departure(self, target: targets.Target) -> None:
         departure = targets.Departure(
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -1,4 +1,4 @@
-"""Waits for the end of a target's requested pause, if that is soon enough."""
+"""Chooses targets, with a wait for a pause or a turn if it is short enough."""
 
 import logging
 
@@ -22,39 +22,50 @@
 _STREAM_WAIT_MAX_S = 1.5
 
 
-def pause_remaining_s(
+def blocked_remaining_s(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> float:
-    """Returns the time for which only pauses keep a request from being sent.
+    """Returns the time for which only pauses and limits delay a request.
 
     Args:
         parts: Dependencies shared by all requests.
         exchange: The request.
 
     Returns:
-        The time until the first pause of a target that was not tried yet
-        ends, in seconds; 0 if such a target has no pause, or if there is
-        none.
+        The time until the first target that was not tried yet accepts the
+        request, in seconds; 0 if such a target accepts it now, or if there
+        is none.
     """
-    pause_end_s = parts.placer.paused_until_s(
+    ready = parts.placer.ready(
         parts.directory.of_service(exchange.service.name), exchange.tried
     )
-    if pause_end_s is None:
+    if not ready:
         return 0.0
-    return max(0.0, pause_end_s - parts.timers.monotonic_s())
+    accepted_s = min(
+        max(
+            parts.placer.pause_registry.pause_end_s(target),
+            parts.limiter.next_turn_s(target),
+        )
+        for target in ready
+    )
+    return max(0.0, accepted_s - parts.timers.monotonic_s())
 
 
 async def wait_for_target(
-    parts: dependencies.Forwarding, target: targets.Target
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    target: targets.Target,
 ) -> bool:
-    """Waits for the pause of the only engine that can continue a generation.
+    """Waits until the only engine that can continue a generation accepts it.
 
     Args:
         parts: Dependencies shared by all requests.
+        exchange: The request.
         target: The engine.
 
     Returns:
-        Whether the pause has ended; False without a wait if it is too long.
+        Whether the engine may be sent a request; False without a wait if its
+        pause, or the wait for a turn, is too long.
     """
     now_s = parts.timers.monotonic_s()
     wait_s = parts.placer.pause_registry.pause_end_s(target) - now_s
@@ -62,33 +73,90 @@
         return False
     if wait_s > 0:
         await timers.sleep(parts.timers, wait_s)
-    return True
+    return await parts.limiter.acquire(
+        target,
+        exchange.request.request_id,
+        _STREAM_WAIT_MAX_S - max(0.0, wait_s),
+        urgent=True,
+    )
 
 
 async def choose_target(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> placement.Choice | None:
-    """Chooses a target that was not tried yet, after a pause if necessary.
+    """Chooses a target that was not tried yet, after a wait if necessary.
 
     Args:
         parts: Dependencies shared by all requests.
         exchange: The request.
 
     Returns:
-        The choice; None if no target accepts the request in time.
+        The choice, with a turn if the target limits its request rate; None if
+        no target accepts the request in time.
 
     Raises:
         DotterelweirError: The process is stopping and would cut the request
             off.
     """
     parts.check_stop(exchange)
-    choice = parts.choose(exchange, exchange.tried)
+    choice = await _choose_with_turn(parts, exchange)
     if choice is None and await _wait_for_pause_end(parts, exchange):
         parts.check_stop(exchange)
-        choice = parts.choose(exchange, exchange.tried)
+        choice = await _choose_with_turn(parts, exchange)
+    if choice is None:
+        choice = await _choose_with_turn(
+            parts, exchange, _wait_max_s(parts, exchange)
+        )
+        parts.check_stop(exchange)
     return choice
 
 
+async def _choose_with_turn(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    wait_max_s: float = 0.0,
+) -> placement.Choice | None:
+    """Chooses a target and obtains a turn if it limits its request rate.
+
+    Args:
+        parts: Dependencies shared by all requests.
+        exchange: The request.
+        wait_max_s: Longest wait for a turn, in seconds.
+
+    Returns:
+        The choice; None if no target accepts the request in time.
+    """
+    refused: set[str] = set()
+    while True:
+        choice = parts.choose(exchange, exchange.tried | refused)
+        if choice is None:
+            return None
+        target = choice.target
+        granted = await parts.limiter.acquire(
+            target, exchange.request.request_id, wait_max_s
+        )
+        # The target may have left or paused while a turn was obtained.
+        if granted and parts.accepts_work(target):
+            return choice
+        refused.add(target.target_id)
+
+
+def _wait_max_s(
+    parts: dependencies.Forwarding, exchange: exchanges.Exchange
+) -> float:
+    """Returns the longest wait for a target that is not too late."""
+    now_s = parts.timers.monotonic_s()
+    return max(
+        0.0,
+        min(
+            _WAIT_SHARE_MAX * (exchange.deadline_s - now_s),
+            exchange.arrived_s
+            + _WAIT_FACTOR_MAX * exchange.route.objective_s
+            - now_s,
+        ),
+    )
+
+
 async def _wait_for_pause_end(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> bool:
@@ -101,15 +169,13 @@
     Returns:
         Whether it waited, so that a target may accept the request now.
     """
-    wait_s = pause_remaining_s(parts, exchange)
-    now_s = parts.timers.monotonic_s()
-    wait_max_s = min(
-        _WAIT_SHARE_MAX * (exchange.deadline_s - now_s),
-        exchange.arrived_s
-        + _WAIT_FACTOR_MAX * exchange.route.objective_s
-        - now_s,
+    pause_end_s = parts.placer.paused_until_s(
+        parts.directory.of_service(exchange.service.name), exchange.tried
     )
-    if not 0.0 < wait_s <= wait_max_s:
+    if pause_end_s is None:
+        return False
+    wait_s = pause_end_s - parts.timers.monotonic_s()
+    if not 0.0 < wait_s <= _wait_max_s(parts, exchange):
         return False
     events.log(
         LOG,
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -20,10 +20,13 @@
 from dotterelweir_core.gateway import broadcast
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import quarantine
+from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import targets
+from dotterelweir_core.gateway import turns
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
+from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import settings as gateway_settings
@@ -59,11 +62,19 @@
 # Maximum number of crashes that are sent to a new peer; a row has about 80
 # bytes.
 _CRASHES_MAX = 12
+# Maximum number of limits that are sent to a new peer, a datagram each.
+_LIMITS_MAX = 16
+# Time for which an instance that has become silent may still serve its callers
+# elsewhere in a divided network, in seconds.
+_SILENCED_S = 60.0
 # Delays after which a finding about a prompt is sent again, in seconds: a lost
 # datagram would cost another engine. They last until a peer that was cut off
 # counts as silent, and so as new when it returns.
 _FINDING_REPEAT_DELAYS_S = (0.1, 0.5, 1.0, 2.0)
 
+# Reason for the removal of a peer that sends no digests.
+_SILENT = 'silent'
+
 Reports = dict[api.StoreStream, stream_api.ReadReport]
 
 
@@ -100,6 +111,7 @@
         own_reports: Returns this instance's reports about the streams.
         handle_reports: Handles a peer's reports; called with its address.
         prompt_guard: Holds what is known of prompts that crash engines.
+        limiter: Keeps requests within the limits of targets.
     """
 
     def __init__(
@@ -116,6 +128,7 @@
         own_reports: Callable[[], Reports],
         handle_reports: Callable[[str, Reports], None],
         prompt_guard: prompt_guards.PromptGuard,
+        limiter: limiting.TargetLimiter,
     ) -> None:
         self._settings = settings
         self._timers = timer_service
@@ -129,6 +142,10 @@
         self._own_reports = own_reports
         self._handle_reports = handle_reports
         self._prompt_guard = prompt_guard
+        self._limiter = limiter
+        # Monotonic times at which instances became silent, in seconds.
+        self._silenced_s: dict[str, float] = {}
+        self._visible_peers: tuple[limiting.Peer, ...] = ()
         self._peers: dict[str, Peer] = {}
         self._broadcast_groups = broadcast.BroadcastGroups()
         # Every instance ever seen: one that is silent now may still serve its
@@ -156,6 +173,21 @@
         """Number of reachable instances, including this one."""
         return len(self._peers) + 1
 
+    def view(self) -> limiting.PeerView:
+        """Returns the other instances for the coordination of limits."""
+        since_s = self._timers.monotonic_s() - _SILENCED_S
+        silenced = sum(
+            silenced_s > since_s for silenced_s in self._silenced_s.values()
+        )
+        share = self.instance_count / (self.instance_count + silenced)
+        return limiting.PeerView(self._visible_peers, share)
+
+    def _update_visible_peers(self) -> None:
+        self._visible_peers = tuple(
+            limiting.Peer(instance_id, peer.member.host)
+            for instance_id, peer in self._peers.items()
+        )
+
     def status_rows(self) -> list[dict[str, Any]]:
         """Returns one row for each reachable peer, for the status document."""
         now_s = self._timers.monotonic_s()
@@ -225,16 +257,24 @@
                 message = digests.PromptCrashes((finding,))
             case quarantine.SoundParts():
                 message = finding
-        self._send_message(message)
+        self.send_to_all(message)
         for delay_s in _FINDING_REPEAT_DELAYS_S:
-            self._timers.call_after(
-                delay_s, lambda: self._send_message(message)
-            )
+            self._timers.call_after(delay_s, lambda: self.send_to_all(message))
 
-    def _send_message(self, message: digests.Message) -> None:
+    def send_to_all(self, message: digests.Message) -> None:
+        """Sends a message to all instances, if the socket is open."""
         if self._transport is not None:
             self._broadcast(message)
 
+    def send_to(self, host: str, message: digests.Message) -> None:
+        """Sends a message to one instance, if the socket is open.
+
+        Args:
+            host: IP address of the instance.
+            message: The message.
+        """
+        self._send(host, self._encode(message))
+
     async def fetch_state(
         self, stream: api.StoreStream, host: str
     ) -> api.Batch:
@@ -269,6 +309,12 @@
                     self._prompt_guard.apply_finding(crash, addr[0])
             case quarantine.SoundParts():
                 self._prompt_guard.apply_finding(message, addr[0])
+            case (
+                rate_limits.LimitStatement()
+                | turns.TurnRequest()
+                | turns.TurnAnswer()
+            ):
+                self._limiter.handle_message(message, addr[0])
             case digests.Digest():
                 self._handle_digest(message)
 
@@ -311,6 +357,9 @@
         self._loads.set_peer(instance_id, digest.loads, now_s)
         self._budgets.set_peer(instance_id, digest.counts, now_s)
         self._candidates.discard(host)
+        if peer is None or peer.member != member:
+            self._silenced_s.pop(instance_id, None)
+            self._update_visible_peers()
         if digest.known_hosts:
             self._contact_new_hosts(digest.known_hosts)
         if peer is None:
@@ -358,7 +407,7 @@
         self._send_findings(host)
 
     def _send_findings(self, host: str) -> None:
-        """Sends departures and crashes to an instance that has started."""
+        """Sends departures, crashes and limits to a started instance."""
         # The peer may have started after these targets departed, while the
         # store still has their registrations.
         departures = self._departures(_DEPARTURES_MAX)
@@ -367,12 +416,19 @@
         crashes = self._prompt_guard.crashes(_CRASHES_MAX)
         if crashes:
             self._send(host, self._encode(digests.PromptCrashes(crashes)))
+        for statement in self._limiter.limits.statements(
+            _LIMITS_MAX, self._timers.elapsed_s()
+        ):
+            self.send_to(host, statement)
 
     def _remove_peer(self, instance_id: str, reason: str) -> None:
         peer = self._peers.pop(instance_id, None)
         if peer is None:
             return
         self._broadcast_groups.remove(instance_id)
+        self._update_visible_peers()
+        if reason == _SILENT:
+            self._silenced_s[instance_id] = self._timers.monotonic_s()
         self._candidates.add(peer.member.host)
         self._loads.drop_peer(instance_id)
         self._update_instance_counts()
@@ -403,7 +459,7 @@
         silence_max_s = _SILENT_PERIODS * self.period_s
         for instance_id, peer in list(self._peers.items()):
             if now_s - peer.last_digest_s > silence_max_s:
-                self._remove_peer(instance_id, 'silent')
+                self._remove_peer(instance_id, _SILENT)
         regular = self._digest(
             known_hosts=self._sample_hosts(), reports=self._own_reports()
         )
--- a/packages/daemon/src/dotterelweird/gateway/refusing.py
+++ b/packages/daemon/src/dotterelweird/gateway/refusing.py
@@ -20,16 +20,16 @@
 ) -> float:
     """Returns the time after which the caller may retry, in seconds.
 
-    If only pauses of targets keep the request from being sent, the time lasts
-    beyond the end of the first pause, however long that is.
+    If only pauses and limits of targets keep the request from being sent, the
+    time lasts until the first of them accepts it, however long that is.
 
     Args:
         parts: Dependencies shared by all requests.
         exchange: The request.
     """
-    pause_s = pausing.pause_remaining_s(parts, exchange)
-    if pause_s:
-        return pause_s + parts.rng.uniform(0.0, _RETRY_AFTER_MIN_S)
+    blocked_s = pausing.blocked_remaining_s(parts, exchange)
+    if blocked_s:
+        return blocked_s + parts.rng.uniform(0.0, _RETRY_AFTER_MIN_S)
     remaining_s = exchange.deadline_s - parts.timers.monotonic_s()
     retry_after_max_s = max(0.0, _RETRY_AFTER_SHARE_MAX * remaining_s)
     return min(
@@ -61,6 +61,8 @@
             kind, execution=errors.Execution.UNKNOWN
         )
     match last_outcome:
+        case None if parts.is_limited(exchange):
+            kind = errors.ErrorKind.TARGET_LIMITED
         case None:
             kind = errors.ErrorKind.POOL_EMPTY
         case exchanges.NeverSent():
--- a/packages/daemon/src/dotterelweird/gateway/releasing.py
+++ b/packages/daemon/src/dotterelweird/gateway/releasing.py
@@ -8,6 +8,7 @@
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
+from dotterelweird.gateway import limiting
 
 LOG = logging.getLogger(__name__)
 
@@ -26,6 +27,7 @@
         runs: Control of runs at model engines.
         timer_service: The timer service.
         pause_registry: Pauses that engines requested from this instance.
+        limiter: Keeps requests within the limits of engines.
     """
 
     def __init__(
@@ -33,10 +35,12 @@
         runs: api.RunControl,
         timer_service: timers.TimerService,
         pause_registry: pauses.PauseRegistry,
+        limiter: limiting.TargetLimiter,
     ) -> None:
         self._runs = runs
         self._timers = timer_service
         self._pauses = pause_registry
+        self._limiter = limiter
         # The event loop itself keeps only weak references to tasks.
         self._tasks: set[asyncio.Task] = set()
 
@@ -70,6 +74,8 @@
         for engine in (source, destination):
             if self._pauses.is_paused(engine, self._timers.monotonic_s()):
                 continue
+            if not await self._limiter.acquire(engine, copy.handle):
+                continue
             if await self._runs.release(engine, copy, _RELEASE_TIMEOUT_S):
                 freed_by = engine.target_id
                 break
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -24,6 +24,8 @@
             by route.
         answer_s: Time to the end of an answer, in seconds.
         notices: Notices of targets about themselves, by kind.
+        limit_turns: Decisions about turns at targets that limit their
+            request rate, by decision.
         rewinds: Restores of the store from an older copy that the instance
             observed, by stream.
         running: Requests of callers in flight.
@@ -67,6 +69,11 @@
             'Targets that said that they leave, or asked for a pause',
             registry=self._registry,
         )
+        self.limit_turns = aioprometheus.Counter(
+            'dotterelweir_gateway_limit_turns_total',
+            'Decisions about turns at targets that limit their request rate',
+            registry=self._registry,
+        )
         self.rewinds = aioprometheus.Counter(
             'dotterelweir_gateway_store_rewinds_total',
             'Times that the store came back from an older copy',
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_limiting.py
@@ -0,0 +1,185 @@
+"""Tests of the turns that instances give each other, in virtual time."""
+
+import random
+
+import pytest
+
+from dotterelweir_core import timers
+from dotterelweir_core.gateway import rate_limits
+from dotterelweir_core.gateway import targets
+from dotterelweir_fakes.soak import trials
+from dotterelweird.gateway import digests
+from dotterelweird.gateway import limiting
+from dotterelweird.gateway import statistics
+
+TARGET = targets.Target(
+    'shop-1', 'plain', '10.0.0.1', 80, 'a', 8, targets.TargetState.READY
+)
+STATISTICS = statistics.Statistics()
+
+
+class Network:
+    """Instances whose datagrams arrive at once, or not at all."""
+
+    def __init__(self, count):
+        self.timers = timers.VirtualTimerService()
+        self.rng = random.Random(count)
+        self.lost_share = 0.0
+        # Sides of a divided network, by host; all in one without a division.
+        self.sides = {}
+        self.dead = set()
+        self.hosts = [f'10.1.{n // 250}.{n % 250}' for n in range(count)]
+        self.limiters = {host: self.create(host) for host in self.hosts}
+        self.views = {host: self.view(host) for host in self.hosts}
+        self.sent_s = []
+
+    def create(self, host):
+        return limiting.TargetLimiter(
+            f'node-{host}',
+            self.timers,
+            STATISTICS,
+            lambda receiver, message: self.deliver(host, receiver, message),
+            lambda message: self.broadcast(host, message),
+            lambda: self.views[host],
+        )
+
+    def view(self, host, hosts=None):
+        """Returns what an instance sees if it reaches the given ones."""
+        hosts = self.hosts if hosts is None else hosts
+        return limiting.PeerView(
+            tuple(
+                limiting.Peer(f'node-{other}', other)
+                for other in hosts
+                if other != host
+            ),
+            len(hosts) / len(self.hosts),
+        )
+
+    def deliver(self, sender, receiver, message):
+        message = digests.decode(digests.encode(message))
+        apart = self.sides.get(sender) != self.sides.get(receiver)
+        if apart or self.rng.random() < self.lost_share:
+            return
+        if not {sender, receiver} & self.dead:
+            self.limiters[receiver].handle_message(message, sender)
+
+    def broadcast(self, sender, message):
+        for receiver in self.hosts:
+            if receiver != sender:
+                self.deliver(sender, receiver, message)
+
+    def report(self, host, rate_per_s):
+        self.limiters[host].report(
+            rate_limits.LimitStatement(TARGET.target_id, 0, rate_per_s, 0.01)
+        )
+
+    async def run(self, seconds, load_per_s=60.0):
+        """Plays requests at random instances and records those sent."""
+        end_s = self.timers.monotonic_s() + seconds
+        while self.timers.monotonic_s() < end_s:
+            self.timers.advance(self.rng.expovariate(load_per_s))
+            host = self.rng.choice(self.hosts)
+            if host in self.dead:
+                continue
+            if await self.limiters[host].acquire(TARGET, 'request'):
+                self.sent_s.append(self.timers.monotonic_s())
+
+    def sent_in_worst_window(self):
+        return trials.worst_window(self.sent_s, 0.0)
+
+
+@pytest.mark.parametrize('count', [3, 30, 195])
+@pytest.mark.parametrize('rate_per_s', [0.0, 0.1, 1.4, 20.0])
+async def test_a_limit_is_kept_and_used_at_any_size(count, rate_per_s):
+    """Guards against shares of a limit that are too large or too small."""
+    network = Network(count)
+    network.report(network.hosts[0], rate_per_s)
+    await network.run(30.0)
+    allowed = trials.allowed_requests(rate_per_s)
+    assert network.sent_in_worst_window() <= allowed
+    assert len(network.sent_s) >= 0.8 * (30.0 * rate_per_s - 1.0)
+
+
+async def test_a_limit_is_kept_while_datagrams_are_lost():
+    """Guards against instances that send without a coordinator's answer."""
+    network = Network(30)
+    network.report(network.hosts[0], 2.0)
+    network.timers.advance(3.0)
+    network.lost_share = 0.05
+    await network.run(15.0)
+    assert network.sent_in_worst_window() <= trials.allowed_requests(2.0)
+    assert len(network.sent_s) >= 15
+
+
+async def test_the_next_coordinator_serves_in_place_of_a_dead_one():
+    """Guards against a target that nobody uses after its coordinator died."""
+    network = Network(6)
+    network.report(network.hosts[0], 8.0)
+    await network.run(5.0)
+    coordinator = (
+        network.limiters[network.hosts[0]]
+        ._rank_coordinators(TARGET.target_id)[0]
+        .removeprefix('node-')
+    )
+    network.dead = {coordinator}
+    await network.run(4.0, load_per_s=10.0)
+    before_count = len(network.sent_s)
+    left = [host for host in network.hosts if host != coordinator]
+    for host in left:
+        network.views[host] = network.view(host, left)
+    await network.run(4.0)
+    assert network.sent_in_worst_window() <= trials.allowed_requests(8.0)
+    assert before_count > 40
+    assert len(network.sent_s) - before_count >= 0.7 * 4.0 * 8.0 * 5 / 6
+
+
+async def test_the_parts_of_a_divided_network_share_a_limit():
+    """Guards against parts that each use a whole limit."""
+    network = Network(30)
+    network.report(network.hosts[0], 5.0)
+    await network.run(5.0)
+    for number, host in enumerate(network.hosts):
+        network.sides[host] = number % 3
+        network.views[host] = network.view(
+            host, network.hosts[number % 3 :: 3]
+        )
+    await network.run(15.0)
+    assert network.sent_in_worst_window() <= trials.allowed_requests(5.0)
+    assert len(network.sent_s) >= 0.8 * 5.0 * 20.0
+
+
+async def test_a_started_instance_asks_with_what_it_learned():
+    """Guards against a coordinator that does not know the limit yet."""
+    network = Network(6)
+    network.report(network.hosts[0], 1.0)
+    await network.run(5.0)
+    for host in network.hosts[1:]:
+        network.limiters[host] = network.create(host)
+    before_s = network.timers.monotonic_s()
+    while network.timers.monotonic_s() < before_s + 10.0:
+        network.timers.advance(0.05)
+        if await network.limiters[network.hosts[0]].acquire(TARGET, 'request'):
+            network.sent_s.append(network.timers.monotonic_s())
+    assert network.sent_in_worst_window() <= trials.allowed_requests(1.0)
+
+
+async def test_the_end_of_a_limit_reaches_all_instances():
+    """Guards against instances that keep a limit that has ended."""
+    network = Network(30)
+    network.report(network.hosts[0], 1.0)
+    await network.run(5.0)
+    network.timers.advance(1.0)
+    network.report(network.hosts[1], rate_limits.UNLIMITED)
+    for limiter in network.limiters.values():
+        assert not limiter.limits.is_limited(TARGET)
+
+
+async def test_a_limit_that_changes_in_each_answer_sends_bounded_news():
+    """Guards against datagrams to all instances for each answer."""
+    network = Network(3)
+    sent = []
+    network.limiters[network.hosts[0]]._broadcast = sent.append
+    for number in range(200):
+        network.timers.advance(0.02)
+        network.report(network.hosts[0], 5.0 + number % 2)
+    assert len(sent) <= 2 * 4.0 / 0.2
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -12,6 +12,7 @@
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import settings as gateway_settings
@@ -53,6 +54,7 @@
     reports: dict = attrs.field(factory=dict)
     received_reports: list = attrs.field(factory=list)
     prompt_guard: prompt_guards.PromptGuard = attrs.field(init=False)
+    limiter: limiting.TargetLimiter = attrs.field(init=False)
     exchange: peers.PeerExchange = attrs.field(init=False)
     closed: bool = False
 
@@ -60,6 +62,14 @@
         self.prompt_guard = prompt_guards.PromptGuard(
             self.network.timers, statistics.Statistics()
         )
+        self.limiter = limiting.TargetLimiter(
+            f'node-{self.host}',
+            self.network.timers,
+            statistics.Statistics(),
+            lambda host, message: self.exchange.send_to(host, message),
+            lambda message: self.exchange.send_to_all(message),
+            lambda: self.exchange.view(),
+        )
         self.exchange = peers.PeerExchange(
             make_settings(f'node-{self.host}', self.host),
             self.network.timers,
@@ -75,6 +85,7 @@
                 (host, reports)
             ),
             self.prompt_guard,
+            self.limiter,
         )
         self.prompt_guard.subscribe(self.exchange.send_finding)
 
