Play limits of engines in a soak with failing instances

The soak's engines name limits that rise, fall, end and are no numbers, while gateway processes are killed, stopped and frozen; it counts what each engine gets in the worst 4 s from instances that were not disturbed.

--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -13,6 +13,7 @@
 from dotterelweir_fakes.pages import command as pages_command
 from dotterelweir_fakes.platform import command as platform_command
 from dotterelweir_fakes.soak import command as soak_command
+from dotterelweir_fakes.soak import limits
 from dotterelweir_fakes.soak import stops
 
 
@@ -24,6 +25,7 @@
 main.add_command(demo_command.demo)
 main.add_command(engine_command.engine)
 main.add_command(experiment.experiment)
+main.add_command(limits.limits)
 main.add_command(links_command.linked)
 main.add_command(measure.measure)
 main.add_command(pages_command.docs)
--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -125,8 +125,8 @@
         received_headers: Headers of every request, in order; their names
             are in lower case.
         paths: Path and query of every request, in order.
-        arrivals_s: Monotonic time of every request, calls that control runs
-            included, in order, in seconds.
+        arrivals: Every request, calls that control runs included, in order:
+            its monotonic time in seconds, and its id, empty for such calls.
         resumed_after: For each resumed run, the id of the last event before
             it was resumed, in order.
         cancelled: Ids of the requests whose connection closed while they
@@ -144,7 +144,7 @@
         self.ran: list[str] = []
         self.received_headers: list[dict[str, str]] = []
         self.paths: list[str] = []
-        self.arrivals_s: list[float] = []
+        self.arrivals: list[tuple[float, str]] = []
         self.resumed_after: list[int] = []
         self.cancelled: list[str] = []
         self.move_orders: list[dict] = []
@@ -197,7 +197,12 @@
         return self.behaviour
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        self.arrivals_s.append(asyncio.get_running_loop().time())
+        self.arrivals.append(
+            (
+                asyncio.get_running_loop().time(),
+                request.headers.get('X-Attempt-Id', ''),
+            )
+        )
         if request.path == '/-/kv-move':
             return self._add_notices(await self._move(request))
         if request.path.startswith(_HANDLE_PATH):
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/limits.py
@@ -0,0 +1,247 @@
+"""The ``limits`` command: engines that name limits while instances fail."""
+
+import asyncio
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+
+import attrs
+import click
+import orjson
+
+from dotterelweir_fakes.fleet import engine as fleet_engine
+from dotterelweir_fakes.soak import instances
+from dotterelweir_fakes.soak import trials
+
+_ROUTES = ('read', 'book', 'guide', 'check')
+# Limits that engines name; texts that are no number are part of them.
+_LIMITS = ('0', '0.1', '0.6', '1.4', '2.3', '5', '12', '-1', 'nan', '1e300')
+# Range of the time between two changes of a limit, in seconds.
+_CHANGE_S = (4.0, 9.0)
+# Range of the time between the starts of two faults, and of the duration of
+# one, in seconds.
+_INTERVAL_S = (0.5, 3.0)
+_DURATION_S = (0.3, 2.5)
+# Time without faults at the start and at the end, in seconds.
+_CALM_S = 4.0
+# Requests of each instance per second.
+_RATE_PER_INSTANCE = 8.0
+# Limit from which on an engine counts as unlimited, in requests per second.
+_UNLIMITED_PER_S = 10_000.0
+
+
+@attrs.define
+class NamedLimit:
+    """A limit that an engine named for some time.
+
+    Attributes:
+        rate_per_s: The limit, in requests per second.
+        from_s: Monotonic time from which it was named, in seconds.
+        until_s: Monotonic time at which it was changed, in seconds.
+    """
+
+    rate_per_s: float
+    from_s: float
+    until_s: float = float('inf')
+
+
+@attrs.define
+class LimitSoak:
+    """Plays limits and faults, and checks what limited engines get.
+
+    Attributes:
+        seed: Seed of the load, the limits and the faults.
+        duration_s: Duration of the load, in seconds.
+        instance_count: Number of gateway processes.
+        directory: Directory for settings and logs of the processes.
+    """
+
+    seed: int
+    duration_s: float
+    instance_count: int
+    directory: pathlib.Path
+    _named: dict[str, list[NamedLimit]] = attrs.field(factory=dict)
+    _faults: dict[str, int] = attrs.field(factory=dict)
+    _fault_tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def run(self) -> dict[str, object]:
+        """Runs the soak test.
+
+        Returns:
+            Counts of requests and faults, and the violations.
+        """
+        rng = random.Random(self.seed)
+        routes = rng.choice((('read', 'book'), ('guide', 'check')))
+        engine_count = rng.randint(2, 5)
+        async with trials.Trial(
+            self.directory,
+            self.instance_count,
+            engine_count,
+            trials.SERVICES[routes[0]],
+        ) as trial:
+            background = [
+                asyncio.create_task(self._inject_faults(trial, rng)),
+                *(
+                    asyncio.create_task(
+                        self._change_limits(
+                            engine, random.Random(rng.random())
+                        )
+                    )
+                    for engine in list(trial.engines.values())[
+                        : rng.randint(1, engine_count)
+                    ]
+                ),
+            ]
+            rate_per_s = _RATE_PER_INSTANCE * self.instance_count
+            await asyncio.gather(
+                *(
+                    trial.send_load(
+                        route,
+                        rate_per_s / len(routes),
+                        self.duration_s,
+                        random.Random(rng.random()),
+                        f'{self.seed}-{route}',
+                    )
+                    for route in routes
+                )
+            )
+            for task in background:
+                task.cancel()
+            await asyncio.gather(*background, return_exceptions=True)
+            await asyncio.gather(*self._fault_tasks, return_exceptions=True)
+            await asyncio.sleep(1.0)
+        statuses: dict[int, int] = {}
+        for answer in trial.answers:
+            statuses[answer.status] = statuses.get(answer.status, 0) + 1
+        return {
+            'seed': self.seed,
+            'routes': routes,
+            'engines': engine_count,
+            'statuses': {str(k): statuses[k] for k in sorted(statuses)},
+            'faults': self._faults,
+            'limits': {
+                name: [limit.rate_per_s for limit in limits]
+                for name, limits in self._named.items()
+            },
+            'violations': self._find_violations(trial),
+        }
+
+    async def _change_limits(
+        self, engine: fleet_engine.FakeEngine, rng: random.Random
+    ) -> None:
+        """Lets an engine name limits, and none at times."""
+        loop = asyncio.get_running_loop()
+        named = self._named[engine.target_id] = []
+        await asyncio.sleep(rng.uniform(0.0, 2.0))
+        while True:
+            text = rng.choice(_LIMITS) if rng.random() < 0.8 else ''
+            rate_per_s = _UNLIMITED_PER_S
+            if text and text != 'nan':
+                rate_per_s = max(0.0, float(text))
+            engine.behaviour = attrs.evolve(engine.behaviour, limit=text)
+            if named:
+                named[-1].until_s = loop.time()
+            named.append(NamedLimit(rate_per_s, loop.time()))
+            await asyncio.sleep(rng.uniform(*_CHANGE_S))
+
+    async def _inject_faults(
+        self, trial: trials.Trial, rng: random.Random
+    ) -> None:
+        """Starts faults of instances, which may overlap."""
+        await asyncio.sleep(_CALM_S)
+        while True:
+            fault = rng.choice((self._restart, self._stop, self._freeze))
+            name = fault.__name__.strip('_')
+            self._faults[name] = self._faults.get(name, 0) + 1
+            task = asyncio.create_task(
+                fault(
+                    trial, rng.choice(trial.nodes), rng.uniform(*_DURATION_S)
+                )
+            )
+            self._fault_tasks.add(task)
+            task.add_done_callback(self._fault_tasks.discard)
+            await asyncio.sleep(rng.uniform(*_INTERVAL_S))
+
+    async def _restart(
+        self, trial: trials.Trial, node: instances.Instance, for_s: float
+    ) -> None:
+        with trial.disturbing(node):
+            node.send_signal(signal.SIGCONT)
+            node.send_signal(signal.SIGKILL)
+            await self._start_again(node, for_s)
+
+    async def _stop(
+        self, trial: trials.Trial, node: instances.Instance, for_s: float
+    ) -> None:
+        with trial.disturbing(node):
+            node.send_signal(signal.SIGTERM)
+            while node.running:
+                await asyncio.sleep(0.05)
+            await self._start_again(node, for_s)
+
+    async def _start_again(
+        self, node: instances.Instance, after_s: float
+    ) -> None:
+        await asyncio.sleep(after_s)
+        if not node.running:
+            node.start()
+            await node.wait_ready()
+
+    async def _freeze(
+        self, trial: trials.Trial, node: instances.Instance, for_s: float
+    ) -> None:
+        with trial.disturbing(node):
+            node.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+            node.send_signal(signal.SIGCONT)
+
+    def _find_violations(self, trial: trials.Trial) -> list[str]:
+        violations = []
+        for engine_id, named in self._named.items():
+            times_s = [
+                time_s
+                for time_s, request_id in trial.engines[engine_id].arrivals
+                if not trial.is_excused(request_id, time_s)
+            ]
+            for index, limit in enumerate(named):
+                if limit.rate_per_s >= _UNLIMITED_PER_S:
+                    continue
+                from_s = limit.from_s + trials.STABLE_S + trials.TOLD_S
+                counted = [t for t in times_s if t < limit.until_s]
+                most = trials.worst_window(counted, from_s)
+                if most > trials.allowed_requests(limit.rate_per_s):
+                    violations.append(
+                        f'{engine_id}: {most} requests in 4 s with limit '
+                        f'{limit.rate_per_s} (its limit no. {index + 1})'
+                    )
+        return violations
+
+
+@click.command()
+@click.option('--seed', type=int, required=True)
+@click.option('--seconds', type=float, default=25.0, show_default=True)
+@click.option(
+    '--instances', 'instance_count', type=int, default=3, show_default=True
+)
+@click.option('--directory', type=click.Path(path_type=pathlib.Path))
+def limits(
+    seed: int,
+    seconds: float,
+    instance_count: int,
+    directory: pathlib.Path | None,
+) -> None:
+    """Runs gateway processes with engines that name limits.
+
+    The last line is one JSON object. Exit code 1 if an engine got more
+    requests than its limit allows.
+    """
+    with tempfile.TemporaryDirectory() as temporary:
+        output_directory = directory or pathlib.Path(temporary)
+        output_directory.mkdir(parents=True, exist_ok=True)
+        result = asyncio.run(
+            LimitSoak(seed, seconds, instance_count, output_directory).run()
+        )
+    click.echo(orjson.dumps(result).decode())
+    sys.exit(1 if result['violations'] else 0)
--- a/fakes/src/dotterelweir_fakes/soak/trials.py
+++ b/fakes/src/dotterelweir_fakes/soak/trials.py
@@ -7,6 +7,9 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+from collections.abc import Iterator
+import contextlib
+import math
 import pathlib
 import random
 
@@ -92,6 +95,7 @@
         engines: Engines by id.
         nodes: Gateway instances and their processes.
         answers: What callers got, in the order of the ends.
+        receivers: Instance that got each request, by its id.
     """
 
     def __init__(
@@ -115,6 +119,9 @@
         }
         self.nodes: list[instances.Instance] = []
         self.answers: list[Answer] = []
+        self.receivers: dict[str, instances.Instance] = {}
+        # Start and end of each disturbance, by instance, in seconds.
+        self._disturbances: dict[str, list[tuple[float, float]]] = {}
         self._requests: set[asyncio.Task] = set()
         self._sessions: dict[str, aiohttp.ClientSession] = {}
 
@@ -166,6 +173,32 @@
             await engine.stop()
         await self._runner.cleanup()
 
+    @contextlib.contextmanager
+    def disturbing(self, node: instances.Instance) -> Iterator[None]:
+        """Records that an instance is disturbed while the context lasts."""
+        loop = asyncio.get_running_loop()
+        disturbances = self._disturbances.setdefault(node.name, [])
+        start_s = loop.time()
+        disturbances.append((start_s, math.inf))
+        index = len(disturbances) - 1
+        try:
+            yield
+        finally:
+            disturbances[index] = (start_s, loop.time())
+
+    def is_excused(self, request_id: str, time_s: float) -> bool:
+        """Whether a request was sent by an instance that was disturbed.
+
+        Args:
+            request_id: Id of the request.
+            time_s: Monotonic time at which it reached an engine, in seconds.
+        """
+        node = self.receivers.get(request_id)
+        return node is not None and any(
+            start_s <= time_s <= end_s + STABLE_S
+            for start_s, end_s in self._disturbances.get(node.name, ())
+        )
+
     async def send_load(
         self,
         route: str,
@@ -208,6 +241,7 @@
             body: Body of the request.
             path: Rest of its path after the route.
         """
+        self.receivers[request_id] = node
         task = asyncio.create_task(
             self._send(node, route, request_id, body, path)
         )
--- /dev/null
+++ b/fakes/tests/soak/test_limits.py
@@ -0,0 +1,13 @@
+"""A short seeded run of the soak with engines that name limits."""
+
+import pytest
+
+from dotterelweir_fakes.soak import limits
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+async def test_limits_are_kept_while_instances_fail(tmp_path, seed):
+    """Guards against limits that restarts and freezes of instances break."""
+    result = await limits.LimitSoak(seed, 18.0, 3, tmp_path).run()
+    assert result['violations'] == []
+    assert result['statuses']['200'] > 0
--- a/packages/daemon/tests/gateway/test_limit_process.py
+++ b/packages/daemon/tests/gateway/test_limit_process.py
@@ -55,7 +55,7 @@
 def received(trial, case, from_s):
     """Most requests that a limited engine got in a window."""
     return max(
-        trials.worst_window(engine.arrivals_s, from_s)
+        trials.worst_window([at_s for at_s, _ in engine.arrivals], from_s)
         for engine in list(trial.engines.values())[: case.limited]
     )
 
