Record the ends of targets with the requests in flight there

Event 238 and a counter record an end with the keys of the requests in flight, a digest of path, caller and body; instances share them. Nothing is sent or refused differently.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -238,6 +238,13 @@
     'A request was not sent to an engine, as several engines have crashed on '
     'parts of its prompt.',
 )
+TARGET_ENDED = _event(
+    238,
+    'target-ended',
+    logging.WARNING,
+    'A target ended with requests in flight; the keys identify a path, caller '
+    'and body.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -260,7 +260,8 @@
         return exchanges.NeverSent(type(error).__name__)
     if isinstance(error, TimeoutError):
         return exchanges.TimedOut()
-    return exchanges.Broken(f'{type(error).__name__}: {error}'[:120])
+    reason = f'{type(error).__name__}: {error}'[:120]
+    return exchanges.Broken(reason, connection_lost=True)
 
 
 def classify(
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -111,6 +111,8 @@
             )
         ended_s = parts.timers.monotonic_s()
         attempts.record_end(parts, exchange, target, outcome, ended_s - now_s)
+        if isinstance(outcome, exchanges.Broken) and outcome.connection_lost:
+            parts.request_guard.report_lost_connection(exchange, target)
         self._record_outcome(target.target_id, outcome, ended_s)
         return outcome
 
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -38,6 +38,7 @@
 from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import prompt_guard
+from dotterelweird.gateway import request_guard
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import status
@@ -152,6 +153,7 @@
             self._stop_plan,
             prompt_guard.PromptGuard(self._timers, self._statistics),
             limiter,
+            request_guard.RequestGuard(self._timers, self._statistics),
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store)
@@ -176,6 +178,7 @@
             self._handle_peer_reports,
             self._parts.prompt_guard,
             limiter,
+            self._parts.request_guard,
         )
         self._notices = notices.NoticeHandler(
             self._targets,
@@ -188,6 +191,7 @@
         self._loads.subscribe(self._peers.schedule_digest)
         self._parts.budgets.subscribe(self._peers.schedule_digest)
         self._parts.prompt_guard.subscribe(self._peers.send_finding)
+        self._parts.request_guard.subscribe(self._peers.send_finding)
         self._followers = {
             stream: following.StreamFollower(
                 store,
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -22,6 +22,7 @@
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import releasing
+from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
@@ -50,6 +51,7 @@
         stop_plan: State and time limits of a stop of the process.
         prompt_guard: Keeps prompts that crash engines away from them.
         limiter: Keeps requests within the limits of targets.
+        request_guard: Recognises requests under which targets end.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         releaser: Frees copies of runs that will not be used.
@@ -72,6 +74,7 @@
     stop_plan: stopping.StopPlan
     prompt_guard: prompt_guards.PromptGuard
     limiter: limiting.TargetLimiter
+    request_guard: request_guards.RequestGuard
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -15,6 +15,7 @@
 import orjson
 
 from dotterelweir_core.gateway import broadcast
+from dotterelweir_core.gateway import engine_ends
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
@@ -100,6 +101,7 @@
     | Departures
     | PromptCrashes
     | quarantine.SoundParts
+    | engine_ends.EndReport
     | rate_limits.LimitStatement
     | turns.TurnRequest
     | turns.TurnAnswer
@@ -162,6 +164,9 @@
             )
         case quarantine.SoundParts():
             return orjson.dumps({'o': sorted(message.parts)})
+        case engine_ends.EndReport():
+            row = [message.target_id, message.started_ms, message.age_s]
+            return orjson.dumps({'c': [*row, *sorted(message.keys)]})
         case rate_limits.LimitStatement():
             return orjson.dumps({'m': _encode_statement(message)})
         case turns.TurnRequest():
@@ -243,6 +248,14 @@
             )
         if 'o' in body:
             return quarantine.SoundParts(frozenset(map(str, body['o'])))
+        if 'c' in body:
+            target_id, started_ms, age_s, *keys = body['c']
+            return engine_ends.EndReport(
+                str(target_id),
+                _decode_integer(started_ms),
+                frozenset(map(str, keys)),
+                _decode_duration_s(age_s),
+            )
         if 'm' in body:
             return _decode_statement(body['m'])
         if 't' in body:
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -1,8 +1,11 @@
 """State of a forwarded request and the outcomes of its attempts."""
 
+import functools
+
 import attrs
 
 from dotterelweir_core.gateway import admission
+from dotterelweir_core.gateway import engine_ends
 from dotterelweir_core.gateway import tables
 from dotterelweird.gateway import api
 from dotterelweird.gateway import target_client
@@ -61,6 +64,17 @@
         self.runs_started += 1
         self.may_have_run = True
 
+    @functools.cached_property
+    def key(self) -> str:
+        """Digest of path, caller and body; equal for all its repeats."""
+        request = self.request
+        return engine_ends.request_key(
+            request.host,
+            request.raw_path,
+            self.organisation_name or '',
+            request.body,
+        )
+
     @property
     def may_be_running(self) -> bool:
         """Whether a target may have run the request or may run it now."""
@@ -165,9 +179,11 @@
 
     Attributes:
         reason: The error, or what was wrong with the answer.
+        connection_lost: Whether the connection ended before an answer.
     """
 
     reason: str
+    connection_lost: bool = False
 
 
 @attrs.frozen
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -189,6 +189,10 @@
         load = self._parts.loads.get(run.target.target_id)
         if self._has_crashed_at_start(link, outcome):
             self._parts.prompt_guard.report_crash(self._exchange, run.target)
+        if self._has_lost_connection(link, outcome):
+            self._parts.request_guard.report_lost_connection(
+                self._exchange, run.target
+            )
         match outcome:
             case exchanges.Complete():
                 load.record_success(now_s)
@@ -217,6 +221,18 @@
             case _:
                 return False
 
+    def _has_lost_connection(
+        self, link: links.Link, outcome: exchanges.StreamOutcome
+    ) -> bool:
+        """Whether the engine closed the connection within the answer."""
+        match outcome:
+            case exchanges.Interrupted(silent=False):
+                return not link.evacuated
+            case exchanges.Broken(connection_lost=lost):
+                return lost
+            case _:
+                return False
+
     def _record_attempt(
         self,
         link: links.Link,
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -18,6 +18,7 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import broadcast
+from dotterelweir_core.gateway import engine_ends
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
@@ -29,6 +30,7 @@
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import prompt_guard as prompt_guards
+from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import stream_api
 
@@ -62,6 +64,9 @@
 # Maximum number of crashes that are sent to a new peer; a row has about 80
 # bytes.
 _CRASHES_MAX = 12
+# Maximum number of ends of targets that are sent to a new peer, a datagram
+# each.
+_ENDS_MAX = 32
 # Maximum number of limits that are sent to a new peer, a datagram each.
 _LIMITS_MAX = 16
 # Time for which an instance that has become silent may still serve its callers
@@ -112,6 +117,8 @@
         handle_reports: Handles a peer's reports; called with its address.
         prompt_guard: Holds what is known of prompts that crash engines.
         limiter: Keeps requests within the limits of targets.
+        request_guard: Holds what is known of requests under which targets
+            ended.
     """
 
     def __init__(
@@ -129,6 +136,7 @@
         handle_reports: Callable[[str, Reports], None],
         prompt_guard: prompt_guards.PromptGuard,
         limiter: limiting.TargetLimiter,
+        request_guard: request_guards.RequestGuard,
     ) -> None:
         self._settings = settings
         self._timers = timer_service
@@ -143,6 +151,7 @@
         self._handle_reports = handle_reports
         self._prompt_guard = prompt_guard
         self._limiter = limiter
+        self._request_guard = request_guard
         # Monotonic times at which instances became silent, in seconds.
         self._silenced_s: dict[str, float] = {}
         self._visible_peers: tuple[limiting.Peer, ...] = ()
@@ -250,16 +259,19 @@
         if self._transport is not None:
             self._broadcast(digests.Departures((departure,)))
 
-    def send_finding(self, finding: quarantine.Finding) -> None:
-        """Sends what was found about prompts to the peers."""
-        match finding:
-            case quarantine.PromptCrash():
-                message = digests.PromptCrashes((finding,))
-            case quarantine.SoundParts():
-                message = finding
-        self.send_to_all(message)
+    def send_finding(
+        self, finding: quarantine.Finding | engine_ends.EndReport
+    ) -> None:
+        """Sends what was found about prompts or requests to the peers."""
+        found_s = self._timers.elapsed_s()
+
+        def send() -> None:
+            age_s = self._timers.elapsed_s() - found_s
+            self.send_to_all(_finding_message(finding, age_s))
+
+        send()
         for delay_s in _FINDING_REPEAT_DELAYS_S:
-            self._timers.call_after(delay_s, lambda: self.send_to_all(message))
+            self._timers.call_after(delay_s, send)
 
     def send_to_all(self, message: digests.Message) -> None:
         """Sends a message to all instances, if the socket is open."""
@@ -309,6 +321,8 @@
                     self._prompt_guard.apply_finding(crash, addr[0])
             case quarantine.SoundParts():
                 self._prompt_guard.apply_finding(message, addr[0])
+            case engine_ends.EndReport():
+                self._request_guard.apply_finding(message, addr[0])
             case (
                 rate_limits.LimitStatement()
                 | turns.TurnRequest()
@@ -407,7 +421,7 @@
         self._send_findings(host)
 
     def _send_findings(self, host: str) -> None:
-        """Sends departures, crashes and limits to a started instance."""
+        """Sends what a started instance cannot know."""
         # The peer may have started after these targets departed, while the
         # store still has their registrations.
         departures = self._departures(_DEPARTURES_MAX)
@@ -416,6 +430,8 @@
         crashes = self._prompt_guard.crashes(_CRASHES_MAX)
         if crashes:
             self._send(host, self._encode(digests.PromptCrashes(crashes)))
+        for report in self._request_guard.reports(_ENDS_MAX):
+            self.send_to(host, report)
         for statement in self._limiter.limits.statements(
             _LIMITS_MAX, self._timers.elapsed_s()
         ):
@@ -517,3 +533,18 @@
         if len(data) > _DATAGRAM_BYTES_LOGGED:
             events.log(LOG, events.DATAGRAM_OVERSIZED, size_bytes=len(data))
         return data
+
+
+def _finding_message(
+    finding: quarantine.Finding | engine_ends.EndReport, age_s: float
+) -> digests.Message:
+    """Returns the message of a finding that is some seconds old."""
+    match finding:
+        case quarantine.PromptCrash():
+            return digests.PromptCrashes(
+                (attrs.evolve(finding, age_s=finding.age_s + age_s),)
+            )
+        case engine_ends.EndReport():
+            return attrs.evolve(finding, age_s=finding.age_s + age_s)
+        case quarantine.SoundParts():
+            return finding
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -26,6 +26,7 @@
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
+        target_ends: Ends of targets with requests in flight, by origin.
         rewinds: Restores of the store from an older copy that the instance
             observed, by stream.
         running: Requests of callers in flight.
@@ -74,6 +75,11 @@
             'Decisions about turns at targets that limit their request rate',
             registry=self._registry,
         )
+        self.target_ends = aioprometheus.Counter(
+            'dotterelweir_gateway_target_ends_total',
+            'Ends of targets with requests in flight',
+            registry=self._registry,
+        )
         self.rewinds = aioprometheus.Counter(
             'dotterelweir_gateway_store_rewinds_total',
             'Times that the store came back from an older copy',
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -15,6 +15,7 @@
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import prompt_guard as prompt_guards
+from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stream_api
@@ -55,6 +56,7 @@
     received_reports: list = attrs.field(factory=list)
     prompt_guard: prompt_guards.PromptGuard = attrs.field(init=False)
     limiter: limiting.TargetLimiter = attrs.field(init=False)
+    request_guard: request_guards.RequestGuard = attrs.field(init=False)
     exchange: peers.PeerExchange = attrs.field(init=False)
     closed: bool = False
 
@@ -70,6 +72,9 @@
             lambda message: self.exchange.send_to_all(message),
             lambda: self.exchange.view(),
         )
+        self.request_guard = request_guards.RequestGuard(
+            self.network.timers, statistics.Statistics()
+        )
         self.exchange = peers.PeerExchange(
             make_settings(f'node-{self.host}', self.host),
             self.network.timers,
@@ -86,6 +91,7 @@
             ),
             self.prompt_guard,
             self.limiter,
+            self.request_guard,
         )
         self.prompt_guard.subscribe(self.exchange.send_finding)
 
