Reproduce a request that ends engine after engine with real processes

One request, the same path, caller and body each time, comes again at any of three or six instances and ends each engine that begins to run it, before its answer or after two events; an engine is back after 1.5 or 2.5 s under a new id. Beside it come sound requests that share two of path, caller and body.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -154,16 +154,22 @@
         self._stop_events: dict[str, asyncio.Event] = {}
         self.address = ''
         self._server: asyncio.Server | None = None
+        # Connections with a request in progress.
+        self._transports: set[asyncio.BaseTransport] = set()
 
-    async def start(self) -> None:
-        """Starts to listen on a free port of the loopback interface."""
+    async def start(self, port: int = 0) -> None:
+        """Starts to listen on the loopback interface.
+
+        Args:
+            port: The port; 0 for a free one.
+        """
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             web.Server(
                 self._handle, access_log=None, handler_cancellation=True
             ),
             '127.0.0.1',
-            0,
+            port,
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
@@ -173,6 +179,12 @@
         if self._server is not None:
             self._server.close()
 
+    def crash(self) -> None:
+        """Stops listening and closes all connections without answers."""
+        self._server.close()
+        for transport in tuple(self._transports):
+            transport.abort()
+
     def entry(self, service: str, state: str = 'ready') -> dict:
         """Returns its registry entry.
 
@@ -197,6 +209,14 @@
         return self.behaviour
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        transport = request.transport
+        self._transports.add(transport)
+        try:
+            return await self._respond(request)
+        finally:
+            self._transports.discard(transport)
+
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
         self.arrivals.append(
             (
                 asyncio.get_running_loop().time(),
--- a/fakes/src/dotterelweir_fakes/soak/limits.py
+++ b/fakes/src/dotterelweir_fakes/soak/limits.py
@@ -113,7 +113,7 @@
             await asyncio.gather(*self._fault_tasks, return_exceptions=True)
             await asyncio.sleep(1.0)
         statuses: dict[int, int] = {}
-        for answer in trial.answers:
+        for answer in trial.answers.values():
             statuses[answer.status] = statuses.get(answer.status, 0) + 1
         return {
             'seed': self.seed,
--- a/fakes/src/dotterelweir_fakes/soak/trials.py
+++ b/fakes/src/dotterelweir_fakes/soak/trials.py
@@ -29,6 +29,8 @@
     'guide': 'model',
     'check': 'model',
 }
+# API key of a caller of another organisation.
+OTHER_KEY = 'key-2'
 # Time for which the platform waits before its rules hold, in seconds.
 STABLE_S = 3.0
 # Time after which an instance that has passed on an answer counts as told, in
@@ -94,7 +96,8 @@
     Attributes:
         engines: Engines by id.
         nodes: Gateway instances and their processes.
-        answers: What callers got, in the order of the ends.
+        answers: What callers got, by the id of the request, in the order of
+            the ends.
         receivers: Instance that got each request, by its id.
     """
 
@@ -118,7 +121,7 @@
             for number in range(1, engine_count + 1)
         }
         self.nodes: list[instances.Instance] = []
-        self.answers: list[Answer] = []
+        self.answers: dict[str, Answer] = {}
         self.receivers: dict[str, instances.Instance] = {}
         # Start and end of each disturbance, by instance, in seconds.
         self._disturbances: dict[str, list[tuple[float, float]]] = {}
@@ -140,9 +143,11 @@
         await self._runner.setup()
         site = web.TCPSite(self._runner, '127.0.0.1', 0)
         await site.start()
-        await self.store.write_json(
-            'keyed.op', 'config', fleet.configuration()
+        tables = fleet.configuration()
+        tables['tenants'].append(
+            {'name': 'org-2', 'keys': [OTHER_KEY], 'priority': 1}
         )
+        await self.store.write_json('keyed.op', 'config', tables)
         for engine in self.engines.values():
             await engine.start()
             await self.register(engine)
@@ -231,6 +236,7 @@
         request_id: str,
         body: bytes = b'x',
         path: str = 'x',
+        key: str = fleet.KEY,
     ) -> asyncio.Task[Answer]:
         """Starts to send one request.
 
@@ -240,10 +246,11 @@
             request_id: Id of the request.
             body: Body of the request.
             path: Rest of its path after the route.
+            key: API key of the caller.
         """
         self.receivers[request_id] = node
         task = asyncio.create_task(
-            self._send(node, route, request_id, body, path)
+            self._send(node, route, request_id, body, path, key)
         )
         self._requests.add(task)
         task.add_done_callback(self._requests.discard)
@@ -256,6 +263,7 @@
         request_id: str,
         body: bytes,
         path: str,
+        key: str,
     ) -> Answer:
         session = self._sessions.get(node.name)
         if session is None:
@@ -268,7 +276,8 @@
         try:
             async with session.post(
                 f'http://{node.host}:{instances.CALLERS_PORT}/{route}/{path}',
-                headers=fleet.request_headers(route, request_id, 2000),
+                headers=fleet.request_headers(route, request_id, 2000)
+                | {'Api-Key': key},
                 data=body,
                 timeout=aiohttp.ClientTimeout(total=6.0),
             ) as answer:
@@ -280,5 +289,5 @@
             # Counted as an answer that is not whole.
             pass
         result = Answer(sent_s, loop.time() - sent_s, status, retry_after_s)
-        self.answers.append(result)
+        self.answers[request_id] = result
         return result
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_crash_process.py
@@ -0,0 +1,67 @@
+"""Tests of a request that ends its engines, with real processes."""
+
+import asyncio
+import random
+
+import attrs
+import pytest
+
+from dotterelweir_fakes.soak import crashing
+
+
+@attrs.frozen
+class Case:
+    """A request that ends its engines and comes again and again."""
+
+    route: str
+    interval_s: float
+    engines: int
+    instances: int
+    back_s: float = 1.5
+    duration_s: float = 12.0
+    crash_events: int | None = None
+
+
+async def play(directory, case):
+    """Plays the request beside sound ones and returns the trial."""
+    async with crashing.CrashTrial(
+        directory, case.instances, case.engines, case.route, case.back_s
+    ) as trial:
+        for engine in trial.engines.values():
+            engine.crash_events = case.crash_events
+        rng = random.Random(11)
+        await asyncio.gather(
+            trial.send_crashes(
+                case.interval_s, case.duration_s, random.Random(rng.random())
+            ),
+            trial.send_sound(
+                20.0, case.duration_s, random.Random(rng.random())
+            ),
+        )
+        await asyncio.sleep(0.5)
+    return trial
+
+
+@pytest.mark.parametrize(
+    'case',
+    [
+        Case('read', 0.4, 3, 3),
+        Case('book', 0.4, 3, 3),
+        Case('guide', 0.4, 3, 3),
+        Case('check', 0.4, 4, 3),
+        Case('check', 0.4, 3, 3, crash_events=2),
+        Case('read', 1.5, 6, 6),
+        Case('book', 3.0, 3, 3, back_s=2.5, duration_s=25.0),
+    ],
+    ids=lambda case: f'{case.route}-{case.interval_s}-{case.crash_events}',
+)
+async def test_a_request_that_ends_its_engines_is_kept_from_them(
+    tmp_path, case
+):
+    """Guards against repeats that end engine after engine."""
+    trial = await play(tmp_path, case)
+    third_end_s = trial.third_end_s()
+    assert third_end_s < float('inf')
+    assert trial.late_sends() <= crashing.LATE_SENDS_MAX
+    counted_s = third_end_s + crashing.COUNTED_AFTER_S
+    assert trial.served_share('sound', counted_s) >= 0.95
--- a/packages/daemon/tests/gateway/test_limit_process.py
+++ b/packages/daemon/tests/gateway/test_limit_process.py
@@ -75,7 +75,7 @@
     trial, named_s = await play(tmp_path, case)
     most = received(trial, case, named_s + _COUNTED_FROM_S)
     assert most <= trials.allowed_requests(case.limit_per_s)
-    statuses = [answer.status for answer in trial.answers]
+    statuses = [answer.status for answer in trial.answers.values()]
     assert statuses.count(200) >= 0.98 * len(statuses)
 
 
@@ -86,7 +86,7 @@
     counted_s = named_s + _COUNTED_FROM_S
     most = received(trial, case, counted_s)
     assert most <= trials.allowed_requests(case.limit_per_s)
-    late = [a for a in trial.answers if a.sent_s >= counted_s]
+    late = [a for a in trial.answers.values() if a.sent_s >= counted_s]
     served = sum(answer.status == 200 for answer in late)
     window_s = _AFTER_S - _COUNTED_FROM_S
     assert served >= 0.7 * case.limited * case.limit_per_s * window_s
