Bound what a started instance gets, and let refusals end no limit

Each of 194 peers sent a new one a datagram for every limit in force; eight copies on average are enough against lost ones. A refusal without the header ended a limit, although only an answer of the target to a request that ran is sure to name every limit: a refusal may come from its queue. test_only_a_proper_answer_shows_ that_there_is_no_limit covers it.

--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -70,6 +70,9 @@
 _ENDS_MAX = 32
 # Maximum number of limits that are sent to a new peer, a datagram each.
 _LIMITS_MAX = 16
+# Number of peers that send them to a new peer, on average. In a large
+# deployment, those of all peers would fill its link.
+_LIMIT_COPIES = 8
 # Time for which an instance that has become silent may still serve its callers
 # elsewhere in a divided network, in seconds.
 _SILENCED_S = 60.0
@@ -433,10 +436,11 @@
             self._send(host, self._encode(digests.PromptCrashes(crashes)))
         for finding in self._request_guard.findings(_ENDS_MAX):
             self.send_to(host, finding)
-        for statement in self._limiter.limits.statements(
-            _LIMITS_MAX, self._timers.elapsed_s()
-        ):
-            self.send_to(host, statement)
+        if self._rng.random() < _LIMIT_COPIES / self.instance_count:
+            for statement in self._limiter.limits.statements(
+                _LIMITS_MAX, self._timers.elapsed_s()
+            ):
+                self.send_to(host, statement)
 
     def _remove_peer(self, instance_id: str, reason: str) -> None:
         peer = self._peers.pop(instance_id, None)
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -188,6 +188,7 @@
     """Guards against a spoilt answer that ends a limit."""
     assert decode_limit(200, SEALED).limit_per_s == math.inf
     assert decode_limit(200) == api.NO_NOTICE
+    assert decode_limit(503, (b'X-Not-Executed', b'1')) == api.NO_NOTICE
     assert decode_limit(421, (b'Server-Limit', b'2')) == api.NO_NOTICE
     other = [(b'X-Attempt-Id', b'r2'), SEALED, (b'Server-Limit', b'2')]
     assert DIALECT.decode_answer('r1', 200, other).notice == api.NO_NOTICE
