Send a started instance only the ends of repeated requests

Each peer sent a new one up to 32 reports of ends, so that in a deployment of 195 instances one that started would get thousands of datagrams of a kilobyte. What matters are requests at two ends or more, which are rare.

--- a/packages/core/src/dotterelweir_core/gateway/engine_ends.py
+++ b/packages/core/src/dotterelweir_core/gateway/engine_ends.py
@@ -145,21 +145,23 @@
     def __len__(self) -> int:
         return len(self._ends)
 
-    def reports(self, count: int, now_s: float) -> tuple[EndReport, ...]:
-        """Returns reports of the newest ends.
+    def reports(
+        self, keys: frozenset[str], now_s: float
+    ) -> tuple[EndReport, ...]:
+        """Returns reports of the ends of some requests, the oldest first.
 
         Args:
-            count: Maximum number of ends.
+            keys: Keys of the requests; others are left out.
             now_s: Time, in seconds.
         """
         self.expire(now_s)
         return tuple(
             report
-            for end in self._ends[-count:]
+            for end in self._ends
             for report in EndReport(
                 end.target_id,
                 end.started_ms,
-                frozenset(end.keys),
+                keys & end.keys,
                 now_s - end.ended_s,
             ).split()
         )
--- a/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
+++ b/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
@@ -155,17 +155,26 @@
         """Returns what an instance that has started must know.
 
         Args:
-            count: Maximum number of ends of targets, the newest ones.
+            count: Maximum number of findings.
             now_s: Time, in seconds.
         """
-        reports = self._ends.reports(count, now_s)
-        keys = set().union(*(report.keys for report in reports))
+        keys = self._repeated_keys()
+        reports = self._ends.reports(keys, now_s)
         answers = (
             SoundRequest(key, now_s - self._stated_s[key])
             for key in sorted(keys)
             if key in self._stated_s
         )
-        return (*answers, *reports)
+        return (*answers, *reports)[-count:]
+
+    def _repeated_keys(self) -> frozenset[str]:
+        """Returns the keys of requests at two ends or more."""
+        seen: set[str] = set()
+        repeated: set[str] = set()
+        for end in self._ends:
+            repeated |= seen & end.keys
+            seen |= end.keys
+        return frozenset(repeated)
 
     def _judge(self) -> None:
         """Decides anew which requests are blocked.
--- a/packages/core/tests/gateway/test_request_quarantine.py
+++ b/packages/core/tests/gateway/test_request_quarantine.py
@@ -111,3 +111,17 @@
     end(quarantine, 2.5 + delay_s, 'shop-9', 'sound')
     block = quarantine.find_block('sound', 3.0 + delay_s)
     assert block.trial_s > block.until_s
+
+
+def test_a_started_instance_learns_of_repeated_requests_only(quarantine):
+    """Guards against floods of ends that nobody has to know."""
+    for number in range(200):
+        end(quarantine, 1.0, f'shop-{number}', f'once-{number}')
+    assert quarantine.findings(24, 2.0) == ()
+    quarantine.apply(request_quarantine.SoundRequest('bad'), 1.0)
+    for number in range(3):
+        end(quarantine, 2.0, f'engine-{number}', 'bad', f'other-{number}')
+    started = request_quarantine.RequestQuarantine()
+    for finding in quarantine.findings(24, 3.0):
+        started.apply(finding, 3.0)
+    assert started.find_block('bad', 3.0) == quarantine.find_block('bad', 3.0)
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -65,9 +65,9 @@
 # Maximum number of crashes that are sent to a new peer; a row has about 80
 # bytes.
 _CRASHES_MAX = 12
-# Maximum number of ends of targets that are sent to a new peer, a datagram or
-# more each.
-_ENDS_MAX = 32
+# Maximum number of findings about ends of targets that are sent to a new peer,
+# a datagram each.
+_END_FINDINGS_MAX = 24
 # Maximum number of limits that are sent to a new peer, a datagram each.
 _LIMITS_MAX = 16
 # Number of peers that send them to a new peer, on average. In a large
@@ -434,7 +434,7 @@
         crashes = self._prompt_guard.crashes(_CRASHES_MAX)
         if crashes:
             self._send(host, self._encode(digests.PromptCrashes(crashes)))
-        for finding in self._request_guard.findings(_ENDS_MAX):
+        for finding in self._request_guard.findings(_END_FINDINGS_MAX):
             self.send_to(host, finding)
         if self._rng.random() < _LIMIT_COPIES / self.instance_count:
             for statement in self._limiter.limits.statements(
--- a/packages/daemon/src/dotterelweird/gateway/request_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/request_guard.py
@@ -112,7 +112,7 @@
         """Returns what an instance that has started must know.
 
         Args:
-            count: Maximum number of ends of targets, the newest ones.
+            count: Maximum number of findings.
         """
         return self._quarantine.findings(count, self._timers.elapsed_s())
 
