Play a request that ends its engines in a soak with failing instances

The soak sends it beside sound requests that share its path, caller or body and one that is repeated often, while engines also end by themselves and gateway processes are killed, stopped and frozen. It counts sends later than 3 s after the third end and the sound requests that are served. The faults of instances are shared with the soak of limits.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PYTEST_ARGS ?= -n 4
 CASES ?= 10000
 
-.PHONY: install lint format test ci demo measure experiment soak stops limits fuzz docs clean
+.PHONY: install lint format test ci demo measure experiment soak stops limits crashes fuzz docs clean
 
 install: $(VENV)/.installed
 
@@ -53,6 +53,9 @@
 limits: install
 	$(BIN)/python -m dotterelweir_fakes limits --seed $(SEED)
 
+crashes: install
+	$(BIN)/python -m dotterelweir_fakes crashes --seed $(SEED)
+
 docs: install
 	$(BIN)/python -m dotterelweir_fakes docs
 
--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -13,6 +13,7 @@
 from dotterelweir_fakes.pages import command as pages_command
 from dotterelweir_fakes.platform import command as platform_command
 from dotterelweir_fakes.soak import command as soak_command
+from dotterelweir_fakes.soak import crashes
 from dotterelweir_fakes.soak import limits
 from dotterelweir_fakes.soak import stops
 
@@ -22,6 +23,7 @@
     """Stand-ins, load tool, demo and measurement for dotterelweir."""
 
 
+main.add_command(crashes.crashes)
 main.add_command(demo_command.demo)
 main.add_command(engine_command.engine)
 main.add_command(experiment.experiment)
--- a/fakes/src/dotterelweir_fakes/soak/crashing.py
+++ b/fakes/src/dotterelweir_fakes/soak/crashing.py
@@ -36,7 +36,7 @@
         crash_events: Events that it writes before it ends; None if it does
             not even write the head of an answer.
         register: Writes its registry entry, or removes the one of an id.
-        ends_s: Monotonic times of its ends, in seconds.
+        ends_s: Monotonic times of its ends under the request, in seconds.
     """
 
     def __init__(self, target_id: str) -> None:
@@ -47,6 +47,7 @@
         self.register: Callable[[str, bool], Awaitable[None]] | None = None
         self.ends_s: list[float] = []
         self._first_id = target_id
+        self._starts = 0
         self._tasks: set[asyncio.Task] = set()
 
     async def _run(
@@ -70,7 +71,9 @@
                         b'id: %d\ndata: token-%d\n\n' % (number, number)
                     )
                 await asyncio.sleep(self.crash_after_s)
-            self.end()
+            if self._server.is_serving():
+                self.ends_s.append(asyncio.get_running_loop().time())
+                self.end()
             raise ConnectionResetError
         return await super()._run(request, headers, body)
 
@@ -78,7 +81,7 @@
         """Ends the engine; it starts again after some time."""
         if not self._server.is_serving():
             return
-        self.ends_s.append(asyncio.get_running_loop().time())
+        self._starts += 1
         self.crash()
         task = asyncio.create_task(self._start_again())
         self._tasks.add(task)
@@ -87,7 +90,7 @@
     async def _start_again(self) -> None:
         await asyncio.sleep(self.back_s)
         await self.register(self.target_id, False)
-        self.target_id = f'{self._first_id}-{len(self.ends_s)}'
+        self.target_id = f'{self._first_id}-{self._starts}'
         await self.start(int(self.address.rpartition(':')[2]))
         await self.register(self.target_id, True)
 
@@ -232,6 +235,8 @@
     def served_share(self, prefix: str, from_s: float) -> float:
         """Returns the share of requests that were answered 200.
 
+        Those at disturbed instances do not count.
+
         Args:
             prefix: First part of their ids.
             from_s: Monotonic time from which they were sent, in seconds.
@@ -239,6 +244,8 @@
         statuses = [
             answer.status
             for request_id, answer in self.answers.items()
-            if request_id.startswith(prefix) and answer.sent_s >= from_s
+            if request_id.startswith(prefix)
+            and answer.sent_s >= from_s
+            and not self.is_excused(request_id, answer.sent_s)
         ]
         return statuses.count(200) / max(1, len(statuses))
--- /dev/null
+++ b/fakes/src/dotterelweir_fakes/soak/instance_faults.py
@@ -0,0 +1,79 @@
+"""Random faults of gateway processes in a trial."""
+
+import asyncio
+import random
+import signal
+
+import attrs
+
+from dotterelweir_fakes.soak import instances
+from dotterelweir_fakes.soak import trials
+
+# Range of the time between the starts of two faults, and of the duration of
+# one, in seconds; faults overlap.
+_INTERVAL_S = (0.5, 3.0)
+_DURATION_S = (0.3, 2.5)
+# Time without faults at the start, in seconds.
+_CALM_S = 4.0
+
+
+@attrs.define
+class InstanceFaults:
+    """Kills, stops and freezes gateway processes until it is cancelled.
+
+    Attributes:
+        trial: The trial that runs the processes.
+        rng: Random source; its seed determines the sequence of faults.
+        counts: Number of faults by kind.
+    """
+
+    trial: trials.Trial
+    rng: random.Random
+    counts: dict[str, int] = attrs.field(factory=dict)
+    _tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def run(self) -> None:
+        """Starts faults of instances."""
+        await asyncio.sleep(_CALM_S)
+        while True:
+            fault = self.rng.choice((self._kill, self._stop, self._freeze))
+            name = fault.__name__.strip('_')
+            self.counts[name] = self.counts.get(name, 0) + 1
+            node = self.rng.choice(self.trial.nodes)
+            task = asyncio.create_task(
+                fault(node, self.rng.uniform(*_DURATION_S))
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self.rng.uniform(*_INTERVAL_S))
+
+    async def wait(self) -> None:
+        """Waits until the faults in progress have ended."""
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def _kill(self, node: instances.Instance, for_s: float) -> None:
+        with self.trial.disturbing(node):
+            node.send_signal(signal.SIGCONT)
+            node.send_signal(signal.SIGKILL)
+            await self._start_again(node, for_s)
+
+    async def _stop(self, node: instances.Instance, for_s: float) -> None:
+        with self.trial.disturbing(node):
+            node.send_signal(signal.SIGTERM)
+            while node.running:
+                await asyncio.sleep(0.05)
+            await self._start_again(node, for_s)
+
+    async def _start_again(
+        self, node: instances.Instance, after_s: float
+    ) -> None:
+        await asyncio.sleep(after_s)
+        if not node.running:
+            node.start()
+            await node.wait_ready()
+
+    async def _freeze(self, node: instances.Instance, for_s: float) -> None:
+        with self.trial.disturbing(node):
+            node.send_signal(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+            node.send_signal(signal.SIGCONT)
--- a/fakes/src/dotterelweir_fakes/soak/limits.py
+++ b/fakes/src/dotterelweir_fakes/soak/limits.py
@@ -3,7 +3,6 @@
 import asyncio
 import pathlib
 import random
-import signal
 import sys
 import tempfile
 
@@ -12,7 +11,7 @@
 import orjson
 
 from dotterelweir_fakes.fleet import engine as fleet_engine
-from dotterelweir_fakes.soak import instances
+from dotterelweir_fakes.soak import instance_faults
 from dotterelweir_fakes.soak import trials
 
 _ROUTES = ('read', 'book', 'guide', 'check')
@@ -20,12 +19,6 @@
 _LIMITS = ('0', '0.1', '0.6', '1.4', '2.3', '5', '12', '-1', 'nan', '1e300')
 # Range of the time between two changes of a limit, in seconds.
 _CHANGE_S = (4.0, 9.0)
-# Range of the time between the starts of two faults, and of the duration of
-# one, in seconds.
-_INTERVAL_S = (0.5, 3.0)
-_DURATION_S = (0.3, 2.5)
-# Time without faults at the start and at the end, in seconds.
-_CALM_S = 4.0
 # Requests of each instance per second.
 _RATE_PER_INSTANCE = 8.0
 # Limit from which on an engine counts as unlimited, in requests per second.
@@ -63,8 +56,6 @@
     instance_count: int
     directory: pathlib.Path
     _named: dict[str, list[NamedLimit]] = attrs.field(factory=dict)
-    _faults: dict[str, int] = attrs.field(factory=dict)
-    _fault_tasks: set[asyncio.Task] = attrs.field(factory=set)
 
     async def run(self) -> dict[str, object]:
         """Runs the soak test.
@@ -81,8 +72,11 @@
             engine_count,
             trials.SERVICES[routes[0]],
         ) as trial:
+            faults = instance_faults.InstanceFaults(
+                trial, random.Random(rng.random())
+            )
             background = [
-                asyncio.create_task(self._inject_faults(trial, rng)),
+                asyncio.create_task(faults.run()),
                 *(
                     asyncio.create_task(
                         self._change_limits(
@@ -110,7 +104,7 @@
             for task in background:
                 task.cancel()
             await asyncio.gather(*background, return_exceptions=True)
-            await asyncio.gather(*self._fault_tasks, return_exceptions=True)
+            await faults.wait()
             await asyncio.sleep(1.0)
         statuses: dict[int, int] = {}
         for answer in trial.answers.values():
@@ -120,7 +114,7 @@
             'routes': routes,
             'engines': engine_count,
             'statuses': {str(k): statuses[k] for k in sorted(statuses)},
-            'faults': self._faults,
+            'faults': faults.counts,
             'limits': {
                 name: [limit.rate_per_s for limit in limits]
                 for name, limits in self._named.items()
@@ -146,57 +140,6 @@
             named.append(NamedLimit(rate_per_s, loop.time()))
             await asyncio.sleep(rng.uniform(*_CHANGE_S))
 
-    async def _inject_faults(
-        self, trial: trials.Trial, rng: random.Random
-    ) -> None:
-        """Starts faults of instances, which may overlap."""
-        await asyncio.sleep(_CALM_S)
-        while True:
-            fault = rng.choice((self._restart, self._stop, self._freeze))
-            name = fault.__name__.strip('_')
-            self._faults[name] = self._faults.get(name, 0) + 1
-            task = asyncio.create_task(
-                fault(
-                    trial, rng.choice(trial.nodes), rng.uniform(*_DURATION_S)
-                )
-            )
-            self._fault_tasks.add(task)
-            task.add_done_callback(self._fault_tasks.discard)
-            await asyncio.sleep(rng.uniform(*_INTERVAL_S))
-
-    async def _restart(
-        self, trial: trials.Trial, node: instances.Instance, for_s: float
-    ) -> None:
-        with trial.disturbing(node):
-            node.send_signal(signal.SIGCONT)
-            node.send_signal(signal.SIGKILL)
-            await self._start_again(node, for_s)
-
-    async def _stop(
-        self, trial: trials.Trial, node: instances.Instance, for_s: float
-    ) -> None:
-        with trial.disturbing(node):
-            node.send_signal(signal.SIGTERM)
-            while node.running:
-                await asyncio.sleep(0.05)
-            await self._start_again(node, for_s)
-
-    async def _start_again(
-        self, node: instances.Instance, after_s: float
-    ) -> None:
-        await asyncio.sleep(after_s)
-        if not node.running:
-            node.start()
-            await node.wait_ready()
-
-    async def _freeze(
-        self, trial: trials.Trial, node: instances.Instance, for_s: float
-    ) -> None:
-        with trial.disturbing(node):
-            node.send_signal(signal.SIGSTOP)
-            await asyncio.sleep(for_s)
-            node.send_signal(signal.SIGCONT)
-
     def _find_violations(self, trial: trials.Trial) -> list[str]:
         violations = []
         for engine_id, named in self._named.items():
