Keep a call that ends its services from the others at dotterelweird

What callers saw: a repeatable call went from service to service as long as its retry budget lasted; one call ended all ten services of the test.

ServiceAttempts now uses the same quarantine: a lost connection whose service refuses a further one is an end, and a call with three ends is refused, or fails with its first error if it may have run. An instance knows only the ends that it has seen; its peers do not exchange them, and generations have no such guard. Both are open.

--- a/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
+++ b/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
@@ -94,7 +94,7 @@
                 changed = self._ends.apply(finding, now_s)
             case SoundRequest(key, age_s):
                 answered_s = now_s - age_s
-                changed = answered_s > self._stated_s.get(key, 0.0)
+                changed = answered_s > self._stated_s.get(key, -math.inf)
                 if changed:
                     self._stated_s.put(key, answered_s)
         if changed:
@@ -187,7 +187,7 @@
         ends = list(self._ends)
         for index, end in enumerate(ends):
             for key in end.keys:
-                if end.ended_s > self._stated_s.get(key, 0.0):
+                if end.ended_s > self._stated_s.get(key, -math.inf):
                     unexplained.setdefault(key, set()).add(index)
         self._blocks = {}
         while unexplained:
--- a/packages/daemon/src/dotterelweird/callers/service_attempts.py
+++ b/packages/daemon/src/dotterelweird/callers/service_attempts.py
@@ -10,10 +10,12 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.delivery import retries
+from dotterelweir_core.gateway import engine_ends
 from dotterelweir_core.policy import api as policy_api
 from dotterelweir_core.targets import model as targets_model
 from dotterelweird import dispatch
 from dotterelweird.callers import api
+from dotterelweird.callers import end_guard
 from dotterelweird.claims import api as claims_api
 from dotterelweird.targets import api as targets_api
 
@@ -88,6 +90,7 @@
         self._timer = timer
         self._budget = budget
         self._on_state = on_state
+        self._guard = end_guard.EndGuard(timer)
 
     async def run(
         self,
@@ -112,18 +115,26 @@
                 covers all attempts.
         """
         self._budget.record_request()
+        key = engine_ends.request_key(
+            '', request.path_and_query, item.organisation, request.body
+        )
         failure: errors.DotterelweirError | None = None
         attempt = 0
         while True:
             attempt += 1
+            blocked = self._guard.find_error(key, item.request_id)
+            if blocked is not None:
+                raise failure or blocked
             try:
                 placement = await self._dispatcher.place(item)
             except errors.DotterelweirError as error:
                 raise (failure or error) from error
             try:
-                return await self._attempt(
+                response = await self._attempt(
                     placement, item, request, attempt, progress, grant
                 )
+                self._guard.record_answer(key)
+                return response
             except errors.DotterelweirError as error:
                 failure = _error_to_report(failure, error)
                 events.log(
@@ -135,12 +146,25 @@
                     code=error.kind.value,
                     execution=error.execution.value,
                 )
+                await self._record_lost_connection(placement, key, error)
                 if not self._may_retry(item, error):
                     raise failure from error
             item = attrs.evolve(
                 item, excluded=item.excluded | {placement.target_id}
             )
 
+    async def _record_lost_connection(
+        self,
+        placement: policy_api.Placement,
+        key: str,
+        error: errors.DotterelweirError,
+    ) -> None:
+        if error.kind is not errors.ErrorKind.TARGET_FAILED:
+            return
+        target = self._find_target(placement.target_id, None)
+        if target is not None:
+            await self._guard.record_lost_connection(target, key)
+
     def _may_retry(
         self, item: policy_api.WorkItem, error: errors.DotterelweirError
     ) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/request_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/request_guard.py
@@ -16,6 +16,7 @@
 from dotterelweir_core.gateway import request_quarantine
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import turns
+from dotterelweird import probing
 from dotterelweird import timers as loop_timers
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import limiting
@@ -247,7 +248,9 @@
         target = suspicion.target
         for delay_s in _PROBE_DELAYS_S:
             await loop_timers.sleep(self._timers, delay_s)
-            if await _refuses_connections(target):
+            if await probing.refuses_connections(
+                target.host, target.port, target_client.CONNECT_TIMEOUT_S
+            ):
                 suspicion.ended = True
                 self._report_end(target, frozenset(suspicion.keys))
                 await loop_timers.sleep(self._timers, _SAME_END_S)
@@ -301,17 +304,3 @@
                     origin=origin,
                 )
         return True
-
-
-async def _refuses_connections(target: targets.Target) -> bool:
-    """Whether a target refuses a connection."""
-    try:
-        async with asyncio.timeout(target_client.CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(target.host, target.port)
-    except ConnectionRefusedError:
-        return True
-    except (OSError, TimeoutError):
-        # A cut link does not show whether the target has ended.
-        return False
-    writer.close()
-    return False
