Declare the grace time of a test instance once

The class declared and documented it twice, and its value was bound when the class was made, so that a changed GRACE_S had no effect.

--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -33,7 +33,6 @@
         module: Python module that the process runs.
         grace_s: Time from SIGTERM to the end of the process, in seconds.
         process: The newest process; None before the first start.
-        grace_s: Time from SIGTERM to the end of the process, in seconds.
         disturbed_s: Monotonic time of the newest disturbance, in seconds.
     """
 
@@ -41,9 +40,8 @@
     directory: pathlib.Path
     store_address: str
     module: str = 'dotterelweir_platform'
-    grace_s: int = GRACE_S
+    grace_s: int = attrs.field(factory=lambda: GRACE_S)
     process: subprocess.Popen | None = None
-    grace_s: int = GRACE_S
     disturbed_s: float = 0.0
 
     @property
