Compare the known limits of targets in regular digests

An instance that is cut off or frozen for less than the time after which a silent peer counts as new (2 s with six instances, 49 s with 195) lost the news of a limit that was named or ended meanwhile for good: news is sent for 2 s only. Found in review, before callers saw it; test_an_instance_that_was_cut_off_learns_of_limits failed for a new limit and for an ended one.

Regular digests carry a checksum of the limits in force. An instance with another one asks the sender, at most once a second, for its newest statements, ended limits included, so that both end up with the same.

--- a/packages/core/src/dotterelweir_core/gateway/rate_limits.py
+++ b/packages/core/src/dotterelweir_core/gateway/rate_limits.py
@@ -7,6 +7,7 @@
 """
 
 import math
+import zlib
 
 import attrs
 
@@ -133,18 +134,26 @@
     def statements(
         self, count: int, now_s: float
     ) -> tuple[LimitStatement, ...]:
-        """Returns the newest statements of limits that are in force.
+        """Returns the newest statements, also those that ended limits.
 
         Args:
             count: Maximum number of statements.
             now_s: Time of the clock that counts suspensions, in seconds.
         """
-        in_force = [
-            self._statement(key, known, now_s)
+        newest = list(self._limits.items())[-count:]
+        return tuple(
+            self._statement(key, known, now_s) for key, known in newest
+        )
+
+    @property
+    def fingerprint(self) -> int:
+        """Checksum of the limits in force; 0 for none."""
+        in_force = sorted(
+            (*key, known.rate_per_s)
             for key, known in self._limits.items()
             if known.rate_per_s < UNLIMITED
-        ]
-        return tuple(in_force[-count:])
+        )
+        return zlib.crc32(repr(in_force).encode()) if in_force else 0
 
     def statement(
         self, target_id: str, started_ms: int, now_s: float
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -44,6 +44,9 @@
             carries none.
         known_hosts: IP addresses of other instances; empty if the digest
             carries none.
+        limits_fingerprint: Checksum of the limits of targets that the
+            instance knows; None if the digest carries none.
+        wants_findings: Whether the receiver should send what it has found.
         leaving: Whether the instance stops now.
     """
 
@@ -58,6 +61,8 @@
         factory=dict
     )
     known_hosts: tuple[str, ...] = ()
+    limits_fingerprint: int | None = None
+    wants_findings: bool = False
     leaving: bool = False
 
 
@@ -210,6 +215,10 @@
                 }
             if message.known_hosts:
                 body['k'] = message.known_hosts
+            if message.limits_fingerprint is not None:
+                body['f'] = message.limits_fingerprint
+            if message.wants_findings:
+                body['g'] = 1
             if message.leaving:
                 body['x'] = 1
             return orjson.dumps(body)
@@ -313,6 +322,10 @@
                 ).items()
             },
             known_hosts=tuple(map(_decode_host, body.get('k', ()))),
+            limits_fingerprint=(
+                _decode_integer(body['f']) if 'f' in body else None
+            ),
+            wants_findings=bool(body.get('g')),
             leaving=bool(body.get('x')),
         )
     except api.DECODE_ERRORS as exc:
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -76,6 +76,8 @@
 # Time for which an instance that has become silent may still serve its callers
 # elsewhere in a divided network, in seconds.
 _SILENCED_S = 60.0
+# Shortest time between two requests for the findings of a peer, in seconds.
+_FINDINGS_INTERVAL_S = 1.0
 # Delays after which a finding about a prompt is sent again, in seconds: a lost
 # datagram would cost another engine. They last until a peer that was cut off
 # counts as silent, and so as new when it returns.
@@ -170,6 +172,7 @@
         self._started_ms = int(timer_service.wall_s() * 1000)
         self._sequence = 0
         self._last_broadcast_s = float('-inf')
+        self._findings_asked_s = float('-inf')
         self._transport: asyncio.DatagramTransport | None = None
         self._load_digest_timer: timers.TimerHandle | None = None
         self._period_timer: timers.TimerHandle | None = None
@@ -386,6 +389,22 @@
             self._send_findings(host)
         if digest.reports:
             self._handle_reports(host, digest.reports)
+        if digest.wants_findings:
+            self._send_limits(host)
+        self._compare_findings(digest, now_s)
+
+    def _compare_findings(self, digest: digests.Digest, now_s: float) -> None:
+        """Asks a peer for its findings if they differ.
+
+        News may have been lost while this instance was cut off or paused.
+        """
+        fingerprint = digest.limits_fingerprint
+        if fingerprint in (None, self._limiter.limits.fingerprint):
+            return
+        if now_s - self._findings_asked_s < _FINDINGS_INTERVAL_S:
+            return
+        self._findings_asked_s = now_s
+        self._send_digest(digest.host, self._digest(wants_findings=True))
 
     def _has_restarted(
         self, peer: Peer, started_ms: int, now_s: float
@@ -437,10 +456,13 @@
         for finding in self._request_guard.findings(_END_FINDINGS_MAX):
             self.send_to(host, finding)
         if self._rng.random() < _LIMIT_COPIES / self.instance_count:
-            for statement in self._limiter.limits.statements(
-                _LIMITS_MAX, self._timers.elapsed_s()
-            ):
-                self.send_to(host, statement)
+            self._send_limits(host)
+
+    def _send_limits(self, host: str) -> None:
+        for statement in self._limiter.limits.statements(
+            _LIMITS_MAX, self._timers.elapsed_s()
+        ):
+            self.send_to(host, statement)
 
     def _remove_peer(self, instance_id: str, reason: str) -> None:
         peer = self._peers.pop(instance_id, None)
@@ -482,7 +504,9 @@
             if now_s - peer.last_digest_s > silence_max_s:
                 self._remove_peer(instance_id, _SILENT)
         regular = self._digest(
-            known_hosts=self._sample_hosts(), reports=self._own_reports()
+            known_hosts=self._sample_hosts(),
+            reports=self._own_reports(),
+            limits_fingerprint=self._limiter.limits.fingerprint,
         )
         for host in list(self._candidates):
             self._send_digest(host, regular)
@@ -504,6 +528,8 @@
         self,
         known_hosts: tuple[str, ...] = (),
         reports: Reports | None = None,
+        limits_fingerprint: int | None = None,
+        wants_findings: bool = False,
         leaving: bool = False,
     ) -> digests.Digest:
         self._sequence += 1
@@ -517,6 +543,8 @@
             self._budgets.own_counts(),
             reports or {},
             known_hosts,
+            limits_fingerprint,
+            wants_findings,
             leaving,
         )
 
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -8,6 +8,7 @@
 
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
@@ -442,3 +443,27 @@
     network.cut.clear()
     network.timers.advance(1.5)
     assert blocked_at(nodes, 'bad', 'a') == [True] * 3
+
+
+def limit_statement(rate_per_s):
+    return rate_limits.LimitStatement('shop-1', 0, rate_per_s, 0.01)
+
+
+@pytest.mark.parametrize('rate_per_s', [2.0, rate_limits.UNLIMITED])
+def test_an_instance_that_was_cut_off_learns_of_limits(network, rate_per_s):
+    """Guards against news that is lost while an instance is cut off."""
+    first, cut_off = network.nodes['10.0.0.1'], network.nodes['10.0.0.3']
+    if rate_per_s == rate_limits.UNLIMITED:
+        first.limiter.report(limit_statement(2.0))
+        network.timers.advance(4.0)
+    network.cut.add('10.0.0.3')
+    network.timers.advance(0.1)
+    first.limiter.report(limit_statement(rate_per_s))
+    # Shorter than the time after which a silent peer counts as new.
+    network.timers.advance(1.1)
+    # The last repeat of the news is lost as well.
+    first.limiter._target(('shop-1', 0)).news_timers[-1].cancel()
+    network.cut.clear()
+    network.timers.advance(1.2)
+    known = cut_off.limiter.limits.statement('shop-1', 0, 0.0)
+    assert known is not None and known.rate_per_s == rate_per_s
