Compare the blocked requests in regular digests

As with limits: an instance that was cut off or frozen briefly lost the news of a blocked request for good and would have sent it on to targets. Regular digests carry a checksum of the blocked requests, and an instance with another one asks the sender for what it has found.

--- a/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
+++ b/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
@@ -10,6 +10,7 @@
 
 import itertools
 import math
+import zlib
 
 import attrs
 
@@ -167,6 +168,13 @@
         )
         return (*answers, *reports)[-count:]
 
+    @property
+    def fingerprint(self) -> int:
+        """Checksum of the blocked requests; 0 for none."""
+        if not self._blocks:
+            return 0
+        return zlib.crc32(repr(sorted(self._blocks)).encode())
+
     def _repeated_keys(self) -> frozenset[str]:
         """Returns the keys of requests at two ends or more."""
         seen: set[str] = set()
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -46,6 +46,8 @@
             carries none.
         limits_fingerprint: Checksum of the limits of targets that the
             instance knows; None if the digest carries none.
+        blocks_fingerprint: Checksum of the requests that the instance blocks;
+            None if the digest carries none.
         wants_findings: Whether the receiver should send what it has found.
         leaving: Whether the instance stops now.
     """
@@ -62,6 +64,7 @@
     )
     known_hosts: tuple[str, ...] = ()
     limits_fingerprint: int | None = None
+    blocks_fingerprint: int | None = None
     wants_findings: bool = False
     leaving: bool = False
 
@@ -217,6 +220,8 @@
                 body['k'] = message.known_hosts
             if message.limits_fingerprint is not None:
                 body['f'] = message.limits_fingerprint
+            if message.blocks_fingerprint is not None:
+                body['p'] = message.blocks_fingerprint
             if message.wants_findings:
                 body['g'] = 1
             if message.leaving:
@@ -325,6 +330,9 @@
             limits_fingerprint=(
                 _decode_integer(body['f']) if 'f' in body else None
             ),
+            blocks_fingerprint=(
+                _decode_integer(body['p']) if 'p' in body else None
+            ),
             wants_findings=bool(body.get('g')),
             leaving=bool(body.get('x')),
         )
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -391,6 +391,7 @@
             self._handle_reports(host, digest.reports)
         if digest.wants_findings:
             self._send_limits(host)
+            self._send_end_findings(host)
         self._compare_findings(digest, now_s)
 
     def _compare_findings(self, digest: digests.Digest, now_s: float) -> None:
@@ -398,8 +399,15 @@
 
         News may have been lost while this instance was cut off or paused.
         """
-        fingerprint = digest.limits_fingerprint
-        if fingerprint in (None, self._limiter.limits.fingerprint):
+        same_limits = digest.limits_fingerprint in (
+            None,
+            self._limiter.limits.fingerprint,
+        )
+        same_blocks = digest.blocks_fingerprint in (
+            None,
+            self._request_guard.fingerprint,
+        )
+        if same_limits and same_blocks:
             return
         if now_s - self._findings_asked_s < _FINDINGS_INTERVAL_S:
             return
@@ -453,11 +461,14 @@
         crashes = self._prompt_guard.crashes(_CRASHES_MAX)
         if crashes:
             self._send(host, self._encode(digests.PromptCrashes(crashes)))
-        for finding in self._request_guard.findings(_END_FINDINGS_MAX):
-            self.send_to(host, finding)
+        self._send_end_findings(host)
         if self._rng.random() < _LIMIT_COPIES / self.instance_count:
             self._send_limits(host)
 
+    def _send_end_findings(self, host: str) -> None:
+        for finding in self._request_guard.findings(_END_FINDINGS_MAX):
+            self.send_to(host, finding)
+
     def _send_limits(self, host: str) -> None:
         for statement in self._limiter.limits.statements(
             _LIMITS_MAX, self._timers.elapsed_s()
@@ -507,6 +518,7 @@
             known_hosts=self._sample_hosts(),
             reports=self._own_reports(),
             limits_fingerprint=self._limiter.limits.fingerprint,
+            blocks_fingerprint=self._request_guard.fingerprint,
         )
         for host in list(self._candidates):
             self._send_digest(host, regular)
@@ -529,6 +541,7 @@
         known_hosts: tuple[str, ...] = (),
         reports: Reports | None = None,
         limits_fingerprint: int | None = None,
+        blocks_fingerprint: int | None = None,
         wants_findings: bool = False,
         leaving: bool = False,
     ) -> digests.Digest:
@@ -544,6 +557,7 @@
             reports or {},
             known_hosts,
             limits_fingerprint,
+            blocks_fingerprint,
             wants_findings,
             leaving,
         )
--- a/packages/daemon/src/dotterelweird/gateway/request_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/request_guard.py
@@ -117,6 +117,11 @@
         """
         return self._quarantine.findings(count, self._timers.elapsed_s())
 
+    @property
+    def fingerprint(self) -> int:
+        """Checksum of the blocked requests; 0 for none."""
+        return self._quarantine.fingerprint
+
     def find_error(
         self, exchange: exchanges.Exchange
     ) -> errors.DotterelweirError | None:
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dotterelweir_core import timers
+from dotterelweir_core.gateway import engine_ends
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import retry_budget
@@ -467,3 +468,22 @@
     network.timers.advance(1.2)
     known = cut_off.limiter.limits.statement('shop-1', 0, 0.0)
     assert known is not None and known.rate_per_s == rate_per_s
+
+
+async def test_an_instance_that_was_cut_off_learns_of_blocked_requests(
+    network,
+):
+    """Guards against a cut-off instance that goes on to end targets."""
+    first, cut_off = network.nodes['10.0.0.1'], network.nodes['10.0.0.3']
+    network.cut.add('10.0.0.3')
+    network.timers.advance(0.1)
+    for number in range(3):
+        report = engine_ends.EndReport(
+            f'shop-{number}', 0, frozenset({'bad'}), 0.0
+        )
+        # A finding that is not sent again.
+        first.request_guard.apply_finding(report, 'host')
+    network.timers.advance(1.1)
+    network.cut.clear()
+    network.timers.advance(1.2)
+    assert cut_off.request_guard._quarantine.find_block('bad', 0.0)
