Ask the first coordinator again soon after a lower one refused a turn

Found in review, before callers saw it: a coordinator of a lower rank gives few turns, and an instance that it had refused did not ask again for up to 32 s at a limit of 2 a second, although the first coordinator answered again. test_a_coordinator_that_answers_again_is_used_soon failed before.

--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -39,6 +39,9 @@
 # first. A large deployment has fewer targets.
 _TARGETS_MAX = 4_096
 
+# Origin of a statement in an answer to this instance, in logs.
+_OWN = 'own'
+
 LimiterMessage = (
     rate_limits.LimitStatement | turns.TurnRequest | turns.TurnAnswer
 )
@@ -150,7 +153,7 @@
         Args:
             statement: The statement.
         """
-        if self._apply(statement, 'own'):
+        if self._apply(statement, _OWN):
             self._schedule_news(statement.target_id, statement.started_ms)
 
     def _apply(
@@ -274,9 +277,6 @@
             urgent=urgent,
         )
         if not granted:
-            if answer is not None:
-                now_s = self._timers.monotonic_s()
-                known.next_turn_s = now_s + answer.wait_s
             return False
         if answer.wait_s > 0:
             await loop_timers.sleep(self._timers, answer.wait_s)
@@ -299,16 +299,36 @@
                 urgent,
             )
             if coordinator == self._instance_id:
-                return self._answer(request)
-            answer = await self._ask(hosts[coordinator], request)
+                answer = self._answer(request)
+            else:
+                answer = await self._ask(hosts[coordinator], request)
             if answer is not None:
-                self._apply(answer.statement, hosts[coordinator])
+                self._apply(answer.statement, hosts.get(coordinator, _OWN))
+                if not answer.granted:
+                    self._record_refusal(
+                        target, answer, is_first=coordinator == ranked[0]
+                    )
                 return answer
             self._silent_until_s[coordinator] = (
                 self._timers.monotonic_s() + _SILENT_S
             )
         return None
 
+    def _record_refusal(
+        self,
+        target: targets.Target,
+        answer: turns.TurnAnswer,
+        is_first: bool,
+    ) -> None:
+        """Records when the next turn is free.
+
+        A coordinator of a lower rank gives few turns, and only until the
+        first one answers again.
+        """
+        wait_s = answer.wait_s if is_first else min(answer.wait_s, _SILENT_S)
+        now_s = self._timers.monotonic_s()
+        self._target(_key(target)).next_turn_s = now_s + wait_s
+
     async def _ask(
         self, host: str, request: turns.TurnRequest
     ) -> turns.TurnAnswer | None:
--- a/packages/daemon/tests/gateway/test_limiting.py
+++ b/packages/daemon/tests/gateway/test_limiting.py
@@ -183,3 +183,21 @@
         network.timers.advance(0.02)
         network.report(network.hosts[0], 5.0 + number % 2)
     assert len(sent) <= 2 * 4.0 / 0.2
+
+
+async def test_a_coordinator_that_answers_again_is_used_soon():
+    """Guards against the long waits of a lower rank that outlast its use."""
+    network = Network(6)
+    network.report(network.hosts[0], 2.0)
+    await network.run(3.0)
+    ranked = network.limiters[network.hosts[0]]._rank_coordinators(
+        TARGET.target_id
+    )
+    network.dead = {name.removeprefix('node-') for name in ranked[:2]}
+    await network.run(1.5)
+    refused = [host for host in network.hosts if host not in network.dead]
+    network.dead = set()
+    network.timers.advance(1.0)
+    for host in refused:
+        network.timers.advance(1.0)
+        assert await network.limiters[host].acquire(TARGET, 'request')
