Use a raised limit of a target at once

Found in review, before callers saw it: an instance that had been refused a turn waited for the next one at the rate of the old limit, 10 s at 0.1 a second. test_a_raised_limit_is_used_at_once failed before: no request of 60 a second was sent within 3 s after the limit had risen to 20 a second.

--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -161,6 +161,9 @@
     ) -> bool:
         if not self.limits.apply(statement, self._timers.elapsed_s()):
             return False
+        # The time of the next turn belongs to the previous rate.
+        key = (statement.target_id, statement.started_ms)
+        self._target(key).next_turn_s = float('-inf')
         rate_per_s = statement.rate_per_s
         self._statistics.notices.inc({'kind': 'limit'})
         events.log(
--- a/packages/daemon/tests/gateway/test_limiting.py
+++ b/packages/daemon/tests/gateway/test_limiting.py
@@ -185,6 +185,18 @@
     assert len(sent) <= 2 * 4.0 / 0.2
 
 
+async def test_a_raised_limit_is_used_at_once():
+    """Guards against the wait for a turn at the rate of the old limit."""
+    network = Network(6)
+    network.report(network.hosts[0], 0.1)
+    await network.run(3.0)
+    network.timers.advance(1.0)
+    network.report(network.hosts[1], 20.0)
+    network.sent_s.clear()
+    await network.run(3.0)
+    assert len(network.sent_s) >= 0.7 * 3.0 * 20.0
+
+
 async def test_a_coordinator_that_answers_again_is_used_soon():
     """Guards against the long waits of a lower rank that outlast its use."""
     network = Network(6)
