Move the exchange of findings out of the peer exchange

FindingExchange now sends and applies what one instance has found and all must know; finding_codec.py encodes it, and datagram_fields.py holds the checks of single fields. The tests of both are unchanged but for their construction.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -31,6 +31,7 @@
 from dotterelweird.gateway import caller_server
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import digests
+from dotterelweird.gateway import findings as finding_exchange
 from dotterelweird.gateway import following
 from dotterelweird.gateway import keepers
 from dotterelweird.gateway import limiting
@@ -170,6 +171,16 @@
         self._targets.subscribe(self._discard_removed_load)
         self._targets.subscribe(self._record_warm_up)
         self._tables.subscribe(self._record_tables_version)
+        findings = finding_exchange.FindingExchange(
+            self._timers,
+            self._rng,
+            self._directory.departures,
+            self._parts.prompt_guard,
+            self._parts.request_guard,
+            limiter,
+            self._send_to_peer,
+            self._broadcast,
+        )
         self._peers = peers.PeerExchange(
             settings,
             self._timers,
@@ -178,13 +189,10 @@
             self._parts.budgets,
             self._store_session,
             self._apply_peer_batch,
-            self._directory.departures,
             self._targets.apply_departure,
             self._collect_reports,
             self._handle_peer_reports,
-            self._parts.prompt_guard,
-            limiter,
-            self._parts.request_guard,
+            findings,
         )
         self._notices = notices.NoticeHandler(
             self._targets,
@@ -196,8 +204,8 @@
         )
         self._loads.subscribe(self._peers.schedule_digest)
         self._parts.budgets.subscribe(self._peers.schedule_digest)
-        self._parts.prompt_guard.subscribe(self._peers.send_finding)
-        self._parts.request_guard.subscribe(self._peers.send_finding)
+        self._parts.prompt_guard.subscribe(findings.send_finding)
+        self._parts.request_guard.subscribe(findings.send_finding)
         self._followers = {
             stream: following.StreamFollower(
                 store,
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -6,8 +6,6 @@
 """
 
 import base64
-import ipaddress
-import math
 import struct
 from typing import Any
 
@@ -15,18 +13,28 @@
 import orjson
 
 from dotterelweir_core.gateway import broadcast
-from dotterelweir_core.gateway import engine_ends
 from dotterelweir_core.gateway import load as gateway_load
-from dotterelweir_core.gateway import quarantine
-from dotterelweir_core.gateway import rate_limits
-from dotterelweir_core.gateway import request_quarantine
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import targets
-from dotterelweir_core.gateway import turns
 from dotterelweird.gateway import api
+from dotterelweird.gateway import datagram_fields
+from dotterelweird.gateway import finding_codec
 from dotterelweird.gateway import stream_api
 
 
+@attrs.frozen
+class FindingChecksums:
+    """Checksums by which instances notice findings that they lack.
+
+    Attributes:
+        limits: Checksum of the limits of targets.
+        blocks: Checksum of the blocked requests.
+    """
+
+    limits: int
+    blocks: int
+
+
 @attrs.frozen
 class Digest:
     """Digest of an instance's state, sent to the other instances.
@@ -44,10 +52,8 @@
             carries none.
         known_hosts: IP addresses of other instances; empty if the digest
             carries none.
-        limits_fingerprint: Checksum of the limits of targets that the
-            instance knows; None if the digest carries none.
-        blocks_fingerprint: Checksum of the requests that the instance blocks;
-            None if the digest carries none.
+        checksums: Checksums of the instance's findings; None if the digest
+            carries none.
         wants_findings: Whether the receiver should send what it has found.
         leaving: Whether the instance stops now.
     """
@@ -63,8 +69,7 @@
         factory=dict
     )
     known_hosts: tuple[str, ...] = ()
-    limits_fingerprint: int | None = None
-    blocks_fingerprint: int | None = None
+    checksums: FindingChecksums | None = None
     wants_findings: bool = False
     leaving: bool = False
 
@@ -93,29 +98,7 @@
     departures: tuple[targets.Departure, ...]
 
 
-@attrs.frozen
-class PromptCrashes:
-    """Crashes of engines that an instance suspects prompts of.
-
-    Attributes:
-        crashes: The crashes.
-    """
-
-    crashes: tuple[quarantine.PromptCrash, ...]
-
-
-Message = (
-    Digest
-    | RecordNotice
-    | Departures
-    | PromptCrashes
-    | quarantine.SoundParts
-    | engine_ends.EndReport
-    | request_quarantine.SoundRequest
-    | rate_limits.LimitStatement
-    | turns.TurnRequest
-    | turns.TurnAnswer
-)
+Message = Digest | RecordNotice | Departures | finding_codec.Finding
 
 
 # Header of a message that a relay forwards: a mark with which no JSON text
@@ -124,13 +107,6 @@
 _RELAY_HEADER = struct.Struct('>cHH')
 
 
-# Greatest integer in a message, which every JSON library can encode.
-_INTEGER_MAX = 2**63 - 1
-# Greatest number of a load or time in a message. Sums of such numbers stay
-# finite.
-_NUMBER_MAX = 2**53
-
-
 class DatagramInvalid(Exception):
     """The bytes encode no message or batch of a gateway."""
 
@@ -158,37 +134,6 @@
                     ]
                 }
             )
-        case PromptCrashes():
-            return orjson.dumps(
-                {
-                    'q': [
-                        [
-                            crash.request_id,
-                            crash.target_id,
-                            int(crash.age_s * 1000),
-                            *crash.parts,
-                        ]
-                        for crash in message.crashes
-                    ]
-                }
-            )
-        case quarantine.SoundParts():
-            return orjson.dumps({'o': sorted(message.parts)})
-        case engine_ends.EndReport():
-            row = [message.target_id, message.started_ms, message.age_s]
-            return orjson.dumps({'c': [*row, *sorted(message.keys)]})
-        case request_quarantine.SoundRequest():
-            return orjson.dumps({'w': [message.key, message.age_s]})
-        case rate_limits.LimitStatement():
-            return orjson.dumps({'m': _encode_statement(message)})
-        case turns.TurnRequest():
-            row = [message.number, message.wait_max_s, int(message.urgent)]
-            row += _encode_statement(message.statement)
-            return orjson.dumps({'t': row})
-        case turns.TurnAnswer():
-            row = [message.number, int(message.granted), message.wait_s]
-            row += _encode_statement(message.statement)
-            return orjson.dumps({'a': row})
         case Digest():
             body: dict[str, Any] = {
                 'i': message.instance_id,
@@ -218,15 +163,15 @@
                 }
             if message.known_hosts:
                 body['k'] = message.known_hosts
-            if message.limits_fingerprint is not None:
-                body['f'] = message.limits_fingerprint
-            if message.blocks_fingerprint is not None:
-                body['p'] = message.blocks_fingerprint
+            if message.checksums is not None:
+                body['f'] = attrs.astuple(message.checksums)
             if message.wants_findings:
                 body['g'] = 1
             if message.leaving:
                 body['x'] = 1
             return orjson.dumps(body)
+        case _:
+            return orjson.dumps(finding_codec.encode(message))
 
 
 def decode(data: bytes) -> Message:
@@ -242,96 +187,62 @@
         body = orjson.loads(data)
         if 'n' in body:
             records = tuple(_decode_record(row) for row in body['n'])
-            return RecordNotice(records, _decode_integer(body['e']))
+            return RecordNotice(
+                records, datagram_fields.decode_integer(body['e'])
+            )
         if 'd' in body:
             return Departures(
                 tuple(
                     targets.Departure(
-                        str(name), _decode_integer(started), bool(announced)
+                        str(name),
+                        datagram_fields.decode_integer(started),
+                        bool(announced),
                     )
                     for name, started, announced in body['d']
                 )
             )
-        if 'q' in body:
-            return PromptCrashes(
-                tuple(
-                    quarantine.PromptCrash(
-                        str(request_id),
-                        str(target_id),
-                        frozenset(map(str, parts)),
-                        _decode_number(age_ms) / 1000.0,
-                    )
-                    for request_id, target_id, age_ms, *parts in body['q']
-                )
-            )
-        if 'o' in body:
-            return quarantine.SoundParts(frozenset(map(str, body['o'])))
-        if 'c' in body:
-            target_id, started_ms, age_s, *keys = body['c']
-            return engine_ends.EndReport(
-                str(target_id),
-                _decode_integer(started_ms),
-                frozenset(map(str, keys)),
-                _decode_duration_s(age_s),
-            )
-        if 'w' in body:
-            key, age_s = body['w']
-            return request_quarantine.SoundRequest(
-                str(key), _decode_duration_s(age_s)
-            )
-        if 'm' in body:
-            return _decode_statement(body['m'])
-        if 't' in body:
-            number, wait_max_s, urgent, *statement = body['t']
-            return turns.TurnRequest(
-                _decode_integer(number),
-                _decode_statement(statement),
-                _decode_duration_s(wait_max_s),
-                bool(urgent),
-            )
-        if 'a' in body:
-            number, granted, wait_s, *statement = body['a']
-            return turns.TurnAnswer(
-                _decode_integer(number),
-                bool(granted),
-                _decode_duration_s(wait_s),
-                _decode_statement(statement),
-            )
+        finding = finding_codec.decode(body)
+        if finding is not None:
+            return finding
         return Digest(
             instance_id=str(body['i']),
-            host=_decode_host(body['h']),
+            host=datagram_fields.decode_host(body['h']),
             zone=str(body['z']),
-            started_ms=_decode_integer(body['b']),
-            sequence=_decode_integer(body['s']),
+            started_ms=datagram_fields.decode_integer(body['b']),
+            sequence=datagram_fields.decode_integer(body['s']),
             loads={
                 str(target_id): gateway_load.DigestRow(
-                    *map(_decode_number, row)
+                    *map(datagram_fields.decode_number, row)
                 )
                 for target_id, *row in body['l']
             },
             counts={
                 str(service): retry_budget.Counts(
-                    _decode_integer(requests), _decode_integer(repeated)
+                    datagram_fields.decode_integer(requests),
+                    datagram_fields.decode_integer(repeated),
                 )
                 for service, (requests, repeated) in body.get('u', {}).items()
             },
             reports={
                 api.StoreStream(name): stream_api.ReadReport(
-                    _decode_integer(position, lowest=-1),
+                    datagram_fields.decode_integer(position, lowest=-1),
                     str(content),
-                    _decode_number(age_ms) / 1000.0,
-                    _decode_integer(era),
+                    datagram_fields.decode_number(age_ms) / 1000.0,
+                    datagram_fields.decode_integer(era),
                 )
                 for name, (position, content, age_ms, era) in body.get(
                     'r', {}
                 ).items()
             },
-            known_hosts=tuple(map(_decode_host, body.get('k', ()))),
-            limits_fingerprint=(
-                _decode_integer(body['f']) if 'f' in body else None
+            known_hosts=tuple(
+                map(datagram_fields.decode_host, body.get('k', ()))
             ),
-            blocks_fingerprint=(
-                _decode_integer(body['p']) if 'p' in body else None
+            checksums=(
+                FindingChecksums(
+                    *map(datagram_fields.decode_integer, body['f'])
+                )
+                if 'f' in body
+                else None
             ),
             wants_findings=bool(body.get('g')),
             leaving=bool(body.get('x')),
@@ -399,7 +310,9 @@
     try:
         body = orjson.loads(data)
         records = tuple(_decode_record(row) for row in body['records'])
-        end, era = map(_decode_integer, (body['end'], body['era']))
+        end, era = map(
+            datagram_fields.decode_integer, (body['end'], body['era'])
+        )
         return api.Batch(records, end, era=era)
     except api.DECODE_ERRORS as exc:
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
@@ -414,84 +327,6 @@
 def _decode_record(row: list[Any]) -> api.Record:
     key, offset, value = row
     decoded = base64.b64decode(value) if value else None
-    return api.Record(str(key), decoded, _decode_integer(offset))
-
-
-def _encode_statement(statement: rate_limits.LimitStatement) -> list[Any]:
-    # JSON has no infinite numbers; the library encodes them as null.
-    return [
-        statement.target_id,
-        statement.started_ms,
-        statement.rate_per_s,
-        statement.sent_age_s,
-        statement.received_age_s,
-    ]
-
-
-def _decode_statement(row: list[Any]) -> rate_limits.LimitStatement:
-    target_id, started_ms, rate_per_s, sent_age_s, received_age_s = row
-    return rate_limits.LimitStatement(
-        str(target_id),
-        _decode_integer(started_ms),
-        _decode_unbounded(rate_per_s),
-        _decode_unbounded(sent_age_s),
-        _decode_duration_s(received_age_s),
+    return api.Record(
+        str(key), decoded, datagram_fields.decode_integer(offset)
     )
-
-
-def _decode_unbounded(value: object) -> float:
-    """Returns a number of at least 0, infinite if it is missing."""
-    return math.inf if value is None else _decode_duration_s(value)
-
-
-def _decode_duration_s(value: object) -> float:
-    """Returns a number of at least 0.
-
-    Raises:
-        ValueError: The value is not a number, is negative or out of range.
-    """
-    number = _decode_number(value)
-    if number < 0:
-        raise ValueError('a negative number')
-    return number
-
-
-def _decode_host(value: object) -> str:
-    """Returns a value that must be an IP address.
-
-    A name would be resolved while the event loop waits, and asyncio closes
-    the socket at the first one that it cannot encode.
-
-    Raises:
-        ValueError: The value is not an IP address.
-    """
-    if not isinstance(value, str):
-        raise ValueError('a host is not a string')
-    ipaddress.ip_address(value)
-    return value
-
-
-def _decode_integer(value: object, lowest: int = 0) -> int:
-    """Returns a value that must be an integer in the range of messages.
-
-    Args:
-        value: The value.
-        lowest: Smallest number that is accepted.
-
-    Raises:
-        ValueError: The value is not an integer or is out of range.
-    """
-    if type(value) is not int or not lowest <= value <= _INTEGER_MAX:
-        raise ValueError('not an integer, or out of range')
-    return value
-
-
-def _decode_number(value: object) -> float:
-    """Returns a value that must be a number in the range of messages.
-
-    Raises:
-        ValueError: The value is not a number or is out of range.
-    """
-    if type(value) not in (int, float) or not abs(value) <= _NUMBER_MAX:
-        raise ValueError('not a number, or out of range')
-    return float(value)
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/finding_codec.py
@@ -0,0 +1,159 @@
+"""Encoding of findings and turns in the datagrams between gateways.
+
+Findings are what one instance has learned and all must know: prompts and
+requests that end targets, and the limits of targets.
+"""
+
+from typing import Any
+
+import attrs
+
+from dotterelweir_core.gateway import engine_ends
+from dotterelweir_core.gateway import quarantine
+from dotterelweir_core.gateway import rate_limits
+from dotterelweir_core.gateway import request_quarantine
+from dotterelweir_core.gateway import turns
+from dotterelweird.gateway import datagram_fields
+
+
+@attrs.frozen
+class PromptCrashes:
+    """Crashes of engines that an instance suspects prompts of.
+
+    Attributes:
+        crashes: The crashes.
+    """
+
+    crashes: tuple[quarantine.PromptCrash, ...]
+
+
+Finding = (
+    PromptCrashes
+    | quarantine.SoundParts
+    | engine_ends.EndReport
+    | request_quarantine.SoundRequest
+    | rate_limits.LimitStatement
+    | turns.TurnRequest
+    | turns.TurnAnswer
+)
+
+
+def encode(finding: Finding) -> dict[str, Any]:
+    """Returns the fields of a finding, or of a message about turns.
+
+    Args:
+        finding: The finding or message.
+    """
+    match finding:
+        case PromptCrashes():
+            return {
+                'q': [
+                    [
+                        crash.request_id,
+                        crash.target_id,
+                        int(crash.age_s * 1000),
+                        *crash.parts,
+                    ]
+                    for crash in finding.crashes
+                ]
+            }
+        case quarantine.SoundParts():
+            return {'o': sorted(finding.parts)}
+        case engine_ends.EndReport():
+            row = [finding.target_id, finding.started_ms, finding.age_s]
+            return {'c': [*row, *sorted(finding.keys)]}
+        case request_quarantine.SoundRequest():
+            return {'w': [finding.key, finding.age_s]}
+        case rate_limits.LimitStatement():
+            return {'m': _encode_statement(finding)}
+        case turns.TurnRequest():
+            row = [finding.number, finding.wait_max_s, int(finding.urgent)]
+            row += _encode_statement(finding.statement)
+            return {'t': row}
+        case turns.TurnAnswer():
+            row = [finding.number, int(finding.granted), finding.wait_s]
+            row += _encode_statement(finding.statement)
+            return {'a': row}
+
+
+def decode(body: dict[str, Any]) -> Finding | None:
+    """Decodes a finding, or a message about turns.
+
+    Args:
+        body: Fields of a datagram.
+
+    Returns:
+        The finding or message; None if the datagram holds something else.
+
+    Raises:
+        ValueError: A field is invalid; also other errors of
+            ``api.DECODE_ERRORS``.
+    """
+    if 'q' in body:
+        return PromptCrashes(
+            tuple(
+                quarantine.PromptCrash(
+                    str(request_id),
+                    str(target_id),
+                    frozenset(map(str, parts)),
+                    datagram_fields.decode_number(age_ms) / 1000.0,
+                )
+                for request_id, target_id, age_ms, *parts in body['q']
+            )
+        )
+    if 'o' in body:
+        return quarantine.SoundParts(frozenset(map(str, body['o'])))
+    if 'c' in body:
+        target_id, started_ms, age_s, *keys = body['c']
+        return engine_ends.EndReport(
+            str(target_id),
+            datagram_fields.decode_integer(started_ms),
+            frozenset(map(str, keys)),
+            datagram_fields.decode_duration_s(age_s),
+        )
+    if 'w' in body:
+        key, age_s = body['w']
+        return request_quarantine.SoundRequest(
+            str(key), datagram_fields.decode_duration_s(age_s)
+        )
+    if 'm' in body:
+        return _decode_statement(body['m'])
+    if 't' in body:
+        number, wait_max_s, urgent, *statement = body['t']
+        return turns.TurnRequest(
+            datagram_fields.decode_integer(number),
+            _decode_statement(statement),
+            datagram_fields.decode_duration_s(wait_max_s),
+            bool(urgent),
+        )
+    if 'a' in body:
+        number, granted, wait_s, *statement = body['a']
+        return turns.TurnAnswer(
+            datagram_fields.decode_integer(number),
+            bool(granted),
+            datagram_fields.decode_duration_s(wait_s),
+            _decode_statement(statement),
+        )
+    return None
+
+
+def _encode_statement(statement: rate_limits.LimitStatement) -> list[Any]:
+    # JSON has no infinite numbers; the library encodes them as null.
+    return [
+        statement.target_id,
+        statement.started_ms,
+        statement.rate_per_s,
+        statement.sent_age_s,
+        statement.received_age_s,
+    ]
+
+
+def _decode_statement(row: list[Any]) -> rate_limits.LimitStatement:
+    target_id, started_ms, rate_per_s, sent_age_s, received_age_s = row
+    return rate_limits.LimitStatement(
+        str(target_id),
+        datagram_fields.decode_integer(started_ms),
+        datagram_fields.decode_unbounded(rate_per_s),
+        datagram_fields.decode_unbounded(sent_age_s),
+        datagram_fields.decode_duration_s(received_age_s),
+    )
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -18,20 +18,14 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import broadcast
-from dotterelweir_core.gateway import engine_ends
 from dotterelweir_core.gateway import load as gateway_load
-from dotterelweir_core.gateway import quarantine
-from dotterelweir_core.gateway import rate_limits
-from dotterelweir_core.gateway import request_quarantine
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import targets
-from dotterelweir_core.gateway import turns
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
+from dotterelweird.gateway import findings as finding_exchange
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peer_state
-from dotterelweird.gateway import prompt_guard as prompt_guards
-from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import stream_api
 
@@ -59,30 +53,9 @@
 _DATAGRAM_BYTES_LOGGED = 1_400
 # Maximum number of records in a datagram; a record has up to about 300 bytes.
 _RECORDS_PER_DATAGRAM = 4
-# Maximum number of departures of each kind that are sent to a new peer; a row
-# has about 35 bytes, and both kinds share a datagram.
-_DEPARTURES_MAX = 16
-# Maximum number of crashes that are sent to a new peer; a row has about 80
-# bytes.
-_CRASHES_MAX = 12
-# Maximum number of findings about ends of targets that are sent to a new peer,
-# a datagram each.
-_END_FINDINGS_MAX = 24
-# Maximum number of limits that are sent to a new peer, a datagram each.
-_LIMITS_MAX = 16
-# Number of peers that send them to a new peer, on average. In a large
-# deployment, those of all peers would fill its link.
-_LIMIT_COPIES = 8
 # Time for which an instance that has become silent may still serve its callers
 # elsewhere in a divided network, in seconds.
 _SILENCED_S = 60.0
-# Shortest time between two requests for the findings of a peer, in seconds.
-_FINDINGS_INTERVAL_S = 1.0
-# Delays after which a finding about a prompt is sent again, in seconds: a lost
-# datagram would cost another engine. They last until a peer that was cut off
-# counts as silent, and so as new when it returns.
-_FINDING_REPEAT_DELAYS_S = (0.1, 0.5, 1.0, 2.0)
-
 # Reason for the removal of a peer that sends no digests.
 _SILENT = 'silent'
 
@@ -116,15 +89,10 @@
         budgets: Retry budgets of the services.
         session: HTTP client that fetches the state of a peer.
         apply_record_notice: Applies records of targets that a peer has read.
-        departures: Returns the newest departures of targets, at most the
-            given number of each kind.
         apply_departure: Applies a departure that a peer reported.
         own_reports: Returns this instance's reports about the streams.
         handle_reports: Handles a peer's reports; called with its address.
-        prompt_guard: Holds what is known of prompts that crash engines.
-        limiter: Keeps requests within the limits of targets.
-        request_guard: Holds what is known of requests under which targets
-            ended.
+        findings: Exchanges what one instance has found and all must know.
     """
 
     def __init__(
@@ -136,13 +104,10 @@
         budgets: retry_budget.BudgetRegistry,
         session: aiohttp.ClientSession,
         apply_record_notice: Callable[[api.Batch], None],
-        departures: Callable[[int], tuple[targets.Departure, ...]],
         apply_departure: Callable[[targets.Departure], None],
         own_reports: Callable[[], Reports],
         handle_reports: Callable[[str, Reports], None],
-        prompt_guard: prompt_guards.PromptGuard,
-        limiter: limiting.TargetLimiter,
-        request_guard: request_guards.RequestGuard,
+        findings: finding_exchange.FindingExchange,
     ) -> None:
         self._settings = settings
         self._timers = timer_service
@@ -151,13 +116,10 @@
         self._budgets = budgets
         self._session = session
         self._apply_record_notice = apply_record_notice
-        self._departures = departures
         self._apply_departure = apply_departure
         self._own_reports = own_reports
         self._handle_reports = handle_reports
-        self._prompt_guard = prompt_guard
-        self._limiter = limiter
-        self._request_guard = request_guard
+        self._findings = findings
         # Monotonic times at which instances became silent, in seconds.
         self._silenced_s: dict[str, float] = {}
         self._visible_peers: tuple[limiting.Peer, ...] = ()
@@ -172,7 +134,6 @@
         self._started_ms = int(timer_service.wall_s() * 1000)
         self._sequence = 0
         self._last_broadcast_s = float('-inf')
-        self._findings_asked_s = float('-inf')
         self._transport: asyncio.DatagramTransport | None = None
         self._load_digest_timer: timers.TimerHandle | None = None
         self._period_timer: timers.TimerHandle | None = None
@@ -266,20 +227,6 @@
         if self._transport is not None:
             self._broadcast(digests.Departures((departure,)))
 
-    def send_finding(
-        self, finding: quarantine.Finding | request_quarantine.Finding
-    ) -> None:
-        """Sends what was found about prompts or requests to the peers."""
-        found_s = self._timers.elapsed_s()
-
-        def send() -> None:
-            age_s = self._timers.elapsed_s() - found_s
-            self.send_to_all(_finding_message(finding, age_s))
-
-        send()
-        for delay_s in _FINDING_REPEAT_DELAYS_S:
-            self._timers.call_after(delay_s, send)
-
     def send_to_all(self, message: digests.Message) -> None:
         """Sends a message to all instances, if the socket is open."""
         if self._transport is not None:
@@ -323,21 +270,10 @@
             case digests.Departures(departures=departures):
                 for departure in departures:
                     self._apply_departure(departure)
-            case digests.PromptCrashes(crashes=crashes):
-                for crash in crashes:
-                    self._prompt_guard.apply_finding(crash, addr[0])
-            case quarantine.SoundParts():
-                self._prompt_guard.apply_finding(message, addr[0])
-            case engine_ends.EndReport() | request_quarantine.SoundRequest():
-                self._request_guard.apply_finding(message, addr[0])
-            case (
-                rate_limits.LimitStatement()
-                | turns.TurnRequest()
-                | turns.TurnAnswer()
-            ):
-                self._limiter.handle_message(message, addr[0])
             case digests.Digest():
                 self._handle_digest(message)
+            case _:
+                self._findings.handle(message, addr[0])
 
     def _forward(
         self, data: bytes, group: broadcast.Group, sender: str
@@ -386,33 +322,14 @@
         if peer is None:
             self._handle_new_peer(instance_id, host)
         elif peer.last_digest_order[0] != digest.started_ms:
-            self._send_findings(host)
+            self._findings.send_to_started(host, self.instance_count)
         if digest.reports:
             self._handle_reports(host, digest.reports)
         if digest.wants_findings:
-            self._send_limits(host)
-            self._send_end_findings(host)
-        self._compare_findings(digest, now_s)
-
-    def _compare_findings(self, digest: digests.Digest, now_s: float) -> None:
-        """Asks a peer for its findings if they differ.
-
-        News may have been lost while this instance was cut off or paused.
-        """
-        same_limits = digest.limits_fingerprint in (
-            None,
-            self._limiter.limits.fingerprint,
-        )
-        same_blocks = digest.blocks_fingerprint in (
-            None,
-            self._request_guard.fingerprint,
-        )
-        if same_limits and same_blocks:
-            return
-        if now_s - self._findings_asked_s < _FINDINGS_INTERVAL_S:
-            return
-        self._findings_asked_s = now_s
-        self._send_digest(digest.host, self._digest(wants_findings=True))
+            self._findings.send_requested(host)
+        checksums = digest.checksums
+        if checksums and self._findings.should_request(checksums):
+            self._send_digest(host, self._digest(wants_findings=True))
 
     def _has_restarted(
         self, peer: Peer, started_ms: int, now_s: float
@@ -449,31 +366,7 @@
                 known_hosts=self._sample_hosts(), reports=self._own_reports()
             ),
         )
-        self._send_findings(host)
-
-    def _send_findings(self, host: str) -> None:
-        """Sends what a started instance cannot know."""
-        # The peer may have started after these targets departed, while the
-        # store still has their registrations.
-        departures = self._departures(_DEPARTURES_MAX)
-        if departures:
-            self._send(host, self._encode(digests.Departures(departures)))
-        crashes = self._prompt_guard.crashes(_CRASHES_MAX)
-        if crashes:
-            self._send(host, self._encode(digests.PromptCrashes(crashes)))
-        self._send_end_findings(host)
-        if self._rng.random() < _LIMIT_COPIES / self.instance_count:
-            self._send_limits(host)
-
-    def _send_end_findings(self, host: str) -> None:
-        for finding in self._request_guard.findings(_END_FINDINGS_MAX):
-            self.send_to(host, finding)
-
-    def _send_limits(self, host: str) -> None:
-        for statement in self._limiter.limits.statements(
-            _LIMITS_MAX, self._timers.elapsed_s()
-        ):
-            self.send_to(host, statement)
+        self._findings.send_to_started(host, self.instance_count)
 
     def _remove_peer(self, instance_id: str, reason: str) -> None:
         peer = self._peers.pop(instance_id, None)
@@ -517,8 +410,7 @@
         regular = self._digest(
             known_hosts=self._sample_hosts(),
             reports=self._own_reports(),
-            limits_fingerprint=self._limiter.limits.fingerprint,
-            blocks_fingerprint=self._request_guard.fingerprint,
+            checksums=self._findings.checksums(),
         )
         for host in list(self._candidates):
             self._send_digest(host, regular)
@@ -540,8 +432,7 @@
         self,
         known_hosts: tuple[str, ...] = (),
         reports: Reports | None = None,
-        limits_fingerprint: int | None = None,
-        blocks_fingerprint: int | None = None,
+        checksums: digests.FindingChecksums | None = None,
         wants_findings: bool = False,
         leaving: bool = False,
     ) -> digests.Digest:
@@ -556,8 +447,7 @@
             self._budgets.own_counts(),
             reports or {},
             known_hosts,
-            limits_fingerprint,
-            blocks_fingerprint,
+            checksums,
             wants_findings,
             leaving,
         )
@@ -580,18 +470,3 @@
         if len(data) > _DATAGRAM_BYTES_LOGGED:
             events.log(LOG, events.DATAGRAM_OVERSIZED, size_bytes=len(data))
         return data
-
-
-def _finding_message(
-    finding: quarantine.Finding | request_quarantine.Finding, age_s: float
-) -> digests.Message:
-    """Returns the message of a finding that is some seconds old."""
-    match finding:
-        case quarantine.PromptCrash():
-            return digests.PromptCrashes(
-                (attrs.evolve(finding, age_s=finding.age_s + age_s),)
-            )
-        case engine_ends.EndReport() | request_quarantine.SoundRequest():
-            return attrs.evolve(finding, age_s=finding.age_s + age_s)
-        case quarantine.SoundParts():
-            return finding
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -14,6 +14,7 @@
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import findings as finding_exchange
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import prompt_guard as prompt_guards
@@ -59,6 +60,7 @@
     prompt_guard: prompt_guards.PromptGuard = attrs.field(init=False)
     limiter: limiting.TargetLimiter = attrs.field(init=False)
     request_guard: request_guards.RequestGuard = attrs.field(init=False)
+    findings: finding_exchange.FindingExchange = attrs.field(init=False)
     exchange: peers.PeerExchange = attrs.field(init=False)
     closed: bool = False
 
@@ -81,6 +83,16 @@
             random.Random(self.host),
             lambda: self.exchange.view(),
         )
+        self.findings = finding_exchange.FindingExchange(
+            self.network.timers,
+            random.Random(self.host),
+            lambda count: self.known_departures[:count],
+            self.prompt_guard,
+            self.request_guard,
+            self.limiter,
+            lambda host, message: self.exchange.send_to(host, message),
+            lambda message: self.exchange.send_to_all(message),
+        )
         self.exchange = peers.PeerExchange(
             make_settings(f'node-{self.host}', self.host),
             self.network.timers,
@@ -89,17 +101,14 @@
             self.budgets,
             None,
             self.record_notices.append,
-            lambda count: self.known_departures[:count],
             self.received_departures.append,
             lambda: self.reports,
             lambda host, reports: self.received_reports.append(
                 (host, reports)
             ),
-            self.prompt_guard,
-            self.limiter,
-            self.request_guard,
+            self.findings,
         )
-        self.prompt_guard.subscribe(self.exchange.send_finding)
+        self.prompt_guard.subscribe(self.findings.send_finding)
 
     def sendto(self, data, address):
         self.network.deliver(self, data, address[0])
