--- a/fakes/src/dotterelweir_fakes/soak/trials.py
+++ b/fakes/src/dotterelweir_fakes/soak/trials.py
@@ -268,6 +268,10 @@
         task.add_done_callback(self._requests.discard)
         return task
 
+    async def wait_answers(self) -> None:
+        """Waits until every request has ended."""
+        await asyncio.gather(*self._requests)
+
     async def _send(
         self,
         node: instances.Instance,
--- a/packages/daemon/tests/gateway/test_crash_process.py
+++ b/packages/daemon/tests/gateway/test_crash_process.py
@@ -38,7 +38,7 @@
                 20.0, case.duration_s, random.Random(rng.random())
             ),
         )
-        await asyncio.sleep(0.5)
+        await trial.wait_answers()
     return trial
 
 
@@ -80,5 +80,5 @@
             engine.end()
         ended_s = asyncio.get_running_loop().time()
         await load
-        await asyncio.sleep(0.5)
+        await trial.wait_answers()
     assert trial.served_share('popular', ended_s + 9.0) >= 0.95
--- a/packages/daemon/tests/gateway/test_limit_process.py
+++ b/packages/daemon/tests/gateway/test_limit_process.py
@@ -48,7 +48,7 @@
                 engine.behaviour, limit=str(case.limit_per_s)
             )
         await load
-        await asyncio.sleep(0.5)
+        await trial.wait_answers()
     return trial, named_s
 
 
