--- a/packages/daemon/src/dotterelweird/main.py
+++ b/packages/daemon/src/dotterelweird/main.py
@@ -1,6 +1,8 @@
 """Command line of the daemon."""
 
 import asyncio
+import logging
+import os
 import pathlib
 import sys
 
@@ -42,9 +44,23 @@
 
     try:
         asyncio.run(composition.run(settings))
+        _exit_now()
     except errors.DotterelweirError as exc:
         click.echo(str(exc), err=True)
         sys.exit(1)
     except OSError as exc:
         click.echo(f'cannot listen: {exc.strerror}', err=True)
         sys.exit(4)
+
+
+def _exit_now() -> None:
+    """Ends the process without the interpreter's clean-up.
+
+    It takes a tenth of a second of processor time and more, which a stop with
+    a deadline does not have beside load. Nothing is left to clean up: all
+    connections are closed and all tasks have ended.
+    """
+    logging.shutdown()
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(0)
