Keep the view of the other instances in a module of its own

No change of behaviour. Two guards use it, and a reader would look for it beside the peers rather than in the limiter.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -37,6 +37,7 @@
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import notices
 from dotterelweird.gateway import peer_state
+from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import prompt_guard
 from dotterelweird.gateway import request_guard
@@ -369,7 +370,7 @@
     def _broadcast(self, message: digests.Message) -> None:
         self._peers.send_to_all(message)
 
-    def _view_peers(self) -> limiting.PeerView:
+    def _view_peers(self) -> peer_view.PeerView:
         return self._peers.view()
 
     def _apply_peer_batch(self, batch: api.Batch) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -18,6 +18,7 @@
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import turns
 from dotterelweird import timers as loop_timers
+from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import statistics
 
 LOG = logging.getLogger(__name__)
@@ -47,34 +48,6 @@
 )
 
 
-@attrs.frozen
-class Peer:
-    """Another instance that may coordinate a target.
-
-    Attributes:
-        instance_id: Id of the instance.
-        host: Its IP address.
-    """
-
-    instance_id: str
-    host: str
-
-
-@attrs.frozen
-class PeerView:
-    """The other instances as this one sees them.
-
-    Attributes:
-        peers: The reachable ones.
-        reachable_share: Reachable instances, this one included, as a share
-            of these and of those that have become silent lately. A part of
-            the deployment that is cut off uses its share of the limits.
-    """
-
-    peers: tuple[Peer, ...] = ()
-    reachable_share: float = 1.0
-
-
 @attrs.define(eq=False)
 class _PendingRequest:
     """A request for a turn that a coordinator has not answered yet."""
@@ -125,7 +98,7 @@
         stats: statistics.Statistics,
         send: Callable[[str, LimiterMessage], None],
         broadcast: Callable[[LimiterMessage], None],
-        view: Callable[[], PeerView],
+        view: Callable[[], peer_view.PeerView],
     ) -> None:
         self._instance_id = instance_id
         self._timers = timer_service
@@ -142,7 +115,7 @@
         # Monotonic time until which a coordinator is not asked, by its id.
         self._silent_until_s: dict[str, float] = {}
         # Coordinators by target, for the peers that they were ranked among.
-        self._ranked_peers: tuple[Peer, ...] = ()
+        self._ranked_peers: tuple[peer_view.Peer, ...] = ()
         self._ranked: dict[str, tuple[str, ...]] = {}
 
     # What targets and other instances state.
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/peer_view.py
@@ -0,0 +1,31 @@
+"""The other instances, as one of them sees them."""
+
+import attrs
+
+
+@attrs.frozen
+class Peer:
+    """Another instance.
+
+    Attributes:
+        instance_id: Id of the instance.
+        host: Its IP address.
+    """
+
+    instance_id: str
+    host: str
+
+
+@attrs.frozen
+class PeerView:
+    """The other instances as this one sees them.
+
+    Attributes:
+        peers: The reachable ones.
+        reachable_share: Reachable instances, this one included, as a share
+            of these and of those that have become silent lately. A part of
+            the deployment that is cut off uses its share of the limits.
+    """
+
+    peers: tuple[Peer, ...] = ()
+    reachable_share: float = 1.0
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -24,8 +24,8 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import findings as finding_exchange
-from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peer_state
+from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import stream_api
 
@@ -122,7 +122,7 @@
         self._findings = findings
         # Monotonic times at which instances became silent, in seconds.
         self._silenced_s: dict[str, float] = {}
-        self._visible_peers: tuple[limiting.Peer, ...] = ()
+        self._visible_peers: tuple[peer_view.Peer, ...] = ()
         self._peers: dict[str, Peer] = {}
         self._broadcast_groups = broadcast.BroadcastGroups()
         # Every instance ever seen: one that is silent now may still serve its
@@ -150,18 +150,18 @@
         """Number of reachable instances, including this one."""
         return len(self._peers) + 1
 
-    def view(self) -> limiting.PeerView:
+    def view(self) -> peer_view.PeerView:
         """Returns the other instances for the coordination of limits."""
         since_s = self._timers.monotonic_s() - _SILENCED_S
         silenced = sum(
             silenced_s > since_s for silenced_s in self._silenced_s.values()
         )
         share = self.instance_count / (self.instance_count + silenced)
-        return limiting.PeerView(self._visible_peers, share)
+        return peer_view.PeerView(self._visible_peers, share)
 
     def _update_visible_peers(self) -> None:
         self._visible_peers = tuple(
-            limiting.Peer(instance_id, peer.member.host)
+            peer_view.Peer(instance_id, peer.member.host)
             for instance_id, peer in self._peers.items()
         )
 
--- a/packages/daemon/src/dotterelweird/gateway/request_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/request_guard.py
@@ -19,7 +19,7 @@
 from dotterelweird import probing
 from dotterelweird import timers as loop_timers
 from dotterelweird.gateway import exchange as exchanges
-from dotterelweird.gateway import limiting
+from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import target_client
 
@@ -82,7 +82,7 @@
         timer_service: timers.TimerService,
         stats: statistics.Statistics,
         rng: random.Random,
-        view: Callable[[], limiting.PeerView],
+        view: Callable[[], peer_view.PeerView],
     ) -> None:
         self._timers = timer_service
         self._statistics = stats
--- a/packages/daemon/tests/gateway/test_limiting.py
+++ b/packages/daemon/tests/gateway/test_limiting.py
@@ -10,6 +10,7 @@
 from dotterelweir_fakes.soak import trials
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import limiting
+from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import statistics
 
 TARGET = targets.Target(
@@ -46,9 +47,9 @@
     def view(self, host, hosts=None):
         """Returns what an instance sees if it reaches the given ones."""
         hosts = self.hosts if hosts is None else hosts
-        return limiting.PeerView(
+        return peer_view.PeerView(
             tuple(
-                limiting.Peer(f'node-{other}', other)
+                peer_view.Peer(f'node-{other}', other)
                 for other in hosts
                 if other != host
             ),
