--- a/review/common/engines.py
+++ b/review/common/engines.py
@@ -289,6 +289,14 @@
             with contextlib.suppress(asyncio.CancelledError, ConnectionError):
                 await closed
 
+    def _back_up(
+        self, request: http_io.Message, request_id: str, made: int
+    ) -> None:
+        """Keeps a copy of a run at the engine that the request names."""
+        backup = Engine.by_address.get(request.headers.get('x-kv-backup'))
+        if backup is not None:
+            backup.copies[f'{backup.address}/{request_id}'] = made
+
     async def _answer(
         self,
         request: http_io.Message,
@@ -322,6 +330,7 @@
                 event = b'id: %d\ndata: token %d\n\n' % (number, number)
                 writer.write(b'%x\r\n%b\r\n' % (len(event), event))
                 run.made = number
+                self._back_up(request, request_id, number)
                 await writer.drain()
                 await asyncio.sleep(self.event_s)
             writer.write(b'0\r\n\r\n')
