Review case 5: turns given before a limit was lowered are used after it

Disruption: both engines of a service lower the limit that they name from 3 to 0.2 requests a second while requests wait for their turns.

--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,8 +1,4 @@
-"""A part of a prompt ends an engine; another engine crashes for itself.
-
-The crash falls into the time in which a sound request is read in: its engine
-has written the head of the answer and no event.
-"""
+"""Engines in need lower their limit while requests wait for their turns."""
 
 import asyncio
 import os
@@ -13,92 +9,54 @@
 sys.path.insert(0, str(HERE.parent / 'common'))
 
 import engines  # noqa: E402
-import http_io  # noqa: E402
 import machines  # noqa: E402
 import store as stores  # noqa: E402
 
-# The disruption is the engine's own crash; the poisoned requests always come.
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-FIRST_PART = 'aa01'
-POISON = 'dead0001'
-ENGINES = 7
-MACHINES = 2
-BACK_S = 4.5
 STABLE_S = 3.0
-COUNTED_CRASHES = 5
-EVERY_S = 1.0
-PREFILL_S = 0.6
-CALM = 24
-LATE = 34
-COUNT_MIN = 20
-
-
-class Engine(engines.Engine):
-    """Writes the head as it begins, and the first event after the prompt."""
-
-    poisoned_ends: list[float] = []
-    starts = 0
-    tasks: set = set()
-
-    async def _answer(
-        self,
-        request: http_io.Message,
-        request_id: str,
-        writer: asyncio.StreamWriter,
-    ) -> None:
-        rows = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
-        rows.append('Content-Type: text/event-stream')
-        headers = self.headers(request_id)
-        rows += [f'{name}: {value}' for name, value in headers.items()]
-        writer.write('\r\n'.join(rows).encode() + b'\r\n\r\n')
-        if POISON in request.headers.get('x-prompt-prefix', ''):
-            await asyncio.sleep(0.02)
-            Engine.poisoned_ends.append(self.record.now_s())
-            self.record.write(self.engine_id, 'ends under', request_id)
-            self.go_down()
-            return
-        await asyncio.sleep(PREFILL_S)
-        for number in range(1, self.events + 1):
-            event = b'id: %d\ndata: token %d\n\n' % (number, number)
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(self.event_s)
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-
-    def go_down(self) -> None:
-        """Crashes, and comes back after some seconds under a new id."""
-        self.crash()
-        Engine.tasks.add(asyncio.create_task(self._come_back()))
-
-    async def _come_back(self) -> None:
-        old_id = self.engine_id
-        await asyncio.sleep(engines.BEATS_MAX * engines.BEAT_S)
-        self._store.write(engines.TOPIC, old_id, None)
-        await asyncio.sleep(BACK_S - engines.BEATS_MAX * engines.BEAT_S)
-        Engine.starts += 1
-        self.engine_id = f'{old_id.split("+")[0]}+{Engine.starts}'
-        self.born_ms += 1000
-        await self.start()
-        self.record.write(self.engine_id, 'is back')
+# Limits of each engine, in requests a second, and the times of the changes.
+HIGH = 3.0
+LOW = 0.2
+NAMED_AT_S = 2.0
+LOWERED_AT_S = 12.0
+LENGTH_S = 20.0
+# Streams a second of all clients: 1.6 times those of the site.
+RATE = 9.0
+WINDOW_S = 4.0
+FACTOR = 1.5
+EXTRA = 5
+KNOWN_AFTER_S = 0.5
+
+
+class Limited(engines.Engine):
+    """Names its limit in its answers."""
+
+    limit: float | None = None
+
+    def headers(self, request_id: str) -> dict[str, str]:
+        """Returns the headers of its answers."""
+        headers = super().headers(request_id)
+        if self.limit is not None:
+            headers['Server-Limit'] = str(self.limit)
+        return headers
 
 
 async def send(
     machine: machines.Machine,
     record: machines.Record,
     request_id: str,
-    part: str,
-    outcomes: dict[str, bool],
+    named: dict[tuple[str, str, str], float],
+    outcomes: list[str],
 ) -> None:
-    """Sends one stream request and records whether its answer began."""
+    """Sends one stream request; notes which limit the answer names."""
     own = request_id.encode().hex()
     headers = {
         'X-Attempt-Id': request_id,
         'X-Deadline-Ms': 20000,
         'Api-Key': 'key-1',
         'X-Model': 'm',
-        'X-Token-Usage': '3000,80',
-        'X-Prompt-Prefix': f'{FIRST_PART}:200,{part}:100,{own}:2700',
+        'X-Token-Usage': '400,40',
+        'X-Prompt-Prefix': f'aa01:300,{own}:100',
     }
     record.write('client sends', request_id, 'to', machine.name)
     answer = await machines.call(
@@ -108,11 +66,13 @@
         headers,
         b'body of ' + request_id.encode(),
     )
-    outcomes[request_id] = answer is not None and b'id: 1\n' in answer.body
-    outcome = 'closed'
-    if answer is not None:
-        retry_after = answer.headers.get('retry-after', '-')
-        outcome = f'{answer.status}, Retry-After {retry_after}'
+    outcome = 'closed' if answer is None else str(answer.status)
+    outcomes.append(outcome)
+    if answer is not None and answer.status == 200:
+        engine_id = answer.headers['x-upstream-seal'].split('.')[1]
+        limit = answer.headers.get('server-limit', 'none')
+        outcome += f' of {engine_id}, limit {limit}'
+        named.setdefault((machine.name, engine_id, limit), record.now_s())
     record.write('client gets', request_id, outcome)
 
 
@@ -122,50 +82,44 @@
     await store.start(machines.address(200))
     store.write('keyed.op', 'config', machines.configuration())
     servers = [
-        Engine(f'e{n}', 'model', machines.address(100 + n), store, record)
-        for n in range(ENGINES)
+        Limited(f'e{n}', 'model', machines.address(101 + n), store, record)
+        for n in range(2)
     ]
     for server in servers:
+        server.events = 10
+        server.event_s = 0.02
         await server.start()
     fronts = [
-        machines.Machine(n + 1, store.address, record, folder)
-        for n in range(MACHINES)
+        machines.Machine(n, store.address, record, folder) for n in (1, 2)
     ]
-    outcomes: dict[str, bool] = {}
-    sent_s: dict[str, float] = {}
+    named: dict[tuple[str, str, str], float] = {}
+    outcomes: list[str] = []
     tasks = []
-
-    def begin(name: str, part: str) -> None:
-        sent_s[name] = record.now_s()
-        front = fronts[len(tasks) % MACHINES]
-        task = asyncio.create_task(send(front, record, name, part, outcomes))
-        tasks.append(task)
-
     try:
         for front in fronts:
             front.start()
         for front in fronts:
             if not await front.wait_ready():
-                record.write(front.name, 'is not ready')
                 return 2
         await asyncio.sleep(STABLE_S + 0.5)
-        for number in range(CALM):
-            begin(f'calm-{number}', f'bb{number % 5:02x}')
-            await asyncio.sleep(EVERY_S)
-        begin('poison-0', POISON)
-        await asyncio.sleep(0.2)
-        begin('sound-0', 'bb01')
-        await asyncio.sleep(PREFILL_S / 2)
-        for server in servers:
-            if TROUBLE and server.running:
-                if server.ran[-1][1] == 'sound-0':
-                    record.write(server.engine_id, 'crashes for itself')
-                    server.go_down()
-        for number in range(1, LATE):
-            await asyncio.sleep(EVERY_S / 2)
-            begin(f'poison-{number}', POISON)
-            await asyncio.sleep(EVERY_S / 2)
-            begin(f'sound-{number}', f'bb{number % 5:02x}')
+        begin_s = record.now_s()
+        while (passed_s := record.now_s() - begin_s) < LENGTH_S:
+            limit = None
+            if passed_s >= NAMED_AT_S:
+                limit = HIGH
+            if TROUBLE and passed_s >= LOWERED_AT_S:
+                limit = LOW
+            for server in servers:
+                if server.limit != limit:
+                    record.write(server.engine_id, 'names', limit, 'a second')
+                    server.limit = limit
+            name = f'guide-{len(tasks)}'
+            front = fronts[len(tasks) % 2]
+            task = asyncio.create_task(
+                send(front, record, name, named, outcomes)
+            )
+            tasks.append(task)
+            await asyncio.sleep(1 / RATE)
         await asyncio.wait(tasks, timeout=10)
     finally:
         for front in fronts:
@@ -173,33 +127,68 @@
         for server in servers:
             server.crash()
         store.close()
-    return judge(record, outcomes, sent_s)
+    if '200' not in outcomes:
+        return 2
+    verdicts = [judge(record, server, named) for server in servers]
+    record.write('LIMIT', 'broken' if 1 in verdicts else 'held')
+    return 2 if 2 in verdicts else max(verdicts)
+
+
+def known_s(
+    named: dict[tuple[str, str, str], float], engine_id: str, limit: float
+) -> float | None:
+    """Returns when both machines had passed on an answer with a limit."""
+    times = [named.get((f'front-{n}', engine_id, str(limit))) for n in (1, 2)]
+    return None if None in times else max(times)
 
 
 def judge(
     record: machines.Record,
-    outcomes: dict[str, bool],
-    sent_s: dict[str, float],
+    server: Limited,
+    named: dict[tuple[str, str, str], float],
 ) -> int:
-    """Applies the rule to what the stand-ins saw."""
-    ends = sorted(Engine.poisoned_ends)
-    record.write('ends under the part:', [round(s, 1) for s in ends])
-    calm = [b for name, b in outcomes.items() if name.startswith('calm')]
-    if not ends or len(calm) < COUNT_MIN or not any(calm):
-        return 2
-    last_s = ends[:COUNTED_CRASHES][-1]
-    late = [
-        begun
-        for name, begun in outcomes.items()
-        if name.startswith('sound') and sent_s[name] > last_s + 2 * STABLE_S
-    ]
-    record.write('calm: begun', sum(calm), 'of', len(calm))
-    record.write('late: begun', sum(late), 'of', len(late))
-    if len(late) < COUNT_MIN:
+    """Applies the rule to the arrivals at one engine.
+
+    A limit counts from half a second after both machines have passed on an
+    answer that names it; until then the higher one does.
+    """
+    high_s = known_s(named, server.engine_id, HIGH)
+    if high_s is None:
         return 2
-    broken = sum(late) / len(late) < 0.5 * sum(calm) / len(calm)
-    record.write('LOST', 'broken' if broken else 'held')
-    return 1 if broken else 0
+    from_s = high_s + STABLE_S
+    low_s = float('inf')
+    if TROUBLE:
+        low_s = known_s(named, server.engine_id, LOW)
+        if low_s is None:
+            return 2
+        low_s += KNOWN_AFTER_S
+    times = [at_s for at_s, _ in server.arrivals]
+    worst = None
+    for begin_s in [*times, low_s if TROUBLE else from_s]:
+        if begin_s < from_s:
+            continue
+        end_s = begin_s + WINDOW_S
+        high_time_s = max(0.0, min(end_s, low_s) - begin_s)
+        allowed = FACTOR * (
+            HIGH * high_time_s + LOW * (WINDOW_S - high_time_s)
+        )
+        count = sum(begin_s <= at_s < end_s for at_s in times)
+        row = (count - allowed - EXTRA, count, allowed + EXTRA, begin_s)
+        worst = max(worst or row, row)
+    over, count, allowed, begin_s = worst
+    record.write(
+        server.engine_id,
+        'in 4 s from',
+        round(begin_s, 2),
+        ':',
+        count,
+        'requests,',
+        round(allowed, 1),
+        'allowed; the lower limit was known',
+        'since',
+        round(low_s - KNOWN_AFTER_S, 2),
+    )
+    return 1 if over > 0 else 0
 
 
 async def main() -> int:
