--- a/review/3/case.py
+++ b/review/3/case.py
@@ -1,7 +1,6 @@
-"""A part of a prompt ends an engine; another engine crashes for itself.
+"""A part of a prompt ends each engine that begins to write an answer on it.
 
-The crash falls into the time in which a sound request is read in: its engine
-has written the head of the answer and no event.
+The engine ends while it writes the head of its answer, before the first event.
 """
 
 import asyncio
@@ -17,28 +16,27 @@
 import machines  # noqa: E402
 import store as stores  # noqa: E402
 
-# The disruption is the engine's own crash; the poisoned requests always come.
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
-FIRST_PART = 'aa01'
+# Where the engine ends: ``part`` in the head of its answer, ``none`` before
+# its first byte, ``head`` after the whole head (for comparison).
+ENDS = os.environ.get('ENDS', 'part')
 POISON = 'dead0001'
 ENGINES = 7
 MACHINES = 2
-BACK_S = 4.5
+BACK_S = 3.0
 STABLE_S = 3.0
-COUNTED_CRASHES = 5
-EVERY_S = 1.0
-PREFILL_S = 0.6
-CALM = 24
-LATE = 34
-COUNT_MIN = 20
+CRASHES_COUNTED_FROM = 5
+LATE_MAX = 3
+LENGTH_S = 40.0
+POISON_EVERY_S = 1.2
+SOUND_EVERY_S = 0.25
 
 
-class Engine(engines.Engine):
-    """Writes the head as it begins, and the first event after the prompt."""
+class Crashing(engines.Engine):
+    """Ends when it begins to write on the poisoned part."""
 
-    poisoned_ends: list[float] = []
+    crashes: list[float] = []
     starts = 0
-    tasks: set = set()
 
     async def _answer(
         self,
@@ -46,59 +44,59 @@
         request_id: str,
         writer: asyncio.StreamWriter,
     ) -> None:
+        parts = request.headers.get('x-prompt-prefix', '')
+        if POISON not in parts:
+            await super()._answer(request, request_id, writer)
+            return
+        await asyncio.sleep(self.work_s)
         rows = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
-        rows.append('Content-Type: text/event-stream')
         headers = self.headers(request_id)
         rows += [f'{name}: {value}' for name, value in headers.items()]
-        writer.write('\r\n'.join(rows).encode() + b'\r\n\r\n')
-        if POISON in request.headers.get('x-prompt-prefix', ''):
-            await asyncio.sleep(0.02)
-            Engine.poisoned_ends.append(self.record.now_s())
-            self.record.write(self.engine_id, 'ends under', request_id)
-            self.go_down()
-            return
-        await asyncio.sleep(PREFILL_S)
-        for number in range(1, self.events + 1):
-            event = b'id: %d\ndata: token %d\n\n' % (number, number)
-            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
-            await writer.drain()
-            await asyncio.sleep(self.event_s)
-        writer.write(b'0\r\n\r\n')
-        await writer.drain()
-
-    def go_down(self) -> None:
-        """Crashes, and comes back after some seconds under a new id."""
+        head = '\r\n'.join(rows).encode() + b'\r\n\r\n'
+        size = {'none': 0, 'part': len(head) // 2, 'head': len(head)}[ENDS]
+        writer.write(head[:size])
+        await asyncio.sleep(0.01)
+        Crashing.crashes.append(self.record.now_s())
+        self.record.write(
+            self.engine_id,
+            'ends under',
+            request_id,
+            'with',
+            self.running - 1,
+            'other requests',
+        )
         self.crash()
-        Engine.tasks.add(asyncio.create_task(self._come_back()))
+        Crashing.tasks.add(asyncio.create_task(self._come_back()))
+
+    tasks: set = set()
 
     async def _come_back(self) -> None:
         old_id = self.engine_id
-        await asyncio.sleep(engines.BEATS_MAX * engines.BEAT_S)
-        self._store.write(engines.TOPIC, old_id, None)
-        await asyncio.sleep(BACK_S - engines.BEATS_MAX * engines.BEAT_S)
-        Engine.starts += 1
-        self.engine_id = f'{old_id.split("+")[0]}+{Engine.starts}'
+        await asyncio.sleep(BACK_S)
+        Crashing.starts += 1
+        self.engine_id = f'{old_id.split("+")[0]}+{Crashing.starts}'
         self.born_ms += 1000
         await self.start()
         self.record.write(self.engine_id, 'is back')
+        await asyncio.sleep(engines.BEATS_MAX * engines.BEAT_S - BACK_S)
+        self._store.write(engines.TOPIC, old_id, None)
 
 
 async def send(
     machine: machines.Machine,
     record: machines.Record,
     request_id: str,
-    part: str,
-    outcomes: dict[str, bool],
+    parts: str,
+    outcomes: dict[str, str],
 ) -> None:
-    """Sends one stream request and records whether its answer began."""
-    own = request_id.encode().hex()
+    """Sends one stream request and records how it ended."""
     headers = {
         'X-Attempt-Id': request_id,
         'X-Deadline-Ms': 20000,
         'Api-Key': 'key-1',
         'X-Model': 'm',
-        'X-Token-Usage': '3000,80',
-        'X-Prompt-Prefix': f'{FIRST_PART}:200,{part}:100,{own}:2700',
+        'X-Token-Usage': '400,80',
+        'X-Prompt-Prefix': parts,
     }
     record.write('client sends', request_id, 'to', machine.name)
     answer = await machines.call(
@@ -108,11 +106,13 @@
         headers,
         b'body of ' + request_id.encode(),
     )
-    outcomes[request_id] = answer is not None and b'id: 1\n' in answer.body
-    outcome = 'closed'
-    if answer is not None:
-        retry_after = answer.headers.get('retry-after', '-')
-        outcome = f'{answer.status}, Retry-After {retry_after}'
+    if answer is None:
+        outcome = 'closed'
+    elif not answer.complete:
+        outcome = f'{answer.status} cut'
+    else:
+        outcome = str(answer.status)
+    outcomes[request_id] = outcome
     record.write('client gets', request_id, outcome)
 
 
@@ -120,9 +120,11 @@
     """Plays the case; returns the exit code."""
     store = stores.Store()
     await store.start(machines.address(200))
-    store.write('keyed.op', 'config', machines.configuration())
+    document = machines.configuration()
+    document['services'][1]['engine'] |= {'moves': False, 'backups': False}
+    store.write('keyed.op', 'config', document)
     servers = [
-        Engine(f'e{n}', 'model', machines.address(100 + n), store, record)
+        Crashing(f'e{n}', 'model', machines.address(100 + n), store, record)
         for n in range(ENGINES)
     ]
     for server in servers:
@@ -131,16 +133,8 @@
         machines.Machine(n + 1, store.address, record, folder)
         for n in range(MACHINES)
     ]
-    outcomes: dict[str, bool] = {}
-    sent_s: dict[str, float] = {}
+    outcomes: dict[str, str] = {}
     tasks = []
-
-    def begin(name: str, part: str) -> None:
-        sent_s[name] = record.now_s()
-        front = fronts[len(tasks) % MACHINES]
-        task = asyncio.create_task(send(front, record, name, part, outcomes))
-        tasks.append(task)
-
     try:
         for front in fronts:
             front.start()
@@ -148,58 +142,78 @@
             if not await front.wait_ready():
                 record.write(front.name, 'is not ready')
                 return 2
+        # In touch: a start excuses a machine for the stable window.
         await asyncio.sleep(STABLE_S + 0.5)
-        for number in range(CALM):
-            begin(f'calm-{number}', f'bb{number % 5:02x}')
-            await asyncio.sleep(EVERY_S)
-        begin('poison-0', POISON)
-        await asyncio.sleep(0.2)
-        begin('sound-0', 'bb01')
-        await asyncio.sleep(PREFILL_S / 2)
-        for server in servers:
-            if TROUBLE and server.running:
-                if server.ran[-1][1] == 'sound-0':
-                    record.write(server.engine_id, 'crashes for itself')
-                    server.go_down()
-        for number in range(1, LATE):
-            await asyncio.sleep(EVERY_S / 2)
-            begin(f'poison-{number}', POISON)
-            await asyncio.sleep(EVERY_S / 2)
-            begin(f'sound-{number}', f'bb{number % 5:02x}')
-        await asyncio.wait(tasks, timeout=10)
+        begin_s = record.now_s()
+        sent = poisoned = 0
+        while record.now_s() - begin_s < LENGTH_S:
+            due = (record.now_s() - begin_s) / POISON_EVERY_S
+            if TROUBLE and poisoned <= due:
+                poisoned += 1
+                parts = f'aa01:200,{POISON}:100,f{poisoned:05x}:100'
+                name = f'poison-{poisoned}'
+                front = fronts[poisoned % MACHINES]
+                tasks.append(
+                    asyncio.create_task(
+                        send(front, record, name, parts, outcomes)
+                    )
+                )
+            sent += 1
+            parts = f'aa01:200,bb{sent % 4:02x}:100,c{sent:05x}:100'
+            front = fronts[sent % MACHINES]
+            tasks.append(
+                asyncio.create_task(
+                    send(front, record, f'sound-{sent}', parts, outcomes)
+                )
+            )
+            await asyncio.sleep(SOUND_EVERY_S)
+        await asyncio.wait(tasks, timeout=25)
     finally:
         for front in fronts:
             front.end()
         for server in servers:
             server.crash()
         store.close()
-    return judge(record, outcomes, sent_s)
+    return judge(record, servers, outcomes)
 
 
 def judge(
     record: machines.Record,
-    outcomes: dict[str, bool],
-    sent_s: dict[str, float],
+    servers: list[Crashing],
+    outcomes: dict[str, str],
 ) -> int:
     """Applies the rule to what the stand-ins saw."""
-    ends = sorted(Engine.poisoned_ends)
-    record.write('ends under the part:', [round(s, 1) for s in ends])
-    calm = [b for name, b in outcomes.items() if name.startswith('calm')]
-    if not ends or len(calm) < COUNT_MIN or not any(calm):
+    crashes = sorted(Crashing.crashes)
+    cut = [
+        name
+        for name, outcome in outcomes.items()
+        if name.startswith('sound') and outcome not in ('200', '503', '429')
+    ]
+    served = sum(
+        outcome == '200' and name.startswith('sound')
+        for name, outcome in outcomes.items()
+    )
+    record.write('crashes:', len(crashes), [round(s, 1) for s in crashes])
+    record.write('sound requests served:', served, 'cut off:', len(cut))
+    if not served:
+        record.write('no sound request was served')
         return 2
-    last_s = ends[:COUNTED_CRASHES][-1]
+    if len(crashes) < CRASHES_COUNTED_FROM:
+        record.write('BUDGET held: fewer than five crashes')
+        return 0
+    from_s = crashes[CRASHES_COUNTED_FROM - 1] + STABLE_S
     late = [
-        begun
-        for name, begun in outcomes.items()
-        if name.startswith('sound') and sent_s[name] > last_s + 2 * STABLE_S
+        (round(at_s, 2), request_id)
+        for server in servers
+        for at_s, request_id in server.arrivals
+        if request_id.startswith('poison') and at_s > from_s
     ]
-    record.write('calm: begun', sum(calm), 'of', len(calm))
-    record.write('late: begun', sum(late), 'of', len(late))
-    if len(late) < COUNT_MIN:
-        return 2
-    broken = sum(late) / len(late) < 0.5 * sum(calm) / len(calm)
-    record.write('LOST', 'broken' if broken else 'held')
-    return 1 if broken else 0
+    record.write('late arrivals from', round(from_s, 2), sorted(late))
+    if len(late) > LATE_MAX:
+        record.write('BUDGET broken:', len(late), 'of', LATE_MAX, 'allowed')
+        return 1
+    record.write('BUDGET held:', len(late), 'late arrivals')
+    return 0
 
 
 async def main() -> int:
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,7 +1,7 @@
-"""An overloaded engine asks for pauses; its neighbour crashes meanwhile.
+"""A part of a prompt ends an engine; another engine crashes for itself.
 
-Streams of the crashed engine continue from their copies at the overloaded
-one. They wait for the end of the first pause; a second answer extends it.
+The crash falls into the time in which a sound request is read in: its engine
+has written the head of the answer and no event.
 """
 
 import asyncio
@@ -17,73 +17,90 @@
 import machines  # noqa: E402
 import store as stores  # noqa: E402
 
+# The disruption is the engine's own crash; the poisoned requests always come.
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
+FIRST_PART = 'aa01'
+POISON = 'dead0001'
+ENGINES = 7
+MACHINES = 2
+BACK_S = 4.5
 STABLE_S = 3.0
-STREAMS = 16
-PAUSE_S = 6.0
-# First answers of the overloaded engine: the time for which the request waits
-# in its queue, and the pause that it asks for, in seconds.
-REJECTIONS = ((0.5, 1.2), (0.7, PAUSE_S))
-CRASH_AFTER_S = 0.1
-SLACK_S = 0.5
-ALLOWED = 2
+COUNTED_CRASHES = 5
+EVERY_S = 1.0
+PREFILL_S = 0.6
+CALM = 24
+LATE = 34
+COUNT_MIN = 20
 
 
-class Overloaded(engines.Engine):
-    """Turns away every request while it is overloaded, after some time.
+class Engine(engines.Engine):
+    """Writes the head as it begins, and the first event after the prompt."""
 
-    Attributes:
-        overloaded: Whether it is overloaded.
-        queued: Number of requests that it has turned away or will.
-        rejections: Time of each rejection and the pause that it asks for.
-    """
+    poisoned_ends: list[float] = []
+    starts = 0
+    tasks: set = set()
 
-    overloaded = False
-    queued = 0
-
-    async def run(
+    async def _answer(
         self,
         request: http_io.Message,
         request_id: str,
-        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> None:
-        if not self.overloaded:
-            await super().run(request, request_id, reader, writer)
+        rows = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
+        rows.append('Content-Type: text/event-stream')
+        headers = self.headers(request_id)
+        rows += [f'{name}: {value}' for name, value in headers.items()]
+        writer.write('\r\n'.join(rows).encode() + b'\r\n\r\n')
+        if POISON in request.headers.get('x-prompt-prefix', ''):
+            await asyncio.sleep(0.02)
+            Engine.poisoned_ends.append(self.record.now_s())
+            self.record.write(self.engine_id, 'ends under', request_id)
+            self.go_down()
             return
-        after_s, pause_s = 0.0, PAUSE_S
-        if self.queued < len(REJECTIONS):
-            after_s, pause_s = REJECTIONS[self.queued]
-        self.queued += 1
-        # The request waits in the queue before it is turned away.
-        await asyncio.sleep(after_s)
-        self.rejections.append((self.record.now_s(), pause_s))
-        self.record.write(
-            self.engine_id, 'turns away', request_id, 'for', pause_s, 's'
-        )
-        headers = self.headers(request_id) | {
-            'X-Not-Executed': '1',
-            'Retry-After': pause_s,
-        }
-        writer.write(http_io.encode('HTTP/1.1 503 x', headers))
+        await asyncio.sleep(PREFILL_S)
+        for number in range(1, self.events + 1):
+            event = b'id: %d\ndata: token %d\n\n' % (number, number)
+            writer.write(b'%x\r\n%b\r\n' % (len(event), event))
+            await writer.drain()
+            await asyncio.sleep(self.event_s)
+        writer.write(b'0\r\n\r\n')
+        await writer.drain()
+
+    def go_down(self) -> None:
+        """Crashes, and comes back after some seconds under a new id."""
+        self.crash()
+        Engine.tasks.add(asyncio.create_task(self._come_back()))
+
+    async def _come_back(self) -> None:
+        old_id = self.engine_id
+        await asyncio.sleep(engines.BEATS_MAX * engines.BEAT_S)
+        self._store.write(engines.TOPIC, old_id, None)
+        await asyncio.sleep(BACK_S - engines.BEATS_MAX * engines.BEAT_S)
+        Engine.starts += 1
+        self.engine_id = f'{old_id.split("+")[0]}+{Engine.starts}'
+        self.born_ms += 1000
+        await self.start()
+        self.record.write(self.engine_id, 'is back')
 
 
 async def send(
     machine: machines.Machine,
     record: machines.Record,
     request_id: str,
-    outcomes: dict[str, str],
+    part: str,
+    outcomes: dict[str, bool],
 ) -> None:
-    """Sends one stream request and records how it ended."""
+    """Sends one stream request and records whether its answer began."""
+    own = request_id.encode().hex()
     headers = {
         'X-Attempt-Id': request_id,
-        'X-Deadline-Ms': 30000,
+        'X-Deadline-Ms': 20000,
         'Api-Key': 'key-1',
         'X-Model': 'm',
-        'X-Token-Usage': '800,400',
-        'X-Prompt-Prefix': f'aa01:700,{request_id.encode().hex()}:100',
+        'X-Token-Usage': '3000,80',
+        'X-Prompt-Prefix': f'{FIRST_PART}:200,{part}:100,{own}:2700',
     }
-    record.write('client sends', request_id)
+    record.write('client sends', request_id, 'to', machine.name)
     answer = await machines.call(
         machine.host,
         machines.FRONT_PORT,
@@ -91,12 +108,11 @@
         headers,
         b'body of ' + request_id.encode(),
     )
+    outcomes[request_id] = answer is not None and b'id: 1\n' in answer.body
     outcome = 'closed'
     if answer is not None:
-        ids = answer.body.count(b'id: ')
-        end = 'whole' if answer.complete else 'cut'
-        outcome = f'{answer.status} {end} {ids} events'
-    outcomes[request_id] = outcome
+        retry_after = answer.headers.get('retry-after', '-')
+        outcome = f'{answer.status}, Retry-After {retry_after}'
     record.write('client gets', request_id, outcome)
 
 
@@ -105,89 +121,84 @@
     store = stores.Store()
     await store.start(machines.address(200))
     store.write('keyed.op', 'config', machines.configuration())
-    crashing, busy = servers = [
-        Overloaded(name, 'model', machines.address(101 + n), store, record)
-        for n, name in enumerate(('crashing', 'busy'))
+    servers = [
+        Engine(f'e{n}', 'model', machines.address(100 + n), store, record)
+        for n in range(ENGINES)
     ]
     for server in servers:
-        server.rejections = []
-        server.events = 160
         await server.start()
     fronts = [
-        machines.Machine(n, store.address, record, folder) for n in (1, 2)
+        machines.Machine(n + 1, store.address, record, folder)
+        for n in range(MACHINES)
     ]
-    front = fronts[0]
-    outcomes: dict[str, str] = {}
+    outcomes: dict[str, bool] = {}
+    sent_s: dict[str, float] = {}
     tasks = []
 
-    def begin(name: str) -> None:
-        task = asyncio.create_task(send(front, record, name, outcomes))
+    def begin(name: str, part: str) -> None:
+        sent_s[name] = record.now_s()
+        front = fronts[len(tasks) % MACHINES]
+        task = asyncio.create_task(send(front, record, name, part, outcomes))
         tasks.append(task)
 
     try:
-        for machine in fronts:
-            machine.start()
-        for machine in fronts:
-            if not await machine.wait_ready():
+        for front in fronts:
+            front.start()
+        for front in fronts:
+            if not await front.wait_ready():
+                record.write(front.name, 'is not ready')
                 return 2
         await asyncio.sleep(STABLE_S + 0.5)
-        for number in range(STREAMS):
-            begin(f'guide-{number}')
-        await asyncio.sleep(2.0)
-        busy.overloaded = True
-        for number in range(40):
-            if busy.queued >= len(REJECTIONS):
-                break
-            begin(f'new-{number}')
-            await asyncio.sleep(0.05)
-        while not busy.rejections:
-            await asyncio.sleep(0.01)
-        await asyncio.sleep(CRASH_AFTER_S)
-        if TROUBLE:
-            record.write('crashing ends with', crashing.running, 'requests')
-            crashing.crash()
-        await asyncio.sleep(PAUSE_S)
-        busy.overloaded = False
-        await asyncio.wait(tasks, timeout=30)
+        for number in range(CALM):
+            begin(f'calm-{number}', f'bb{number % 5:02x}')
+            await asyncio.sleep(EVERY_S)
+        begin('poison-0', POISON)
+        await asyncio.sleep(0.2)
+        begin('sound-0', 'bb01')
+        await asyncio.sleep(PREFILL_S / 2)
+        for server in servers:
+            if TROUBLE and server.running:
+                if server.ran[-1][1] == 'sound-0':
+                    record.write(server.engine_id, 'crashes for itself')
+                    server.go_down()
+        for number in range(1, LATE):
+            await asyncio.sleep(EVERY_S / 2)
+            begin(f'poison-{number}', POISON)
+            await asyncio.sleep(EVERY_S / 2)
+            begin(f'sound-{number}', f'bb{number % 5:02x}')
+        await asyncio.wait(tasks, timeout=10)
     finally:
-        for machine in fronts:
-            machine.end()
+        for front in fronts:
+            front.end()
         for server in servers:
             server.crash()
         store.close()
-    return judge(record, busy, outcomes)
+    return judge(record, outcomes, sent_s)
 
 
 def judge(
-    record: machines.Record, busy: Overloaded, outcomes: dict[str, str]
+    record: machines.Record,
+    outcomes: dict[str, bool],
+    sent_s: dict[str, float],
 ) -> int:
     """Applies the rule to what the stand-ins saw."""
-    whole = sum(o.startswith('200 whole') for o in outcomes.values())
-    record.write('whole streams:', whole, 'of', len(outcomes))
-    if len(busy.rejections) < len(REJECTIONS):
-        record.write('the engine turned too few requests away')
+    ends = sorted(Engine.poisoned_ends)
+    record.write('ends under the part:', [round(s, 1) for s in ends])
+    calm = [b for name, b in outcomes.items() if name.startswith('calm')]
+    if not ends or len(calm) < COUNT_MIN or not any(calm):
+        return 2
+    last_s = ends[:COUNTED_CRASHES][-1]
+    late = [
+        begun
+        for name, begun in outcomes.items()
+        if name.startswith('sound') and sent_s[name] > last_s + 2 * STABLE_S
+    ]
+    record.write('calm: begun', sum(calm), 'of', len(calm))
+    record.write('late: begun', sum(late), 'of', len(late))
+    if len(late) < COUNT_MIN:
         return 2
-    broken = False
-    for at_s, pause_s in busy.rejections[: len(REJECTIONS)]:
-        arrived = [
-            request_id
-            for arrival_s, request_id in busy.arrivals
-            if at_s + SLACK_S < arrival_s < at_s + pause_s
-        ]
-        record.write(
-            'pause of',
-            pause_s,
-            's from',
-            round(at_s, 2),
-            ':',
-            len(arrived),
-            'requests from front-1,',
-            ALLOWED,
-            'allowed',
-            arrived,
-        )
-        broken = broken or len(arrived) > ALLOWED
-    record.write('BUDGET', 'broken' if broken else 'held')
+    broken = sum(late) / len(late) < 0.5 * sum(calm) / len(calm)
+    record.write('LOST', 'broken' if broken else 'held')
     return 1 if broken else 0
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,8 @@
-"""Engines in need lower their limit while requests wait for their turns."""
+"""An overloaded engine asks for pauses; its neighbour crashes meanwhile.
+
+Streams of the crashed engine continue from their copies at the overloaded
+one. They wait for the end of the first pause; a second answer extends it.
+"""
 
 import asyncio
 import os
@@ -9,56 +13,77 @@
 sys.path.insert(0, str(HERE.parent / 'common'))
 
 import engines  # noqa: E402
+import http_io  # noqa: E402
 import machines  # noqa: E402
 import store as stores  # noqa: E402
 
 TROUBLE = os.environ.get('TROUBLE', '1') != '0'
 STABLE_S = 3.0
-# Limits of each engine, in requests a second, and the times of the changes.
-HIGH = 3.0
-LOW = 0.2
-NAMED_AT_S = 2.0
-LOWERED_AT_S = 12.0
-LENGTH_S = 20.0
-# Streams a second of all clients: 1.6 times those of the site.
-RATE = 9.0
-WINDOW_S = 4.0
-FACTOR = 1.5
-EXTRA = 5
-KNOWN_AFTER_S = 0.5
-
-
-class Limited(engines.Engine):
-    """Names its limit in its answers."""
-
-    limit: float | None = None
+STREAMS = 16
+PAUSE_S = 6.0
+# First answers of the overloaded engine: the time for which the request waits
+# in its queue, and the pause that it asks for, in seconds.
+REJECTIONS = ((0.5, 1.2), (0.7, PAUSE_S))
+CRASH_AFTER_S = 0.1
+SLACK_S = 0.5
+ALLOWED = 2
+
+
+class Overloaded(engines.Engine):
+    """Turns away every request while it is overloaded, after some time.
+
+    Attributes:
+        overloaded: Whether it is overloaded.
+        queued: Number of requests that it has turned away or will.
+        rejections: Time of each rejection and the pause that it asks for.
+    """
 
-    def headers(self, request_id: str) -> dict[str, str]:
-        """Returns the headers of its answers."""
-        headers = super().headers(request_id)
-        if self.limit is not None:
-            headers['Server-Limit'] = str(self.limit)
-        return headers
+    overloaded = False
+    queued = 0
+
+    async def run(
+        self,
+        request: http_io.Message,
+        request_id: str,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        if not self.overloaded:
+            await super().run(request, request_id, reader, writer)
+            return
+        after_s, pause_s = 0.0, PAUSE_S
+        if self.queued < len(REJECTIONS):
+            after_s, pause_s = REJECTIONS[self.queued]
+        self.queued += 1
+        # The request waits in the queue before it is turned away.
+        await asyncio.sleep(after_s)
+        self.rejections.append((self.record.now_s(), pause_s))
+        self.record.write(
+            self.engine_id, 'turns away', request_id, 'for', pause_s, 's'
+        )
+        headers = self.headers(request_id) | {
+            'X-Not-Executed': '1',
+            'Retry-After': pause_s,
+        }
+        writer.write(http_io.encode('HTTP/1.1 503 x', headers))
 
 
 async def send(
     machine: machines.Machine,
     record: machines.Record,
     request_id: str,
-    named: dict[tuple[str, str, str], float],
-    outcomes: list[str],
+    outcomes: dict[str, str],
 ) -> None:
-    """Sends one stream request; notes which limit the answer names."""
-    own = request_id.encode().hex()
+    """Sends one stream request and records how it ended."""
     headers = {
         'X-Attempt-Id': request_id,
-        'X-Deadline-Ms': 20000,
+        'X-Deadline-Ms': 30000,
         'Api-Key': 'key-1',
         'X-Model': 'm',
-        'X-Token-Usage': '400,40',
-        'X-Prompt-Prefix': f'aa01:300,{own}:100',
+        'X-Token-Usage': '800,400',
+        'X-Prompt-Prefix': f'aa01:700,{request_id.encode().hex()}:100',
     }
-    record.write('client sends', request_id, 'to', machine.name)
+    record.write('client sends', request_id)
     answer = await machines.call(
         machine.host,
         machines.FRONT_PORT,
@@ -66,13 +91,12 @@
         headers,
         b'body of ' + request_id.encode(),
     )
-    outcome = 'closed' if answer is None else str(answer.status)
-    outcomes.append(outcome)
-    if answer is not None and answer.status == 200:
-        engine_id = answer.headers['x-upstream-seal'].split('.')[1]
-        limit = answer.headers.get('server-limit', 'none')
-        outcome += f' of {engine_id}, limit {limit}'
-        named.setdefault((machine.name, engine_id, limit), record.now_s())
+    outcome = 'closed'
+    if answer is not None:
+        ids = answer.body.count(b'id: ')
+        end = 'whole' if answer.complete else 'cut'
+        outcome = f'{answer.status} {end} {ids} events'
+    outcomes[request_id] = outcome
     record.write('client gets', request_id, outcome)
 
 
@@ -81,114 +105,90 @@
     store = stores.Store()
     await store.start(machines.address(200))
     store.write('keyed.op', 'config', machines.configuration())
-    servers = [
-        Limited(f'e{n}', 'model', machines.address(101 + n), store, record)
-        for n in range(2)
+    crashing, busy = servers = [
+        Overloaded(name, 'model', machines.address(101 + n), store, record)
+        for n, name in enumerate(('crashing', 'busy'))
     ]
     for server in servers:
-        server.events = 10
-        server.event_s = 0.02
+        server.rejections = []
+        server.events = 160
         await server.start()
     fronts = [
         machines.Machine(n, store.address, record, folder) for n in (1, 2)
     ]
-    named: dict[tuple[str, str, str], float] = {}
-    outcomes: list[str] = []
+    front = fronts[0]
+    outcomes: dict[str, str] = {}
     tasks = []
+
+    def begin(name: str) -> None:
+        task = asyncio.create_task(send(front, record, name, outcomes))
+        tasks.append(task)
+
     try:
-        for front in fronts:
-            front.start()
-        for front in fronts:
-            if not await front.wait_ready():
+        for machine in fronts:
+            machine.start()
+        for machine in fronts:
+            if not await machine.wait_ready():
                 return 2
         await asyncio.sleep(STABLE_S + 0.5)
-        begin_s = record.now_s()
-        while (passed_s := record.now_s() - begin_s) < LENGTH_S:
-            limit = None
-            if passed_s >= NAMED_AT_S:
-                limit = HIGH
-            if TROUBLE and passed_s >= LOWERED_AT_S:
-                limit = LOW
-            for server in servers:
-                if server.limit != limit:
-                    record.write(server.engine_id, 'names', limit, 'a second')
-                    server.limit = limit
-            name = f'guide-{len(tasks)}'
-            front = fronts[len(tasks) % 2]
-            task = asyncio.create_task(
-                send(front, record, name, named, outcomes)
-            )
-            tasks.append(task)
-            await asyncio.sleep(1 / RATE)
-        await asyncio.wait(tasks, timeout=10)
+        for number in range(STREAMS):
+            begin(f'guide-{number}')
+        await asyncio.sleep(2.0)
+        busy.overloaded = True
+        for number in range(40):
+            if busy.queued >= len(REJECTIONS):
+                break
+            begin(f'new-{number}')
+            await asyncio.sleep(0.05)
+        while not busy.rejections:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(CRASH_AFTER_S)
+        if TROUBLE:
+            record.write('crashing ends with', crashing.running, 'requests')
+            crashing.crash()
+        await asyncio.sleep(PAUSE_S)
+        busy.overloaded = False
+        await asyncio.wait(tasks, timeout=30)
     finally:
-        for front in fronts:
-            front.end()
+        for machine in fronts:
+            machine.end()
         for server in servers:
             server.crash()
         store.close()
-    if '200' not in outcomes:
-        return 2
-    verdicts = [judge(record, server, named) for server in servers]
-    record.write('LIMIT', 'broken' if 1 in verdicts else 'held')
-    return 2 if 2 in verdicts else max(verdicts)
-
-
-def known_s(
-    named: dict[tuple[str, str, str], float], engine_id: str, limit: float
-) -> float | None:
-    """Returns when both machines had passed on an answer with a limit."""
-    times = [named.get((f'front-{n}', engine_id, str(limit))) for n in (1, 2)]
-    return None if None in times else max(times)
+    return judge(record, busy, outcomes)
 
 
 def judge(
-    record: machines.Record,
-    server: Limited,
-    named: dict[tuple[str, str, str], float],
+    record: machines.Record, busy: Overloaded, outcomes: dict[str, str]
 ) -> int:
-    """Applies the rule to the arrivals at one engine.
-
-    A limit counts from half a second after both machines have passed on an
-    answer that names it; until then the higher one does.
-    """
-    high_s = known_s(named, server.engine_id, HIGH)
-    if high_s is None:
+    """Applies the rule to what the stand-ins saw."""
+    whole = sum(o.startswith('200 whole') for o in outcomes.values())
+    record.write('whole streams:', whole, 'of', len(outcomes))
+    if len(busy.rejections) < len(REJECTIONS):
+        record.write('the engine turned too few requests away')
         return 2
-    from_s = high_s + STABLE_S
-    low_s = float('inf')
-    if TROUBLE:
-        low_s = known_s(named, server.engine_id, LOW)
-        if low_s is None:
-            return 2
-        low_s += KNOWN_AFTER_S
-    times = [at_s for at_s, _ in server.arrivals]
-    worst = None
-    for begin_s in [*times, low_s if TROUBLE else from_s]:
-        if begin_s < from_s:
-            continue
-        end_s = begin_s + WINDOW_S
-        high_time_s = max(0.0, min(end_s, low_s) - begin_s)
-        allowed = FACTOR * (
-            HIGH * high_time_s + LOW * (WINDOW_S - high_time_s)
+    broken = False
+    for at_s, pause_s in busy.rejections[: len(REJECTIONS)]:
+        arrived = [
+            request_id
+            for arrival_s, request_id in busy.arrivals
+            if at_s + SLACK_S < arrival_s < at_s + pause_s
+        ]
+        record.write(
+            'pause of',
+            pause_s,
+            's from',
+            round(at_s, 2),
+            ':',
+            len(arrived),
+            'requests from front-1,',
+            ALLOWED,
+            'allowed',
+            arrived,
         )
-        count = sum(begin_s <= at_s < end_s for at_s in times)
-        row = (count - allowed - EXTRA, count, allowed + EXTRA, begin_s)
-        worst = max(worst or row, row)
-    over, count, allowed, begin_s = worst
-    record.write(
-        server.engine_id,
-        'in 4 s from',
-        round(begin_s, 2),
-        ':',
-        count,
-        'requests,',
-        round(allowed, 1),
-        'allowed; the lower limit was known',
-        'since',
-        round(low_s - KNOWN_AFTER_S, 2),
-    )
-    return 1 if over > 0 else 0
+        broken = broken or len(arrived) > ALLOWED
+    record.write('BUDGET', 'broken' if broken else 'held')
+    return 1 if broken else 0
 
 
 async def main() -> int:
