--- a/review/build.sh
+++ b/review/build.sh
@@ -1,3 +1,4 @@
+#!/bin/sh
 # Compiles the stand-ins of the review; they need the standard library only.
 set -eu
 cd "$(dirname "$0")"
