Take no answer to a call to stop a run for no stop

The gateway calls an engine to stop a silent run. The call was accepted and not answered within 0.4 s, and that counted like an engine that cannot be reached: the stream went on from its copy elsewhere.

Each call has a connection of its own, so a time-out means that the connection was accepted. Ruled out: an engine that was not reached, an answer "no such run".

A run now continues elsewhere only after an answer, a refused connection, or no connection while nothing is heard from the engine. A silent stream waits for its engine; a broken one is called a second time and then lost. Moves off draining engines use the same function.

Failed before: test_a_silent_run_whose_stop_is_not_answered_goes_on_nowhere, test_a_cut_run_whose_stop_is_not_answered_goes_on_nowhere (both cases) and test_an_engine_that_is_heard_has_not_ended.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -266,6 +266,13 @@
     'A target has answered a request that was in flight at the end of another '
     'target; earlier ends are not held against it.',
 )
+RUN_NOT_STOPPED = _event(
+    242,
+    'run-not-stopped',
+    logging.WARNING,
+    'An engine did not confirm that it stopped a run, which therefore '
+    'continues at no other engine; `results` are those of the calls.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -373,11 +373,14 @@
     NO_RUN = 'no such run'
     BUSY = 'another call is in progress'
     FAILED = 'failed'
-    # No connection was made, as with an engine that has ended.
+    # The connection was refused, as by an engine that has ended.
+    REFUSED = 'connection refused'
+    # No connection was made in time, as with an engine behind a cut link.
     UNREACHABLE = 'unreachable'
     # The engine may have ended during the call, or reset this connection
     # alone, as it does beyond its maximum number of connections.
     BROKEN = 'connection broken off'
+    # The engine accepted the call and may work on the run.
     TIMED_OUT = 'not answered in time'
 
 
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -139,10 +139,8 @@
                     | api.MoveResult.NO_RUN
                 ):
                     return found
-                case api.MoveResult.BUSY | api.MoveResult.FAILED:
-                    return None
         # Not answered in time, or answered without stopping the run.
-        return None if stopped is None else found
+        return None
 
     async def has_stopped_source(self) -> bool:
         """Whether the source confirms that it stopped the run.
@@ -189,7 +187,8 @@
                 case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
                     await timers.sleep(self._parts.timers, _RETRY_DELAY_S)
                 case (
-                    api.MoveResult.UNREACHABLE
+                    api.MoveResult.REFUSED
+                    | api.MoveResult.UNREACHABLE
                     | api.MoveResult.BROKEN
                     | api.MoveResult.TIMED_OUT
                 ):
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -367,7 +367,7 @@
         if destination is None:
             return None
         found = await handover.stop_source(
-            parts, exchange, run.target, destination
+            parts, exchange, run.target, destination, link_ended=False
         )
         if found is None:
             self._stop_unconfirmed = True
@@ -376,10 +376,7 @@
             case handover.HandoverWay.BACKUP:
                 # The engine may resume the run, see ``MoveResult.NO_RUN``.
                 return None
-            case (
-                handover.HandoverWay.BACKUP_UNREACHED
-                | handover.HandoverWay.BACKUP_UNANSWERED
-            ):
+            case handover.HandoverWay.BACKUP_UNREACHED:
                 # The connection to a partitioned zone may recover.
                 if run.backup is None or not self._is_alive(found.target):
                     self._stop_unconfirmed = True
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -23,6 +23,7 @@
         first_byte_s: Time to the first byte of a streamed answer, in seconds,
             by route.
         answer_s: Time to the end of an answer, in seconds.
+        unstopped_runs: Runs that their engines did not stop when called to.
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
@@ -67,6 +68,11 @@
             'Streams that went on at another target',
             registry=self._registry,
         )
+        self.unstopped_runs = aioprometheus.Counter(
+            'dotterelweir_gateway_unstopped_runs_total',
+            'Runs that their engines did not stop when called to',
+            registry=self._registry,
+        )
         self.notices = aioprometheus.Counter(
             'dotterelweir_gateway_target_notices_total',
             'Targets that said that they leave, or asked for a pause',
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -127,6 +127,82 @@
     assert second.received_headers == []
 
 
+async def answer_no_call(request):
+    """Accepts a call and answers nothing."""
+    await asyncio.sleep(3600)
+
+
+async def test_a_silent_run_whose_stop_is_not_answered_goes_on_nowhere(
+    deployment,
+):
+    """Guards against a second run after a call to stop that got no answer."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.pause_after = 3
+    first.behaviour.pause_s = 1.5
+    first._move = answer_no_call
+    # Streams of the second engine show that this instance is not cut off.
+    deployment.gateway._loads.get('engine-2').last_event_s = float('inf')
+    async with deployment.request('guide', deadline_ms=3000) as answer:
+        assert await answer.read() == expected_events()
+    assert second.received_headers == []
+
+
+@pytest.mark.parametrize('cut_after', [0, 4])
+async def test_a_cut_run_whose_stop_is_not_answered_goes_on_nowhere(
+    deployment, cut_after
+):
+    """Guards against a second run after a call to stop that got no answer."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.cut_after = cut_after
+    first._move = answer_no_call
+    async with deployment.request('guide') as answer:
+        if cut_after:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await answer.read()
+        else:
+            assert answer.status == 502
+    assert second.received_headers == []
+
+
+async def test_a_run_is_stopped_by_a_further_call(deployment):
+    """Guards against runs lost with one call that got no answer."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.cut_after = 4
+    original_move = first._move
+    calls = []
+
+    async def answer_second_call(request):
+        calls.append(request)
+        if len(calls) == 1:
+            await answer_no_call(request)
+        return await original_move(request)
+
+    first._move = answer_second_call
+    async with deployment.request('guide', deadline_ms=3000) as answer:
+        assert await answer.read() == expected_events()
+    assert second.resumed_after == [4]
+
+
+async def test_an_engine_that_is_heard_has_not_ended(deployment, monkeypatch):
+    """Guards against a full accept queue that is taken for an end."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.cut_after = 4
+    load = deployment.gateway._loads.get('engine-1')
+
+    async def fail_to_connect(*args, **kwargs):
+        await asyncio.sleep(0.15)
+        # Another stream of the engine goes on meanwhile.
+        load.last_event_s = deployment.gateway._parts.timers.monotonic_s()
+        return api.MoveOutcome(api.MoveResult.UNREACHABLE)
+
+    run_control = deployment.gateway._parts.run_control
+    monkeypatch.setattr(run_control, 'move', fail_to_connect)
+    async with deployment.request('guide') as answer:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await answer.read()
+    assert second.received_headers == []
+
+
 async def wait_for_moves(engine, count):
     """Waits until an engine was called to move a run a number of times."""
     async with asyncio.timeout(5):
--- a/tests/adapter/test_runs.py
+++ b/tests/adapter/test_runs.py
@@ -57,10 +57,10 @@
     assert move.result is result
 
 
-async def test_a_refused_connection_counts_as_not_reached():
+async def test_a_refused_connection_counts_as_refused():
     """Guards against runs that are not continued after their engine ended."""
     server = await asyncio.start_server(abort, '127.0.0.1', 0)
     port = server.sockets[0].getsockname()[1]
     server.close()
     move = await move_at(port)
-    assert move.result is api.MoveResult.UNREACHABLE
+    assert move.result is api.MoveResult.REFUSED
