Blame only what explains the ends of engines for them

Cause: two ends after a head blocked whatever the two requests had in common. The guard did not test whether the engine had ended, did not remember the events that engines had written on these parts before, let one further end widen the blame, and tried nothing for 600 s.

Ruled out: a lost report of sound parts, as none is made while nothing is suspected.

One detector of ends now serves this guard and that of single requests: an engine has ended if it refuses a connection. Parts with which engines have ever written need three ends, others two; the largest common set is blamed first, so that an end that has less in common stays unexplained; ends at one moment count once; one instance tries a blocked prompt after 3 s, and once more after 30 s. The stand-ins of engines now end where they only closed a connection, so tests that play a crash start them again.

--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -106,6 +106,7 @@
             self.engines,
             self.store,
             self.rules,
+            self._proxies,
             self._mark_disturbed,
             self._register,
             self._trace,
--- a/fakes/src/dotterelweir_fakes/soak/crashing.py
+++ b/fakes/src/dotterelweir_fakes/soak/crashing.py
@@ -71,7 +71,7 @@
                         b'id: %d\ndata: token-%d\n\n' % (number, number)
                     )
                 await asyncio.sleep(self.crash_after_s)
-            if self._server.is_serving():
+            if self.is_up:
                 self.ends_s.append(asyncio.get_running_loop().time())
                 self.end()
             raise ConnectionResetError
@@ -79,7 +79,7 @@
 
     def end(self) -> None:
         """Ends the engine; it starts again after some time."""
-        if not self._server.is_serving():
+        if not self.is_up:
             return
         self._starts += 1
         self.crash()
@@ -91,7 +91,7 @@
         await asyncio.sleep(self.back_s)
         await self.register(self.target_id, False)
         self.target_id = f'{self._first_id}-{self._starts}'
-        await self.start(int(self.address.rpartition(':')[2]))
+        await self.start_again()
         await self.register(self.target_id, True)
 
     async def stop(self) -> None:
--- a/fakes/src/dotterelweir_fakes/soak/faults.py
+++ b/fakes/src/dotterelweir_fakes/soak/faults.py
@@ -14,6 +14,7 @@
 from dotterelweir_fakes.fleet import engine as fleet_engine
 from dotterelweir_fakes.links import rules as links_rules
 from dotterelweir_fakes.soak import instances
+from dotterelweir_fakes.soak import proxies
 
 # Range of the time between the starts of two faults, in seconds; faults
 # overlap.
@@ -62,6 +63,7 @@
         engines: Engines by name.
         store: Stand-in for the store.
         rules: Rules of the proxies before engines and the store.
+        engine_proxies: Proxies before the engines, by name.
         mark_disturbed: Marks the runs in progress at an engine as
             disturbed, so that they are exempt from the overlap check.
         register: Writes the registry entry of an engine, with a state, to
@@ -76,6 +78,7 @@
     engines: dict[str, fleet_engine.FakeEngine]
     store: object
     rules: links_rules.Rules
+    engine_proxies: dict[str, proxies.BackendProxy]
     mark_disturbed: Callable[[str], None]
     register: Callable[[str, str], Awaitable[None]]
     trace: Callable[[str], None]
@@ -232,9 +235,11 @@
         self.trace(f'{name}: crashes')
         self.mark_disturbed(name)
         self.engines[name].started_ms = int(1000 * time.time())
+        self.engine_proxies[name].refuse()
         self.rules.cut('caller', name)
         await self._wait_duration()
         self.rules.heal()
+        await self.engine_proxies[name].accept_again()
         await self.register(name, 'ready')
 
     async def _leave(self) -> None:
--- a/fakes/src/dotterelweir_fakes/soak/proxies.py
+++ b/fakes/src/dotterelweir_fakes/soak/proxies.py
@@ -40,6 +40,16 @@
         self._rules.name_port(self._own_port, 'caller', 'any')
         self._rules.name_port(self._port, self._name, 'any')
 
+    def refuse(self) -> None:
+        """Refuses connections, as the address of an engine that has ended."""
+        if self._server is not None:
+            self._server.close()
+
+    async def accept_again(self) -> None:
+        """Accepts connections again after ``refuse``."""
+        if self._server is not None and not self._server.is_serving():
+            await self._listen(self.connect_port)
+
     async def _connect(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -221,22 +221,22 @@
     234,
     'prompt-suspected',
     logging.WARNING,
-    'An engine ended when it began to write an answer; the shared parts of '
-    'the prompt are suspected.',
+    'An engine ended before the first event of a request; the shared parts '
+    'of its prompt are suspected.',
 )
 PROMPT_CLEARED = _event(
     235,
     'prompt-cleared',
     logging.INFO,
-    'An engine wrote an event with suspected parts of a prompt, which are '
-    'cleared.',
+    'Engines wrote events with suspected parts of a prompt, `age_s` ago at '
+    'most; earlier ends are not held against the parts.',
 )
 PROMPT_BLOCKED = _event(
     236,
     'prompt-blocked',
     logging.WARNING,
-    'A request was not sent to an engine, as several engines have crashed on '
-    'parts of its prompt.',
+    'A request was not sent to an engine, as parts of its prompt explain the '
+    'ends of several engines.',
 )
 TARGET_ENDED = _event(
     238,
@@ -273,6 +273,13 @@
     'An engine did not confirm that it stopped a run, which therefore '
     'continues at no other engine; `results` are those of the calls.',
 )
+PROMPT_TRIED = _event(
+    243,
+    'prompt-tried',
+    logging.WARNING,
+    'A request with blocked parts of a prompt is sent to an engine once, as '
+    'engines may have ended for another reason.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -121,7 +121,10 @@
         ended_s = parts.timers.monotonic_s()
         attempts.record_end(parts, exchange, target, outcome, ended_s - now_s)
         if isinstance(outcome, exchanges.Broken) and outcome.connection_lost:
-            parts.request_guard.report_lost_connection(exchange, target)
+            # No part of a prompt is suspected of the end of a plain service.
+            parts.end_detector.report_lost_connection(
+                exchange, target, begun=True
+            )
         if isinstance(outcome, exchanges.Answered):
             parts.request_guard.report_answer(exchange)
         self._record_outcome(target.target_id, outcome, ended_s)
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -31,6 +31,7 @@
 from dotterelweird.gateway import caller_server
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import digests
+from dotterelweird.gateway import end_detection
 from dotterelweird.gateway import findings as finding_exchange
 from dotterelweird.gateway import following
 from dotterelweird.gateway import keepers
@@ -46,6 +47,7 @@
 from dotterelweird.gateway import status
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import target_client
+from dotterelweird.gateway import trials
 
 LOG = logging.getLogger(__name__)
 
@@ -127,6 +129,9 @@
         )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
+        trial_turns = trials.TrialTurns(
+            settings.instance_id, self._timers, self._view_peers
+        )
         self._parts = dependencies.Forwarding(
             settings,
             self._timers,
@@ -153,15 +158,14 @@
             answer_bodies.AnswerMemory.for_process(settings.memory_bytes),
             self._handle_notice,
             self._stop_plan,
-            prompt_guard.PromptGuard(self._timers, self._statistics),
+            prompt_guard.PromptGuard(
+                self._timers, self._statistics, self._rng, trial_turns
+            ),
             limiter,
             request_guard.RequestGuard(
-                settings.instance_id,
-                self._timers,
-                self._statistics,
-                self._rng,
-                self._view_peers,
+                self._timers, self._statistics, self._rng, trial_turns
             ),
+            end_detection.EndDetector(self._timers),
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store)
@@ -207,6 +211,10 @@
         self._parts.budgets.subscribe(self._peers.schedule_digest)
         self._parts.prompt_guard.subscribe(findings.send_finding)
         self._parts.request_guard.subscribe(findings.send_finding)
+        self._parts.end_detector.subscribe(
+            self._parts.request_guard.report_end
+        )
+        self._parts.end_detector.subscribe(self._parts.prompt_guard.report_end)
         self._followers = {
             stream: following.StreamFollower(
                 store,
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -18,6 +18,7 @@
 from dotterelweir_core.gateway import waiting
 from dotterelweird.gateway import answer_bodies
 from dotterelweird.gateway import api
+from dotterelweird.gateway import end_detection
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import prompt_guard as prompt_guards
@@ -53,6 +54,7 @@
         limiter: Keeps requests within the limits of targets.
         request_guard: Keeps requests under which targets ended away from
             others.
+        end_detector: Detects the ends of targets with requests in flight.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         releaser: Frees copies of runs that will not be used.
@@ -76,6 +78,7 @@
     prompt_guard: prompt_guards.PromptGuard
     limiter: limiting.TargetLimiter
     request_guard: request_guards.RequestGuard
+    end_detector: end_detection.EndDetector
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -42,6 +42,8 @@
             in seconds; None before it.
         trial: Whether the request is blocked and sent to a target once all
             the same.
+        prompt_trial: Whether parts of its prompt are blocked and it is sent
+            to a target once all the same.
         longest_pause_s: Longest pause between two writes to the caller, in
             seconds.
     """
@@ -61,6 +63,7 @@
     first_s: float | None = None
     longest_pause_s: float = 0.0
     trial: bool = False
+    prompt_trial: bool = False
 
     def record_run(self) -> None:
         """Records a run from the beginning that may have started."""
--- a/packages/daemon/src/dotterelweird/gateway/finding_codec.py
+++ b/packages/daemon/src/dotterelweird/gateway/finding_codec.py
@@ -58,7 +58,9 @@
                 ]
             }
         case quarantine.SoundParts():
-            return {'o': sorted(finding.parts)}
+            parts = sorted(finding.ages_s)
+            ages_s = [round(finding.ages_s[part], 3) for part in parts]
+            return {'o': parts, 'oa': ages_s}
         case engine_ends.EndReport():
             row = [finding.target_id, finding.started_ms, finding.age_s]
             return {'c': [*row, *sorted(finding.keys)]}
@@ -102,7 +104,15 @@
             )
         )
     if 'o' in body:
-        return quarantine.SoundParts(frozenset(map(str, body['o'])))
+        parts = list(map(str, body['o']))
+        # Instances of an older version state parts without ages, at once.
+        ages_s = body.get('oa', [0.0] * len(parts))
+        return quarantine.SoundParts(
+            {
+                part: datagram_fields.decode_duration_s(age_s)
+                for part, age_s in zip(parts, ages_s, strict=True)
+            }
+        )
     if 'c' in body:
         target_id, started_ms, age_s, *keys = body['c']
         return engine_ends.EndReport(
--- a/packages/daemon/src/dotterelweird/gateway/findings.py
+++ b/packages/daemon/src/dotterelweird/gateway/findings.py
@@ -177,5 +177,7 @@
             )
         case engine_ends.EndReport() | request_quarantine.SoundRequest():
             return attrs.evolve(finding, age_s=finding.age_s + age_s)
-        case quarantine.SoundParts():
-            return finding
+        case quarantine.SoundParts(ages_s):
+            return quarantine.SoundParts(
+                {part: own_s + age_s for part, own_s in ages_s.items()}
+            )
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -123,14 +123,8 @@
         if self._stream.started:
             return
         error = self._parts.prompt_guard.find_error(self._exchange)
-        if error is None:
-            return
-        if self._exchange.may_have_run:
-            raise errors.DotterelweirError(
-                errors.ErrorKind.TARGET_FAILED,
-                execution=errors.Execution.UNKNOWN,
-            )
-        raise error
+        if error is not None:
+            raise error
 
     def _is_final(self, answer: exchanges.Answered) -> bool:
         """Whether an answer that is no stream is returned to the caller."""
@@ -190,11 +184,11 @@
         outcome = await link.follow()
         now_s = self._parts.timers.monotonic_s()
         load = self._parts.loads.get(run.target.target_id)
-        if self._has_crashed_at_start(link, outcome):
-            self._parts.prompt_guard.report_crash(self._exchange, run.target)
         if self._has_lost_connection(link, outcome):
-            self._parts.request_guard.report_lost_connection(
-                self._exchange, run.target
+            self._parts.end_detector.report_lost_connection(
+                self._exchange,
+                run.target,
+                begun=self._stream.started or not link.wrote_nothing,
             )
         match outcome:
             case exchanges.Complete():
@@ -215,16 +209,6 @@
         self._record_attempt(link, run, outcome, now_s - sent_s)
         return outcome
 
-    def _has_crashed_at_start(
-        self, link: links.Link, outcome: exchanges.StreamOutcome
-    ) -> bool:
-        """Whether an engine ended between the head and the first event."""
-        match outcome:
-            case exchanges.Interrupted(silent=False):
-                return link.wrote_nothing and not self._stream.started
-            case _:
-                return False
-
     def _has_lost_connection(
         self, link: links.Link, outcome: exchanges.StreamOutcome
     ) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -23,6 +23,7 @@
         first_byte_s: Time to the first byte of a streamed answer, in seconds,
             by route.
         answer_s: Time to the end of an answer, in seconds.
+        prompt_trials: Requests sent to an engine despite a blocked prompt.
         unstopped_runs: Runs that their engines did not stop when called to.
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
@@ -63,6 +64,11 @@
             'Requests kept from the engines because of their prompt',
             registry=self._registry,
         )
+        self.prompt_trials = aioprometheus.Counter(
+            'dotterelweir_gateway_prompt_trials_total',
+            'Requests sent to an engine although their prompt is blocked',
+            registry=self._registry,
+        )
         self.recoveries = aioprometheus.Counter(
             'dotterelweir_gateway_recoveries_total',
             'Streams that went on at another target',
