Suspect what was in flight at an ended engine, whatever it had written

Cause: a crash was recognised by the phase between head and first event. A link that broke before or within the head was reported to the guard of single requests only, which cannot connect requests that differ in path and body.

Ruled out: an end that is not noticed, a lost report.

Every request in flight at an engine that has ended is now a suspect unless an event had come for it. Unread bytes of a broken connection count as begun only if they hold a whole event, which then clears the parts.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -74,8 +74,10 @@
         pause_after: Number of events after which it sends nothing for a
             while; None for never.
         pause_s: Length of this pause, in seconds.
-        crash_part: Part of a prompt that ends the engine after the head of
-            its answer; empty for none.
+        crash_part: Part of a prompt that ends the engine as it begins to
+            write an answer; empty for none.
+        crash_bytes: Part of an answer that it writes before that, as a share
+            of its head; above 1 for the head and part of an event.
     """
 
     refuse: bool = False
@@ -113,6 +115,7 @@
     pause_after: int | None = None
     pause_s: float = 0.0
     crash_part: str = ''
+    crash_bytes: float = 1.0
 
 
 class FakeEngine:
@@ -379,6 +382,24 @@
             headers['X-Attempt-Id'] = request_id
         return headers
 
+    def answer_start(self, request_id: str, share: float) -> bytes:
+        """Returns the first bytes of a stream.
+
+        Args:
+            request_id: Id of the request.
+            share: Part of the head, as a share; above 1 for the whole head
+                and part of an event.
+        """
+        rows = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
+        rows += [
+            f'{name}: {value}'
+            for name, value in self._headers(request_id).items()
+        ]
+        head = '\r\n'.join((*rows, '', '')).encode()
+        if share > 1:
+            return head + b'd\r\nid: 1\ndata: x\r\n'
+        return head[: int(share * len(head))]
+
     async def _stream(
         self,
         request: web.BaseRequest,
@@ -390,14 +411,19 @@
         if 'last-event-id' in headers:
             first = int(headers['last-event-id']) + 1
             self.resumed_after.append(first - 1)
-        response = web.StreamResponse(headers=self._headers(request_id))
-        response.content_type = 'text/event-stream'
-        response.enable_chunked_encoding()
-        await response.prepare(request)
         parts = headers.get('x-prompt-prefix', '').split(',')
         if behaviour.crash_part and behaviour.crash_part in parts:
+            request.transport.write(
+                self.answer_start(request_id, behaviour.crash_bytes)
+            )
+            # The bytes arrive before the connection ends.
+            await asyncio.sleep(0.005)
             self.crash()
             raise ConnectionResetError
+        response = web.StreamResponse(headers=self._headers(request_id))
+        response.content_type = 'text/event-stream'
+        response.enable_chunked_encoding()
+        await response.prepare(request)
         stopped = self._stop_events[request_id] = asyncio.Event()
         try:
             for sent, number in enumerate(range(first, behaviour.events + 1)):
--- a/fakes/src/dotterelweir_fakes/soak/engines.py
+++ b/fakes/src/dotterelweir_fakes/soak/engines.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import zlib
 
 from aiohttp import web
 import attrs
@@ -12,6 +13,9 @@
 EVENTS_PER_ANSWER = 30
 # Id of a part of prompts that crashes engines.
 DEADLY_PART = 'dead'
+# Parts of an answer that an engine writes before it ends under such a prompt,
+# as shares of its head; above 1 for the head and part of an event.
+_SHARES_WRITTEN = (0.0, 0.5, 1.0, 1.5)
 
 
 class SoakEngine(fleet_engine.FakeEngine):
@@ -49,23 +53,19 @@
         self.runs.append(run)
         try:
             if f'{DEADLY_PART}:' in headers.get('x-prompt-prefix', ''):
-                await self._write_head_and_end(request, headers)
+                await self._begin_and_end(request, headers)
             return await super()._run(request, headers, body)
         finally:
             run.ended_s = loop.time()
             self.runs.remove(run)
 
-    async def _write_head_and_end(
+    async def _begin_and_end(
         self, request: web.BaseRequest, headers: dict[str, str]
     ) -> None:
-        """Ends after the head of an answer."""
+        """Ends before, within or after the head of an answer."""
         request_id = headers['x-attempt-id']
-        rows = ['HTTP/1.1 200 OK', 'Transfer-Encoding: chunked']
-        rows += [
-            f'{name}: {value}'
-            for name, value in self._headers(request_id).items()
-        ]
-        request.transport.write('\r\n'.join((*rows, '', '')).encode())
+        share = _SHARES_WRITTEN[zlib.crc32(request_id.encode()) % 4]
+        request.transport.write(self.answer_start(request_id, share))
         await asyncio.sleep(0.01)
         self.end_under(request_id)
         # The end of the connection cancels the request.
--- a/packages/core/src/dotterelweir_core/gateway/event_stream.py
+++ b/packages/core/src/dotterelweir_core/gateway/event_stream.py
@@ -42,6 +42,14 @@
         """Discards the incomplete event of the previous connection."""
         self._buffer.clear()
 
+    def is_event_end(self, chunk: bytes) -> bool:
+        """Whether bytes of the present connection would complete an event.
+
+        Args:
+            chunk: Bytes that follow those that were added.
+        """
+        return _EVENT_END in self._buffer + chunk
+
     def feed(self, chunk: bytes) -> bytes:
         """Adds bytes received on the present connection.
 
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -184,11 +184,13 @@
         outcome = await link.follow()
         now_s = self._parts.timers.monotonic_s()
         load = self._parts.loads.get(run.target.target_id)
+        if link.has_begun:
+            self._parts.prompt_guard.report_sound(self._exchange)
         if self._has_lost_connection(link, outcome):
             self._parts.end_detector.report_lost_connection(
                 self._exchange,
                 run.target,
-                begun=self._stream.started or not link.wrote_nothing,
+                begun=self._stream.started or link.has_begun,
             )
         match outcome:
             case exchanges.Complete():
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -87,19 +87,21 @@
         self._delivered_before = stream.cursor.delivered
         self.head_s: float | None = None
         self._answer_body: aiohttp.StreamReader | None = None
-        self._read_bytes = 0
 
     @property
-    def wrote_nothing(self) -> bool:
-        """Whether the engine sent the head of an answer and no event.
+    def has_begun(self) -> bool:
+        """Whether the engine wrote an event on this link.
 
-        Unread bytes are lost with an error of the connection; they may have
-        held events.
+        Whether it sent the head of its answer shows nothing: an engine may
+        write it before, while or after it reads the prompt. Bytes that an
+        error of the connection left unread may hold events.
         """
+        if self.events:
+            return True
         body = self._answer_body
-        if body is None or body.total_bytes > self._read_bytes:
+        if body is None:
             return False
-        return self.events == 0
+        return self._stream.cursor.is_event_end(target_client.unread(body))
 
     @property
     def events(self) -> int:
@@ -300,7 +302,6 @@
                 continue
             if not chunk:
                 break
-            self._read_bytes += len(chunk)
             event_bytes = cursor.feed(chunk)
             if not event_bytes:
                 continue
--- a/packages/daemon/src/dotterelweird/gateway/target_client.py
+++ b/packages/daemon/src/dotterelweird/gateway/target_client.py
@@ -156,6 +156,16 @@
         self._factory = functools.partial(_LimitedProtocol, loop=loop)
 
 
+def unread(body: streams.StreamReader) -> bytes:
+    """Returns the bytes of a body that an error of its connection withholds.
+
+    Args:
+        body: The body of an answer.
+    """
+    # aiohttp has no public way to read after an error.
+    return b''.join(body._buffer)
+
+
 def open_session() -> aiohttp.ClientSession:
     """Opens the client session for targets; needs a running event loop."""
     tracing = aiohttp.TraceConfig()
--- a/packages/daemon/tests/gateway/test_prompt_guard.py
+++ b/packages/daemon/tests/gateway/test_prompt_guard.py
@@ -67,10 +67,16 @@
     await start_again(engines)
 
 
+@pytest.mark.parametrize('written', [0.0, 0.5, 1.0, 1.5])
 async def test_a_part_that_crashes_engines_reaches_no_further_engine(
-    deployment, engines
+    deployment, engines, written
 ):
-    """Guards against crashes of one engine after the other."""
+    """Guards against crashes of one engine after the other.
+
+    An engine may end before, within or after the head of its answer.
+    """
+    for engine in engines:
+        engine.behaviour.crash_bytes = written
     await crash_engines(deployment, engines)
     for number in range(2, 6):
         assert await send(deployment, number, BAD) == 503
@@ -167,12 +173,17 @@
     assert await send(deployment, 4, BAD) == 200
 
 
-async def test_an_unrelated_crash_blocks_no_sound_request(deployment, engines):
+@pytest.mark.parametrize('written', [0.0, 0.5, 1.0])
+async def test_an_unrelated_crash_blocks_no_sound_request(
+    deployment, engines, written
+):
     """Guards against a first part that is blocked beside a deadly part.
 
     Another engine ends for itself while it reads in a sound request with the
-    same first part, after the head of its answer.
+    same first part, before, within or after the head of its answer.
     """
+    for engine in engines:
+        engine.behaviour.crash_bytes = written
     for number in range(3, 5):
         assert await send(deployment, number, 'f1:10,b0:20') == 200
     for engine in engines:
