Guard prompts with any number of shared parts

Cause: the adapter dropped all parts of such a prompt, and of one with an id that is not a short hexadecimal number, to bound the datagrams that name them. Without parts a prompt is neither suspected nor blocked.

What bounds the datagrams is the number of parts that an end is held against, 256, of which those that no engine has ever written with come first. A new instance gets the crashes in several datagrams, and lines of the log name 16 parts.

--- a/packages/core/src/dotterelweir_core/gateway/quarantine.py
+++ b/packages/core/src/dotterelweir_core/gateway/quarantine.py
@@ -27,6 +27,9 @@
 # Maximum number of parts whose last event is remembered; the oldest are
 # evicted first.
 _WRITTEN_MAX = 4_096
+# Maximum number of parts of a prompt that are suspected. Parts that engines
+# have written with are left out first.
+_PARTS_MAX = 256
 # Time after the last end from which a blocked request is tried, in seconds:
 # for the first trial, and for the second one after an end in the first. A
 # prompt that ends engines in both is not tried again.
@@ -122,6 +125,17 @@
         )
         self._blocks: tuple[Block, ...] = ()
 
+    def suspected_parts(self, parts: Iterable[str]) -> frozenset[str]:
+        """Returns the parts of a prompt that an end is held against.
+
+        Args:
+            parts: Shared parts of the prompt.
+        """
+        by_evidence = sorted(
+            parts, key=lambda part: self._last_written_s(part) > -math.inf
+        )
+        return frozenset(by_evidence[:_PARTS_MAX])
+
     def apply(self, finding: Finding, now_s: float) -> bool:
         """Applies a finding of any instance.
 
--- a/packages/daemon/src/dotterelweird/gateway/findings.py
+++ b/packages/daemon/src/dotterelweird/gateway/findings.py
@@ -7,6 +7,7 @@
 """
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import random
 
 import attrs
@@ -30,6 +31,8 @@
 # Maximum number of crashes that are sent to a new peer; a row has about 80
 # bytes.
 _CRASHES_MAX = 12
+# Maximum number of parts of prompts in a datagram with several crashes.
+_PARTS_PER_MESSAGE = 96
 # Maximum number of findings about ends of targets that are sent to a peer, a
 # datagram each.
 _END_FINDINGS_MAX = 24
@@ -121,8 +124,7 @@
         departures = self.departures(_DEPARTURES_MAX)
         if departures:
             self.send(host, digests.Departures(departures))
-        crashes = self.prompt_guard.crashes(_CRASHES_MAX)
-        if crashes:
+        for crashes in _split(self.prompt_guard.crashes(_CRASHES_MAX)):
             self.send(host, finding_codec.PromptCrashes(crashes))
         self._send_ends(host)
         if self.rng.random() < _LIMIT_COPIES / instance_count:
@@ -181,3 +183,19 @@
             return quarantine.SoundParts(
                 {part: own_s + age_s for part, own_s in ages_s.items()}
             )
+
+
+def _split(
+    crashes: tuple[quarantine.PromptCrash, ...],
+) -> Iterator[tuple[quarantine.PromptCrash, ...]]:
+    """Splits crashes into messages of limited size, one crash at least."""
+    batch: list[quarantine.PromptCrash] = []
+    parts = 0
+    for crash in crashes:
+        if batch and parts + len(crash.parts) > _PARTS_PER_MESSAGE:
+            yield tuple(batch)
+            batch, parts = [], 0
+        batch.append(crash)
+        parts += len(crash.parts)
+    if batch:
+        yield tuple(batch)
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -27,6 +27,8 @@
 # Maximum number of targets to which one request is sent before it is given up,
 # whether they ran it or not.
 _TARGETS_MAX = 6
+# Maximum number of parts of a prompt in a line of the log.
+_LOGGED_PARTS_MAX = 16
 
 
 class Generation:
@@ -162,7 +164,7 @@
             backup_id=run.backup.target_id if run.backup else None,
             route=exchange.route.name,
             tokens=exchange.tokens,
-            shared_parts=exchange.request.shared_parts,
+            shared_parts=exchange.request.shared_parts[:_LOGGED_PARTS_MAX],
             tables_version=exchange.tables_version,
         )
         return run
--- a/packages/daemon/src/dotterelweird/gateway/prompt_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/prompt_guard.py
@@ -18,6 +18,8 @@
 
 # Origin of a finding of this instance, in logs.
 _OWN = 'own'
+# Maximum number of parts of a prompt in a line of the log.
+_LOGGED_PARTS_MAX = 16
 # Shortest time after which the caller of a blocked request may retry, in
 # seconds.
 _RETRY_AFTER_MIN_S = 1.0
@@ -85,7 +87,7 @@
         crash = quarantine.PromptCrash(
             _printable_id(exchange.request.request_id),
             engine.target_id,
-            frozenset(exchange.request.shared_parts),
+            self._quarantine.suspected_parts(exchange.request.shared_parts),
         )
         if self._apply(crash, _OWN):
             self._notify(crash)
@@ -138,7 +140,7 @@
                     events.PROMPT_SUSPECTED,
                     request_id=request_id,
                     target_id=target_id,
-                    parts=sorted(parts),
+                    parts=sorted(parts)[:_LOGGED_PARTS_MAX],
                     age_s=round(finding.age_s, 3),
                     origin=origin,
                 )
@@ -147,7 +149,7 @@
                 events.log(
                     LOG,
                     events.PROMPT_CLEARED,
-                    parts=sorted(ages_s),
+                    parts=sorted(ages_s)[:_LOGGED_PARTS_MAX],
                     age_s=round(max(ages_s.values()), 3),
                     origin=origin,
                 )
@@ -177,7 +179,7 @@
             LOG,
             events.PROMPT_BLOCKED,
             request_id=exchange.request.request_id,
-            parts=sorted(block.parts),
+            parts=sorted(block.parts)[:_LOGGED_PARTS_MAX],
             engines=block.engines,
             left_s=round(block.until_s - now_s, 1),
         )
@@ -219,7 +221,7 @@
             request_id=exchange.request.request_id,
             parts=sorted(
                 max(blocks, key=lambda block: len(block.parts)).parts
-            ),
+            )[:_LOGGED_PARTS_MAX],
             blocks=len(blocks),
         )
         return True
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -133,6 +133,7 @@
         self.timers = timers.VirtualTimerService()
         self.nodes = {}
         self.cut = set()
+        self.datagrams = []
 
     def add(self, host):
         node = self.nodes[host] = Node(self, host)
@@ -140,6 +141,7 @@
         return node
 
     def deliver(self, sender, data, host):
+        self.datagrams.append(data)
         receiver = self.nodes.get(host)
         if receiver and not {host, sender.host} & self.cut:
             receiver.exchange.datagram_received(data, (sender.host, 7200))
@@ -438,6 +440,26 @@
     assert blocked_at([new_node], 'bad', 'a') == [True]
 
 
+def test_a_new_instance_learns_of_crashes_of_long_prompts(network):
+    """Guards against findings that are lost with a datagram that is too big.
+
+    The largest datagram of IPv4 has 65,507 bytes.
+    """
+    parts = ('bad', *(f'{number:032x}' for number in range(250)))
+    node = network.nodes['10.0.0.1']
+    for number in range(12):
+        engine = targets.Target(
+            f't{number}', 's', 'h', 80, 'a', 8, targets.TargetState.READY
+        )
+        request = end_detection.InFlight(exchange_with(*parts))
+        node.prompt_guard.report_end(engine, (request,))
+        network.timers.advance(0.5)
+    new_node = network.add('10.0.0.4')
+    network.timers.advance(1.0)
+    assert blocked_at([new_node], *parts) == [True]
+    assert max(map(len, network.datagrams)) < 20_000
+
+
 def test_an_instance_that_restarts_quickly_learns_of_crashes(network):
     """Guards against further crashes through an instance that never left."""
     report_crashes(list(network.nodes.values())[:2])
