Look at an engine's pause again before every send

Cause: wait_for_target read the end of the pause once, slept, and did not look again.

Ruled out: a pause that is not known, a shorter one that replaces it.

The wait now follows the pause and ends at once if the pause ends too late. The pause is looked at once more right before every send, and after the wait for the turn of a call that moves a run or frees a copy; a withheld request counts as not sent and is placed anew.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -280,6 +280,13 @@
     'A request with blocked parts of a prompt is sent to an engine once, as '
     'engines may have ended for another reason.',
 )
+SEND_WITHHELD = _event(
+    244,
+    'send-withheld',
+    logging.INFO,
+    'A request was not sent to the target chosen for it, which has stopped '
+    'to accept requests since; `reason` says why.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -26,6 +26,18 @@
 _MALFORMED_STATUS = 400
 
 
+class WithheldError(aiohttp.ClientError):
+    """A request was not sent, as its target accepts none now.
+
+    Args:
+        reason: Why it accepts none.
+    """
+
+    def __init__(self, reason: str) -> None:
+        super().__init__(reason)
+        self.reason = reason
+
+
 @contextlib.contextmanager
 def track_load(
     parts: dependencies.Forwarding,
@@ -123,11 +135,24 @@
         The answer, with its body still unread.
 
     Raises:
+        WithheldError: The target has stopped to accept requests.
         aiohttp.ClientError: The address cannot be used, or the connection
             failed before the head was complete.
     """
     request, target = exchange.request, options.target
     exchange.tried.add(target.target_id)
+    # What the choice of the target rested on may have changed since.
+    reason = parts.find_withhold_reason(target)
+    if reason is not None:
+        parts.statistics.withheld_sends.inc({'reason': reason})
+        events.log(
+            LOG,
+            events.SEND_WITHHELD,
+            request_id=request.request_id,
+            target_id=target.target_id,
+            reason=reason,
+        )
+        raise WithheldError(reason)
     exchange.sending = send_state
     send_state.request_id = request.request_id
     send_state.started_s = parts.timers.elapsed_s()
@@ -249,13 +274,15 @@
 def outcome_of_error(
     error: aiohttp.ClientError | TimeoutError,
     send_state: target_client.SendState,
-) -> exchanges.NeverSent | exchanges.TimedOut | exchanges.Broken:
+) -> exchanges.Outcome:
     """Returns the outcome for an error of the connection to a target.
 
     Args:
         error: The error.
         send_state: Whether the request was sent before the error.
     """
+    if isinstance(error, WithheldError):
+        return exchanges.Withheld(error.reason)
     if not send_state.sent:
         return exchanges.NeverSent(type(error).__name__)
     if isinstance(error, TimeoutError):
@@ -324,6 +351,8 @@
             end, detail = 'not run', str(status)
         case exchanges.NeverSent(reason=detail):
             end = 'never sent'
+        case exchanges.Withheld(reason=detail):
+            end = 'withheld'
         case exchanges.Broken(reason=detail):
             end = 'broken'
         case exchanges.TimedOut():
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -75,10 +75,14 @@
                     exchange.record_run()
                     if not exchange.route.repeatable:
                         break
-                case exchanges.NotRun() | exchanges.NeverSent():
+                case (
+                    exchanges.NotRun()
+                    | exchanges.NeverSent()
+                    | exchanges.Withheld()
+                ):
                     pass
             reached_target = reached_target or not isinstance(
-                outcome, exchanges.NeverSent
+                outcome, exchanges.NeverSent | exchanges.Withheld
             )
             if exchange.runs_started >= exchange.route.attempts_max:
                 break
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -193,6 +193,22 @@
             target, self.timers.monotonic_s()
         )
 
+    def find_withhold_reason(self, target: targets.Target) -> str | None:
+        """Returns why a request must not be sent to a target.
+
+        This is looked at right before every send, whatever was waited for
+        since the target was chosen.
+
+        Args:
+            target: The target.
+
+        Returns:
+            The reason; None if the request may be sent.
+        """
+        if self.is_paused(target):
+            return 'paused'
+        return None
+
     def accepts_work(self, target: targets.Target) -> bool:
         """Whether a target is ready and not paused."""
         return self.directory.takes_work(
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -272,6 +272,8 @@
             self._source, self._exchange.request.request_id, urgent=True
         ):
             return api.MoveOutcome(api.MoveResult.BUSY)
+        if self._parts.is_paused(self._source):
+            return api.MoveOutcome(api.MoveResult.BUSY)
         self._calls += 1
         self._call_in_progress = True
         try:
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -179,6 +179,17 @@
     reason: str
 
 
+@attrs.frozen
+class Withheld:
+    """The target stopped to accept requests before this one was sent.
+
+    Attributes:
+        reason: Why it accepts none.
+    """
+
+    reason: str
+
+
 @attrs.frozen
 class Broken:
     """An attempt ended without a valid answer; the request may have run.
@@ -197,7 +208,7 @@
     """An attempt exceeded its time limit; the request may have run."""
 
 
-Outcome = Answered | NotRun | NeverSent | Broken | TimedOut
+Outcome = Answered | NotRun | NeverSent | Withheld | Broken | TimedOut
 
 
 @attrs.frozen
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -97,7 +97,9 @@
             now_s = self._parts.timers.monotonic_s()
             if run is None or now_s >= exchange.deadline_s:
                 break
-            reached_target = not isinstance(last_outcome, exchanges.NeverSent)
+            reached_target = not isinstance(
+                last_outcome, exchanges.NeverSent | exchanges.Withheld
+            )
             urgent = run.copy is not None
             if reached_target and not budgets.take(service, now_s, urgent):
                 events.log(
@@ -270,7 +272,11 @@
                     return resumed
                 self._exchange.record_run()
                 return await self._restart()
-            case exchanges.NeverSent() | exchanges.NotRun():
+            case (
+                exchanges.NeverSent()
+                | exchanges.Withheld()
+                | exchanges.NotRun()
+            ):
                 if run.copy is not None:
                     # Without the copy, only a resumable route may start again.
                     return await self._restart()
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -20,6 +20,9 @@
 # Longest wait for a pause in the middle of a stream, in seconds. Callers give
 # up a stream after two seconds without an event.
 _STREAM_WAIT_MAX_S = 1.5
+# Longest time after which the pause of a target that is waited for is looked
+# at again, in seconds.
+_PAUSE_CHECK_S = 0.1
 
 
 def blocked_remaining_s(
@@ -58,27 +61,35 @@
 ) -> bool:
     """Waits until the only engine that can continue a generation accepts it.
 
+    The engine may extend its pause, or begin one, at any moment of the wait.
+
     Args:
         parts: Dependencies shared by all requests.
         exchange: The request.
         target: The engine.
 
     Returns:
-        Whether the engine may be sent a request; False without a wait if its
+        Whether the engine may be sent a request now; False as soon as its
         pause, or the wait for a turn, is too long.
     """
-    now_s = parts.timers.monotonic_s()
-    wait_s = parts.placer.pause_registry.pause_end_s(target) - now_s
-    if wait_s > _STREAM_WAIT_MAX_S:
-        return False
-    if wait_s > 0:
-        await timers.sleep(parts.timers, wait_s)
-    return await parts.limiter.acquire(
-        target,
-        exchange.request.request_id,
-        _STREAM_WAIT_MAX_S - max(0.0, wait_s),
-        urgent=True,
-    )
+    until_s = parts.timers.monotonic_s() + _STREAM_WAIT_MAX_S
+    while True:
+        now_s = parts.timers.monotonic_s()
+        pause_end_s = parts.placer.pause_registry.pause_end_s(target)
+        if pause_end_s > until_s:
+            return False
+        if pause_end_s > now_s:
+            await timers.sleep(
+                parts.timers, min(pause_end_s - now_s, _PAUSE_CHECK_S)
+            )
+            continue
+        granted = await parts.limiter.acquire(
+            target, exchange.request.request_id, until_s - now_s, urgent=True
+        )
+        if not granted:
+            return False
+        if not parts.is_paused(target):
+            return True
 
 
 async def choose_target(
--- a/packages/daemon/src/dotterelweird/gateway/releasing.py
+++ b/packages/daemon/src/dotterelweird/gateway/releasing.py
@@ -72,10 +72,12 @@
         # The source releases the copy at both engines, but may have left.
         freed_by = None
         for engine in (source, destination):
-            if self._pauses.is_paused(engine, self._timers.monotonic_s()):
+            if self._is_paused(engine):
                 continue
             if not await self._limiter.acquire(engine, copy.handle):
                 continue
+            if self._is_paused(engine):
+                continue
             if await self._runs.release(engine, copy, _RELEASE_TIMEOUT_S):
                 freed_by = engine.target_id
                 break
@@ -87,3 +89,6 @@
             handle=copy.handle,
             freed_by=freed_by,
         )
+
+    def _is_paused(self, engine: targets.Target) -> bool:
+        return self._pauses.is_paused(engine, self._timers.monotonic_s())
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -25,6 +25,8 @@
         answer_s: Time to the end of an answer, in seconds.
         prompt_trials: Requests sent to an engine despite a blocked prompt.
         unstopped_runs: Runs that their engines did not stop when called to.
+        withheld_sends: Requests that were not sent to the target chosen for
+            them, by reason.
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
@@ -79,6 +81,11 @@
             'Runs that their engines did not stop when called to',
             registry=self._registry,
         )
+        self.withheld_sends = aioprometheus.Counter(
+            'dotterelweir_gateway_withheld_sends_total',
+            'Requests not sent, as their target accepts none any more',
+            registry=self._registry,
+        )
         self.notices = aioprometheus.Counter(
             'dotterelweir_gateway_target_notices_total',
             'Targets that said that they leave, or asked for a pause',
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -7,6 +7,7 @@
 import pytest
 
 from dotterelweird.gateway import api
+from dotterelweird.gateway import attempts
 from dotterelweird.gateway import handover
 
 
@@ -452,6 +453,89 @@
     assert [move['last'] for move in first.move_orders] == [True]
 
 
+@pytest.fixture
+def pause(deployment):
+    """Returns a function that pauses an engine from now on."""
+
+    def apply(target_id, pause_s):
+        deployment.gateway._handle_notice(
+            deployment.gateway._directory.registered(target_id),
+            api.TargetNotice(pause_s=pause_s),
+        )
+
+    return apply
+
+
+@pytest.mark.parametrize('extended_s', [0.6, 6.0])
+async def test_a_run_is_not_sent_within_an_extended_pause(
+    deployment, pause, extended_s
+):
+    """Guards against sends at the end of a pause that was extended since."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.event_s = 0.05
+    first.behaviour.cut_after = 4
+    loop = asyncio.get_running_loop()
+    async with deployment.request('guide', deadline_ms=3000) as answer:
+        await answer.content.readany()
+        pause('engine-2', 0.4)
+        began_s = loop.time()
+        loop.call_later(0.25, pause, 'engine-2', extended_s)
+        if extended_s < 1:
+            rest = await answer.read()
+            assert expected_events().endswith(rest)
+            (resumed_s, _), *_ = second.arrivals
+            assert resumed_s - began_s >= 0.25 + extended_s
+        else:
+            with pytest.raises(aiohttp.ClientPayloadError):
+                await answer.read()
+            # What is known to fail is not waited for.
+            assert loop.time() - began_s < 1.0
+            assert second.received_headers == []
+
+
+@pytest.mark.parametrize('route', ['guide', 'check', 'book'])
+async def test_no_request_is_sent_to_a_target_that_has_just_paused(
+    deployment, pause, monkeypatch, route
+):
+    """Guards against sends on a choice that no longer holds."""
+    parts = deployment.gateway._parts
+    original_choose = type(parts).choose
+    paused = []
+
+    def choose_and_pause(self, exchange, excluded):
+        choice = original_choose(self, exchange, excluded)
+        if not paused:
+            paused.append(choice.target.target_id)
+            # The pause begins right after the checks of the choice.
+            asyncio.get_running_loop().call_soon(
+                pause, choice.target.target_id, 5.0
+            )
+        return choice
+
+    monkeypatch.setattr(type(parts), 'choose', choose_and_pause)
+
+    async def acquire(*args, **kwargs):
+        return True
+
+    monkeypatch.setattr(parts.limiter, 'acquire', acquire)
+
+    def accept_work(self, target):
+        return True
+
+    monkeypatch.setattr(type(parts), 'accepts_work', accept_work)
+    original_send = attempts.send
+
+    async def send_later(*args):
+        await asyncio.sleep(0)
+        return await original_send(*args)
+
+    monkeypatch.setattr(attempts, 'send', send_later)
+    async with deployment.request(route) as answer:
+        await answer.read()
+        assert answer.status == 200
+    assert deployment.engines[paused[0]].received_headers == []
+
+
 async def test_a_silent_run_of_a_live_engine_is_kept(deployment):
     """Guards against giving up runs that their engine has preempted."""
     first, second = place_on(deployment, 'engine-1')
