Look at the destination of a run again after its copy

The destination is looked at again after the copy, while the run still works at its source, and the state of every target right before a send. A run whose only copy is at an engine that has just begun to leave may go on there for a second after the news, within the time for which such an engine serves, and moves on from there.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -287,6 +287,13 @@
     'A request was not sent to the target chosen for it, which has stopped '
     'to accept requests since; `reason` says why.',
 )
+DESTINATION_LEFT = _event(
+    245,
+    'destination-left',
+    logging.INFO,
+    'The engine that a run was copied to began to leave or to pause during '
+    'the copy; the run moves to another one.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -142,7 +142,9 @@
     request, target = exchange.request, options.target
     exchange.tried.add(target.target_id)
     # What the choice of the target rested on may have changed since.
-    reason = parts.find_withhold_reason(target)
+    reason = parts.find_withhold_reason(
+        target, resumes=options.copy is not None
+    )
     if reason is not None:
         parts.statistics.withheld_sends.inc({'reason': reason})
         events.log(
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -172,6 +172,7 @@
         self._targets = keepers.TargetsKeeper(
             store, self._directory, self._timers, settings.settle_s
         )
+        self._targets.subscribe(self._parts.departure_times.record)
         self._targets.subscribe(self._parts.watch.notify)
         self._targets.subscribe(self._discard_removed_load)
         self._targets.subscribe(self._record_warm_up)
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -29,6 +29,10 @@
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
 
+# Time after the news of an engine's departure within which a run may continue
+# there from its only copy, in seconds. It then moves on from there.
+_RESUME_AFTER_DEPARTURE_S = 1.0
+
 
 @attrs.define
 class Forwarding:
@@ -58,6 +62,7 @@
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         releaser: Frees copies of runs that will not be used.
+        departure_times: When targets began to leave.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -87,8 +92,10 @@
         attrs.field(factory=dict)
     )
     releaser: releasing.CopyReleaser = attrs.field(init=False)
+    departure_times: watching.DepartureTimes = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.departure_times = watching.DepartureTimes(self.timers)
         self.releaser = releasing.CopyReleaser(
             self.run_control,
             self.timers,
@@ -193,7 +200,9 @@
             target, self.timers.monotonic_s()
         )
 
-    def find_withhold_reason(self, target: targets.Target) -> str | None:
+    def find_withhold_reason(
+        self, target: targets.Target, resumes: bool = False
+    ) -> str | None:
         """Returns why a request must not be sent to a target.
 
         This is looked at right before every send, whatever was waited for
@@ -201,13 +210,20 @@
 
         Args:
             target: The target.
+            resumes: Whether the target has the only copy of a run, which may
+                continue there shortly after the target began to leave.
 
         Returns:
             The reason; None if the request may be sent.
         """
         if self.is_paused(target):
             return 'paused'
-        return None
+        if self.directory.takes_work(target.target_id):
+            return None
+        left_s = self.departure_times.elapsed_s(target.target_id)
+        if resumes and left_s <= _RESUME_AFTER_DEPARTURE_S:
+            return None
+        return 'leaving'
 
     def accepts_work(self, target: targets.Target) -> bool:
         """Whether a target is ready and not paused."""
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -214,6 +214,16 @@
             self._release(previous)
         if self._link_ended:
             return api.MoveResult.MOVED
+        if not self._parts.accepts_work(destination):
+            # It began to leave, or to pause, while the copy was made.
+            events.log(
+                LOG,
+                events.DESTINATION_LEFT,
+                request_id=self._exchange.request.request_id,
+                source=self._source.target_id,
+                destination=destination.target_id,
+            )
+            return api.MoveResult.FAILED
         return await self._stop_source(destination)
 
     async def _stop_source(
--- a/packages/daemon/src/dotterelweird/gateway/watching.py
+++ b/packages/daemon/src/dotterelweird/gateway/watching.py
@@ -3,8 +3,16 @@
 from collections.abc import Callable
 import contextlib
 
+import attrs
+
+from dotterelweir_core import bounded_map
+from dotterelweir_core import timers
 from dotterelweir_core.gateway import targets
 
+# Maximum number of departures that are remembered; the oldest are evicted
+# first.
+_DEPARTURES_MAX = 4_096
+
 Listener = Callable[[targets.TargetChange], None]
 
 
@@ -43,3 +51,41 @@
         """
         for listener in list(self._listeners.get(change.target_id, ())):
             listener(change)
+
+
+@attrs.define
+class DepartureTimes:
+    """Records when targets began to leave, as this instance learned it.
+
+    Attributes:
+        timers: The timer service.
+    """
+
+    timers: timers.TimerService
+    _left_s: bounded_map.BoundedMap[str, float] = attrs.field(
+        factory=lambda: bounded_map.BoundedMap(_DEPARTURES_MAX)
+    )
+
+    def record(self, change: targets.TargetChange) -> None:
+        """Records a change of a target.
+
+        Args:
+            change: The change.
+        """
+        after = change.after
+        if after is not None and after.state is targets.TargetState.READY:
+            self._left_s.pop(change.target_id, None)
+        elif change.target_id not in self._left_s:
+            self._left_s.put(change.target_id, self.timers.monotonic_s())
+
+    def elapsed_s(self, target_id: str) -> float:
+        """Returns the time since a target began to leave, in seconds.
+
+        Args:
+            target_id: Id of the target.
+
+        Returns:
+            The time; 0 if no departure is known.
+        """
+        now_s = self.timers.monotonic_s()
+        return now_s - self._left_s.get(target_id, now_s)
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -8,6 +8,7 @@
 
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
+from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import handover
 
 
@@ -453,6 +454,56 @@
     assert [move['last'] for move in first.move_orders] == [True]
 
 
+async def test_a_run_does_not_move_to_an_engine_that_leaves_meanwhile(
+    deployment,
+):
+    """Guards against runs sent to an engine that left during their copy."""
+    first, second = place_run_without_backup(deployment)
+    third = await deployment.add_engine('engine-3', 'model')
+    third.behaviour.events = first.behaviour.events = 60
+    deployment.gateway._loads.get('engine-3').tokens += 30_000
+    await deployment.wait_store_read()
+    original_move = first._move
+
+    async def leave_during_copy(request):
+        order = await request.json()
+        if order['to'] == second.address:
+            await deployment.register('engine-2', 'model', 'draining')
+            await deployment.wait_store_read()
+        return await original_move(request)
+
+    first._move = leave_during_copy
+    rest = await read_while_draining(deployment)
+    assert expected_events(60).endswith(rest)
+    assert first.move_orders[0]['to'] == second.address
+    assert second.received_headers == []
+    assert third.resumed_after
+
+
+async def test_a_run_is_not_resumed_long_after_a_departure(
+    deployment, monkeypatch
+):
+    """Guards against copies used after their engine stopped to take work."""
+    monkeypatch.setattr(dependencies, '_RESUME_AFTER_DEPARTURE_S', -1.0)
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.event_s = 0.05
+    first.behaviour.cut_after = 4
+    original_move = first._move
+
+    async def leave_during_stop(request):
+        deployment.gateway._handle_notice(
+            deployment.gateway._directory.registered('engine-2'),
+            api.TargetNotice(leaving=True),
+        )
+        return await original_move(request)
+
+    first._move = leave_during_stop
+    async with deployment.request('guide') as answer:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await answer.read()
+    assert second.received_headers == []
+
+
 @pytest.fixture
 def pause(deployment):
     """Returns a function that pauses an engine from now on."""
