Let either engine be the first destination in a test of moves

Whichever engine gets the first copy now leaves. The check is as strict: no request reaches that engine, and the run resumes at the other one.

--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -460,24 +460,30 @@
     """Guards against runs sent to an engine that left during their copy."""
     first, second = place_run_without_backup(deployment)
     third = await deployment.add_engine('engine-3', 'model')
-    third.behaviour.events = first.behaviour.events = 60
-    deployment.gateway._loads.get('engine-3').tokens += 30_000
     await deployment.wait_store_read()
+    loads = deployment.gateway._loads
+    loads.get('engine-3').running = loads.get('engine-2').running
+    loads.get('engine-3').tokens += 28_000
+    for engine in (first, second, third):
+        engine.behaviour.events = 60
+    by_address = {engine.address: engine for engine in (second, third)}
+    left = []
     original_move = first._move
 
     async def leave_during_copy(request):
         order = await request.json()
-        if order['to'] == second.address:
-            await deployment.register('engine-2', 'model', 'draining')
+        if not left:
+            left.append(by_address.pop(order['to']))
+            await deployment.register(left[0].target_id, 'model', 'draining')
             await deployment.wait_store_read()
         return await original_move(request)
 
     first._move = leave_during_copy
     rest = await read_while_draining(deployment)
     assert expected_events(60).endswith(rest)
-    assert first.move_orders[0]['to'] == second.address
-    assert second.received_headers == []
-    assert third.resumed_after
+    assert left[0].received_headers == []
+    (other,) = by_address.values()
+    assert other.resumed_after
 
 
 async def test_a_run_is_not_resumed_long_after_a_departure(
