Let turns lapse when an engine lowers its limit

A request now notices a lower limit within 0.1 s and asks again with the time that it has left; the coordinator takes back turns that are not due. Ruled out: turns lost by a change of the reachable share, which takes none back.

Failed before: all four cases of test_turns_given_before_a_limit_was_lowered_are_not_used_after_it, in virtual time.

--- a/packages/core/src/dotterelweir_core/gateway/turns.py
+++ b/packages/core/src/dotterelweir_core/gateway/turns.py
@@ -157,6 +157,16 @@
         )
         self._rate_per_s = rate_per_s
 
+    def cancel_turns(self, now_s: float) -> None:
+        """Takes back the turns that are not due yet.
+
+        Args:
+            now_s: Monotonic time, in seconds.
+        """
+        self._used_until_s = min(
+            self._used_until_s, now_s + self._burst_s + self._interval_s
+        )
+
     def wait_s(self, now_s: float) -> float:
         """Returns the time until the next free turn, in seconds."""
         return max(0.0, self._used_until_s - self._burst_s - now_s)
--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -29,6 +29,9 @@
 _ASKS_MAX = 2
 # Time for which a coordinator that did not answer is not asked, in seconds.
 _SILENT_S = 1.0
+# Longest time after which the limit of a target is looked at again during a
+# wait for a turn, in seconds.
+_TURN_CHECK_S = 0.1
 # Delays after which a changed limit is sent again, in seconds; a datagram may
 # be lost. They last until a peer that was cut off counts as silent, and so as
 # new when it returns.
@@ -63,6 +66,8 @@
     Attributes:
         next_turn_s: Monotonic time before which the coordinator has no free
             turn, in seconds.
+        limit_per_s: Limit by which this instance gave the last turn, in
+            requests per second.
         schedule: Turns that this instance gives as a coordinator; None if it
             was not asked yet.
         news_sent_s: Monotonic time at which news of the limit was sent last,
@@ -71,6 +76,7 @@
     """
 
     next_turn_s: float = float('-inf')
+    limit_per_s: float = 0.0
     schedule: turns.TurnSchedule | None = None
     news_sent_s: float = float('-inf')
     news_timers: list[timers.TimerHandle] = attrs.field(factory=list)
@@ -233,14 +239,55 @@
         now_s = self._timers.monotonic_s()
         if known.next_turn_s - now_s > wait_max_s and not urgent:
             return False
-        answer = await self._ask_coordinators(target, wait_max_s, urgent)
-        granted = answer is not None and answer.granted
-        if not self.limits.is_limited(target):
-            # The coordinator has newer news of the target.
-            return True
-        decision = 'unanswered'
-        if answer is not None:
-            decision = 'granted' if granted else 'refused'
+        until_s = now_s + wait_max_s
+        while True:
+            wait_max_s = max(0.0, until_s - self._timers.monotonic_s())
+            answer = await self._ask_coordinators(target, wait_max_s, urgent)
+            granted = answer is not None and answer.granted
+            if not self.limits.is_limited(target):
+                # The coordinator has newer news of the target.
+                return True
+            decision = 'unanswered'
+            if answer is not None:
+                decision = 'granted' if granted else 'refused'
+            self._record_decision(target, request_id, decision, answer, urgent)
+            if not granted:
+                return False
+            if await self._wait_for_turn(target, answer.wait_s):
+                return True
+            # The limit has fallen meanwhile, and the turn was one of the
+            # earlier limit.
+            self._record_decision(target, request_id, 'lapsed', None, urgent)
+
+    async def _wait_for_turn(
+        self, target: targets.Target, wait_s: float
+    ) -> bool:
+        """Waits for a turn.
+
+        Args:
+            target: The target.
+            wait_s: Time until the turn, in seconds.
+
+        Returns:
+            Whether the turn may be used; False as soon as the limit of the
+            target falls.
+        """
+        rate_per_s = self.limits.rate_per_s(target)
+        turn_s = self._timers.monotonic_s() + wait_s
+        while (left_s := turn_s - self._timers.monotonic_s()) > 0:
+            await loop_timers.sleep(self._timers, min(left_s, _TURN_CHECK_S))
+            if self.limits.rate_per_s(target) < rate_per_s:
+                return False
+        return True
+
+    def _record_decision(
+        self,
+        target: targets.Target,
+        request_id: str,
+        decision: str,
+        answer: turns.TurnAnswer | None,
+        urgent: bool,
+    ) -> None:
         self._statistics.limit_turns.inc({'decision': decision})
         events.log(
             LOG,
@@ -252,11 +299,6 @@
             wait_s=None if answer is None else round(answer.wait_s, 3),
             urgent=urgent,
         )
-        if not granted:
-            return False
-        if answer.wait_s > 0:
-            await loop_timers.sleep(self._timers, answer.wait_s)
-        return True
 
     async def _ask_coordinators(
         self, target: targets.Target, wait_max_s: float, urgent: bool
@@ -342,6 +384,10 @@
         if entry.schedule is None:
             entry.schedule = turns.TurnSchedule(rate_per_s, now_s)
         entry.schedule.set_rate(rate_per_s, now_s)
+        if known.rate_per_s < entry.limit_per_s:
+            # Who waits for a turn of the earlier limit asks again.
+            entry.schedule.cancel_turns(now_s)
+        entry.limit_per_s = known.rate_per_s
         wait_s = entry.schedule.reserve(
             now_s, request.wait_max_s, request.urgent and rank == 0
         )
--- a/packages/daemon/tests/gateway/test_limiting.py
+++ b/packages/daemon/tests/gateway/test_limiting.py
@@ -1,5 +1,6 @@
 """Tests of the turns that instances give each other, in virtual time."""
 
+import asyncio
 import random
 
 import pytest
@@ -198,6 +199,64 @@
     assert len(network.sent_s) >= 0.7 * 3.0 * 20.0
 
 
+class WaitingCallers:
+    """Requests that wait for turns at the instances of a network.
+
+    Args:
+        network: The network.
+    """
+
+    def __init__(self, network):
+        self._network = network
+        self.sent_s = []
+        self._tasks = []
+
+    def start(self, wait_max_s):
+        host = self._network.rng.choice(self._network.hosts)
+        self._tasks.append(asyncio.create_task(self._wait(host, wait_max_s)))
+
+    async def _wait(self, host, wait_max_s):
+        limiter = self._network.limiters[host]
+        if await limiter.acquire(TARGET, 'request', wait_max_s):
+            self.sent_s.append(self._network.timers.monotonic_s())
+
+    async def run(self, seconds, interval_s=0.02):
+        """Lets time pass and the waiting requests act."""
+        for _ in range(round(seconds / interval_s)):
+            self._network.timers.advance(interval_s)
+            for _ in range(4):
+                await asyncio.sleep(0)
+
+
+@pytest.mark.parametrize('count', [3, 30])
+@pytest.mark.parametrize('lowered_per_s', [0.2, 1.0])
+async def test_turns_given_before_a_limit_was_lowered_are_not_used_after_it(
+    count, lowered_per_s
+):
+    """Guards against sends on turns of a limit that no longer holds."""
+    network = Network(count)
+    network.report(network.hosts[0], 3.0)
+    network.timers.advance(5.0)
+    callers = WaitingCallers(network)
+    for _ in range(40):
+        callers.start(4.5)
+        await callers.run(0.1)
+    assert len(callers.sent_s) >= 8
+    network.report(network.hosts[-1], lowered_per_s)
+    lowered_s = network.timers.monotonic_s()
+    for _ in range(60):
+        callers.start(4.5)
+        await callers.run(0.1)
+    # Also at the start of the window that the rule counts from.
+    late_s = [sent_s for sent_s in callers.sent_s if sent_s > lowered_s + 0.5]
+    allowed = trials.allowed_requests(lowered_per_s)
+    assert trials.worst_window(late_s, 0.0) <= min(
+        allowed, 1 + 4.5 * lowered_per_s
+    )
+    # The lower limit is used.
+    assert len(late_s) >= 0.5 * 5.5 * lowered_per_s
+
+
 async def test_a_coordinator_that_answers_again_is_used_soon():
     """Guards against the long waits of a lower rank that outlast its use."""
     network = Network(6)
