Continue no generation without events after its engine has ended

A generation whose engine ended was continued from its copy also before its first event. A copy of a request that has just begun holds nothing, so the second engine ran it from its beginning, and ended as well.

Ruled out by reading and tests: a request that counts as never sent or as not run.

Such a generation now ends with 502. One whose engine is there and says that it has no such run is continued as before.

Failed before: test_a_request_that_ends_its_engine_runs_at_no_other_one, four cases. A test of moves that waited for the store within the time limit of a copy uses a notice now; it failed once beside other load.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -294,6 +294,13 @@
     'The engine that a run was copied to began to leave or to pause during '
     'the copy; the run moves to another one.',
 )
+COPY_NOT_USED = _event(
+    246,
+    'copy-not-used',
+    logging.WARNING,
+    'The engine of a generation ended before the first event; the generation '
+    'does not continue from its copy.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -17,6 +17,7 @@
 from dotterelweird.gateway import caller_stream
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import handover
 from dotterelweird.gateway import links
 from dotterelweird.gateway import pausing
 from dotterelweird.gateway import refusing
@@ -294,8 +295,8 @@
         """Finds a copy from which an interrupted run can continue.
 
         Returns:
-            The run, or None if there is no copy or its engine does not
-            accept it in time.
+            The run, or None if there is no copy that it may continue from,
+            or the engine of the copy does not accept it in time.
         """
         if self._moved_before_start and not self._stream.started:
             # A request without any event at two engines may crash a third.
@@ -303,6 +304,21 @@
         found = await link.find_handover()
         if found is None:
             return None
+        if (
+            found.way is handover.HandoverWay.BACKUP_UNREACHED
+            and not self._stream.started
+        ):
+            # The request may have ended its engine. Before the first event a
+            # copy may hold nothing, so that it would run once more.
+            self._parts.statistics.unused_copies.inc({})
+            events.log(
+                LOG,
+                events.COPY_NOT_USED,
+                request_id=self._exchange.request.request_id,
+                source=run.target.target_id,
+                target_id=found.target.target_id,
+            )
+            return None
         self._moved_before_start = not self._stream.started
         if not await pausing.wait_for_target(
             self._parts, self._exchange, found.target
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -27,6 +27,8 @@
         unstopped_runs: Runs that their engines did not stop when called to.
         withheld_sends: Requests that were not sent to the target chosen for
             them, by reason.
+        unused_copies: Copies not used, as their engine ended before the first
+            event.
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
@@ -86,6 +88,11 @@
             'Requests not sent, as their target accepts none any more',
             registry=self._registry,
         )
+        self.unused_copies = aioprometheus.Counter(
+            'dotterelweir_gateway_unused_copies_total',
+            'Copies not used, as their engine ended before the first event',
+            registry=self._registry,
+        )
         self.notices = aioprometheus.Counter(
             'dotterelweir_gateway_target_notices_total',
             'Targets that said that they leave, or asked for a pause',
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -474,8 +474,11 @@
         order = await request.json()
         if not left:
             left.append(by_address.pop(order['to']))
-            await deployment.register(left[0].target_id, 'model', 'draining')
-            await deployment.wait_store_read()
+            target_id = left[0].target_id
+            deployment.gateway._handle_notice(
+                deployment.gateway._directory.registered(target_id),
+                api.TargetNotice(leaving=True),
+            )
         return await original_move(request)
 
     first._move = leave_during_copy
@@ -666,6 +669,27 @@
     assert sum(len(engine.ran) for engine in engines) == 2
 
 
+@pytest.mark.parametrize('written', [0.0, 0.5, 1.0, 1.5])
+async def test_a_request_that_ends_its_engine_runs_at_no_other_one(
+    deployment, written
+):
+    """Guards against second runs from copies that hold nothing yet.
+
+    The request ends its engine before the first event, whatever part of the
+    head was written; the engine that keeps the copy would accept it.
+    """
+    first, second = place_on(deployment, 'engine-1')
+    for engine in (first, second):
+        engine.behaviour.crash_part = 'f1:10'
+        engine.behaviour.crash_bytes = written
+    async with deployment.request(
+        'guide', X_Prompt_Prefix='f1:10,e1:20'
+    ) as answer:
+        assert answer.status == 502
+    assert first.received_headers[0]['x-kv-backup'] == second.address
+    assert (first.ran, second.ran) == (['request-1'], [])
+
+
 async def test_a_run_is_moved_off_a_draining_engine(deployment):
     """Guards against runs that are lost when their engine drains."""
     first, second = place_run_without_backup(deployment)
