Let a run that no engine takes over continue where it was stopped

A stream that is silent for a second is stopped at its engine and continues at another one; if that one refused it, the stream ended, although an engine keeps the memory of a run that it has stopped and takes it again.

Evidence: a real process on stand-ins cuts such a stream around SIGTERM.

After a refusal, a failed connection or a withheld send the run now goes back to the engine that stopped it, within the retry budget and the checks before every send.

Failed before: test_a_run_that_is_not_taken_over_returns_to_its_engine (two cases) and test_a_stop_ends_no_silent_stream_that_no_engine_takes_over.

--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -59,6 +59,13 @@
         """Whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
+    @property
+    def peak_memory_bytes(self) -> int:
+        """Largest resident memory of the running process, in bytes."""
+        status = pathlib.Path(f'/proc/{self.process.pid}/status').read_text()
+        fields = dict(line.split(':', 1) for line in status.splitlines())
+        return int(fields.get('VmHWM', '0 kB').split()[0]) * 1024
+
     @property
     def log(self) -> pathlib.Path:
         """Log file of its processes."""
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -279,6 +279,9 @@
                 | exchanges.NotRun()
             ):
                 if run.copy is not None:
+                    returned = await self._return_to_source(run)
+                    if returned is not None:
+                        return returned
                     # Without the copy, only a resumable route may start again.
                     return await self._restart()
                 return await self._place()
@@ -336,7 +339,41 @@
             last_event_id=self._stream.cursor.last_id,
         )
         return links.RunPlacement(
-            found.target, self._choose_backup(found.target), found.copy
+            found.target,
+            self._choose_backup(found.target),
+            found.copy,
+            run.target if found.is_confirmed else None,
+        )
+
+    async def _return_to_source(
+        self, run: links.RunPlacement
+    ) -> links.RunPlacement | None:
+        """Lets a run that no engine took over continue where it was stopped.
+
+        Returns:
+            The run; None if its engine does not keep its memory, or does not
+            accept it in time.
+        """
+        source = run.source
+        if source is None or source.target_id == run.target.target_id:
+            return None
+        if not await pausing.wait_for_target(
+            self._parts, self._exchange, source
+        ):
+            return None
+        self._parts.statistics.recoveries.inc({'way': 'returned'})
+        events.log(
+            LOG,
+            events.GENERATION_CARRIED_OVER,
+            request_id=self._exchange.request.request_id,
+            source=source.target_id,
+            target_id=source.target_id,
+            way='returned to its engine',
+            reason=f'not taken over by {run.target.target_id}',
+            last_event_id=self._stream.cursor.last_id,
+        )
+        return links.RunPlacement(
+            source, self._choose_backup(source), run.copy
         )
 
     async def _restart(self) -> links.RunPlacement | None:
--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -51,6 +51,15 @@
     copy: api.RunCopy
     way: HandoverWay
 
+    @property
+    def is_confirmed(self) -> bool:
+        """Whether the engine before stopped the run and keeps its memory."""
+        return self.way in (
+            HandoverWay.EVACUATED,
+            HandoverWay.MOVED,
+            HandoverWay.STAYED,
+        )
+
 
 async def stop_source(
     parts: dependencies.Forwarding,
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -40,11 +40,14 @@
         backup: The engine that keeps a backup of its memory, if any.
         copy: The copy from which it continues; None if it starts from the
             beginning.
+        source: The engine that made the copy and stopped the run, if it
+            keeps its memory; the run may also continue there.
     """
 
     target: targets.Target
     backup: targets.Target | None = None
     copy: api.RunCopy | None = None
+    source: targets.Target | None = None
 
 
 class Link:
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -669,6 +669,31 @@
     assert sum(len(engine.ran) for engine in engines) == 2
 
 
+@pytest.mark.parametrize('not_taken', ['refused', 'unreachable'])
+async def test_a_run_that_is_not_taken_over_returns_to_its_engine(
+    deployment, not_taken
+):
+    """Guards against silent streams that a failed handover ends."""
+    first, second = place_on(deployment, 'engine-1')
+    first.behaviour.silent_after = 3
+    second.behaviour.has_copies = False
+    original_move = first._move
+
+    async def stop_and_recover(request):
+        response = await original_move(request)
+        first.behaviour.silent_after = None
+        if not_taken == 'unreachable':
+            await second.stop()
+        return response
+
+    first._move = stop_and_recover
+    async with deployment.request('guide', deadline_ms=3000) as answer:
+        assert await answer.read() == expected_events()
+    assert first.resumed_after == [3]
+    assert first.received_headers[-1]['kv-from'] == f'{first.address}/h1'
+    assert second.ran == []
+
+
 @pytest.mark.parametrize('written', [0.0, 0.5, 1.0, 1.5])
 async def test_a_request_that_ends_its_engine_runs_at_no_other_one(
     deployment, written
--- a/packages/daemon/tests/gateway/test_stop_process.py
+++ b/packages/daemon/tests/gateway/test_stop_process.py
@@ -244,3 +244,49 @@
     # Longer than the time after which an idle process exits.
     await asyncio.sleep(stop_s + 4.0 - time.monotonic())
     assert await slow.read_answer() == 200
+
+
+async def test_a_stop_ends_no_silent_stream_that_no_engine_takes_over(
+    instance, engines, store, connect
+):
+    """Guards against streams lost around SIGTERM with a failed handover.
+
+    The engine preempts a run; it is stopped there, and the engine that has the
+    copy refuses it.
+    """
+    other = fleet_engine.FakeEngine('model-2')
+    await other.start()
+    engines['model-2'] = other
+    await store.write_json('keyed.servers', 'model-2', other.entry('model'))
+    models = [engines['model'], other]
+
+    def recover_when_stopped(engine):
+        original_move = engine._move
+
+        async def move(request):
+            response = await original_move(request)
+            engine.behaviour.silent_after = None
+            engine.behaviour.has_copies = True
+            return response
+
+        engine._move = move
+
+    for engine in models:
+        engine.behaviour = fleet_engine.Behaviour(
+            event_s=0.05, events=20, silent_after=4, has_copies=False
+        )
+        recover_when_stopped(engine)
+    connection = await connect()
+    async with asyncio.timeout(5):
+        # A run has a copy once the instance knows both engines.
+        while not any('x-kv-backup' in h for h in _headers(models)):
+            connection = await connect()
+            connection.write('guide', 'stream-1')
+            await asyncio.sleep(0.05)
+    instance.send_signal(signal.SIGTERM)
+    assert await connection.read_answer() == 200
+    assert any(engine.resumed_after for engine in models)
+
+
+def _headers(models):
+    return [headers for model in models for headers in model.received_headers]
