--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -74,6 +74,10 @@
         pause_after: Number of events after which it sends nothing for a
             while; None for never.
         pause_s: Length of this pause, in seconds.
+        hang_moves: Whether it accepts calls that move runs and never
+            responds to them.
+        keeps_running: Whether it works on after its caller has closed the
+            connection.
         crash_part: Part of a prompt that ends the engine as it begins to
             write an answer; empty for none.
         crash_bytes: Part of an answer that it writes before that, as a share
@@ -114,6 +118,8 @@
     close_unanswered: bool = False
     pause_after: int | None = None
     pause_s: float = 0.0
+    hang_moves: bool = False
+    keeps_running: bool = False
     crash_part: str = ''
     crash_bytes: float = 1.0
 
@@ -483,6 +489,8 @@
     async def _move(self, request: web.BaseRequest) -> web.Response:
         order = orjson.loads(await request.read())
         self.move_orders.append(order)
+        if self.behaviour.hang_moves:
+            await asyncio.sleep(3600)
         if self.behaviour.move_status is not None:
             return web.Response(status=self.behaviour.move_status)
         if order['last'] and self.behaviour.final_move_status is not None:
--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -33,6 +33,8 @@
 # Id of a shared part of prompts.
 _SHARED_PART = 'a1'
 _DEADLY_SHARE = 0.05
+# Limit of the memory of a process on the platform, in bytes.
+_MEMORY_BYTES_MAX = 150_000_000
 # An instance without disturbance for this time is in touch, in seconds.
 _STABLE_S = 3.0
 # Limits of the platform's rules: crashes after which requests with the part
@@ -115,6 +117,9 @@
             await self._start_processes(store_port)
             await self._run_load_and_faults(rng, injector)
         finally:
+            peak_bytes = [
+                node.peak_memory_bytes for node in self.nodes if node.running
+            ]
             await asyncio.gather(*(node.stop() for node in self.nodes))
             for proxy in self._proxies.values():
                 await proxy.close()
@@ -127,8 +132,11 @@
             self.ledger.violations.append(
                 f'{late} requests with a deadly part reached engines late'
             )
+        if max(peak_bytes, default=0) > _MEMORY_BYTES_MAX:
+            self.ledger.violations.append(f'memory of {max(peak_bytes)} bytes')
         return {
             'seed': self.seed,
+            'peak_memory_mb': max(peak_bytes, default=0) // 1_000_000,
             'requests': self.ledger.requests,
             'whole': self.ledger.whole,
             'refused': self.ledger.refused,
@@ -150,6 +158,7 @@
                     self.ledger,
                     functools.partial(self._crash, name),
                 )
+                engine.sender = self._find_sender
                 await engine.start()
                 host, _, port = engine.address.rpartition(':')
                 await self._open_proxy(name, host, int(port))
@@ -213,6 +222,11 @@
         self._crash_times_s.append(now_s)
         self._injector.start(self._injector.crash(name))
 
+    def _find_sender(self, request_id: str) -> tuple[str, float] | None:
+        """Returns the instance that a request was sent to."""
+        node = self._receivers.get(request_id)
+        return None if node is None else (node.name, node.disturbed_s)
+
     def _trace(self, text: str) -> None:
         """Writes a line with both clocks to the log of faults."""
         loop_s = asyncio.get_running_loop().time()
@@ -252,6 +266,7 @@
         request_id: str,
     ) -> None:
         self.ledger.requests += 1
+        self._receivers[request_id] = node
         if route in ('book', 'guide'):
             self.ledger.expect_at_most_once(request_id)
         headers = fleet.request_headers(route, request_id, 3000)
@@ -261,7 +276,6 @@
                 parts.insert(
                     rng.randrange(2), f'{soak_engines.DEADLY_PART}:30'
                 )
-                self._receivers[request_id] = node
             headers['X-Prompt-Prefix'] = ','.join(parts)
         body = b''
         expected = f'answer to {request_id} x'.encode()
--- a/fakes/src/dotterelweir_fakes/soak/engines.py
+++ b/fakes/src/dotterelweir_fakes/soak/engines.py
@@ -24,6 +24,8 @@
     Attributes:
         runs: Runs in progress.
         end_under: Called with the id of a request under which it ends.
+        sender: Returns the instance that a request was sent to by its
+            caller: its name, and the time of its last disturbance in seconds.
     """
 
     def __init__(
@@ -34,12 +36,32 @@
     ) -> None:
         super().__init__(target_id)
         self.end_under = end_under
+        self.sender: Callable[[str], tuple[str, float]] | None = None
         self._ledger = ledger
         self.runs: list[guarantees.Run] = []
         self.behaviour = fleet_engine.Behaviour(
             events=EVENTS_PER_ANSWER, event_s=0.02
         )
 
+    async def _respond(self, request: web.BaseRequest) -> web.StreamResponse:
+        request_id = request.headers.get('X-Attempt-Id', '')
+        now_s = asyncio.get_running_loop().time()
+        sender = self.sender(request_id) if self.sender else None
+        if sender is not None:
+            self._ledger.record_arrival(
+                self.target_id, sender[0], now_s, sender[1]
+            )
+        response = await super()._respond(request)
+        pause_s = response.headers.get('Retry-After')
+        if sender is not None and pause_s is not None:
+            self._ledger.record_pause(
+                self.target_id,
+                sender[0],
+                asyncio.get_running_loop().time(),
+                float(pause_s),
+            )
+        return response
+
     async def _run(
         self, request: web.BaseRequest, headers: dict[str, str], body: bytes
     ) -> web.StreamResponse:
@@ -55,6 +77,11 @@
             if f'{DEADLY_PART}:' in headers.get('x-prompt-prefix', ''):
                 await self._begin_and_end(request, headers)
             return await super()._run(request, headers, body)
+        except asyncio.CancelledError:
+            if self.behaviour.keeps_running:
+                # It works on to its end, as nothing has stopped the run.
+                await asyncio.sleep(self.behaviour.pause_s)
+            raise
         finally:
             run.ended_s = loop.time()
             self.runs.remove(run)
--- a/fakes/src/dotterelweir_fakes/soak/faults.py
+++ b/fakes/src/dotterelweir_fakes/soak/faults.py
@@ -49,6 +49,26 @@
     {'close_unanswered': True},
     *({'raw': part} for part in _PARTS_OF_HEAD),
     {'refusal_id': 'another-request'},
+    # Preempted streams, and calls to stop them that get no answer.
+    *2
+    * (
+        {
+            'pause_after': 4,
+            'pause_s': 1.4,
+            'hang_moves': True,
+            'keeps_running': True,
+        },
+    ),
+    # Bytes without end: in a line, fields, interim answers, bodies, chunks.
+    {'raw': _HEAD, 'flood': b'X-Long: aaaaaaaaaaaaaaaa'},
+    {'raw': _HEAD, 'flood': b'X-Field: value\r\n'},
+    {'raw': b'\x00', 'flood': b'\xff'},
+    {'raw': b'', 'flood': b'HTTP/1.1 100 Continue\r\n\r\n'},
+    {'raw': _HEAD + b'\r\n', 'flood': b'bytes'},
+    {
+        'raw': _HEAD + b'Transfer-Encoding: chunked\r\n\r\n4;',
+        'flood': b'extension',
+    },
     {'refusal_id': 'another-request', 'refusal_status': 421},
 )
 
@@ -98,6 +118,7 @@
             # There are more kinds of misbehaviour than of all other faults.
             *3 * (self._misbehave,),
             self._leave,
+            self._overload,
             self._crash,
             self._store,
             self._configure,
@@ -227,6 +248,19 @@
                 engine.started_ms += 1
                 await self.register(name, 'ready')
 
+    async def _overload(self) -> None:
+        """Lets an engine ask for pauses that it extends, while one crashes."""
+        name, other = self.rng.sample(list(self.engines), 2)
+        engine = self.engines[name]
+        normal = engine.behaviour
+        self.start(self.crash(other))
+        for pause_s in ('0.7', '1.6', '2.4'):
+            engine.behaviour = attrs.evolve(
+                normal, refuse=True, retry_after=pause_s
+            )
+            await asyncio.sleep(self.rng.uniform(0.2, 0.6))
+        engine.behaviour = normal
+
     async def _crash(self) -> None:
         await self.crash(self.rng.choice(list(self.engines)))
 
--- a/fakes/src/dotterelweir_fakes/soak/guarantees.py
+++ b/fakes/src/dotterelweir_fakes/soak/guarantees.py
@@ -3,7 +3,8 @@
 They are: a caller receives only bytes of its own answer; a valid request is
 not rejected as invalid; a request that is reported as not run does not run;
 a request that is not repeatable runs at most once, apart from continuations,
-and at one target at a time.
+and at one target at a time; a target that asked an instance for a pause gets
+no further requests from it until the pause ends.
 """
 
 from collections.abc import Sequence
@@ -14,6 +15,27 @@
 _MAX_OVERLAP_S = 0.4
 
 
+# Requests that an instance may send to a target within a pause that it asked
+# for, and the time after which they count, in seconds.
+_SENDS_IN_PAUSE_MAX = 2
+_PAUSE_SLACK_S = 0.5
+
+
+@attrs.define
+class Pause:
+    """A pause that a target has asked an instance for.
+
+    Attributes:
+        asked_s: Time on the event loop's clock at which it asked, in seconds.
+        until_s: End of the pause on that clock, in seconds.
+        sends: Number of requests that came within it.
+    """
+
+    asked_s: float
+    until_s: float
+    sends: int = 0
+
+
 @attrs.define
 class Run:
     """One run of a request at one target.
@@ -52,6 +74,45 @@
     _runs: dict[str, list[Run]] = attrs.field(factory=dict)
     _reported_not_run: set[str] = attrs.field(factory=set)
     _at_most_once: set[str] = attrs.field(factory=set)
+    # Pauses by target and instance.
+    _pauses: dict[tuple[str, str], list[Pause]] = attrs.field(factory=dict)
+
+    def record_pause(
+        self, target_id: str, instance: str, now_s: float, pause_s: float
+    ) -> None:
+        """Records that a target asks an instance for a pause.
+
+        Args:
+            target_id: The target.
+            instance: The instance.
+            now_s: Time on the event loop's clock, in seconds.
+            pause_s: Length of the pause, in seconds.
+        """
+        self._pauses.setdefault((target_id, instance), []).append(
+            Pause(now_s, now_s + pause_s)
+        )
+
+    def record_arrival(
+        self,
+        target_id: str,
+        instance: str,
+        now_s: float,
+        disturbed_s: float,
+    ) -> None:
+        """Records a request of an instance at a target.
+
+        Args:
+            target_id: The target.
+            instance: The instance.
+            now_s: Time on the event loop's clock, in seconds.
+            disturbed_s: Time of the last disturbance of the instance on that
+                clock, in seconds; it excuses earlier pauses.
+        """
+        for pause in self._pauses.get((target_id, instance), ()):
+            if disturbed_s >= pause.asked_s - _PAUSE_SLACK_S:
+                continue
+            if pause.asked_s + _PAUSE_SLACK_S < now_s < pause.until_s:
+                pause.sends += 1
 
     def begin_run(
         self, request_id: str, target_id: str, continued: bool, now_s: float
@@ -121,7 +182,14 @@
             )
 
     def check(self) -> None:
-        """Checks the runs of every request; called at the end of the soak."""
+        """Checks runs and pauses; called at the end of the soak."""
+        for (target_id, instance), pauses in self._pauses.items():
+            for pause in pauses:
+                if pause.sends > _SENDS_IN_PAUSE_MAX:
+                    self._add_violation(
+                        f'{target_id}: {pause.sends} requests of {instance} '
+                        f'within a pause from {pause.asked_s:.3f}'
+                    )
         for request_id, runs in self._runs.items():
             if request_id in self._reported_not_run:
                 self._add_violation(
