--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -10,6 +10,8 @@
 from dotterelweird.gateway import api
 from dotterelweird.gateway import target_client
 
+# Maximum number of parts of a prompt in a line of the log.
+LOGGED_PARTS_MAX = 16
 # Usual time to the first event of a generation without a wait for capacity, in
 # seconds. The median measured on a day of low load is 0.65 s.
 _FIRST_EVENT_S = 0.7
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -28,8 +28,6 @@
 # Maximum number of targets to which one request is sent before it is given up,
 # whether they ran it or not.
 _TARGETS_MAX = 6
-# Maximum number of parts of a prompt in a line of the log.
-_LOGGED_PARTS_MAX = 16
 
 
 class Generation:
@@ -167,7 +165,9 @@
             backup_id=run.backup.target_id if run.backup else None,
             route=exchange.route.name,
             tokens=exchange.tokens,
-            shared_parts=exchange.request.shared_parts[:_LOGGED_PARTS_MAX],
+            shared_parts=exchange.request.shared_parts[
+                : exchanges.LOGGED_PARTS_MAX
+            ],
             tables_version=exchange.tables_version,
         )
         return run
@@ -189,7 +189,7 @@
         outcome = await link.follow()
         now_s = self._parts.timers.monotonic_s()
         load = self._parts.loads.get(run.target.target_id)
-        if link.has_begun:
+        if link.has_begun and not link.events:
             self._parts.prompt_guard.report_sound(self._exchange)
         if self._has_lost_connection(link, outcome):
             self._parts.end_detector.report_lost_connection(
--- a/packages/daemon/src/dotterelweird/gateway/prompt_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/prompt_guard.py
@@ -18,8 +18,6 @@
 
 # Origin of a finding of this instance, in logs.
 _OWN = 'own'
-# Maximum number of parts of a prompt in a line of the log.
-_LOGGED_PARTS_MAX = 16
 # Shortest time after which the caller of a blocked request may retry, in
 # seconds.
 _RETRY_AFTER_MIN_S = 1.0
@@ -140,7 +138,7 @@
                     events.PROMPT_SUSPECTED,
                     request_id=request_id,
                     target_id=target_id,
-                    parts=sorted(parts)[:_LOGGED_PARTS_MAX],
+                    parts=sorted(parts)[: exchanges.LOGGED_PARTS_MAX],
                     age_s=round(finding.age_s, 3),
                     origin=origin,
                 )
@@ -149,7 +147,7 @@
                 events.log(
                     LOG,
                     events.PROMPT_CLEARED,
-                    parts=sorted(ages_s)[:_LOGGED_PARTS_MAX],
+                    parts=sorted(ages_s)[: exchanges.LOGGED_PARTS_MAX],
                     age_s=round(max(ages_s.values()), 3),
                     origin=origin,
                 )
@@ -179,7 +177,7 @@
             LOG,
             events.PROMPT_BLOCKED,
             request_id=exchange.request.request_id,
-            parts=sorted(block.parts)[:_LOGGED_PARTS_MAX],
+            parts=sorted(block.parts)[: exchanges.LOGGED_PARTS_MAX],
             engines=block.engines,
             left_s=round(block.until_s - now_s, 1),
         )
@@ -221,7 +219,7 @@
             request_id=exchange.request.request_id,
             parts=sorted(
                 max(blocks, key=lambda block: len(block.parts)).parts
-            )[:_LOGGED_PARTS_MAX],
+            )[: exchanges.LOGGED_PARTS_MAX],
             blocks=len(blocks),
         )
         return True
