Log streams that are lost after a call to stop their run

What callers saw: streams without their end.

Event 247 (stopped-run-lost) lists the calls about the run with the time since each of them and their results, and names the step; counter stopped_runs_lost_total counts them by step.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -301,6 +301,14 @@
     'The engine of a generation ended before the first event; the generation '
     'does not continue from its copy.',
 )
+STOPPED_RUN_LOST = _event(
+    247,
+    'stopped-run-lost',
+    logging.WARNING,
+    'A stream ended without its end after its engine was called to stop the '
+    'run; `calls` are the calls about the run, in order, with the time since '
+    'each of them, and `reason` is the step that failed.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/evacuation.py
+++ b/packages/daemon/src/dotterelweird/gateway/evacuation.py
@@ -286,13 +286,19 @@
             return api.MoveOutcome(api.MoveResult.BUSY)
         self._calls += 1
         self._call_in_progress = True
+        call = exchanges.RunCall(
+            self._source.target_id, final, self._parts.timers.monotonic_s()
+        )
+        self._exchange.run_calls.append(call)
         try:
-            return await self._parts.run_control.move(
+            move = await self._parts.run_control.move(
                 self._exchange.request.request_id,
                 self._source,
                 destination,
                 final,
                 _STOP_TIMEOUT_S if final else _COPY_TIMEOUT_S,
             )
+            call.result = move.result.value
+            return move
         finally:
             self._call_in_progress = False
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -48,6 +48,7 @@
             to a target once all the same.
         longest_pause_s: Longest pause between two writes to the caller, in
             seconds.
+        run_calls: Calls to engines about runs of the request, in order.
     """
 
     request: api.CallerRequest
@@ -66,6 +67,12 @@
     longest_pause_s: float = 0.0
     trial: bool = False
     prompt_trial: bool = False
+    run_calls: list['RunCall'] = attrs.field(factory=list)
+
+    @property
+    def stop_called(self) -> bool:
+        """Whether an engine was called to stop a run of the request."""
+        return any(call.final for call in self.run_calls)
 
     def record_run(self) -> None:
         """Records a run from the beginning that may have started."""
@@ -144,6 +151,23 @@
         return self.demand.tokens
 
 
+@attrs.define
+class RunCall:
+    """A call to an engine that copies or stops a run.
+
+    Attributes:
+        source_id: Id of the engine.
+        final: Whether the call stops the run.
+        began_s: Monotonic time of the call, in seconds.
+        result: Result of the call; empty before its answer.
+    """
+
+    source_id: str
+    final: bool
+    began_s: float
+    result: str = ''
+
+
 @attrs.frozen
 class Answered:
     """A target returned a complete answer of its own.
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -28,6 +28,8 @@
 # Maximum number of targets to which one request is sent before it is given up,
 # whether they ran it or not.
 _TARGETS_MAX = 6
+# Number of calls about a run in a line of the log; the newest are kept.
+_CALLS_LOGGED_MAX = 12
 
 
 class Generation:
@@ -94,7 +96,11 @@
             finally:
                 link.close()
             now_s = self._parts.timers.monotonic_s()
-            if run is None or now_s >= exchange.deadline_s:
+            if run is None:
+                self._report_lost_run('no engine continues it')
+                break
+            if now_s >= exchange.deadline_s:
+                self._report_lost_run('deadline')
                 break
             reached_target = not isinstance(
                 last_outcome, exchanges.NeverSent | exchanges.Withheld
@@ -109,9 +115,37 @@
                     instances=budgets.instance_counts.ever_seen,
                     visible=budgets.instance_counts.reachable,
                 )
+                self._report_lost_run('no retry left')
                 break
         return self._give_up(last_outcome)
 
+    def _report_lost_run(self, reason: str) -> None:
+        """Records a stream that is lost after a call to stop its run.
+
+        Args:
+            reason: The step that failed.
+        """
+        if not (self._stream.started and self._exchange.stop_called):
+            return
+        now_s = self._parts.timers.monotonic_s()
+        self._parts.statistics.stopped_runs_lost.inc({'reason': reason})
+        events.log(
+            LOG,
+            events.STOPPED_RUN_LOST,
+            request_id=self._exchange.request.request_id,
+            reason=reason,
+            stopping=self._parts.stop_plan.stopping,
+            calls=[
+                {
+                    'source': call.source_id,
+                    'final': call.final,
+                    'ago_s': round(now_s - call.began_s, 3),
+                    'result': call.result or 'not answered yet',
+                }
+                for call in self._exchange.run_calls[-_CALLS_LOGGED_MAX:]
+            ],
+        )
+
     def _check_blocks(self) -> None:
         """Ends a generation that would end a further engine.
 
--- a/packages/daemon/src/dotterelweird/gateway/handover.py
+++ b/packages/daemon/src/dotterelweird/gateway/handover.py
@@ -136,9 +136,14 @@
         left_s = deadline_s - parts.timers.monotonic_s()
         if left_s <= 0:
             return None
+        call = exchanges.RunCall(
+            source.target_id, True, parts.timers.monotonic_s()
+        )
+        exchange.run_calls.append(call)
         move = await parts.run_control.move(
             request_id, source, backup, final=True, timeout_s=left_s
         )
+        call.result = move.result.value
         results.append(move.result)
         moved_copy = api.RunCopy(source.address, move.handle)
         match move.result:
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -25,6 +25,8 @@
         answer_s: Time to the end of an answer, in seconds.
         prompt_trials: Requests sent to an engine despite a blocked prompt.
         unstopped_runs: Runs that their engines did not stop when called to.
+        stopped_runs_lost: Streams lost after their engine was called to stop
+            the run, by the step that failed.
         withheld_sends: Requests that were not sent to the target chosen for
             them, by reason.
         unused_copies: Copies not used, as their engine ended before the first
@@ -83,6 +85,11 @@
             'Runs that their engines did not stop when called to',
             registry=self._registry,
         )
+        self.stopped_runs_lost = aioprometheus.Counter(
+            'dotterelweir_gateway_stopped_runs_lost_total',
+            'Streams lost after their engine was called to stop the run',
+            registry=self._registry,
+        )
         self.withheld_sends = aioprometheus.Counter(
             'dotterelweir_gateway_withheld_sends_total',
             'Requests not sent, as their target accepts none any more',
