Let stand-in engines copy runs over links

A FakeEngine answers a call to move a run at once, so no test meets a copy that is still under way, a call beside one in progress, a destination without room or a handle that has been used.

API: network = copies.CopyNetwork(seed, repeat_share=0.25, handle_s=30.0) engine.copies = network.add(engine) # before engine.start() network.add_address(addr, engine.copies) # a proxy in front of it Behaviour: copy_s=(min, max), copy_full_share, copy_slots, preempted_unknown engine.stopped_runs: {request id: monotonic time of the stop, seconds} await engine.depart(grace_s | None)

An engine whose `copies` is None answers as before. With a network, orders queue on the links of both engines, the answer comes with the complete copy, and Kv-From is accepted only where the copy, the memory of a stopped run or the kept copy is.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -8,12 +8,16 @@
 import attrs
 import orjson
 
+from dotterelweir_fakes.fleet import copies as fleet_copies
+
 # Minimum size of one write of a flood, and size after which a flood ends if
 # the connection is still open.
 _FLOOD_BLOCK_BYTES = 65_536
 _FLOOD_BYTES_MAX = 256_000_000
 # Path of the request that releases a copy; the handle follows it.
 _HANDLE_PATH = '/-/kv-handle/'
+# Interval at which a departing engine looks for work in progress.
+_DEPARTURE_POLL_S = 0.005
 
 
 @attrs.define
@@ -78,6 +82,13 @@
             responds to them.
         keeps_running: Whether it works on after its caller has closed the
             connection.
+        preempted_unknown: Whether calls that move runs do not find a run
+            during this pause.
+        copy_s: Shortest and longest duration of a copy of one of its runs,
+            in seconds.
+        copy_full_share: Share of the copies that it refuses to hold for lack
+            of room.
+        copy_slots: Number of copies that it can hold; None for any number.
         crash_part: Part of a prompt that ends the engine as it begins to
             write an answer; empty for none.
         crash_bytes: Part of an answer that it writes before that, as a share
@@ -120,6 +131,10 @@
     pause_s: float = 0.0
     hang_moves: bool = False
     keeps_running: bool = False
+    preempted_unknown: bool = False
+    copy_s: tuple[float, float] = (0.0, 0.0)
+    copy_full_share: float = 0.0
+    copy_slots: int | None = None
     crash_part: str = ''
     crash_bytes: float = 1.0
 
@@ -142,6 +157,10 @@
             ran, in order.
         move_orders: Every order to copy a run, in order.
         released_handles: Handles of the copies that were released, in order.
+        stopped_runs: Monotonic time of the last order to stop each run, in
+            seconds, by request.
+        copies: Its link and the copies that it holds; None if it answers
+            every order to copy a run without a copy.
         flooded_bytes: Total size of the floods that it sent, in bytes.
         started_ms: Wall time of its start, in milliseconds.
         address: Its host and port.
@@ -158,13 +177,22 @@
         self.cancelled: list[str] = []
         self.move_orders: list[dict] = []
         self.released_handles: list[str] = []
+        self.stopped_runs: dict[str, float] = {}
+        self.copies: fleet_copies.EngineCopies | None = None
         self.flooded_bytes = 0
         self.started_ms = 0
         self._stop_events: dict[str, asyncio.Event] = {}
+        # Ids of the last events of runs with a stream.
+        self._events_made: dict[str, int] = {}
+        self._paused: set[str] = set()
         self.address = ''
         self._server: asyncio.Server | None = None
+        self._web_server: web.Server | None = None
         # Connections with a request in progress.
         self._transports: set[asyncio.BaseTransport] = set()
+        # Connections of streams, by request.
+        self._stream_transports: dict[str, asyncio.Transport] = {}
+        self._runs_in_progress = 0
 
     async def start(self, port: int = 0) -> None:
         """Starts to listen on the loopback interface.
@@ -173,12 +201,14 @@
             port: The port; 0 for a free one.
         """
         loop = asyncio.get_running_loop()
+        if self.copies is not None:
+            # It knows nothing of before.
+            self.copies.clear()
+        self._web_server = web.Server(
+            self._handle, access_log=None, handler_cancellation=True
+        )
         self._server = await loop.create_server(
-            web.Server(
-                self._handle, access_log=None, handler_cancellation=True
-            ),
-            '127.0.0.1',
-            port,
+            self._web_server, '127.0.0.1', port
         )
         port = self._server.sockets[0].getsockname()[1]
         self.address = f'127.0.0.1:{port}'
@@ -200,9 +230,56 @@
     def crash(self) -> None:
         """Stops listening and closes all connections without answers."""
         self._server.close()
+        if self.copies is not None:
+            self.copies.clear()
         for transport in tuple(self._transports):
             transport.abort()
 
+    async def depart(self, grace_s: float | None) -> None:
+        """Serves on for a while and then ends with all its connections.
+
+        Args:
+            grace_s: Time until it ends, in seconds; None to end as soon as
+                neither a run nor a copy of a run is in progress.
+        """
+        if grace_s is not None:
+            await asyncio.sleep(grace_s)
+        else:
+            while self._is_busy:
+                await asyncio.sleep(_DEPARTURE_POLL_S)
+        connections = self._web_server.connections
+        self.crash()
+        for connection in connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    @property
+    def _is_busy(self) -> bool:
+        is_copying = self.copies is not None and self.copies.is_copying
+        return self._runs_in_progress > 0 or is_copying
+
+    def can_move(self, request_id: str) -> bool:
+        """Returns whether it knows a run that can be moved."""
+        stopped = self._stop_events.get(request_id)
+        if stopped is None or stopped.is_set():
+            return False
+        return not (
+            self.behaviour.preempted_unknown and request_id in self._paused
+        )
+
+    def events_made(self, request_id: str) -> int:
+        """Returns the id of the last event of a run; 0 without a run."""
+        return self._events_made.get(request_id, 0)
+
+    def stop_run(self, request_id: str) -> None:
+        """Stops a run; its stream is closed without its end."""
+        self.stopped_runs[request_id] = asyncio.get_running_loop().time()
+        self._stop_events[request_id].set()
+        transport = self._stream_transports.get(request_id)
+        if transport is not None and transport.get_write_buffer_size():
+            # The stream waits for its reader and would stay open.
+            transport.abort()
+
     def entry(self, service: str, state: str = 'ready') -> dict:
         """Returns its registry entry.
 
@@ -244,9 +321,10 @@
         if request.path == '/-/kv-move':
             return self._add_notices(await self._move(request))
         if request.path.startswith(_HANDLE_PATH):
-            self.released_handles.append(
-                request.path.removeprefix(_HANDLE_PATH)
-            )
+            handle = request.path.removeprefix(_HANDLE_PATH)
+            self.released_handles.append(handle)
+            if self.copies is not None:
+                self.copies.release(handle)
             return self._add_notices(web.Response(status=200))
         body = await request.read()
         headers = {name.lower(): v for name, v in request.headers.items()}
@@ -263,14 +341,23 @@
             return self._add_notices(
                 web.Response(status=400, headers={'X-Not-Executed': '1'})
             )
-        if behaviour.refuse or copy_missing:
+        if behaviour.refuse or copy_missing or not self._take_copy(headers):
             return self._add_notices(_refusal(503, request_id))
         self.ran.append(request_id)
+        self._runs_in_progress += 1
         try:
             return await self._run(request, headers, body)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
+        finally:
+            self._runs_in_progress -= 1
+
+    def _take_copy(self, headers: dict[str, str]) -> bool:
+        """Returns whether the copy that a request names, if any, is here."""
+        if self.copies is None or 'kv-from' not in headers:
+            return True
+        return self.copies.take(headers['x-attempt-id'], headers['kv-from'])
 
     async def _run(
         self, request: web.BaseRequest, headers: dict[str, str], body: bytes
@@ -431,6 +518,10 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         stopped = self._stop_events[request_id] = asyncio.Event()
+        self._events_made[request_id] = first - 1
+        self._stream_transports[request_id] = request.transport
+        backup = None
+        is_complete = False
         try:
             for sent, number in enumerate(range(first, behaviour.events + 1)):
                 if behaviour.cut_after == sent or stopped.is_set():
@@ -445,7 +536,10 @@
                     request.transport.abort()
                     raise ConnectionResetError
                 if behaviour.pause_after == sent:
-                    await asyncio.sleep(behaviour.pause_s)
+                    await self._pause(request_id, stopped, behaviour.pause_s)
+                    if stopped.is_set():
+                        request.transport.abort()
+                        raise ConnectionResetError
                 if behaviour.silent_after == sent:
                     await stopped.wait()
                     request.transport.abort()
@@ -454,12 +548,38 @@
                 await response.write(
                     b'id: %d\ndata: token-%d%b\n\n' % (number, number, padding)
                 )
-                await asyncio.sleep(behaviour.event_s)
+                self._events_made[request_id] = number
+                if self.copies is None:
+                    await asyncio.sleep(behaviour.event_s)
+                    continue
+                if backup is None and 'x-kv-backup' in headers:
+                    backup = self.copies.keep(
+                        request_id, headers['x-kv-backup']
+                    )
+                await _wait(stopped, behaviour.event_s)
+            if self.copies is not None and stopped.is_set():
+                request.transport.abort()
+                raise ConnectionResetError
+            is_complete = True
         finally:
             self._stop_events.pop(request_id, None)
+            self._events_made.pop(request_id, None)
+            self._stream_transports.pop(request_id, None)
+            if backup is not None:
+                backup.end_kept(request_id, is_complete)
         await response.write_eof()
         return response
 
+    async def _pause(
+        self, request_id: str, stopped: asyncio.Event, pause_s: float
+    ) -> None:
+        """Waits as a preempted run does, until it is stopped."""
+        self._paused.add(request_id)
+        try:
+            await _wait(stopped, pause_s)
+        finally:
+            self._paused.discard(request_id)
+
     async def _stream_close_delimited(
         self, request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
@@ -498,14 +618,38 @@
         if self.behaviour.refused_moves:
             self.behaviour.refused_moves -= 1
             return web.Response(status=503)
-        stopped = self._stop_events.get(order['id'])
-        if stopped is None:
+        if self.copies is not None:
+            return await self._copy(order)
+        if order['id'] not in self._stop_events:
             return web.Response(status=404)
         if order['last']:
-            stopped.set()
+            self.stop_run(order['id'])
             await asyncio.sleep(self.behaviour.final_move_s)
         return web.json_response({'handle': 'h1', 'created': 0})
 
+    async def _copy(self, order: dict) -> web.Response:
+        """Copies a run to another engine of the network."""
+        answer = await self.copies.move(
+            order['id'], order['to'], order['last']
+        )
+        if order['last']:
+            await asyncio.sleep(self.behaviour.final_move_s)
+        if not answer.handle:
+            return web.Response(status=answer.status)
+        body = {'handle': answer.handle}
+        if answer.status == 200:
+            body['created'] = answer.created
+        return web.json_response(body, status=answer.status)
+
+
+async def _wait(event: asyncio.Event, delay_s: float) -> None:
+    """Waits for a time, or until an event is set."""
+    try:
+        async with asyncio.timeout(delay_s):
+            await event.wait()
+    except TimeoutError:
+        pass
+
 
 def _refusal(status: int, request_id: str) -> web.Response:
     """Returns a response that says that a request was not executed.
