Add a soak of planned stops while engines leave and pause runs

No test played departures of engines, pauses of runs, copies that take time and planned stops together, so nothing showed it.

The command `moves` plays them on gateway processes. A stream whose run was stopped for a move and that ends without a whole answer before its deadline is a violation wherever it happens, unless a run was at work until its process had to exit. An engine that ends under a run that nobody stopped is counted alone.

The callers of `stops` judge as before: what becomes of a request is passed on as one `Outcome`, which the callers of `moves` judge by their own rule.

--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PYTEST_ARGS ?= -n 4
 CASES ?= 10000
 
-.PHONY: install lint format test ci demo measure experiment soak stops limits crashes fuzz docs clean
+.PHONY: install lint format test ci demo measure experiment soak stops moves limits crashes fuzz docs clean
 
 install: $(VENV)/.installed
 
@@ -50,6 +50,9 @@
 stops: install
 	$(BIN)/python -m dotterelweir_fakes stops --seed $(SEED)
 
+moves: install
+	$(BIN)/python -m dotterelweir_fakes moves --seed $(SEED)
+
 limits: install
 	$(BIN)/python -m dotterelweir_fakes limits --seed $(SEED)
 
--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -15,6 +15,7 @@
 from dotterelweir_fakes.soak import command as soak_command
 from dotterelweir_fakes.soak import crashes
 from dotterelweir_fakes.soak import limits
+from dotterelweir_fakes.soak import moves
 from dotterelweir_fakes.soak import stops
 
 
@@ -30,6 +31,7 @@
 main.add_command(limits.limits)
 main.add_command(links_command.linked)
 main.add_command(measure.measure)
+main.add_command(moves.moves)
 main.add_command(pages_command.docs)
 main.add_command(platform_command.platform)
 main.add_command(relay_cost.relay_cost)
--- a/fakes/src/dotterelweir_fakes/soak/engines.py
+++ b/fakes/src/dotterelweir_fakes/soak/engines.py
@@ -83,8 +83,11 @@
                 await asyncio.sleep(self.behaviour.pause_s)
             raise
         finally:
-            run.ended_s = loop.time()
-            self.runs.remove(run)
+            self._end_run(run, headers.get('x-attempt-id', ''))
+
+    def _end_run(self, run: guarantees.Run, request_id: str) -> None:
+        run.ended_s = asyncio.get_running_loop().time()
+        self.runs.remove(run)
 
     async def _begin_and_end(
         self, request: web.BaseRequest, headers: dict[str, str]
@@ -123,8 +126,12 @@
     ) -> web.StreamResponse:
         request_id = headers.get('x-attempt-id', '')
         if self._ledger.runs_of(request_id):
-            # Only the first engine of a request pauses.
+            behaviour = self.behaviour_of(request_id)
             self.behaviours[request_id] = attrs.evolve(
-                self.behaviour_of(request_id), pause_after=None
+                behaviour, pause_after=self._further_pause(behaviour)
             )
         return await super()._run(request, headers, body)
+
+    def _further_pause(self, behaviour: fleet_engine.Behaviour) -> int | None:
+        """Returns after how many events a further run pauses; never here."""
+        return None
--- a/fakes/src/dotterelweir_fakes/soak/guarantees.py
+++ b/fakes/src/dotterelweir_fakes/soak/guarantees.py
@@ -47,6 +47,8 @@
         continued: Whether it continues a run of another target.
         disturbed: Whether a fault may have delayed its end; its overlap with
             the next run is not checked then.
+        stopped: Whether the target stopped it as it was called to.
+        cut_off: Whether the target ended under it.
     """
 
     target_id: str
@@ -54,6 +56,8 @@
     ended_s: float | None = None
     continued: bool = False
     disturbed: bool = False
+    stopped: bool = False
+    cut_off: bool = False
 
 
 @attrs.define
@@ -65,15 +69,19 @@
         whole: Number of complete and correct answers.
         refused: Number of requests that were reported as not run.
         violations: Violated guarantees, one line each.
+        overlaps: Number of runs that started while another target still ran
+            the request.
     """
 
     requests: int = 0
     whole: int = 0
     refused: int = 0
     violations: list[str] = attrs.field(factory=list)
+    overlaps: int = 0
     _runs: dict[str, list[Run]] = attrs.field(factory=dict)
     _reported_not_run: set[str] = attrs.field(factory=set)
     _at_most_once: set[str] = attrs.field(factory=set)
+    _one_at_a_time: set[str] = attrs.field(factory=set)
     # Pauses by target and instance.
     _pauses: dict[tuple[str, str], list[Pause]] = attrs.field(factory=dict)
 
@@ -140,6 +148,10 @@
         """Records that a request may run at most once."""
         self._at_most_once.add(request_id)
 
+    def expect_one_at_a_time(self, request_id: str) -> None:
+        """Records that two targets must not run a request at once."""
+        self._one_at_a_time.add(request_id)
+
     def record_answer(
         self, request_id: str, status: int, body: bytes, expected: bytes
     ) -> None:
@@ -190,6 +202,7 @@
                         f'{target_id}: {pause.sends} requests of {instance} '
                         f'within a pause from {pause.asked_s:.3f}'
                     )
+        one_at_a_time = self._at_most_once | self._one_at_a_time
         for request_id, runs in self._runs.items():
             if request_id in self._reported_not_run:
                 self._add_violation(
@@ -203,7 +216,7 @@
                 self._add_violation(
                     f'{request_id}: ran {len(fresh)} times: {runs_text}'
                 )
-            if request_id in self._at_most_once:
+            if request_id in one_at_a_time:
                 self._check_overlap(request_id, runs)
 
     def _check_overlap(self, request_id: str, runs: list[Run]) -> None:
@@ -211,6 +224,7 @@
             end_s = earlier.ended_s
             overlaps = end_s is None or end_s > later.begun_s + _MAX_OVERLAP_S
             if overlaps and not earlier.disturbed:
+                self.overlaps += 1
                 self._add_violation(
                     f'{request_id}: {later.target_id} started while '
                     f'{earlier.target_id} was still running it'
--- a/fakes/src/dotterelweir_fakes/soak/kept_callers.py
+++ b/fakes/src/dotterelweir_fakes/soak/kept_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Sequence
 import math
 import random
 
@@ -24,6 +25,56 @@
 _STABLE_S = 3.0
 
 
+@attrs.frozen
+class Outcome:
+    """What became of a request.
+
+    Attributes:
+        node: The instance that it was sent to.
+        request: The request.
+        reply: What its caller saw.
+        stopped_s: Monotonic time of the SIGTERM to the process that it was
+            sent to, in seconds; None if there was none.
+        runs: Its runs at engines.
+    """
+
+    node: instances.Instance
+    request: planned_requests.PlannedRequest
+    reply: kept_connections.Reply
+    stopped_s: float | None
+    runs: Sequence[guarantees.Run]
+
+    @property
+    def cut(self) -> losses.Cut:
+        """The end of the request as it is judged if it has no answer."""
+        return losses.Cut(
+            self.reply.sent_s,
+            self.reply.ended_s,
+            self.reply.sent_s + self.request.timeout_s,
+            self.reply.reset,
+            self.stopped_s,
+        )
+
+    def describe(self) -> str:
+        """Describes a lost request; times are seconds after SIGTERM if any."""
+        cut = self.cut
+        base_s = cut.sent_s if cut.stopped_s is None else cut.stopped_s
+        ran = ', '.join(
+            f'{run.target_id} {run.begun_s - base_s:.2f} to '
+            + ('?' if run.ended_s is None else f'{run.ended_s - base_s:.2f}')
+            + ' (stopped)' * run.stopped
+            + ' (cut off)' * run.cut_off
+            for run in self.runs
+        )
+        return (
+            f'{self.request.request_id}: no whole answer from '
+            f'{self.node.name}, stopping: {cut.stopped_s is not None}, '
+            f'sent {cut.sent_s - base_s:.2f}, '
+            f'connection ended {cut.ended_s - base_s:.2f}, '
+            f'reset: {cut.reset}, ran: {ran or "never"}'
+        )
+
+
 @attrs.define
 class Callers:
     """Sends requests and judges what becomes of them.
@@ -178,56 +229,68 @@
         request_id = request.request_id
         self.ledger.requests += 1
         self.behaviours[request_id] = request.behaviour
-        if request.route in ('book', 'guide'):
-            self.ledger.expect_at_most_once(request_id)
+        self._expect_runs(request)
         # The process may be gone when the connection ends.
         process = node.process
         reply = await connection.send(
             request.content, request.timeout_s + 0.3, request.rate_bytes_s
         )
-        body = bytes(reply.body)
-        if reply.complete:
-            self.ledger.record_answer(
-                request_id, reply.status, body, request.expected
-            )
-            self._count_answer(node, request, reply)
-            return reply
-        if reply.status == 200:
-            self.ledger.record_partial_answer(
-                request_id, body, request.expected
-            )
         same = process is node.process
         stopped_s = self.stopped_s.get(node.name) if same else None
-        cut = losses.Cut(
-            reply.sent_s,
-            reply.ended_s,
-            reply.sent_s + request.timeout_s,
-            reply.reset,
-            stopped_s,
-        )
-        # The engine records the end of a run a moment later.
-        await asyncio.sleep(0.05)
+        if not reply.complete:
+            # The engine records the end of a run a moment later.
+            await asyncio.sleep(0.05)
         runs = self.ledger.runs_of(request_id)
-        verdict = cut.judge(runs)
+        self._judge(Outcome(node, request, reply, stopped_s, runs))
+        return reply
+
+    def _expect_runs(self, request: planned_requests.PlannedRequest) -> None:
+        """Records at the ledger how often a request may run."""
+        if request.route in ('book', 'guide'):
+            self.ledger.expect_at_most_once(request.request_id)
+
+    def _judge(self, outcome: Outcome) -> None:
+        """Judges what became of a request."""
+        self._record(outcome)
+        reply = outcome.reply
+        if reply.complete:
+            return
+        node = outcome.node
+        verdict = outcome.cut.judge(outcome.runs)
         lost = verdict is losses.Verdict.LOST
-        planned = stopped_s is not None or self._is_near_reload(node, reply)
-        if lost and self.stalled_s > reply.sent_s - _STABLE_S:
+        planned = outcome.stopped_s is not None
+        planned = planned or self._is_near_reload(node, reply)
+        if lost and self.is_disturbed(reply):
             verdict = losses.Verdict.DISTURBED
         elif lost and not planned:
             verdict = losses.Verdict.UNPLANNED
-            if request.behaviour.pause_after is None:
+            if outcome.request.behaviour.pause_after is None:
                 count = self.unplanned.get(node.name, 0) + 1
                 self.unplanned[node.name] = count
         self.count(verdict.value)
         if lost:
-            text = _describe(node.name, request, cut, runs)
+            text = outcome.describe()
             self.trace(f'{verdict.value}: {text}')
             if verdict is losses.Verdict.LOST:
                 self.ledger.violations.append(text)
-        return reply
 
-    def _count(self, name: str) -> None:
-        self.counts[name] = self.counts.get(name, 0) + 1
+    def _record(self, outcome: Outcome) -> None:
+        """Records what a caller received; counts whole answers."""
+        request, reply = outcome.request, outcome.reply
+        body = bytes(reply.body)
+        if reply.complete:
+            self.ledger.record_answer(
+                request.request_id, reply.status, body, request.expected
+            )
+            self._count_answer(outcome.node, request, reply)
+        elif reply.status == 200:
+            self.ledger.record_partial_answer(
+                request.request_id, body, request.expected
+            )
+
+    def is_disturbed(self, reply: kept_connections.Reply) -> bool:
+        """Whether a delay of the event loop disturbed a request."""
+        return self.stalled_s > reply.sent_s - _STABLE_S
 
     def _is_near_reload(
         self, node: instances.Instance, reply: kept_connections.Reply
@@ -261,24 +324,3 @@
         if self.stopped_s.get(node.name, reply.sent_s) < reply.sent_s:
             outcome += '_while_stopping'
         self.count(outcome)
-
-
-def _describe(
-    name: str,
-    request: planned_requests.PlannedRequest,
-    cut: losses.Cut,
-    runs: list[guarantees.Run],
-) -> str:
-    """Describes a lost request; times are seconds after SIGTERM if any."""
-    base_s = cut.sent_s if cut.stopped_s is None else cut.stopped_s
-    ran = ', '.join(
-        f'{run.target_id} {run.begun_s - base_s:.2f} to '
-        + ('?' if run.ended_s is None else f'{run.ended_s - base_s:.2f}')
-        for run in runs
-    )
-    return (
-        f'{request.request_id}: no whole answer from {name}, stopping: '
-        f'{cut.stopped_s is not None}, sent {cut.sent_s - base_s:.2f}, '
-        f'connection ended {cut.ended_s - base_s:.2f}, '
-        f'reset: {cut.reset}, ran: {ran or "never"}'
-    )
--- a/fakes/src/dotterelweir_fakes/soak/losses.py
+++ b/fakes/src/dotterelweir_fakes/soak/losses.py
@@ -24,12 +24,15 @@
 class Verdict(enum.Enum):
     """What an answer that is missing or incomplete counts as.
 
-    ``Cut.judge`` returns neither of the first two: a delay of the test itself
-    disturbed the request, or there was no planned work.
+    ``Cut.judge`` returns none of the first four: a delay of the test itself
+    disturbed the request, there was no planned work, the run was stopped for
+    a move and did not go on, or its engine ended under it.
     """
 
     DISTURBED = 'disturbed'
     UNPLANNED = 'lost_unplanned'
+    LOST_AFTER_STOP = 'lost_after_stop'
+    ENGINE_ENDED = 'engine_ended'
     OVERDUE = 'overdue'
     CROSSED = 'crossed'
     EXCUSED = 'excused'
--- a/fakes/src/dotterelweir_fakes/soak/planned_requests.py
+++ b/fakes/src/dotterelweir_fakes/soak/planned_requests.py
@@ -8,7 +8,8 @@
 from dotterelweir_fakes.fleet import deployment as fleet
 from dotterelweir_fakes.fleet import engine as fleet_engine
 
-ROUTES = ('book', 'read', 'guide', 'check')
+STREAM_ROUTES = ('guide', 'check')
+ROUTES = ('book', 'read', *STREAM_ROUTES)
 _TOKENS_PER_EVENT = 4
 # Timeouts of plain routes and of streams, in seconds.
 PLAIN_TIMEOUT_S = 4.0
@@ -19,9 +20,17 @@
 _FAR_DEADLINE_MS = 60_000
 
 
-def configuration(version: int) -> dict:
-    """Returns a configuration; each differs from the one before it."""
+def configuration(version: int, backups: bool = True) -> dict:
+    """Returns a configuration; each differs from the one before it.
+
+    Args:
+        version: Its version.
+        backups: Whether engines keep copies of the runs of others.
+    """
     tables = fleet.configuration(version)
+    for service in tables['services']:
+        if 'engine' in service:
+            service['engine']['backups'] = backups
     for route in tables['routes']:
         timeout_s = (
             STREAM_TIMEOUT_S if route['kind'] == 'stream' else PLAIN_TIMEOUT_S
@@ -69,6 +78,7 @@
         tokens_max: Length of the longest answer, in tokens.
         paused_share: Share of streams that their engine interrupts for a
             while, as it does when it preempts a run.
+        pause_s: Range of these times, in seconds.
         made: Number of requests made.
     """
 
@@ -79,6 +89,7 @@
     plain_s: float
     tokens_max: int
     paused_share: float
+    pause_s: tuple[float, float] = _PAUSE_S
     made: int = 0
 
     @classmethod
@@ -129,7 +140,7 @@
         taken_s = behaviour.delay_s + events * behaviour.event_s
         if self.rng.random() < self.paused_share:
             behaviour.pause_after = self.rng.randrange(events)
-            behaviour.pause_s = self.rng.uniform(*_PAUSE_S)
+            behaviour.pause_s = self.rng.uniform(*self.pause_s)
             taken_s += behaviour.pause_s
         longest = round(tokens * self.rng.choice((1.0, 1.2, 3.0)))
         headers = {'X-Token-Usage': f'100,{longest}'}
--- a/fakes/src/dotterelweir_fakes/soak/stops.py
+++ b/fakes/src/dotterelweir_fakes/soak/stops.py
@@ -8,6 +8,7 @@
 import signal
 import sys
 import tempfile
+from typing import ClassVar
 
 from aiohttp import web
 import attrs
@@ -27,9 +28,6 @@
 # Time after SIGHUP or a new configuration during which requests are sent to
 # find what it cuts, in seconds.
 _CHANGE_S = 2.5
-# Callers whose connections are idle until a planned work, for each of them.
-_IDLE_CALLERS = 80
-_CALLERS_PER_INSTANCE = 6
 _TARGETS_PER_SERVICE = 4
 
 
@@ -59,13 +57,22 @@
     _rng: random.Random = attrs.field(init=False)
     _maker: planned_requests.RequestMaker = attrs.field(init=False)
     _version: int = 1
+    # Callers whose connections are idle until a planned work, for each of
+    # them.
+    _idle_callers: ClassVar[int] = 80
+    _callers_per_instance: ClassVar[int] = 6
+    _works: ClassVar[tuple[str, ...]] = ('stop',) * 6 + ('reload', 'configure')
 
     def __attrs_post_init__(self) -> None:
         self._rng = random.Random(self.seed)
-        self._maker = planned_requests.RequestMaker.draw(self.seed)
-        self.callers = kept_callers.Callers(
-            self.ledger, self.nodes, self._trace
-        )
+        self._maker = self._draw_maker()
+        self.callers = self._make_callers()
+
+    def _draw_maker(self) -> planned_requests.RequestMaker:
+        return planned_requests.RequestMaker.draw(self.seed)
+
+    def _make_callers(self) -> kept_callers.Callers:
+        return kept_callers.Callers(self.ledger, self.nodes, self._trace)
 
     async def run(self) -> dict[str, object]:
         """Runs the planned works.
@@ -82,15 +89,11 @@
                     )
                 )
                 for node in self.nodes
-                for number in range(_CALLERS_PER_INSTANCE)
+                for number in range(self._callers_per_instance)
             ]
             callers.append(asyncio.create_task(self.callers.watch_stalls()))
             await asyncio.sleep(_CALM_S)
-            for number in range(self.stop_count):
-                await self._work(
-                    self.nodes[number % len(self.nodes)],
-                    self._maker.fork(f'work-{number}'),
-                )
+            await self._play()
             for caller in callers:
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
@@ -105,22 +108,21 @@
             'violations': self.ledger.violations,
         }
 
+    async def _play(self) -> None:
+        """Does the planned works, one after the other."""
+        for number in range(self.stop_count):
+            await self._work(
+                self.nodes[number % len(self.nodes)],
+                self._maker.fork(f'work-{number}'),
+            )
+
     async def _start(self, stack: contextlib.AsyncExitStack) -> None:
         runner = web.AppRunner(self.store.app, shutdown_timeout=0.1)
         await runner.setup()
         stack.push_async_callback(runner.cleanup)
         await web.TCPSite(runner, '127.0.0.1', 0).start()
         await self._configure()
-        for number in range(_TARGETS_PER_SERVICE):
-            for service in ('model', 'plain'):
-                engine = engines.PlannedEngine(
-                    f'{service}-{number}', self.ledger, self.callers.behaviours
-                )
-                await engine.start()
-                stack.push_async_callback(engine.stop)
-                await self.store.write_json(
-                    'keyed.servers', engine.target_id, engine.entry(service)
-                )
+        await self._start_engines(stack)
         for number in range(1, self.instance_count + 1):
             node = instances.Instance(
                 number,
@@ -133,9 +135,33 @@
             stack.callback(node.send_signal, signal.SIGKILL)
         await asyncio.gather(*(node.wait_ready() for node in self.nodes))
 
+    async def _start_engines(self, stack: contextlib.AsyncExitStack) -> None:
+        for number in range(_TARGETS_PER_SERVICE):
+            for service in ('model', 'plain'):
+                engine = engines.PlannedEngine(
+                    f'{service}-{number}', self.ledger, self.callers.behaviours
+                )
+                await self._start_engine(stack, engine, service)
+
+    async def _start_engine(
+        self,
+        stack: contextlib.AsyncExitStack,
+        engine: engines.PlannedEngine,
+        service: str,
+    ) -> None:
+        """Starts and registers an engine."""
+        await engine.start()
+        stack.push_async_callback(engine.stop)
+        await self.store.write_json(
+            'keyed.servers', engine.target_id, engine.entry(service)
+        )
+
+    def _configuration(self) -> dict:
+        return planned_requests.configuration(self._version)
+
     async def _configure(self) -> None:
         await self.store.write_json(
-            'keyed.op', 'config', planned_requests.configuration(self._version)
+            'keyed.op', 'config', self._configuration()
         )
         self._version += 1
 
@@ -145,7 +171,7 @@
         maker: planned_requests.RequestMaker,
     ) -> None:
         """Does one planned work and the calm time after it."""
-        kind = self._rng.choice(('stop',) * 6 + ('reload', 'configure'))
+        kind = self._rng.choice(self._works)
         duration_s = losses.GRACE_S if kind == 'stop' else _CHANGE_S
         # The process runs until the end of the grace time while a stream
         # does, and only for a few seconds otherwise.
@@ -154,8 +180,8 @@
         start_s = loop.time() + 1.0
         self._trace(f'{kind} of {node.name}, {long_streams} long streams')
         async with asyncio.TaskGroup() as group:
-            for number in range(_IDLE_CALLERS):
-                send_s = start_s + duration_s * number / _IDLE_CALLERS
+            for number in range(self._idle_callers):
+                send_s = start_s + duration_s * number / self._idle_callers
                 group.create_task(
                     self.callers.run_idle_caller(node, maker, send_s)
                 )
--- /dev/null
+++ b/fakes/tests/soak/test_moves.py
@@ -0,0 +1,31 @@
+"""A short test of planned stops while engines leave and pause runs."""
+
+import asyncio
+
+import pytest
+
+from dotterelweir_fakes.soak import moves
+from dotterelweir_fakes.soak import moving_engines
+
+# Copies that queue for a while.
+QUEUED = moving_engines.Setting((0.2, 0.6), False, 0.3, 0.0, False)
+# Copies that take longer than a call, some to an engine without room.
+SLOW = moving_engines.Setting((0.45, 1.35), True, 0.5, 0.3, False)
+
+
+@pytest.mark.parametrize(
+    ('seed', 'setting'), [(3, QUEUED), (5, SLOW)], ids=['queued', 'slow']
+)
+def test_a_stopped_run_goes_on(tmp_path, seed, setting):
+    """Guards against runs that are stopped before their way on is certain.
+
+    The command ``moves`` makes longer runs.
+    """
+    soak = moves.MovesSoak(
+        seed, 0, 3, tmp_path, setting=setting, duration_s=10.0
+    )
+    result = asyncio.run(soak.run())
+    assert result['violations'] == []
+    assert result['stop'] > 0
+    assert result['departures'] > 0
+    assert result['stopped_for_move'] > 0
