--- a/fakes/src/dotterelweir_fakes/fleet/copies.py
+++ b/fakes/src/dotterelweir_fakes/fleet/copies.py
@@ -1,43 +1,15 @@
 """Copies of runs between engines: links, handles, and kept copies."""
 
 import asyncio
+from collections.abc import Callable
+import functools
 import random
-from typing import Protocol
+import typing
 
 import attrs
 
-
-class Holder(Protocol):
-    """What the copies need of an engine.
-
-    Attributes:
-        address: Its host and port.
-        behaviour: How it handles requests.
-    """
-
-    address: str
-    behaviour: 'Limits'
-
-    @property
-    def is_up(self) -> bool:
-        """Whether it listens."""
-
-    def can_move(self, request_id: str) -> bool:
-        """Returns whether it knows a run that can be moved."""
-
-    def events_made(self, request_id: str) -> int:
-        """Returns the id of the last event of a run."""
-
-    def stop_run(self, request_id: str) -> None:
-        """Stops a run; its stream is closed without its end."""
-
-
-class Limits(Protocol):
-    """Fields of the behaviour of an engine that concern copies."""
-
-    copy_s: tuple[float, float]
-    copy_full_share: float
-    copy_slots: int | None
+if typing.TYPE_CHECKING:
+    from dotterelweir_fakes.fleet import engine as fleet_engine
 
 
 @attrs.define
@@ -102,7 +74,7 @@
         # The event loop holds only weak references to tasks.
         self._tasks: set[asyncio.Task] = set()
 
-    def add(self, engine: Holder) -> 'EngineCopies':
+    def add(self, engine: 'fleet_engine.FakeEngine') -> 'EngineCopies':
         """Connects an engine; it is found by its address once it listens."""
         copies = EngineCopies(self, engine)
         self._copies.append(copies)
@@ -143,7 +115,9 @@
         incarnation: Number of times that it has lost its memory.
     """
 
-    def __init__(self, network: CopyNetwork, engine: Holder) -> None:
+    def __init__(
+        self, network: CopyNetwork, engine: 'fleet_engine.FakeEngine'
+    ) -> None:
         self.engine = engine
         self.free_s = 0.0
         self.incarnation = 0
@@ -251,11 +225,9 @@
         duration_s = self._network.rng.uniform(*self.engine.behaviour.copy_s)
         if is_repeated:
             duration_s *= self._network.repeat_share
-        now_s = _now_s()
-        end_s = max(now_s, self.free_s, target.free_s) + duration_s
+        end_s = max(_now_s(), self.free_s, target.free_s) + duration_s
         self.free_s = target.free_s = end_s
-        if end_s > now_s:
-            await asyncio.sleep(end_s - now_s)
+        await _sleep_until(end_s)
         memory.orders -= 1
         memory.expires_s = _now_s() + self._network.handle_s
         key = (self, request_id)
@@ -370,8 +342,7 @@
         if memory is not None and not handles and not memory.orders:
             del self._stopped[request_id]
         for key in list(self._held):
-            if key[0] is not self:
-                self._release_held(key, handle)
+            self._release_held(key, handle)
 
     def _release_held(
         self, key: tuple['EngineCopies', str], handle: str
@@ -385,7 +356,9 @@
 
     # Kept copies.
 
-    def keep(self, request_id: str, backup: str) -> 'EngineCopies | None':
+    def keep(
+        self, request_id: str, backup: str
+    ) -> Callable[[bool], None] | None:
         """Keeps a copy of a run at another engine, up to date from now on.
 
         Args:
@@ -393,28 +366,25 @@
             backup: Address of the other engine.
 
         Returns:
-            The copies of that engine; None if it can't be reached.
+            What to call when no more of the run is sent there, with whether
+            it has ended successfully; None if the engine can't be reached.
         """
         target = self._network.find(backup)
         if target is None or target is self or not target.engine.is_up:
             return None
-        target._kept[request_id] = _Memory(request_id)
-        return target
+        memory = target._kept[request_id] = _Memory(request_id)
+        return functools.partial(target._end_kept, memory)
 
-    def end_kept(self, request_id: str, is_complete: bool) -> None:
-        """Ends a copy that is kept here, as its source sends no more of it.
+    def _end_kept(self, memory: _Memory, is_complete: bool) -> None:
+        memory.expires_s = _now_s() + self._network.handle_s
+        if is_complete and self._kept.get(memory.request_id) is memory:
+            del self._kept[memory.request_id]
 
-        Args:
-            request_id: The request.
-            is_complete: Whether the run has ended successfully.
-        """
-        memory = self._kept.get(request_id)
-        if memory is None:
-            return
-        if is_complete:
-            del self._kept[request_id]
-        else:
-            memory.expires_s = _now_s() + self._network.handle_s
+
+async def _sleep_until(time_s: float) -> None:
+    delay_s = time_s - _now_s()
+    if delay_s > 0:
+        await asyncio.sleep(delay_s)
 
 
 def _now_s() -> float:
--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -192,7 +192,8 @@
         self._transports: set[asyncio.BaseTransport] = set()
         # Connections of streams, by request.
         self._stream_transports: dict[str, asyncio.Transport] = {}
-        self._runs_in_progress = 0
+        # Number of runs and of orders to copy a run that are unanswered.
+        self._work_in_progress = 0
 
     async def start(self, port: int = 0) -> None:
         """Starts to listen on the loopback interface.
@@ -247,16 +248,16 @@
         else:
             while self._is_busy:
                 await asyncio.sleep(_DEPARTURE_POLL_S)
-        connections = self._web_server.connections
         self.crash()
-        for connection in connections:
+        for connection in self._web_server.connections:
             if connection.transport is not None:
-                connection.transport.abort()
+                # Complete responses still arrive.
+                connection.transport.close()
 
     @property
     def _is_busy(self) -> bool:
         is_copying = self.copies is not None and self.copies.is_copying
-        return self._runs_in_progress > 0 or is_copying
+        return is_copying or self._work_in_progress > 0
 
     def can_move(self, request_id: str) -> bool:
         """Returns whether it knows a run that can be moved."""
@@ -344,14 +345,14 @@
         if behaviour.refuse or copy_missing or not self._take_copy(headers):
             return self._add_notices(_refusal(503, request_id))
         self.ran.append(request_id)
-        self._runs_in_progress += 1
+        self._work_in_progress += 1
         try:
             return await self._run(request, headers, body)
         except asyncio.CancelledError:
             self.cancelled.append(request_id)
             raise
         finally:
-            self._runs_in_progress -= 1
+            self._work_in_progress -= 1
 
     def _take_copy(self, headers: dict[str, str]) -> bool:
         """Returns whether the copy that a request names, if any, is here."""
@@ -520,7 +521,7 @@
         stopped = self._stop_events[request_id] = asyncio.Event()
         self._events_made[request_id] = first - 1
         self._stream_transports[request_id] = request.transport
-        backup = None
+        end_kept = None
         is_complete = False
         try:
             for sent, number in enumerate(range(first, behaviour.events + 1)):
@@ -552,8 +553,8 @@
                 if self.copies is None:
                     await asyncio.sleep(behaviour.event_s)
                     continue
-                if backup is None and 'x-kv-backup' in headers:
-                    backup = self.copies.keep(
+                if end_kept is None and 'x-kv-backup' in headers:
+                    end_kept = self.copies.keep(
                         request_id, headers['x-kv-backup']
                     )
                 await _wait(stopped, behaviour.event_s)
@@ -562,11 +563,13 @@
                 raise ConnectionResetError
             is_complete = True
         finally:
-            self._stop_events.pop(request_id, None)
-            self._events_made.pop(request_id, None)
-            self._stream_transports.pop(request_id, None)
-            if backup is not None:
-                backup.end_kept(request_id, is_complete)
+            # The request may run here again by now.
+            if self._stop_events.get(request_id) is stopped:
+                del self._stop_events[request_id]
+                del self._events_made[request_id]
+                del self._stream_transports[request_id]
+            if end_kept is not None:
+                end_kept(is_complete)
         await response.write_eof()
         return response
 
@@ -629,11 +632,15 @@
 
     async def _copy(self, order: dict) -> web.Response:
         """Copies a run to another engine of the network."""
-        answer = await self.copies.move(
-            order['id'], order['to'], order['last']
-        )
-        if order['last']:
-            await asyncio.sleep(self.behaviour.final_move_s)
+        self._work_in_progress += 1
+        try:
+            answer = await self.copies.move(
+                order['id'], order['to'], order['last']
+            )
+            if order['last']:
+                await asyncio.sleep(self.behaviour.final_move_s)
+        finally:
+            self._work_in_progress -= 1
         if not answer.handle:
             return web.Response(status=answer.status)
         body = {'handle': answer.handle}
--- a/fakes/src/dotterelweir_fakes/soak/engines.py
+++ b/fakes/src/dotterelweir_fakes/soak/engines.py
@@ -66,8 +66,9 @@
         self, request: web.BaseRequest, headers: dict[str, str], body: bytes
     ) -> web.StreamResponse:
         loop = asyncio.get_running_loop()
+        request_id = headers.get('x-attempt-id', '')
         run = self._ledger.begin_run(
-            headers.get('x-attempt-id', ''),
+            request_id,
             self.target_id,
             'kv-from' in headers or 'last-event-id' in headers,
             loop.time(),
@@ -78,7 +79,8 @@
                 await self._begin_and_end(request, headers)
             return await super()._run(request, headers, body)
         except asyncio.CancelledError:
-            if self.behaviour.keeps_running:
+            stopped_s = self.stopped_runs.get(request_id, 0.0)
+            if self.behaviour.keeps_running and stopped_s < run.begun_s:
                 # It works on to its end, as nothing has stopped the run.
                 await asyncio.sleep(self.behaviour.pause_s)
             raise
