Test a departure beside a copy that no caller awaits

An engine that left as soon as its calls were answered would have lost a copy whose caller had given up, and no test failed.

--- a/fakes/tests/fleet/test_copies.py
+++ b/fakes/tests/fleet/test_copies.py
@@ -661,6 +661,23 @@
         assert b.copies.slots_used == 1
 
 
+async def test_departure_after_a_copy_without_its_caller(rig, gate):
+    """Guards against a departure that ends a copy that no caller awaits."""
+    a, b, _ = rig.engines
+    run = await rig.begin(a)
+    order = rig.spawn(rig.move(a, b.address, last=True))
+    assert await run == (200, False)
+    await wait_for(lambda: b.copies.slots_used)
+    order.cancel()
+    await wait_for(lambda: not a._work_in_progress)
+    departure = rig.spawn(a.depart(None))
+    assert (await rig.move(a, b.address, last=True))[0] == 409
+    assert not departure.done()
+    gate.set()
+    await departure
+    assert await rig.is_taken(b, a, 'h1')
+
+
 async def test_departed_engine_closes_idle_connections(rig):
     """Guards against an engine that answers on kept connections when gone."""
     a, _, _ = rig.engines
