Judge stopped runs that did not go on before their deadline

The soak counted a stream as overdue if its deadline came, also if its run had been stopped and went on nowhere: a gateway that holds a lost stream until its deadline would have passed. Such a stream is lost now.

--- a/fakes/src/dotterelweir_fakes/fleet/copies.py
+++ b/fakes/src/dotterelweir_fakes/fleet/copies.py
@@ -94,6 +94,11 @@
                 return copies
         return None
 
+    @property
+    def order_count(self) -> int:
+        """Number of orders to copy a run that began."""
+        return self._handles
+
     def new_handle(self) -> str:
         """Returns a handle that no other order has received."""
         self._handles += 1
--- a/fakes/src/dotterelweir_fakes/soak/moved_streams.py
+++ b/fakes/src/dotterelweir_fakes/soak/moved_streams.py
@@ -30,7 +30,12 @@
         failed: Whether it has a whole answer of another status than 200.
     """
     verdict = cut.judge(runs)
-    if verdict is losses.Verdict.OVERDUE or not runs:
+    if not runs:
+        return verdict
+    if verdict is losses.Verdict.OVERDUE:
+        # A deadline excuses no run that was stopped and did not go on.
+        if runs[-1].stopped:
+            return losses.Verdict.LOST_AFTER_STOP
         return verdict
     if runs[-1].cut_off and not runs[-1].stopped:
         return losses.Verdict.ENGINE_ENDED
--- a/fakes/src/dotterelweir_fakes/soak/moves.py
+++ b/fakes/src/dotterelweir_fakes/soak/moves.py
@@ -89,6 +89,7 @@
         counts.setdefault('stopped_for_move', 0)
         result = await super().run()
         result['overlaps'] = self.ledger.overlaps
+        result['copy_orders'] = self.network.order_count
         return {**attrs.asdict(self.setting), **result}
 
     async def _start_engines(self, stack: contextlib.AsyncExitStack) -> None:
--- a/fakes/tests/soak/test_moved_streams.py
+++ b/fakes/tests/soak/test_moved_streams.py
@@ -76,6 +76,13 @@
 
 def test_a_stream_may_be_overdue():
     """Guards against blaming a gateway for a deadline."""
-    runs = [run(10.0, 12.0, stopped=True)]
+    runs = [run(10.0, 12.0, stopped=True), run(12.1, 12.5)]
     verdict = moved_streams.judge(cut(12.5, due_s=12.5), runs)
     assert verdict is losses.Verdict.OVERDUE
+
+
+def test_a_deadline_excuses_no_run_that_did_not_go_on():
+    """Guards against runs lost in a stop that is held until the deadline."""
+    runs = [run(10.0, 12.0, stopped=True)]
+    verdict = moved_streams.judge(cut(12.5, due_s=12.5), runs)
+    assert verdict is losses.Verdict.LOST_AFTER_STOP
