Stop a run only once its way on is certain

Cause: a step that can't be taken back was begun before it was known whether the next one is possible, and what was known of the run was spread over four places that each forgot it. - A stream that was silent for 1 s was stopped before any copy existed, and the call was given up after 0.4 s.

What changes: one record for each run (RunRecord) holds what its engine was called and answered; only an answer or the end of the engine settles it. A call is never given up before the deadline of the request, and is made again while it is not answered. A run is copied first and goes on meanwhile, for silence as for departures. It is stopped only if the copy is there, the reason still holds, destination, retry, deadline and exit of the process leave a way, and the request is not blocked. Retries are kept for it before the stop. After the stop each copy, and the memory at the source if the source confirmed the stop, are ways on; a run without a retry waits for one. A run is stopped for silence only once.

Handover.is_confirmed is gone: a source is a way on only if it confirmed a stop, or has no such run after a call of ours that it did not answer.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -309,6 +309,20 @@
     'run; `calls` are the calls about the run, in order, with the time since '
     'each of them, and `reason` is the step that failed.',
 )
+RUN_KEPT = _event(
+    248,
+    'run-kept',
+    logging.INFO,
+    'A run is not stopped for a move, as the way on is not certain; `reason` '
+    'is what stands against it, and the run goes on at its engine.',
+)
+RUN_STOPPING = _event(
+    249,
+    'run-stopping',
+    logging.INFO,
+    'An engine is called to stop a run, whose copy is complete; `copy_s` is '
+    'the time that it took, `left_s` the time to the deadline.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -194,6 +194,43 @@
             retry_after_s=stopping.RETRY_AFTER_S,
         )
 
+    def has_retries(self, exchange: exchanges.Exchange, count: int) -> bool:
+        """Whether retries are left for a run that is lost without them."""
+        budget = self.budgets.for_service(exchange.service.name)
+        return budget.has_retry(
+            self.timers.monotonic_s(), urgent=True, count=count
+        )
+
+    def reserve_retries(
+        self, exchange: exchanges.Exchange, count: int
+    ) -> None:
+        """Keeps retries of the budget for a run that is about to stop."""
+        self.budgets.for_service(exchange.service.name).reserve(count)
+        exchange.reserved_retries += count
+
+    def release_retries(self, exchange: exchanges.Exchange) -> None:
+        """Gives up the retries that were kept for a request."""
+        budget = self.budgets.for_service(exchange.service.name)
+        budget.cancel_reserved(exchange.reserved_retries)
+        exchange.reserved_retries = 0
+
+    def take_retry(self, exchange: exchanges.Exchange, urgent: bool) -> bool:
+        """Takes a retry that was kept for a request, or any other one.
+
+        Args:
+            exchange: The request.
+            urgent: Whether the request is lost without the retry.
+
+        Returns:
+            Whether there was one.
+        """
+        service, now_s = exchange.service.name, self.timers.monotonic_s()
+        if exchange.reserved_retries:
+            exchange.reserved_retries -= 1
+            self.budgets.take_reserved(service, now_s)
+            return True
+        return self.budgets.take(service, now_s, urgent)
+
     def is_paused(self, target: targets.Target) -> bool:
         """Whether a target must not be sent requests now."""
         return self.placer.pause_registry.is_paused(
@@ -218,12 +255,19 @@
         """
         if self.is_paused(target):
             return 'paused'
+        return 'leaving' if self.has_left(target, resumes) else None
+
+    def has_left(self, target: targets.Target, resumes: bool) -> bool:
+        """Whether a target accepts no request any more, as it leaves.
+
+        Args:
+            target: The target.
+            resumes: Whether the target has a copy of a run.
+        """
         if self.directory.takes_work(target.target_id):
-            return None
+            return False
         left_s = self.departure_times.elapsed_s(target.target_id)
-        if resumes and left_s <= _RESUME_AFTER_DEPARTURE_S:
-            return None
-        return 'leaving'
+        return not (resumes and left_s <= _RESUME_AFTER_DEPARTURE_S)
 
     def accepts_work(self, target: targets.Target) -> bool:
         """Whether a target is ready and not paused."""
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -48,6 +48,9 @@
             to a target once all the same.
         longest_pause_s: Longest pause between two writes to the caller, in
             seconds.
+        silence_moves: Number of runs of the request that were stopped because
+            of silence.
+        reserved_retries: Retries kept for a run that was called to stop.
         run_calls: Calls to engines about runs of the request, in order.
     """
 
@@ -67,6 +70,8 @@
     longest_pause_s: float = 0.0
     trial: bool = False
     prompt_trial: bool = False
+    silence_moves: int = 0
+    reserved_retries: int = 0
     run_calls: list['RunCall'] = attrs.field(factory=list)
 
     @property
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -6,6 +6,8 @@
 before the new one starts.
 """
 
+import asyncio
+from collections.abc import Sequence
 import logging
 
 from aiohttp import web
@@ -13,6 +15,7 @@
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core.gateway import targets
+from dotterelweird import timers
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import caller_stream
 from dotterelweird.gateway import dependencies
@@ -22,12 +25,19 @@
 from dotterelweird.gateway import pausing
 from dotterelweird.gateway import refusing
 from dotterelweird.gateway import rooms
+from dotterelweird.gateway import run_record
 
 LOG = logging.getLogger(__name__)
 
 # Maximum number of targets to which one request is sent before it is given up,
 # whether they ran it or not.
 _TARGETS_MAX = 6
+# Maximum number of sends to an engine that has a copy and is not reached.
+_UNSENT_MAX = 3
+# Delay before such an engine is sent a run again, in seconds.
+_RESEND_DELAY_S = 0.1
+# Time between two looks at an empty retry budget, in seconds.
+_RETRY_CHECK_S = 0.1
 # Number of calls about a run in a line of the log; the newest are kept.
 _CALLS_LOGGED_MAX = 12
 
@@ -54,6 +64,8 @@
         )
         # Whether it continued elsewhere before its first event.
         self._moved_before_start = False
+        # Sends that did not reach an engine with a copy, by its id.
+        self._unsent: dict[str, int] = {}
 
     async def forward(self) -> web.StreamResponse | exchanges.Answered:
         """Forwards the generation until it ends or is given up.
@@ -74,6 +86,17 @@
         )
         self._check_blocks()
         await rooms.wait_for_admission(self._parts, exchange)
+        try:
+            return await self._forward_runs()
+        finally:
+            self._parts.release_retries(exchange)
+
+    async def _forward_runs(
+        self,
+    ) -> web.StreamResponse | exchanges.Answered:
+        """Forwards one run after the other until one ends the generation."""
+        exchange, budgets = self._exchange, self._parts.budgets
+        service = exchange.service.name
         run = await self._place()
         last_outcome: exchanges.StreamOutcome | None = None
         while run is not None:
@@ -93,20 +116,22 @@
                 run = await self._next_run(link, run, last_outcome)
             except caller_stream.CallerLostError as exc:
                 raise GenerationLost from exc
+            except asyncio.CancelledError:
+                if self._parts.stop_plan.closing and link.may_have_stopped:
+                    self._report_lost_run('process exits')
+                raise
             finally:
                 link.close()
-            now_s = self._parts.timers.monotonic_s()
+            if self._parts.timers.monotonic_s() >= exchange.deadline_s:
+                self._report_lost_run('deadline')
+                break
             if run is None:
                 self._report_lost_run('no engine continues it')
                 break
-            if now_s >= exchange.deadline_s:
-                self._report_lost_run('deadline')
-                break
             reached_target = not isinstance(
                 last_outcome, exchanges.NeverSent | exchanges.Withheld
             )
-            urgent = run.copy is not None
-            if reached_target and not budgets.take(service, now_s, urgent):
+            if reached_target and not await self._take_retry(run):
                 events.log(
                     LOG,
                     events.REPEAT_BUDGET_EMPTY,
@@ -119,6 +144,25 @@
                 break
         return self._give_up(last_outcome)
 
+    async def _take_retry(self, run: links.RunPlacement) -> bool:
+        """Takes a retry; a run that is lost without it waits for one.
+
+        Args:
+            run: The run that is about to be sent.
+
+        Returns:
+            Whether there was one before the deadline.
+        """
+        parts, exchange = self._parts, self._exchange
+        if run.copy is None:
+            return parts.take_retry(exchange, urgent=False)
+        while not parts.take_retry(exchange, urgent=True):
+            left_s = exchange.deadline_s - parts.timers.monotonic_s()
+            if left_s <= _RETRY_CHECK_S:
+                return False
+            await timers.sleep(parts.timers, _RETRY_CHECK_S)
+        return True
+
     def _report_lost_run(self, reason: str) -> None:
         """Records a stream that is lost after a call to stop its run.
 
@@ -156,6 +200,7 @@
         """
         error = self._parts.request_guard.find_error(self._exchange)
         if error is not None:
+            self._report_lost_run('request blocked')
             raise GenerationLost if self._stream.started else error
         if self._stream.started:
             return
@@ -313,9 +358,9 @@
                 | exchanges.NotRun()
             ):
                 if run.copy is not None:
-                    returned = await self._return_to_source(run)
-                    if returned is not None:
-                        return returned
+                    other = await self._choose_other_way(run, last_outcome)
+                    if other is not None:
+                        return other
                     # Without the copy, only a resumable route may start again.
                     return await self._restart()
                 return await self._place()
@@ -353,62 +398,97 @@
                 events.COPY_NOT_USED,
                 request_id=self._exchange.request.request_id,
                 source=run.target.target_id,
-                target_id=found.target.target_id,
+                target_id=found.ways[0].target.target_id,
             )
             return None
         self._moved_before_start = not self._stream.started
-        if not await pausing.wait_for_target(
-            self._parts, self._exchange, found.target
-        ):
+        way = await pausing.choose_way(self._parts, self._exchange, found.ways)
+        if way is None:
             return None
         self._parts.statistics.recoveries.inc({'way': found.way.name.lower()})
-        events.log(
-            LOG,
-            events.GENERATION_CARRIED_OVER,
-            request_id=self._exchange.request.request_id,
-            source=run.target.target_id,
-            target_id=found.target.target_id,
-            way=found.way.value,
-            reason=last_outcome.reason,
-            last_event_id=self._stream.cursor.last_id,
-        )
-        return links.RunPlacement(
-            found.target,
-            self._choose_backup(found.target),
-            found.copy,
-            run.target if found.is_confirmed else None,
-        )
+        self._log_continuation(run, way, found.way.value, last_outcome.reason)
+        return self._place_at(way, found.ways)
 
-    async def _return_to_source(
-        self, run: links.RunPlacement
+    async def _choose_other_way(
+        self,
+        run: links.RunPlacement,
+        last_outcome: exchanges.NeverSent
+        | exchanges.Withheld
+        | exchanges.NotRun,
     ) -> links.RunPlacement | None:
-        """Lets a run that no engine took over continue where it was stopped.
+        """Lets a run that an engine did not take continue elsewhere.
+
+        Also at the engine that stopped it and keeps its memory. A refusal is
+        final, as it shows that the engine has no such copy.
 
         Returns:
-            The run; None if its engine does not keep its memory, or does not
-            accept it in time.
+            The run; None if no engine is left that accepts it in time.
         """
-        source = run.source
-        if source is None or source.target_id == run.target.target_id:
-            return None
-        if not await pausing.wait_for_target(
-            self._parts, self._exchange, source
-        ):
+        ways = list(run.others)
+        target_id = run.target.target_id
+        if not isinstance(last_outcome, exchanges.NotRun):
+            self._unsent[target_id] = self._unsent.get(target_id, 0) + 1
+            if self._unsent[target_id] < _UNSENT_MAX:
+                ways.append(run_record.Way(run.target, run.copy))
+                if not run.others:
+                    await timers.sleep(self._parts.timers, _RESEND_DELAY_S)
+        way = await pausing.choose_way(self._parts, self._exchange, ways)
+        if way is None:
             return None
         self._parts.statistics.recoveries.inc({'way': 'returned'})
+        self._log_continuation(
+            run,
+            way,
+            'returned to its engine'
+            if way.copy.address == way.target.address
+            else 'another engine with a copy',
+            f'not taken over by {target_id}',
+        )
+        return self._place_at(way, ways)
+
+    def _place_at(
+        self,
+        way: run_record.Way,
+        ways: Sequence[run_record.Way],
+    ) -> links.RunPlacement:
+        """Returns the placement of a run that continues.
+
+        Args:
+            way: Where it continues.
+            ways: All engines where it can continue.
+        """
+        return links.RunPlacement(
+            way.target,
+            self._choose_backup(way.target),
+            way.copy,
+            tuple(other for other in ways if other != way),
+        )
+
+    def _log_continuation(
+        self,
+        run: links.RunPlacement,
+        way: run_record.Way,
+        origin: str,
+        reason: str,
+    ) -> None:
+        """Records that a run continues from a copy.
+
+        Args:
+            run: The placement before.
+            way: Where it continues.
+            origin: Origin of the copy.
+            reason: Why it does not go on where it was.
+        """
         events.log(
             LOG,
             events.GENERATION_CARRIED_OVER,
             request_id=self._exchange.request.request_id,
-            source=source.target_id,
-            target_id=source.target_id,
-            way='returned to its engine',
-            reason=f'not taken over by {run.target.target_id}',
+            source=run.target.target_id,
+            target_id=way.target.target_id,
+            way=origin,
+            reason=reason,
             last_event_id=self._stream.cursor.last_id,
         )
-        return links.RunPlacement(
-            source, self._choose_backup(source), run.copy
-        )
 
     async def _restart(self) -> links.RunPlacement | None:
         exchange = self._exchange
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -12,9 +12,11 @@
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import caller_stream
 from dotterelweird.gateway import dependencies
-from dotterelweird.gateway import evacuation
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import handover
+from dotterelweird.gateway import move_calls
+from dotterelweird.gateway import moving
+from dotterelweird.gateway import run_record
 from dotterelweird.gateway import target_client
 
 # Silence within a stream after which its engine is called to stop the run, in
@@ -40,14 +42,13 @@
         backup: The engine that keeps a backup of its memory, if any.
         copy: The copy from which it continues; None if it starts from the
             beginning.
-        source: The engine that made the copy and stopped the run, if it
-            keeps its memory; the run may also continue there.
+        others: Where the run may continue instead, in order of preference.
     """
 
     target: targets.Target
     backup: targets.Target | None = None
     copy: api.RunCopy | None = None
-    source: targets.Target | None = None
+    others: tuple[run_record.Way, ...] = ()
 
 
 class Link:
@@ -76,16 +77,20 @@
         self._stream = stream
         self._run = run
         self._load = parts.loads.get(run.target.target_id)
-        self._evacuation: evacuation.Evacuation | None = None
+        self._record = run_record.RunRecord(
+            run.target, exchange.request.request_id
+        )
+        self._calls = move_calls.MoveCalls(parts, exchange, self._record)
+        self._move: moving.RunMove | None = None
         # Monotonic time of the send; None if other prompts were queued for
         # their prefill, as the rate cannot be measured then.
         self._prefill_start_s: float | None = None
-        # Where the generation continues, once its source was stopped because
-        # of silence.
+        # Whether the engine is silent and accepts no connection.
+        self._source_lost = False
+        # Timeout of the read in progress, which that ends at once.
+        self._read_timeout: asyncio.Timeout | None = None
+        self._progress_s = parts.timers.monotonic_s()
         self._handover: handover.Handover | None = None
-        # Whether the engine may have stopped the run on a call that it did
-        # not confirm.
-        self._stop_unconfirmed = False
         self._sent_s = parts.timers.monotonic_s()
         self._delivered_before = stream.cursor.delivered
         self.head_s: float | None = None
@@ -114,7 +119,13 @@
     @property
     def evacuated(self) -> bool:
         """Whether a move of the run off a draining engine was started."""
-        return self._evacuation is not None
+        return self._record.leaving
+
+    @property
+    def may_have_stopped(self) -> bool:
+        """Whether the run may have stopped at its engine."""
+        state = self._record.state
+        return state is not run_record.SourceState.RUNNING
 
     async def follow(self) -> exchanges.StreamOutcome:
         """Sends the request and passes its events to the caller."""
@@ -139,27 +150,33 @@
     async def find_handover(self) -> handover.Handover | None:
         """Finds where the interrupted run continues.
 
-        Stops the run at its engine first, unless a move or a silent link has
-        led to a handover already.
+        The run must have stopped at its engine first.
 
         Returns:
             The handover, or None without a copy to continue from.
         """
-        if self._handover is not None:
-            return self._handover
-        if self._evacuation is not None:
-            # A run has no backup while it is moved.
-            return await self._evacuation.result()
-        if self._run.backup is None:
-            return None
-        return await handover.stop_source(
-            self._parts, self._exchange, self._run.target, self._run.backup
-        )
+        record = self._record
+        if self._run.backup is not None:
+            record.backup = self._backup_way(self._run.backup)
+        record.link_ended.set()
+        if self._move is not None:
+            await self._move.settle()
+        elif record.backup is not None and not record.is_settled:
+            await self._calls.stop(record.backup.target)
+        self._handover = handover.find(record)
+        if self._handover is None and record.destination is not None:
+            move_calls.report_unsettled(self._parts, record)
+        return self._handover
+
+    def _backup_way(self, backup: targets.Target) -> run_record.Way:
+        request_id = self._exchange.request.request_id
+        return run_record.Way(backup, api.RunCopy(backup.address, request_id))
 
     def close(self) -> None:
-        """Ends a move in progress."""
-        if self._evacuation is not None:
-            self._evacuation.close()
+        """Ends a move in progress and frees copies that are not used."""
+        if self._move is not None:
+            self._move.close()
+        self._calls.close(self._handover.ways if self._handover else ())
 
     def _handle_target_change(self, change: targets.TargetChange) -> None:
         """Reacts if the engine of the run or its backup drains or is lost."""
@@ -171,22 +188,65 @@
         backup = self._run.backup
         if backup is not None and change.target_id == backup.target_id:
             self._run.backup = None
-        self._evacuate_if_needed()
+        if self._find_move_reason() is not None:
+            self._start_move()
+
+    def _find_move_reason(self) -> tuple[moving.Reason, float] | None:
+        """Returns why the run is to be moved, if it is.
 
-    def _evacuate_if_needed(self) -> None:
-        """Starts to move a run off a draining engine if it has no backup."""
+        Returns:
+            The reason, and the time since the last event, in seconds. A run
+            whose memory another engine keeps is not moved off an engine that
+            leaves.
+        """
+        if self._exchange.route.resumable or not self._stream.started:
+            return None
+        silent_s = self._parts.timers.monotonic_s() - self._progress_s
+        body = self._answer_body
+        if body is not None and target_client.unread(body):
+            silent_s = 0.0
+        leaves = not self._parts.directory.takes_work(
+            self._run.target.target_id
+        )
         engine = self._exchange.service.engine
-        if engine is None or not engine.can_move:
+        movable = engine is not None and engine.can_move
+        if leaves and self._run.backup is None and movable:
+            return moving.Reason.LEAVING, silent_s
+        if silent_s >= _SILENCE_TIMEOUT_S:
+            return moving.Reason.SILENT, silent_s
+        return None
+
+    def _start_move(self) -> None:
+        """Starts to move the run, unless a move is in progress."""
+        if self._exchange.service.engine is None:
             return
-        if self._evacuation is not None or self._run.backup is not None:
+        if self._move is not None and not self._move.ended:
             return
-        if self._exchange.route.resumable or not self._stream.started:
+        self._record.backup = None
+        if self._run.backup is not None:
+            self._record.backup = self._backup_way(self._run.backup)
+        self._move = moving.RunMove(
+            self._parts,
+            self._exchange,
+            self._record,
+            self._calls,
+            self._find_move_reason,
+            self._handle_lost_source,
+        )
+
+    def _handle_lost_source(self) -> None:
+        """Ends the link if another engine has a copy and is alive."""
+        backup = self._run.backup
+        now_s = self._parts.timers.monotonic_s()
+        if backup is None or not self._is_alive(backup):
+            # The connection to a partitioned zone may recover.
             return
-        if self._parts.directory.takes_work(self._run.target.target_id):
+        if now_s - self._load.last_event_s <= move_calls.HEARD_S:
             return
-        self._evacuation = evacuation.Evacuation(
-            self._parts, self._exchange, self._run.target
-        )
+        self._record.report_source_lost()
+        self._source_lost = True
+        if self._read_timeout is not None:
+            self._read_timeout.reschedule(0.0)
 
     async def _send_and_pass_events(
         self, prefill: attempts.PendingPrefill
@@ -260,11 +320,13 @@
             done, _ = await asyncio.wait({sending}, timeout=wait_s)
             if done:
                 return None
+            if self._source_lost:
+                return exchanges.Interrupted('silence', silent=True)
             if left_s <= silence_timeout_s:
                 return exchanges.TimedOut()
             if self._was_paused(due_s):
                 continue
-            interrupted = await self._handle_silence()
+            interrupted = self._handle_silence()
             if interrupted is not None:
                 return interrupted
 
@@ -285,24 +347,31 @@
         waiting_for_first = True
         # Bytes that complete no event are no progress: an engine that sends
         # a byte now and then has stalled as much as a silent one.
-        last_progress_s = self._parts.timers.monotonic_s()
+        self._progress_s = checked_s = self._parts.timers.monotonic_s()
         while True:
             now_s = self._parts.timers.monotonic_s()
             left_s = self._time_left_s()
-            wait_s = last_progress_s + silence_timeout_s - now_s
+            wait_s = checked_s + silence_timeout_s - now_s
             due_s = now_s + min(left_s, wait_s)
             try:
-                async with asyncio.timeout(due_s - now_s):
+                async with asyncio.timeout(due_s - now_s) as read_timeout:
+                    self._read_timeout = read_timeout
                     chunk = await answer.content.readany()
             except TimeoutError:
+                if self._source_lost:
+                    return exchanges.Interrupted('silence', silent=True)
                 if left_s <= wait_s:
                     return exchanges.TimedOut()
-                if not self._was_paused(due_s):
-                    interrupted = await self._handle_silence()
-                    if interrupted is not None:
-                        return interrupted
-                last_progress_s = self._parts.timers.monotonic_s()
+                checked_s = self._parts.timers.monotonic_s()
+                if self._was_paused(due_s):
+                    self._progress_s = checked_s
+                    continue
+                interrupted = self._handle_silence()
+                if interrupted is not None:
+                    return interrupted
                 continue
+            finally:
+                self._read_timeout = None
             if not chunk:
                 break
             event_bytes = cursor.feed(chunk)
@@ -313,26 +382,38 @@
             if waiting_for_first:
                 waiting_for_first = False
                 silence_timeout_s = _SILENCE_TIMEOUT_S
-                prefill.end()
-                self._parts.loads.notify()
-                self._parts.prompt_guard.report_sound(self._exchange)
-                self._record_prefill_rate()
-                # The engine may have started to drain before the first event.
-                self._evacuate_if_needed()
+                self._handle_first_event(prefill)
             await self._stream.write(event_bytes)
             # Time spent on a slow caller is no silence of the engine.
-            last_progress_s = self._parts.timers.monotonic_s()
-        if not cursor.at_boundary:
+            self._progress_s = checked_s = self._parts.timers.monotonic_s()
+        return await self._classify_end(answer, facts)
+
+    def _handle_first_event(self, prefill: attempts.PendingPrefill) -> None:
+        prefill.end()
+        self._parts.loads.notify()
+        self._parts.prompt_guard.report_sound(self._exchange)
+        self._record_prefill_rate()
+        # The run goes on: retries kept for other ways are not needed.
+        self._parts.release_retries(self._exchange)
+        self._progress_s = self._parts.timers.monotonic_s()
+        # The engine may have started to drain before the first event.
+        if self._find_move_reason() is not None:
+            self._start_move()
+
+    async def _classify_end(
+        self, answer: aiohttp.ClientResponse, facts: api.AnswerFacts
+    ) -> exchanges.StreamOutcome:
+        """Returns the outcome of a stream that ended without an error."""
+        if not self._stream.cursor.at_boundary:
             return exchanges.Interrupted('ended within an event')
-        if not self._stream.started and _ends_with_connection(answer):
+        unframed = _ends_with_connection(answer)
+        if not self._stream.started and unframed:
             return exchanges.Interrupted('closed before the first event')
-        if self._stop_unconfirmed and _ends_with_connection(answer):
-            return exchanges.Interrupted('closed after a call to stop')
-        if self._evacuation is not None:
-            if await self._evacuation.has_stopped_source():
-                return exchanges.Interrupted('moved')
-            if self._evacuation.stop_called and _ends_with_connection(answer):
+        if self._move is not None:
+            if self._move.stop_called and unframed:
                 return exchanges.Interrupted('closed after a call to stop')
+            if await self._move.has_stopped_source():
+                return exchanges.Interrupted('moved')
         await self._stream.begin(facts.headers)
         return exchanges.Complete()
 
@@ -345,48 +426,24 @@
             self._exchange.demand.prompt_tokens, now_s - self._prefill_start_s
         )
 
-    async def _handle_silence(self) -> exchanges.Interrupted | None:
+    def _handle_silence(self) -> exchanges.Interrupted | None:
         """Decides whether a silent link ends.
 
-        Stops the run at its engine if it can continue at another one.
+        A run that may not be repeated is only moved, which leaves it at its
+        engine until the way on is certain.
 
         Returns:
             Why the generation must continue elsewhere; None to keep waiting.
         """
-        parts, exchange, run = self._parts, self._exchange, self._run
         if not self._may_continue_elsewhere():
             return None
-        if exchange.route.resumable:
-            if self._is_alive(run.target):
+        if self._exchange.route.resumable:
+            if self._is_alive(self._run.target):
                 return None
             return exchanges.Interrupted('silence', silent=True)
-        if not self._stream.started or self._evacuation is not None:
-            return None
-        if parts.is_paused(run.target):
-            # Events may follow while the stop would wait for the pause.
-            return None
-        destination = run.backup or parts.choose_takeover_target(
-            exchange, run.target
-        )
-        if destination is None:
-            return None
-        found = await handover.stop_source(
-            parts, exchange, run.target, destination, link_ended=False
-        )
-        if found is None:
-            self._stop_unconfirmed = True
-            return None
-        match found.way:
-            case handover.HandoverWay.BACKUP:
-                # The engine may resume the run, see ``MoveResult.NO_RUN``.
-                return None
-            case handover.HandoverWay.BACKUP_UNREACHED:
-                # The connection to a partitioned zone may recover.
-                if run.backup is None or not self._is_alive(found.target):
-                    self._stop_unconfirmed = True
-                    return None
-        self._handover = found
-        return exchanges.Interrupted('silence', silent=True)
+        if self._find_move_reason() is not None:
+            self._start_move()
+        return None
 
     def _was_paused(self, due_s: float) -> bool:
         """Whether this process was paused while it waited for an engine.
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -0,0 +1,269 @@
+"""Calls to an engine that copy or stop one of its runs."""
+
+import asyncio
+import logging
+
+from dotterelweir_core import events
+from dotterelweir_core.gateway import targets
+from dotterelweird.gateway import api
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import pausing
+from dotterelweird.gateway import run_record
+
+LOG = logging.getLogger(__name__)
+
+# Time without an answer after which an engine is called again, in seconds.
+# The answer may have been lost; an engine that still copies says so.
+_REPEAT_DELAY_S = 2.5
+# The same once the link has ended: an engine that has stopped the run says
+# that it has no such run, whatever its copy waits for.
+_REPEAT_DELAY_ENDED_S = 0.4
+# Time after the end of the link within which the answer to a call in progress
+# saves a further call, in seconds. Both may arrive at the same moment.
+_ANSWER_GRACE_S = 0.02
+# Delay of a call after one that settled nothing, in seconds.
+_RETRY_DELAY_S = 0.1
+# Maximum number of calls about one run that are not answered yet.
+_OPEN_CALLS_MAX = 3
+# Time since the last event of any stream within which an engine that accepts
+# no connection counts as working, in seconds; shorter than the timeout of a
+# connection.
+HEARD_S = 0.1
+
+
+class MoveCalls:
+    """Calls the engine of one run and keeps each call until its answer.
+
+    Whoever gives up a call first loses the handle in its answer. No call is
+    cancelled, as it takes effect at the engine all the same: it ends with its
+    answer or at the deadline of the request.
+
+    Args:
+        parts: Dependencies shared by all requests.
+        exchange: The request.
+        record: Record of the run.
+    """
+
+    def __init__(
+        self,
+        parts: dependencies.Forwarding,
+        exchange: exchanges.Exchange,
+        record: run_record.RunRecord,
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._record = record
+        self._open_copies: set[asyncio.Task] = set()
+        self._open_stops: set[asyncio.Task] = set()
+        # Handles of copies that are not freed; None while all may be needed.
+        self._used_handles: set[str] | None = None
+
+    @property
+    def copying(self) -> bool:
+        """Whether a call that copies the run while it goes on is open."""
+        return bool(self._open_copies)
+
+    async def copy(self, destination: targets.Target) -> api.MoveResult:
+        """Copies the run's memory while the run goes on.
+
+        Args:
+            destination: The engine that gets the copy.
+
+        Returns:
+            The result of the first call that tells what became of the copy;
+            TIMED_OUT at the deadline of the request.
+        """
+        if not await self._may_call():
+            return api.MoveResult.BUSY
+        pending = {self._start(destination, False)}
+        while self._time_left_s() > 0:
+            done, pending = await asyncio.wait(
+                pending,
+                timeout=min(_REPEAT_DELAY_S, self._time_left_s()),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
+            for task in done:
+                result = task.result().result
+                if result is not api.MoveResult.BUSY or not pending:
+                    return result
+            if len(pending) < _OPEN_CALLS_MAX and await self._may_call():
+                pending.add(self._start(destination, False))
+        return api.MoveResult.TIMED_OUT
+
+    async def stop(self, destination: targets.Target) -> None:
+        """Stops the run; returns once the record is settled.
+
+        While the link lasts, also returns once the engine has answered
+        without stopping the run.
+
+        Args:
+            destination: The engine that gets what the copy there lacks.
+        """
+        link_end = asyncio.create_task(self._record.link_ended.wait())
+        try:
+            await self._call_until_settled(destination, link_end)
+        finally:
+            link_end.cancel()
+
+    async def _call_until_settled(
+        self, destination: targets.Target, link_end: asyncio.Task
+    ) -> None:
+        record, open_stops = self._record, self._open_stops
+        next_call_s = self._now_s()
+        called = False
+        while not record.is_settled and self._time_left_s() > 0:
+            ended = record.link_ended.is_set()
+            if called and not ended and not self._may_have_stopped():
+                return
+            may_add = len(open_stops) < _OPEN_CALLS_MAX
+            if may_add and self._now_s() >= next_call_s:
+                if await self._may_call():
+                    self._start(destination, True)
+                    called = True
+                elif not open_stops:
+                    return
+                delay_s = _REPEAT_DELAY_ENDED_S if ended else _REPEAT_DELAY_S
+                next_call_s = self._now_s() + delay_s
+            wait_s = self._time_left_s()
+            if len(open_stops) < _OPEN_CALLS_MAX:
+                wait_s = min(wait_s, next_call_s - self._now_s())
+            waited = {*open_stops} if ended else {*open_stops, link_end}
+            done = await _wait_for_any(waited, max(0.0, wait_s))
+            if link_end in done:
+                next_call_s = min(next_call_s, self._now_s() + _ANSWER_GRACE_S)
+            elif done and not open_stops:
+                next_call_s = min(next_call_s, self._now_s() + _RETRY_DELAY_S)
+
+    def _may_have_stopped(self) -> bool:
+        return self._record.state is not run_record.SourceState.RUNNING
+
+    async def wait_for_stop(self, timeout_s: float) -> None:
+        """Waits for the answers of open calls that stop the run.
+
+        Args:
+            timeout_s: Longest wait, in seconds.
+        """
+        if self._open_stops:
+            await asyncio.wait(self._open_stops, timeout=timeout_s)
+
+    def discard_copies(self) -> None:
+        """Frees the copies that were made, as the run goes on."""
+        for way in self._record.copies.values():
+            self._release(way)
+        self._record.copies.clear()
+
+    def close(self, ways: tuple[run_record.Way, ...] = ()) -> None:
+        """Frees the copies that will not be used, also later ones.
+
+        Args:
+            ways: Where the run may continue.
+        """
+        self._used_handles = {way.copy.handle for way in ways}
+        for way in self._record.copies.values():
+            self._release(way)
+
+    def _start(
+        self, destination: targets.Target, final: bool
+    ) -> asyncio.Task[api.MoveOutcome]:
+        open_calls = self._open_stops if final else self._open_copies
+        task = asyncio.create_task(self._call(destination, final))
+        open_calls.add(task)
+        task.add_done_callback(open_calls.discard)
+        return task
+
+    async def _call(
+        self, destination: targets.Target, final: bool
+    ) -> api.MoveOutcome:
+        record = self._record
+        before = dict(record.copies)
+        entry = exchanges.RunCall(
+            record.source.target_id, final, self._now_s()
+        )
+        self._exchange.run_calls.append(entry)
+        record.begin_call(final)
+        outcome = await self._parts.run_control.move(
+            record.request_id,
+            record.source,
+            destination,
+            final=final,
+            timeout_s=self._time_left_s(),
+        )
+        entry.result = outcome.result.value
+        load = self._parts.loads.get(record.source.target_id)
+        heard = self._now_s() - load.last_event_s <= HEARD_S
+        record.end_call(destination, final, outcome, heard)
+        self._release_replaced(before)
+        return outcome
+
+    def _release_replaced(self, before: dict[str, run_record.Way]) -> None:
+        """Frees copies that newer ones have replaced or that come too late.
+
+        Args:
+            before: The copies before the last call.
+        """
+        copies = self._record.copies
+        for target_id, way in before.items():
+            if copies.get(target_id, way).copy != way.copy:
+                self._release(way)
+        if self._used_handles is None:
+            return
+        for target_id, way in copies.items():
+            if before.get(target_id) != way:
+                self._release(way)
+
+    def _release(self, way: run_record.Way) -> None:
+        if way.copy.handle in (self._used_handles or ()):
+            return
+        self._parts.releaser.release(self._record.source, way.target, way.copy)
+
+    async def _may_call(self) -> bool:
+        """Whether the engine may be called now, after a wait if necessary."""
+        parts, source = self._parts, self._record.source
+        if self._record.link_ended.is_set():
+            return await pausing.wait_for_target(
+                parts, self._exchange, source, self._time_left_s()
+            )
+        granted = await parts.limiter.acquire(
+            source, self._record.request_id, urgent=True
+        )
+        return granted and not parts.is_paused(source)
+
+    def _now_s(self) -> float:
+        return self._parts.timers.monotonic_s()
+
+    def _time_left_s(self) -> float:
+        return self._exchange.deadline_s - self._now_s()
+
+
+async def _wait_for_any(
+    tasks: set[asyncio.Task], timeout_s: float
+) -> set[asyncio.Task]:
+    """Waits for the first of some tasks; returns those that are done."""
+    if not tasks:
+        await asyncio.sleep(timeout_s)
+        return set()
+    done, _ = await asyncio.wait(
+        tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+    )
+    return done
+
+
+def report_unsettled(
+    parts: dependencies.Forwarding, record: run_record.RunRecord
+) -> None:
+    """Records that an engine did not confirm that it stopped a run.
+
+    Args:
+        parts: Dependencies shared by all requests.
+        record: Record of the run.
+    """
+    parts.statistics.unstopped_runs.inc({})
+    events.log(
+        LOG,
+        events.RUN_NOT_STOPPED,
+        request_id=record.request_id,
+        source=record.source.target_id,
+        state=record.state.value,
+        results=[result.value for result in record.results],
+    )
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -0,0 +1,355 @@
+"""Moves a run to another engine, if it leaves or falls silent.
+
+The run's memory is copied while the run goes on. The run is stopped only once
+the copy is there and nothing that is known stands against the way on. It then
+continues from the copy at the other engine, or at its own one.
+"""
+
+import asyncio
+from collections.abc import Callable
+import enum
+import logging
+
+from dotterelweir_core import events
+from dotterelweir_core.gateway import targets
+from dotterelweird import timers
+from dotterelweird.gateway import api
+from dotterelweird.gateway import attempts
+from dotterelweird.gateway import dependencies
+from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import move_calls
+from dotterelweird.gateway import pausing
+from dotterelweird.gateway import run_record
+
+LOG = logging.getLogger(__name__)
+
+# Time for which an engine that refused a copy is not chosen again, in seconds.
+# Short requests end within a few tenths of a second and free memory.
+_REFUSAL_BACKOFF_S = 0.2
+# Time that the last copy and the start at the destination may take, as a
+# multiple of the time of the first copy, and in addition, in seconds.
+_COPY_TIME_FACTOR = 2.0
+_START_S = 0.3
+# Time after a proper end of the stream within which an answer may say that
+# the run was stopped, in seconds.
+_STOP_ANSWER_TIMEOUT_S = 1.0
+
+
+class Reason(enum.Enum):
+    """Why a run is moved."""
+
+    LEAVING = 'engine leaves'
+    SILENT = 'no events'
+
+
+# Delay before another call that copies a run, in seconds.
+_RETRY_DELAY_S = {Reason.LEAVING: 0.1, Reason.SILENT: 1.0}
+# Longest time after which the reason of a move is looked at again, in seconds.
+_CHECK_DELAY_S = 0.1
+# Retries that must be left before a run is stopped: one for the destination
+# and, unless the source leaves, one for the way back.
+_RETRIES = {Reason.LEAVING: 1, Reason.SILENT: 2}
+
+
+class Obstacle(enum.Enum):
+    """What stands against stopping a run."""
+
+    SOURCE_PAUSED = 'source paused'
+    DESTINATION_UNUSABLE = 'destination leaves or is paused'
+    DESTINATION_LIMITED = 'no turn at the destination'
+    REQUEST_BLOCKED = 'request blocked'
+    DEADLINE = 'deadline too near'
+    EXIT = 'process exits'
+    NO_RETRY = 'no retry left'
+    MOVED_BEFORE = 'moved because of silence before'
+    SLOW_COPY = 'copy takes longer than the silence'
+
+
+class RunMove:
+    """Moves one run to another engine, in a task of its own.
+
+    Args:
+        parts: Dependencies shared by all requests.
+        exchange: The request.
+        record: Record of the run.
+        calls: Calls to its engine.
+        find_reason: Returns why the run is to be moved, and since when it has
+            been silent, in seconds; None once there is no reason any more.
+        on_source_lost: Called if the source accepts no connection while the
+            run is silent.
+
+    Attributes:
+        stop_called: Whether the source was called to stop the run.
+    """
+
+    def __init__(
+        self,
+        parts: dependencies.Forwarding,
+        exchange: exchanges.Exchange,
+        record: run_record.RunRecord,
+        calls: move_calls.MoveCalls,
+        find_reason: Callable[[], tuple[Reason, float] | None],
+        on_source_lost: Callable[[], None],
+    ) -> None:
+        self._parts = parts
+        self._exchange = exchange
+        self._record = record
+        self._find_reason = find_reason
+        self._on_source_lost = on_source_lost
+        self._calls = calls
+        self._reason: Reason | None = None
+        self._refused_at_s: dict[str, float] = {}
+        self._obstacle: Obstacle | None = None
+        self._stopping = False
+        self.stop_called = False
+        self._task = asyncio.create_task(self._run())
+
+    @property
+    def ended(self) -> bool:
+        """Whether the move ended without a call to stop the run."""
+        return self._task.done() and not self.stop_called
+
+    async def settle(self) -> None:
+        """Settles what became of the run, now that its link has ended.
+
+        An answer that tells of a copy, or of the stop, is waited for until
+        the deadline of the request.
+        """
+        record = self._record
+        record.link_ended.set()
+        if self._stopping or (not record.destination and self._calls.copying):
+            await asyncio.wait({self._task})
+        else:
+            self._task.cancel()
+        destination = record.destination
+        if destination is None and self._reason is Reason.LEAVING:
+            events.log(
+                LOG,
+                events.EVACUATION_FAILED,
+                request_id=record.request_id,
+                source=record.source.target_id,
+                calls=len(record.results),
+            )
+        elif destination is not None:
+            await self._calls.stop(destination)
+
+    async def has_stopped_source(self) -> bool:
+        """Whether the source says that it stopped the run.
+
+        Without its answer, a stream that ends properly is complete.
+        """
+        await self._calls.wait_for_stop(_STOP_ANSWER_TIMEOUT_S)
+        return self._record.stop_answered
+
+    def close(self) -> None:
+        """Ends the move; calls in progress go on until their answers."""
+        self._task.cancel()
+
+    async def _run(self) -> None:
+        while not self._record.link_ended.is_set():
+            found = self._find_reason()
+            if found is None:
+                break
+            self._reason, _ = found
+            if await self._try_destinations(self._reason):
+                return
+            await self._wait_to_retry(self._reason)
+        self._calls.discard_copies()
+
+    async def _wait_to_retry(self, reason: Reason) -> None:
+        """Waits before another copy, while the reason of the move lasts."""
+        retry_s = self._now_s() + _RETRY_DELAY_S[reason]
+        while self._now_s() < retry_s:
+            await timers.sleep(self._parts.timers, _CHECK_DELAY_S)
+            found = self._find_reason()
+            if found is None or found[0] is not reason:
+                return
+
+    async def _try_destinations(self, reason: Reason) -> bool:
+        """Tries one engine after the other until one takes the run over.
+
+        Args:
+            reason: Why the run is moved.
+
+        Returns:
+            Whether the move has ended.
+        """
+        while not self._has_obstacle(reason):
+            destination = self._choose_destination(reason)
+            if destination is None:
+                return False
+            began_s = self._now_s()
+            # Counted, so that other instances do not fill the memory
+            # meanwhile.
+            with attempts.track_backup_load(
+                self._parts, destination, self._exchange.tokens
+            ):
+                result = await self._calls.copy(destination)
+                if self._record.link_ended.is_set():
+                    return True
+                if result is api.MoveResult.MOVED:
+                    copy_s = self._now_s() - began_s
+                    if await self._stop(destination, copy_s):
+                        return True
+            match result:
+                case api.MoveResult.MOVED:
+                    if self._is_usable(destination):
+                        return False
+                case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
+                    return False
+                case api.MoveResult.REFUSED | api.MoveResult.UNREACHABLE:
+                    self._exclude(destination)
+                    if reason is Reason.SILENT:
+                        self._on_source_lost()
+                    return False
+                case _:
+                    self._exclude(destination)
+        return False
+
+    def _exclude(self, destination: targets.Target) -> None:
+        self._refused_at_s[destination.target_id] = self._now_s()
+
+    def _is_usable(self, destination: targets.Target) -> bool:
+        return destination.target_id not in self._refused()
+
+    def _refused(self) -> set[str]:
+        now_s = self._now_s()
+        return {
+            target_id
+            for target_id, at_s in self._refused_at_s.items()
+            if now_s - at_s < _REFUSAL_BACKOFF_S
+        }
+
+    async def _stop(self, destination: targets.Target, copy_s: float) -> bool:
+        """Stops the run, unless anything stands against it.
+
+        Args:
+            destination: The engine that has the copy.
+            copy_s: Time that the copy took, in seconds.
+
+        Returns:
+            Whether the run has stopped or its link has ended.
+        """
+        found = self._find_reason()
+        if found is None:
+            return False
+        reason, silent_s = found
+        if self._has_obstacle(reason, destination, copy_s, silent_s):
+            return False
+        retries = _RETRIES[reason]
+        self._parts.reserve_retries(self._exchange, retries)
+        events.log(
+            LOG,
+            events.RUN_STOPPING,
+            request_id=self._record.request_id,
+            source=self._record.source.target_id,
+            destination=destination.target_id,
+            reason=reason.value,
+            copy_s=round(copy_s, 3),
+            left_s=round(self._exchange.deadline_s - self._now_s(), 3),
+            retries=retries,
+            stopping=self._parts.stop_plan.stopping,
+        )
+        self._record.leaving = reason is Reason.LEAVING
+        self._exchange.silence_moves += reason is Reason.SILENT
+        self._stopping = self.stop_called = True
+        await self._calls.stop(destination)
+        if self._record.is_settled or self._record.link_ended.is_set():
+            return True
+        # The engine has answered without stopping the run.
+        self._stopping = False
+        self._parts.release_retries(self._exchange)
+        self._exclude(destination)
+        return False
+
+    def _choose_destination(self, reason: Reason) -> targets.Target | None:
+        refused = self._refused()
+        backup = self._record.backup
+        if (
+            reason is Reason.SILENT
+            and backup is not None
+            and backup.target.target_id not in refused
+            and self._parts.accepts_work(backup.target)
+        ):
+            return backup.target
+        return self._parts.choose_takeover_target(
+            self._exchange, self._record.source, refused
+        )
+
+    def _has_obstacle(
+        self,
+        reason: Reason,
+        destination: targets.Target | None = None,
+        copy_s: float = 0.0,
+        silent_s: float = 0.0,
+    ) -> bool:
+        """Whether anything stands against stopping the run; logs changes."""
+        obstacle = self._find_obstacle(reason, destination, copy_s, silent_s)
+        if obstacle is not None and obstacle is not self._obstacle:
+            self._parts.statistics.kept_runs.inc({'reason': obstacle.value})
+            events.log(
+                LOG,
+                events.RUN_KEPT,
+                request_id=self._record.request_id,
+                source=self._record.source.target_id,
+                destination=destination.target_id if destination else None,
+                reason=obstacle.value,
+                copy_s=round(copy_s, 3),
+            )
+        self._obstacle = obstacle
+        return obstacle is not None
+
+    def _find_obstacle(
+        self,
+        reason: Reason,
+        destination: targets.Target | None,
+        copy_s: float,
+        silent_s: float,
+    ) -> Obstacle | None:
+        """Returns what stands against stopping the run.
+
+        Args:
+            reason: Why the run is to be moved.
+            destination: The engine that has the copy; None before the copy.
+            copy_s: Time that the copy took, in seconds.
+            silent_s: Time since the last event, in seconds.
+        """
+        parts, exchange = self._parts, self._exchange
+        now_s = self._now_s()
+        needed_s = _COPY_TIME_FACTOR * copy_s + _START_S
+        if parts.is_paused(self._record.source):
+            return Obstacle.SOURCE_PAUSED
+        if parts.request_guard.is_blocked(exchange):
+            return Obstacle.REQUEST_BLOCKED
+        if now_s + needed_s >= exchange.deadline_s:
+            return Obstacle.DEADLINE
+        if now_s + needed_s >= parts.stop_plan.answers_due_s:
+            return Obstacle.EXIT
+        if not parts.has_retries(exchange, _RETRIES[reason]):
+            return Obstacle.NO_RETRY
+        if destination is None:
+            return None
+        if not parts.accepts_work(destination):
+            events.log(
+                LOG,
+                events.DESTINATION_LEFT,
+                request_id=self._record.request_id,
+                source=self._record.source.target_id,
+                destination=destination.target_id,
+            )
+            self._exclude(destination)
+            return Obstacle.DESTINATION_UNUSABLE
+        turn_s = parts.limiter.next_turn_s(destination)
+        if turn_s > now_s + pausing.STREAM_WAIT_MAX_S:
+            self._exclude(destination)
+            return Obstacle.DESTINATION_LIMITED
+        if reason is Reason.LEAVING:
+            return None
+        if exchange.silence_moves:
+            return Obstacle.MOVED_BEFORE
+        if _COPY_TIME_FACTOR * copy_s > silent_s:
+            return Obstacle.SLOW_COPY
+        return None
+
+    def _now_s(self) -> float:
+        return self._parts.timers.monotonic_s()
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -1,5 +1,6 @@
 """Chooses targets, with a wait for a pause or a turn if it is short enough."""
 
+from collections.abc import Sequence
 import logging
 
 from dotterelweir_core import events
@@ -8,6 +9,7 @@
 from dotterelweird import timers
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import run_record
 
 LOG = logging.getLogger(__name__)
 
@@ -19,7 +21,7 @@
 _WAIT_FACTOR_MAX = 2.5
 # Longest wait for a pause in the middle of a stream, in seconds. Callers give
 # up a stream after two seconds without an event.
-_STREAM_WAIT_MAX_S = 1.5
+STREAM_WAIT_MAX_S = 1.5
 # Longest time after which the pause of a target that is waited for is looked
 # at again, in seconds.
 _PAUSE_CHECK_S = 0.1
@@ -58,8 +60,9 @@
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
     target: targets.Target,
+    wait_max_s: float = STREAM_WAIT_MAX_S,
 ) -> bool:
-    """Waits until the only engine that can continue a generation accepts it.
+    """Waits until an engine accepts a call or a request for a generation.
 
     The engine may extend its pause, or begin one, at any moment of the wait.
 
@@ -67,12 +70,13 @@
         parts: Dependencies shared by all requests.
         exchange: The request.
         target: The engine.
+        wait_max_s: Longest wait, in seconds.
 
     Returns:
         Whether the engine may be sent a request now; False as soon as its
         pause, or the wait for a turn, is too long.
     """
-    until_s = parts.timers.monotonic_s() + _STREAM_WAIT_MAX_S
+    until_s = parts.timers.monotonic_s() + wait_max_s
     while True:
         now_s = parts.timers.monotonic_s()
         pause_end_s = parts.placer.pause_registry.pause_end_s(target)
@@ -92,6 +96,50 @@
             return True
 
 
+async def choose_way(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    ways: Sequence[run_record.Way],
+) -> run_record.Way | None:
+    """Chooses the engine at which a stopped run continues.
+
+    The run is lost without one of them, so that the wait may take all the
+    time of the request.
+
+    Args:
+        parts: Dependencies shared by all requests.
+        exchange: The request.
+        ways: The engines with their copies, in order of preference.
+
+    Returns:
+        The first one that accepts the run; None if none does in time.
+    """
+    while True:
+        now_s = parts.timers.monotonic_s()
+        left_s = exchange.deadline_s - now_s
+        usable = [
+            way for way in ways if not parts.has_left(way.target, resumes=True)
+        ]
+        pauses_s = [
+            parts.placer.pause_registry.pause_end_s(way.target) - now_s
+            for way in usable
+        ]
+        if not usable or left_s <= 0 or min(pauses_s) > left_s:
+            return None
+        for way, pause_s in zip(usable, pauses_s, strict=True):
+            if pause_s > 0:
+                continue
+            granted = await parts.limiter.acquire(
+                way.target,
+                exchange.request.request_id,
+                left_s if len(usable) == 1 else STREAM_WAIT_MAX_S,
+                urgent=True,
+            )
+            if granted and not parts.is_paused(way.target):
+                return way
+        await timers.sleep(parts.timers, _PAUSE_CHECK_S)
+
+
 async def choose_target(
     parts: dependencies.Forwarding, exchange: exchanges.Exchange
 ) -> placement.Choice | None:
--- a/packages/daemon/src/dotterelweird/gateway/request_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/request_guard.py
@@ -75,6 +75,11 @@
         """Checksum of the blocked requests; 0 for none."""
         return self._quarantine.fingerprint
 
+    def is_blocked(self, exchange: exchanges.Exchange) -> bool:
+        """Whether a request is blocked, without the trial that it may get."""
+        now_s = self._timers.elapsed_s()
+        return self._quarantine.find_block(exchange.key, now_s) is not None
+
     def find_error(
         self, exchange: exchanges.Exchange
     ) -> errors.DotterelweirError | None:
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -25,6 +25,8 @@
         answer_s: Time to the end of an answer, in seconds.
         prompt_trials: Requests sent to an engine despite a blocked prompt.
         unstopped_runs: Runs that their engines did not stop when called to.
+        kept_runs: Runs that were not stopped for a move, by what stood against
+            it.
         stopped_runs_lost: Streams lost after their engine was called to stop
             the run, by the step that failed.
         withheld_sends: Requests that were not sent to the target chosen for
@@ -85,6 +87,11 @@
             'Runs that their engines did not stop when called to',
             registry=self._registry,
         )
+        self.kept_runs = aioprometheus.Counter(
+            'dotterelweir_gateway_kept_runs_total',
+            'Runs that were not stopped for a move, as it was not certain',
+            registry=self._registry,
+        )
         self.stopped_runs_lost = aioprometheus.Counter(
             'dotterelweir_gateway_stopped_runs_lost_total',
             'Streams lost after their engine was called to stop the run',
