Count a link that ends as called for as no failure of its engine

What callers would have seen: engines avoided, and prompts suspected, after a run was stopped for silence. The engine closes the link as it was called to, which counted as a lost connection; runs of engines that leave counted so until their stop.

Cause: the link judged its end by the move off a leaving engine alone. It now asks whether the engine leaves or was called to stop the run.

Evidence: test_a_stop_for_silence_is_no_failure_of_the_engine fails without the change.

--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -290,7 +290,7 @@
                 exchanges.Broken()
                 | exchanges.TimedOut()
                 | exchanges.Interrupted()
-            ) if not link.evacuated:
+            ) if not link.end_expected:
                 load.record_failure(now_s)
         self._record_attempt(link, run, outcome, now_s - sent_s)
         return outcome
@@ -301,7 +301,7 @@
         """Whether the engine closed the connection within the answer."""
         match outcome:
             case exchanges.Interrupted(silent=False):
-                return not link.evacuated
+                return not link.end_expected
             case exchanges.Broken(connection_lost=lost):
                 return lost
             case _:
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -117,9 +117,13 @@
         return self._stream.cursor.delivered - self._delivered_before
 
     @property
-    def evacuated(self) -> bool:
-        """Whether a move of the run off a draining engine was started."""
-        return self._record.leaving
+    def end_expected(self) -> bool:
+        """Whether the end of the link is no failure of its engine.
+
+        The engine leaves, or was called to stop the run.
+        """
+        called = self._move is not None and self._move.stop_called
+        return self._record.leaving or called
 
     @property
     def may_have_stopped(self) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -151,6 +151,7 @@
             if found is None:
                 break
             self._reason, _ = found
+            self._record.leaving |= self._reason is Reason.LEAVING
             if await self._try_destinations(self._reason):
                 return
             await self._wait_to_retry(self._reason)
@@ -250,7 +251,7 @@
             retries=retries,
             stopping=self._parts.stop_plan.stopping,
         )
-        self._record.leaving = reason is Reason.LEAVING
+        self._record.leaving |= reason is Reason.LEAVING
         self._exchange.silence_moves += reason is Reason.SILENT
         self._stopping = self.stop_called = True
         await self._calls.stop(destination)
--- a/packages/daemon/src/dotterelweird/gateway/run_record.py
+++ b/packages/daemon/src/dotterelweird/gateway/run_record.py
@@ -50,7 +50,7 @@
             copy it; None otherwise.
         stop_answered: Whether the source itself confirmed that it stopped
             the run.
-        leaving: Whether the run is moved because its source leaves.
+        leaving: Whether the run is or was moved as its source leaves.
         link_ended: Set once the link to the source has ended.
         results: Results of the calls, in order.
     """
--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -273,3 +273,16 @@
     assert second.resumed_after
     budget = deployment.gateway._parts.budgets.for_service('model')
     assert budget._reserved == 0
+
+
+async def test_a_stop_for_silence_is_no_failure_of_the_engine(
+    deployment, engines
+):
+    """Guards against engines avoided as they closed a link as called to."""
+    first, second = engines
+    first.behaviour.pause_after = 3
+    first.behaviour.pause_s = 0.6
+    async with deployment.request('guide') as answer:
+        assert await answer.read() == expected_events(30)
+    assert second.resumed_after
+    assert deployment.gateway._loads.get('engine-1').failed == 0
