Let a run whose engine did not stop it move later

What callers would have seen: a stream cut off with its leaving engine, because an earlier call to stop its silent run had failed. The move counted as one that had called for a stop, so that no further one began.

The record now says whether a stop was called, and a move has ended if it left the run where it was. A stop that failed does not count as the one move for silence. test_a_run_whose_engine_did_not_stop_it_moves_later shows it.

--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -122,8 +122,7 @@
 
         The engine leaves, or was called to stop the run.
         """
-        called = self._move is not None and self._move.stop_called
-        return self._record.leaving or called
+        return self._record.leaving or self._record.stop_called
 
     @property
     def may_have_stopped(self) -> bool:
@@ -414,7 +413,7 @@
         if not self._stream.started and unframed:
             return exchanges.Interrupted('closed before the first event')
         if self._move is not None:
-            if self._move.stop_called and unframed:
+            if self._record.stop_called and unframed:
                 return exchanges.Interrupted('closed after a call to stop')
             if await self._move.has_stopped_source():
                 return exchanges.Interrupted('moved')
--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -77,9 +77,6 @@
             been silent, in seconds; None once there is no reason any more.
         on_source_lost: Called if the source accepts no connection while the
             run is silent.
-
-    Attributes:
-        stop_called: Whether the source was called to stop the run.
     """
 
     def __init__(
@@ -101,13 +98,12 @@
         self._refused_at_s: dict[str, float] = {}
         self._obstacle: Obstacle | None = None
         self._stopping = False
-        self.stop_called = False
         self._task = asyncio.create_task(self._run())
 
     @property
     def ended(self) -> bool:
-        """Whether the move ended without a call to stop the run."""
-        return self._task.done() and not self.stop_called
+        """Whether the move ended and left the run at its engine."""
+        return self._task.done() and not self._stopping
 
     async def settle(self) -> None:
         """Settles what became of the run, now that its link has ended.
@@ -253,12 +249,13 @@
         )
         self._record.leaving |= reason is Reason.LEAVING
         self._exchange.silence_moves += reason is Reason.SILENT
-        self._stopping = self.stop_called = True
+        self._stopping = True
         await self._calls.stop(destination)
         if self._record.is_settled or self._record.link_ended.is_set():
             return True
         # The engine has answered without stopping the run.
         self._stopping = False
+        self._exchange.silence_moves -= reason is Reason.SILENT
         self._parts.release_retries(self._exchange)
         self._exclude(destination)
         return False
--- a/packages/daemon/src/dotterelweird/gateway/run_record.py
+++ b/packages/daemon/src/dotterelweird/gateway/run_record.py
@@ -48,6 +48,7 @@
             the last.
         stayed: Way on at the source, which stopped the run and could not
             copy it; None otherwise.
+        stop_called: Whether the source was called to stop the run.
         stop_answered: Whether the source itself confirmed that it stopped
             the run.
         leaving: Whether the run is or was moved as its source leaves.
@@ -60,6 +61,7 @@
     backup: Way | None = None
     copies: dict[str, Way] = attrs.field(factory=dict)
     stayed: Way | None = None
+    stop_called: bool = False
     stop_answered: bool = False
     leaving: bool = False
     link_ended: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -124,6 +126,7 @@
             final: Whether the call stops the run.
         """
         if final:
+            self.stop_called = True
             self._unanswered_stops += 1
 
     def end_call(
--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -286,3 +286,26 @@
         assert await answer.read() == expected_events(30)
     assert second.resumed_after
     assert deployment.gateway._loads.get('engine-1').failed == 0
+
+
+async def test_a_run_whose_engine_did_not_stop_it_moves_later(
+    deployment, engines
+):
+    """Guards against a failed stop after which a run is never moved."""
+    first, second = engines
+    first.behaviour.pause_after = 3
+    first.behaviour.pause_s = 0.3
+    first.behaviour.final_move_status = 500
+    async with deployment.request('guide') as answer:
+        body = b''
+        while b'token-15\n' not in body:
+            body += await answer.content.readany()
+        assert any(order['last'] for order in first.move_orders)
+        first.behaviour.final_move_status = None
+        deployment.gateway._handle_notice(
+            deployment.gateway._directory.registered('engine-1'),
+            api.TargetNotice(leaving=True),
+        )
+        body += await answer.read()
+    assert body == expected_events(30)
+    assert second.resumed_after
