Keep what is known of a run through refused stops and returns

What callers would have seen: a stream lost with its leaving engine after an earlier stop of its silent run had been refused; a stream lost as a late call stopped its run after that had returned; a run lost at status 429 although its copy was there; engines avoided after an announced departure.

What changes: a retry is taken before the stop, so that it counts at all instances at once; a run that returns takes over the open calls about the run before; a move has ended if it left the run where it was; only 421 and 503 mean that there is no copy; a retry is waited for before the turn; copies that are not needed are freed once the run has continued; a run that may not be stopped again is copied once. By reading: a call needs time left, copies stay while a stop is unanswered, further calls ask for the reason again and come with a growing delay, and a 404 to a call from before the end of the link settles nothing.

--- a/packages/core/src/dotterelweir_core/gateway/retry_budget.py
+++ b/packages/core/src/dotterelweir_core/gateway/retry_budget.py
@@ -73,8 +73,6 @@
     window_s: float
     instance_counts: InstanceCounts
     _total: Counts = attrs.field(factory=Counts)
-    # Retries that are kept for runs that have been called to stop.
-    _reserved: int = 0
     # Times and counts of all instances within the window, and the sums of the
     # counts.
     _window: collections.deque[tuple[float, Counts]] = attrs.field(
@@ -120,30 +118,7 @@
         )
         allowance = self.ratio * self._sums.requests + self.burst * burst_share
         share = _URGENT_SHARE if urgent else _NORMAL_SHARE
-        used = self._sums.retries + self._reserved
-        return used + count <= share * allowance
-
-    def reserve(self, count: int) -> None:
-        """Keeps retries for a run that is lost without them.
-
-        Args:
-            count: Number of retries; ``has_retry`` must have shown that they
-                are left.
-        """
-        self._reserved += count
-
-    def cancel_reserved(self, count: int) -> None:
-        """Gives up retries that were kept."""
-        self._reserved -= count
-
-    def take_reserved(self, now_s: float) -> None:
-        """Takes one of the retries that were kept.
-
-        Args:
-            now_s: Monotonic time, in seconds.
-        """
-        self._reserved -= 1
-        self._take(now_s)
+        return self._sums.retries + count <= share * allowance
 
     def take(self, now_s: float, urgent: bool = False) -> bool:
         """Takes one retry from the budget and returns whether one was left.
@@ -154,12 +129,9 @@
         """
         if not self.has_retry(now_s, urgent):
             return False
-        self._take(now_s)
-        return True
-
-    def _take(self, now_s: float) -> None:
         self._total = _add(self._total, Counts(0, 1))
         self.record(Counts(0, 1), now_s)
+        return True
 
     def _expire(self, now_s: float) -> None:
         start_s = now_s - self.window_s
@@ -227,22 +199,9 @@
         """
         if not self.for_service(service).take(now_s, urgent):
             return False
-        self._notify()
-        return True
-
-    def take_reserved(self, service: str, now_s: float) -> None:
-        """Takes one of the retries that were kept, and calls the listeners.
-
-        Args:
-            service: Name of the service.
-            now_s: Monotonic time, in seconds.
-        """
-        self.for_service(service).take_reserved(now_s)
-        self._notify()
-
-    def _notify(self) -> None:
         for listener in self._listeners:
             listener()
+        return True
 
     def own_counts(self) -> dict[str, Counts]:
         """Returns the counts of this instance since its start, by service."""
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -196,26 +196,33 @@
 
     def has_retries(self, exchange: exchanges.Exchange, count: int) -> bool:
         """Whether retries are left for a run that is lost without them."""
+        count -= exchange.retries_ahead
         budget = self.budgets.for_service(exchange.service.name)
-        return budget.has_retry(
+        return count <= 0 or budget.has_retry(
             self.timers.monotonic_s(), urgent=True, count=count
         )
 
-    def reserve_retries(
-        self, exchange: exchanges.Exchange, count: int
-    ) -> None:
-        """Keeps retries of the budget for a run that is about to stop."""
-        self.budgets.for_service(exchange.service.name).reserve(count)
-        exchange.reserved_retries += count
+    def take_retry_ahead(self, exchange: exchanges.Exchange) -> bool:
+        """Takes a retry for a run that is about to be stopped.
 
-    def release_retries(self, exchange: exchanges.Exchange) -> None:
-        """Gives up the retries that were kept for a request."""
-        budget = self.budgets.for_service(exchange.service.name)
-        budget.cancel_reserved(exchange.reserved_retries)
-        exchange.reserved_retries = 0
+        It counts at all instances from now on, and the request uses it when
+        the run continues.
+
+        Args:
+            exchange: The request.
+
+        Returns:
+            Whether the request has a retry.
+        """
+        if exchange.retries_ahead:
+            return True
+        if not self.take_retry(exchange, urgent=True):
+            return False
+        exchange.retries_ahead += 1
+        return True
 
     def take_retry(self, exchange: exchanges.Exchange, urgent: bool) -> bool:
-        """Takes a retry that was kept for a request, or any other one.
+        """Takes a retry, or uses the one that was taken ahead.
 
         Args:
             exchange: The request.
@@ -224,12 +231,12 @@
         Returns:
             Whether there was one.
         """
-        service, now_s = exchange.service.name, self.timers.monotonic_s()
-        if exchange.reserved_retries:
-            exchange.reserved_retries -= 1
-            self.budgets.take_reserved(service, now_s)
+        if exchange.retries_ahead:
+            exchange.retries_ahead -= 1
             return True
-        return self.budgets.take(service, now_s, urgent)
+        return self.budgets.take(
+            exchange.service.name, self.timers.monotonic_s(), urgent
+        )
 
     def is_paused(self, target: targets.Target) -> bool:
         """Whether a target must not be sent requests now."""
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -50,7 +50,8 @@
             seconds.
         silence_moves: Number of runs of the request that were stopped because
             of silence.
-        reserved_retries: Retries kept for a run that was called to stop.
+        retries_ahead: Retries taken for a run before it was called to stop,
+            and not used yet.
         run_calls: Calls to engines about runs of the request, in order.
     """
 
@@ -71,7 +72,7 @@
     trial: bool = False
     prompt_trial: bool = False
     silence_moves: int = 0
-    reserved_retries: int = 0
+    retries_ahead: int = 0
     run_calls: list['RunCall'] = attrs.field(factory=list)
 
     @property
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -22,6 +22,7 @@
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import handover
 from dotterelweird.gateway import links
+from dotterelweird.gateway import move_calls
 from dotterelweird.gateway import pausing
 from dotterelweird.gateway import refusing
 from dotterelweird.gateway import rooms
@@ -32,7 +33,9 @@
 # Maximum number of targets to which one request is sent before it is given up,
 # whether they ran it or not.
 _TARGETS_MAX = 6
-# Maximum number of sends to an engine that has a copy and is not reached.
+# Statuses with which an engine refuses a request whose copy it does not have.
+_NO_COPY_STATUSES = frozenset({421, 503})
+# Maximum number of sends to an engine that has a copy and does not take it.
 _UNSENT_MAX = 3
 # Delay before such an engine is sent a run again, in seconds.
 _RESEND_DELAY_S = 0.1
@@ -64,8 +67,10 @@
         )
         # Whether it continued elsewhere before its first event.
         self._moved_before_start = False
-        # Sends that did not reach an engine with a copy, by its id.
+        # Sends that an engine with a copy did not take, by its id.
         self._unsent: dict[str, int] = {}
+        # Calls about the last run at each engine, by its id.
+        self._calls: dict[str, move_calls.MoveCalls] = {}
 
     async def forward(self) -> web.StreamResponse | exchanges.Answered:
         """Forwards the generation until it ends or is given up.
@@ -80,28 +85,16 @@
                 the caller has disconnected.
         """
         exchange = self._exchange
-        budgets, service = self._parts.budgets, exchange.service.name
-        budgets.for_service(service).record_request(
-            self._parts.timers.monotonic_s()
-        )
+        budget = self._parts.budgets.for_service(exchange.service.name)
+        budget.record_request(self._parts.timers.monotonic_s())
         self._check_blocks()
         await rooms.wait_for_admission(self._parts, exchange)
-        try:
-            return await self._forward_runs()
-        finally:
-            self._parts.release_retries(exchange)
-
-    async def _forward_runs(
-        self,
-    ) -> web.StreamResponse | exchanges.Answered:
-        """Forwards one run after the other until one ends the generation."""
-        exchange, budgets = self._exchange, self._parts.budgets
-        service = exchange.service.name
         run = await self._place()
         last_outcome: exchanges.StreamOutcome | None = None
         while run is not None:
             self._check_blocks()
             link = links.Link(self._parts, exchange, self._stream, run)
+            self._calls[run.target.target_id] = link.calls
             try:
                 last_outcome = await self._follow(link, run)
                 match last_outcome:
@@ -131,38 +124,38 @@
             reached_target = not isinstance(
                 last_outcome, exchanges.NeverSent | exchanges.Withheld
             )
-            if reached_target and not await self._take_retry(run):
-                events.log(
-                    LOG,
-                    events.REPEAT_BUDGET_EMPTY,
-                    request_id=exchange.request.request_id,
-                    service=service,
-                    instances=budgets.instance_counts.ever_seen,
-                    visible=budgets.instance_counts.reachable,
-                )
-                self._report_lost_run('no retry left')
-                break
+            if run.copy is None and reached_target:
+                if not self._parts.take_retry(exchange, urgent=False):
+                    self._report_empty_budget()
+                    break
         return self._give_up(last_outcome)
 
-    async def _take_retry(self, run: links.RunPlacement) -> bool:
-        """Takes a retry; a run that is lost without it waits for one.
-
-        Args:
-            run: The run that is about to be sent.
+    async def _wait_for_retry(self) -> bool:
+        """Takes a retry for a run that is lost without it, and waits for it.
 
         Returns:
             Whether there was one before the deadline.
         """
         parts, exchange = self._parts, self._exchange
-        if run.copy is None:
-            return parts.take_retry(exchange, urgent=False)
         while not parts.take_retry(exchange, urgent=True):
             left_s = exchange.deadline_s - parts.timers.monotonic_s()
             if left_s <= _RETRY_CHECK_S:
+                self._report_empty_budget()
                 return False
             await timers.sleep(parts.timers, _RETRY_CHECK_S)
         return True
 
+    def _report_empty_budget(self) -> None:
+        budgets = self._parts.budgets
+        events.log(
+            LOG,
+            events.REPEAT_BUDGET_EMPTY,
+            request_id=self._exchange.request.request_id,
+            service=self._exchange.service.name,
+            instances=budgets.instance_counts.ever_seen,
+            visible=budgets.instance_counts.reachable,
+        )
+
     def _report_lost_run(self, reason: str) -> None:
         """Records a stream that is lost after a call to stop its run.
 
@@ -402,6 +395,8 @@
             )
             return None
         self._moved_before_start = not self._stream.started
+        if not await self._wait_for_retry():
+            return None
         way = await pausing.choose_way(self._parts, self._exchange, found.ways)
         if way is None:
             return None
@@ -418,20 +413,25 @@
     ) -> links.RunPlacement | None:
         """Lets a run that an engine did not take continue elsewhere.
 
-        Also at the engine that stopped it and keeps its memory. A refusal is
-        final, as it shows that the engine has no such copy.
+        Also at the engine that stopped it and keeps its memory. Statuses 421
+        and 503 are final, as they show that the engine has no such copy.
 
         Returns:
             The run; None if no engine is left that accepts it in time.
         """
         ways = list(run.others)
         target_id = run.target.target_id
-        if not isinstance(last_outcome, exchanges.NotRun):
+        refused = isinstance(last_outcome, exchanges.NotRun)
+        if not (refused and last_outcome.status in _NO_COPY_STATUSES):
             self._unsent[target_id] = self._unsent.get(target_id, 0) + 1
             if self._unsent[target_id] < _UNSENT_MAX:
                 ways.append(run_record.Way(run.target, run.copy))
                 if not run.others:
                     await timers.sleep(self._parts.timers, _RESEND_DELAY_S)
+        if not ways:
+            return None
+        if refused and not await self._wait_for_retry():
+            return None
         way = await pausing.choose_way(self._parts, self._exchange, ways)
         if way is None:
             return None
@@ -457,11 +457,13 @@
             way: Where it continues.
             ways: All engines where it can continue.
         """
+        calls = self._calls.get(way.target.target_id)
         return links.RunPlacement(
             way.target,
             self._choose_backup(way.target),
             way.copy,
             tuple(other for other in ways if other != way),
+            calls if calls is not None and calls.stopping else None,
         )
 
     def _log_continuation(
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -43,12 +43,15 @@
         copy: The copy from which it continues; None if it starts from the
             beginning.
         others: Where the run may continue instead, in order of preference.
+        calls: Calls about an earlier run of the request at the engine, some
+            of them open; None without open ones.
     """
 
     target: targets.Target
     backup: targets.Target | None = None
     copy: api.RunCopy | None = None
     others: tuple[run_record.Way, ...] = ()
+    calls: move_calls.MoveCalls | None = None
 
 
 class Link:
@@ -63,6 +66,7 @@
     Attributes:
         head_s: Time from the send to the head of a generation, in seconds;
             None before it.
+        calls: Calls to the engine about the run.
     """
 
     def __init__(
@@ -80,7 +84,11 @@
         self._record = run_record.RunRecord(
             run.target, exchange.request.request_id
         )
-        self._calls = move_calls.MoveCalls(parts, exchange, self._record)
+        self.calls = run.calls or move_calls.MoveCalls(
+            parts, exchange, self._record
+        )
+        if run.calls is not None:
+            run.calls.continue_with(self._record)
         self._move: moving.RunMove | None = None
         # Monotonic time of the send; None if other prompts were queued for
         # their prefill, as the rate cannot be measured then.
@@ -164,8 +172,11 @@
         record.link_ended.set()
         if self._move is not None:
             await self._move.settle()
-        elif record.backup is not None and not record.is_settled:
-            await self._calls.stop(record.backup.target)
+        else:
+            # Calls about an earlier run may have stopped this one.
+            await self.calls.wait_for_open_stops()
+            if record.destination is not None:
+                await self.calls.stop(record.destination)
         self._handover = handover.find(record)
         if self._handover is None and record.destination is not None:
             move_calls.report_unsettled(self._parts, record)
@@ -179,7 +190,7 @@
         """Ends a move in progress and frees copies that are not used."""
         if self._move is not None:
             self._move.close()
-        self._calls.close(self._handover.ways if self._handover else ())
+        self.calls.close(self._handover.ways if self._handover else ())
 
     def _handle_target_change(self, change: targets.TargetChange) -> None:
         """Reacts if the engine of the run or its backup drains or is lost."""
@@ -232,21 +243,20 @@
             self._parts,
             self._exchange,
             self._record,
-            self._calls,
+            self.calls,
             self._find_move_reason,
             self._handle_lost_source,
         )
 
     def _handle_lost_source(self) -> None:
         """Ends the link if another engine has a copy and is alive."""
-        backup = self._run.backup
+        destination = self._record.destination
         now_s = self._parts.timers.monotonic_s()
-        if backup is None or not self._is_alive(backup):
+        if destination is None or not self._is_alive(destination):
             # The connection to a partitioned zone may recover.
             return
         if now_s - self._load.last_event_s <= move_calls.HEARD_S:
             return
-        self._record.report_source_lost()
         self._source_lost = True
         if self._read_timeout is not None:
             self._read_timeout.reschedule(0.0)
@@ -324,7 +334,7 @@
             if done:
                 return None
             if self._source_lost:
-                return exchanges.Interrupted('silence', silent=True)
+                return self._give_up_source()
             if left_s <= silence_timeout_s:
                 return exchanges.TimedOut()
             if self._was_paused(due_s):
@@ -362,7 +372,7 @@
                     chunk = await answer.content.readany()
             except TimeoutError:
                 if self._source_lost:
-                    return exchanges.Interrupted('silence', silent=True)
+                    return self._give_up_source()
                 if left_s <= wait_s:
                     return exchanges.TimedOut()
                 checked_s = self._parts.timers.monotonic_s()
@@ -381,6 +391,7 @@
             if not event_bytes:
                 continue
             self._load.last_event_s = self._parts.timers.monotonic_s()
+            self._source_lost = False
             await self._stream.begin(facts.headers)
             if waiting_for_first:
                 waiting_for_first = False
@@ -396,13 +407,24 @@
         self._parts.loads.notify()
         self._parts.prompt_guard.report_sound(self._exchange)
         self._record_prefill_rate()
-        # The run goes on: retries kept for other ways are not needed.
-        self._parts.release_retries(self._exchange)
+        self._release_other_copies()
         self._progress_s = self._parts.timers.monotonic_s()
         # The engine may have started to drain before the first event.
         if self._find_move_reason() is not None:
             self._start_move()
 
+    def _release_other_copies(self) -> None:
+        """Frees the copies of a run that has continued from another one."""
+        for way in self._run.others:
+            if way.source is None or way.copy == self._run.copy:
+                continue
+            self._parts.releaser.release(way.source, way.target, way.copy)
+
+    def _give_up_source(self) -> exchanges.Interrupted:
+        """Ends the link to an engine that is silent and not reached."""
+        self._record.report_source_lost()
+        return exchanges.Interrupted('silence', silent=True)
+
     async def _classify_end(
         self, answer: aiohttp.ClientResponse, facts: api.AnswerFacts
     ) -> exchanges.StreamOutcome:
--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -1,6 +1,7 @@
 """Calls to an engine that copy or stop one of its runs."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 
 from dotterelweir_core import events
@@ -22,8 +23,11 @@
 # Time after the end of the link within which the answer to a call in progress
 # saves a further call, in seconds. Both may arrive at the same moment.
 _ANSWER_GRACE_S = 0.02
-# Delay of a call after one that settled nothing, in seconds.
+# Delay of a call after one that settled nothing, in seconds; the first one,
+# the longest one, and by how much each is longer than the one before.
 _RETRY_DELAY_S = 0.1
+_RETRY_DELAY_MAX_S = 1.0
+_RETRY_DELAY_FACTOR = 1.5
 # Maximum number of calls about one run that are not answered yet.
 _OPEN_CALLS_MAX = 3
 # Time since the last event of any stream within which an engine that accepts
@@ -59,6 +63,24 @@
         # Handles of copies that are not freed; None while all may be needed.
         self._used_handles: set[str] | None = None
 
+    @property
+    def stopping(self) -> bool:
+        """Whether a call to stop the run is not answered yet."""
+        return bool(self._open_stops)
+
+    def continue_with(self, record: run_record.RunRecord) -> None:
+        """Records open calls for the next run of the request at its engine.
+
+        They name the request and take effect on whatever run of it they find.
+
+        Args:
+            record: Record of the next run.
+        """
+        self._record = record
+        self._used_handles = None
+        for _ in self._open_stops:
+            record.begin_call(final=True)
+
     @property
     def copying(self) -> bool:
         """Whether a call that copies the run while it goes on is open."""
@@ -74,6 +96,8 @@
             The result of the first call that tells what became of the copy;
             TIMED_OUT at the deadline of the request.
         """
+        if len(self._open_copies) >= _OPEN_CALLS_MAX:
+            return api.MoveResult.BUSY
         if not await self._may_call():
             return api.MoveResult.BUSY
         pending = {self._start(destination, False)}
@@ -91,37 +115,51 @@
                 pending.add(self._start(destination, False))
         return api.MoveResult.TIMED_OUT
 
-    async def stop(self, destination: targets.Target) -> None:
+    async def stop(
+        self,
+        destination: targets.Target,
+        is_wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
         """Stops the run; returns once the record is settled.
 
         While the link lasts, also returns once the engine has answered
-        without stopping the run.
+        without stopping the run, or the stop is not wanted any more.
 
         Args:
             destination: The engine that gets what the copy there lacks.
+            is_wanted: Whether the run is to be stopped; asked before each
+                further call while the link lasts.
         """
         link_end = asyncio.create_task(self._record.link_ended.wait())
         try:
-            await self._call_until_settled(destination, link_end)
+            await self._call_until_settled(destination, link_end, is_wanted)
         finally:
             link_end.cancel()
 
     async def _call_until_settled(
-        self, destination: targets.Target, link_end: asyncio.Task
+        self,
+        destination: targets.Target,
+        link_end: asyncio.Task,
+        is_wanted: Callable[[], bool],
     ) -> None:
         record, open_stops = self._record, self._open_stops
         next_call_s = self._now_s()
-        called = False
+        retry_delay_s = _RETRY_DELAY_S
+        calls = 0
         while not record.is_settled and self._time_left_s() > 0:
             ended = record.link_ended.is_set()
-            if called and not ended and not self._may_have_stopped():
-                return
-            may_add = len(open_stops) < _OPEN_CALLS_MAX
-            if may_add and self._now_s() >= next_call_s:
+            if calls and not ended:
+                if record.state is run_record.SourceState.RUNNING:
+                    return
+                if not (open_stops or is_wanted()):
+                    return
+            if len(open_stops) < _OPEN_CALLS_MAX and (
+                self._now_s() >= next_call_s
+            ):
                 if await self._may_call():
                     self._start(destination, True)
-                    called = True
-                elif not open_stops:
+                    calls += 1
+                elif not open_stops and (ended or not calls):
                     return
                 delay_s = _REPEAT_DELAY_ENDED_S if ended else _REPEAT_DELAY_S
                 next_call_s = self._now_s() + delay_s
@@ -133,10 +171,15 @@
             if link_end in done:
                 next_call_s = min(next_call_s, self._now_s() + _ANSWER_GRACE_S)
             elif done and not open_stops:
-                next_call_s = min(next_call_s, self._now_s() + _RETRY_DELAY_S)
+                next_call_s = min(next_call_s, self._now_s() + retry_delay_s)
+                retry_delay_s = min(
+                    _RETRY_DELAY_MAX_S, _RETRY_DELAY_FACTOR * retry_delay_s
+                )
 
-    def _may_have_stopped(self) -> bool:
-        return self._record.state is not run_record.SourceState.RUNNING
+    async def wait_for_open_stops(self) -> None:
+        """Waits for the answers of open calls until the record is settled."""
+        while self._open_stops and not self._record.is_settled:
+            await _wait_for_any({*self._open_stops}, self._time_left_s())
 
     async def wait_for_stop(self, timeout_s: float) -> None:
         """Waits for the answers of open calls that stop the run.
@@ -160,7 +203,7 @@
             ways: Where the run may continue.
         """
         self._used_handles = {way.copy.handle for way in ways}
-        for way in self._record.copies.values():
+        for way in self._record.known_copies:
             self._release(way)
 
     def _start(
@@ -176,12 +219,12 @@
         self, destination: targets.Target, final: bool
     ) -> api.MoveOutcome:
         record = self._record
-        before = dict(record.copies)
         entry = exchanges.RunCall(
             record.source.target_id, final, self._now_s()
         )
         self._exchange.run_calls.append(entry)
         record.begin_call(final)
+        link_had_ended = record.link_ended.is_set()
         outcome = await self._parts.run_control.move(
             record.request_id,
             record.source,
@@ -190,27 +233,27 @@
             timeout_s=self._time_left_s(),
         )
         entry.result = outcome.result.value
+        # The run may have returned to its engine meanwhile.
+        record = self._record
+        before = {way.copy: way for way in record.known_copies}
         load = self._parts.loads.get(record.source.target_id)
-        heard = self._now_s() - load.last_event_s <= HEARD_S
-        record.end_call(destination, final, outcome, heard)
-        self._release_replaced(before)
-        return outcome
-
-    def _release_replaced(self, before: dict[str, run_record.Way]) -> None:
-        """Frees copies that newer ones have replaced or that come too late.
-
-        Args:
-            before: The copies before the last call.
-        """
-        copies = self._record.copies
-        for target_id, way in before.items():
-            if copies.get(target_id, way).copy != way.copy:
-                self._release(way)
-        if self._used_handles is None:
-            return
-        for target_id, way in copies.items():
-            if before.get(target_id) != way:
+        record.end_call(
+            destination,
+            final,
+            outcome,
+            source_heard=self._now_s() - load.last_event_s <= HEARD_S,
+            link_had_ended=link_had_ended,
+        )
+        after = {way.copy: way for way in record.known_copies}
+        for copy, way in before.items():
+            # A newer copy has replaced it.
+            if copy not in after:
                 self._release(way)
+        if self._used_handles is not None:
+            for copy, way in after.items():
+                if copy not in before:
+                    self._release(way)
+        return outcome
 
     def _release(self, way: run_record.Way) -> None:
         if way.copy.handle in (self._used_handles or ()):
@@ -221,13 +264,16 @@
         """Whether the engine may be called now, after a wait if necessary."""
         parts, source = self._parts, self._record.source
         if self._record.link_ended.is_set():
-            return await pausing.wait_for_target(
+            may_call = await pausing.wait_for_target(
                 parts, self._exchange, source, self._time_left_s()
             )
+            return may_call and self._time_left_s() > 0
         granted = await parts.limiter.acquire(
             source, self._record.request_id, urgent=True
         )
-        return granted and not parts.is_paused(source)
+        return (
+            granted and not parts.is_paused(source) and self._time_left_s() > 0
+        )
 
     def _now_s(self) -> float:
         return self._parts.timers.monotonic_s()
--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -151,7 +151,9 @@
             if await self._try_destinations(self._reason):
                 return
             await self._wait_to_retry(self._reason)
-        self._calls.discard_copies()
+        goes_on = self._record.state is run_record.SourceState.RUNNING
+        if goes_on and not self._record.link_ended.is_set():
+            self._calls.discard_copies()
 
     async def _wait_to_retry(self, reason: Reason) -> None:
         """Waits before another copy, while the reason of the move lasts."""
@@ -233,8 +235,8 @@
         reason, silent_s = found
         if self._has_obstacle(reason, destination, copy_s, silent_s):
             return False
-        retries = _RETRIES[reason]
-        self._parts.reserve_retries(self._exchange, retries)
+        if not self._parts.take_retry_ahead(self._exchange):
+            return False
         events.log(
             LOG,
             events.RUN_STOPPING,
@@ -244,20 +246,26 @@
             reason=reason.value,
             copy_s=round(copy_s, 3),
             left_s=round(self._exchange.deadline_s - self._now_s(), 3),
-            retries=retries,
             stopping=self._parts.stop_plan.stopping,
         )
         self._record.leaving |= reason is Reason.LEAVING
         self._exchange.silence_moves += reason is Reason.SILENT
         self._stopping = True
-        await self._calls.stop(destination)
+        await self._calls.stop(
+            destination, lambda: not self._has_obstacle(reason)
+        )
         if self._record.is_settled or self._record.link_ended.is_set():
             return True
-        # The engine has answered without stopping the run.
         self._stopping = False
-        self._exchange.silence_moves -= reason is Reason.SILENT
-        self._parts.release_retries(self._exchange)
+        if self._record.state is run_record.SourceState.RUNNING:
+            # The engine has answered without stopping the run.
+            self._exchange.silence_moves -= reason is Reason.SILENT
         self._exclude(destination)
+        if reason is Reason.SILENT and self._record.results[-1:] in (
+            [api.MoveResult.REFUSED],
+            [api.MoveResult.UNREACHABLE],
+        ):
+            self._on_source_lost()
         return False
 
     def _choose_destination(self, reason: Reason) -> targets.Target | None:
@@ -326,6 +334,13 @@
         if not parts.has_retries(exchange, _RETRIES[reason]):
             return Obstacle.NO_RETRY
         if destination is None:
+            # Only a call tells whether the source is reached, which matters
+            # if another engine keeps a backup.
+            probes = self._record.backup is not None
+            probes = probes and self._record.newest is None
+            if exchange.silence_moves and not probes:
+                if reason is Reason.SILENT:
+                    return Obstacle.MOVED_BEFORE
             return None
         if not parts.accepts_work(destination):
             events.log(
--- a/packages/daemon/src/dotterelweird/gateway/run_record.py
+++ b/packages/daemon/src/dotterelweird/gateway/run_record.py
@@ -26,10 +26,13 @@
     Attributes:
         target: The engine.
         copy: Copy of the run's memory.
+        source: The engine that made the copy on a call; None for a backup,
+            which needs no release.
     """
 
     target: targets.Target
     copy: api.RunCopy
+    source: targets.Target | None = None
 
 
 @attrs.define
@@ -92,6 +95,12 @@
         """The newest copy made on a call; None without one."""
         return next(reversed(self.copies.values()), None)
 
+    @property
+    def known_copies(self) -> list[Way]:
+        """The copies made on calls, and the memory that the source keeps."""
+        kept = [self.stayed] if self.stayed is not None else []
+        return [*self.copies.values(), *kept]
+
     @property
     def destination(self) -> targets.Target | None:
         """The engine that holds the newest copy or the backup, if any."""
@@ -114,7 +123,7 @@
                     # It soon accepts no request any more.
                     ways = [*copies, self.stayed]
             case SourceState.STOPPED if newest is not None:
-                ways = [newest, Way(self.source, newest.copy), self.backup]
+                ways = [newest, self._way_back(newest.copy), self.backup]
             case SourceState.STOPPED | SourceState.NO_RUN | SourceState.ENDED:
                 ways = [newest, self.backup]
         return tuple(way for way in ways if way is not None)
@@ -135,6 +144,7 @@
         final: bool,
         outcome: api.MoveOutcome,
         source_heard: bool,
+        link_had_ended: bool = True,
     ) -> None:
         """Records the outcome of a call to the source.
 
@@ -144,6 +154,7 @@
             outcome: The outcome.
             source_heard: Whether the source was heard on another stream
                 while the call was not answered.
+            link_had_ended: Whether the link had ended before the call.
         """
         result = outcome.result
         repeated = bool(self.results) and self.results[-1] is result
@@ -158,9 +169,11 @@
                     self._confirm_stop()
             case api.MoveResult.STOPPED if final:
                 copy = api.RunCopy(self.source.address, outcome.handle)
-                self.stayed = Way(self.source, copy)
+                self.stayed = self._way_back(copy)
                 self._confirm_stop()
-            case api.MoveResult.NO_RUN if final and self.link_ended.is_set():
+            case api.MoveResult.NO_RUN if (
+                final and link_had_ended and self.link_ended.is_set()
+            ):
                 # Before the end of the link, the engine may have preempted
                 # the run and resume it.
                 called = self._unanswered_stops > 0
@@ -186,9 +199,12 @@
     def _add_copy(self, destination: targets.Target, handle: str) -> None:
         self.copies.pop(destination.target_id, None)
         self.copies[destination.target_id] = Way(
-            destination, api.RunCopy(self.source.address, handle)
+            destination, api.RunCopy(self.source.address, handle), self.source
         )
 
+    def _way_back(self, copy: api.RunCopy) -> Way:
+        return Way(self.source, copy, self.source)
+
     def _confirm_stop(self) -> None:
         self.stop_answered = True
         # An answer of the source itself replaces what was concluded.
