Settle no returned run by a call made before its return

A call to stop a run that is answered after the run has returned to its engine was read as one made after the end of the new link, so that a late 404 could have settled the new run. By reading; no run has shown it. A wait for open calls ends at the deadline.

--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -179,7 +179,10 @@
     async def wait_for_open_stops(self) -> None:
         """Waits for the answers of open calls until the record is settled."""
         while self._open_stops and not self._record.is_settled:
-            await _wait_for_any({*self._open_stops}, self._time_left_s())
+            left_s = self._time_left_s()
+            if left_s <= 0:
+                return
+            await _wait_for_any({*self._open_stops}, left_s)
 
     async def wait_for_stop(self, timeout_s: float) -> None:
         """Waits for the answers of open calls that stop the run.
@@ -233,8 +236,9 @@
             timeout_s=self._time_left_s(),
         )
         entry.result = outcome.result.value
-        # The run may have returned to its engine meanwhile.
-        record = self._record
+        if record is not self._record:
+            # The run has returned to its engine; its link there is new.
+            record, link_had_ended = self._record, False
         before = {way.copy: way for way in record.known_copies}
         load = self._parts.loads.get(record.source.target_id)
         record.end_call(
--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -142,20 +142,26 @@
     assert second.resumed_after
 
 
-async def test_a_stop_whose_answer_is_lost_leaves_the_first_copy(
-    deployment, engines
-):
-    """Guards against runs lost with the answer to a call to stop them."""
-    first, second = engines
+def lose_answer_to_stop(engine):
+    """Lets an engine stop a run and break the call off that said so."""
 
     async def lose_answer(order, handle):
-        if not order['last'] or first.behaviour.move_status:
+        if not order['last'] or engine.behaviour.move_status:
             return await handle()
         await handle()
-        first.behaviour.move_status = 404
+        engine.behaviour.move_status = 404
         raise ConnectionResetError
 
-    replace_move(first, lose_answer)
+    replace_move(engine, lose_answer)
+
+
+async def test_a_stop_whose_answer_is_lost_leaves_the_first_copy(
+    deployment, engines
+):
+    """Guards against runs lost with the answer to a call to stop them."""
+    first, second = engines
+
+    lose_answer_to_stop(first)
     assert await read_while_leaving(deployment) == expected_events(30)
     assert second.resumed_after
 
@@ -285,14 +291,7 @@
     first, second = engines
     second.behaviour.has_copies = False
 
-    async def lose_answer(order, handle):
-        if not order['last'] or first.behaviour.move_status:
-            return await handle()
-        await handle()
-        first.behaviour.move_status = 404
-        raise ConnectionResetError
-
-    replace_move(first, lose_answer)
+    lose_answer_to_stop(first)
     assert await read_while_leaving(deployment) == expected_events(30)
     assert first.resumed_after
 
@@ -367,13 +366,14 @@
         if len(stops) == 1:
             first.behaviour.pause_after = None
             await handle()
-            await asyncio.sleep(0.6)
+            async with asyncio.timeout(2):
+                while len(stops) == 1:
+                    await asyncio.sleep(0.01)
             return web.json_response({'handle': 'h2'}, status=503)
-        # It arrives late.
+        # It arrives late, after some events of the run that returned.
         async with asyncio.timeout(2):
-            while not first.resumed_after:
+            while first.events_made('request-1') < 6:
                 await asyncio.sleep(0.01)
-        await asyncio.sleep(0.1)
         return await handle()
 
     replace_move(first, delay_calls)
