--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -529,3 +529,23 @@
         assert await answer.read() == expected_events(30)
     assert second.resumed_after
     assert not second.move_orders
+
+
+async def test_a_stop_that_broke_off_is_called_again_while_the_run_is_silent(
+    deployment, engines
+):
+    """Guards against a silent run that one broken call keeps until it ends."""
+    first, second = engines
+    first.behaviour.silent_after = 3
+    broken = []
+
+    async def break_first_stop(order, handle):
+        if order['last'] and not broken:
+            broken.append(order)
+            raise ConnectionResetError
+        return await handle()
+
+    replace_move(first, break_first_stop)
+    async with asyncio.timeout(1.5), deployment.request('guide') as answer:
+        assert await answer.read() == expected_events(30)
+    assert second.resumed_after
