Ask one question before every send, and plan the parts for hard load

What callers saw: nothing yet; this prepares parts that add further obstacles. Cause: what may be sent where was asked by four methods of Forwarding and one of CopyReleaser, each for some kinds of send. SendGate answers it now for requests, continuations, copies, backups and releases.

Ruled out: moving all modules into folders by question, as the names of their loggers leave the process.

Conclusion: interfaces stand; no change of behaviour is intended.

--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -186,6 +186,12 @@
             instance started.
         failed: Number of attempts that the target has failed or refused
             since the instance started.
+        late: Number of attempts that the target has served later than
+            expected since the instance started.
+        event_us: Time that the target takes for one event of a stream, or
+            for a plain call, in microseconds; 0 if unknown.
+        prefill_us: Time that the target takes to prefill 1,000 prompt
+            tokens, in microseconds; 0 if unknown.
     """
 
     running: float = 0.0
@@ -193,6 +199,9 @@
     prefill_tokens: float = 0.0
     served: float = 0.0
     failed: float = 0.0
+    late: float = 0.0
+    event_us: float = 0.0
+    prefill_us: float = 0.0
 
 
 _NO_LOAD = DigestRow()
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -142,10 +142,11 @@
     request, target = exchange.request, options.target
     exchange.tried.add(target.target_id)
     # What the choice of the target rested on may have changed since.
-    reason = parts.find_withhold_reason(
+    obstacle = parts.gate.find_obstacle(
         target, resumes=options.copy is not None
     )
-    if reason is not None:
+    if obstacle is not None:
+        reason = obstacle.value
         parts.statistics.withheld_sends.inc({'reason': reason})
         events.log(
             LOG,
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -28,10 +28,7 @@
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
-
-# Time after the news of an engine's departure within which a run may continue
-# there from its only copy, in seconds. It then moves on from there.
-_RESUME_AFTER_DEPARTURE_S = 1.0
+from dotterelweird.gateway.sending import gate as send_gate
 
 
 @attrs.define
@@ -61,8 +58,9 @@
         end_detector: Detects the ends of targets with requests in flight.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
-        releaser: Frees copies of runs that will not be used.
         departure_times: When targets began to leave.
+        gate: Tells whether a target may be sent something now.
+        releaser: Frees copies of runs that will not be used.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -91,16 +89,20 @@
     _request_queues: dict[tuple[str, bool], waiting.RequestQueue] = (
         attrs.field(factory=dict)
     )
-    releaser: releasing.CopyReleaser = attrs.field(init=False)
     departure_times: watching.DepartureTimes = attrs.field(init=False)
+    gate: send_gate.SendGate = attrs.field(init=False)
+    releaser: releasing.CopyReleaser = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.departure_times = watching.DepartureTimes(self.timers)
-        self.releaser = releasing.CopyReleaser(
-            self.run_control,
-            self.timers,
+        self.gate = send_gate.SendGate(
+            self.directory,
             self.placer.pause_registry,
-            self.limiter,
+            self.departure_times,
+            self.timers,
+        )
+        self.releaser = releasing.CopyReleaser(
+            self.run_control, self.gate, self.limiter
         )
 
     def choose(
@@ -238,50 +240,6 @@
             exchange.service.name, self.timers.monotonic_s(), urgent
         )
 
-    def is_paused(self, target: targets.Target) -> bool:
-        """Whether a target must not be sent requests now."""
-        return self.placer.pause_registry.is_paused(
-            target, self.timers.monotonic_s()
-        )
-
-    def find_withhold_reason(
-        self, target: targets.Target, resumes: bool = False
-    ) -> str | None:
-        """Returns why a request must not be sent to a target.
-
-        This is looked at right before every send, whatever was waited for
-        since the target was chosen.
-
-        Args:
-            target: The target.
-            resumes: Whether the target has the only copy of a run, which may
-                continue there shortly after the target began to leave.
-
-        Returns:
-            The reason; None if the request may be sent.
-        """
-        if self.is_paused(target):
-            return 'paused'
-        return 'leaving' if self.has_left(target, resumes) else None
-
-    def has_left(self, target: targets.Target, resumes: bool) -> bool:
-        """Whether a target accepts no request any more, as it leaves.
-
-        Args:
-            target: The target.
-            resumes: Whether the target has a copy of a run.
-        """
-        if self.directory.takes_work(target.target_id):
-            return False
-        left_s = self.departure_times.elapsed_s(target.target_id)
-        return not (resumes and left_s <= _RESUME_AFTER_DEPARTURE_S)
-
-    def accepts_work(self, target: targets.Target) -> bool:
-        """Whether a target is ready and not paused."""
-        return self.directory.takes_work(
-            target.target_id
-        ) and not self.is_paused(target)
-
     def is_limited(self, exchange: exchanges.Exchange) -> bool:
         """Whether a ready target of a service limits its request rate."""
         return any(
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -142,7 +142,7 @@
                 'b': message.started_ms,
                 's': message.sequence,
                 'l': [
-                    [target_id, *map(int, attrs.astuple(row))]
+                    [target_id, *_encode_load(row)]
                     for target_id, row in message.loads.items()
                 ],
             }
@@ -318,6 +318,14 @@
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
 
 
+def _encode_load(row: gateway_load.DigestRow) -> list[int]:
+    """Returns the fields of a row without zeros at its end."""
+    fields = list(map(int, attrs.astuple(row)))
+    while fields and not fields[-1]:
+        fields.pop()
+    return fields
+
+
 def _encode_record(record: api.Record) -> list[Any]:
     value = record.value
     encoded = base64.b64encode(value).decode() if value else None
--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -276,7 +276,9 @@
             source, self._record.request_id, urgent=True
         )
         return (
-            granted and not parts.is_paused(source) and self._time_left_s() > 0
+            granted
+            and not parts.gate.is_paused(source)
+            and self._time_left_s() > 0
         )
 
     def _now_s(self) -> float:
--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -275,7 +275,7 @@
             reason is Reason.SILENT
             and backup is not None
             and backup.target.target_id not in refused
-            and self._parts.accepts_work(backup.target)
+            and self._parts.gate.accepts(backup.target)
         ):
             return backup.target
         return self._parts.choose_takeover_target(
@@ -323,7 +323,7 @@
         parts, exchange = self._parts, self._exchange
         now_s = self._now_s()
         needed_s = _COPY_TIME_FACTOR * copy_s + _START_S
-        if parts.is_paused(self._record.source):
+        if parts.gate.is_paused(self._record.source):
             return Obstacle.SOURCE_PAUSED
         if parts.request_guard.is_blocked(exchange):
             return Obstacle.REQUEST_BLOCKED
@@ -342,7 +342,7 @@
                 if reason is Reason.SILENT:
                     return Obstacle.MOVED_BEFORE
             return None
-        if not parts.accepts_work(destination):
+        if not parts.gate.accepts(destination):
             events.log(
                 LOG,
                 events.DESTINATION_LEFT,
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -92,7 +92,7 @@
         )
         if not granted:
             return False
-        if not parts.is_paused(target):
+        if not parts.gate.is_paused(target):
             return True
 
 
@@ -118,7 +118,10 @@
         now_s = parts.timers.monotonic_s()
         left_s = exchange.deadline_s - now_s
         usable = [
-            way for way in ways if not parts.has_left(way.target, resumes=True)
+            way
+            for way in ways
+            if parts.gate.find_lasting_obstacle(way.target, resumes=True)
+            is None
         ]
         pauses_s = [
             parts.placer.pause_registry.pause_end_s(way.target) - now_s
@@ -135,7 +138,7 @@
                 left_s if len(usable) == 1 else STREAM_WAIT_MAX_S,
                 urgent=True,
             )
-            if granted and not parts.is_paused(way.target):
+            if granted and not parts.gate.is_paused(way.target):
                 return way
         await timers.sleep(parts.timers, _PAUSE_CHECK_S)
 
@@ -195,7 +198,7 @@
             target, exchange.request.request_id, wait_max_s
         )
         # The target may have left or paused while a turn was obtained.
-        if granted and parts.accepts_work(target):
+        if granted and parts.gate.accepts(target):
             return choice
         refused.add(target.target_id)
 
--- a/packages/daemon/src/dotterelweird/gateway/releasing.py
+++ b/packages/daemon/src/dotterelweird/gateway/releasing.py
@@ -4,11 +4,10 @@
 import logging
 
 from dotterelweir_core import events
-from dotterelweir_core import timers
-from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import limiting
+from dotterelweird.gateway.sending import gate
 
 LOG = logging.getLogger(__name__)
 
@@ -25,21 +24,18 @@
 
     Args:
         runs: Control of runs at model engines.
-        timer_service: The timer service.
-        pause_registry: Pauses that engines requested from this instance.
+        send_gate: Tells whether an engine may be called.
         limiter: Keeps requests within the limits of engines.
     """
 
     def __init__(
         self,
         runs: api.RunControl,
-        timer_service: timers.TimerService,
-        pause_registry: pauses.PauseRegistry,
+        send_gate: gate.SendGate,
         limiter: limiting.TargetLimiter,
     ) -> None:
         self._runs = runs
-        self._timers = timer_service
-        self._pauses = pause_registry
+        self._gate = send_gate
         self._limiter = limiter
         # The event loop itself keeps only weak references to tasks.
         self._tasks: set[asyncio.Task] = set()
@@ -72,11 +68,11 @@
         # The source releases the copy at both engines, but may have left.
         freed_by = None
         for engine in (source, destination):
-            if self._is_paused(engine):
+            if self._gate.is_paused(engine):
                 continue
             if not await self._limiter.acquire(engine, copy.handle):
                 continue
-            if self._is_paused(engine):
+            if self._gate.is_paused(engine):
                 continue
             if await self._runs.release(engine, copy, _RELEASE_TIMEOUT_S):
                 freed_by = engine.target_id
@@ -89,6 +85,3 @@
             handle=copy.handle,
             freed_by=freed_by,
         )
-
-    def _is_paused(self, engine: targets.Target) -> bool:
-        return self._pauses.is_paused(engine, self._timers.monotonic_s())
--- a/packages/daemon/tests/gateway/test_generations.py
+++ b/packages/daemon/tests/gateway/test_generations.py
@@ -8,8 +8,8 @@
 
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
-from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import move_calls
+from dotterelweird.gateway.sending import gate
 
 
 def expected_events(events=10, first=1):
@@ -493,7 +493,7 @@
     deployment, monkeypatch
 ):
     """Guards against copies used after their engine stopped to take work."""
-    monkeypatch.setattr(dependencies, '_RESUME_AFTER_DEPARTURE_S', -1.0)
+    monkeypatch.setattr(gate, '_RESUME_AFTER_DEPARTURE_S', -1.0)
     first, second = place_on(deployment, 'engine-1')
     first.behaviour.event_s = 0.05
     first.behaviour.cut_after = 4
@@ -582,7 +582,7 @@
     def accept_work(self, target):
         return True
 
-    monkeypatch.setattr(type(parts), 'accepts_work', accept_work)
+    monkeypatch.setattr(type(parts.gate), 'accepts', accept_work)
     original_send = attempts.send
 
     async def send_later(*args):
--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -8,9 +8,9 @@
 
 from dotterelweir_fakes.fleet import engine as fleet_engine
 from dotterelweird.gateway import api
-from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import links
 from dotterelweird.gateway import moving
+from dotterelweird.gateway.sending import gate
 
 
 def expected_events(events):
@@ -411,7 +411,7 @@
     deployment, engines, monkeypatch
 ):
     """Guards against a status 429 that is read as a missing copy."""
-    monkeypatch.setattr(dependencies, '_RESUME_AFTER_DEPARTURE_S', 0.0)
+    monkeypatch.setattr(gate, '_RESUME_AFTER_DEPARTURE_S', 0.0)
     first, second = engines
     respond = second._respond
     refused = []
--- a/packages/daemon/tests/gateway/test_notices.py
+++ b/packages/daemon/tests/gateway/test_notices.py
@@ -221,7 +221,7 @@
     engine.behaviour.retry_after = text
     await send_until_received(deployment, 'book', 'shop-1')
     target = deployment.gateway._directory.targets['shop-1']
-    assert not deployment.gateway._parts.is_paused(target)
+    assert not deployment.gateway._parts.gate.is_paused(target)
 
 
 async def test_a_pause_of_a_year_ends_with_a_new_start(deployment):
