Wait before calls that repeat a copy in progress

What callers saw: nothing; engines whose copies are queued got calls without a pause. Observed on: 79,933 calls in 75 s, 79,707 answered with 409.

Cause: MoveCalls.copy begins a second call when the first has been open for 2.5 s. The engine answers it with 409 at once, as it works on the first, and the loop began the next call as soon as it had that answer. A call is now repeated after the same 2.5 s, and each 409 makes the delay 1.5 times as long, 5 s at most. _call_until_settled could make a single call at once after the answer that followed a time with three open calls; it has the least delay now as well.

Ruled out: no further call while one is open, as the answer to the open one may be lost. The delay of _call_until_settled (0.1 to 1 s), as an open call tells of the end of the copy, so that a further one only replaces a lost answer.

Conclusion: a copy that takes 39 s is called for 9 times.

--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -17,8 +17,13 @@
 # Time without an answer after which an engine is called again, in seconds.
 # The answer may have been lost; an engine that still copies says so.
 _REPEAT_DELAY_S = 2.5
-# The same once the link has ended: an engine that has stopped the run says
-# that it has no such run, whatever its copy waits for.
+# Longest time between two calls that copy a run while the first one is open
+# and the engine says that it works on it, in seconds. A copy may be queued for
+# several seconds; a lost answer is noticed within this time after the copy.
+_REPEAT_DELAY_MAX_S = 5.0
+# Time without an answer after which an engine is called again once the link
+# has ended, in seconds: an engine that has stopped the run says that it has no
+# such run, whatever its copy waits for.
 _REPEAT_DELAY_ENDED_S = 0.4
 # Time after the end of the link within which the answer to a call in progress
 # saves a further call, in seconds. Both may arrive at the same moment.
@@ -101,18 +106,31 @@
         if not await self._may_call():
             return api.MoveResult.BUSY
         pending = {self._start(destination, False)}
+        repeat_delay_s = _REPEAT_DELAY_S
+        next_call_s = self._now_s() + repeat_delay_s
         while self._time_left_s() > 0:
+            wait_s = self._time_left_s()
+            if len(pending) < _OPEN_CALLS_MAX:
+                wait_s = min(wait_s, max(0.0, next_call_s - self._now_s()))
             done, pending = await asyncio.wait(
                 pending,
-                timeout=min(_REPEAT_DELAY_S, self._time_left_s()),
+                timeout=wait_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
                 result = task.result().result
                 if result is not api.MoveResult.BUSY or not pending:
                     return result
-            if len(pending) < _OPEN_CALLS_MAX and await self._may_call():
-                pending.add(self._start(destination, False))
+            if done:
+                # The engine works on a call that is still open.
+                repeat_delay_s = min(
+                    _REPEAT_DELAY_MAX_S, _RETRY_DELAY_FACTOR * repeat_delay_s
+                )
+                next_call_s = self._now_s() + repeat_delay_s
+            elif self._now_s() >= next_call_s:
+                if await self._may_call():
+                    pending.add(self._start(destination, False))
+                next_call_s = self._now_s() + repeat_delay_s
         return api.MoveResult.TIMED_OUT
 
     async def stop(
@@ -170,11 +188,17 @@
             done = await _wait_for_any(waited, max(0.0, wait_s))
             if link_end in done:
                 next_call_s = min(next_call_s, self._now_s() + _ANSWER_GRACE_S)
-            elif done and not open_stops:
-                next_call_s = min(next_call_s, self._now_s() + retry_delay_s)
-                retry_delay_s = min(
-                    _RETRY_DELAY_MAX_S, _RETRY_DELAY_FACTOR * retry_delay_s
-                )
+            elif done:
+                if not open_stops:
+                    retry_s = self._now_s() + retry_delay_s
+                    next_call_s = min(next_call_s, retry_s)
+                    retry_delay_s = min(
+                        _RETRY_DELAY_MAX_S, _RETRY_DELAY_FACTOR * retry_delay_s
+                    )
+                # The time of the next call may have passed while the maximum
+                # number of calls was open.
+                earliest_s = self._now_s() + _RETRY_DELAY_S
+                next_call_s = max(next_call_s, earliest_s)
 
     async def wait_for_open_stops(self) -> None:
         """Waits for the answers of open calls until the record is settled."""
--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -9,6 +9,7 @@
 from dotterelweir_fakes.fleet import engine as fleet_engine
 from dotterelweird.gateway import api
 from dotterelweird.gateway import links
+from dotterelweird.gateway import move_calls
 from dotterelweird.gateway import moving
 from dotterelweird.gateway.sending import gate
 
@@ -549,3 +550,34 @@
     async with asyncio.timeout(1.5), deployment.request('guide') as answer:
         assert await answer.read() == expected_events(30)
     assert second.resumed_after
+
+
+async def test_a_slow_copy_is_called_for_a_few_times_only(
+    deployment, engines, monkeypatch
+):
+    """Guards against calls without a delay while one copy is in progress."""
+    monkeypatch.setattr(move_calls, '_REPEAT_DELAY_S', 0.1)
+    first, second = engines
+    first.behaviour.events = 60
+    second.behaviour.events = 60
+    calls = []
+    copied = asyncio.Event()
+
+    async def work_on_first_call(order, handle):
+        calls.append(order)
+        if len(calls) > 1 and not copied.is_set():
+            return web.Response(status=409)
+        await copied.wait()
+        return await handle()
+
+    replace_move(first, work_on_first_call)
+    async with deployment.request('guide') as answer:
+        body = await read_until(answer, b'token-3\n')
+        announce_leaving(deployment, 'engine-1')
+        body += await read_until(answer, b'token-43\n')
+        # 0.8 s: calls after 0, 0.1, 0.25, 0.48 and 0.81 s.
+        assert 1 < len(calls) <= 8
+        copied.set()
+        body += await answer.read()
+    assert body == expected_events(60)
+    assert second.resumed_after
