Wait after every refused call, and call again for a stop that broke off

What callers saw: nothing of the calls. A stream whose engine was silent and whose call to stop broke off waited for its engine or its deadline.

Cause: RunMove tried one engine after the other without a delay while any had not refused for 0.2 s; with many engines that is a call for each, five times a second. A stopped run whose two engines refused it was sent to and fro at once. Before a further call to stop, RunMove asked for an obstacle and found its own move for silence, which it took for an earlier one; it now asks for the reason and does not count itself. Event 250 and busy_moves_total show engines that keep answering 409.

Conclusion: every loop has a delay after the fastest refusal.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -323,6 +323,14 @@
     'An engine is called to stop a run, whose copy is complete; `copy_s` is '
     'the time that it took, `left_s` the time to the deadline.',
 )
+COPY_IN_PROGRESS = _event(
+    250,
+    'copy-in-progress',
+    logging.WARNING,
+    'An engine has answered several calls about a run in a row that it works '
+    'on an earlier one; logged once for a run at an engine, `since_s` after '
+    'the first call.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -225,6 +225,12 @@
                 stream=self._stream.value,
                 offset=self._offset,
             )
+            if self._offset is None:
+                # A snapshot needs no earlier records: the answer is wrong, and
+                # another call would get the same one.
+                self._schedule.defer(
+                    self._timers.monotonic_s(), self._retry_delay_s()
+                )
             self._offset = None
         except api.StoreUnavailable as exc:
             self._mark_unavailable(str(exc))
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -426,10 +426,10 @@
             self._unsent[target_id] = self._unsent.get(target_id, 0) + 1
             if self._unsent[target_id] < _UNSENT_MAX:
                 ways.append(run_record.Way(run.target, run.copy))
-                if not run.others:
-                    await timers.sleep(self._parts.timers, _RESEND_DELAY_S)
         if not ways:
             return None
+        if not self._has_untried_way(ways):
+            await timers.sleep(self._parts.timers, _RESEND_DELAY_S)
         if refused and not await self._wait_for_retry():
             return None
         way = await pausing.choose_way(self._parts, self._exchange, ways)
@@ -446,6 +446,15 @@
         )
         return self._place_at(way, ways)
 
+    def _has_untried_way(self, ways: Sequence[run_record.Way]) -> bool:
+        """Whether an engine that was not sent the run accepts it now."""
+        return any(
+            way.target.target_id not in self._unsent
+            and self._parts.gate.find_obstacle(way.target, resumes=True)
+            is None
+            for way in ways
+        )
+
     def _place_at(
         self,
         way: run_record.Way,
--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -33,6 +33,10 @@
 _RETRY_DELAY_S = 0.1
 _RETRY_DELAY_MAX_S = 1.0
 _RETRY_DELAY_FACTOR = 1.5
+# Number of calls in a row that an engine answers with "works on an earlier
+# one" before that is logged. With a first call that stays open, the third such
+# answer comes 11 s after it.
+_BUSY_LOGGED_FROM = 3
 # Maximum number of calls about one run that are not answered yet.
 _OPEN_CALLS_MAX = 3
 # Time since the last event of any stream within which an engine that accepts
@@ -65,6 +69,11 @@
         self._record = record
         self._open_copies: set[asyncio.Task] = set()
         self._open_stops: set[asyncio.Task] = set()
+        # Answers in a row that the engine works on an earlier call, and
+        # whether they were logged.
+        self._busy_answers = 0
+        self._busy_logged = False
+        self._first_call_s: float | None = None
         # Handles of copies that are not freed; None while all may be needed.
         self._used_handles: set[str] | None = None
 
@@ -250,6 +259,8 @@
             record.source.target_id, final, self._now_s()
         )
         self._exchange.run_calls.append(entry)
+        if self._first_call_s is None:
+            self._first_call_s = entry.began_s
         record.begin_call(final)
         link_had_ended = record.link_ended.is_set()
         outcome = await self._parts.run_control.move(
@@ -260,6 +271,7 @@
             timeout_s=self._time_left_s(),
         )
         entry.result = outcome.result.value
+        self._count_busy(outcome.result)
         if record is not self._record:
             # The run has returned to its engine; its link there is new.
             record, link_had_ended = self._record, False
@@ -283,6 +295,26 @@
                     self._release(way)
         return outcome
 
+    def _count_busy(self, result: api.MoveResult) -> None:
+        """Counts and reports an engine that works on an earlier call."""
+        if result is not api.MoveResult.BUSY:
+            self._busy_answers = 0
+            return
+        source_id = self._record.source.target_id
+        self._busy_answers += 1
+        self._parts.statistics.busy_moves.inc({'target': source_id})
+        if self._busy_answers < _BUSY_LOGGED_FROM or self._busy_logged:
+            return
+        self._busy_logged = True
+        events.log(
+            LOG,
+            events.COPY_IN_PROGRESS,
+            request_id=self._record.request_id,
+            source=source_id,
+            calls=self._busy_answers,
+            since_s=round(self._now_s() - self._first_call_s, 3),
+        )
+
     def _release(self, way: run_record.Way) -> None:
         if way.copy.handle in (self._used_handles or ()):
             return
--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -44,6 +44,14 @@
 
 # Delay before another call that copies a run, in seconds.
 _RETRY_DELAY_S = {Reason.LEAVING: 0.1, Reason.SILENT: 1.0}
+# Least delay after a call that was refused, in seconds; the first one, the
+# longest one, and by how much each is longer than the one before. The first is
+# short, as another engine may have room. The longest is a quarter of the time
+# in which an engine that leaves may exit, as a run that was preempted can be
+# copied once it runs again.
+_REFUSAL_DELAY_S = 0.02
+_REFUSAL_DELAY_MAX_S = 0.5
+_REFUSAL_DELAY_FACTOR = 1.5
 # Longest time after which the reason of a move is looked at again, in seconds.
 _CHECK_DELAY_S = 0.1
 # Retries that must be left before a run is stopped: one for the destination
@@ -98,6 +106,9 @@
         self._refused_at_s: dict[str, float] = {}
         self._obstacle: Obstacle | None = None
         self._stopping = False
+        self._refusal_delay_s = _REFUSAL_DELAY_S
+        # Whether the silence moves of the request include this one.
+        self._counted = False
         self._task = asyncio.create_task(self._run())
 
     @property
@@ -148,62 +159,74 @@
                 break
             self._reason, _ = found
             self._record.leaving |= self._reason is Reason.LEAVING
-            if await self._try_destinations(self._reason):
+            delay_s = await self._try_destination(self._reason)
+            if delay_s is None:
                 return
-            await self._wait_to_retry(self._reason)
+            await self._wait_to_retry(self._reason, delay_s)
         goes_on = self._record.state is run_record.SourceState.RUNNING
         if goes_on and not self._record.link_ended.is_set():
             self._calls.discard_copies()
 
-    async def _wait_to_retry(self, reason: Reason) -> None:
+    async def _wait_to_retry(self, reason: Reason, delay_s: float) -> None:
         """Waits before another copy, while the reason of the move lasts."""
-        retry_s = self._now_s() + _RETRY_DELAY_S[reason]
-        while self._now_s() < retry_s:
-            await timers.sleep(self._parts.timers, _CHECK_DELAY_S)
+        retry_s = self._now_s() + delay_s
+        while (left_s := retry_s - self._now_s()) > 0:
+            await timers.sleep(self._parts.timers, min(left_s, _CHECK_DELAY_S))
             found = self._find_reason()
             if found is None or found[0] is not reason:
                 return
 
-    async def _try_destinations(self, reason: Reason) -> bool:
-        """Tries one engine after the other until one takes the run over.
+    async def _try_destination(self, reason: Reason) -> float | None:
+        """Tries one engine, which may take the run over.
 
         Args:
             reason: Why the run is moved.
 
         Returns:
-            Whether the move has ended.
+            Time until the next try, in seconds; None if the move has ended.
         """
-        while not self._has_obstacle(reason):
-            destination = self._choose_destination(reason)
-            if destination is None:
-                return False
-            began_s = self._now_s()
-            # Counted, so that other instances do not fill the memory
-            # meanwhile.
-            with attempts.track_backup_load(
-                self._parts, destination, self._exchange.tokens
-            ):
-                result = await self._calls.copy(destination)
-                if self._record.link_ended.is_set():
-                    return True
-                if result is api.MoveResult.MOVED:
-                    copy_s = self._now_s() - began_s
-                    if await self._stop(destination, copy_s):
-                        return True
-            match result:
-                case api.MoveResult.MOVED:
-                    if self._is_usable(destination):
-                        return False
-                case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
-                    return False
-                case api.MoveResult.REFUSED | api.MoveResult.UNREACHABLE:
-                    self._exclude(destination)
-                    if reason is Reason.SILENT:
-                        self._on_source_lost()
-                    return False
-                case _:
-                    self._exclude(destination)
-        return False
+        retry_delay_s = _RETRY_DELAY_S[reason]
+        if self._has_obstacle(reason):
+            return retry_delay_s
+        destination = self._choose_destination(reason)
+        if destination is None:
+            return retry_delay_s
+        began_s = self._now_s()
+        # Counted, so that other instances do not fill the memory meanwhile.
+        with attempts.track_backup_load(
+            self._parts, destination, self._exchange.tokens
+        ):
+            result = await self._calls.copy(destination)
+            if self._record.link_ended.is_set():
+                return None
+            if result is api.MoveResult.MOVED:
+                copy_s = self._now_s() - began_s
+                if await self._stop(destination, copy_s):
+                    return None
+        match result:
+            case api.MoveResult.MOVED:
+                if self._is_usable(destination):
+                    self._refusal_delay_s = _REFUSAL_DELAY_S
+                    return retry_delay_s
+            case api.MoveResult.NO_RUN | api.MoveResult.BUSY:
+                return max(retry_delay_s, self._next_refusal_delay_s())
+            case api.MoveResult.REFUSED | api.MoveResult.UNREACHABLE:
+                self._exclude(destination)
+                if reason is Reason.SILENT:
+                    self._on_source_lost()
+                return max(retry_delay_s, self._next_refusal_delay_s())
+            case _:
+                self._exclude(destination)
+        # Another engine may take the run over.
+        return self._next_refusal_delay_s()
+
+    def _next_refusal_delay_s(self) -> float:
+        """Returns the delay after a refused call; the next one is longer."""
+        delay_s = self._refusal_delay_s
+        self._refusal_delay_s = min(
+            _REFUSAL_DELAY_MAX_S, _REFUSAL_DELAY_FACTOR * delay_s
+        )
+        return delay_s
 
     def _exclude(self, destination: targets.Target) -> None:
         self._refused_at_s[destination.target_id] = self._now_s()
@@ -249,17 +272,20 @@
             stopping=self._parts.stop_plan.stopping,
         )
         self._record.leaving |= reason is Reason.LEAVING
-        self._exchange.silence_moves += reason is Reason.SILENT
+        if reason is Reason.SILENT and not self._counted:
+            self._exchange.silence_moves += 1
+            self._counted = True
         self._stopping = True
         await self._calls.stop(
-            destination, lambda: not self._has_obstacle(reason)
+            destination, lambda: self._is_stop_wanted(reason)
         )
         if self._record.is_settled or self._record.link_ended.is_set():
             return True
         self._stopping = False
         if self._record.state is run_record.SourceState.RUNNING:
             # The engine has answered without stopping the run.
-            self._exchange.silence_moves -= reason is Reason.SILENT
+            self._exchange.silence_moves -= self._counted
+            self._counted = False
         self._exclude(destination)
         if reason is Reason.SILENT and self._record.results[-1:] in (
             [api.MoveResult.REFUSED],
@@ -268,6 +294,21 @@
             self._on_source_lost()
         return False
 
+    def _is_stop_wanted(self, reason: Reason) -> bool:
+        """Whether a run that was called to stop is to be called once more.
+
+        Args:
+            reason: Why it was called to stop.
+        """
+        found = self._find_reason()
+        if found is None:
+            return False
+        if found[0] is Reason.SILENT and reason is not Reason.SILENT:
+            # A run is stopped for silence under conditions that were not
+            # checked.
+            return False
+        return not self._has_obstacle(found[0])
+
     def _choose_destination(self, reason: Reason) -> targets.Target | None:
         refused = self._refused()
         backup = self._record.backup
@@ -323,6 +364,7 @@
         parts, exchange = self._parts, self._exchange
         now_s = self._now_s()
         needed_s = _COPY_TIME_FACTOR * copy_s + _START_S
+        earlier_moves = exchange.silence_moves - self._counted
         if parts.gate.is_paused(self._record.source):
             return Obstacle.SOURCE_PAUSED
         if parts.request_guard.is_blocked(exchange):
@@ -338,7 +380,7 @@
             # if another engine keeps a backup.
             probes = self._record.backup is not None
             probes = probes and self._record.newest is None
-            if exchange.silence_moves and not probes:
+            if earlier_moves and not probes:
                 if reason is Reason.SILENT:
                     return Obstacle.MOVED_BEFORE
             return None
@@ -358,7 +400,7 @@
             return Obstacle.DESTINATION_LIMITED
         if reason is Reason.LEAVING:
             return None
-        if exchange.silence_moves:
+        if earlier_moves:
             return Obstacle.MOVED_BEFORE
         if _COPY_TIME_FACTOR * copy_s > silent_s:
             return Obstacle.SLOW_COPY
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -25,6 +25,8 @@
         answer_s: Time to the end of an answer, in seconds.
         prompt_trials: Requests sent to an engine despite a blocked prompt.
         unstopped_runs: Runs that their engines did not stop when called to.
+        busy_moves: Calls to copy or stop a run that its engine refused, as it
+            worked on an earlier one, by engine.
         kept_runs: Runs that were not stopped for a move, by what stood against
             it.
         stopped_runs_lost: Streams lost after their engine was called to stop
@@ -87,6 +89,11 @@
             'Runs that their engines did not stop when called to',
             registry=self._registry,
         )
+        self.busy_moves = aioprometheus.Counter(
+            'dotterelweir_gateway_busy_moves_total',
+            'Calls about a run whose engine worked on an earlier one',
+            registry=self._registry,
+        )
         self.kept_runs = aioprometheus.Counter(
             'dotterelweir_gateway_kept_runs_total',
             'Runs that were not stopped for a move, as it was not certain',
--- a/packages/daemon/tests/gateway/test_following.py
+++ b/packages/daemon/tests/gateway/test_following.py
@@ -5,6 +5,7 @@
 import pytest
 
 from dotterelweir_fakes.fleet import deployment as fleet
+from dotterelweird.gateway import api
 
 
 async def request_status(deployment, route):
@@ -113,6 +114,27 @@
     assert not deployment.gateway._directory.takes_work('shop-1')
 
 
+async def test_a_snapshot_that_has_expired_is_read_again_after_a_delay(
+    deployment, monkeypatch
+):
+    """Guards against calls without a pause to a store that answers 410."""
+    follower = deployment.gateway._followers[api.StoreStream.TARGETS]
+    reads_s = []
+
+    async def refuse(stream):
+        reads_s.append(asyncio.get_running_loop().time())
+        raise api.RecordsExpired('log-newest')
+
+    monkeypatch.setattr(follower._store, 'read_snapshot', refuse)
+    follower._offset = None
+    follower._hasten_read()
+    async with asyncio.timeout(4):
+        while len(reads_s) < 4:
+            await asyncio.sleep(0.01)
+    # The delays are at least 0.05, 0.1 and 0.2 s.
+    assert reads_s[3] - reads_s[0] >= 0.34
+
+
 async def test_a_leaving_target_gets_no_new_work(deployment):
     """Guards against work for targets registered as draining."""
     await deployment.register('shop-1', 'plain', 'draining')
--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -581,3 +581,84 @@
         body += await answer.read()
     assert body == expected_events(60)
     assert second.resumed_after
+
+
+@pytest.mark.parametrize('refused', ['copies', 'stops'])
+async def test_many_engines_are_not_tried_without_a_delay(
+    deployment, engines, refused
+):
+    """Guards against a call for each engine at once, again and again."""
+    first, _ = engines
+    for number in range(3, 11):
+        await deployment.add_engine(f'engine-{number}', 'model')
+        load = deployment.gateway._loads.get(f'engine-{number}')
+        # The run is placed on the first engine.
+        load.running = 3
+        load.tokens += 28_000
+    await deployment.wait_store_read()
+    first.behaviour.events = 60
+    if refused == 'copies':
+        first.behaviour.move_status = 503
+    else:
+        first.behaviour.final_move_status = 503
+    async with deployment.request('guide') as answer:
+        body = await read_until(answer, b'token-3\n')
+        announce_leaving(deployment, 'engine-1')
+        body += await read_until(answer, b'token-43\n')
+        # 0.8 s: the delays are 0.02 s and grow by half, so 8 tries.
+        tries = len([o for o in first.move_orders if not o['last']])
+        assert 3 <= tries <= 12
+        assert len({order['to'] for order in first.move_orders}) > 1
+        assert len(first.move_orders) <= 2 * tries
+        body += await answer.read()
+    assert body == expected_events(60)
+
+
+async def test_engines_that_refuse_a_stopped_run_are_not_sent_it_at_once(
+    deployment, engines
+):
+    """Guards against sends to and fro between two engines with its memory."""
+    refused = []
+
+    def refuse_continuations(engine):
+        respond = engine._respond
+
+        async def refuse(request):
+            if 'Kv-From' not in request.headers:
+                return await respond(request)
+            now_s = asyncio.get_running_loop().time()
+            refused.append((engine.target_id, now_s))
+            return fleet_engine._refusal(429, request.headers['X-Attempt-Id'])
+
+        engine._respond = refuse
+
+    first, _ = engines
+    first.behaviour.silent_after = 3
+    deployment.gateway._parts.budgets.set_bounds(0.2, 50.0, 10.0)
+    for engine in engines:
+        refuse_continuations(engine)
+    with pytest.raises(aiohttp.ClientPayloadError):
+        async with deployment.request('guide') as answer:
+            await answer.read()
+    assert {name for name, _ in refused} == {'engine-1', 'engine-2'}
+    times_s = [at_s for _, at_s in refused]
+    assert len(times_s) > 2
+    # After one send to each, there is a delay before every further one.
+    for earlier_s, later_s in zip(times_s[1:], times_s[2:], strict=False):
+        assert later_s - earlier_s >= 0.09
+
+
+async def test_a_source_that_keeps_answering_409_is_reported(
+    deployment, engines, monkeypatch, caplog
+):
+    """Guards against a copy that never ends and is seen by nobody."""
+    monkeypatch.setattr(moving, '_REFUSAL_DELAY_MAX_S', 0.1)
+    first, _ = engines
+    first.behaviour.move_status = 409
+    caplog.set_level('INFO')
+    assert await read_while_leaving(deployment) == expected_events(30)
+    assert len(first.move_orders) >= 3
+    lines = [
+        line for line in caplog.records if getattr(line, 'event', 0) == 250
+    ]
+    assert len(lines) == 1
