Bound the calls about one run in the soak of moves

Cause: only orders to copy that began were counted, not refused calls. The JSON line has calls_per_run_max, the largest number of calls to copy or stop one run at one engine; more than 60 are a violation. The bound follows from the delays and the time that a run lasts there.

Ruled out: a bound on all calls of a play, which grows with departures.

--- a/fakes/src/dotterelweir_fakes/soak/moves.py
+++ b/fakes/src/dotterelweir_fakes/soak/moves.py
@@ -46,7 +46,10 @@
     duration_s: float = attrs.field(default=25.0, kw_only=True)
     network: copies.CopyNetwork = attrs.field(init=False)
     _models: list[moving_engines.MovingEngine] = attrs.field(factory=list)
-    _engines_made: int = 0
+    # All engines that were started, those that have left included.
+    _started_models: list[moving_engines.MovingEngine] = attrs.field(
+        factory=list
+    )
     _idle_callers: ClassVar[int] = 16
     _callers_per_instance: ClassVar[int] = 8
     _works: ClassVar[tuple[str, ...]] = ('stop',)
@@ -90,6 +93,10 @@
         result = await super().run()
         result['overlaps'] = self.ledger.overlaps
         result['copy_orders'] = self.network.order_count
+        most_calls = moving_engines.find_most_calls(self._started_models)
+        result['calls_per_run_max'] = most_calls.count
+        if most_calls.violation is not None:
+            self.ledger.violations.append(most_calls.violation)
         return {**attrs.asdict(self.setting), **result}
 
     async def _start_engines(self, stack: contextlib.AsyncExitStack) -> None:
@@ -104,15 +111,15 @@
         stack.callback(departures.cancel)
 
     async def _add_model(self, stack: contextlib.AsyncExitStack) -> None:
-        self._engines_made += 1
         engine = moving_engines.MovingEngine(
-            f'model-{self._engines_made}',
+            f'model-{len(self._started_models) + 1}',
             self.ledger,
             self.callers.behaviours,
             self.setting,
             str(self.seed),
             lambda _: self.callers.count('stopped_for_move'),
         )
+        self._started_models.append(engine)
         engine.copies = self.network.add(engine)
         await self._start_engine(stack, engine, 'model')
         self._models.append(engine)
--- a/fakes/src/dotterelweir_fakes/soak/moving_engines.py
+++ b/fakes/src/dotterelweir_fakes/soak/moving_engines.py
@@ -1,6 +1,8 @@
 """Engines of soak tests that copy runs, pause them and leave."""
 
+import collections
 from collections.abc import Callable
+from collections.abc import Iterable
 import random
 
 import attrs
@@ -13,6 +15,11 @@
 # seconds. The fastest need no wait.
 COPIES_S = ((0.0, 0.1), (0.08, 0.22), (0.2, 0.6), (0.45, 1.35))
 PAUSE_S = (0.5, 4.0)
+# Maximum number of calls to copy or stop one run at one engine. A run lasts
+# about 16 s at most. Calls that copy it are 0.5 s apart after the first eight
+# of a growing delay, which makes 40; calls that stop it are 0.4 s apart once
+# its link has ended, 20 in the grace time of a process.
+CALLS_PER_RUN_MAX = 60
 
 
 @attrs.frozen
@@ -91,3 +98,44 @@
         run.cut_off = not self.is_up
         if run.stopped:
             self._report(run)
+
+
+@attrs.frozen
+class RunCalls:
+    """Calls to copy or stop one run at one engine.
+
+    Attributes:
+        target_id: The engine; empty if there was no call.
+        request_id: The request.
+        count: Number of calls, refused ones included.
+    """
+
+    target_id: str = ''
+    request_id: str = ''
+    count: int = 0
+
+    @property
+    def violation(self) -> str | None:
+        """Describes a number of calls over the bound; None below it."""
+        if self.count <= CALLS_PER_RUN_MAX:
+            return None
+        return (
+            f'{self.request_id}: {self.count} calls to copy or stop its run '
+            f'at {self.target_id}'
+        )
+
+
+def find_most_calls(engines_called: Iterable[MovingEngine]) -> RunCalls:
+    """Returns the run with the most calls to copy or stop it.
+
+    Args:
+        engines_called: The engines, those that have left included.
+    """
+    calls = [
+        RunCalls(engine.target_id, request_id, count)
+        for engine in engines_called
+        for request_id, count in collections.Counter(
+            order['id'] for order in engine.move_orders
+        ).most_common(1)
+    ]
+    return max(calls, key=lambda run: run.count, default=RunCalls())
--- a/fakes/tests/soak/test_moves.py
+++ b/fakes/tests/soak/test_moves.py
@@ -33,5 +33,6 @@
     assert result['stop'] > 0
     assert result['departures'] > 0
     assert result['copy_orders'] > 0
+    assert 0 < result['calls_per_run_max'] <= moving_engines.CALLS_PER_RUN_MAX
     if not setting.backups:
         assert result['stopped_for_move'] > 0
--- a/fakes/tests/soak/test_moving_engines.py
+++ b/fakes/tests/soak/test_moving_engines.py
@@ -83,3 +83,19 @@
     await wait_end(run)
     assert (run.stopped, run.cut_off) == (False, True)
     answer.close()
+
+
+@pytest.mark.parametrize('excess', [0, 1])
+async def test_calls_about_a_run_are_bounded(play, excess):
+    """Guards against a soak that does not count refused calls."""
+    engines, _, session = play
+    source, destination = engines
+    maximum = moving_engines.CALLS_PER_RUN_MAX
+    order = {'id': 'r', 'to': destination.address, 'last': False}
+    for _ in range(maximum + excess):
+        url = f'http://{source.address}/-/kv-move'
+        async with session.post(url, json=order) as answer:
+            assert answer.status == 404
+    most_calls = moving_engines.find_most_calls(engines)
+    assert most_calls.count == maximum + excess
+    assert (most_calls.violation is not None) is bool(excess)
