Test that a run which writes again is not called to stop once more

What callers saw: nothing; the case had no test.

Cause: the look before a further call to stop asks for the reason of the move since the last commit but one. A run whose call to stop broke off and that writes again stays at its engine.

Ruled out: a move for silence that fails and is counted for good; a later silence of the same run leaves it at its engine, as it may have been stopped.

Conclusion: both sides of the look have a test.

--- a/packages/daemon/tests/gateway/test_moves.py
+++ b/packages/daemon/tests/gateway/test_moves.py
@@ -662,3 +662,28 @@
         line for line in caplog.records if getattr(line, 'event', 0) == 250
     ]
     assert len(lines) == 1
+
+
+async def test_a_run_that_resumes_after_a_broken_stop_is_not_called_again(
+    deployment, engines
+):
+    """Guards against further calls to stop a run that writes again."""
+    first, second = engines
+    first.behaviour.pause_after = 3
+    first.behaviour.pause_s = 0.4
+    stops = []
+
+    async def break_stop_after_pause(order, handle):
+        if not order['last']:
+            return await handle()
+        stops.append(order)
+        async with asyncio.timeout(2):
+            while first.events_made('request-1') < 6:
+                await asyncio.sleep(0.01)
+        raise ConnectionResetError
+
+    replace_move(first, break_stop_after_pause)
+    async with deployment.request('guide') as answer:
+        assert await answer.read() == expected_events(30)
+    assert len(stops) == 1
+    assert second.received_headers == []
