Keep everything new off zones that the operator has evacuated

Cause: records `evacuate/ZONE` of the operator's stream were read and ignored.

EvacuationRegistry holds the newest state of each zone, by era and offset. TablesKeeper fills it from every read; a change goes to all instances as a finding, the checksums of digests show what an instance lacks, and the fingerprint of the tables' reports contains the zones. SendGate and Placer.ready ask it, so that first sends, repeats, continuations, copies and backups are covered; a stop whose destination lies in an evacuated zone names another engine.

Ruled out: record notices, which name no stream and reach the targets' keeper of older versions; marking the zone's targets as draining, which a heartbeat undoes; keeping the newest record of a key in a read before it is decoded, which lost a valid record behind an unreadable one (found by the test).

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -164,6 +164,7 @@
         flooded_bytes: Total size of the floods that it sent, in bytes.
         started_ms: Wall time of its start, in milliseconds.
         address: Its host and port.
+        zone: Its availability zone.
     """
 
     def __init__(self, target_id: str) -> None:
@@ -186,6 +187,7 @@
         self._events_made: dict[str, int] = {}
         self._paused: set[str] = set()
         self.address = ''
+        self.zone = 'zone-a'
         self._server: asyncio.Server | None = None
         self._web_server: web.Server | None = None
         # Connections with a request in progress.
@@ -291,7 +293,7 @@
         return {
             'service': service,
             'addr': self.address,
-            'zone': 'zone-a',
+            'zone': self.zone,
             'version': 'v1',
             'slots': 8,
             'state': state,
--- a/fakes/src/dotterelweir_fakes/fleet/followers.py
+++ b/fakes/src/dotterelweir_fakes/fleet/followers.py
@@ -93,6 +93,12 @@
     def decode_tables(self, record: api.Record) -> None:
         raise NotImplementedError
 
+    def evacuated_zone(self, record: api.Record) -> None:
+        raise NotImplementedError
+
+    def decode_evacuation(self, record: api.Record) -> bool:
+        raise NotImplementedError
+
     def decode_target(self, record: api.Record) -> targets.Target | None:
         if record.value is None:
             return None
--- a/packages/cli/src/dotterelweir_cli/fleet/deployment.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/deployment.py
@@ -89,6 +89,8 @@
         store or have fewer peers than there are other gateways.
         ``views_of_targets`` is the number of different states of the
         targets stream; 1 means that all gateways agree.
+        ``evacuated_zones`` are those of most gateways, and
+        ``other_evacuated_zones`` those of each gateway that differs.
     """
     instance_statuses = list(deployment_status.statuses.values())
     newest_version = max(
@@ -98,6 +100,14 @@
     content_counts = collections.Counter(
         status['streams']['targets']['content'] for status in instance_statuses
     )
+    # Instances of an older version know nothing of evacuations.
+    zones = {
+        status['instance_id']: tuple(status.get('evacuated_zones', ()))
+        for status in instance_statuses
+    }
+    ((usual_zones, _),) = collections.Counter(zones.values()).most_common(
+        1
+    ) or [((), 0)]
     return {
         'instances': len(instance_statuses),
         'silent': sorted(deployment_status.unreachable),
@@ -122,6 +132,12 @@
             )
         ),
         'views_of_targets': len(content_counts),
+        'evacuated_zones': list(usual_zones),
+        'other_evacuated_zones': sorted(
+            f'{instance_id}: {", ".join(own_zones) or "none"}'
+            for instance_id, own_zones in zones.items()
+            if own_zones != usual_zones
+        ),
         'hears_less_than_all': sorted(
             status['instance_id']
             for status in instance_statuses
--- a/packages/cli/tests/fleet/test_fleet.py
+++ b/packages/cli/tests/fleet/test_fleet.py
@@ -190,7 +190,9 @@
     """Guards against a summary that hides instances that differ."""
     deployment_status = deployment.DeploymentStatus(
         {
-            'i1': status_document('i1', peers=[{}, {}]),
+            'i1': status_document(
+                'i1', peers=[{}, {}], evacuated_zones=['zone-a']
+            ),
             'i2': status_document('i2', version=2),
             'i3': status_document(
                 'i3',
@@ -206,6 +208,8 @@
     assert summary_fields['stopping'] == ['i3']
     assert summary_fields['silent'] == ['i4']
     assert summary_fields['views_of_targets'] == 2
+    assert summary_fields['evacuated_zones'] == []
+    assert summary_fields['other_evacuated_zones'] == ['i1: zone-a']
     assert summary_fields['hears_less_than_all'] == ['i2', 'i3']
 
 
@@ -232,4 +236,5 @@
     printed = json.loads(result.stdout)
     assert printed['instances'] == printed['ready'] == 1
     assert printed['tables_version'] == 1
+    assert printed['evacuated_zones'] == []
     assert [row['target'] for row in printed['targets']] == ['engine-1']
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -133,6 +133,32 @@
     logging.WARNING,
     'The process was paused; placements wait until targets are polled again.',
 )
+ZONE_EVACUATED = _event(
+    251,
+    'zone-evacuated',
+    logging.WARNING,
+    'The operator has evacuated an availability zone; its targets are sent '
+    'nothing new.',
+)
+ZONE_RESTORED = _event(
+    252,
+    'zone-restored',
+    logging.WARNING,
+    'An evacuated availability zone is in use again.',
+)
+EVACUATED_ZONE_UNKNOWN = _event(
+    253,
+    'evacuated-zone-unknown',
+    logging.WARNING,
+    'No target is registered in an evacuated availability zone; its name may '
+    'be wrong.',
+)
+EVACUATION_REJECTED = _event(
+    254,
+    'evacuation-rejected',
+    logging.ERROR,
+    'A zone was not evacuated because too many zones are evacuated already.',
+)
 UNEXPECTED_ERROR = _event(
     299,
     'unexpected-error',
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import rate_limits
@@ -81,6 +82,7 @@
         rng: Random source for ties and weighted choices.
         pause_registry: Pauses that targets requested from this instance.
         limits: Limits on the request rates of targets.
+        evacuation_registry: The evacuated zones; no target there is chosen.
     """
 
     zone: str
@@ -92,6 +94,9 @@
     limits: rate_limits.LimitRegistry = attrs.field(
         factory=rate_limits.LimitRegistry
     )
+    evacuation_registry: evacuations.EvacuationRegistry = attrs.field(
+        factory=evacuations.EvacuationRegistry
+    )
 
     def choose(
         self,
@@ -141,15 +146,19 @@
     ) -> list[targets.Target]:
         """Returns the candidates that are ready and not excluded.
 
+        Those in evacuated zones are left out.
+
         Args:
             candidates: Targets of the service.
             excluded: Ids of targets that must not be used.
         """
+        evacuated_zones = self.evacuation_registry.zones
         return [
             target
             for target in candidates
             if target.state is targets.TargetState.READY
             and target.target_id not in excluded
+            and target.zone not in evacuated_zones
         ]
 
     def paused_until_s(
--- a/packages/core/tests/gateway/test_placement.py
+++ b/packages/core/tests/gateway/test_placement.py
@@ -2,8 +2,10 @@
 
 import random
 
+import attrs
 import pytest
 
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import tables
@@ -193,3 +195,16 @@
     )
     choice = placer.choose([target('t1')], MODEL, 3000, 101.0)
     assert choice.target.target_id == 't1'
+
+
+def test_targets_in_an_evacuated_zone_are_left_out(placer):
+    """Guards against choices and capacity that count an evacuated zone."""
+    candidates = [target('t1', zone='a'), target('t2', zone='b')]
+    evacuation = evacuations.Evacuation('a', True, 1, 1)
+    placer.evacuation_registry.apply(evacuation)
+    assert [one.target_id for one in placer.ready(candidates)] == ['t2']
+    assert [one.target_id for one in placer.usable(candidates, 0.0)] == ['t2']
+    placer.evacuation_registry.apply(
+        attrs.evolve(evacuation, active=False, offset=2)
+    )
+    assert len(placer.ready(candidates)) == 2
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -134,6 +134,31 @@
             RecordInvalid: The record cannot be decoded.
         """
 
+    @abc.abstractmethod
+    def evacuated_zone(self, record: Record) -> str | None:
+        """Returns the availability zone that a record is about.
+
+        Args:
+            record: A record of the stream of tables.
+
+        Returns:
+            The zone; None if the record is not about a zone's evacuation.
+
+        Raises:
+            RecordInvalid: The record names no valid zone.
+        """
+
+    @abc.abstractmethod
+    def decode_evacuation(self, record: Record) -> bool:
+        """Decodes whether a zone is evacuated.
+
+        Args:
+            record: A record for which ``evacuated_zone`` returns a zone.
+
+        Raises:
+            RecordInvalid: The record cannot be decoded.
+        """
+
     @abc.abstractmethod
     def decode_target(self, record: Record) -> targets.Target | None:
         """Decodes the target in a record.
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -6,6 +6,7 @@
 import logging
 
 import aiohttp
+import attrs
 import yarl
 
 from dotterelweir_core import events
@@ -156,6 +157,8 @@
             reason=reason,
         )
         raise WithheldError(reason)
+    if options.backup is not None and parts.gate.is_evacuated(options.backup):
+        options = attrs.evolve(options, backup=None)
     exchange.sending = send_state
     send_state.request_id = request.request_id
     send_state.started_s = parts.timers.elapsed_s()
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -15,6 +15,7 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import admission
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
@@ -48,6 +49,7 @@
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import target_client
 from dotterelweird.gateway import trials
+from dotterelweird.gateway.sending import evacuating
 
 LOG = logging.getLogger(__name__)
 
@@ -119,6 +121,7 @@
         self._directory = targets.TargetDirectory()
         self._loads = load.LoadRegistry()
         pause_registry = pauses.PauseRegistry()
+        self._evacuations = evacuations.EvacuationRegistry()
         limiter = limiting.TargetLimiter(
             settings.instance_id,
             self._timers,
@@ -146,6 +149,7 @@
                 self._rng,
                 pause_registry,
                 limiter.limits,
+                self._evacuations,
             ),
             admission.Admission(self._loads),
             self._statistics,
@@ -168,7 +172,7 @@
             end_detection.EndDetector(self._timers),
         )
         store = adapter.store(self._store_session)
-        self._tables = keepers.TablesKeeper(store)
+        self._tables = keepers.TablesKeeper(store, self._evacuations)
         self._targets = keepers.TargetsKeeper(
             store, self._directory, self._timers, settings.settle_s
         )
@@ -177,6 +181,12 @@
         self._targets.subscribe(self._discard_removed_load)
         self._targets.subscribe(self._record_warm_up)
         self._tables.subscribe(self._record_tables_version)
+        self._evacuations.subscribe(self._notify_watchers)
+        self._evacuations.subscribe(
+            evacuating.EvacuationReporter(
+                self._evacuations, self._directory, self._statistics
+            ).report
+        )
         findings = finding_exchange.FindingExchange(
             self._timers,
             self._rng,
@@ -186,7 +196,9 @@
             limiter,
             self._send_to_peer,
             self._broadcast,
+            self._evacuations,
         )
+        self._tables.subscribe_evacuations(findings.send_finding)
         self._peers = peers.PeerExchange(
             settings,
             self._timers,
@@ -351,6 +363,18 @@
         if change.after is None:
             self._loads.discard_if_unused(change.target_id)
 
+    def _notify_watchers(
+        self, evacuation: evacuations.Evacuation, change: evacuations.Change
+    ) -> None:
+        """Tells generations that a target of theirs was evacuated."""
+        if change is not evacuations.Change.EVACUATED:
+            return
+        for target in list(self._directory.targets.values()):
+            if target.zone == evacuation.zone:
+                self._parts.watch.notify(
+                    targets.TargetChange(target.target_id, target, target)
+                )
+
     def _record_warm_up(self, change: targets.TargetChange) -> None:
         target = change.after
         if target is not None and target.warm_up_left_s > 0:
@@ -435,6 +459,7 @@
                 stream.value: status.stream_row(follower)
                 for stream, follower in self._followers.items()
             },
+            'evacuated_zones': sorted(self._evacuations.zones),
             'targets': status.target_rows(self._directory, self._loads, now_s),
             'peers': self._peers.status_rows(),
         }
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -100,6 +100,7 @@
             self.placer.pause_registry,
             self.departure_times,
             self.timers,
+            self.placer.evacuation_registry,
         )
         self.releaser = releasing.CopyReleaser(
             self.run_control, self.gate, self.limiter
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -29,10 +29,12 @@
     Attributes:
         limits: Checksum of the limits of targets.
         blocks: Checksum of the blocked requests.
+        evacuations: Checksum of the evacuated zones.
     """
 
     limits: int
     blocks: int
+    evacuations: int = 0
 
 
 @attrs.frozen
@@ -164,7 +166,7 @@
             if message.known_hosts:
                 body['k'] = message.known_hosts
             if message.checksums is not None:
-                body['f'] = attrs.astuple(message.checksums)
+                body['f'] = _encode_checksums(message.checksums)
             if message.wants_findings:
                 body['g'] = 1
             if message.leaving:
@@ -318,6 +320,15 @@
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
 
 
+def _encode_checksums(checksums: FindingChecksums) -> list[int]:
+    """Returns the checksums, the last one only while a zone is evacuated.
+
+    Instances of an older version drop a digest with three checksums.
+    """
+    fields = list(attrs.astuple(checksums))
+    return fields if checksums.evacuations else fields[:2]
+
+
 def _encode_load(row: gateway_load.DigestRow) -> list[int]:
     """Returns the fields of a row without zeros at its end."""
     fields = list(map(int, attrs.astuple(row)))
--- a/packages/daemon/src/dotterelweird/gateway/finding_codec.py
+++ b/packages/daemon/src/dotterelweird/gateway/finding_codec.py
@@ -1,7 +1,7 @@
 """Encoding of findings and turns in the datagrams between gateways.
 
 Findings are what one instance has learned and all must know: prompts and
-requests that end targets, and the limits of targets.
+requests that end targets, the limits of targets, and evacuated zones.
 """
 
 from typing import Any
@@ -9,6 +9,7 @@
 import attrs
 
 from dotterelweir_core.gateway import engine_ends
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import request_quarantine
@@ -35,6 +36,7 @@
     | rate_limits.LimitStatement
     | turns.TurnRequest
     | turns.TurnAnswer
+    | evacuations.Evacuation
 )
 
 
@@ -76,6 +78,9 @@
             row = [finding.number, int(finding.granted), finding.wait_s]
             row += _encode_statement(finding.statement)
             return {'a': row}
+        case evacuations.Evacuation():
+            row = [finding.zone, int(finding.active)]
+            return {'v': [*row, finding.offset, finding.era]}
 
 
 def decode(body: dict[str, Any]) -> Finding | None:
@@ -144,9 +149,28 @@
             datagram_fields.decode_duration_s(wait_s),
             _decode_statement(statement),
         )
+    if 'v' in body:
+        zone, active, offset, era = body['v']
+        return evacuations.Evacuation(
+            _decode_zone(zone),
+            bool(active),
+            datagram_fields.decode_integer(offset, lowest=-1),
+            datagram_fields.decode_integer(era),
+        )
     return None
 
 
+def _decode_zone(value: object) -> str:
+    """Returns a value that must be the name of a zone.
+
+    Raises:
+        ValueError: The value is not a string, is empty or not printable.
+    """
+    if not isinstance(value, str) or not value or not value.isprintable():
+        raise ValueError('not the name of a zone')
+    return value
+
+
 def _encode_statement(statement: rate_limits.LimitStatement) -> list[Any]:
     # JSON has no infinite numbers; the library encodes them as null.
     return [
--- a/packages/daemon/src/dotterelweird/gateway/findings.py
+++ b/packages/daemon/src/dotterelweird/gateway/findings.py
@@ -1,9 +1,9 @@
 """Exchange of findings: what one instance has learned and all must know.
 
-Findings are departures of targets, prompts and requests that end targets, and
-limits of targets. News of a finding is sent to all instances several times;
-regular digests carry checksums, by which an instance that was cut off or
-frozen notices what it lacks.
+Findings are departures of targets, prompts and requests that end targets,
+limits of targets, and evacuated zones. News of a finding is sent to all
+instances several times; regular digests carry checksums, by which an instance
+that was cut off or frozen notices what it lacks.
 """
 
 from collections.abc import Callable
@@ -14,6 +14,7 @@
 
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import engine_ends
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import request_quarantine
@@ -48,7 +49,9 @@
 # silent, and so as new when it returns.
 _REPEAT_DELAYS_S = (0.1, 0.5, 1.0, 2.0)
 
-Finding = quarantine.Finding | request_quarantine.Finding
+Finding = (
+    quarantine.Finding | request_quarantine.Finding | evacuations.Evacuation
+)
 
 
 @attrs.define
@@ -66,6 +69,7 @@
         limiter: Keeps requests within the limits of targets.
         send: Sends a message to the instance at an IP address.
         send_to_all: Sends a message to all instances.
+        evacuation_registry: The evacuated zones.
     """
 
     timers: timers.TimerService
@@ -76,6 +80,9 @@
     limiter: limiting.TargetLimiter
     send: Callable[[str, digests.Message], None]
     send_to_all: Callable[[digests.Message], None]
+    evacuation_registry: evacuations.EvacuationRegistry = attrs.field(
+        factory=evacuations.EvacuationRegistry
+    )
     _requested_s: float = float('-inf')
 
     def send_finding(self, finding: Finding) -> None:
@@ -111,6 +118,8 @@
                 | turns.TurnAnswer()
             ):
                 self.limiter.handle_message(message, host)
+            case evacuations.Evacuation():
+                self.evacuation_registry.apply(message)
 
     def send_to_started(self, host: str, instance_count: int) -> None:
         """Sends what an instance that has started cannot know.
@@ -129,6 +138,7 @@
         self._send_ends(host)
         if self.rng.random() < _LIMIT_COPIES / instance_count:
             self._send_limits(host)
+            self._send_evacuations(host)
 
     def send_requested(self, host: str) -> None:
         """Sends what a peer has asked for.
@@ -138,6 +148,11 @@
         """
         self._send_limits(host)
         self._send_ends(host)
+        self._send_evacuations(host)
+
+    def _send_evacuations(self, host: str) -> None:
+        for evacuation in self.evacuation_registry.findings():
+            self.send(host, evacuation)
 
     def _send_ends(self, host: str) -> None:
         for finding in self.request_guard.findings(_END_FINDINGS_MAX):
@@ -152,7 +167,9 @@
     def checksums(self) -> digests.FindingChecksums:
         """Returns the checksums for a regular digest."""
         return digests.FindingChecksums(
-            self.limiter.limits.fingerprint, self.request_guard.fingerprint
+            self.limiter.limits.fingerprint,
+            self.request_guard.fingerprint,
+            self.evacuation_registry.fingerprint,
         )
 
     def should_request(self, checksums: digests.FindingChecksums) -> bool:
@@ -179,6 +196,8 @@
             )
         case engine_ends.EndReport() | request_quarantine.SoundRequest():
             return attrs.evolve(finding, age_s=finding.age_s + age_s)
+        case evacuations.Evacuation():
+            return finding
         case quarantine.SoundParts(ages_s):
             return quarantine.SoundParts(
                 {part: own_s + age_s for part, own_s in ages_s.items()}
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -1,6 +1,7 @@
 """State that is built from the streams of the store: tables and targets."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import logging
 from typing import Generic
 from typing import TypeVar
@@ -9,6 +10,7 @@
 
 from dotterelweir_core import events
 from dotterelweir_core import timers as core_timers
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets as gateway_targets
 from dotterelweird.gateway import api
@@ -28,21 +30,37 @@
 
 
 class TablesKeeper(stream_api.Keeper):
-    """Holds the tables in force; their version never decreases.
+    """Holds the tables in force and applies evacuations of zones.
+
+    The version of the tables never decreases. It does not rise with an
+    evacuation, which therefore counts in the fingerprint: an instance does
+    not postpone its read because a peer read another state.
 
     Args:
         store: Decodes the records.
+        evacuation_registry: The evacuated zones.
 
     Attributes:
         current: The tables in force; None before the first ones.
-        records: The record of the tables in force; empty before.
     """
 
-    def __init__(self, store: api.Store) -> None:
+    def __init__(
+        self,
+        store: api.Store,
+        evacuation_registry: evacuations.EvacuationRegistry,
+    ) -> None:
         self._store = store
+        self._evacuations = evacuation_registry
         self.current: gateway_tables.Tables | None = None
-        self.records: tuple[api.Record, ...] = ()
+        self._tables_record: api.Record | None = None
+        # Records that evacuated a zone, by zone, with their states.
+        self._evacuation_records: dict[
+            str, tuple[evacuations.Evacuation, api.Record]
+        ] = {}
         self._listeners: list[Callable[[gateway_tables.Tables], None]] = []
+        self._evacuation_listeners: list[
+            Callable[[evacuations.Evacuation], None]
+        ] = []
 
     @property
     def position(self) -> int:
@@ -51,8 +69,19 @@
 
     @property
     def fingerprint(self) -> str:
-        """Identifies the tables in force, by their version."""
-        return str(self.position)
+        """Identifies the tables in force and the evacuated zones."""
+        zones = self._evacuations.fingerprint
+        return f'{self.position}/{zones:x}' if zones else str(self.position)
+
+    @property
+    def records(self) -> tuple[api.Record, ...]:
+        """The records of the tables in force and of evacuated zones."""
+        tables = (self._tables_record,) if self._tables_record else ()
+        return tables + tuple(
+            record
+            for zone, (evacuation, record) in self._evacuation_records.items()
+            if self._evacuations.find(zone) == evacuation
+        )
 
     def subscribe(
         self, listener: Callable[[gateway_tables.Tables], None]
@@ -64,6 +93,17 @@
         """
         self._listeners.append(listener)
 
+    def subscribe_evacuations(
+        self, listener: Callable[[evacuations.Evacuation], None]
+    ) -> None:
+        """Registers a function that is called with changes that were read.
+
+        Args:
+            listener: Called with each zone that a read record or snapshot
+                has evacuated or restored.
+        """
+        self._evacuation_listeners.append(listener)
+
     def on_store_recovered(self, since_s: float) -> None:
         """Does nothing, as tables do not expire during an outage."""
 
@@ -71,22 +111,83 @@
         """Does nothing, as no change of the tables is deferred."""
 
     def on_store_rewound(self) -> None:
-        """Does nothing, as versions also rise across eras."""
+        """Does nothing; a snapshot of the new era follows.
+
+        Versions also rise across eras.
+        """
 
     def apply_snapshot(self, batch: api.Batch) -> None:
-        """Puts the newest tables of a batch in force."""
-        self.apply(batch)
+        """Applies all records of the operator.
+
+        Args:
+            batch: The newest record of every key.
+        """
+        self._apply_tables(batch)
+        read, unreadable = self._decode_evacuations(batch)
+        changed = self._evacuations.apply_snapshot(
+            read, unreadable, batch.end, batch.era
+        )
+        self._end_evacuations(changed)
 
     def apply(self, batch: api.Batch) -> list[api.Record]:
-        """Puts the newest tables of a batch in force.
+        """Applies further records of the operator.
 
         Returns:
-            No records, as tables may be larger than a datagram.
+            No records: tables may be larger than a datagram, and
+            evacuations are sent as findings.
         """
+        self._apply_tables(batch)
+        read, _ = self._decode_evacuations(batch)
+        self._end_evacuations(
+            [one for one in read if self._evacuations.apply(one)]
+        )
+        return []
+
+    def _decode_evacuations(
+        self, batch: api.Batch
+    ) -> tuple[list[evacuations.Evacuation], list[str]]:
+        """Returns the newest valid states, and zones of invalid records."""
+        zones = {
+            record.key: zone
+            for record, zone in _decode(
+                batch, self._store.evacuated_zone
+            ).valid
+            if zone is not None
+        }
+        records = [record for record in batch.records if record.key in zones]
+        decoded_batch = _decode(
+            attrs.evolve(batch, records=tuple(records)),
+            self._store.decode_evacuation,
+        )
+        newest = {}
+        for record, active in decoded_batch.valid:
+            zone = zones[record.key]
+            newest[zone] = evacuations.Evacuation(
+                zone, bool(active), record.offset, batch.era
+            )
+            self._evacuation_records.pop(zone, None)
+            if active:
+                self._evacuation_records[zone] = (newest[zone], record)
+        unreadable = [zones[record.key] for record, _ in decoded_batch.invalid]
+        return [*newest.values()], unreadable
+
+    def _end_evacuations(
+        self, changed: Iterable[evacuations.Evacuation]
+    ) -> None:
+        """Drops records without effect and tells of changed zones."""
+        self._evacuation_records = {
+            zone: (evacuation, record)
+            for zone, (evacuation, record) in self._evacuation_records.items()
+            if self._evacuations.find(zone) == evacuation
+        }
+        for evacuation in changed:
+            for listener in self._evacuation_listeners:
+                listener(evacuation)
+
+    def _apply_tables(self, batch: api.Batch) -> None:
         for record, decoded in _decode(batch, self._store.decode_tables).valid:
             if decoded is not None:
                 self._put_in_force(decoded, record)
-        return []
 
     def _put_in_force(
         self, decoded: gateway_tables.Tables, record: api.Record
@@ -95,7 +196,7 @@
         if before is not None and decoded.version <= before:
             return
         self.current = decoded
-        self.records = (record,)
+        self._tables_record = record
         events.log(
             LOG,
             events.TABLES_IN_FORCE,
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -147,6 +147,8 @@
         elif not self._load.pending_prefill_tokens:
             self._prefill_start_s = self._parts.timers.monotonic_s()
         prefill = attempts.PendingPrefill(self._load, prefill_tokens)
+        if run.backup is not None and parts.gate.is_evacuated(run.backup):
+            run.backup = None
         watched = [run.target.target_id]
         if run.backup is not None:
             watched.append(run.backup.target_id)
@@ -193,15 +195,24 @@
         self.calls.close(self._handover.ways if self._handover else ())
 
     def _handle_target_change(self, change: targets.TargetChange) -> None:
-        """Reacts if the engine of the run or its backup drains or is lost."""
-        unusable = change.after is None or (
-            change.after.state is targets.TargetState.DRAINING
+        """Reacts if the engine of the run or its backup drains or is lost.
+
+        Also if the zone of one of them is evacuated.
+        """
+        after = change.after
+        evacuated = after is not None and self._parts.gate.is_evacuated(after)
+        unusable = (
+            after is None
+            or evacuated
+            or (after.state is targets.TargetState.DRAINING)
         )
         if not unusable:
             return
         backup = self._run.backup
         if backup is not None and change.target_id == backup.target_id:
             self._run.backup = None
+            if evacuated:
+                self._record.backup = None
         if self._find_move_reason() is not None:
             self._start_move()
 
--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -98,7 +98,7 @@
         """
         if len(self._open_copies) >= _OPEN_CALLS_MAX:
             return api.MoveResult.BUSY
-        if not await self._may_call():
+        if not await self._may_call(destination):
             return api.MoveResult.BUSY
         pending = {self._start(destination, False)}
         while self._time_left_s() > 0:
@@ -111,7 +111,9 @@
                 result = task.result().result
                 if result is not api.MoveResult.BUSY or not pending:
                     return result
-            if len(pending) < _OPEN_CALLS_MAX and await self._may_call():
+            if len(pending) < _OPEN_CALLS_MAX and (
+                await self._may_call(destination)
+            ):
                 pending.add(self._start(destination, False))
         return api.MoveResult.TIMED_OUT
 
@@ -156,8 +158,10 @@
             if len(open_stops) < _OPEN_CALLS_MAX and (
                 self._now_s() >= next_call_s
             ):
-                if await self._may_call():
-                    self._start(destination, True)
+                may_call = await self._may_call()
+                holder = self._redirect(destination)
+                if may_call and holder is not None:
+                    self._start(holder, True)
                     calls += 1
                 elif not open_stops and (ended or not calls):
                     return
@@ -264,8 +268,41 @@
             return
         self._parts.releaser.release(self._record.source, way.target, way.copy)
 
-    async def _may_call(self) -> bool:
-        """Whether the engine may be called now, after a wait if necessary."""
+    def _redirect(self, destination: targets.Target) -> targets.Target | None:
+        """Returns the engine that gets the copy of a run that is stopped.
+
+        An engine in an evacuated zone gets none, and the run cannot continue
+        there.
+
+        Args:
+            destination: The engine that was chosen for the copy.
+
+        Returns:
+            The engine; None if there is none outside the evacuated zones.
+        """
+        parts, backup = self._parts, self._record.backup
+        if not parts.gate.is_evacuated(destination):
+            return destination
+        if backup is not None and parts.gate.accepts(backup.target):
+            return backup.target
+        return parts.choose_takeover_target(
+            self._exchange, self._record.source
+        )
+
+    async def _may_call(
+        self, destination: targets.Target | None = None
+    ) -> bool:
+        """Whether the engine may be called now, after a wait if necessary.
+
+        Args:
+            destination: The engine that gets a copy while the run goes on;
+                None for a call that stops the run.
+        """
+        if not await self._may_call_source():
+            return False
+        return destination is None or self._parts.gate.accepts(destination)
+
+    async def _may_call_source(self) -> bool:
         parts, source = self._parts, self._record.source
         if self._record.link_ended.is_set():
             may_call = await pausing.wait_for_target(
--- a/packages/daemon/src/dotterelweird/gateway/sending/gate.py
+++ b/packages/daemon/src/dotterelweird/gateway/sending/gate.py
@@ -5,6 +5,7 @@
 import attrs
 
 from dotterelweir_core import timers
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import watching
@@ -19,6 +20,7 @@
 
     PAUSED = 'paused'
     LEAVING = 'leaving'
+    ZONE_EVACUATED = 'zone evacuated'
 
 
 @attrs.frozen
@@ -33,12 +35,14 @@
         pause_registry: Pauses that targets requested from this instance.
         departure_times: When targets began to leave.
         timers: The timer service.
+        evacuations: The evacuated zones.
     """
 
     directory: targets.TargetDirectory
     pause_registry: pauses.PauseRegistry
     departure_times: watching.DepartureTimes
     timers: timers.TimerService
+    evacuations: evacuations.EvacuationRegistry
 
     def find_obstacle(
         self, target: targets.Target, resumes: bool = False
@@ -69,6 +73,9 @@
         Returns:
             The obstacle; None if there is none, or only a pause.
         """
+        if self.is_evacuated(target):
+            # Also if it has the only copy of a run.
+            return Obstacle.ZONE_EVACUATED
         if self._has_left(target, resumes):
             return Obstacle.LEAVING
         return None
@@ -77,6 +84,13 @@
         """Whether a target may be sent something new now."""
         return self.find_obstacle(target) is None
 
+    def is_evacuated(self, target: targets.Target) -> bool:
+        """Whether the zone of a target is evacuated.
+
+        Calls about the runs that are there remain allowed.
+        """
+        return self.evacuations.is_evacuated(target.zone)
+
     def is_paused(self, target: targets.Target) -> bool:
         """Whether a target must not be sent anything at all now.
 
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -41,6 +41,8 @@
         target_ends: Ends of targets with requests in flight, by origin.
         rewinds: Restores of the store from an older copy that the instance
             observed, by stream.
+        evacuations: Evacuations and restorations of zones, by change.
+        evacuated_zones: Zones that are evacuated.
         running: Requests of callers in flight.
         tables_version: Version of the tables in force.
     """
@@ -132,6 +134,16 @@
             'Times that the store came back from an older copy',
             registry=self._registry,
         )
+        self.evacuations = aioprometheus.Counter(
+            'dotterelweir_gateway_zone_evacuations_total',
+            'Evacuations and restorations of zones',
+            registry=self._registry,
+        )
+        self.evacuated_zones = aioprometheus.Gauge(
+            'dotterelweir_gateway_evacuated_zones',
+            'Zones that are evacuated',
+            registry=self._registry,
+        )
         self.first_byte_s = aioprometheus.Histogram(
             'dotterelweir_gateway_first_byte_seconds',
             'Time to the first byte of an answer',
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -8,11 +8,13 @@
 
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import engine_ends
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
+from dotterelweird.gateway import digests
 from dotterelweird.gateway import end_detection
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import findings as finding_exchange
@@ -532,3 +534,47 @@
     network.cut.clear()
     network.timers.advance(1.2)
     assert cut_off.request_guard._quarantine.find_block('bad', 0.0)
+
+
+EVACUATION = evacuations.Evacuation('zone-a', True, 7, 1)
+
+
+@pytest.mark.parametrize('active', [True, False])
+def test_an_instance_that_was_cut_off_learns_of_evacuations(network, active):
+    """Guards against sends to a zone that an unheard finding evacuated.
+
+    The finding is not sent again once the instance is reachable.
+    """
+    first, second, cut_off = network.nodes.values()
+    for node in network.nodes.values():
+        registry = node.findings.evacuation_registry
+        registry.apply(attrs.evolve(EVACUATION, active=not active, offset=3))
+    network.cut.add('10.0.0.3')
+    network.timers.advance(1.0)
+    evacuation = attrs.evolve(EVACUATION, active=active)
+    first.findings.evacuation_registry.apply(evacuation)
+    first.findings.send_finding(evacuation)
+    network.timers.advance(0.05)
+    assert second.findings.evacuation_registry.find('zone-a') == evacuation
+    network.timers.advance(4.0)
+    network.cut.clear()
+    network.timers.advance(3.0)
+    assert cut_off.findings.evacuation_registry.find('zone-a') == evacuation
+
+
+def test_an_instance_that_starts_learns_of_evacuations(network):
+    """Guards against sends of an instance that cannot read the store."""
+    first = network.nodes['10.0.0.1']
+    first.findings.evacuation_registry.apply(EVACUATION)
+    started = network.add('10.0.0.4')
+    network.timers.advance(0.2)
+    assert started.findings.evacuation_registry.zones == {'zone-a'}
+
+
+@pytest.mark.parametrize(
+    'row', [['', 1, 1, 1], ['a', 1, -2, 1], ['a', 1, 1], [7, 1, 1, 1]]
+)
+def test_an_invalid_evacuation_is_dropped(row):
+    """Guards against findings that no store can have caused."""
+    with pytest.raises(digests.DatagramInvalid):
+        digests.decode(orjson.dumps({'v': row}))
--- a/tests/adapter/test_store.py
+++ b/tests/adapter/test_store.py
@@ -169,3 +169,17 @@
     async with store_with_answers([page, page], ['1', '2']) as client:
         with pytest.raises(api.StoreUnavailable):
             await client.read_snapshot(api.StoreStream.TARGETS)
+
+
+async def test_a_snapshot_ends_where_its_first_page_ended():
+    """Guards against unread records that were written between two pages."""
+    item = {'key': 'a', 'value': '', 'offset': 1}
+    pages = [
+        orjson.dumps({'items': [item], 'hasMore': True, 'end': 2}),
+        orjson.dumps(
+            {'items': [item | {'key': 'z'}], 'hasMore': False, 'end': 5}
+        ),
+    ]
+    async with store_with_answers(pages, ['', '']) as client:
+        batch = await client.read_snapshot(api.StoreStream.TABLES)
+    assert batch.end == 2
