Move long runs off evacuated zones

What callers saw: streams in a zone that the operator evacuates and then shuts down break off, unless another engine keeps a copy of their run.

Cause: a run moved only if its engine left or fell silent.

A new reason of RunMove. Core evacuation_moves chooses the runs: at least 5 s of work left, the longest first, two at a time for each instance, not again for 2 s after a refusal. The destination is chosen like that of a backup, so only where memory is free, and the run leaves the reserved share of the retry budget to lost runs. MOVES_MAX = 0 switches it off.

Ruled out: trying destinations until one accepts, as for an engine that leaves: one run without capacity then keeps a turn of the instance.

No measurement of a deployment was made.

Conclusion: the mechanism is whole; whether it pays is to be measured.

--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -28,6 +28,7 @@
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
+from dotterelweird.gateway.sending import evacuating
 from dotterelweird.gateway.sending import gate as send_gate
 
 
@@ -61,6 +62,7 @@
         departure_times: When targets began to leave.
         gate: Tells whether a target may be sent something now.
         releaser: Frees copies of runs that will not be used.
+        evacuator: Moves runs off evacuated zones.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -92,6 +94,7 @@
     departure_times: watching.DepartureTimes = attrs.field(init=False)
     gate: send_gate.SendGate = attrs.field(init=False)
     releaser: releasing.CopyReleaser = attrs.field(init=False)
+    evacuator: evacuating.RunEvacuator = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.departure_times = watching.DepartureTimes(self.timers)
@@ -105,6 +108,9 @@
         self.releaser = releasing.CopyReleaser(
             self.run_control, self.gate, self.limiter
         )
+        self.evacuator = evacuating.RunEvacuator(
+            self.placer.evacuation_registry, self.timers, self.rng
+        )
 
     def choose(
         self, exchange: exchanges.Exchange, excluded: set[str]
@@ -197,12 +203,20 @@
             retry_after_s=stopping.RETRY_AFTER_S,
         )
 
-    def has_retries(self, exchange: exchanges.Exchange, count: int) -> bool:
-        """Whether retries are left for a run that is lost without them."""
+    def has_retries(
+        self, exchange: exchanges.Exchange, count: int, urgent: bool = True
+    ) -> bool:
+        """Whether retries are left for a run.
+
+        Args:
+            exchange: The request.
+            count: Number of retries.
+            urgent: Whether the run is lost without them.
+        """
         count -= exchange.retries_ahead
         budget = self.budgets.for_service(exchange.service.name)
         return count <= 0 or budget.has_retry(
-            self.timers.monotonic_s(), urgent=True, count=count
+            self.timers.monotonic_s(), urgent=urgent, count=count
         )
 
     def take_retry_ahead(self, exchange: exchanges.Exchange) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -90,6 +90,8 @@
         if run.calls is not None:
             run.calls.continue_with(self._record)
         self._move: moving.RunMove | None = None
+        # Whether the newest move was started to leave an evacuated zone.
+        self._evacuating = False
         # Monotonic time of the send; None if other prompts were queued for
         # their prefill, as the rate cannot be measured then.
         self._prefill_start_s: float | None = None
@@ -156,6 +158,7 @@
             attempts.track_load(parts, run.target, exchange.tokens),
             attempts.track_backup_load(parts, run.backup, exchange.tokens),
             parts.watch.watching(watched, self._handle_target_change),
+            parts.evacuator.following(self),
             prefill,
         ):
             return await self._send_and_pass_events(prefill)
@@ -239,14 +242,60 @@
             return moving.Reason.LEAVING, silent_s
         if silent_s >= _SILENCE_TIMEOUT_S:
             return moving.Reason.SILENT, silent_s
+        if (
+            self.is_evacuating
+            and self._run.backup is None
+            and self._parts.gate.is_evacuated(self._run.target)
+        ):
+            return moving.Reason.EVACUATED, silent_s
         return None
 
-    def _start_move(self) -> None:
-        """Starts to move the run, unless a move is in progress."""
+    @property
+    def zone(self) -> str:
+        """Availability zone of the engine."""
+        return self._run.target.zone
+
+    @property
+    def is_evacuating(self) -> bool:
+        """Whether the run is being moved off its zone."""
+        in_progress = self._move is not None and not self._move.ended
+        return self._evacuating and in_progress
+
+    def work_left_s(self) -> float:
+        """Returns the time until the expected end, in seconds.
+
+        Returns:
+            The time; 0 for a run that does not move off its zone: another
+            engine keeps its memory, it starts again if it is lost, or it has
+            not begun.
+        """
+        parts, exchange = self._parts, self._exchange
+        engine = exchange.service.engine
+        movable = engine is not None and engine.can_move
+        if exchange.route.resumable or not (self._stream.started and movable):
+            return 0.0
+        if self._run.backup is not None:
+            return 0.0
+        factor = parts.duration_factors.for_service(exchange.service.name)
+        duration_s = factor.value * exchange.expected_duration_s
+        end_s = min(exchange.arrived_s + duration_s, exchange.deadline_s)
+        return max(0.0, end_s - parts.timers.monotonic_s())
+
+    def evacuate(self) -> None:
+        """Starts to move the run off its zone."""
+        self._start_move(evacuates=True)
+
+    def _start_move(self, evacuates: bool = False) -> None:
+        """Starts to move the run, unless a move is in progress.
+
+        Args:
+            evacuates: Whether to move it because its zone is evacuated.
+        """
         if self._exchange.service.engine is None:
             return
         if self._move is not None and not self._move.ended:
             return
+        self._evacuating = evacuates
         self._record.backup = None
         if self._run.backup is not None:
             self._record.backup = self._backup_way(self._run.backup)
--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -1,4 +1,6 @@
-"""Moves a run to another engine, if it leaves or falls silent.
+"""Moves a run to another engine.
+
+Its engine leaves or falls silent, or the engine's zone is evacuated.
 
 The run's memory is copied while the run goes on. The run is stopped only once
 the copy is there and nothing that is known stands against the way on. It then
@@ -40,6 +42,7 @@
 
     LEAVING = 'engine leaves'
     SILENT = 'no events'
+    EVACUATED = 'zone evacuated'
 
 
 # Delay before another call that copies a run, in seconds.
@@ -48,7 +51,7 @@
 _CHECK_DELAY_S = 0.1
 # Retries that must be left before a run is stopped: one for the destination
 # and, unless the source leaves, one for the way back.
-_RETRIES = {Reason.LEAVING: 1, Reason.SILENT: 2}
+_RETRIES = {Reason.LEAVING: 1, Reason.SILENT: 2, Reason.EVACUATED: 1}
 
 
 class Obstacle(enum.Enum):
@@ -150,6 +153,9 @@
             self._record.leaving |= self._reason is Reason.LEAVING
             if await self._try_destinations(self._reason):
                 return
+            if self._reason is Reason.EVACUATED:
+                # Other runs of the zone are tried before this one again.
+                break
             await self._wait_to_retry(self._reason)
         goes_on = self._record.state is run_record.SourceState.RUNNING
         if goes_on and not self._record.link_ended.is_set():
@@ -248,7 +254,7 @@
             left_s=round(self._exchange.deadline_s - self._now_s(), 3),
             stopping=self._parts.stop_plan.stopping,
         )
-        self._record.leaving |= reason is Reason.LEAVING
+        self._record.leaving |= reason is not Reason.SILENT
         self._exchange.silence_moves += reason is Reason.SILENT
         self._stopping = True
         await self._calls.stop(
@@ -270,6 +276,11 @@
 
     def _choose_destination(self, reason: Reason) -> targets.Target | None:
         refused = self._refused()
+        if reason is Reason.EVACUATED:
+            # Only where memory is free that no other run is about to need.
+            return self._parts.choose_backup(
+                self._exchange, {self._record.source.target_id, *refused}
+            )
         backup = self._record.backup
         if (
             reason is Reason.SILENT
@@ -331,7 +342,9 @@
             return Obstacle.DEADLINE
         if now_s + needed_s >= parts.stop_plan.answers_due_s:
             return Obstacle.EXIT
-        if not parts.has_retries(exchange, _RETRIES[reason]):
+        # A run that could end where it is leaves a reserve to lost ones.
+        urgent = reason is not Reason.EVACUATED
+        if not parts.has_retries(exchange, _RETRIES[reason], urgent):
             return Obstacle.NO_RETRY
         if destination is None:
             # Only a call tells whether the source is reached, which matters
@@ -356,7 +369,7 @@
         if turn_s > now_s + pausing.STREAM_WAIT_MAX_S:
             self._exclude(destination)
             return Obstacle.DESTINATION_LIMITED
-        if reason is Reason.LEAVING:
+        if reason is not Reason.SILENT:
             return None
         if exchange.silence_moves:
             return Obstacle.MOVED_BEFORE
--- a/packages/daemon/tests/gateway/test_evacuations.py
+++ b/packages/daemon/tests/gateway/test_evacuations.py
@@ -4,9 +4,11 @@
 
 import pytest
 
+from dotterelweir_core.gateway import evacuation_moves
 from dotterelweir_core.gateway import evacuations
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
+from dotterelweird.gateway.sending import evacuating
 
 
 def expected_events(events):
@@ -269,3 +271,79 @@
     assert (await zones.status())['evacuated_zones'] == []
     evacuate_at_once(zones, 'zone-a')
     assert (await zones.status())['evacuated_zones'] == ['zone-a']
+
+
+@pytest.fixture
+def long_run(zones, leaving_run, monkeypatch):
+    """Lets runs without a backup move off evacuated zones soon."""
+    monkeypatch.setattr(evacuation_moves, 'WORK_LEFT_MIN_S', 0.3)
+    monkeypatch.setattr(evacuation_moves, 'RETRY_DELAY_S', 0.1)
+    monkeypatch.setattr(evacuating, '_FIRST_DELAY_MAX_S', 0.02)
+    monkeypatch.setattr(evacuating, '_CHECK_INTERVAL_S', 0.05)
+    for engine in leaving_run:
+        engine.behaviour.events = 40
+    return leaving_run
+
+
+def free_memory(deployment):
+    deployment.gateway._loads.get('engine-2').tokens -= 28_000
+    deployment.gateway._loads.get('engine-1').tokens -= 28_000
+
+
+async def read_while_evacuated(deployment):
+    """Reads a long stream whose zone is evacuated after the first event."""
+    async with deployment.request('guide', X_Token_Usage='100,4000') as answer:
+        body = await read_until(answer, b'token-1\n')
+        evacuate_at_once(deployment, 'zone-a')
+        return body + await answer.read()
+
+
+async def test_a_long_run_moves_off_an_evacuated_zone(zones, long_run):
+    """Guards against runs that a later shutdown of the zone cuts off."""
+    first, second = long_run
+    first.behaviour.final_move_s = 0.05
+
+    async def free_soon():
+        while not first.ran:
+            await asyncio.sleep(0.01)
+        free_memory(zones)
+
+    freeing = asyncio.create_task(free_soon())
+    assert await read_while_evacuated(zones) == expected_events(40)
+    await freeing
+    assert second.resumed_after
+    assert len(first.received_headers) == 1
+
+
+async def test_a_run_stays_while_no_memory_is_free(zones, long_run):
+    """Guards against moves that displace runs of other zones."""
+    first, second = long_run
+    assert await read_while_evacuated(zones) == expected_events(40)
+    assert first.move_orders == []
+    assert second.received_headers == []
+
+
+async def test_no_run_moves_while_that_is_switched_off(
+    zones, long_run, monkeypatch
+):
+    """Guards against moves that the constant does not switch off."""
+    monkeypatch.setattr(evacuation_moves, 'MOVES_MAX', 0)
+    free_memory(zones)
+    zones.engines['engine-2'].behaviour.refuse = True
+    assert await read_while_evacuated(zones) == expected_events(40)
+    assert zones.engines['engine-1'].move_orders == []
+
+
+async def test_a_refused_run_ends_where_it_is(zones, long_run, monkeypatch):
+    """Guards against runs stopped without a copy, and calls without end."""
+    # The run lasts for 1.2 s, and is tried four times at most.
+    monkeypatch.setattr(evacuation_moves, 'RETRY_DELAY_S', 0.3)
+    first, second = long_run
+    first.behaviour.move_status = 503
+    task = asyncio.create_task(read_while_evacuated(zones))
+    while not first.ran:
+        await asyncio.sleep(0.01)
+    free_memory(zones)
+    assert await task == expected_events(40)
+    assert 1 <= len(first.move_orders) < 12
+    assert second.received_headers == []
