Evacuate zones in the soak, and check what arrives there

What callers saw: nothing; no test joined evacuations with other faults.

The engines of `soak` are in three zones. A task with a random source of its own evacuates one or two of them for 6.5 to 10 s; a request that reaches an engine there later than 5 s after the store's answer, from an instance that was not disturbed meanwhile, is a violation. A rewind of the store that drops or returns the record begins anew.

Ruled out: evacuations as a fault of FaultInjector, which would change the faults of all seeds.

--- a/fakes/src/dotterelweir_fakes/fleet/store.py
+++ b/fakes/src/dotterelweir_fakes/fleet/store.py
@@ -59,6 +59,18 @@
         """Appends a record with a JSON value and returns its offset."""
         return await self.write(topic, key, orjson.dumps(value))
 
+    def newest(self, topic: str, key: str) -> bytes:
+        """Returns the newest value of a key; empty if it was removed.
+
+        Args:
+            topic: Name of the topic.
+            key: The key.
+        """
+        for other_key, value in reversed(self._records.get(topic, [])):
+            if other_key == key:
+                return value
+        return b''
+
     def expire(self, topic: str) -> None:
         """Expires all records, so that reads start at the end of the topic.
 
--- a/fakes/src/dotterelweir_fakes/soak/broken_gateway.py
+++ b/fakes/src/dotterelweir_fakes/soak/broken_gateway.py
@@ -6,6 +6,7 @@
 
 import os
 
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import tables
 from dotterelweir_platform import command as platform_main
 from dotterelweird.gateway import attempts
@@ -31,7 +32,8 @@
 
     Args:
         name: ``not-run`` lets a request run again after any failed attempt;
-            ``once`` lets requests that are not repeatable run again.
+            ``once`` lets requests that are not repeatable run again;
+            ``evacuated`` lets evacuated zones get requests.
 
     Raises:
         ValueError: The name is unknown.
@@ -42,6 +44,10 @@
         case 'once':
             tables.Route.repeatable = property(lambda route: True)
             exchanges.Exchange.record_run = lambda exchange: None
+        case 'evacuated':
+            registry = evacuations.EvacuationRegistry
+            registry.zones = property(lambda registry: frozenset())
+            registry.is_evacuated = lambda registry, zone: False
         case _:
             raise ValueError(f'unknown guard {name!r}')
 
--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -20,6 +20,7 @@
 from dotterelweir_fakes.links import rules as links_rules
 from dotterelweir_fakes.soak import broken_gateway
 from dotterelweir_fakes.soak import engines as soak_engines
+from dotterelweir_fakes.soak import evacuations
 from dotterelweir_fakes.soak import faults
 from dotterelweir_fakes.soak import guarantees
 from dotterelweir_fakes.soak import instances
@@ -86,6 +87,7 @@
     nodes: list[instances.Instance] = attrs.field(factory=list)
     _proxies: dict[str, proxies.BackendProxy] = attrs.field(factory=dict)
     _injector: faults.FaultInjector | None = None
+    _evacuations: evacuations.Evacuations | None = None
     _crash_times_s: list[float] = attrs.field(factory=list)
     _receivers: dict[str, instances.Instance] = attrs.field(factory=dict)
     _late_deadly_runs: int = 0
@@ -102,6 +104,10 @@
         site = web.TCPSite(runner, '127.0.0.1', 0)
         await site.start()
         store_port = runner.addresses[0][1]
+        # With a random source of its own, the faults of a seed stay the same.
+        self._evacuations = evacuations.Evacuations(
+            random.Random(f'{self.seed}-evacuations'), self.store
+        )
         injector = self._injector = faults.FaultInjector(
             rng,
             self.nodes,
@@ -127,6 +133,7 @@
                 await engine.stop()
             await runner.cleanup()
         self.ledger.check()
+        self.ledger.violations += self._evacuations.late
         late = self._late_deadly_runs
         if self.deadly_part == 'check' and late > _DEADLY_RUNS_MAX:
             self.ledger.violations.append(
@@ -142,6 +149,7 @@
             'refused': self.ledger.refused,
             'violations': self.ledger.violations,
             'faults': dict(sorted(injector.counts.items())),
+            'evacuations': self._evacuations.count,
             'deadly_crashes': len(self._crash_times_s),
             'late_deadly_runs': late,
         }
@@ -159,6 +167,8 @@
                     functools.partial(self._crash, name),
                 )
                 engine.sender = self._find_sender
+                engine.evacuations = self._evacuations
+                engine.zone = evacuations.ZONES[number]
                 await engine.start()
                 host, _, port = engine.address.rpartition(':')
                 await self._open_proxy(name, host, int(port))
@@ -182,6 +192,7 @@
         self, rng: random.Random, injector: faults.FaultInjector
     ) -> None:
         injection = asyncio.create_task(injector.run())
+        evacuating = asyncio.create_task(self._evacuations.run())
         callers = [
             asyncio.create_task(
                 self._run_caller(random.Random(rng.random()), n)
@@ -190,7 +201,8 @@
         ]
         await asyncio.sleep(self.duration_s)
         injection.cancel()
-        await asyncio.gather(injection, return_exceptions=True)
+        evacuating.cancel()
+        await asyncio.gather(injection, evacuating, return_exceptions=True)
         self.rules.heal()
         for caller in callers:
             caller.cancel()
@@ -308,7 +320,7 @@
 )
 @click.option(
     '--without-guard',
-    type=click.Choice(['not-run', 'once']),
+    type=click.Choice(['not-run', 'once', 'evacuated']),
     help='Removes a guard, to show that the checks can fail.',
 )
 @click.option(
--- a/fakes/src/dotterelweir_fakes/soak/engines.py
+++ b/fakes/src/dotterelweir_fakes/soak/engines.py
@@ -8,6 +8,7 @@
 import attrs
 
 from dotterelweir_fakes.fleet import engine as fleet_engine
+from dotterelweir_fakes.soak import evacuations
 from dotterelweir_fakes.soak import guarantees
 
 EVENTS_PER_ANSWER = 30
@@ -26,6 +27,8 @@
         end_under: Called with the id of a request under which it ends.
         sender: Returns the instance that a request was sent to by its
             caller: its name, and the time of its last disturbance in seconds.
+        evacuations: Checks what arrives in evacuated zones; None for no
+            check.
     """
 
     def __init__(
@@ -37,6 +40,7 @@
         super().__init__(target_id)
         self.end_under = end_under
         self.sender: Callable[[str], tuple[str, float]] | None = None
+        self.evacuations: evacuations.Evacuations | None = None
         self._ledger = ledger
         self.runs: list[guarantees.Run] = []
         self.behaviour = fleet_engine.Behaviour(
@@ -51,6 +55,10 @@
             self._ledger.record_arrival(
                 self.target_id, sender[0], now_s, sender[1]
             )
+            if self.evacuations is not None:
+                self.evacuations.record_arrival(
+                    self.target_id, self.zone, sender[0], now_s, sender[1]
+                )
         response = await super()._respond(request)
         pause_s = response.headers.get('Retry-After')
         if sender is not None and pause_s is not None:
