Keep cold targets within the rate that their service states

What callers saw: an engine that has just started looks idle to all instances at the same moment, gets far more requests than `warmupPerS` and ends with what it runs.

Cause: `warmupS` and `warmupPerS` were not decoded, and the warm-up cost of the placement is no bound.

A target is cold for `warmupS` after a start that this instance sees, while `warmupLeftMs` or `X-Cold-Ms` say so, and from `PaceKeeper.begin_cold` on (return of a zone). It then needs turns like a target that names a limit, at the lower rate of both.

Ruled out: shares for each instance without a turn (17.1/s are fewer than the instances of a large deployment), and ages by the wall clock alone (clocks are off; they count only for targets in the first state that was read).

--- a/packages/cli/src/dotterelweir_cli/fleet/deployment.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/deployment.py
@@ -134,7 +134,8 @@
     """Returns one row for each target that at least one gateway knows.
 
     Instances may differ in the load of a target; a row has the highest
-    values of ``running`` and ``tokens``.
+    values of ``running`` and ``tokens``, and the lowest ``pace_per_s``, which
+    only targets have that are paced after their start.
     """
     rows: dict[str, Document] = {}
     for status in deployment_status.statuses.values():
@@ -150,6 +151,7 @@
                     'running': 0,
                     'tokens': 0,
                     'avoided_by': 0,
+                    'pace_per_s': None,
                 },
             )
             row['states'].add(target['state'])
@@ -157,6 +159,15 @@
             row['running'] = max(row['running'], int(target['running']))
             row['tokens'] = max(row['tokens'], int(target['tokens']))
             row['avoided_by'] += target['avoided']
+            # Gateways of an older version do not state it.
+            pace_per_s = target.get('pace_per_s')
+            if pace_per_s is not None:
+                known_per_s = row['pace_per_s']
+                row['pace_per_s'] = (
+                    pace_per_s
+                    if known_per_s is None
+                    else min(known_per_s, pace_per_s)
+                )
     for row in rows.values():
         row['states'] = ', '.join(sorted(row['states']))
     return sorted(
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -323,6 +323,20 @@
     'An engine is called to stop a run, whose copy is complete; `copy_s` is '
     'the time that it took, `left_s` the time to the deadline.',
 )
+TARGET_COLD = _event(
+    255,
+    'target-cold',
+    logging.INFO,
+    'A target has started, or says that it is cold; for `left_s` it gets at '
+    'most `rate_per_s` requests per second from all instances together.',
+)
+TURN_LATE = _event(
+    256,
+    'turn-late',
+    logging.INFO,
+    'A turn at a paced target is not used, as this instance was busy or '
+    'frozen for `late_s` when it was due; it obtains another one.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/core/src/dotterelweir_core/gateway/tables.py
+++ b/packages/core/src/dotterelweir_core/gateway/tables.py
@@ -120,11 +120,17 @@
         connections_max: Connections that a target accepts from all callers
             together. Not used by the gateway.
         engine: Properties of its model engines; None for plain services.
+        warm_up_s: Time after its start for which a target is cold, in
+            seconds; 0 if it is not stated.
+        warm_up_per_s: Requests per second that a cold target bears; 0 if the
+            number is not stated.
     """
 
     name: str
     connections_max: int
     engine: EngineSpec | None = None
+    warm_up_s: float = 0.0
+    warm_up_per_s: float = 0.0
 
 
 @attrs.frozen
--- a/packages/core/src/dotterelweir_core/gateway/turns.py
+++ b/packages/core/src/dotterelweir_core/gateway/turns.py
@@ -13,6 +13,7 @@
 
 import attrs
 
+from dotterelweir_core.gateway import pace as gateway_pace
 from dotterelweir_core.gateway import rate_limits
 
 # Lowest rate of turns, in requests per second. A target whose limit is lower
@@ -21,7 +22,9 @@
 _RATE_MIN_PER_S = 0.1
 # Time whose turns may be used at once after a pause, in seconds; one turn at
 # least.
-_BURST_S = 0.5
+BURST_S = 0.5
+# The same at a paced target, whose requests are counted in each second.
+PACED_BURST_S = 0.1
 # Share of the limit at which each rank of coordinators gives turns.
 _RANK_SHARES = (1.0, 0.125, 0.015625)
 # Number of coordinators of a target.
@@ -41,12 +44,15 @@
         statement: What the instance knows of the target's limit.
         wait_max_s: Longest wait that the turn may require, in seconds.
         urgent: Whether work that has begun is lost without the turn.
+        pace: What the instance knows of the target's pace; None if the
+            target is not paced.
     """
 
     number: int
     statement: rate_limits.LimitStatement
     wait_max_s: float
     urgent: bool = False
+    pace: gateway_pace.PaceNotice | None = None
 
 
 @attrs.frozen
@@ -122,10 +128,15 @@
     Args:
         rate_per_s: Rate of the turns, in requests per second; above 0.
         now_s: Monotonic time, in seconds.
+        burst_s: Time whose turns may be used at once after a pause, in
+            seconds; one turn at least.
     """
 
-    def __init__(self, rate_per_s: float, now_s: float) -> None:
+    def __init__(
+        self, rate_per_s: float, now_s: float, burst_s: float = BURST_S
+    ) -> None:
         self._rate_per_s = rate_per_s
+        self._burst_max_s = burst_s
         # Time at which all turns given so far are used up at the rate.
         self._used_until_s = now_s + self._burst_s + self._interval_s
         self._urgent_until_s = now_s
@@ -137,15 +148,19 @@
     @property
     def _burst_s(self) -> float:
         """Time by which turns may be ahead of the rate, in seconds."""
-        return max(0.0, _BURST_S - self._interval_s)
+        return max(0.0, self._burst_max_s - self._interval_s)
 
-    def set_rate(self, rate_per_s: float, now_s: float) -> None:
+    def set_rate(
+        self, rate_per_s: float, now_s: float, burst_s: float = BURST_S
+    ) -> None:
         """Changes the rate; turns that were given stay as they are.
 
         Args:
             rate_per_s: Rate of the turns, in requests per second; above 0.
             now_s: Monotonic time, in seconds.
+            burst_s: Time whose turns may be used at once, in seconds.
         """
+        self._burst_max_s = burst_s
         if rate_per_s == self._rate_per_s:
             return
         factor = self._rate_per_s / rate_per_s
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -249,11 +249,14 @@
         limit_per_s: Requests per second that the target accepts from all
             instances together; infinite if the answer shows that it has no
             limit, None if the answer says nothing about a limit.
+        cold_left_s: Time for which the target is still cold, in seconds; 0
+            if the answer does not say so.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
+    cold_left_s: float = 0.0
 
 
 NO_NOTICE = TargetNotice()
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -16,6 +16,7 @@
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import reading
@@ -48,6 +49,7 @@
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import target_client
 from dotterelweird.gateway import trials
+from dotterelweird.gateway.sending import pacing
 
 LOG = logging.getLogger(__name__)
 
@@ -126,6 +128,12 @@
             self._send_to_peer,
             self._broadcast,
             self._view_peers,
+            pace.PaceRegistry(settings.pace),
+        )
+        self._pace = pacing.PaceKeeper(
+            limiter,
+            self._timers,
+            lambda: self._followers[api.StoreStream.TARGETS].has_state,
         )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
@@ -176,7 +184,10 @@
         self._targets.subscribe(self._parts.watch.notify)
         self._targets.subscribe(self._discard_removed_load)
         self._targets.subscribe(self._record_warm_up)
+        self._targets.subscribe(self._pace.apply_change)
+        self._targets.subscribe_registrations(self._pace.record_registration)
         self._tables.subscribe(self._record_tables_version)
+        self._tables.subscribe(self._pace.apply_tables)
         findings = finding_exchange.FindingExchange(
             self._timers,
             self._rng,
@@ -204,6 +215,7 @@
             self._targets,
             pause_registry,
             limiter,
+            self._pace,
             self._peers,
             self._timers,
             self._statistics,
@@ -435,7 +447,9 @@
                 stream.value: status.stream_row(follower)
                 for stream, follower in self._followers.items()
             },
-            'targets': status.target_rows(self._directory, self._loads, now_s),
+            'targets': status.target_rows(
+                self._directory, self._loads, self._parts.limiter.pace, now_s
+            ),
             'peers': self._peers.status_rows(),
         }
 
@@ -466,7 +480,8 @@
     def _reload(self) -> None:
         """Reads the settings again.
 
-        The grace time and the bounds of the retry budgets take effect.
+        The grace time, the bounds of the retry budgets and the settings of
+        the pace take effect.
         """
         try:
             settings = self._load_settings()
@@ -477,4 +492,5 @@
         if self._stop_plan.stopping:
             self._schedule_last_answers()
         self._parts.set_settings(settings)
+        self._pace.apply_settings(settings.pace)
         events.log(LOG, events.GATEWAY_RELOADED, grace_s=settings.grace_s)
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -241,9 +241,9 @@
         )
 
     def is_limited(self, exchange: exchanges.Exchange) -> bool:
-        """Whether a ready target of a service limits its request rate."""
+        """Whether a ready target of a service is sent requests by turns."""
         return any(
-            self.limiter.limits.is_limited(target)
+            self.limiter.is_limited(target)
             for target in self.placer.ready(
                 self.directory.of_service(exchange.service.name)
             )
--- a/packages/daemon/src/dotterelweird/gateway/finding_codec.py
+++ b/packages/daemon/src/dotterelweird/gateway/finding_codec.py
@@ -9,6 +9,7 @@
 import attrs
 
 from dotterelweir_core.gateway import engine_ends
+from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import request_quarantine
@@ -33,6 +34,7 @@
     | engine_ends.EndReport
     | request_quarantine.SoundRequest
     | rate_limits.LimitStatement
+    | pace.PaceNotice
     | turns.TurnRequest
     | turns.TurnAnswer
 )
@@ -71,7 +73,12 @@
         case turns.TurnRequest():
             row = [finding.number, finding.wait_max_s, int(finding.urgent)]
             row += _encode_statement(finding.statement)
+            # An instance of an older version ignores the second field.
+            if finding.pace is not None:
+                return {'t': row, 'tp': _encode_pace(finding.pace)}
             return {'t': row}
+        case pace.PaceNotice():
+            return {'p': _encode_pace(finding)}
         case turns.TurnAnswer():
             row = [finding.number, int(finding.granted), finding.wait_s]
             row += _encode_statement(finding.statement)
@@ -128,6 +135,8 @@
         )
     if 'm' in body:
         return _decode_statement(body['m'])
+    if 'p' in body:
+        return _decode_pace(body['p'])
     if 't' in body:
         number, wait_max_s, urgent, *statement = body['t']
         return turns.TurnRequest(
@@ -135,6 +144,7 @@
             _decode_statement(statement),
             datagram_fields.decode_duration_s(wait_max_s),
             bool(urgent),
+            _decode_pace(body['tp']) if 'tp' in body else None,
         )
     if 'a' in body:
         number, granted, wait_s, *statement = body['a']
@@ -167,3 +177,22 @@
         datagram_fields.decode_unbounded(sent_age_s),
         datagram_fields.decode_duration_s(received_age_s),
     )
+
+
+def _encode_pace(notice: pace.PaceNotice) -> list[Any]:
+    return [
+        notice.target_id,
+        notice.started_ms,
+        round(notice.cold_left_s, 3),
+        round(notice.cold_per_s, 3),
+    ]
+
+
+def _decode_pace(row: list[Any]) -> pace.PaceNotice:
+    target_id, started_ms, cold_left_s, cold_per_s = row
+    return pace.PaceNotice(
+        str(target_id),
+        datagram_fields.decode_integer(started_ms),
+        datagram_fields.decode_duration_s(cold_left_s),
+        datagram_fields.decode_duration_s(cold_per_s),
+    )
--- a/packages/daemon/src/dotterelweird/gateway/findings.py
+++ b/packages/daemon/src/dotterelweird/gateway/findings.py
@@ -14,6 +14,7 @@
 
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import engine_ends
+from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import request_quarantine
@@ -36,7 +37,8 @@
 # Maximum number of findings about ends of targets that are sent to a peer, a
 # datagram each.
 _END_FINDINGS_MAX = 24
-# Maximum number of limits that are sent to a peer, a datagram each.
+# Maximum number of limits, and of paces, that are sent to a peer, a datagram
+# each.
 _LIMITS_MAX = 16
 # Number of peers that send them to a new peer, on average. In a large
 # deployment, those of all peers would fill its link.
@@ -107,6 +109,7 @@
                 self.request_guard.apply_finding(message, host)
             case (
                 rate_limits.LimitStatement()
+                | pace.PaceNotice()
                 | turns.TurnRequest()
                 | turns.TurnAnswer()
             ):
@@ -148,6 +151,10 @@
             _LIMITS_MAX, self.timers.elapsed_s()
         ):
             self.send(host, statement)
+        for notice in self.limiter.pace.notices(
+            _LIMITS_MAX, self.timers.monotonic_s()
+        ):
+            self.send(host, notice)
 
     def checksums(self) -> digests.FindingChecksums:
         """Returns the checksums for a regular digest."""
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -146,6 +146,9 @@
         self._listeners: list[
             Callable[[gateway_targets.TargetChange], None]
         ] = []
+        self._registration_listeners: list[
+            Callable[[gateway_targets.Target], None]
+        ] = []
 
     def subscribe(
         self, listener: Callable[[gateway_targets.TargetChange], None]
@@ -157,6 +160,18 @@
         """
         self._listeners.append(listener)
 
+    def subscribe_registrations(
+        self, listener: Callable[[gateway_targets.Target], None]
+    ) -> None:
+        """Registers a function that is called with each further record.
+
+        Also with those that change nothing but the remaining warm-up.
+
+        Args:
+            listener: Called with the registered target.
+        """
+        self._registration_listeners.append(listener)
+
     position = None
 
     @property
@@ -268,6 +283,9 @@
                 changed.append(record)
             if change is not None:
                 self._notify_listeners(change)
+            elif decoded is not None:
+                for listener in self._registration_listeners:
+                    listener(decoded)
         return changed
 
     def _update_record(self, record: api.Record) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -1,19 +1,23 @@
 """Keeps the requests of all instances within the limits of targets.
 
 Every request to a limited target, control calls included, needs a turn from
-the target's coordinator, see ``dotterelweir_core.gateway.turns``.
+the target's coordinator, see ``dotterelweir_core.gateway.turns``. A target is
+limited if it names a limit, or while it is paced after its start, see
+``dotterelweir_core.gateway.pace``; the lower rate applies.
 """
 
 import asyncio
 from collections.abc import Callable
 import itertools
 import logging
+import math
 
 import attrs
 
 from dotterelweir_core import bounded_map
 from dotterelweir_core import events
 from dotterelweir_core import timers
+from dotterelweir_core.gateway import pace as gateway_pace
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import turns
@@ -42,12 +46,24 @@
 # Maximum number of limited targets that are kept; the oldest are evicted
 # first. A large deployment has fewer targets.
 _TARGETS_MAX = 4_096
+# Time after which a turn at a paced target that was not used yet lapses, in
+# seconds. Requests of an instance that was frozen would reach the target
+# together.
+_TURN_LATE_MAX_S = 0.3
 
 # Origin of a statement in an answer to this instance, in logs.
 _OWN = 'own'
+# Origins of the news that a target is cold, other than the addresses of peers.
+STARTED = 'started'
+STATED = 'stated'
+RESTORED = 'restored'
+_OWN_ORIGINS = frozenset({STARTED, STATED, RESTORED})
 
 LimiterMessage = (
-    rate_limits.LimitStatement | turns.TurnRequest | turns.TurnAnswer
+    rate_limits.LimitStatement
+    | gateway_pace.PaceNotice
+    | turns.TurnRequest
+    | turns.TurnAnswer
 )
 
 
@@ -92,9 +108,11 @@
         send: Sends a message to the instance at an IP address.
         broadcast: Sends a message to all instances.
         view: Returns the other instances.
+        pace: Paces of all targets.
 
     Attributes:
         limits: Limits of all targets.
+        pace: Paces of all targets.
     """
 
     def __init__(
@@ -105,6 +123,7 @@
         send: Callable[[str, LimiterMessage], None],
         broadcast: Callable[[LimiterMessage], None],
         view: Callable[[], peer_view.PeerView],
+        pace: gateway_pace.PaceRegistry | None = None,
     ) -> None:
         self._instance_id = instance_id
         self._timers = timer_service
@@ -113,6 +132,7 @@
         self._broadcast = broadcast
         self._view = view
         self.limits = rate_limits.LimitRegistry()
+        self.pace = pace or gateway_pace.PaceRegistry()
         self._targets: bounded_map.BoundedMap[
             tuple[str, int], _LimitedTarget
         ] = bounded_map.BoundedMap(_TARGETS_MAX)
@@ -124,6 +144,16 @@
         self._ranked_peers: tuple[peer_view.Peer, ...] = ()
         self._ranked: dict[str, tuple[str, ...]] = {}
 
+    def is_limited(self, target: targets.Target) -> bool:
+        """Whether requests to a target need a turn now."""
+        return self._rate_per_s(target) < rate_limits.UNLIMITED
+
+    def _rate_per_s(self, target: targets.Target) -> float:
+        return min(
+            self.limits.rate_per_s(target),
+            self.pace.rate_per_s(*_key(target), self._timers.monotonic_s()),
+        )
+
     # What targets and other instances state.
 
     def report(self, statement: rate_limits.LimitStatement) -> None:
@@ -189,8 +219,12 @@
         match message:
             case rate_limits.LimitStatement():
                 self._apply(message, host)
+            case gateway_pace.PaceNotice():
+                self.apply_pace(message, host)
             case turns.TurnRequest():
                 self._apply(message.statement, host)
+                if message.pace is not None:
+                    self.apply_pace(message.pace, host)
                 self._send(host, self._answer(message))
             case turns.TurnAnswer():
                 pending = self._pending.get(message.number)
@@ -199,6 +233,57 @@
                 if not pending.answer.done():
                     pending.answer.set_result(message)
 
+    # What is known of paces.
+
+    def apply_pace(self, notice: gateway_pace.PaceNotice, origin: str) -> None:
+        """Applies what another instance knows of a target's pace.
+
+        Args:
+            notice: The notice.
+            origin: IP address of the instance.
+        """
+        if self.pace.apply(notice, self._timers.monotonic_s()):
+            self.record_cold(notice.target_id, notice.started_ms, origin)
+
+    def send_pace(self, target: targets.Target) -> None:
+        """Sends what is known of a target's pace to all, several times."""
+
+        def send() -> None:
+            notice = self.pace.notice(
+                *_key(target), self._timers.monotonic_s()
+            )
+            if notice is not None:
+                self._broadcast(notice)
+
+        send()
+        for delay_s in _NEWS_DELAYS_S:
+            self._timers.call_after(delay_s, send)
+
+    def record_cold(
+        self, target_id: str, started_ms: int, origin: str
+    ) -> None:
+        """Records that a target is cold, which it was not before.
+
+        Args:
+            target_id: Id of the target.
+            started_ms: Wall time of its start, in milliseconds.
+            origin: How this instance has learned of it.
+        """
+        key = (target_id, started_ms)
+        now_s = self._timers.monotonic_s()
+        self._target(key).next_turn_s = float('-inf')
+        self._statistics.cold_targets.inc(
+            {'origin': origin if origin in _OWN_ORIGINS else 'peer'}
+        )
+        events.log(
+            LOG,
+            events.TARGET_COLD,
+            target_id=target_id,
+            left_s=round(self.pace.cold_left_s(*key, now_s), 3),
+            rate_per_s=self.pace.rate_per_s(*key, now_s),
+            origin=origin,
+        )
+
     # Turns that this instance needs.
 
     def next_turn_s(self, target: targets.Target) -> float:
@@ -211,7 +296,7 @@
             Time in seconds; minus infinity if the target has no limit or
             may have a free turn now.
         """
-        if not self.limits.is_limited(target):
+        if not self.is_limited(target):
             return float('-inf')
         return self._target(_key(target)).next_turn_s
 
@@ -233,7 +318,7 @@
         Returns:
             Whether the request may be sent now.
         """
-        if not self.limits.is_limited(target):
+        if not self.is_limited(target):
             return True
         known = self._target(_key(target))
         now_s = self._timers.monotonic_s()
@@ -242,9 +327,10 @@
         until_s = now_s + wait_max_s
         while True:
             wait_max_s = max(0.0, until_s - self._timers.monotonic_s())
+            asked_s = self._timers.elapsed_s()
             answer = await self._ask_coordinators(target, wait_max_s, urgent)
             granted = answer is not None and answer.granted
-            if not self.limits.is_limited(target):
+            if not self.is_limited(target):
                 # The coordinator has newer news of the target.
                 return True
             decision = 'unanswered'
@@ -254,11 +340,33 @@
             if not granted:
                 return False
             if await self._wait_for_turn(target, answer.wait_s):
-                return True
+                if not self._is_late(target, asked_s + answer.wait_s):
+                    return True
             # The limit has fallen meanwhile, and the turn was one of the
-            # earlier limit.
+            # earlier limit; or the turn is too old.
             self._record_decision(target, request_id, 'lapsed', None, urgent)
 
+    def _is_late(self, target: targets.Target, turn_s: float) -> bool:
+        """Whether a turn at a paced target is too old to be used.
+
+        Args:
+            target: The target.
+            turn_s: Earliest time of the turn, in seconds, by a clock that
+                counts suspensions.
+        """
+        late_s = self._timers.elapsed_s() - turn_s
+        if late_s <= _TURN_LATE_MAX_S or not self.pace.is_paced(
+            *_key(target), self._timers.monotonic_s()
+        ):
+            return False
+        events.log(
+            LOG,
+            events.TURN_LATE,
+            target_id=target.target_id,
+            late_s=round(late_s, 3),
+        )
+        return True
+
     async def _wait_for_turn(
         self, target: targets.Target, wait_s: float
     ) -> bool:
@@ -272,11 +380,11 @@
             Whether the turn may be used; False as soon as the limit of the
             target falls.
         """
-        rate_per_s = self.limits.rate_per_s(target)
+        rate_per_s = self._rate_per_s(target)
         turn_s = self._timers.monotonic_s() + wait_s
         while (left_s := turn_s - self._timers.monotonic_s()) > 0:
             await loop_timers.sleep(self._timers, min(left_s, _TURN_CHECK_S))
-            if self.limits.rate_per_s(target) < rate_per_s:
+            if self._rate_per_s(target) < rate_per_s:
                 return False
         return True
 
@@ -294,7 +402,7 @@
             events.TURN_DECIDED,
             request_id=request_id,
             target_id=target.target_id,
-            rate_per_s=self.limits.rate_per_s(target),
+            rate_per_s=self._rate_per_s(target),
             decision=decision,
             wait_s=None if answer is None else round(answer.wait_s, 3),
             urgent=urgent,
@@ -312,9 +420,11 @@
                 continue
             request = turns.TurnRequest(
                 next(self._numbers),
-                self.limits.statement(*_key(target), self._timers.elapsed_s()),
+                self.limits.statement(*_key(target), self._timers.elapsed_s())
+                or _no_limit(*_key(target)),
                 wait_max_s,
                 urgent,
+                self.pace.notice(*_key(target), now_s),
             )
             if coordinator == self._instance_id:
                 answer = self._answer(request)
@@ -370,24 +480,26 @@
         statement = request.statement
         key = (statement.target_id, statement.started_ms)
         known = self.limits.statement(*key, self._timers.elapsed_s())
-        if known is None or known.rate_per_s == rate_limits.UNLIMITED:
-            return turns.TurnAnswer(
-                request.number, True, 0.0, known or statement
-            )
+        known = known or statement
+        now_s = self._timers.monotonic_s()
+        pace_per_s = self.pace.rate_per_s(*key, now_s)
+        limit_per_s = min(known.rate_per_s, pace_per_s)
+        if limit_per_s == rate_limits.UNLIMITED:
+            return turns.TurnAnswer(request.number, True, 0.0, known)
         rank = self._own_rank(statement.target_id)
         view = self._view()
-        rate_per_s = view.reachable_share * turns.turn_rate_per_s(
-            known.rate_per_s, rank
-        )
-        now_s = self._timers.monotonic_s()
+        share, burst_s = view.reachable_share, turns.BURST_S
+        if pace_per_s < rate_limits.UNLIMITED:
+            share, burst_s = view.paced_share, turns.PACED_BURST_S
+        rate_per_s = share * turns.turn_rate_per_s(limit_per_s, rank)
         entry = self._target(key)
         if entry.schedule is None:
-            entry.schedule = turns.TurnSchedule(rate_per_s, now_s)
-        entry.schedule.set_rate(rate_per_s, now_s)
-        if known.rate_per_s < entry.limit_per_s:
+            entry.schedule = turns.TurnSchedule(rate_per_s, now_s, burst_s)
+        entry.schedule.set_rate(rate_per_s, now_s, burst_s)
+        if limit_per_s < entry.limit_per_s:
             # Who waits for a turn of the earlier limit asks again.
             entry.schedule.cancel_turns(now_s)
-        entry.limit_per_s = known.rate_per_s
+        entry.limit_per_s = limit_per_s
         wait_s = entry.schedule.reserve(
             now_s, request.wait_max_s, request.urgent and rank == 0
         )
@@ -427,3 +539,10 @@
 
 def _key(target: targets.Target) -> tuple[str, int]:
     return target.target_id, target.started_ms
+
+
+def _no_limit(target_id: str, started_ms: int) -> rate_limits.LimitStatement:
+    """Returns a statement that says nothing about the limit of a target."""
+    return rate_limits.LimitStatement(
+        target_id, started_ms, rate_limits.UNLIMITED, math.inf
+    )
--- a/packages/daemon/src/dotterelweird/gateway/notices.py
+++ b/packages/daemon/src/dotterelweird/gateway/notices.py
@@ -15,6 +15,7 @@
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import statistics
+from dotterelweird.gateway.sending import pacing
 
 LOG = logging.getLogger(__name__)
 
@@ -27,6 +28,7 @@
         keeper: Holds the registered targets.
         pause_registry: Ends of the pauses that targets have requested.
         limiter: Keeps requests within the limits of targets.
+        pace_keeper: Holds which targets are cold.
         peer_exchange: Sends departures to the other instances.
         timers: The timer service.
         statistics: Metrics of the process.
@@ -35,6 +37,7 @@
     keeper: keepers.TargetsKeeper
     pause_registry: pauses.PauseRegistry
     limiter: limiting.TargetLimiter
+    pace_keeper: pacing.PaceKeeper
     peer_exchange: peers.PeerExchange
     timers: timers.TimerService
     statistics: statistics.Statistics
@@ -68,6 +71,8 @@
 
         if notice.limit_per_s is not None:
             self._handle_limit(target, notice.limit_per_s, sent_s)
+        if notice.cold_left_s:
+            self.pace_keeper.record_stated(target, notice.cold_left_s)
 
     def _handle_limit(
         self, target: targets.Target, rate_per_s: float, sent_s: float | None
--- a/packages/daemon/src/dotterelweird/gateway/peer_view.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_view.py
@@ -25,7 +25,12 @@
         reachable_share: Reachable instances, this one included, as a share
             of these and of those that have become silent lately. A part of
             the deployment that is cut off uses its share of the limits.
+        paced_share: The same, with the addresses among those that the
+            instance was started with at which it has not heard any instance
+            yet. An instance that starts while it is cut off must not give
+            the turns of all others.
     """
 
     peers: tuple[Peer, ...] = ()
     reachable_share: float = 1.0
+    paced_share: float = 1.0
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -56,6 +56,10 @@
 # Time for which an instance that has become silent may still serve its callers
 # elsewhere in a divided network, in seconds.
 _SILENCED_S = 60.0
+# Time after the start for which an address that the instance was started with
+# counts as that of an instance that was not heard yet, in seconds. Some of
+# these addresses may be out of date.
+_UNHEARD_S = 60.0
 # Reason for the removal of a peer that sends no digests.
 _SILENT = 'silent'
 
@@ -131,6 +135,8 @@
         # Addresses of instances that are not reachable yet, or no longer.
         self._candidates = set(settings.seed_hosts)
         self._candidates.discard(settings.callers.host)
+        self._unheard_hosts = set(self._candidates)
+        self._created_s = timer_service.monotonic_s()
         self._started_ms = int(timer_service.wall_s() * 1000)
         self._sequence = 0
         self._last_broadcast_s = float('-inf')
@@ -156,8 +162,14 @@
         silenced = sum(
             silenced_s > since_s for silenced_s in self._silenced_s.values()
         )
-        share = self.instance_count / (self.instance_count + silenced)
-        return peer_view.PeerView(self._visible_peers, share)
+        others = self.instance_count + silenced
+        if since_s > self._created_s - _SILENCED_S + _UNHEARD_S:
+            self._unheard_hosts.clear()
+        return peer_view.PeerView(
+            self._visible_peers,
+            self.instance_count / others,
+            self.instance_count / (others + len(self._unheard_hosts)),
+        )
 
     def _update_visible_peers(self) -> None:
         self._visible_peers = tuple(
@@ -314,6 +326,7 @@
         self._loads.set_peer(instance_id, digest.loads, now_s)
         self._budgets.set_peer(instance_id, digest.counts, now_s)
         self._candidates.discard(host)
+        self._unheard_hosts.discard(host)
         if peer is None or peer.member != member:
             self._silenced_s.pop(instance_id, None)
             self._update_visible_peers()
--- a/packages/daemon/src/dotterelweird/gateway/settings.py
+++ b/packages/daemon/src/dotterelweird/gateway/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from dotterelweir_core.gateway import pace as gateway_pace
+
 
 @attrs.frozen
 class Address:
@@ -38,6 +40,7 @@
         settle_s: Time after the store recovers from an outage within which
             targets write their expired entries again, in seconds.
         memory_bytes: Memory that the process may use, in bytes.
+        pace: Pace of targets that have started or recovered.
     """
 
     instance_id: str
@@ -53,3 +56,4 @@
     repeat_window_s: float
     settle_s: float
     memory_bytes: int
+    pace: gateway_pace.PaceSettings = gateway_pace.PaceSettings()
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -36,6 +36,7 @@
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
+        cold_targets: Times that a target was cold, by origin.
         blocked_repeats: Requests kept from targets that several targets have
             ended under.
         target_ends: Ends of targets with requests in flight, by origin.
@@ -117,6 +118,11 @@
             'Decisions about turns at targets that limit their request rate',
             registry=self._registry,
         )
+        self.cold_targets = aioprometheus.Counter(
+            'dotterelweir_gateway_cold_targets_total',
+            'Times that a target has started or said that it is cold',
+            registry=self._registry,
+        )
         self.blocked_repeats = aioprometheus.Counter(
             'dotterelweir_gateway_blocked_repeats_total',
             'Requests kept from targets, as several targets ended under them',
--- a/packages/daemon/src/dotterelweird/gateway/status.py
+++ b/packages/daemon/src/dotterelweird/gateway/status.py
@@ -1,8 +1,10 @@
 """Rows of the status document that an instance serves to operators."""
 
+import math
 from typing import Any
 
 from dotterelweir_core.gateway import load as gateway_load
+from dotterelweir_core.gateway import pace as gateway_pace
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import following
 
@@ -13,6 +15,7 @@
 def target_rows(
     directory: targets.TargetDirectory,
     loads: gateway_load.LoadRegistry,
+    paces: gateway_pace.PaceRegistry,
     now_s: float,
 ) -> list[dict[str, Any]]:
     """Returns one row for each registered target.
@@ -20,11 +23,15 @@
     Args:
         directory: Directory of the registered targets.
         loads: Load of each target.
+        paces: Paces of targets that have started or recovered.
         now_s: Monotonic time, in seconds.
     """
     rows = []
     for target in directory.targets.values():
         load = loads.get(target.target_id)
+        pace_per_s = paces.rate_per_s(
+            target.target_id, target.started_ms, now_s
+        )
         rows.append(
             {
                 'target_id': target.target_id,
@@ -35,6 +42,9 @@
                 'tokens': load.tokens + load.backup_tokens + load.peer_tokens,
                 'failed_share': round(load.outcomes.failed_share(now_s), 3),
                 'avoided': load.is_avoided(now_s),
+                'pace_per_s': None
+                if math.isinf(pace_per_s)
+                else round(pace_per_s, 2),
             }
         )
     return rows
--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -106,6 +106,7 @@
     assert set(await statuses(deployment)) == {200}
 
 
+CLAMPED = (b'1e308', b'9' * 400, b'18446744073709551616', b'-1')
 ODD_ENTRIES = [
     (name, raw)
     for name in ('addr', 'born', 'service', 'slots', 'state', 'warmupLeftMs')
@@ -121,6 +122,8 @@
         b'-1',
         b'null',
     )
+    # A warm-up out of range is clamped, and the entry is a sound one.
+    if name != 'warmupLeftMs' or raw not in CLAMPED
 ] + [
     ('addr', orjson.dumps(address))
     for address in (
--- /dev/null
+++ b/packages/daemon/tests/gateway/test_pacing.py
@@ -0,0 +1,170 @@
+"""Tests of the pace of cold targets among many instances, in virtual time."""
+
+import pytest
+
+from dotterelweir_core.gateway import pace
+from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import targets
+from dotterelweir_fakes.fleet import turn_network
+from dotterelweird.gateway import peer_view
+
+STARTED_MS = 1_000_000
+COLD = targets.Target(
+    'shop-1',
+    'model',
+    '10.0.0.1',
+    80,
+    'a',
+    8,
+    targets.TargetState.READY,
+    started_ms=STARTED_MS,
+)
+COLD_S = 20.0
+SERVICES = {
+    'model': tables.Service('model', 0, warm_up_s=COLD_S, warm_up_per_s=25.0)
+}
+ALLOWED = int(pace.PaceSettings().requests_max(25.0))
+
+
+class ColdNetwork(turn_network.TurnNetwork):
+    """Instances that all know of a start, unless some are left out."""
+
+    def __init__(self, count, informed=None):
+        super().__init__(count, COLD)
+        for host in self.hosts:
+            self.limiters[host].pace.set_services(SERVICES)
+        for host in self.hosts[:informed]:
+            self.limiters[host].pace.record_start(COLD, 0.0)
+
+    async def run(self, seconds, load_per_s=150.0, urgent_share=0.05):
+        """Plays far more requests than a cold target bears."""
+        await super().run(seconds, load_per_s, urgent_share)
+
+    def sent_in_worst_second(self):
+        worst = first = 0
+        for last, sent_s in enumerate(self.sent_s):
+            while sent_s - self.sent_s[first] > 1.0:
+                first += 1
+            worst = max(worst, last + 1 - first)
+        return worst
+
+    def ranked(self):
+        ranked = self.limiters[self.hosts[0]]._rank_coordinators('shop-1')
+        return [name.removeprefix('node-') for name in ranked]
+
+
+@pytest.mark.parametrize('count', [1, 3, 60, 370])
+async def test_a_cold_target_gets_its_pace_at_any_size(count):
+    """Guards against a cold target that is flooded, or left idle."""
+    network = ColdNetwork(count)
+    await network.run(4.0)
+    assert network.sent_in_worst_second() <= 25.0
+    assert len(network.sent_s) >= 0.9 * 4.0 * pace.PaceSettings().aim_per_s(25)
+
+
+async def test_a_target_is_not_paced_after_its_warm_up():
+    """Guards against a round trip for each request to a warm target."""
+    network = ColdNetwork(30)
+    network.timers.advance(COLD_S + 0.1)
+    sent = []
+    network.deliver = lambda *message: sent.append(message)
+    await network.run(1.0)
+    assert len(network.sent_s) > 100
+    assert sent == []
+
+
+@pytest.mark.parametrize('ranks', [1, 2, 3])
+async def test_a_dead_coordinator_neither_floods_nor_stops_a_target(ranks):
+    """Guards against a schedule that is lost with its instance."""
+    network = ColdNetwork(12)
+    await network.run(3.0)
+    network.dead = set(network.ranked()[:ranks])
+    before_count = len(network.sent_s)
+    await network.run(4.0)
+    if ranks < 3:
+        assert len(network.sent_s) > before_count
+    left = [host for host in network.hosts if host not in network.dead]
+    for host in left:
+        network.views[host] = network.view(host, left)
+    before_count = len(network.sent_s)
+    await network.run(4.0)
+    assert network.sent_in_worst_second() <= ALLOWED
+    assert len(network.sent_s) - before_count >= 0.7 * 4.0 * 17.0
+
+
+async def test_a_frozen_coordinator_that_goes_on_floods_no_target():
+    """Guards against two coordinators that give turns at the whole rate."""
+    network = ColdNetwork(12)
+    await network.run(3.0)
+    first = network.ranked()[0]
+    network.dead = {first}
+    left = [host for host in network.hosts if host != first]
+    for host in left[::2]:
+        network.views[host] = network.view(host, left)
+    await network.run(3.0)
+    network.dead = set()
+    await network.run(3.0)
+    for host in left:
+        network.views[host] = network.view(host)
+    await network.run(3.0)
+    assert network.sent_in_worst_second() <= ALLOWED
+    assert len(network.sent_s) >= 0.5 * 12.0 * 17.0
+
+
+async def test_the_parts_of_a_divided_network_do_not_flood_a_target():
+    """Guards against parts that notice the division at different times."""
+    network = ColdNetwork(12)
+    await network.run(2.0)
+    for number, host in enumerate(network.hosts):
+        network.sides[host] = number % 3
+    for side in range(3):
+        await network.run(3.0)
+        hosts = network.hosts[side::3]
+        for host in hosts:
+            network.views[host] = network.view(host, hosts)
+    before_count = len(network.sent_s)
+    await network.run(4.0)
+    assert network.sent_in_worst_second() <= ALLOWED
+    assert len(network.sent_s) - before_count >= 0.7 * 4.0 * 17.0
+
+
+async def test_instances_that_start_cut_off_give_few_turns():
+    """Guards against instances that each take themselves to be alone."""
+    network = ColdNetwork(60)
+    for number, host in enumerate(network.hosts):
+        network.sides[host] = number
+        network.views[host] = peer_view.PeerView((), 1.0, 1.0 / 60)
+    await network.run(10.0)
+    assert network.sent_in_worst_second() <= ALLOWED
+
+
+async def test_a_coordinator_learns_of_a_cold_target_from_who_asks():
+    """Guards against a started coordinator that lets all requests pass."""
+    network = ColdNetwork(30, informed=0)
+    informed = [h for h in network.hosts if h != network.ranked()[0]]
+    for host in informed:
+        network.limiters[host].pace.record_start(COLD, 0.0)
+    await network.run(5.0)
+    assert network.sent_in_worst_second() <= 25.0
+
+
+async def test_an_instance_that_was_frozen_does_not_use_its_old_turn():
+    """Guards against requests of a freeze that reach a target together."""
+    network = ColdNetwork(2)
+    limiter = network.limiters[network.hosts[0]]
+    # A new schedule has no turn yet.
+    assert not await limiter.acquire(COLD, 'request')
+    network.timers.advance(1.0)
+    asked = []
+    ask = limiter._ask_coordinators
+
+    async def ask_and_freeze(*arguments):
+        answer = await ask(*arguments)
+        if not asked:
+            network.timers.advance(2.0)
+        asked.append(answer)
+        return answer
+
+    limiter._ask_coordinators = ask_and_freeze
+    assert await limiter.acquire(COLD, 'request')
+    assert len(asked) == 2
--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -20,6 +20,15 @@
 """
 
 
+@pytest.mark.parametrize('mode', ['auto', 'on', 'off'])
+def test_the_pace_is_decoded(mode):
+    """Guards against a bound of the pace that no setting changes."""
+    lines = f'bounds.coldOver=2\nbounds.coldSlack=7\npace={mode}\n'
+    decoded = settings_file.decode(SETTINGS_TEXT + lines).gateway.pace
+    assert decoded.requests_max(10.0) == 27.0
+    assert decoded.mode.value == mode
+
+
 def test_fields_are_decoded_with_their_units():
     """Guards against a field that is read into the wrong setting."""
     decoded = settings_file.decode(SETTINGS_TEXT)
@@ -42,6 +51,9 @@
             'bounds.budgetBurst=-1',
             'bounds.budgetBurst: not a number of 0 or more',
         ),
+        ('bounds.coldOver=nan', 'bounds.coldOver: not a number of 0 or more'),
+        ('bounds.coldSlack=inf', 'bounds.coldSlack: not a number'),
+        ('pace=fast', 'pace: not auto, on or off'),
         ('internalPortRange=7200', 'not of the form FIRST,LAST'),
     ],
 )
