Learn the pace of targets that start or recover

What callers saw: a target without a stated figure that starts, or recovers after failures, gets its whole share at once; requests wait there beyond their objectives, or are lost at a target that only its health check calls ready.

Cause: nothing but the number of running requests decides what it gets, and that number is 0.

Where `warmupS` is configured or with `pace=on`, such a target is sent 2 requests per second, a third more in each second in which it answers in time, half as many when over a quarter of its answers are late or missing, until the pace has been twice of what it gets for 3 s. Numbers of late attempts are in the digests beside those of served and failed ones, so that all instances compute the same pace. A service of which more than half of the targets fail is not paced, as the cause is elsewhere.

--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -10,6 +10,7 @@
 from dotterelweir_fakes.demo import command as demo_command
 from dotterelweir_fakes.engine import command as engine_command
 from dotterelweir_fakes.links import command as links_command
+from dotterelweir_fakes.measurement import pace_model
 from dotterelweir_fakes.pages import command as pages_command
 from dotterelweir_fakes.platform import command as platform_command
 from dotterelweir_fakes.soak import command as soak_command
@@ -32,6 +33,7 @@
 main.add_command(links_command.linked)
 main.add_command(measure.measure)
 main.add_command(moves.moves)
+main.add_command(pace_model.command)
 main.add_command(pages_command.docs)
 main.add_command(platform_command.platform)
 main.add_command(relay_cost.relay_cost)
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -337,6 +337,20 @@
     'A turn at a paced target is not used, as this instance was busy or '
     'frozen for `late_s` when it was due; it obtains another one.',
 )
+PACE_CHANGED = _event(
+    257,
+    'pace-changed',
+    logging.INFO,
+    'A pace of a target is learned from its answers, or is no longer as the '
+    'target bears what it is sent; `rate_per_s` is the pace.',
+)
+PACE_LOWERED = _event(
+    258,
+    'pace-lowered',
+    logging.INFO,
+    'The answers of a paced target are late or missing, so that its pace has '
+    'fallen; logged once per target in 5 s.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -35,7 +35,7 @@
 
 @attrs.define
 class Outcomes:
-    """Numbers of served and failed attempts with exponential decay."""
+    """Numbers of served, failed and late attempts with exponential decay."""
 
     _served: float = 0.0
     _failed: float = 0.0
@@ -103,6 +103,12 @@
             instance started.
         failed: Number of own attempts that the target has failed or refused
             since this instance started.
+        late: Number of own attempts that the target has served later than
+            expected since this instance started.
+        all_served: The same as ``served`` with the attempts of other
+            instances, for as long as this instance has heard of them.
+        all_failed: The same for ``failed``.
+        all_late: The same for ``late``.
         last_outcome_s: Monotonic time of the last own outcome, in seconds.
         outcomes: Recent outcomes at all instances.
     """
@@ -120,6 +126,10 @@
     last_event_s: float = float('-inf')
     served: int = 0
     failed: int = 0
+    late: int = 0
+    all_served: float = 0.0
+    all_failed: float = 0.0
+    all_late: float = 0.0
     last_outcome_s: float = float('-inf')
     outcomes: Outcomes = attrs.field(factory=Outcomes)
 
@@ -140,11 +150,18 @@
     def record_success(self, now_s: float) -> None:
         """Records a served request and ends the avoidance by this instance."""
         self.served += 1
+        self.all_served += 1.0
         self.last_outcome_s = now_s
         self.outcomes.add(1.0, 0.0, now_s)
         self.consecutive_failures = 0
         self.avoid_until_s = min(self.avoid_until_s, now_s)
 
+    def record_late(self, now_s: float) -> None:
+        """Records that an attempt was served later than expected."""
+        self.late += 1
+        self.all_late += 1.0
+        self.last_outcome_s = now_s
+
     def record_refusal(self, now_s: float) -> None:
         """Records a refusal for lack of capacity."""
         self._count_failure(now_s)
@@ -168,6 +185,7 @@
 
     def _count_failure(self, now_s: float) -> None:
         self.failed += 1
+        self.all_failed += 1.0
         self.last_outcome_s = now_s
         self.outcomes.add(0.0, 1.0, now_s)
 
@@ -213,9 +231,11 @@
     def __init__(self) -> None:
         self._loads: dict[str, TargetLoad] = {}
         # By instance and target: the load in the newest digest, and the counts
-        # of served and failed attempts that were reported last.
+        # of served, failed and late attempts that were reported last.
         self._peer_rows: dict[str, dict[str, DigestRow]] = {}
-        self._peer_counts: dict[str, dict[str, tuple[float, float]]] = {}
+        self._peer_counts: dict[
+            str, dict[str, tuple[float, float, float]]
+        ] = {}
         self._listeners: list[Callable[[], None]] = []
 
     def subscribe(self, listener: Callable[[], None]) -> None:
@@ -262,6 +282,7 @@
                 load.prefill_tokens,
                 load.served,
                 load.failed,
+                load.late,
             )
             for target_id, load in self._loads.items()
             if load.running
@@ -300,17 +321,21 @@
         if counts is None:
             # The first digest of the instance: its outcomes may be old.
             counts = self._peer_counts[peer_id] = {
-                target_id: (row.served, row.failed)
+                target_id: (row.served, row.failed, row.late)
                 for target_id, row in rows.items()
             }
         for target_id, row in rows.items():
-            served, failed = counts.get(target_id, (0.0, 0.0))
-            counts[target_id] = (row.served, row.failed)
-            self.get(target_id).outcomes.add(
-                max(0.0, row.served - served),
-                max(0.0, row.failed - failed),
-                now_s,
+            known = counts.get(target_id, (0.0, 0.0, 0.0))
+            counts[target_id] = (row.served, row.failed, row.late)
+            served, failed, late = (
+                max(0.0, count - before)
+                for count, before in zip(counts[target_id], known, strict=True)
             )
+            load = self.get(target_id)
+            load.outcomes.add(served, failed, now_s)
+            load.all_served += served
+            load.all_failed += failed
+            load.all_late += late
 
     def drop_peer(self, peer_id: str) -> None:
         """Removes the load and the outcome counts of another instance."""
--- a/packages/core/src/dotterelweir_core/gateway/pace.py
+++ b/packages/core/src/dotterelweir_core/gateway/pace.py
@@ -34,6 +34,54 @@
 # Difference from which on a longer remaining time of a peer is adopted, in
 # seconds. Without it, the delays of datagrams would add up.
 _COLD_CHANGE_MIN_S = 0.5
+# Share of the targets of a service that may be paced for their failures. If
+# more of them fail, the cause is elsewhere, and all of them are needed.
+FAILING_SHARE_MAX = 0.5
+# First and lowest learned pace, in requests per second. An engine of the usual
+# size serves the first one while it is cold; the lowest one lets a target that
+# fails everything show that it has recovered.
+_FIRST_PER_S = 2.0
+_LOWEST_PER_S = 0.5
+# Learned pace from which on a target counts as not paced, in requests per
+# second.
+_HIGHEST_PER_S = 1_000.0
+# Requests per second that one answer in time adds, before and after the first
+# back-off: a pace that is used in full grows by a third in a second, later by
+# a sixth. With a gain of 1.0, the model of docs/design/pace.md loses as many
+# requests as without a pace.
+_FIRST_GAIN_PER_S = 0.3
+_LATER_GAIN_PER_S = 0.15
+# Factor of a back-off, and the time after it in which outcomes are not
+# counted, in seconds: they are those of requests that were sent before.
+_BACK_OFF = 0.5
+_HOLD_S = 1.0
+# Share of failed and late attempts above which the pace falls, and their
+# smallest number. Some requests fail at every target.
+_BAD_SHARE = 0.25
+_BAD_MIN = 2.0
+# Longest time over which outcomes are collected for one decision, in seconds.
+_WINDOW_S = 1.0
+# A target bears its load if the pace exceeds its attempts by this factor for
+# this long, in seconds, without a back-off and with this many answers in time.
+_SPARE_FACTOR = 2.0
+_IN_TIME_MIN = 8.0
+_CALM_S = 3.0
+# Time without any outcome after which a learned pace ends, in seconds.
+_IDLE_S = 60.0
+# Time after the end of a learned pace in which none is adopted from a peer, in
+# seconds; the peer is about to end it, too.
+_ADOPT_AFTER_S = 10.0
+# An answer is late if it takes this many times the usual duration and a margin
+# for the network, in seconds.
+_LATE_FACTOR = 3.0
+_LATE_MARGIN_S = 0.02
+# The same for a first event, compared with the prefill of all pending prompts.
+_LATE_PREFILL_FACTOR = 2.0
+_LATE_PREFILL_MARGIN_S = 0.2
+# Samples of a usual duration before it is used, and the factor by which a
+# sample changes it.
+_SAMPLES_MIN = 8
+_SAMPLE_FACTOR = 1.05
 # Maximum number of starts that are kept; the oldest are evicted first. A large
 # deployment replaces some hundred targets on an ordinary day.
 _STARTS_MAX = 4_096
@@ -47,6 +95,14 @@
     OFF = 'off'
 
 
+class PaceChange(enum.Enum):
+    """What has become of a learned pace."""
+
+    BEGUN = 'begun'
+    LOWERED = 'lowered'
+    ENDED = 'ended'
+
+
 @attrs.frozen
 class PaceSettings:
     """Settings of the pace.
@@ -82,6 +138,165 @@
         )
 
 
+@attrs.frozen
+class AttemptCounts:
+    """Attempts at a target that all instances have counted.
+
+    Attributes:
+        served: Number of attempts that were served.
+        failed: Number of attempts that failed.
+        late: Number of attempts that were served later than expected.
+    """
+
+    served: float = 0.0
+    failed: float = 0.0
+    late: float = 0.0
+
+
+class LearnedPace:
+    """Finds from its answers how many requests a target bears.
+
+    It begins low, grows with each answer in time, halves when answers are late
+    or missing, and ends when the target bears what it is sent. Growth counts
+    answers and not time, so that a pace that is not used does not grow.
+
+    Args:
+        now_s: Monotonic time, in seconds.
+        rate_per_s: First pace, in requests per second.
+
+    Attributes:
+        rate_per_s: The pace, in requests per second.
+        ended: Whether the target bears what it is sent.
+    """
+
+    def __init__(self, now_s: float, rate_per_s: float = _FIRST_PER_S) -> None:
+        self.rate_per_s = rate_per_s
+        self.ended = False
+        self._counts: AttemptCounts | None = None
+        self._gain_per_s = _FIRST_GAIN_PER_S
+        self._hold_until_s = float('-inf')
+        self._calm_since_s = self._outcome_s = self._updated_s = now_s
+        self._window_s = now_s
+        self._in_time = self._bad = 0.0
+        self._in_time_total = 0.0
+        # Attempts per second, averaged over about a second, and the time from
+        # which they have been far fewer than the pace.
+        self._attempts_per_s = 0.0
+        self._spare_since_s = now_s
+
+    def update(self, counts: AttemptCounts, now_s: float) -> bool:
+        """Applies the outcomes since the last call.
+
+        Args:
+            counts: Counts of all instances; they only grow.
+            now_s: Monotonic time, in seconds.
+
+        Returns:
+            Whether the pace has fallen.
+        """
+        known, self._counts = self._counts or counts, counts
+        served = max(0.0, counts.served - known.served)
+        failed = max(0.0, counts.failed - known.failed)
+        late = max(0.0, counts.late - known.late)
+        passed_s = now_s - self._updated_s
+        self._updated_s = now_s
+        if passed_s > 0:
+            weight = min(1.0, passed_s / _WINDOW_S)
+            self._attempts_per_s += weight * (
+                (served + failed) / passed_s - self._attempts_per_s
+            )
+        if self.rate_per_s < _SPARE_FACTOR * self._attempts_per_s:
+            self._spare_since_s = now_s
+        if served or failed or late:
+            self._outcome_s = now_s
+        if now_s < self._hold_until_s:
+            return False
+        in_time = max(0.0, served - late)
+        self._in_time += in_time
+        self._in_time_total += in_time
+        self._bad += failed + late
+        if self._must_back_off(now_s):
+            self.rate_per_s = max(_LOWEST_PER_S, _BACK_OFF * self.rate_per_s)
+            # A target that serves nothing says nothing of what it bears.
+            self._gain_per_s = (
+                _LATER_GAIN_PER_S if self._in_time else _FIRST_GAIN_PER_S
+            )
+            self._hold_until_s = now_s + _HOLD_S
+            self._calm_since_s = self._hold_until_s
+            self._begin_window(self._hold_until_s)
+            return True
+        if not self._bad:
+            self.rate_per_s += self._gain_per_s * in_time
+        if now_s - self._window_s >= _WINDOW_S:
+            self._begin_window(now_s)
+        self.ended = self._is_borne(now_s)
+        return False
+
+    def _must_back_off(self, now_s: float) -> bool:
+        if self._bad <= _BAD_SHARE * (self._bad + self._in_time):
+            return False
+        # At a low pace, a window may hold a single outcome.
+        window_ends = now_s - self._window_s >= _WINDOW_S
+        return self._bad >= _BAD_MIN or window_ends
+
+    def _begin_window(self, now_s: float) -> None:
+        self._window_s = now_s
+        self._in_time = self._bad = 0.0
+
+    def _is_borne(self, now_s: float) -> bool:
+        if self.rate_per_s >= _HIGHEST_PER_S:
+            return True
+        if now_s - self._outcome_s >= _IDLE_S:
+            return True
+        return (
+            now_s - self._calm_since_s >= _CALM_S
+            and now_s - self._spare_since_s >= _CALM_S
+            and self._in_time_total >= _IN_TIME_MIN
+        )
+
+
+class UsualDurations:
+    """Usual durations of plain calls, as medians, by route."""
+
+    def __init__(self) -> None:
+        self._usual_s: dict[str, float] = {}
+        self._samples: dict[str, int] = {}
+
+    def record(self, route: str, taken_s: float) -> bool:
+        """Adds the duration of a call that was served.
+
+        Args:
+            route: Name of the route.
+            taken_s: Time that the call took, in seconds.
+
+        Returns:
+            Whether the call was late.
+        """
+        usual_s = self._usual_s.setdefault(route, taken_s)
+        samples = self._samples[route] = self._samples.get(route, 0) + 1
+        rises = taken_s > usual_s
+        self._usual_s[route] *= _SAMPLE_FACTOR if rises else 1 / _SAMPLE_FACTOR
+        return (
+            samples > _SAMPLES_MIN
+            and taken_s > _LATE_FACTOR * usual_s + _LATE_MARGIN_S
+        )
+
+
+def is_late_first_event(
+    tokens: int, tokens_per_s: float, taken_s: float
+) -> bool:
+    """Whether the first event of a generation has come late.
+
+    Args:
+        tokens: Size of its prompt and of those that were pending when it was
+            sent, in tokens.
+        tokens_per_s: Usual prefill rate of the service, in tokens per second.
+        taken_s: Time from the send to the first event, in seconds.
+    """
+    prefill_s = tokens / tokens_per_s
+    return taken_s > _LATE_PREFILL_FACTOR * prefill_s + _LATE_PREFILL_MARGIN_S
+
+
 @attrs.frozen
 class PaceNotice:
     """What an instance knows of the pace of a target.
@@ -91,12 +306,14 @@
         started_ms: Wall time of the target's start, in milliseconds.
         cold_left_s: Time for which the target is still cold, in seconds.
         cold_per_s: Rate for this time, in requests per second.
+        learned_per_s: Learned pace, in requests per second; 0 for none.
     """
 
     target_id: str
     started_ms: int
-    cold_left_s: float
-    cold_per_s: float
+    cold_left_s: float = 0.0
+    cold_per_s: float = 0.0
+    learned_per_s: float = 0.0
 
 
 @attrs.define
@@ -111,6 +328,9 @@
             is taken to be, in seconds.
         told_per_s: Rate of a peer for a target that is not known here, in
             requests per second.
+        learned: Learned pace; None without one.
+        learned_until_s: Monotonic time at which the last learned pace ended,
+            in seconds.
     """
 
     service: str = ''
@@ -118,6 +338,8 @@
     began_s: float = float('-inf')
     cold_until_s: float = float('-inf')
     told_per_s: float = rate_limits.UNLIMITED
+    learned: LearnedPace | None = None
+    learned_until_s: float = float('-inf')
 
 
 class PaceRegistry:
@@ -133,6 +355,7 @@
     def __init__(self, settings: PaceSettings | None = None) -> None:
         self.settings = settings or PaceSettings()
         self._services: dict[str, tables.Service] = {}
+        self._learning: dict[tuple[str, int], _Start] = {}
         self._starts: bounded_map.BoundedMap[tuple[str, int], _Start] = (
             bounded_map.BoundedMap(_STARTS_MAX)
         )
@@ -145,6 +368,17 @@
         """
         self._services = services
 
+    @property
+    def learns(self) -> bool:
+        """Whether the pace of targets is learned."""
+        match self.settings.mode:
+            case PaceMode.ON:
+                return True
+            case PaceMode.OFF:
+                return False
+            case PaceMode.AUTO:
+                return any(s.warm_up_s for s in self._services.values())
+
     # What is known of targets.
 
     def record_start(
@@ -164,7 +398,7 @@
                 clocks say.
 
         Returns:
-            Whether the target is cold because of a start that was not known.
+            Whether the start was not known before.
         """
         start = self._starts.get(_key(target))
         if start is not None and start.is_registered:
@@ -178,7 +412,7 @@
         if age_s is not None:
             is_known = target.started_ms > 0
             start.began_s -= max(0.0, age_s) if is_known else math.inf
-        return self.cold_left_s(target.target_id, target.started_ms, now_s) > 0
+        return True
 
     def forget(self, target: targets.Target) -> None:
         """Forgets a target that is gone, if its starts cannot be told apart.
@@ -188,6 +422,7 @@
         """
         if not target.started_ms:
             self._starts.pop(_key(target), None)
+            self._learning.pop(_key(target), None)
 
     def begin_cold(
         self,
@@ -227,13 +462,21 @@
         Returns:
             Whether the target was not cold before.
         """
-        if not notice.cold_left_s:
-            return False
         key = (notice.target_id, notice.started_ms)
         start = self._starts.get(key)
         if start is None:
             start = _Start()
             self._starts.put(key, start)
+        if (
+            notice.learned_per_s
+            and self.learns
+            and start.learned is None
+            and now_s - start.learned_until_s > _ADOPT_AFTER_S
+        ):
+            start.learned = LearnedPace(now_s, notice.learned_per_s)
+            self._learning[key] = start
+        if not notice.cold_left_s:
+            return False
         start.told_per_s = notice.cold_per_s
         return self._extend(start, notice.cold_left_s, now_s)
 
@@ -243,6 +486,84 @@
             start.cold_until_s = now_s + left_s
         return not known_s and start.cold_until_s > now_s
 
+    def has_stated_pace(self, service: str) -> bool:
+        """Whether a service states how many requests a cold target bears.
+
+        Args:
+            service: Name of the service.
+        """
+        known = self._services.get(service)
+        return known is not None and known.warm_up_per_s > 0
+
+    # Learned paces.
+
+    def begin_learning(self, target: targets.Target, now_s: float) -> bool:
+        """Begins to learn the pace of a target, unless that is switched off.
+
+        Args:
+            target: The target.
+            now_s: Monotonic time, in seconds.
+
+        Returns:
+            Whether a learned pace has begun.
+        """
+        if not self.learns or _key(target) in self._learning:
+            return False
+        start = self._starts.get(_key(target))
+        if start is None:
+            start = _Start(target.service)
+            self._starts.put(_key(target), start)
+        start.learned = LearnedPace(now_s)
+        self._learning[_key(target)] = start
+        return True
+
+    def learning(self) -> tuple[tuple[str, int], ...]:
+        """Returns id and start of the targets whose pace is learned."""
+        return tuple(self._learning)
+
+    def learn(
+        self,
+        target_id: str,
+        started_ms: int,
+        counts: AttemptCounts,
+        now_s: float,
+    ) -> PaceChange | None:
+        """Applies the outcomes of attempts to a learned pace.
+
+        Args:
+            target_id: Id of the target.
+            started_ms: Wall time of its start, in milliseconds.
+            counts: Attempts at the target that all instances have counted.
+            now_s: Monotonic time, in seconds.
+
+        Returns:
+            What has changed; None for nothing of note.
+        """
+        start = self._learning.get((target_id, started_ms))
+        if start is None:
+            return None
+        if start.learned.update(counts, now_s):
+            return PaceChange.LOWERED
+        if start.learned.ended or not self.learns:
+            self.end_learning(target_id, started_ms, now_s)
+            return PaceChange.ENDED
+        return None
+
+    def end_learning(
+        self, target_id: str, started_ms: int, now_s: float
+    ) -> None:
+        """Ends a learned pace.
+
+        Args:
+            target_id: Id of the target.
+            started_ms: Wall time of its start, in milliseconds.
+            now_s: Monotonic time, in seconds.
+        """
+        start = self._learning.pop((target_id, started_ms), None)
+        if start is not None:
+            start.learned = None
+            start.learned_until_s = now_s
+
     # The paces.
 
     def rate_per_s(
@@ -261,9 +582,12 @@
         start = self._starts.get((target_id, started_ms))
         if start is None:
             return rate_limits.UNLIMITED
+        rate_per_s = rate_limits.UNLIMITED
         if now_s < self._cold_until_s(start):
-            return self._cold_per_s(start)
-        return rate_limits.UNLIMITED
+            rate_per_s = self._cold_per_s(start)
+        if start.learned is not None:
+            rate_per_s = min(rate_per_s, start.learned.rate_per_s)
+        return rate_per_s
 
     def is_paced(self, target_id: str, started_ms: int, now_s: float) -> bool:
         """Whether a target is paced.
@@ -302,11 +626,15 @@
             now_s: Monotonic time, in seconds.
         """
         left_s = self.cold_left_s(target_id, started_ms, now_s)
-        if not left_s:
+        start = self._starts.get((target_id, started_ms))
+        if start is None or not (left_s or start.learned):
             return None
-        start = self._starts[target_id, started_ms]
         return PaceNotice(
-            target_id, started_ms, left_s, self._cold_per_s(start)
+            target_id,
+            started_ms,
+            left_s,
+            self._cold_per_s(start) if left_s else 0.0,
+            start.learned.rate_per_s if start.learned else 0.0,
         )
 
     def notices(self, count: int, now_s: float) -> Iterator[PaceNotice]:
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -132,6 +132,7 @@
         if isinstance(outcome, exchanges.Answered):
             parts.request_guard.report_answer(exchange)
         self._record_outcome(target.target_id, outcome, ended_s)
+        parts.pace.record_call(exchange, target, outcome, ended_s - now_s)
         return outcome
 
     def _record_outcome(
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -132,7 +132,10 @@
         )
         self._pace = pacing.PaceKeeper(
             limiter,
+            self._directory,
+            self._loads,
             self._timers,
+            self._statistics,
             lambda: self._followers[api.StoreStream.TARGETS].has_state,
         )
         dialect = adapter.dialect()
@@ -174,6 +177,7 @@
                 self._timers, self._statistics, self._rng, trial_turns
             ),
             end_detection.EndDetector(self._timers),
+            self._pace,
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store)
@@ -259,6 +263,7 @@
         }
         self._follower_tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
+        self._pace_timer: core_timers.TimerHandle | None = None
         self._answers_timer: core_timers.TimerHandle | None = None
         self._callers = caller_server.CallerServer(self._parts, self._tables)
 
@@ -285,6 +290,9 @@
         events.log(
             LOG, events.GATEWAY_STARTED, instance_id=settings.instance_id
         )
+        self._pace_timer = self._timers.call_every(
+            pacing.PERIOD_S, self._pace.update
+        )
         self._follower_tasks = [
             asyncio.create_task(follower.run())
             for follower in self._followers.values()
@@ -321,6 +329,8 @@
             server.close()
         for follower in self._follower_tasks:
             follower.cancel()
+        if self._pace_timer is not None:
+            self._pace_timer.cancel()
         self._peers.close()
         self._lifecycle.stop()
         await self._drain_accepted()
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -29,6 +29,7 @@
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
 from dotterelweird.gateway.sending import gate as send_gate
+from dotterelweird.gateway.sending import pacing
 
 
 @attrs.define
@@ -56,6 +57,7 @@
         request_guard: Keeps requests under which targets ended away from
             others.
         end_detector: Detects the ends of targets with requests in flight.
+        pace: Follows which targets must not be sent all their load yet.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         departure_times: When targets began to leave.
@@ -82,6 +84,7 @@
     limiter: limiting.TargetLimiter
     request_guard: request_guards.RequestGuard
     end_detector: end_detection.EndDetector
+    pace: pacing.PaceKeeper
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
--- a/packages/daemon/src/dotterelweird/gateway/finding_codec.py
+++ b/packages/daemon/src/dotterelweird/gateway/finding_codec.py
@@ -185,14 +185,16 @@
         notice.started_ms,
         round(notice.cold_left_s, 3),
         round(notice.cold_per_s, 3),
+        round(notice.learned_per_s, 3),
     ]
 
 
 def _decode_pace(row: list[Any]) -> pace.PaceNotice:
-    target_id, started_ms, cold_left_s, cold_per_s = row
+    target_id, started_ms, cold_left_s, cold_per_s, learned_per_s = row
     return pace.PaceNotice(
         str(target_id),
         datagram_fields.decode_integer(started_ms),
         datagram_fields.decode_duration_s(cold_left_s),
         datagram_fields.decode_duration_s(cold_per_s),
+        datagram_fields.decode_duration_s(learned_per_s),
     )
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -102,6 +102,8 @@
         self._sent_s = parts.timers.monotonic_s()
         self._delivered_before = stream.cursor.delivered
         self.head_s: float | None = None
+        # Prompt tokens that were pending at the engine before the send.
+        self._pending_tokens = 0.0
         self._answer_body: aiohttp.StreamReader | None = None
 
     @property
@@ -142,6 +144,7 @@
         """Sends the request and passes its events to the caller."""
         parts, exchange, run = self._parts, self._exchange, self._run
         prefill_tokens = exchange.demand.prompt_tokens
+        self._pending_tokens = self._load.pending_prefill_tokens
         if run.copy is not None:
             prefill_tokens = 0
         elif not self._load.pending_prefill_tokens:
@@ -407,6 +410,16 @@
         self._parts.loads.notify()
         self._parts.prompt_guard.report_sound(self._exchange)
         self._record_prefill_rate()
+        if self._run.copy is None:
+            self._parts.pace.record_first_event(
+                self._exchange,
+                self._run.target,
+                self._pending_tokens,
+                self._parts.admission.prefill_rate(
+                    self._exchange.service
+                ).tokens_per_s,
+                self._parts.timers.monotonic_s() - self._sent_s,
+            )
         self._release_other_copies()
         self._progress_s = self._parts.timers.monotonic_s()
         # The engine may have started to drain before the first event.
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -37,6 +37,7 @@
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
         cold_targets: Times that a target was cold, by origin.
+        pace_changes: Changes of learned paces of targets, by change.
         blocked_repeats: Requests kept from targets that several targets have
             ended under.
         target_ends: Ends of targets with requests in flight, by origin.
@@ -123,6 +124,11 @@
             'Times that a target has started or said that it is cold',
             registry=self._registry,
         )
+        self.pace_changes = aioprometheus.Counter(
+            'dotterelweir_gateway_pace_changes_total',
+            'Learned paces of targets that began, fell or ended',
+            registry=self._registry,
+        )
         self.blocked_repeats = aioprometheus.Counter(
             'dotterelweir_gateway_blocked_repeats_total',
             'Requests kept from targets, as several targets ended under them',
--- a/packages/daemon/tests/gateway/test_pacing.py
+++ b/packages/daemon/tests/gateway/test_pacing.py
@@ -1,12 +1,16 @@
 """Tests of the pace of cold targets among many instances, in virtual time."""
 
+import attrs
 import pytest
 
+from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import targets
 from dotterelweir_fakes.fleet import turn_network
 from dotterelweird.gateway import peer_view
+from dotterelweird.gateway import statistics
+from dotterelweird.gateway.sending import pacing
 
 STARTED_MS = 1_000_000
 COLD = targets.Target(
@@ -168,3 +172,90 @@
     limiter._ask_coordinators = ask_and_freeze
     assert await limiter.acquire(COLD, 'request')
     assert len(asked) == 2
+
+
+class LearningInstance:
+    """An instance that learns the pace of the targets of one service."""
+
+    def __init__(self, count=4):
+        network = turn_network.TurnNetwork(1, COLD)
+        self.timers = network.timers
+        self.limiter = network.limiters[network.hosts[0]]
+        self.limiter.pace.settings = pace.PaceSettings(mode=pace.PaceMode.ON)
+        self.loads = load.LoadRegistry()
+        self.directory = targets.TargetDirectory()
+        self.has_state = False
+        self.keeper = pacing.PaceKeeper(
+            self.limiter,
+            self.directory,
+            self.loads,
+            self.timers,
+            statistics.Statistics(),
+            lambda: self.has_state,
+        )
+        self.targets = [self.register(f'shop-{n}') for n in range(count)]
+        self.has_state = True
+
+    def register(self, target_id, **changes):
+        target = attrs.evolve(COLD, target_id=target_id, **changes)
+        offset = len(self.directory.targets) + 1 + 100 * target.slots
+        change = self.directory.apply(target_id, target, offset)
+        self.keeper.apply_change(change)
+        return target
+
+    def play(self, target, seconds, served=0, failed=0):
+        """Plays outcomes at a peer in each quarter of a second."""
+        for step in range(round(seconds * 4)):
+            row = load.DigestRow(
+                served=served * (step + 1), failed=failed * (step + 1)
+            )
+            self.loads.set_peer(
+                'peer', {target.target_id: row}, self.timers.monotonic_s()
+            )
+            self.timers.advance(0.25)
+            self.keeper.update()
+
+    def is_paced(self, target):
+        return self.limiter.is_limited(target)
+
+
+def test_only_targets_that_start_during_operation_are_paced():
+    """Guards against a deployment that is slow after each of its starts."""
+    instance = LearningInstance()
+    assert not any(map(instance.is_paced, instance.targets))
+    started = instance.register('shop-9', started_ms=STARTED_MS + 1)
+    assert instance.is_paced(started)
+    instance.play(started, 10.0, served=1)
+    assert not instance.is_paced(started)
+    resized = instance.register('shop-1', slots=16)
+    assert instance.is_paced(resized)
+
+
+def test_a_failing_target_is_paced_by_what_peers_report():
+    """Guards against a target that is flooded when it recovers."""
+    instance = LearningInstance()
+    instance.loads.set_peer('peer', {}, 0.0)
+    instance.play(instance.targets[0], 3.0, failed=2)
+    assert [instance.is_paced(t) for t in instance.targets] == (
+        [True, False, False, False]
+    )
+    assert not instance.limiter.pace.rate_per_s('shop-0', STARTED_MS, 3.0) > 2
+
+
+def test_a_service_that_fails_as_a_whole_is_not_paced():
+    """Guards against a slow return after a fault that no target has."""
+    instance = LearningInstance()
+    for target in instance.targets:
+        instance.loads.get(target.target_id).outcomes.add(0.0, 9.0, 0.0)
+    instance.keeper.update()
+    assert sum(map(instance.is_paced, instance.targets)) == 2
+
+
+def test_nothing_is_learned_where_nothing_is_configured():
+    """Guards against a change of deployments that are served today."""
+    instance = LearningInstance()
+    instance.limiter.pace.settings = pace.PaceSettings()
+    started = instance.register('shop-9', started_ms=STARTED_MS + 1)
+    instance.loads.get('shop-9').outcomes.add(0.0, 9.0, 0.0)
+    instance.keeper.update()
+    assert not instance.is_paced(started)
