--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -30,6 +30,7 @@
 from dotterelweird.gateway import watching
 from dotterelweird.gateway.sending import evacuating
 from dotterelweird.gateway.sending import gate as send_gate
+from dotterelweird.gateway.sending import pacing
 
 
 @attrs.define
@@ -57,6 +58,7 @@
         request_guard: Keeps requests under which targets ended away from
             others.
         end_detector: Detects the ends of targets with requests in flight.
+        pace: Follows which targets must not be sent all their load yet.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         departure_times: When targets began to leave.
@@ -84,6 +86,7 @@
     limiter: limiting.TargetLimiter
     request_guard: request_guards.RequestGuard
     end_detector: end_detection.EndDetector
+    pace: pacing.PaceKeeper
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
@@ -256,9 +259,9 @@
         )
 
     def is_limited(self, exchange: exchanges.Exchange) -> bool:
-        """Whether a ready target of a service limits its request rate."""
+        """Whether a ready target of a service is sent requests by turns."""
         return any(
-            self.limiter.limits.is_limited(target)
+            self.limiter.is_limited(target)
             for target in self.placer.ready(
                 self.directory.of_service(exchange.service.name)
             )
