Learn the speeds of targets and choose engines by them

Cause: a quarter of the engines is 2.2 times as fast, and costs and backlogs counted requests and tokens as if all engines were equal. A slow engine exceeds the limit when a prompt is prefilled beside a stream during a slow spell; nothing kept prompts away from it.

Change: each instance learns the time for an event and the prefill time of each target from windows of 0.1 s, and shares its medians in the existing fields of its digests. Running requests and backlogs count in time of the target. The pause to expect is the learned time for an event times the 0.95 quantile of pauses beside a prefill; long runs, prompts beside streams and short runs on fast engines cost extra by it. Speeds within 15 % are equal.

--- a/fakes/src/dotterelweir_fakes/experiment.py
+++ b/fakes/src/dotterelweir_fakes/experiment.py
@@ -75,6 +75,7 @@
     fields['bursts'] = tuple(
         crest_load.Burst(**burst) for burst in row.get('bursts', ())
     )
+    fields['speeds'] = crest_load.EngineSpeeds(**row.get('speeds', {}))
     fields['costs'] = engine.EngineCosts(**row['costs'])
     return crest_load.PeakLoad(**fields)
 
--- a/fakes/src/dotterelweir_fakes/measurement/crest.py
+++ b/fakes/src/dotterelweir_fakes/measurement/crest.py
@@ -18,6 +18,7 @@
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import waiting
 from dotterelweir_core.targets import model
@@ -47,12 +48,19 @@
             objectives.
         late: Number of requests that were served, but not on time.
         refused: Number of requests that got no capacity in time.
+        paused: Number of served requests with a pause above the limit.
+        paused_on_slow: Number of those that ran on an engine that is not
+            fast.
+        on_slow: Number of served requests that ran on such an engine.
     """
 
     arrived: int = 0
     on_time: int = 0
     late: int = 0
     refused: int = 0
+    paused: int = 0
+    paused_on_slow: int = 0
+    on_slow: int = 0
 
     @property
     def on_time_share(self) -> float:
@@ -101,7 +109,9 @@
             seconds.
         last_token_s: Time of the last token; before the first one, the time
             of the send.
-        longest_pause_s: Longest time between two tokens, in seconds.
+        longest_pause_s: Longest time between two events, in seconds.
+        target: Its engine, once sent.
+        window: Averages the times between its events, once sent.
     """
 
     kind: crest_load.GenerationKind
@@ -116,10 +126,15 @@
     first_token_delay_s: float | None = None
     last_token_s: float = 0.0
     longest_pause_s: float = 0.0
+    target: targets.Target | None = None
+    window: target_speeds.EventWindow | None = None
 
 
 def simulate(
-    peak_load: crest_load.PeakLoad, seed: int, rule: AdmissionRule
+    peak_load: crest_load.PeakLoad,
+    seed: int,
+    rule: AdmissionRule,
+    learns_speeds: bool = True,
 ) -> dict[str, Tally]:
     """Simulates a peak load and returns the outcomes by kind of generation.
 
@@ -127,8 +142,9 @@
         peak_load: The deployment and its load.
         seed: Seed of the arrivals and of the choices among equal engines.
         rule: Condition under which a generation may be sent.
+        learns_speeds: Whether the instances learn the speeds of the engines.
     """
-    simulation = _PeakSimulation(peak_load, seed, rule)
+    simulation = _PeakSimulation(peak_load, seed, rule, learns_speeds)
     simulation.run()
     return simulation.tallies
 
@@ -140,13 +156,21 @@
         peak_load: The deployment and its load.
         seed: Seed of the random sources.
         rule: Condition under which a generation may be sent.
+        learns_speeds: Whether the instances learn the speeds of the engines.
     """
 
     def __init__(
-        self, peak_load: crest_load.PeakLoad, seed: int, rule: AdmissionRule
+        self,
+        peak_load: crest_load.PeakLoad,
+        seed: int,
+        rule: AdmissionRule,
+        learns_speeds: bool,
     ) -> None:
         self._peak_load = peak_load
         self._rule = rule
+        self._learns_speeds = learns_speeds
+        self._fast_ids: set[str] = set()
+        self._spell_rng = random.Random(f'{seed}-spells')
         self._rng = random.Random(seed)
         self._timers = timers.VirtualTimerService()
         self._numbers = itertools.count()
@@ -212,8 +236,35 @@
         name = f'e{number}'
         identity = model.Target(name, 1, _SERVICE, 'a', '127.0.0.1', 1)
         self._engines[name] = engines.Engine(identity, self._peak_load.costs)
+        speeds = self._peak_load.speeds
+        # Spread evenly over the numbers, so that replacements keep the share.
+        count = len(self._engines)
+        if int(count * speeds.fast_share) > int(
+            (count - 1) * speeds.fast_share
+        ):
+            self._fast_ids.add(name)
+        self._set_slow_factor(name, in_spell=False)
         self._register(name, targets.TargetState.READY)
 
+    def _set_slow_factor(self, name: str, in_spell: bool) -> None:
+        """Applies an engine's speed and schedules its next slow spell."""
+        speeds = self._peak_load.speeds
+        factor = 1.0
+        if name in self._fast_ids:
+            factor /= speeds.fast_factor
+        if in_spell:
+            factor *= speeds.spell_factor
+        self._engines[name].slow_factor = factor
+        if not speeds.spell_share:
+            return
+        delay_s = speeds.spell_s
+        if not in_spell:
+            mean_s = delay_s * (1.0 / speeds.spell_share - 1.0)
+            delay_s = self._spell_rng.expovariate(1.0 / mean_s)
+        self._timers.call_after(
+            delay_s, lambda: self._set_slow_factor(name, not in_spell)
+        )
+
     def _register(self, name: str, state: targets.TargetState) -> None:
         target = targets.Target(name, _SERVICE, '127.0.0.1', 1, 'a', 24, state)
         self._directory.apply(name, target, next(self._numbers))
@@ -306,6 +357,7 @@
             request.kind.objective_s,
             self._shortest_objective_s,
             request.arrived_s,
+            min(kind.pause_s for kind in self._peak_load.kinds),
         )
 
     def _admission_predicate(
@@ -331,12 +383,16 @@
         return admits
 
     def _has_capacity(self, request: _Request) -> bool:
-        admits = self._admission_predicate(request)
-        return any(
-            admits(target)
+        ready = [
+            target
             for target in self._directory.of_service(_SERVICE)
             if target.state is targets.TargetState.READY
+        ]
+        request.instance.loads.speeds.view(
+            ready, _SERVICE, self._timers.monotonic_s()
         )
+        admits = self._admission_predicate(request)
+        return any(admits(target) for target in ready)
 
     def _send(self, request: _Request) -> None:
         now_s = self._timers.monotonic_s()
@@ -348,7 +404,15 @@
             tokens,
             now_s,
             admits=self._admission_predicate(request),
+            needs=instance.admission.needs(
+                self._service, self._demand(request)
+            ),
         )
+        request.target = choice.target
+        if self._learns_speeds:
+            request.window = target_speeds.EventWindow(
+                instance.loads.speeds, choice.target
+            )
         name = choice.target.target_id
         request.load = instance.loads.get(name)
         request.is_prefill_sample = not request.load.pending_prefill_tokens
@@ -388,26 +452,52 @@
             request.load.prefill_tokens -= request.prompt_tokens
             request.instance.loads.notify()
             if request.is_prefill_sample:
-                request.instance.admission.prefill_rate(self._service).record(
-                    request.prompt_tokens, now_s - request.sent_s
-                )
-        else:
+                self._record_prefill(request, now_s)
+            self._record_event(request, now_s)
+        elif not request.sequence.produced_tokens % (
+            self._peak_load.event_tokens
+        ):
             request.longest_pause_s = max(
                 request.longest_pause_s, now_s - request.last_token_s
             )
-        request.last_token_s = now_s
+            self._record_event(request, now_s)
         if request.sequence.produced_tokens >= request.sequence.output_tokens:
             self._record_end(request)
 
+    def _record_prefill(self, request: _Request, now_s: float) -> None:
+        taken_s = now_s - request.sent_s
+        instance_admission = request.instance.admission
+        if self._learns_speeds:
+            instance_admission.record_prefill(
+                request.target,
+                self._service,
+                request.prompt_tokens,
+                taken_s,
+                now_s,
+            )
+        else:
+            instance_admission.prefill_rate(self._service).record(
+                request.prompt_tokens, taken_s
+            )
+
+    def _record_event(self, request: _Request, now_s: float) -> None:
+        request.last_token_s = now_s
+        if request.window is not None:
+            request.window.add(
+                1, request.load.pending_prefill_tokens > 0, now_s
+            )
+
     def _record_end(self, request: _Request) -> None:
         request.load.running -= 1
         request.load.tokens -= self._demand(request).tokens
         request.instance.loads.notify()
         kind, tally = request.kind, self.tallies[request.kind.name]
-        if (
-            request.first_token_delay_s <= kind.objective_s
-            and request.longest_pause_s <= kind.pause_s
-        ):
+        is_paused = request.longest_pause_s > kind.pause_s
+        on_slow = request.target.target_id not in self._fast_ids
+        tally.paused += is_paused
+        tally.on_slow += on_slow
+        tally.paused_on_slow += is_paused and on_slow
+        if request.first_token_delay_s <= kind.objective_s and not is_paused:
             tally.on_time += 1
         else:
             tally.late += 1
--- a/fakes/src/dotterelweir_fakes/measurement/crest_load.py
+++ b/fakes/src/dotterelweir_fakes/measurement/crest_load.py
@@ -50,6 +50,27 @@
     factor: float
 
 
+@attrs.frozen
+class EngineSpeeds:
+    """How the speeds of the engines of a deployment differ.
+
+    Attributes:
+        fast_share: Share of the engines that are fast, from 0 to 1.
+        fast_factor: How many times as fast they are.
+        spell_share: Share of the time in which an engine is in a slow spell,
+            from 0 to below 1.
+        spell_s: Duration of a slow spell, in seconds. The times between
+            spells are drawn from an exponential distribution.
+        spell_factor: Factor on the duration of a step in a slow spell.
+    """
+
+    fast_share: float = 0.0
+    fast_factor: float = 1.0
+    spell_share: float = 0.0
+    spell_s: float = 0.6
+    spell_factor: float = 1.0
+
+
 @attrs.frozen
 class PeakLoad:
     """A deployment and the load on it.
@@ -67,6 +88,8 @@
             runs.
         absence_s: Time from the start of a replacement until the new engine
             accepts work, in seconds.
+        event_tokens: Number of tokens in one event of a stream.
+        speeds: How the speeds of the engines differ.
     """
 
     kinds: tuple[GenerationKind, ...]
@@ -77,3 +100,5 @@
     seconds: float = 30.0
     replace_s: float = 0.0
     absence_s: float = 2.5
+    event_tokens: int = 1
+    speeds: EngineSpeeds = attrs.field(factory=EngineSpeeds)
--- a/fakes/tests/measurement/test_crest.py
+++ b/fakes/tests/measurement/test_crest.py
@@ -69,3 +69,34 @@
         assert admitted > on_time(
             'overloaded', crest.AdmissionRule.MEMORY, kind
         )
+
+
+def test_learned_speeds_reduce_pauses_on_uneven_engines():
+    """Guards against long runs that are late on slow engines.
+
+    A quarter of the engines is 2.2 times as fast as the others. The share
+    of long runs with a pause above the limit must fall by a quarter at
+    least, and short runs must not become late.
+    """
+
+    def share(learns_speeds, kind, field):
+        tallies = [
+            crest.simulate(
+                LOADS['uneven'],
+                seed,
+                crest.AdmissionRule.ADMISSION,
+                learns_speeds,
+            )[kind]
+            for seed in (1, 2, 3)
+        ]
+        return sum(getattr(tally, field) for tally in tallies) / sum(
+            tally.arrived for tally in tallies
+        )
+
+    paused = {
+        learns: share(learns, 'long', 'paused') for learns in (False, True)
+    }
+    # The load must show the fault, or the test proves nothing.
+    assert paused[False] > 0.2
+    assert paused[True] < 0.75 * paused[False]
+    assert share(True, 'short', 'on_time') >= share(False, 'short', 'on_time')
--- a/packages/core/src/dotterelweir_core/gateway/admission.py
+++ b/packages/core/src/dotterelweir_core/gateway/admission.py
@@ -12,6 +12,7 @@
 
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 
 # Share of an engine's memory that the runs on it may hold, each counted at its
@@ -46,6 +47,8 @@
         shortest_objective_s: Shortest objective of any generation of the
             same service, in seconds.
         arrived_s: Monotonic time of the arrival, in seconds.
+        event_gap_s: Shortest limit on the time between two events of any
+            stream route of the service, in seconds; 0 for none.
     """
 
     prompt_tokens: int
@@ -53,6 +56,7 @@
     objective_s: float
     shortest_objective_s: float
     arrived_s: float
+    event_gap_s: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -137,6 +141,52 @@
         """Returns the estimated prefill rate of a service's engines."""
         return self._rates.setdefault(service.name, PrefillRate())
 
+    def target_rate(
+        self, target: targets.Target, service: tables.Service
+    ) -> float:
+        """Returns the prefill rate of one engine, in tokens per second."""
+        speed = self._loads.speeds.last(service.name).get(target.target_id)
+        return speed.prefill * self.prefill_rate(service).tokens_per_s
+
+    def record_prefill(
+        self,
+        target: targets.Target,
+        service: tables.Service,
+        tokens: int,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        """Adds a prefill during which no other prompt was pending.
+
+        Args:
+            target: The engine.
+            service: Service of the engine.
+            tokens: Size of the prompt, in tokens.
+            taken_s: Time from the send to the first event, in seconds.
+            now_s: Monotonic time, in seconds.
+        """
+        speeds = self._loads.speeds
+        speed = speeds.last(service.name).get(target.target_id)
+        # The rate of the service is that of an engine of average speed.
+        self.prefill_rate(service).record(tokens, taken_s * speed.prefill)
+        speeds.record_prefill(target, tokens, taken_s, now_s)
+
+    def needs(
+        self, service: tables.Service, demand: Demand
+    ) -> target_speeds.StreamNeeds:
+        """Returns what the choice by speed depends on.
+
+        Args:
+            service: Service of the generation.
+            demand: Demand of the generation.
+        """
+        rate = self.prefill_rate(service).tokens_per_s
+        return target_speeds.StreamNeeds(
+            demand.event_gap_s,
+            demand.prompt_tokens,
+            demand.is_prefill_bound(rate),
+        )
+
     def admits(
         self,
         target: targets.Target,
@@ -156,11 +206,13 @@
         if load.is_avoided(now_s):
             # Its memory is free only because it gets no new work.
             return False
-        rate = self.prefill_rate(service).tokens_per_s
-        if not demand.is_prefill_bound(rate) and not self.has_free_memory(
-            target, service, demand.tokens
-        ):
+        # The kind of a run is the same at all engines of a service.
+        service_rate = self.prefill_rate(service).tokens_per_s
+        if not demand.is_prefill_bound(
+            service_rate
+        ) and not self.has_free_memory(target, service, demand.tokens):
             return False
+        rate = self.target_rate(target, service)
         pending_tokens = load.pending_prefill_tokens
         return pending_tokens <= _backlog_tokens_max(demand, rate, now_s)
 
@@ -183,6 +235,7 @@
             demand: Demand of the generation.
             now_s: Monotonic time, in seconds.
         """
+        self._loads.speeds.view(usable, service.name, now_s)
         if all(
             self._loads.get(target.target_id).is_avoided(now_s)
             for target in usable
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from dotterelweir_core.gateway import target_speeds
+
 # Time for which a target that refused a request counts as full and is avoided,
 # in seconds: about the time in which an engine of the usual size finishes one
 # request.
@@ -208,9 +210,14 @@
 
 
 class LoadRegistry:
-    """Loads of all targets that this instance or its peers use."""
+    """Loads of all targets that this instance or its peers use.
+
+    Attributes:
+        speeds: Learned speeds of the targets.
+    """
 
     def __init__(self) -> None:
+        self.speeds = target_speeds.SpeedRegistry()
         self._loads: dict[str, TargetLoad] = {}
         # By instance and target: the load in the newest digest, and the counts
         # of served and failed attempts that were reported last.
@@ -262,6 +269,8 @@
                 load.prefill_tokens,
                 load.served,
                 load.failed,
+                0.0,
+                *self.speeds.own_estimates(target_id, now_s),
             )
             for target_id, load in self._loads.items()
             if load.running
@@ -279,6 +288,15 @@
             rows: Load in its digest, by target.
             now_s: Monotonic time, in seconds.
         """
+        for target_id, row in rows.items():
+            self.speeds.set_peer(
+                peer_id,
+                target_id,
+                row.event_us,
+                row.prefill_us,
+                row.served,
+                now_s,
+            )
         before = self._peer_rows.get(peer_id, {})
         if rows == before and peer_id in self._peer_counts:
             return
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -16,6 +16,7 @@
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 
 # Cost of a target in another availability zone, in running requests. It
@@ -52,6 +53,19 @@
 # Cost of a target that limits its request rate, in running requests. It gets
 # requests while the others are busier than that.
 _LIMITED_COST = 2.0
+# Cost of an engine at which a long run itself is expected to have a pause
+# above the limit, in running requests. It exceeds the cost of memory and load
+# of a faster engine that is nearly full (up to 12 and about 8), so that long
+# runs fill the faster engines first.
+_OWN_PAUSE_COST = 24.0
+# Cost for each stream of an engine that a prefill there is expected to delay
+# beyond the limit, in running requests, and number of streams counted at most.
+_STALL_COST = 8.0
+_STALLED_STREAMS_MAX = 4.0
+# Cost for a short run of an engine without such pauses while others have them,
+# in running requests: its memory is kept for long runs. About the cost of one
+# queued prompt at an engine that is idle otherwise.
+_RESERVE_COST = 6.0
 
 
 @attrs.frozen
@@ -63,12 +77,15 @@
         cost: Its cost, in running requests.
         candidates: Number of targets that were compared.
         avoided: Whether every candidate was to be avoided.
+        pause_s: Pause to expect between two events of a stream, in seconds;
+            0 if unknown.
     """
 
     target: targets.Target
     cost: float
     candidates: int
     avoided: bool
+    pause_s: float = 0.0
 
 
 @attrs.frozen
@@ -101,6 +118,7 @@
         now_s: float,
         excluded: frozenset[str] | set[str] = frozenset(),
         admits: Callable[[targets.Target], bool] | None = None,
+        needs: target_speeds.StreamNeeds | None = None,
     ) -> Choice | None:
         """Chooses the cheapest target that accepts requests.
 
@@ -114,6 +132,8 @@
             admits: Predicate for targets with enough free capacity for the
                 request. Other targets are used only if it holds for none.
                 None skips this check.
+            needs: What the choice by speed depends on; None for requests
+                without a limit on pauses.
 
         Returns:
             The choice, or None if no target accepts requests.
@@ -121,18 +141,28 @@
         usable = self.usable(candidates, now_s, excluded)
         if not usable:
             return None
+        speeds = self.loads.speeds.view(candidates, service.name, now_s)
         if admits is not None:
             usable = [
                 candidate for candidate in usable if admits(candidate)
             ] or usable
         costs = [
-            (self._cost(target, service, tokens, now_s), target)
+            (
+                self._cost(target, service, tokens, now_s, speeds, needs),
+                target,
+            )
             for target in usable
         ]
         cost, target = min(
             costs, key=lambda pair: (pair[0], self.rng.random())
         )
-        return Choice(target, cost, len(usable), cost >= _AVOID_COST)
+        return Choice(
+            target,
+            cost,
+            len(usable),
+            cost >= _AVOID_COST,
+            speeds.pause_s(target.target_id),
+        )
 
     def ready(
         self,
@@ -204,6 +234,7 @@
         tokens: int,
         now_s: float,
         excluded: set[str],
+        needs: target_speeds.StreamNeeds | None = None,
     ) -> targets.Target | None:
         """Chooses the engine that keeps a backup of a run's memory.
 
@@ -216,6 +247,7 @@
             tokens: Tokens that the run will hold.
             now_s: Monotonic time in seconds.
             excluded: Ids of targets that must not be used.
+            needs: What the choice by speed depends on.
 
         Returns:
             The engine, or None if no backup should be kept.
@@ -227,7 +259,13 @@
             > _BACKUP_UTILISATION_MAX
         ):
             return None
-        choice = self.choose(candidates, service, tokens, now_s, excluded)
+        if needs is not None:
+            # A copy needs no speed, and the memory of fast engines is for
+            # runs.
+            needs = attrs.evolve(needs, prompt_tokens=0, is_short=True)
+        choice = self.choose(
+            candidates, service, tokens, now_s, excluded, needs=needs
+        )
         if choice is None or choice.avoided:
             return None
         target = choice.target
@@ -244,6 +282,7 @@
         now_s: float,
         source: targets.Target,
         excluded: frozenset[str] | set[str] = frozenset(),
+        needs: target_speeds.StreamNeeds | None = None,
     ) -> targets.Target | None:
         """Chooses an engine that takes over a run.
 
@@ -257,14 +296,20 @@
             now_s: Monotonic time in seconds.
             source: Engine that holds the run now.
             excluded: Ids of further targets that must not be used.
+            needs: What the choice by speed depends on.
 
         Returns:
             The engine, or None if none accepts requests or all of them are
             to be avoided.
         """
+        speeds = self.loads.speeds.view(candidates, service.name, now_s)
+        if needs is not None:
+            # Its prompt is not prefilled again.
+            needs = attrs.evolve(needs, prompt_tokens=0, is_short=False)
         costs = [
             (
-                self._takeover_cost(target, source, service, tokens, now_s),
+                self._cost(target, service, tokens, now_s, speeds, needs)
+                + (_TAKEOVER_ZONE_COST if target.zone != source.zone else 0.0),
                 target,
             )
             for target in self.usable(
@@ -281,20 +326,6 @@
         ]
         return self.rng.choices(costs, weights)[0][1]
 
-    def _takeover_cost(
-        self,
-        target: targets.Target,
-        source: targets.Target,
-        service: tables.Service,
-        tokens: int,
-        now_s: float,
-    ) -> float:
-        """Returns the cost of taking over a run, in running requests."""
-        cost = self._cost(target, service, tokens, now_s)
-        if target.zone != source.zone:
-            cost += _TAKEOVER_ZONE_COST
-        return cost
-
     def memory_utilisation(
         self, candidates: list[targets.Target], service: tables.Service
     ) -> float:
@@ -326,10 +357,13 @@
         service: tables.Service,
         tokens: int,
         now_s: float,
+        speeds: target_speeds.ServiceSpeeds,
+        needs: target_speeds.StreamNeeds | None,
     ) -> float:
         """Returns the cost of a target, in running requests."""
         load = self.loads.get(target.target_id)
-        cost = load.running + load.peer_running
+        speed = speeds.get(target.target_id)
+        cost = (load.running + load.peer_running) / speed.running
         if target.zone != self.zone:
             cost += _ZONE_COST
         if now_s < load.warm_until_s:
@@ -340,14 +374,48 @@
             cost += _AVOID_COST
         cost += _FAILING_COST * load.outcomes.failed_share(now_s)
         if service.engine is not None and service.engine.memory_tokens:
-            held = self._held_tokens(target) + tokens
+            held = load.held_tokens + tokens
             utilisation = held / service.engine.memory_tokens
             cost += _MEMORY_COST * max(
                 0.0, utilisation - _MEMORY_COST_THRESHOLD
             )
-            cost += load.pending_prefill_tokens / _PREFILL_TOKENS_PER_REQUEST
+            cost += load.pending_prefill_tokens / (
+                _PREFILL_TOKENS_PER_REQUEST * speed.prefill
+            )
+            if speeds.uneven and needs is not None and needs.gap_s > 0:
+                cost += _pause_cost(load, speeds, speed.event_s, needs)
         elif target.slots:
             # Behind full slots, each queued request waits for a whole call,
             # so a request weighs more on a target with fewer slots.
             cost *= 6.0 / target.slots
         return cost
+
+
+def _pause_cost(
+    load: gateway_load.TargetLoad,
+    speeds: target_speeds.ServiceSpeeds,
+    event_s: float,
+    needs: target_speeds.StreamNeeds,
+) -> float:
+    """Returns the cost of pauses above the limit, in running requests.
+
+    Args:
+        load: Load of the engine.
+        speeds: Speeds of the service.
+        event_s: Time for an event of the engine, in seconds.
+        needs: What the choice by speed depends on.
+    """
+    excess = speeds.excess(event_s, needs.gap_s)
+    cost = 0.0
+    if needs.is_short:
+        worst = speeds.excess(speeds.slowest_event_s, needs.gap_s)
+        cost += _RESERVE_COST * (worst - excess)
+    else:
+        cost += _OWN_PAUSE_COST * excess
+    if needs.prompt_tokens and excess:
+        prefilling = load.pending_prefill_tokens / needs.prompt_tokens
+        streams = load.running + load.peer_running - prefilling
+        cost += (
+            _STALL_COST * excess * min(_STALLED_STREAMS_MAX, max(0.0, streams))
+        )
+    return cost
--- a/packages/core/src/dotterelweir_core/gateway/tables.py
+++ b/packages/core/src/dotterelweir_core/gateway/tables.py
@@ -178,6 +178,7 @@
     limits: CallerLimits
     _by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False)
     _objectives_s: dict[str, float] = attrs.field(init=False, eq=False)
+    _event_gaps_s: dict[str, float] = attrs.field(init=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         by_host: dict[str, list[Route]] = {}
@@ -187,13 +188,20 @@
             routes.sort(key=lambda route: -len(route.path_prefix))
         object.__setattr__(self, '_by_host', by_host)
         objectives_s: dict[str, float] = {}
+        event_gaps_s: dict[str, float] = {}
         for route in self.routes:
             if route.kind is not RequestKind.STREAM:
                 continue
             for service in route.services:
                 known_s = objectives_s.get(service.name, route.objective_s)
                 objectives_s[service.name] = min(known_s, route.objective_s)
+                if route.event_gap_s > 0:
+                    event_gaps_s[service.name] = min(
+                        event_gaps_s.get(service.name, route.event_gap_s),
+                        route.event_gap_s,
+                    )
         object.__setattr__(self, '_objectives_s', objectives_s)
+        object.__setattr__(self, '_event_gaps_s', event_gaps_s)
 
     def shortest_objective_s(self, service: str) -> float:
         """Returns the shortest objective among the stream routes of a service.
@@ -206,6 +214,17 @@
         """
         return self._objectives_s.get(service, 0.0)
 
+    def shortest_event_gap_s(self, service: str) -> float:
+        """Returns the shortest limit on pauses of a service's stream routes.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The time in seconds; 0 if no route of streams limits pauses.
+        """
+        return self._event_gaps_s.get(service, 0.0)
+
     def match(self, host: str, path: str) -> Route | None:
         """Finds the route with the longest matching path prefix.
 
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -118,6 +118,8 @@
             candidates=choice.candidates,
             tables_version=exchange.tables_version,
         )
+        load = parts.loads.get(target.target_id)
+        in_slot = load.running + load.peer_running < max(1, target.slots)
         with attempts.track_load(parts, target):
             outcome = await attempts.call(
                 parts, exchange, target, attempt_deadline_s
@@ -130,6 +132,10 @@
                 exchange, target, begun=True
             )
         if isinstance(outcome, exchanges.Answered):
+            if in_slot and outcome.status < 400:
+                parts.loads.speeds.record_call(
+                    target, ended_s - now_s, ended_s
+                )
             parts.request_guard.report_answer(exchange)
         self._record_outcome(target.target_id, outcome, ended_s)
         return outcome
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -349,6 +349,7 @@
 
     def _discard_removed_load(self, change: targets.TargetChange) -> None:
         if change.after is None:
+            self._loads.speeds.discard(change.target_id)
             self._loads.discard_if_unused(change.target_id)
 
     def _record_warm_up(self, change: targets.TargetChange) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -14,6 +14,7 @@
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import waiting
 from dotterelweird.gateway import answer_bodies
@@ -126,7 +127,10 @@
                 now_s=self.timers.monotonic_s(),
             )
         return self.placer.choose(
-            *self._placement_arguments(exchange), excluded, admits
+            *self._placement_arguments(exchange),
+            excluded,
+            admits,
+            self._stream_needs(exchange),
         )
 
     def has_capacity(self, exchange: exchanges.Exchange) -> bool:
@@ -152,7 +156,9 @@
             The engine, or None if no backup should be kept.
         """
         return self.placer.choose_backup(
-            *self._placement_arguments(exchange), excluded
+            *self._placement_arguments(exchange),
+            excluded,
+            self._stream_needs(exchange),
         )
 
     def choose_takeover_target(
@@ -172,9 +178,19 @@
             The engine, or None if no suitable engine accepts requests.
         """
         return self.placer.choose_takeover_target(
-            *self._placement_arguments(exchange), source, excluded
+            *self._placement_arguments(exchange),
+            source,
+            excluded,
+            self._stream_needs(exchange),
         )
 
+    def _stream_needs(
+        self, exchange: exchanges.Exchange
+    ) -> target_speeds.StreamNeeds | None:
+        if exchange.service.engine is None:
+            return None
+        return self.admission.needs(exchange.service, exchange.demand)
+
     def check_stop(self, exchange: exchanges.Exchange) -> None:
         """Refuses a request that the stop of the process would cut off.
 
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -53,6 +53,8 @@
         retries_ahead: Retries taken for a run before it was called to stop,
             and not used yet.
         run_calls: Calls to engines about runs of the request, in order.
+        shortest_event_gap_s: Shortest limit on the time between two events
+            of any generation of the service, in seconds; 0 for none.
     """
 
     request: api.CallerRequest
@@ -74,6 +76,7 @@
     silence_moves: int = 0
     retries_ahead: int = 0
     run_calls: list['RunCall'] = attrs.field(factory=list)
+    shortest_event_gap_s: float = 0.0
 
     @property
     def stop_called(self) -> bool:
@@ -149,6 +152,7 @@
             self.route.objective_s,
             self.shortest_objective_s,
             self.arrived_s,
+            self.shortest_event_gap_s,
         )
 
     @property
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -7,6 +7,7 @@
 import attrs
 
 from dotterelweir_core.gateway import event_stream
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
@@ -28,6 +29,9 @@
 # Time without a first event, as a multiple of the objective, after which a
 # resumable request is sent to another engine unless its engine is alive.
 _FIRST_EVENT_TIMEOUT_FACTOR = 1.4
+# Time of a write to the caller above which the time of the next event is not
+# that of the engine, in seconds.
+_SLOW_WRITE_S = 0.005
 # Time since the last event of any stream within which an engine counts as
 # alive, in seconds. A busy engine sends one every few tens of milliseconds.
 _ALIVE_S = 1.0
@@ -358,6 +362,9 @@
         cursor = self._stream.cursor
         silence_timeout_s = self._initial_silence_timeout_s()
         waiting_for_first = True
+        window = target_speeds.EventWindow(
+            self._parts.loads.speeds, self._run.target
+        )
         # Bytes that complete no event are no progress: an engine that sends
         # a byte now and then has stalled as much as a silent one.
         self._progress_s = checked_s = self._parts.timers.monotonic_s()
@@ -387,19 +394,28 @@
                 self._read_timeout = None
             if not chunk:
                 break
+            delivered = cursor.delivered
             event_bytes = cursor.feed(chunk)
             if not event_bytes:
                 continue
-            self._load.last_event_s = self._parts.timers.monotonic_s()
+            event_s = self._parts.timers.monotonic_s()
+            self._load.last_event_s = event_s
             self._source_lost = False
             await self._stream.begin(facts.headers)
             if waiting_for_first:
                 waiting_for_first = False
                 silence_timeout_s = _SILENCE_TIMEOUT_S
                 self._handle_first_event(prefill)
+            window.add(
+                cursor.delivered - delivered,
+                self._load.pending_prefill_tokens > 0,
+                event_s,
+            )
             await self._stream.write(event_bytes)
             # Time spent on a slow caller is no silence of the engine.
             self._progress_s = checked_s = self._parts.timers.monotonic_s()
+            if checked_s - event_s > _SLOW_WRITE_S:
+                window.restart()
         return await self._classify_end(answer, facts)
 
     def _handle_first_event(self, prefill: attempts.PendingPrefill) -> None:
@@ -447,8 +463,12 @@
         if self._prefill_start_s is None:
             return
         now_s = self._parts.timers.monotonic_s()
-        self._parts.admission.prefill_rate(self._exchange.service).record(
-            self._exchange.demand.prompt_tokens, now_s - self._prefill_start_s
+        self._parts.admission.record_prefill(
+            self._run.target,
+            self._exchange.service,
+            self._exchange.demand.prompt_tokens,
+            now_s - self._prefill_start_s,
+            now_s,
         )
 
     def _handle_silence(self) -> exchanges.Interrupted | None:
