Report the learned speeds of targets

What operators saw: a slow engine looked like the others in the status, the log and the counters.

Change: log events 259 to 261, each at most once a minute for a target or service; the counter expected_pauses; gateway-target-chosen states the pause to expect; the status document and fleet status show the speeds.

--- a/packages/cli/src/dotterelweir_cli/fleet/deployment.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import statistics
 from typing import Any
 
 import attrs
@@ -134,9 +135,12 @@
     """Returns one row for each target that at least one gateway knows.
 
     Instances may differ in the load of a target; a row has the highest
-    values of ``running`` and ``tokens``.
+    values of ``running`` and ``tokens``. ``speed`` is the median of the
+    speeds that the instances have learned, relative to the service; empty
+    while none has.
     """
     rows: dict[str, Document] = {}
+    speeds: dict[str, list[float]] = {}
     for status in deployment_status.statuses.values():
         for target in status['targets']:
             row = rows.setdefault(
@@ -157,7 +161,14 @@
             row['running'] = max(row['running'], int(target['running']))
             row['tokens'] = max(row['tokens'], int(target['tokens']))
             row['avoided_by'] += target['avoided']
+            # Instances of older versions state no speed.
+            if target.get('speed') is not None:
+                speeds.setdefault(target['target_id'], []).append(
+                    target['speed']
+                )
     for row in rows.values():
+        known = speeds.get(row['target'])
+        row['speed'] = round(statistics.median(known), 2) if known else ''
         row['states'] = ', '.join(sorted(row['states']))
     return sorted(
         rows.values(), key=lambda row: (row['service'], row['target'])
--- a/packages/cli/tests/fleet/test_fleet.py
+++ b/packages/cli/tests/fleet/test_fleet.py
@@ -209,6 +209,34 @@
     assert summary_fields['hears_less_than_all'] == ['i2', 'i3']
 
 
+def test_target_rows_have_the_median_of_the_learned_speeds():
+    """Guards against one false speed, and against instances without one."""
+    row = {
+        'target_id': 'engine-1',
+        'service': 'model',
+        'zone': 'a',
+        'state': 'ready',
+        'running': 1,
+        'tokens': 2,
+        'avoided': False,
+    }
+    rows = deployment.target_rows(
+        deployment.DeploymentStatus(
+            {
+                f'i{number}': status_document(
+                    f'i{number}', targets=[{**row, **speed}]
+                )
+                for number, speed in enumerate(
+                    [{}, {'speed': None}, {'speed': 2.2}, {'speed': 2.2}]
+                    + [{'speed': 0.3}]
+                )
+            },
+            {},
+        )
+    )
+    assert [row['speed'] for row in rows] == [2.2]
+
+
 async def test_status_of_a_running_gateway():
     """Guards against status fields that a real gateway does not have."""
     gateway_deployment = fake_deployment.Deployment()
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -323,6 +323,29 @@
     'An engine is called to stop a run, whose copy is complete; `copy_s` is '
     'the time that it took, `left_s` the time to the deadline.',
 )
+TARGET_SPEED_DIFFERS = _event(
+    259,
+    'target-speed-differs',
+    logging.INFO,
+    'The learned speed of a target differs from the median of its service, '
+    'or no longer does (`speed` 1); at most once a minute for each target.',
+)
+SPEEDS_UNEVEN = _event(
+    260,
+    'service-speeds-uneven',
+    logging.INFO,
+    'Targets of a service differ in speed, or no longer do; `pause_factor` '
+    'is the pause to expect beside a prefill, as a multiple of the time for '
+    'an event; at most once a minute for each service.',
+)
+PAUSE_EXPECTED = _event(
+    261,
+    'pause-expected',
+    logging.INFO,
+    'A stream was sent to an engine where a pause above the limit of its '
+    'route is to be expected; `choices` is the number of such choices since '
+    'the last event; at most once a minute for each service.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -79,6 +79,7 @@
         avoided: Whether every candidate was to be avoided.
         pause_s: Pause to expect between two events of a stream, in seconds;
             0 if unknown.
+        over_limit: Whether that pause makes a long run late.
     """
 
     target: targets.Target
@@ -86,6 +87,7 @@
     candidates: int
     avoided: bool
     pause_s: float = 0.0
+    over_limit: bool = False
 
 
 @attrs.frozen
@@ -156,12 +158,16 @@
         cost, target = min(
             costs, key=lambda pair: (pair[0], self.rng.random())
         )
+        pause_s = speeds.pause_s(target.target_id)
         return Choice(
             target,
             cost,
             len(usable),
             cost >= _AVOID_COST,
-            speeds.pause_s(target.target_id),
+            pause_s,
+            needs is not None
+            and not needs.is_short
+            and 0 < needs.gap_s < pause_s,
         )
 
     def ready(
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -109,6 +109,7 @@
             attempt_deadline_s = now_s + _EARLY_ATTEMPT_SHARE * (
                 exchange.deadline_s - now_s
             )
+        parts.speed_reporter.report_choice(exchange, choice)
         events.log(
             LOG,
             events.GATEWAY_TARGET_CHOSEN,
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -26,6 +26,7 @@
 from dotterelweird.gateway import releasing
 from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
+from dotterelweird.gateway import speed_reports
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
@@ -62,6 +63,7 @@
         departure_times: When targets began to leave.
         gate: Tells whether a target may be sent something now.
         releaser: Frees copies of runs that will not be used.
+        speed_reporter: Reports the learned speeds of targets.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -93,6 +95,7 @@
     departure_times: watching.DepartureTimes = attrs.field(init=False)
     gate: send_gate.SendGate = attrs.field(init=False)
     releaser: releasing.CopyReleaser = attrs.field(init=False)
+    speed_reporter: speed_reports.SpeedReporter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.departure_times = watching.DepartureTimes(self.timers)
@@ -102,6 +105,9 @@
             self.departure_times,
             self.timers,
         )
+        self.speed_reporter = speed_reports.SpeedReporter(
+            self.timers, self.loads, self.statistics
+        )
         self.releaser = releasing.CopyReleaser(
             self.run_control, self.gate, self.limiter
         )
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -224,6 +224,7 @@
         choice = await pausing.choose_target(self._parts, exchange)
         if choice is None:
             return None
+        self._parts.speed_reporter.report_choice(exchange, choice)
         run = links.RunPlacement(
             choice.target, self._choose_backup(choice.target)
         )
@@ -234,6 +235,7 @@
             target_id=choice.target.target_id,
             cost=round(choice.cost, 2),
             candidates=choice.candidates,
+            expected_pause_s=round(choice.pause_s, 4),
             backup_id=run.backup.target_id if run.backup else None,
             route=exchange.route.name,
             tokens=exchange.tokens,
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -33,6 +33,8 @@
             them, by reason.
         unused_copies: Copies not used, as their engine ended before the first
             event.
+        expected_pauses: Streams sent to an engine where a pause above the
+            limit is to be expected, by service.
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
@@ -107,6 +109,11 @@
             'Copies not used, as their engine ended before the first event',
             registry=self._registry,
         )
+        self.expected_pauses = aioprometheus.Counter(
+            'dotterelweir_gateway_expected_pauses_total',
+            'Streams sent to an engine that may pause above the limit',
+            registry=self._registry,
+        )
         self.notices = aioprometheus.Counter(
             'dotterelweir_gateway_target_notices_total',
             'Targets that said that they leave, or asked for a pause',
--- a/packages/daemon/src/dotterelweird/gateway/status.py
+++ b/packages/daemon/src/dotterelweird/gateway/status.py
@@ -25,6 +25,8 @@
     rows = []
     for target in directory.targets.values():
         load = loads.get(target.target_id)
+        speeds = loads.speeds.last(target.service)
+        speed = speeds.get(target.target_id)
         rows.append(
             {
                 'target_id': target.target_id,
@@ -35,6 +37,9 @@
                 'tokens': load.tokens + load.backup_tokens + load.peer_tokens,
                 'failed_share': round(load.outcomes.failed_share(now_s), 3),
                 'avoided': load.is_avoided(now_s),
+                'speed': round(speed.running, 3) if speed.known else None,
+                'event_s': round(speed.event_s, 5) if speed.known else None,
+                'pause_s': round(speeds.pause_s(target.target_id), 4),
             }
         )
     return rows
