--- a/packages/cli/src/dotterelweir_cli/fleet/deployment.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import statistics
 from typing import Any
 
 import attrs
@@ -151,9 +152,12 @@
 
     Instances may differ in the load of a target; a row has the highest
     values of ``running`` and ``tokens``, and the lowest ``pace_per_s``, which
-    only targets have that are paced after their start.
+    only targets have that are paced after their start. ``speed`` is the
+    median of the speeds that the instances have learned, relative to the
+    service; empty while none has.
     """
     rows: dict[str, Document] = {}
+    speeds: dict[str, list[float]] = {}
     for status in deployment_status.statuses.values():
         for target in status['targets']:
             row = rows.setdefault(
@@ -175,7 +179,7 @@
             row['running'] = max(row['running'], int(target['running']))
             row['tokens'] = max(row['tokens'], int(target['tokens']))
             row['avoided_by'] += target['avoided']
-            # Gateways of an older version do not state it.
+            # Gateways of an older version state neither of these.
             pace_per_s = target.get('pace_per_s')
             if pace_per_s is not None:
                 known_per_s = row['pace_per_s']
@@ -184,7 +188,13 @@
                     if known_per_s is None
                     else min(known_per_s, pace_per_s)
                 )
+            if target.get('speed') is not None:
+                speeds.setdefault(target['target_id'], []).append(
+                    target['speed']
+                )
     for row in rows.values():
+        known = speeds.get(row['target'])
+        row['speed'] = round(statistics.median(known), 2) if known else ''
         row['states'] = ', '.join(sorted(row['states']))
     return sorted(
         rows.values(), key=lambda row: (row['service'], row['target'])
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -385,6 +385,29 @@
     'The answers of a paced target are late or missing, so that its pace has '
     'fallen; logged once per target in 5 s.',
 )
+TARGET_SPEED_DIFFERS = _event(
+    259,
+    'target-speed-differs',
+    logging.INFO,
+    'The learned speed of a target differs from the median of its service, '
+    'or no longer does (`speed` 1); at most once a minute for each target.',
+)
+SPEEDS_UNEVEN = _event(
+    260,
+    'service-speeds-uneven',
+    logging.INFO,
+    'Targets of a service differ in speed, or no longer do; `pause_factor` '
+    'is the pause to expect beside a prefill, as a multiple of the time for '
+    'an event; at most once a minute for each service.',
+)
+PAUSE_EXPECTED = _event(
+    261,
+    'pause-expected',
+    logging.INFO,
+    'A stream was sent to an engine where a pause above the limit of its '
+    'route is to be expected; `choices` is the number of such choices since '
+    'the last event; at most once a minute for each service.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/core/src/dotterelweir_core/gateway/admission.py
+++ b/packages/core/src/dotterelweir_core/gateway/admission.py
@@ -12,6 +12,7 @@
 
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 
 # Share of an engine's memory that the runs on it may hold, each counted at its
@@ -29,6 +30,14 @@
 # Share of its objective within which a request should get its first event. The
 # rest is a margin for delays at the engine that cannot be predicted.
 _FIRST_EVENT_SHARE = 0.8
+# Share of its objective for which a long run waits for an engine that is
+# expected to keep within the pause limit, while others have capacity. In the
+# crest model (load "uneven"), 0.2 and more adds as many refusals at overload
+# as it avoids late runs.
+_PAUSE_WAIT_SHARE = 0.15
+# Excess over the pause limit from which an engine is worth such a wait, on the
+# scale of ServiceSpeeds.excess.
+_PAUSE_WAIT_EXCESS = 0.5
 # A request is urgent if its objective is at most this multiple of the
 # shortest one of its service.
 _URGENT_FACTOR = 1.5
@@ -46,6 +55,8 @@
         shortest_objective_s: Shortest objective of any generation of the
             same service, in seconds.
         arrived_s: Monotonic time of the arrival, in seconds.
+        event_gap_s: Shortest limit on the time between two events of any
+            stream route of the service, in seconds; 0 for none.
     """
 
     prompt_tokens: int
@@ -53,6 +64,7 @@
     objective_s: float
     shortest_objective_s: float
     arrived_s: float
+    event_gap_s: float = 0.0
 
     @property
     def tokens(self) -> int:
@@ -135,7 +147,49 @@
 
     def prefill_rate(self, service: tables.Service) -> PrefillRate:
         """Returns the estimated prefill rate of a service's engines."""
-        return self._rates.setdefault(service.name, PrefillRate())
+        rate = self._rates.get(service.name)
+        if rate is None:
+            rate = self._rates[service.name] = PrefillRate()
+        return rate
+
+    def record_prefill(
+        self,
+        target: targets.Target,
+        service: tables.Service,
+        tokens: int,
+        taken_s: float,
+        now_s: float,
+    ) -> None:
+        """Adds a prefill during which no other prompt was pending.
+
+        Args:
+            target: The engine.
+            service: Service of the engine.
+            tokens: Size of the prompt, in tokens.
+            taken_s: Time from the send to the first event, in seconds.
+            now_s: Monotonic time, in seconds.
+        """
+        speeds = self._loads.speeds
+        speed = speeds.last(service.name).get(target.target_id)
+        # The rate of the service is that of an engine of average speed.
+        self.prefill_rate(service).record(tokens, taken_s * speed.prefill)
+        speeds.record_prefill(target, tokens, taken_s, now_s)
+
+    def needs(
+        self, service: tables.Service, demand: Demand
+    ) -> target_speeds.StreamNeeds:
+        """Returns what the choice by speed depends on.
+
+        Args:
+            service: Service of the generation.
+            demand: Demand of the generation.
+        """
+        rate = self.prefill_rate(service).tokens_per_s
+        return target_speeds.StreamNeeds(
+            demand.event_gap_s,
+            demand.prompt_tokens,
+            demand.is_prefill_bound(rate),
+        )
 
     def admits(
         self,
@@ -156,11 +210,14 @@
         if load.is_avoided(now_s):
             # Its memory is free only because it gets no new work.
             return False
-        rate = self.prefill_rate(service).tokens_per_s
-        if not demand.is_prefill_bound(rate) and not self.has_free_memory(
-            target, service, demand.tokens
-        ):
+        # The kind of a run is the same at all engines of a service.
+        service_rate = self.prefill_rate(service).tokens_per_s
+        if not demand.is_prefill_bound(
+            service_rate
+        ) and not self.has_free_memory(target, service, demand.tokens):
             return False
+        speed = self._loads.speeds.last(service.name).get(target.target_id)
+        rate = speed.prefill * service_rate
         pending_tokens = load.pending_prefill_tokens
         return pending_tokens <= _backlog_tokens_max(demand, rate, now_s)
 
@@ -183,15 +240,44 @@
             demand: Demand of the generation.
             now_s: Monotonic time, in seconds.
         """
+        self._loads.speeds.view(usable, service.name, now_s)
         if all(
             self._loads.get(target.target_id).is_avoided(now_s)
             for target in usable
         ):
             return True
         return any(
-            self.admits(target, service, demand, now_s) for target in usable
+            self.admits(target, service, demand, now_s)
+            and not self._is_deferred(target, service, demand, now_s)
+            for target in usable
         )
 
+    def _is_deferred(
+        self,
+        target: targets.Target,
+        service: tables.Service,
+        demand: Demand,
+        now_s: float,
+    ) -> bool:
+        """Whether a long run still waits for a faster engine than this one."""
+        speeds = self._loads.speeds.last(service.name)
+        if not speeds.uneven:
+            return False
+        wait_s = _PAUSE_WAIT_SHARE * demand.objective_s
+        if now_s - demand.arrived_s >= wait_s:
+            return False
+
+        def exceeds(event_s: float) -> bool:
+            excess = speeds.excess(event_s, demand.event_gap_s)
+            return excess > _PAUSE_WAIT_EXCESS
+
+        if exceeds(speeds.fastest_event_s):
+            return False
+        rate = self.prefill_rate(service).tokens_per_s
+        return exceeds(
+            speeds.get(target.target_id).event_s
+        ) and not demand.is_prefill_bound(rate)
+
     def has_free_memory(
         self, target: targets.Target, service: tables.Service, tokens: int
     ) -> bool:
--- a/packages/core/src/dotterelweir_core/gateway/load.py
+++ b/packages/core/src/dotterelweir_core/gateway/load.py
@@ -8,6 +8,8 @@
 
 import attrs
 
+from dotterelweir_core.gateway import target_speeds
+
 # Time for which a target that refused a request counts as full and is avoided,
 # in seconds: about the time in which an engine of the usual size finishes one
 # request.
@@ -226,9 +228,14 @@
 
 
 class LoadRegistry:
-    """Loads of all targets that this instance or its peers use."""
+    """Loads of all targets that this instance or its peers use.
+
+    Attributes:
+        speeds: Learned speeds of the targets.
+    """
 
     def __init__(self) -> None:
+        self.speeds = target_speeds.SpeedRegistry()
         self._loads: dict[str, TargetLoad] = {}
         # By instance and target: the load in the newest digest, and the counts
         # of served, failed and late attempts that were reported last.
@@ -283,6 +290,7 @@
                 load.served,
                 load.failed,
                 load.late,
+                *self.speeds.own_estimates(target_id, now_s),
             )
             for target_id, load in self._loads.items()
             if load.running
@@ -310,6 +318,14 @@
         for target_id, row in rows.items():
             load = self.get(target_id)
             self._apply_change(load, before.get(target_id, _NO_LOAD), row)
+            self.speeds.set_peer(
+                peer_id,
+                target_id,
+                row.event_us,
+                row.prefill_us,
+                row.served,
+                now_s,
+            )
         self._peer_rows[peer_id] = rows
         self._add_outcomes(peer_id, rows, now_s)
 
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -14,6 +14,7 @@
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import waiting
 from dotterelweird.gateway import answer_bodies
@@ -25,6 +26,7 @@
 from dotterelweird.gateway import releasing
 from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
+from dotterelweird.gateway import speed_reports
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
@@ -65,6 +67,7 @@
         gate: Tells whether a target may be sent something now.
         releaser: Frees copies of runs that will not be used.
         evacuator: Moves runs off evacuated zones.
+        speed_reporter: Reports the learned speeds of targets.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -98,6 +101,7 @@
     gate: send_gate.SendGate = attrs.field(init=False)
     releaser: releasing.CopyReleaser = attrs.field(init=False)
     evacuator: evacuating.RunEvacuator = attrs.field(init=False)
+    speed_reporter: speed_reports.SpeedReporter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.departure_times = watching.DepartureTimes(self.timers)
@@ -108,6 +112,9 @@
             self.timers,
             self.placer.evacuation_registry,
         )
+        self.speed_reporter = speed_reports.SpeedReporter(
+            self.timers, self.loads, self.statistics
+        )
         self.releaser = releasing.CopyReleaser(
             self.run_control, self.gate, self.limiter
         )
@@ -136,7 +143,10 @@
                 now_s=self.timers.monotonic_s(),
             )
         return self.placer.choose(
-            *self._placement_arguments(exchange), excluded, admits
+            *self._placement_arguments(exchange),
+            excluded,
+            admits,
+            self._stream_needs(exchange),
         )
 
     def has_capacity(self, exchange: exchanges.Exchange) -> bool:
@@ -162,7 +172,9 @@
             The engine, or None if no backup should be kept.
         """
         return self.placer.choose_backup(
-            *self._placement_arguments(exchange), excluded
+            *self._placement_arguments(exchange),
+            excluded,
+            self._stream_needs(exchange),
         )
 
     def choose_takeover_target(
@@ -182,9 +194,19 @@
             The engine, or None if no suitable engine accepts requests.
         """
         return self.placer.choose_takeover_target(
-            *self._placement_arguments(exchange), source, excluded
+            *self._placement_arguments(exchange),
+            source,
+            excluded,
+            self._stream_needs(exchange),
         )
 
+    def _stream_needs(
+        self, exchange: exchanges.Exchange
+    ) -> target_speeds.StreamNeeds | None:
+        if exchange.service.engine is None:
+            return None
+        return self.admission.needs(exchange.service, exchange.demand)
+
     def check_stop(self, exchange: exchanges.Exchange) -> None:
         """Refuses a request that the stop of the process would cut off.
 
--- a/packages/daemon/src/dotterelweird/gateway/status.py
+++ b/packages/daemon/src/dotterelweird/gateway/status.py
@@ -32,6 +32,8 @@
         pace_per_s = paces.rate_per_s(
             target.target_id, target.started_ms, now_s
         )
+        speeds = loads.speeds.last(target.service)
+        speed = speeds.get(target.target_id)
         rows.append(
             {
                 'target_id': target.target_id,
@@ -45,6 +47,9 @@
                 'pace_per_s': None
                 if math.isinf(pace_per_s)
                 else round(pace_per_s, 2),
+                'speed': round(speed.running, 3) if speed.known else None,
+                'event_s': round(speed.event_s, 5) if speed.known else None,
+                'pause_s': round(speeds.pause_s(target.target_id), 4),
             }
         )
     return rows
