--- a/packages/daemon/tests/gateway/test_evacuations.py
+++ b/packages/daemon/tests/gateway/test_evacuations.py
@@ -8,6 +8,7 @@
 from dotterelweir_core.gateway import evacuations
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
+from dotterelweird.gateway import move_calls
 from dotterelweird.gateway.sending import evacuating
 
 
@@ -347,3 +348,41 @@
     assert await task == expected_events(40)
     assert 1 <= len(first.move_orders) < 12
     assert second.received_headers == []
+
+
+async def test_a_stop_names_an_engine_outside_the_zone(
+    zones, leaving_run, monkeypatch
+):
+    """Guards against the last copy of a run into an evacuated zone.
+
+    The zone of the engine that has the first copy is evacuated while the
+    call that stops the run waits for its turn.
+    """
+    first, second = leaving_run
+    third = await zones.add_engine('engine-3', 'model')
+    third.zone = 'zone-c'
+    third.behaviour.events = 20
+    await zones.register('engine-3', 'model')
+    directory, loads = zones.gateway._directory, zones.gateway._loads
+    loads.get('engine-3').running = 60
+    async with asyncio.timeout(5):
+        while 'engine-3' not in directory.targets or (
+            directory.registered('engine-3').zone != 'zone-c'
+        ):
+            await asyncio.sleep(0.01)
+    original_may_call = move_calls.MoveCalls._may_call_source
+
+    async def may_call(calls):
+        if calls._record.copies:
+            evacuate_at_once(zones, 'zone-b')
+        return await original_may_call(calls)
+
+    monkeypatch.setattr(move_calls.MoveCalls, '_may_call_source', may_call)
+    async with zones.request('guide') as answer:
+        body = await read_until(answer, b'token-1\n')
+        announce_leaving(zones, 'engine-1')
+        assert body + await answer.read() == expected_events(20)
+    orders = [(order['to'], order['last']) for order in first.move_orders]
+    assert orders[:2] == [(second.address, False), (third.address, True)]
+    assert second.received_headers == []
+    assert third.resumed_after
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -16,6 +16,7 @@
 import pytest
 import yarl
 
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import targets
 from dotterelweir_platform import configuration
@@ -24,6 +25,7 @@
 from dotterelweir_platform import wire
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
+from dotterelweird.gateway import settings as gateway_settings
 
 # Number of cases per test, set by ``make fuzz``, which draws other cases for
 # each of its seeds. Without it the cases are the same in every run.
@@ -549,6 +551,29 @@
         assert batch.end == 3 + len(batch.records)
 
 
+@CASES
+@hypothesis.given(
+    strategies.binary(max_size=40), strategies.binary(min_size=1, max_size=200)
+)
+@hypothesis.example(b'', b'{}')
+@hypothesis.example(b'a', b'[' * 200)
+def test_an_evacuation_is_valid_or_rejected(name, value):
+    """Guards against an operator's record that stops the follower."""
+    platform_store = store.PlatformStore(
+        None, gateway_settings.Address('127.0.0.1', 1)
+    )
+    key = (b'evacuate/' + name).decode(errors='surrogateescape')
+    record = api.Record(key, value, 3)
+    try:
+        zone = platform_store.evacuated_zone(record)
+        active = platform_store.decode_evacuation(record)
+    except api.RecordInvalid as exc:
+        assert len(str(exc)) <= 200
+        return
+    finding = evacuations.Evacuation(zone, active, 3, 0)
+    assert digests.decode(digests.encode(finding)) == finding
+
+
 DIGEST = {
     'i': 'i',
     'h': '10.0.0.1',
@@ -562,6 +587,20 @@
 }
 
 
+@CASES
+@hypothesis.given(mutated(DIGEST | {'f': [1, 2, 3]}))
+def test_a_datagram_with_checksums_is_valid_or_dropped(body):
+    """Guards against checksums that raise an undeclared error."""
+    check_datagram(encode_json(body))
+
+
+@CASES
+@hypothesis.given(mutated({'v': ['zone-a', 1, 3, 0]}))
+def test_an_evacuation_of_a_peer_is_valid_or_dropped(body):
+    """Guards against a finding that raises an undeclared error."""
+    check_datagram(encode_json(body))
+
+
 @CASES
 @hypothesis.given(mutated(DIGEST))
 def test_a_datagram_is_valid_or_dropped(body):
@@ -602,7 +641,7 @@
 
 
 @pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
-@pytest.mark.parametrize('name', [*sorted(DIGEST), 'n', 'd', 'q', 'o'])
+@pytest.mark.parametrize('name', [*sorted(DIGEST), 'n', 'd', 'q', 'o', 'v'])
 def test_an_extreme_datagram_is_valid_or_dropped(name, raw):
     """Guards against one field of a datagram that raises another error."""
     report = b'{"targets":[' + raw + b',"c",' + raw + b',0]}'
