--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -150,6 +150,7 @@
             'violations': self.ledger.violations,
             'faults': dict(sorted(injector.counts.items())),
             'evacuations': self._evacuations.count,
+            'evacuated_latest_s': round(self._evacuations.latest_s, 3),
             'deadly_crashes': len(self._crash_times_s),
             'late_deadly_runs': late,
         }
--- a/fakes/src/dotterelweir_fakes/soak/evacuations.py
+++ b/fakes/src/dotterelweir_fakes/soak/evacuations.py
@@ -28,12 +28,15 @@
         rng: Random source; its seed determines the sequence.
         store: Stand-in for the store.
         count: Number of evacuations.
+        latest_s: Longest time from the store's answer to an arrival from an
+            instance that was not disturbed since, in seconds.
         late: Arrivals in an evacuated zone after the bound, one line each.
     """
 
     rng: random.Random
     store: fleet_store.FakeStore
     count: int = 0
+    latest_s: float = 0.0
     late: list[str] = attrs.field(factory=list)
     # Time on the event loop's clock since which a zone is evacuated, in
     # seconds. A rewind of the store may end or repeat an evacuation.
@@ -95,6 +98,8 @@
         since_s = self._evacuated_since_s(zone, now_s)
         if since_s is None:
             return
+        if disturbed_s < since_s:
+            self.latest_s = max(self.latest_s, now_s - since_s)
         late_s = now_s - max(since_s, disturbed_s) - _BOUND_S
         if late_s > 0:
             self.late.append(
