--- a/packages/daemon/tests/gateway/test_evacuations.py
+++ b/packages/daemon/tests/gateway/test_evacuations.py
@@ -386,3 +386,21 @@
     assert orders[:2] == [(second.address, False), (third.address, True)]
     assert second.received_headers == []
     assert third.resumed_after
+
+
+async def test_the_state_for_peers_has_the_evacuations(zones):
+    """Guards against an instance that starts from a peer's tables alone."""
+
+    def keys():
+        return [record.key for record in zones.gateway._tables.records]
+
+    await write(zones, 'zone-a')
+    await wait_for_zones(zones.gateway, 'zone-a')
+    assert keys() == ['config', 'evacuate/zone-a']
+    url = f'http://{zones.peers_address}/records/tables'
+    async with zones.session.get(url) as answer:
+        document = await answer.json(content_type=None)
+    assert [row[0] for row in document['records']] == keys()
+    await write(zones, 'zone-a', b'')
+    await wait_for_zones(zones.gateway)
+    assert keys() == ['config']
