Move a run at once if its engine leaves during a move off the zone

What callers saw: a stream of an engine that announced its departure while its run was being moved off the evacuated zone could break off: the run was looked at again only 2 s later, and engines leave about 1.6 s after their notice.

Cause: a failed move off the zone ended without a look at what had become known meanwhile; the notice itself starts no move while one is in progress.

Conclusion: found by reading, closed.

--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -154,8 +154,11 @@
             if await self._try_destinations(self._reason):
                 return
             if self._reason is Reason.EVACUATED:
-                # Other runs of the zone are tried before this one again.
-                break
+                found = self._find_reason()
+                if found is None or found[0] is Reason.EVACUATED:
+                    # Other runs of the zone are tried before it again.
+                    break
+                continue
             await self._wait_to_retry(self._reason)
         goes_on = self._record.state is run_record.SourceState.RUNNING
         if goes_on and not self._record.link_ended.is_set():
