Remove expired speeds, and keep repeated digests cheap

Operators would have seen memory grow: a run that outlives the removal of its target adds a record of speeds again, and nothing removed it. Found in review, not in operation.

Change: records without a sample of 120 s and without fresh estimates of others are removed. An estimate that a digest repeats is stored once in 15 s. Tests for both kinds of late evidence, and for plain targets.

--- a/packages/core/src/dotterelweir_core/gateway/target_speeds.py
+++ b/packages/core/src/dotterelweir_core/gateway/target_speeds.py
@@ -41,6 +41,9 @@
 # seconds.
 _OWN_AGE_MAX_S = 120.0
 _PEER_AGE_MAX_S = 60.0
+# Age at which an equal estimate of another instance replaces the known one, in
+# seconds. Most digests repeat what the last one said.
+_PEER_REFRESH_S = 15.0
 # Number of other instances whose estimates are kept for each target, the
 # newest ones. It bounds the memory in large deployments.
 _PEERS_MAX = 8
@@ -422,6 +425,14 @@
             record = self._records[target_id] = _TargetRecord()
         if now_s < record.peers_from_s:
             return
+        known = record.peers.get(peer_id)
+        if (
+            known is not None
+            and known.event_us == event_us
+            and known.prefill_us == prefill_us
+            and now_s - known.received_s < _PEER_REFRESH_S
+        ):
+            return
         record.peers.pop(peer_id, None)
         weight = 1.0 + min(_WEIGHT_MAX, max(0.0, served))
         record.peers[peer_id] = _PeerEstimate(
@@ -447,6 +458,7 @@
         view = self._views.get(service, _NO_SPEEDS)
         if 0.0 <= now_s - view.computed_s < _VIEW_AGE_MAX_S:
             return view
+        self._drop_expired(service, now_s)
         for target in candidates:
             self._record(target, now_s)
         view = self._views[service] = self._compute(service, now_s)
@@ -486,6 +498,27 @@
         self._records[target.target_id] = record
         return record
 
+    def _drop_expired(self, service: str, now_s: float) -> None:
+        """Removes expired estimates, and records that have none left.
+
+        A run that outlives the removal of its target adds a record again.
+        """
+        for target_id, record in list(self._records.items()):
+            if record.service not in ('', service):
+                continue
+            record.peers = {
+                peer_id: estimate
+                for peer_id, estimate in record.peers.items()
+                if now_s - estimate.received_s <= _PEER_AGE_MAX_S
+            }
+            last_s = max(record.events.last_s, record.prefills.last_s)
+            if (
+                not record.peers
+                and now_s - last_s > _OWN_AGE_MAX_S
+                and now_s >= record.peers_from_s
+            ):
+                del self._records[target_id]
+
     def _compute(self, service: str, now_s: float) -> ServiceSpeeds:
         """Computes the relative speeds of a service."""
         events_us: dict[str, float] = {}
@@ -493,7 +526,6 @@
         for target_id, record in self._records.items():
             if record.service != service:
                 continue
-            _drop_old_peers(record, now_s)
             event_us = _merge(
                 record.events.estimate(now_s),
                 len(record.events.values),
@@ -546,14 +578,6 @@
         return sorted(pauses)[int(_PAUSE_QUANTILE * (len(pauses) - 1))]
 
 
-def _drop_old_peers(record: _TargetRecord, now_s: float) -> None:
-    record.peers = {
-        peer_id: estimate
-        for peer_id, estimate in record.peers.items()
-        if now_s - estimate.received_s <= _PEER_AGE_MAX_S
-    }
-
-
 def _merge(
     own: float, own_samples: int, peer_rows: list[tuple[float, float]]
 ) -> float:
--- a/packages/core/tests/gateway/test_target_speeds.py
+++ b/packages/core/tests/gateway/test_target_speeds.py
@@ -97,6 +97,36 @@
     )
 
 
+def test_records_of_removed_targets_expire(loads):
+    """Guards against memory that grows with each replaced engine.
+
+    A run and a late digest outlive the removal of the target.
+    """
+    speeds = loads.speeds
+    for number in range(50):
+        gone = target(f'gone-{number}')
+        play(speeds, gone, [0.036] * 10)
+        speeds.discard(gone.target_id)
+        play(speeds, gone, [0.036] * 10, 1.0)
+        row = load.DigestRow(event_us=36_000)
+        loads.set_peer('i2', {f'late-{number}': row}, 2.0)
+    speeds.view(ALL, 'model', 200.0)
+    assert set(speeds._records) == {'fast', 'slow', 'other'}
+
+
+def test_plain_calls_go_to_faster_targets(loads):
+    """Guards against calls that are late because slow targets get as many."""
+    plain = tables.Service('model', 100)
+    for index in range(40):
+        for engine, taken_s in ((FAST, 0.03), (SLOW, 0.07), (OTHER, 0.07)):
+            loads.speeds.record_call(engine, taken_s, 0.2 * index)
+    for engine in ALL:
+        loads.get(engine.target_id).running = 3
+    loads.get('fast').running = 6
+    placer = placement.Placer('a', loads, random.Random(1))
+    assert placer.choose(ALL, plain, 0, 8.0).target is FAST
+
+
 def test_a_new_engine_counts_as_average(loads):
     """Guards against a speed that rests on a few or widely spread samples."""
     learn(loads.speeds)
