Let a learned pace neither refuse nor delay a caller

The four plain targets registered after the instances had started, so that each was paced at two requests per second at the same moment, and calls were refused for want of a turn.

Ruled out: a higher first pace alone, as every figure is too low for some service that begins as a whole.

Conclusion: a target is paced by a learned rate only while half of its service consists of other targets that have been in use for 5 s without one; a request that only learned paces keep from every target is sent to the best of them. Stated figures bind as before.

--- a/packages/core/src/dotterelweir_core/gateway/pace.py
+++ b/packages/core/src/dotterelweir_core/gateway/pace.py
@@ -7,6 +7,7 @@
 other targets are paced by a rate that is learned from their answers.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterator
 import enum
 import math
@@ -34,9 +35,11 @@
 # Difference from which on a longer remaining time of a peer is adopted, in
 # seconds. Without it, the delays of datagrams would add up.
 _COLD_CHANGE_MIN_S = 0.5
-# Share of the targets of a service that may be paced for their failures. If
-# more of them fail, the cause is elsewhere, and all of them are needed.
-FAILING_SHARE_MAX = 0.5
+# Share of the targets of a service that must have been in use for this long
+# without a learned pace, in seconds, before one more is paced by a learned
+# rate. All targets of a service that start or fail together are needed.
+_ESTABLISHED_SHARE_MIN = 0.5
+_ESTABLISHED_S = 5.0
 # First and lowest learned pace, in requests per second. An engine of the usual
 # size serves the first one while it is cold; the lowest one lets a target that
 # fails everything show that it has recovered.
@@ -517,6 +520,48 @@
         self._learning[_key(target)] = start
         return True
 
+    def may_learn(
+        self,
+        target: targets.Target,
+        registered: Collection[targets.Target],
+        now_s: float,
+    ) -> bool:
+        """Whether the others of a service suffice while a target is paced.
+
+        Args:
+            target: The target.
+            registered: All targets of the service.
+            now_s: Monotonic time, in seconds.
+        """
+        established = sum(
+            _key(other) not in self._learning
+            and self._has_been_used(other, now_s)
+            for other in registered
+            if other.target_id != target.target_id
+        )
+        return established >= _ESTABLISHED_SHARE_MIN * len(registered)
+
+    def _has_been_used(self, target: targets.Target, now_s: float) -> bool:
+        start = self._starts.get(_key(target))
+        return start is None or now_s - start.began_s >= _ESTABLISHED_S
+
+    def is_only_learned(
+        self, target_id: str, started_ms: int, now_s: float
+    ) -> bool:
+        """Whether nothing but a learned rate paces a target.
+
+        Args:
+            target_id: Id of the target.
+            started_ms: Wall time of its start, in milliseconds.
+            now_s: Monotonic time, in seconds.
+        """
+        start = self._starts.get((target_id, started_ms))
+        return (
+            start is not None
+            and start.learned is not None
+            and now_s >= self._cold_until_s(start)
+        )
+
     def learning(self) -> tuple[tuple[str, int], ...]:
         """Returns id and start of the targets whose pace is learned."""
         return tuple(self._learning)
--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -148,6 +148,18 @@
         """Whether requests to a target need a turn now."""
         return self._rate_per_s(target) < rate_limits.UNLIMITED
 
+    def is_only_advised(self, target: targets.Target) -> bool:
+        """Whether only a learned pace limits a target.
+
+        A request that no other target accepts is sent all the same: the pace
+        spares a target, but no caller is refused or delayed for it.
+        """
+        return not self.limits.is_limited(
+            target
+        ) and self.pace.is_only_learned(
+            *_key(target), self._timers.monotonic_s()
+        )
+
     def _rate_per_s(self, target: targets.Target) -> float:
         return min(
             self.limits.rate_per_s(target),
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -189,10 +189,16 @@
         The choice; None if no target accepts the request in time.
     """
     refused: set[str] = set()
+    advised: set[str] = set()
     while True:
         choice = parts.choose(exchange, exchange.tried | refused)
         if choice is None:
-            return None
+            choice = parts.choose(
+                exchange, exchange.tried | (refused - advised)
+            )
+            if choice is None or choice.target.target_id not in advised:
+                return None
+            return choice
         target = choice.target
         granted = await parts.limiter.acquire(
             target, exchange.request.request_id, wait_max_s
@@ -201,6 +207,10 @@
         if granted and parts.gate.accepts(target):
             return choice
         refused.add(target.target_id)
+        if parts.limiter.is_only_advised(target) and parts.gate.accepts(
+            target
+        ):
+            advised.add(target.target_id)
 
 
 def _wait_max_s(
--- a/packages/daemon/src/dotterelweird/gateway/sending/pacing.py
+++ b/packages/daemon/src/dotterelweird/gateway/sending/pacing.py
@@ -104,13 +104,19 @@
     # Learned paces.
 
     def begin_learning(self, target: targets.Target) -> None:
-        """Learns the pace of a target anew, unless that is switched off.
+        """Learns the pace of a target anew.
+
+        Unless that is switched off, or the service cannot spare the target.
 
         Args:
             target: The target.
         """
         now_s = self.timers.monotonic_s()
-        if self.limiter.pace.begin_learning(target, now_s):
+        paces = self.limiter.pace
+        registered = self.directory.of_service(target.service)
+        if not paces.learns or not paces.may_learn(target, registered, now_s):
+            return
+        if paces.begin_learning(target, now_s):
             self._record_change(
                 target.target_id, target.started_ms, pace.PaceChange.BEGUN
             )
@@ -123,9 +129,7 @@
         now_s = self.timers.monotonic_s()
         for target in self.directory.targets.values():
             # A target that fails gets little, whenever it recovers.
-            if self.loads.get(target.target_id).outcomes.is_failing(
-                now_s
-            ) and self._may_pace_failing(target.service):
+            if self.loads.get(target.target_id).outcomes.is_failing(now_s):
                 self.begin_learning(target)
         for target_id, started_ms in paces.learning():
             target = self.directory.targets.get(target_id)
@@ -140,16 +144,6 @@
             if change is not None:
                 self._record_change(target_id, started_ms, change)
 
-    def _may_pace_failing(self, service: str) -> bool:
-        """Whether a further target of a service may be paced for failures."""
-        learning = self.limiter.pace.learning()
-        registered = self.directory.of_service(service)
-        paced = sum(
-            (target.target_id, target.started_ms) in learning
-            for target in registered
-        )
-        return paced + 1 <= pace.FAILING_SHARE_MAX * len(registered)
-
     def record_call(
         self,
         exchange: exchanges.Exchange,
