Start cold engines in the soak of limits

The soak counts what an engine gets in any second while it is cold, from instances that were not disturbed, while others are killed, stopped and frozen.

--- a/fakes/src/dotterelweir_fakes/soak/limits.py
+++ b/fakes/src/dotterelweir_fakes/soak/limits.py
@@ -1,10 +1,11 @@
-"""The ``limits`` command: engines that name limits while instances fail."""
+"""The ``limits`` command: limited and cold engines while instances fail."""
 
 import asyncio
 import pathlib
 import random
 import sys
 import tempfile
+import time
 
 import attrs
 import click
@@ -21,6 +22,14 @@
 _CHANGE_S = (4.0, 9.0)
 # Requests of each instance per second.
 _RATE_PER_INSTANCE = 8.0
+# Figures that the service states of cold engines, and the requests that such
+# an engine may get in any second. The rate is so low that an engine without a
+# pace gets more.
+_WARM_UP_S = 6.0
+_WARM_UP_PER_S = 1.0
+_COLD_REQUESTS_MAX = int(1.5 * _WARM_UP_PER_S + 5)
+# Range of the time between two starts of engines, in seconds.
+_START_S = (2.0, 5.0)
 # Limit from which on an engine counts as unlimited, in requests per second.
 _UNLIMITED_PER_S = 10_000.0
 
@@ -56,6 +65,8 @@
     instance_count: int
     directory: pathlib.Path
     _named: dict[str, list[NamedLimit]] = attrs.field(factory=dict)
+    # Monotonic time of the newest start of each engine that was cold.
+    _started_s: dict[str, float] = attrs.field(factory=dict)
 
     async def run(self) -> dict[str, object]:
         """Runs the soak test.
@@ -71,12 +82,19 @@
             self.instance_count,
             engine_count,
             trials.SERVICES[routes[0]],
+            service_fields={
+                'warmupS': _WARM_UP_S,
+                'warmupPerS': _WARM_UP_PER_S,
+            },
         ) as trial:
             faults = instance_faults.InstanceFaults(
                 trial, random.Random(rng.random())
             )
             background = [
                 asyncio.create_task(faults.run()),
+                asyncio.create_task(
+                    self._start_engines(trial, random.Random(rng.random()))
+                ),
                 *(
                     asyncio.create_task(
                         self._change_limits(
@@ -119,7 +137,14 @@
                 name: [limit.rate_per_s for limit in limits]
                 for name, limits in self._named.items()
             },
-            'violations': self._find_violations(trial),
+            'cold': {
+                name: trials.worst_window(times_s, 0.0, 1.0)
+                for name, times_s in self._cold_times_s(trial).items()
+            },
+            'violations': [
+                *self._find_violations(trial),
+                *self._find_floods(trial),
+            ],
         }
 
     async def _change_limits(
@@ -140,6 +165,44 @@
             named.append(NamedLimit(rate_per_s, loop.time()))
             await asyncio.sleep(rng.uniform(*_CHANGE_S))
 
+    async def _start_engines(
+        self, trial: trials.Trial, rng: random.Random
+    ) -> None:
+        """Starts further engines, each of which is cold at first."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(rng.uniform(*_START_S))
+            engine = fleet_engine.FakeEngine(
+                f'cold-{len(self._started_s) + 1}'
+            )
+            engine.started_ms = int(time.time() * 1000)
+            await engine.start()
+            trial.engines[engine.target_id] = engine
+            self._started_s[engine.target_id] = loop.time()
+            await trial.register(engine)
+
+    def _cold_times_s(self, trial: trials.Trial) -> dict[str, list[float]]:
+        """Returns when cold engines got requests, in seconds."""
+        return {
+            engine_id: [
+                time_s
+                for time_s, request_id in trial.engines[engine_id].arrivals
+                if time_s < started_s + _WARM_UP_S
+                and not trial.is_excused(request_id, time_s)
+            ]
+            for engine_id, started_s in self._started_s.items()
+        }
+
+    def _find_floods(self, trial: trials.Trial) -> list[str]:
+        violations = []
+        for engine_id, times_s in self._cold_times_s(trial).items():
+            most = trials.worst_window(times_s, 0.0, 1.0)
+            if most > _COLD_REQUESTS_MAX:
+                violations.append(
+                    f'{engine_id}: {most} requests in a second while cold'
+                )
+        return violations
+
     def _find_violations(self, trial: trials.Trial) -> list[str]:
         violations = []
         for engine_id, named in self._named.items():
@@ -175,10 +238,10 @@
     instance_count: int,
     directory: pathlib.Path | None,
 ) -> None:
-    """Runs gateway processes with engines that name limits.
+    """Runs gateway processes with engines that name limits or are cold.
 
     The last line is one JSON object. Exit code 1 if an engine got more
-    requests than its limit allows.
+    requests than its limit or its cold state allows.
     """
     with tempfile.TemporaryDirectory() as temporary:
         output_directory = directory or pathlib.Path(temporary)
--- a/fakes/src/dotterelweir_fakes/soak/trials.py
+++ b/fakes/src/dotterelweir_fakes/soak/trials.py
@@ -68,17 +68,20 @@
     return int(1.5 * max(0.0, limit_per_s) * LIMIT_WINDOW_S) + 5
 
 
-def worst_window(times_s: Iterable[float], from_s: float) -> int:
+def worst_window(
+    times_s: Iterable[float], from_s: float, window_s: float = LIMIT_WINDOW_S
+) -> int:
     """Returns the largest number of times within any window.
 
     Args:
         times_s: The times in ascending order, in seconds.
         from_s: Time from which windows begin, in seconds.
+        window_s: Length of the windows, in seconds.
     """
     counted = [time_s for time_s in times_s if time_s >= from_s]
     worst = first = 0
     for last, time_s in enumerate(counted):
-        while time_s - counted[first] > LIMIT_WINDOW_S:
+        while time_s - counted[first] > window_s:
             first += 1
         worst = max(worst, last + 1 - first)
     return worst
@@ -108,6 +111,7 @@
         engine_count: Number of engines.
         service: Service of all engines.
         make_engine: Creates an engine from its id.
+        service_fields: Fields of the configuration of the service.
 
     Attributes:
         engines: Engines by id.
@@ -126,10 +130,12 @@
         make_engine: Callable[
             [str], fleet_engine.FakeEngine
         ] = fleet_engine.FakeEngine,
+        service_fields: dict[str, object] | None = None,
     ) -> None:
         self._directory = directory
         self._instance_count = instance_count
         self._service = service
+        self._service_fields = service_fields or {}
         self.store = fleet_store.FakeStore()
         self._runner = web.AppRunner(self.store.app, shutdown_timeout=0.1)
         self.engines = {
@@ -163,6 +169,9 @@
         tables['tenants'].append(
             {'name': 'org-2', 'keys': [OTHER_KEY], 'priority': 1}
         )
+        for row in tables['services']:
+            if row['name'] == self._service:
+                row |= self._service_fields
         await self.store.write_json('keyed.op', 'config', tables)
         for engine in self.engines.values():
             await engine.start()
--- a/fakes/tests/soak/test_limits.py
+++ b/fakes/tests/soak/test_limits.py
@@ -7,7 +7,8 @@
 
 @pytest.mark.parametrize('seed', [1, 2])
 async def test_limits_are_kept_while_instances_fail(tmp_path, seed):
-    """Guards against limits that restarts and freezes of instances break."""
+    """Guards against limits and paces that restarts and freezes break."""
     result = await limits.LimitSoak(seed, 18.0, 3, tmp_path).run()
     assert result['violations'] == []
     assert result['statuses']['200'] > 0
+    assert sum(result['cold'].values()) > 0
