--- a/packages/core/src/dotterelweir_core/gateway/turns.py
+++ b/packages/core/src/dotterelweir_core/gateway/turns.py
@@ -101,6 +101,22 @@
     return sum(_weight(other, subject) < weight for other in others)
 
 
+def phase_of(instance_id: str, target_id: str) -> float:
+    """Returns when the first turn of an instance is due at a paced target.
+
+    Instances that start at the same moment and do not reach each other must
+    not give their first turns together.
+
+    Args:
+        instance_id: Id of the instance.
+        target_id: Id of the target.
+
+    Returns:
+        A share of the time between two turns, from 0 to 1.
+    """
+    return int.from_bytes(_weight(instance_id, target_id)) / 2**64
+
+
 def _weight(instance_id: str, subject: str) -> bytes:
     return hashlib.blake2b(
         f'{subject} {instance_id}'.encode(), digest_size=8
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -260,6 +260,8 @@
             self._records[record.key] = record
         for change in self._directory.apply_snapshot(records, batch.end):
             self._notify_listeners(change)
+        for _, decoded in decoded_batch.valid:
+            self._notify_registered(decoded)
 
     def apply(self, batch: api.Batch) -> list[api.Record]:
         """Applies further records.
@@ -283,9 +285,8 @@
                 changed.append(record)
             if change is not None:
                 self._notify_listeners(change)
-            elif decoded is not None:
-                for listener in self._registration_listeners:
-                    listener(decoded)
+            else:
+                self._notify_registered(decoded)
         return changed
 
     def _update_record(self, record: api.Record) -> None:
@@ -334,6 +335,13 @@
         for apply_change in deferred:
             apply_change()
 
+    def _notify_registered(
+        self, target: gateway_targets.Target | None
+    ) -> None:
+        if target is not None:
+            for listener in self._registration_listeners:
+                listener(target)
+
     def _notify_listeners(self, change: gateway_targets.TargetChange) -> None:
         events.log(
             LOG,
--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -46,6 +46,9 @@
 # Maximum number of limited targets that are kept; the oldest are evicted
 # first. A large deployment has fewer targets.
 _TARGETS_MAX = 4_096
+# Share of the instances above which a coordinator gives urgent turns at a
+# paced target.
+_URGENT_SHARE_MIN = 0.5
 # Time after which a turn at a paced target that was not used yet lapses, in
 # seconds. Requests of an instance that was frozen would reach the target
 # together.
@@ -494,14 +497,25 @@
         rate_per_s = share * turns.turn_rate_per_s(limit_per_s, rank)
         entry = self._target(key)
         if entry.schedule is None:
-            entry.schedule = turns.TurnSchedule(rate_per_s, now_s, burst_s)
+            # Without a pace, the first turn is due after a whole interval.
+            phase = 1.0
+            if pace_per_s < rate_limits.UNLIMITED:
+                phase = turns.phase_of(self._instance_id, statement.target_id)
+            entry.schedule = turns.TurnSchedule(
+                rate_per_s, now_s + (phase - 1.0) / rate_per_s, burst_s
+            )
         entry.schedule.set_rate(rate_per_s, now_s, burst_s)
         if limit_per_s < entry.limit_per_s:
             # Who waits for a turn of the earlier limit asks again.
             entry.schedule.cancel_turns(now_s)
         entry.limit_per_s = limit_per_s
+        # Urgent turns are not shared among the parts of a divided network, so
+        # that only one part may give them at a paced target.
+        may_hurry = rank == 0 and (
+            pace_per_s == rate_limits.UNLIMITED or share > _URGENT_SHARE_MIN
+        )
         wait_s = entry.schedule.reserve(
-            now_s, request.wait_max_s, request.urgent and rank == 0
+            now_s, request.wait_max_s, request.urgent and may_hurry
         )
         return turns.TurnAnswer(
             request.number,
--- a/packages/daemon/tests/gateway/test_pacing.py
+++ b/packages/daemon/tests/gateway/test_pacing.py
@@ -1,5 +1,7 @@
 """Tests of the pace of cold targets among many instances, in virtual time."""
 
+import asyncio
+
 import attrs
 import pytest
 
@@ -7,7 +9,9 @@
 from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import targets
+from dotterelweir_fakes.fleet import deployment as fleet
 from dotterelweir_fakes.fleet import turn_network
+from dotterelweir_platform import wire
 from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway.sending import pacing
@@ -138,7 +142,7 @@
     for number, host in enumerate(network.hosts):
         network.sides[host] = number
         network.views[host] = peer_view.PeerView((), 1.0, 1.0 / 60)
-    await network.run(10.0)
+    await network.run(12.0, load_per_s=600.0)
     assert network.sent_in_worst_second() <= ALLOWED
 
 
@@ -259,3 +263,56 @@
     instance.loads.get('shop-9').outcomes.add(0.0, 9.0, 0.0)
     instance.keeper.update()
     assert not instance.is_paced(started)
+
+
+def status_of(deployment, target_id):
+    rows = deployment.gateway._status()['targets']
+    return {row['target_id']: row for row in rows}[target_id]
+
+
+async def wait_for_pace(deployment, target_id, expected):
+    async with asyncio.timeout(5):
+        while status_of(deployment, target_id)['pace_per_s'] != expected:
+            await asyncio.sleep(0.02)
+
+
+async def test_an_engine_that_states_that_it_is_cold_is_paced(deployment):
+    """Guards against statements of engines that reach no pace."""
+    changed = fleet.configuration(2)
+    changed['services'][0] |= {'warmupS': 30, 'warmupPerS': 25}
+    await deployment.store.write_json('keyed.op', 'config', changed)
+    async with asyncio.timeout(5):
+        while deployment.gateway.tables_version != 2:
+            await asyncio.sleep(0.01)
+    aim_per_s = round(pace.PaceSettings().aim_per_s(25.0), 2)
+    engine = deployment.engines['shop-1']
+    assert status_of(deployment, 'shop-1')['pace_per_s'] is None
+    # A heartbeat changes nothing but the remaining time.
+    entry = engine.entry('plain') | {'warmupLeftMs': 60_000}
+    await deployment.store.write_json('keyed.servers', 'shop-1', entry)
+    await wait_for_pace(deployment, 'shop-1', aim_per_s)
+    assert status_of(deployment, 'shop-2')['pace_per_s'] is None
+    notice = wire.decode_notice(200, [('X-Cold-Ms', '9000')])
+    deployment.gateway._handle_notice(
+        deployment.gateway._directory.registered('shop-2'), notice
+    )
+    assert status_of(deployment, 'shop-2')['pace_per_s'] == aim_per_s
+    async with deployment.request('read') as answer:
+        await answer.read()
+    assert answer.status == 200
+
+
+async def test_an_engine_that_starts_is_paced(deployment):
+    """Guards against starts that no listener hears of."""
+    changed = fleet.configuration(2)
+    changed['services'][0] |= {'warmupS': 30}
+    await deployment.store.write_json('keyed.op', 'config', changed)
+    async with asyncio.timeout(5):
+        while deployment.gateway.tables_version != 2:
+            await asyncio.sleep(0.01)
+    await deployment.add_engine('shop-3', 'plain')
+    async with asyncio.timeout(5):
+        while 'shop-3' not in deployment.gateway._directory.targets:
+            await asyncio.sleep(0.02)
+    assert status_of(deployment, 'shop-3')['pace_per_s'] == 2.0
+    assert status_of(deployment, 'shop-1')['pace_per_s'] is None
