--- a/packages/core/src/dotterelweir_core/gateway/target_speeds.py
+++ b/packages/core/src/dotterelweir_core/gateway/target_speeds.py
@@ -25,16 +25,22 @@
 WINDOW_S = 0.1
 # Number of samples of a target that are kept, the newest ones.
 _SAMPLES_MAX = 48
-# Number of samples without which a target counts as one of average speed. A
-# stall of 0.6 s takes up to six of them, which the median leaves out.
-_SAMPLES_MIN = 16
+# Number of samples without which a target counts as one of average speed, and
+# shortest time over which they are spread, in seconds. An instance of a large
+# deployment has few runs at each target, and targets are replaced within
+# seconds. A slow spell of 0.6 s takes less than three quarters of that time,
+# so that it does not reach the quantile that is used.
+_SAMPLES_MIN = 6
+_SAMPLES_SPAN_MIN_S = 0.9
 # The same for prefill times, of which each request gives only one.
-_PREFILL_SAMPLES_MIN = 6
-# Greatest standard error of an estimate that is used, as a share of it. Three
-# standard errors are the deviation that counts as equal.
-_RELATIVE_ERROR_MAX = 0.05
-# Standard error of a median, as a multiple of the interquartile range over the
-# square root of the number of samples, for a normal distribution.
+_PREFILL_SAMPLES_MIN = 1
+# Quantile of the samples that counts as the speed of a target: the time
+# without the slow spells.
+_SPEED_QUANTILE = 0.25
+# Greatest standard error of an estimate that is used, as a share of it.
+_RELATIVE_ERROR_MAX = 0.2
+# Standard error of the estimate, taken as that of a median: a multiple of the
+# interquartile range over the square root of the number of samples.
 _ERROR_PER_RANGE = 0.93
 # Time after the last sample for which an instance uses and reports its own
 # estimate, and after its receipt for which it uses one of another instance, in
@@ -70,6 +76,10 @@
 # is expected. A spell of 0.6 s takes up to six.
 _PAUSE_SAMPLES_MAX = 400
 _PAUSE_SAMPLES_MIN = 60
+# Pause to expect until it is learned, as a multiple of the time for an event:
+# an event takes twice as long beside a prefill, and slow spells are known to
+# slow an engine down 2.5 times.
+_PAUSE_FACTOR_INITIAL = 5.0
 # Share of the pause limit at which an expected pause begins to count. The
 # learned times are uncertain by about this much.
 _PAUSE_RAMP_START = 0.85
@@ -81,15 +91,18 @@
 
     Attributes:
         count_min: Number of samples without which there is no estimate.
+        span_min_s: Time over which the samples must be spread, in seconds.
         values: The samples, oldest first.
         last_s: Monotonic time of the newest sample, in seconds.
     """
 
     count_min: int
+    span_min_s: float = 0.0
     values: collections.deque[float] = attrs.field(
         factory=lambda: collections.deque(maxlen=_SAMPLES_MAX)
     )
     last_s: float = float('-inf')
+    _first_s: float = float('-inf')
     _estimate: float = 0.0
     _changed: bool = False
 
@@ -99,12 +112,14 @@
             return
         if now_s - self.last_s > _OWN_AGE_MAX_S:
             self.values.clear()
+        if not self.values:
+            self._first_s = now_s
         self.values.append(value)
         self.last_s = now_s
         self._changed = True
 
     def estimate(self, now_s: float) -> float:
-        """Returns the median; 0 if there is no estimate that is usable."""
+        """Returns the estimate; 0 if there is none that is usable."""
         if now_s - self.last_s > _OWN_AGE_MAX_S:
             return 0.0
         if self._changed:
@@ -116,11 +131,13 @@
         count = len(self.values)
         if count < self.count_min:
             return 0.0
+        if self.last_s - self._first_s < self.span_min_s:
+            return 0.0
         ordered = sorted(self.values)
-        median = statistics.median(ordered)
+        estimate = ordered[int(_SPEED_QUANTILE * count)]
         spread = ordered[(3 * count) // 4] - ordered[count // 4]
         error = _ERROR_PER_RANGE * spread / math.sqrt(count)
-        return median if error <= _RELATIVE_ERROR_MAX * median else 0.0
+        return estimate if error <= _RELATIVE_ERROR_MAX * estimate else 0.0
 
 
 @attrs.frozen
@@ -159,7 +176,9 @@
 
     service: str = ''
     started_ms: int = 0
-    events: _Samples = attrs.field(factory=lambda: _Samples(_SAMPLES_MIN))
+    events: _Samples = attrs.field(
+        factory=lambda: _Samples(_SAMPLES_MIN, _SAMPLES_SPAN_MIN_S)
+    )
     prefills: _Samples = attrs.field(
         factory=lambda: _Samples(_PREFILL_SAMPLES_MIN)
     )
@@ -574,7 +593,7 @@
     def _pause_factor(self, service: str) -> float:
         pauses = self._pauses.get(service, ())
         if len(pauses) < _PAUSE_SAMPLES_MIN:
-            return 0.0
+            return _PAUSE_FACTOR_INITIAL
         return sorted(pauses)[int(_PAUSE_QUANTILE * (len(pauses) - 1))]
 
 
