Bound what callers make a gateway process hold by one account

Callers saw: a process that many large bodies, unread answers or heads without an end had filled was ended by its machine, with the requests of all others. An engine whose caller read slowly was not read on and cut its answer off. Cause: bodies, heads, answers and connections were bounded one by one: 8 MiB of a body before anyone reads it, 8 MiB of a head, 32 requests ahead and 512 KiB of each answer, each times the number of connections. Bodies were copied into the buffer of the connection to their target, answers into that to their caller. Now: dotterelweir_core.gateway.memory_account decides, gateway/callers charges before bytes are held; what is not charged is bounded by construction. Stalled connections give way. limits.maxFds bounds the connections of callers, the longest idle one is closed first. docs/design/process-memory.md has the bounds. Not measured: processor time for a request.

--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -19,6 +19,7 @@
 from dotterelweir_fakes.fleet import store as fleet_store
 from dotterelweir_fakes.links import rules as links_rules
 from dotterelweir_fakes.soak import broken_gateway
+from dotterelweir_fakes.soak import crowds
 from dotterelweir_fakes.soak import engines as soak_engines
 from dotterelweir_fakes.soak import faults
 from dotterelweir_fakes.soak import guarantees
@@ -30,6 +31,16 @@
 _METHODS = ('POST', 'POST', 'GET', 'PUT', 'DELETE')
 # Time for open requests to end after the last fault, in seconds.
 _SETTLE_S = 5.0
+# Kinds of crowds that send no whole request, and the longest stay of one, in
+# seconds.
+_CROWD_KINDS = (
+    crowds.Kind.SHORT_WHOLE,
+    crowds.Kind.SHORT_PIECES,
+    crowds.Kind.SHORT_CHUNKED,
+    crowds.Kind.ENDLESS_HEADS,
+    crowds.Kind.IDLE,
+)
+_CROWD_S_MAX = 6.0
 # Id of a shared part of prompts.
 _SHARED_PART = 'a1'
 _DEADLY_SHARE = 0.05
@@ -66,6 +77,8 @@
         deadly_part: Whether some requests have a part that crashes engines.
             Such requests that reach engines after the fifth crash are
             counted, with ``check`` also judged.
+        crowd: Number of connections of callers that send no whole request;
+            0 for none.
         ledger: Runs and answers of all requests.
         rules: Rules of the proxies before engines and the store.
         store: Stand-in for the store.
@@ -79,6 +92,7 @@
     module: str
     directory: pathlib.Path
     deadly_part: str = 'none'
+    crowd: int = 0
     ledger: guarantees.Ledger = attrs.field(factory=guarantees.Ledger)
     rules: links_rules.Rules = attrs.field(factory=links_rules.Rules)
     store: fleet_store.FakeStore = attrs.field(factory=fleet_store.FakeStore)
@@ -188,6 +202,9 @@
             )
             for n in range(4 * self.instance_count)
         ]
+        if self.crowd:
+            crowd_rng = random.Random(rng.random())
+            callers.append(asyncio.create_task(self._run_crowds(crowd_rng)))
         await asyncio.sleep(self.duration_s)
         injection.cancel()
         await asyncio.gather(injection, return_exceptions=True)
@@ -197,6 +214,20 @@
         await asyncio.gather(*callers, return_exceptions=True)
         await asyncio.sleep(_SETTLE_S)
 
+    async def _run_crowds(self, rng: random.Random) -> None:
+        """Sends crowds to one instance after the other.
+
+        None of their requests is whole, so none may reach an engine.
+        """
+        while True:
+            node, kind = rng.choice(self.nodes), rng.choice(_CROWD_KINDS)
+            crowd = crowds.Crowd(
+                kind, self.crowd, node.host, instances.CALLERS_PORT
+            )
+            self._trace(f'{node.name}: crowd, {kind.value}')
+            async with crowd:
+                await asyncio.sleep(rng.uniform(1.0, _CROWD_S_MAX))
+
     async def _open_proxy(self, name: str, host: str, port: int) -> None:
         proxy = self._proxies[name] = proxies.BackendProxy(
             self.rules, name, host, port
@@ -317,6 +348,12 @@
     default='none',
     help='Adds requests with a part that crashes engines.',
 )
+@click.option(
+    '--crowd',
+    type=int,
+    default=0,
+    help='Adds connections of callers that send no whole request.',
+)
 @click.option('--directory', type=click.Path(path_type=pathlib.Path))
 def soak(
     seed: int,
@@ -324,6 +361,7 @@
     instance_count: int,
     without_guard: str | None,
     deadly_part: str,
+    crowd: int,
     directory: pathlib.Path | None,
 ) -> None:
     """Runs gateway processes under random faults and checks guarantees.
@@ -345,6 +383,7 @@
                 module,
                 output_directory,
                 deadly_part,
+                crowd,
             ).run()
         )
     click.echo(orjson.dumps(result).decode())
--- a/fakes/tests/soak/test_soak.py
+++ b/fakes/tests/soak/test_soak.py
@@ -22,3 +22,14 @@
     assert result['violations'] == []
     assert result['whole'] > 0
     assert result['faults']
+
+
+def test_a_crowd_violates_no_guarantee(tmp_path):
+    """Guards against callers of parts of requests that disturb the others."""
+    soak = command.Soak(
+        7, _DURATION_S, 2, 'dotterelweir_platform', tmp_path, crowd=30
+    )
+    result = asyncio.run(soak.run())
+    assert result['violations'] == []
+    assert result['whole'] > 0
+    assert 'crowd, ' in (tmp_path / 'faults.log').read_text()
--- a/packages/core/src/dotterelweir_core/errors.py
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -52,6 +52,7 @@
     SHUTTING_DOWN = 'shutting-down'
     LOG_UNAVAILABLE = 'log-unavailable'
     LOG_GAP = 'log-gap'
+    MEMORY_SHORT = 'memory-short'
     PLATFORM_UNAVAILABLE = 'platform-unavailable'
     PEER_REJECTED = 'peer-rejected'
     SETTINGS_INVALID = 'settings-invalid'
@@ -100,6 +101,9 @@
     ErrorKind.QUEUE_TIMEOUT: ErrorResponse(
         503, 'No target had room for the request in time', True
     ),
+    ErrorKind.MEMORY_SHORT: ErrorResponse(
+        503, 'The instance has no memory left for the request', True
+    ),
     ErrorKind.PROMPT_BLOCKED: ErrorResponse(
         503, 'Engines have crashed on a part of the prompt', True
     ),
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -323,6 +323,41 @@
     'An engine is called to stop a run, whose copy is complete; `copy_s` is '
     'the time that it took, `left_s` the time to the deadline.',
 )
+CALLER_REFUSED_FOR_MEMORY = _event(
+    266,
+    'caller-refused-for-memory',
+    logging.WARNING,
+    'Requests were refused before they ran, as there was no memory for them; '
+    'logged once per reason in 10 s, with their `count`.',
+)
+CALLER_DISPLACED = _event(
+    267,
+    'caller-displaced',
+    logging.WARNING,
+    'Callers that neither sent nor read for a second gave way to others; '
+    'logged once per reason in 10 s, with their `count`.',
+)
+CALLER_CLOSED = _event(
+    268,
+    'caller-closed',
+    logging.WARNING,
+    'Connections of callers were closed, as there were too many or a head had '
+    'no end; logged once per reason in 10 s, with their `count`.',
+)
+CALLER_READS_TOO_SLOWLY = _event(
+    269,
+    'caller-reads-too-slowly',
+    logging.WARNING,
+    'Connections were aborted within an answer that their callers did not '
+    'read; logged once per reason in 10 s, with their `count`.',
+)
+MEMORY_UNREADY = _event(
+    270,
+    'memory-unready',
+    logging.WARNING,
+    'The instance reports itself not ready for a short time, as callers hold '
+    'most of its memory; logged once in 10 s, with the `count`.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/daemon/src/dotterelweird/gateway/answer_bodies.py
+++ b/packages/daemon/src/dotterelweird/gateway/answer_bodies.py
@@ -3,65 +3,62 @@
 from collections.abc import Callable
 
 import aiohttp
-import attrs
+
+from dotterelweir_core.gateway import memory_account
+from dotterelweird.gateway.callers import memory as caller_memory
 
 # Maximum size of an answer that is read as a whole, in bytes. The usual bound
 # on the body of a request is the same; answers of calls are far smaller.
 ANSWER_BYTES_MAX = 4_194_304
-# Share of the process's memory that all answers in flight may hold; the rest
-# is for the program and the streams.
-_MEMORY_SHARE = 0.25
 
 
 class AnswerTooLarge(aiohttp.ClientPayloadError):
     """An answer exceeds the bound on one answer or on all in flight."""
 
 
-@attrs.define
 class AnswerMemory:
-    """Memory budget of the answers that are read as a whole.
+    """Charges answers that are read as a whole to the account of the process.
 
-    Attributes:
-        bytes_max: Maximum bytes that all answers in flight may hold.
-        held_bytes: Bytes that the answers in flight hold now.
+    Args:
+        memory: The account.
     """
 
-    bytes_max: int
-    held_bytes: int = 0
-
-    @classmethod
-    def for_process(cls, memory_bytes: int) -> 'AnswerMemory':
-        """Returns the budget for a process.
-
-        Args:
-            memory_bytes: Memory of the process.
-        """
-        return cls(int(_MEMORY_SHARE * memory_bytes))
+    def __init__(self, memory: caller_memory.CallerMemory) -> None:
+        self._memory = memory
 
-    async def read(self, answer: aiohttp.ClientResponse) -> bytes:
+    async def read(
+        self,
+        answer: aiohttp.ClientResponse,
+        holding: memory_account.Holding,
+    ) -> bytes:
         """Reads a whole answer.
 
-        A body that has been read no longer counts against the budget, although
-        it is held until it is written to its caller.
+        The bytes stay charged to the caller's connection until the caller has
+        read them.
+
+        Args:
+            answer: The answer.
+            holding: The holding of the caller's connection.
 
         Raises:
-            AnswerTooLarge: The answer, or all answers in flight together,
-                exceed their bound; the connection was closed.
+            AnswerTooLarge: The answer exceeds its bound or the memory that is
+                left; the connection was closed.
             aiohttp.ClientError: The connection broke off.
         """
         size_bytes = 0
 
         def on_chunk(chunk_bytes: int) -> None:
             nonlocal size_bytes
-            size_bytes += chunk_bytes
-            self.held_bytes += chunk_bytes
-            if self.held_bytes > self.bytes_max:
+            chunk_bytes = int(caller_memory.BUFFER_FACTOR * chunk_bytes)
+            if not self._memory.charge(holding, chunk_bytes):
                 raise AnswerTooLarge('no memory left for answers')
+            size_bytes += chunk_bytes
 
         try:
             return await read(answer, ANSWER_BYTES_MAX, on_chunk)
-        finally:
-            self.held_bytes -= size_bytes
+        except BaseException:
+            self._memory.account.shrink(holding, size_bytes)
+            raise
 
 
 async def read(
@@ -84,9 +81,9 @@
     body = bytearray()
     try:
         async for chunk in answer.content.iter_any():
-            body += chunk
             if on_chunk is not None:
                 on_chunk(len(chunk))
+            body += chunk
             if len(body) > bytes_max:
                 raise AnswerTooLarge(f'over {bytes_max} bytes')
     except AnswerTooLarge:
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -15,6 +15,7 @@
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import target_client
+from dotterelweird.gateway.callers import bodies
 
 LOG = logging.getLogger(__name__)
 
@@ -163,7 +164,7 @@
         request.method,
         _build_url(target, request.raw_path),
         headers=parts.dialect.attempt_headers(request, options),
-        data=request.body or None,
+        data=bodies.outgoing(request.body),
         allow_redirects=False,
         trace_request_ctx=send_state,
     )
@@ -265,7 +266,7 @@
             # The notice must not wait for the body, which may be slow or
             # incomplete.
             facts = decode_answer(parts, exchange, target, answer, send_state)
-            body = await parts.memory.read(answer)
+            body = await parts.memory.read(answer, exchange.holding)
     except (aiohttp.ClientError, TimeoutError) as exc:
         return outcome_of_error(exc, send_state)
     finally:
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -11,6 +11,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core.gateway import memory_account
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweird import scopes
 from dotterelweird.gateway import api
@@ -21,6 +22,7 @@
 from dotterelweird.gateway import generations
 from dotterelweird.gateway import keepers
 from dotterelweird.gateway import stopping
+from dotterelweird.gateway.callers import bodies
 
 LOG = logging.getLogger(__name__)
 
@@ -79,6 +81,7 @@
             self._handle,
             self._limits,
             parts.timers,
+            parts.caller_memory,
             request_factory=self._make_request,
             handler_cancellation=True,
             lingering_time=_LINGER_S,
@@ -135,16 +138,29 @@
     async def _handle(
         self, http_request: web.BaseRequest
     ) -> web.StreamResponse:
-        self._set_running(self.running + 1)
+        connection = http_request.protocol
         try:
-            response = await self._respond(http_request)
+            await connection.begin_request()
+            self._set_running(self.running + 1)
+            try:
+                response = await self._respond(http_request)
+            finally:
+                self._set_running(self.running - 1)
+            if self._parts.stop_plan.stopping and not response.prepared:
+                # The header announces the close. A caller that was not told
+                # would use the connection again while it is closed.
+                response.force_close()
+            if connection.holding.exceeded and not response.prepared:
+                # Requests that were sent ahead would be refused in turn.
+                response.force_close()
+            if bodies.is_large(response):
+                connection.begin_answer()
+                return await bodies.send_large(
+                    http_request, response, connection.record_progress
+                )
+            return response
         finally:
-            self._set_running(self.running - 1)
-        if self._parts.stop_plan.stopping and not response.prepared:
-            # The header announces the close. A caller that was not told would
-            # use the connection again while it is closed.
-            response.force_close()
-        return response
+            connection.end_request()
 
     def _set_running(self, running: int) -> None:
         self.running = running
@@ -176,8 +192,15 @@
         outcome = 'cancelled'
         try:
             with self._interruptible() as pending:
+                self._parts.caller_memory.charge_body(
+                    http_request.protocol.holding,
+                    memory_account.REQUEST_BYTES,
+                )
+                http_request.protocol.interrupt = pending.scope.interrupt
                 request = await self._decode(http_request)
-                exchange = self._create_exchange(request, arrived_s)
+                exchange = self._create_exchange(
+                    request, arrived_s, http_request.protocol.holding
+                )
                 pending.exchange = exchange
                 response = await self._answer(http_request, exchange)
             outcome = str(response.status)
@@ -213,17 +236,13 @@
         _check_sizes(http_request, limits)
         try:
             async with asyncio.timeout(limits.idle_timeout_s):
-                body = await http_request.read()
+                body = await self._read_body(http_request, limits)
             return self._parts.dialect.decode_request(
                 http_request.method,
                 http_request.raw_path,
                 http_request.raw_headers,
                 body,
             )
-        except web.HTTPRequestEntityTooLarge:
-            raise errors.DotterelweirError(
-                errors.ErrorKind.BODY_TOO_LARGE
-            ) from None
         except TimeoutError:
             raise errors.DotterelweirError(
                 errors.ErrorKind.REQUEST_INCOMPLETE
@@ -233,6 +252,23 @@
                 errors.ErrorKind.MALFORMED_REQUEST, str(exc)
             ) from exc
 
+    async def _read_body(
+        self,
+        http_request: web.BaseRequest,
+        limits: gateway_tables.CallerLimits,
+    ) -> bytes:
+        connection = http_request.protocol
+        try:
+            return await bodies.read(
+                http_request,
+                self._parts.caller_memory,
+                connection.holding,
+                limits.body_bytes,
+                connection.read_large,
+            )
+        finally:
+            connection.read_large(False)
+
     async def _answer(
         self,
         http_request: web.BaseRequest,
@@ -268,7 +304,10 @@
             factor.record(exchange.expected_duration_s, taken_s)
 
     def _create_exchange(
-        self, request: api.CallerRequest, arrived_s: float
+        self,
+        request: api.CallerRequest,
+        arrived_s: float,
+        holding: memory_account.Holding,
     ) -> exchanges.Exchange:
         tables = self._keeper.current
         if tables is None:
@@ -300,6 +339,7 @@
             arrived_s,
             arrived_s + timeout_s,
             tables.shortest_objective_s(service.name),
+            holding,
         )
 
     def _build_response(self, answered: exchanges.Answered) -> web.Response:
--- a/packages/daemon/src/dotterelweird/gateway/caller_stream.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_stream.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from dotterelweir_core import events
 from dotterelweir_core.gateway import event_stream
 from dotterelweird.gateway import api
 from dotterelweird.gateway import dependencies
@@ -60,6 +61,8 @@
         self._http_request = http_request
         self._response: web.StreamResponse | None = None
         self._last_write_s: float | None = None
+        self._connection = http_request.protocol
+        self._unread_bytes = 0
         self.cursor = event_stream.EventCursor(exchange.request.last_event_id)
 
     @property
@@ -92,6 +95,7 @@
         )
         with _translate_caller_errors():
             await self._response.prepare(self._http_request)
+        self._connection.begin_stream()
 
     async def write(self, data: bytes) -> None:
         """Sends whole events.
@@ -100,8 +104,8 @@
             data: The encoded events.
 
         Raises:
-            CallerLostError: The caller closed its connection, or did not
-                read the events before its deadline.
+            CallerLostError: The caller closed its connection, or reads so
+                slowly that more events wait for it than may be held.
         """
         now_s = self._parts.timers.monotonic_s()
         if self._last_write_s is not None:
@@ -111,8 +115,17 @@
         self._last_write_s = now_s
         remaining_s = self._exchange.deadline_s - now_s
         with _translate_caller_errors():
+            # This does not wait for the caller: the engine must be read on,
+            # as it cuts off an answer that stays unread.
             async with asyncio.timeout(remaining_s):
                 await self._response.write(data)
+        if not self._connection.charge_stream(self._unread_bytes, len(data)):
+            self._parts.caller_memory.report_closed(
+                events.CALLER_READS_TOO_SLOWLY, 'stream'
+            )
+            self._connection.abort()
+            raise CallerLostError('reads too slowly')
+        self._unread_bytes = self._connection.unread_bytes
 
     async def finish(self) -> web.StreamResponse:
         """Ends the answer, so that the caller sees it as complete.
--- /dev/null
+++ b/packages/daemon/src/dotterelweird/gateway/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Memory and connections that callers of the gateway may take."""
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -16,6 +16,7 @@
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import memory_account
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import reading
@@ -48,6 +49,8 @@
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import target_client
 from dotterelweird.gateway import trials
+from dotterelweird.gateway.callers import listening
+from dotterelweird.gateway.callers import memory as caller_memory
 
 LOG = logging.getLogger(__name__)
 
@@ -63,9 +66,6 @@
 _TARGETS_JITTER_MAX_S = 0.5
 # Interval of the checks whether a stopping process may exit, in seconds.
 _STOP_POLL_INTERVAL_S = 0.05
-# Connections that may wait to be accepted. After a restart of many instances
-# hundreds arrive in one burst.
-_LISTEN_BACKLOG = 1024
 # Time that the caller server gives requests in flight when it is shut down, in
 # seconds.
 _SHUTDOWN_TIMEOUT_S = 0.05
@@ -118,6 +118,15 @@
         self._store_session = target_client.open_store_session()
         self._directory = targets.TargetDirectory()
         self._loads = load.LoadRegistry()
+        self._caller_memory = caller_memory.CallerMemory(
+            memory_account.MemoryAccount.for_process(
+                settings.memory_bytes, settings.fds_max
+            ),
+            self._timers,
+            self._rng,
+            self._statistics,
+        )
+        self._readiness = memory_account.ReadinessLimiter()
         pause_registry = pauses.PauseRegistry()
         limiter = limiting.TargetLimiter(
             settings.instance_id,
@@ -155,7 +164,8 @@
                 settings.repeat_burst,
                 settings.repeat_window_s,
             ),
-            answer_bodies.AnswerMemory.for_process(settings.memory_bytes),
+            answer_bodies.AnswerMemory(self._caller_memory),
+            self._caller_memory,
             self._handle_notice,
             self._stop_plan,
             prompt_guard.PromptGuard(
@@ -278,11 +288,11 @@
             for follower in self._followers.values()
         ]
         self._servers = [
-            await loop.create_server(
+            await listening.listen(
                 self._callers.server,
                 settings.callers.host,
                 settings.callers.port,
-                backlog=_LISTEN_BACKLOG,
+                self._caller_memory.account.connections_max,
             ),
             await self._start_http_server(settings.ready, self._answer_ready),
             await self._start_http_server(
@@ -399,7 +409,19 @@
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.path != self._ready_path:
             return web.Response(status=404)
-        return web.Response(status=200 if self._is_ready() else 503)
+        ready = self._is_ready() and self._has_memory()
+        return web.Response(status=200 if ready else 503)
+
+    def _has_memory(self) -> bool:
+        used_share = self._caller_memory.account.used_share
+        ready = self._readiness.is_ready(
+            used_share, self._timers.monotonic_s()
+        )
+        if not ready:
+            self._caller_memory.log.log(
+                events.MEMORY_UNREADY, '', used_share=round(used_share, 3)
+            )
+        return ready
 
     def _is_ready(self) -> bool:
         if self._stop_plan.stopping or self._tables.current is None:
@@ -440,6 +462,9 @@
         }
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
+        self._statistics.caller_bytes.set(
+            {}, self._caller_memory.account.held_bytes
+        )
         body, headers = self._statistics.render(
             request.headers.get('Accept', '')
         )
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -28,6 +28,7 @@
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
+from dotterelweird.gateway.callers import memory as caller_memory
 from dotterelweird.gateway.sending import gate as send_gate
 
 
@@ -49,6 +50,7 @@
         rng: Random source.
         budgets: Retry budget of each service.
         memory: Limits the memory of answers that are read as a whole.
+        caller_memory: The account of the memory that callers take.
         notice_listener: Called with each notice of a target.
         stop_plan: State and time limits of a stop of the process.
         prompt_guard: Keeps prompts that crash engines away from them.
@@ -76,6 +78,7 @@
     rng: random.Random
     budgets: retry_budget.BudgetRegistry
     memory: answer_bodies.AnswerMemory
+    caller_memory: caller_memory.CallerMemory
     notice_listener: api.NoticeListener
     stop_plan: stopping.StopPlan
     prompt_guard: prompt_guards.PromptGuard
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -6,6 +6,7 @@
 
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import engine_ends
+from dotterelweir_core.gateway import memory_account
 from dotterelweir_core.gateway import tables
 from dotterelweird.gateway import api
 from dotterelweird.gateway import target_client
@@ -34,6 +35,7 @@
             seconds.
         shortest_objective_s: Shortest objective of any generation of the
             service, in seconds.
+        holding: What the caller's connection holds.
         tried: Ids of targets to which sending was attempted.
         runs_started: Number of runs from the beginning that may have
             started.
@@ -63,6 +65,7 @@
     arrived_s: float
     deadline_s: float
     shortest_objective_s: float
+    holding: memory_account.Holding
     tried: set[str] = attrs.field(factory=set)
     runs_started: int = 0
     may_have_run: bool = False
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -292,7 +292,7 @@
             )
             if answer.status != 200 or not facts.is_authentic:
                 async with asyncio.timeout(self._time_left_s()):
-                    body = await parts.memory.read(answer)
+                    body = await parts.memory.read(answer, exchange.holding)
                 return attempts.classify(answer.status, facts, body)
             now_s = parts.timers.monotonic_s()
             self.head_s = round(now_s - self._sent_s, 4)
--- a/packages/daemon/src/dotterelweird/gateway/settings.py
+++ b/packages/daemon/src/dotterelweird/gateway/settings.py
@@ -38,6 +38,7 @@
         settle_s: Time after the store recovers from an outage within which
             targets write their expired entries again, in seconds.
         memory_bytes: Memory that the process may use, in bytes.
+        fds_max: Descriptors that the process may open.
     """
 
     instance_id: str
@@ -53,3 +54,4 @@
     repeat_window_s: float
     settle_s: float
     memory_bytes: int
+    fds_max: int
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -41,6 +41,10 @@
         target_ends: Ends of targets with requests in flight, by origin.
         rewinds: Restores of the store from an older copy that the instance
             observed, by stream.
+        memory_refusals: Requests refused for lack of memory, by reason.
+        closed_callers: Connections of callers that were closed because of
+            what they held, by reason.
+        caller_bytes: Bytes that are charged to callers.
         running: Requests of callers in flight.
         tables_version: Version of the tables in force.
     """
@@ -144,6 +148,21 @@
             buckets=_BUCKETS_S,
             registry=self._registry,
         )
+        self.memory_refusals = aioprometheus.Counter(
+            'dotterelweir_gateway_memory_refusals_total',
+            'Requests refused for lack of memory',
+            registry=self._registry,
+        )
+        self.closed_callers = aioprometheus.Counter(
+            'dotterelweir_gateway_closed_callers_total',
+            'Connections of callers that were closed for what they held',
+            registry=self._registry,
+        )
+        self.caller_bytes = aioprometheus.Gauge(
+            'dotterelweir_gateway_caller_bytes',
+            'Bytes that callers hold by the account of the process',
+            registry=self._registry,
+        )
         self.running = aioprometheus.Gauge(
             'dotterelweir_gateway_running_requests',
             'Requests in flight',
--- a/packages/daemon/src/dotterelweird/gateway/target_client.py
+++ b/packages/daemon/src/dotterelweird/gateway/target_client.py
@@ -66,6 +66,10 @@
 # Further bytes allowed for each byte of the body: a chunk of one byte has an
 # overhead of six.
 _OVERHEAD_PER_BODY_BYTE = 8
+# Bytes of an answer that are read ahead of the code that passes them on; twice
+# as many are held at most. One read of a connection has as many. The defaults
+# of the libraries are eight times larger, for each request in flight.
+_READ_AHEAD_BYTES = 32_768
 _HEAD_END = b'\r\n\r\n'
 
 
@@ -91,6 +95,11 @@
         self._received_bytes = 0
         self._body: streams.StreamReader | None = None
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        super().connection_made(transport)
+        # asyncio has no public argument for the size of a read.
+        transport.max_size = _READ_AHEAD_BYTES
+
     def data_received(self, data: bytes) -> None:
         # An error of the parser discards the heads that it has read from the
         # same data. Therefore the end of a head ends the data.
@@ -186,6 +195,7 @@
             'Content-Type',
         ),
         raise_for_status=False,
+        read_bufsize=_READ_AHEAD_BYTES,
     )
 
 
