Bound what callers take of the product's own callers' port

Callers saw: the same as at the gateway; bodies that stop short of their end were held together without a bound, idle connections took every descriptor. Cause: the port had bounds for one request only. Now: it uses the connections and the account of the gateway. The settings are callers.memory_mb (512) and callers.fds_max (4,096). Ruled out: an idle timeout shorter than that of balancers, which would cross requests with closes. Not done: answers that this port reads as a whole are not charged, its readiness does not depend on the account, and its streams stop reading the engine at their own bound of 64 KiB as before. Conclusion: bodies, heads, requests ahead and connections are bounded at both.

--- a/packages/daemon/src/dotterelweird/callers/inflight.py
+++ b/packages/daemon/src/dotterelweird/callers/inflight.py
@@ -50,8 +50,8 @@
             self._calls.discard(task)
 
     @contextlib.contextmanager
-    def interruptible(self) -> Iterator[None]:
-        """Lets ``hand_over`` interrupt the block.
+    def interruptible(self) -> Iterator[scopes.Scope]:
+        """Lets ``hand_over``, or who gets the scope, interrupt the block.
 
         Raises:
             DotterelweirError: SHUTTING_DOWN if ``hand_over`` was called
@@ -63,7 +63,7 @@
         with scopes.Scope() as scope:
             self._scopes.add(scope)
             try:
-                yield
+                yield scope
             finally:
                 self._scopes.discard(scope)
 
--- a/packages/daemon/src/dotterelweird/callers/server.py
+++ b/packages/daemon/src/dotterelweird/callers/server.py
@@ -4,11 +4,14 @@
 from collections.abc import Awaitable
 from collections.abc import Callable
 import logging
+from typing import Any
 
 from aiohttp import web
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core.gateway import memory_account
+from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.policy import api as policy_api
 from dotterelweir_core.tables import matching
 from dotterelweir_core.tables import model as tables_model
@@ -19,6 +22,9 @@
 from dotterelweird.callers import requests
 from dotterelweird.callers import service_calls
 from dotterelweird.callers import streams
+from dotterelweird.gateway import caller_connections
+from dotterelweird.gateway.callers import bodies
+from dotterelweird.gateway.callers import memory as caller_memory
 
 LOG = logging.getLogger(__name__)
 
@@ -28,6 +34,13 @@
 # higher so that a field that is too large is answered with a problem document;
 # above its own limit the parser answers with status 400.
 _PARSER_LIMIT_RATIO = 16
+# Time for which an idle connection is kept, in seconds. It is the default of
+# the HTTP library: balancers keep connections for less, so that they close
+# them first and no request crosses the close.
+_IDLE_TIMEOUT_S = 3_630.0
+# Time from the first byte of a head to its end, in seconds.
+_HEAD_TIMEOUT_S = 75.0
+_BYTES_PER_MB = 1_000_000
 # Time for handlers that still run when the port closes, and again after their
 # cancellation. Requests in flight have ended before, so these only refuse.
 _SHUTDOWN_TIMEOUT_S = 0.1
@@ -49,6 +62,50 @@
     return app
 
 
+class _BoundedRunner(web.AppRunner):
+    """Serves an application with bounds on what its callers take."""
+
+    def __init__(
+        self,
+        app: web.Application,
+        components: api.CallerComponents,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(app, **kwargs)
+        self._components = components
+
+    async def _make_server(self) -> web.Server:
+        # It also starts the application.
+        await super()._make_server()
+        components, settings = self._components, self._components.settings
+        memory = caller_memory.CallerMemory(
+            memory_account.MemoryAccount.for_process(
+                int(_BYTES_PER_MB * settings.callers.memory_mb),
+                settings.callers.fds_max,
+            ),
+            components.timer,
+            components.rng,
+            components.metrics.memory_refusals,
+            components.metrics.closed_callers,
+        )
+        limits = gateway_tables.CallerLimits(
+            header_bytes=_PARSER_LIMIT_RATIO
+            * settings.callers.header_max_bytes,
+            body_bytes=settings.callers.body_max_bytes,
+            header_timeout_s=_HEAD_TIMEOUT_S,
+            idle_timeout_s=_IDLE_TIMEOUT_S,
+        )
+        # aiohttp has no public way to choose the server of an application.
+        return caller_connections.CallerConnections(
+            self._app._handle,
+            lambda: limits,
+            components.timer,
+            memory,
+            request_factory=self._app._make_request,
+            **self._kwargs,
+        )
+
+
 def make_runner(components: api.CallerComponents) -> web.AppRunner:
     """Creates the runner of ``make_app`` with the configured limits.
 
@@ -56,8 +113,9 @@
     that waits for a target leaves the queue.
     """
     limit = components.settings.callers.header_max_bytes * _PARSER_LIMIT_RATIO
-    return web.AppRunner(
+    return _BoundedRunner(
         make_app(components),
+        components,
         access_log=None,
         handler_cancellation=True,
         shutdown_timeout=_SHUTDOWN_TIMEOUT_S,
@@ -112,8 +170,7 @@
         request[requests.ORGANISATION] = self._organisation(request)
         if request.path == _STREAMS_PATH and request.method == 'GET':
             return await streams.handle(self._components, request)
-        with self._components.in_flight.interruptible():
-            body = await request.read()
+        body = await self._read_body(request)
         completion = None
         if request.method == 'POST' and (
             request.path in requests.COMPLETION_PATHS
@@ -121,6 +178,24 @@
             completion = requests.parse_completion(request.path, body)
         return await self._route_request(request, body, completion)
 
+    async def _read_body(self, request: web.Request) -> bytes:
+        connection = request.protocol
+        with self._components.in_flight.interruptible() as scope:
+            connection.interrupt = scope.interrupt
+            connection.memory.charge_body(
+                connection.holding, memory_account.REQUEST_BYTES
+            )
+            try:
+                return await bodies.read(
+                    request,
+                    connection.memory,
+                    connection.holding,
+                    self._settings.body_max_bytes,
+                    connection.read_large,
+                )
+            finally:
+                connection.read_large(False)
+
     async def _route_request(
         self,
         request: web.Request,
@@ -195,6 +270,16 @@
             f'{self._components.rng.getrandbits(64):016x}'
         )
         request[requests.REQUEST_ID] = request_id
+        connection = request.protocol
+        try:
+            await connection.begin_request()
+            return await self._track(request, handler)
+        finally:
+            connection.end_request()
+
+    async def _track(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
         with self._components.in_flight.track():
             try:
                 response = await handler(request)
@@ -202,15 +287,6 @@
                 return response
             except errors.DotterelweirError as error:
                 return self._refuse(request, error)
-            except web.HTTPRequestEntityTooLarge:
-                limit = self._settings.body_max_bytes
-                return self._refuse(
-                    request,
-                    errors.DotterelweirError(
-                        errors.ErrorKind.BODY_TOO_LARGE,
-                        f'the body has more than {limit} bytes',
-                    ),
-                )
             except (ConnectionError, asyncio.CancelledError):
                 self._record_outcome(request, requests.CALLER_GONE)
                 raise
@@ -233,7 +309,11 @@
             detail=error.detail,
         )
         self._record_outcome(request, error.kind.value)
-        return problems.response(error, request_id)
+        response = problems.response(error, request_id)
+        if request.protocol.holding.exceeded:
+            # What else was sent on the connection would be refused in turn.
+            response.force_close()
+        return response
 
     def _fail(self, request: web.Request) -> web.Response:
         request_id = request[requests.REQUEST_ID]
--- a/packages/daemon/src/dotterelweird/gateway/caller_connections.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_connections.py
@@ -79,6 +79,7 @@
         The HTTP library would keep them open until the timeout of its
         shutdown, and discard what it reads from them.
         """
+        self.registry.close()
         for connection in self.connections:
             if not connection.has_request:
                 connection.force_close()
@@ -119,7 +120,7 @@
 
     def __init__(self, server: CallerConnections, **kwargs) -> None:
         super().__init__(server, **kwargs)
-        self._limit_read_ahead()
+        self._limit_read_ahead(kwargs.get('auto_decompress', True))
         self._head_bytes = 0
         # Whether the charge is adapted once the answer is written.
         self._settle_due = False
@@ -132,12 +133,17 @@
         self._in_head = False
         self._last_payload: streams.StreamReader | None = None
 
+    @property
+    def memory(self) -> caller_memory.CallerMemory:
+        """The account of what callers hold."""
+        return self._server.registry.memory
+
     @property
     def has_request(self) -> bool:
         """Whether a request was read whose answer is not written yet."""
         return self._request_in_progress or bool(self._messages)
 
-    def _limit_read_ahead(self) -> None:
+    def _limit_read_ahead(self, auto_decompress: bool) -> None:
         # The library has no argument for the number of requests. Its protocol
         # pauses reading, and its parser stops within what was read.
         self._max_msg_queue_size = _READ_AHEAD_MAX
@@ -150,7 +156,7 @@
             max_field_size=self.max_field_size,
             max_headers=self.max_headers,
             payload_exception=web_protocol.RequestPayloadError,
-            auto_decompress=False,
+            auto_decompress=auto_decompress,
             max_msg_queue_size=_READ_AHEAD_MAX,
         )
 
--- a/packages/daemon/src/dotterelweird/gateway/callers/bodies.py
+++ b/packages/daemon/src/dotterelweird/gateway/callers/bodies.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 import aiohttp
+from aiohttp import hdrs
 from aiohttp import payload
 from aiohttp import web
 
@@ -40,6 +41,11 @@
     content, length = http_request.content, http_request.content_length
     if content.at_eof():
         return b''
+    if hdrs.CONTENT_ENCODING in http_request.headers:
+        # It may be decoded as it is read, and then be larger.
+        length = None
+    if length is not None and length > bytes_max:
+        raise _too_large(bytes_max)
     if length is not None:
         memory.charge_body(holding, length)
         if length <= _SMALL_BYTES:
@@ -51,7 +57,7 @@
     memory.record_progress(holding, memory_account.Phase.COLLECTING)
     while piece := await content.readany():
         if len(body) + len(piece) > bytes_max:
-            raise errors.DotterelweirError(errors.ErrorKind.BODY_TOO_LARGE)
+            raise _too_large(bytes_max)
         if length is None:
             memory.charge_body(holding, len(piece))
             if admitted_bytes <= _SMALL_BYTES:
@@ -64,6 +70,13 @@
     return bytes(body)
 
 
+def _too_large(bytes_max: int) -> errors.DotterelweirError:
+    return errors.DotterelweirError(
+        errors.ErrorKind.BODY_TOO_LARGE,
+        f'the body has more than {bytes_max} bytes',
+    )
+
+
 def _read_large(
     content: aiohttp.StreamReader, on_admitted: Callable[[bool], None]
 ) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/callers/memory.py
+++ b/packages/daemon/src/dotterelweird/gateway/callers/memory.py
@@ -3,11 +3,12 @@
 import logging
 import random
 
+import aioprometheus
+
 from dotterelweir_core import errors
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import memory_account
-from dotterelweird.gateway import statistics as gateway_statistics
 from dotterelweird.gateway.callers import bounded_log
 
 LOG = logging.getLogger(__name__)
@@ -28,7 +29,8 @@
         account: The account.
         timer_service: Clock.
         rng: Random source.
-        statistics: Counters.
+        refusals: Counts refused requests, by reason.
+        closed: Counts closed connections, by reason.
 
     Attributes:
         account: The account.
@@ -40,12 +42,14 @@
         account: memory_account.MemoryAccount,
         timer_service: timers.TimerService,
         rng: random.Random,
-        statistics: gateway_statistics.Statistics,
+        refusals: aioprometheus.Counter,
+        closed: aioprometheus.Counter,
     ) -> None:
         self.account = account
         self._timers = timer_service
         self._rng = rng
-        self._statistics = statistics
+        self._refusals = refusals
+        self._closed = closed
         self.log = bounded_log.BoundedLog(LOG, timer_service)
 
     def charge_body(
@@ -110,7 +114,7 @@
         Args:
             reason: The bound that was reached.
         """
-        self._statistics.memory_refusals.inc({'reason': reason})
+        self._refusals.inc({'reason': reason})
         self.log.log(
             events.CALLER_REFUSED_FOR_MEMORY,
             reason,
@@ -125,5 +129,5 @@
             event: The event.
             reason: Why it was closed.
         """
-        self._statistics.closed_callers.inc({'reason': reason})
+        self._closed.inc({'reason': reason})
         self.log.log(event, reason, held_bytes=self.account.held_bytes)
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -124,7 +124,8 @@
             ),
             self._timers,
             self._rng,
-            self._statistics,
+            self._statistics.memory_refusals,
+            self._statistics.closed_callers,
         )
         self._readiness = memory_account.ReadinessLimiter()
         pause_registry = pauses.PauseRegistry()
--- a/packages/daemon/src/dotterelweird/metrics.py
+++ b/packages/daemon/src/dotterelweird/metrics.py
@@ -10,6 +10,10 @@
     Attributes:
         requests: Number of requests that ended, by route and outcome.
         refusals: Number of refused requests, by error kind.
+        memory_refusals: Number of requests refused for lack of memory, by
+            reason.
+        closed_callers: Number of callers' connections that were closed for
+            what they held, by reason.
         attempts: Number of attempts at targets, by target and end.
         tokens: Number of tokens delivered to callers, by route.
         resumes: Number of generations resumed on their engine.
@@ -31,6 +35,14 @@
         self.refusals = self._counter(
             'dotterelweir_refusals_total', 'Refused requests'
         )
+        self.memory_refusals = self._counter(
+            'dotterelweir_memory_refusals_total',
+            'Requests refused for lack of memory',
+        )
+        self.closed_callers = self._counter(
+            'dotterelweir_closed_callers_total',
+            'Connections of callers that were closed for what they held',
+        )
         self.attempts = self._counter(
             'dotterelweir_attempts_total', 'Attempts at targets'
         )
--- a/packages/daemon/src/dotterelweird/settings/model.py
+++ b/packages/daemon/src/dotterelweird/settings/model.py
@@ -73,6 +73,10 @@
             None rejects these requests.
         body_max_bytes: Largest accepted request body.
         header_max_bytes: Largest accepted header field.
+        memory_mb: Memory of the process in MB; what callers may take of it
+            follows from it.
+        fds_max: Descriptors of the process; callers' connections use at most
+            half of what is above 200.
     """
 
     listen: Address = attrs.field(factory=Address)
@@ -86,6 +90,8 @@
     header_max_bytes: int = attrs.field(
         default=8_190, validator=_validate_positive
     )
+    memory_mb: float = attrs.field(default=512.0, validator=_validate_positive)
+    fds_max: int = attrs.field(default=4_096, validator=_validate_positive)
 
 
 @attrs.frozen
--- a/packages/daemon/tests/gateway/test_floods.py
+++ b/packages/daemon/tests/gateway/test_floods.py
@@ -73,12 +73,14 @@
     account = memory_account.MemoryAccount(3_600_000, 4_096)
     callers = [account.open(name, lambda: None) for name in ('a', 'b')]
     before_bytes = account.held_bytes
+    counters = statistics.Statistics()
     memory = answer_bodies.AnswerMemory(
         caller_memory.CallerMemory(
             account,
             timers.LoopTimerService(asyncio.get_running_loop()),
             random.Random(1),
-            statistics.Statistics(),
+            counters.memory_refusals,
+            counters.closed_callers,
         )
     )
     reading = asyncio.create_task(memory.read(first, callers[0]))
