Merge the account of memory, and bound what callers hold

What callers saw: crowds of clients took a gateway process with 88 MB to 220 to 2,460 MB (40 to 200 connections: bodies one byte short, complete ones, requests sent ahead, heads without end, mixtures), and idle connections took all its descriptors.

A test of the learned speeds compared two floats exactly.

--- a/fakes/src/dotterelweir_fakes/soak/trials.py
+++ b/fakes/src/dotterelweir_fakes/soak/trials.py
@@ -112,6 +112,7 @@
         service: Service of all engines.
         make_engine: Creates an engine from its id.
         service_fields: Fields of the configuration of the service.
+        settings: Further lines of the settings file of every process.
 
     Attributes:
         engines: Engines by id.
@@ -131,7 +132,9 @@
             [str], fleet_engine.FakeEngine
         ] = fleet_engine.FakeEngine,
         service_fields: dict[str, object] | None = None,
+        settings: tuple[str, ...] = (),
     ) -> None:
+        self._settings = settings
         self._directory = directory
         self._instance_count = instance_count
         self._service = service
@@ -178,7 +181,9 @@
             await self.register(engine)
         address = f'127.0.0.1:{self._runner.addresses[0][1]}'
         for number in range(1, self._instance_count + 1):
-            node = instances.Instance(number, self._directory, address)
+            node = instances.Instance(
+                number, self._directory, address, settings=self._settings
+            )
             self.nodes.append(node)
             node.start()
         await asyncio.gather(*(node.wait_ready() for node in self.nodes))
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -408,6 +408,41 @@
     'route is to be expected; `choices` is the number of such choices since '
     'the last event; at most once a minute for each service.',
 )
+CALLER_REFUSED_FOR_MEMORY = _event(
+    266,
+    'caller-refused-for-memory',
+    logging.WARNING,
+    'Requests were refused before they ran, as there was no memory for them; '
+    'logged once per reason in 10 s, with their `count`.',
+)
+CALLER_DISPLACED = _event(
+    267,
+    'caller-displaced',
+    logging.WARNING,
+    'Callers that neither sent nor read for a second gave way to others; '
+    'logged once per reason in 10 s, with their `count`.',
+)
+CALLER_CLOSED = _event(
+    268,
+    'caller-closed',
+    logging.WARNING,
+    'Connections of callers were closed, as there were too many or a head had '
+    'no end; logged once per reason in 10 s, with their `count`.',
+)
+CALLER_READS_TOO_SLOWLY = _event(
+    269,
+    'caller-reads-too-slowly',
+    logging.WARNING,
+    'Connections were aborted within an answer that their callers did not '
+    'read; logged once per reason in 10 s, with their `count`.',
+)
+MEMORY_UNREADY = _event(
+    270,
+    'memory-unready',
+    logging.WARNING,
+    'The instance reports itself not ready for a short time, as callers hold '
+    'most of its memory; logged once in 10 s, with the `count`.',
+)
 GATEWAY_CLOSING = _event(
     237,
     'gateway-closing',
--- a/packages/core/tests/gateway/test_target_speeds.py
+++ b/packages/core/tests/gateway/test_target_speeds.py
@@ -162,7 +162,10 @@
     now_s = play(loads.speeds, new, [0.016] * 110, 60.0)
     assert now_s < 62.0
     view = loads.speeds.view([*ALL, new], 'model', now_s)
-    assert view.get('new') == view.get('fast') != view.get('slow')
+    assert view.get('new').running == pytest.approx(
+        view.get('fast').running, rel=0.01
+    )
+    assert view.get('slow').running < 1.0
 
 
 def test_a_pause_is_expected_before_one_was_measured(loads):
--- a/packages/daemon/src/dotterelweird/gateway/settings.py
+++ b/packages/daemon/src/dotterelweird/gateway/settings.py
@@ -40,6 +40,7 @@
         settle_s: Time after the store recovers from an outage within which
             targets write their expired entries again, in seconds.
         memory_bytes: Memory that the process may use, in bytes.
+        fds_max: Descriptors that the process may open.
         pace: Pace of targets that have started or recovered.
     """
 
@@ -56,4 +57,5 @@
     repeat_window_s: float
     settle_s: float
     memory_bytes: int
+    fds_max: int
     pace: gateway_pace.PaceSettings = gateway_pace.PaceSettings()
