--- a/fakes/tests/measurement/test_crest.py
+++ b/fakes/tests/measurement/test_crest.py
@@ -85,7 +85,7 @@
             ORDER_LOADS[load],
             seed,
             crest.AdmissionRule.ADMISSION,
-            service_rule,
+            service_rule=service_rule,
         )
         for seed in seeds
     ]
@@ -133,3 +133,34 @@
         for rule in (crest.ServiceRule.LOCAL, crest.ServiceRule.SHARED)
     )
     assert shared['long-urgent'] > local['long-urgent']
+
+
+def test_learned_speeds_reduce_pauses_on_uneven_engines():
+    """Guards against long runs that are late on slow engines.
+
+    A quarter of the engines is 2.2 times as fast as the others. The share
+    of long runs with a pause above the limit must fall by a quarter at
+    least, and short runs must not become late.
+    """
+
+    def share(learns_speeds, kind, field):
+        tallies = [
+            crest.simulate(
+                LOADS['uneven'],
+                seed,
+                crest.AdmissionRule.ADMISSION,
+                learns_speeds=learns_speeds,
+            )[kind]
+            for seed in (1, 2, 3)
+        ]
+        return sum(getattr(tally, field) for tally in tallies) / sum(
+            tally.arrived for tally in tallies
+        )
+
+    paused = {
+        learns: share(learns, 'long', 'paused') for learns in (False, True)
+    }
+    # The load must show the fault, or the test proves nothing.
+    assert paused[False] > 0.2
+    assert paused[True] < 0.75 * paused[False]
+    assert share(True, 'short', 'on_time') >= share(False, 'short', 'on_time')
--- a/packages/cli/src/dotterelweir_cli/fleet/deployment.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/deployment.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import statistics
 from typing import Any
 
 import attrs
@@ -89,6 +90,8 @@
         store or have fewer peers than there are other gateways.
         ``views_of_targets`` is the number of different states of the
         targets stream; 1 means that all gateways agree.
+        ``evacuated_zones`` are those of most gateways, and
+        ``other_evacuated_zones`` those of each gateway that differs.
     """
     instance_statuses = list(deployment_status.statuses.values())
     newest_version = max(
@@ -98,6 +101,14 @@
     content_counts = collections.Counter(
         status['streams']['targets']['content'] for status in instance_statuses
     )
+    # Instances of an older version know nothing of evacuations.
+    zones = {
+        status['instance_id']: tuple(status.get('evacuated_zones', ()))
+        for status in instance_statuses
+    }
+    ((usual_zones, _),) = collections.Counter(zones.values()).most_common(
+        1
+    ) or [((), 0)]
     return {
         'instances': len(instance_statuses),
         'silent': sorted(deployment_status.unreachable),
@@ -122,6 +133,12 @@
             )
         ),
         'views_of_targets': len(content_counts),
+        'evacuated_zones': list(usual_zones),
+        'other_evacuated_zones': sorted(
+            f'{instance_id}: {", ".join(own_zones) or "none"}'
+            for instance_id, own_zones in zones.items()
+            if own_zones != usual_zones
+        ),
         'hears_less_than_all': sorted(
             status['instance_id']
             for status in instance_statuses
@@ -134,9 +151,13 @@
     """Returns one row for each target that at least one gateway knows.
 
     Instances may differ in the load of a target; a row has the highest
-    values of ``running`` and ``tokens``.
+    values of ``running`` and ``tokens``, and the lowest ``pace_per_s``, which
+    only targets have that are paced after their start. ``speed`` is the
+    median of the speeds that the instances have learned, relative to the
+    service; empty while none has.
     """
     rows: dict[str, Document] = {}
+    speeds: dict[str, list[float]] = {}
     for status in deployment_status.statuses.values():
         for target in status['targets']:
             row = rows.setdefault(
@@ -150,6 +171,7 @@
                     'running': 0,
                     'tokens': 0,
                     'avoided_by': 0,
+                    'pace_per_s': None,
                 },
             )
             row['states'].add(target['state'])
@@ -157,7 +179,22 @@
             row['running'] = max(row['running'], int(target['running']))
             row['tokens'] = max(row['tokens'], int(target['tokens']))
             row['avoided_by'] += target['avoided']
+            # Gateways of an older version state neither of these.
+            pace_per_s = target.get('pace_per_s')
+            if pace_per_s is not None:
+                known_per_s = row['pace_per_s']
+                row['pace_per_s'] = (
+                    pace_per_s
+                    if known_per_s is None
+                    else min(known_per_s, pace_per_s)
+                )
+            if target.get('speed') is not None:
+                speeds.setdefault(target['target_id'], []).append(
+                    target['speed']
+                )
     for row in rows.values():
+        known = speeds.get(row['target'])
+        row['speed'] = round(statistics.median(known), 2) if known else ''
         row['states'] = ', '.join(sorted(row['states']))
     return sorted(
         rows.values(), key=lambda row: (row['service'], row['target'])
--- a/packages/cli/tests/fleet/test_fleet.py
+++ b/packages/cli/tests/fleet/test_fleet.py
@@ -190,7 +190,9 @@
     """Guards against a summary that hides instances that differ."""
     deployment_status = deployment.DeploymentStatus(
         {
-            'i1': status_document('i1', peers=[{}, {}]),
+            'i1': status_document(
+                'i1', peers=[{}, {}], evacuated_zones=['zone-a']
+            ),
             'i2': status_document('i2', version=2),
             'i3': status_document(
                 'i3',
@@ -206,9 +208,39 @@
     assert summary_fields['stopping'] == ['i3']
     assert summary_fields['silent'] == ['i4']
     assert summary_fields['views_of_targets'] == 2
+    assert summary_fields['evacuated_zones'] == []
+    assert summary_fields['other_evacuated_zones'] == ['i1: zone-a']
     assert summary_fields['hears_less_than_all'] == ['i2', 'i3']
 
 
+def test_target_rows_have_the_median_of_the_learned_speeds():
+    """Guards against one false speed, and against instances without one."""
+    row = {
+        'target_id': 'engine-1',
+        'service': 'model',
+        'zone': 'a',
+        'state': 'ready',
+        'running': 1,
+        'tokens': 2,
+        'avoided': False,
+    }
+    rows = deployment.target_rows(
+        deployment.DeploymentStatus(
+            {
+                f'i{number}': status_document(
+                    f'i{number}', targets=[{**row, **speed}]
+                )
+                for number, speed in enumerate(
+                    [{}, {'speed': None}, {'speed': 2.2}, {'speed': 2.2}]
+                    + [{'speed': 0.3}]
+                )
+            },
+            {},
+        )
+    )
+    assert [row['speed'] for row in rows] == [2.2]
+
+
 async def test_status_of_a_running_gateway():
     """Guards against status fields that a real gateway does not have."""
     gateway_deployment = fake_deployment.Deployment()
@@ -232,6 +264,7 @@
     printed = json.loads(result.stdout)
     assert printed['instances'] == printed['ready'] == 1
     assert printed['tables_version'] == 1
+    assert printed['evacuated_zones'] == []
     assert [row['target'] for row in printed['targets']] == ['engine-1']
 
 
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -133,6 +133,32 @@
     logging.WARNING,
     'The process was paused; placements wait until targets are polled again.',
 )
+ZONE_EVACUATED = _event(
+    251,
+    'zone-evacuated',
+    logging.WARNING,
+    'The operator has evacuated an availability zone; its targets are sent '
+    'nothing new.',
+)
+ZONE_RESTORED = _event(
+    252,
+    'zone-restored',
+    logging.WARNING,
+    'An evacuated availability zone is in use again.',
+)
+EVACUATED_ZONE_UNKNOWN = _event(
+    253,
+    'evacuated-zone-unknown',
+    logging.WARNING,
+    'No target is registered in an evacuated availability zone; its name may '
+    'be wrong.',
+)
+EVACUATION_REJECTED = _event(
+    254,
+    'evacuation-rejected',
+    logging.ERROR,
+    'A zone was not evacuated because too many zones are evacuated already.',
+)
 UNEXPECTED_ERROR = _event(
     299,
     'unexpected-error',
@@ -323,6 +349,65 @@
     'An engine is called to stop a run, whose copy is complete; `copy_s` is '
     'the time that it took, `left_s` the time to the deadline.',
 )
+COPY_IN_PROGRESS = _event(
+    250,
+    'copy-in-progress',
+    logging.WARNING,
+    'An engine has answered several calls about a run in a row that it works '
+    'on an earlier one; logged once for a run at an engine, `since_s` after '
+    'the first call.',
+)
+TARGET_COLD = _event(
+    255,
+    'target-cold',
+    logging.INFO,
+    'A target has started, or says that it is cold; for `left_s` it gets at '
+    'most `rate_per_s` requests per second from all instances together.',
+)
+TURN_LATE = _event(
+    256,
+    'turn-late',
+    logging.INFO,
+    'A turn at a paced target is not used, as this instance was busy or '
+    'frozen for `late_s` when it was due; it obtains another one.',
+)
+PACE_CHANGED = _event(
+    257,
+    'pace-changed',
+    logging.INFO,
+    'A pace of a target is learned from its answers, or is no longer as the '
+    'target bears what it is sent; `rate_per_s` is the pace.',
+)
+PACE_LOWERED = _event(
+    258,
+    'pace-lowered',
+    logging.INFO,
+    'The answers of a paced target are late or missing, so that its pace has '
+    'fallen; logged once per target in 5 s.',
+)
+TARGET_SPEED_DIFFERS = _event(
+    259,
+    'target-speed-differs',
+    logging.INFO,
+    'The learned speed of a target differs from the median of its service, '
+    'or no longer does (`speed` 1); at most once a minute for each target.',
+)
+SPEEDS_UNEVEN = _event(
+    260,
+    'service-speeds-uneven',
+    logging.INFO,
+    'Targets of a service differ in speed, or no longer do; `pause_factor` '
+    'is the pause to expect beside a prefill, as a multiple of the time for '
+    'an event; at most once a minute for each service.',
+)
+PAUSE_EXPECTED = _event(
+    261,
+    'pause-expected',
+    logging.INFO,
+    'A stream was sent to an engine where a pause above the limit of its '
+    'route is to be expected; `choices` is the number of such choices since '
+    'the last event; at most once a minute for each service.',
+)
 REFUSED_FOR_CAPACITY = _event(
     262,
     'refused-for-capacity',
--- a/packages/core/src/dotterelweir_core/gateway/tables.py
+++ b/packages/core/src/dotterelweir_core/gateway/tables.py
@@ -121,11 +121,17 @@
         connections_max: Connections that a target accepts from all callers
             together. Not used by the gateway.
         engine: Properties of its model engines; None for plain services.
+        warm_up_s: Time after its start for which a target is cold, in
+            seconds; 0 if it is not stated.
+        warm_up_per_s: Requests per second that a cold target bears; 0 if the
+            number is not stated.
     """
 
     name: str
     connections_max: int
     engine: EngineSpec | None = None
+    warm_up_s: float = 0.0
+    warm_up_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -195,6 +201,7 @@
     _by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False)
     _objectives_s: dict[str, float] = attrs.field(init=False, eq=False)
     ordered_services: frozenset[str] = attrs.field(init=False, eq=False)
+    _event_gaps_s: dict[str, float] = attrs.field(init=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
         by_host: dict[str, list[Route]] = {}
@@ -204,13 +211,20 @@
             routes.sort(key=lambda route: -len(route.path_prefix))
         object.__setattr__(self, '_by_host', by_host)
         objectives_s: dict[str, float] = {}
+        event_gaps_s: dict[str, float] = {}
         for route in self.routes:
             if route.kind is not RequestKind.STREAM:
                 continue
             for service in route.services:
                 known_s = objectives_s.get(service.name, route.objective_s)
                 objectives_s[service.name] = min(known_s, route.objective_s)
+                if route.event_gap_s > 0:
+                    event_gaps_s[service.name] = min(
+                        event_gaps_s.get(service.name, route.event_gap_s),
+                        route.event_gap_s,
+                    )
         object.__setattr__(self, '_objectives_s', objectives_s)
+        object.__setattr__(self, '_event_gaps_s', event_gaps_s)
         object.__setattr__(self, 'ordered_services', self._find_ordered())
 
     def _find_ordered(self) -> frozenset[str]:
@@ -246,6 +260,17 @@
         """
         return self._objectives_s.get(service, 0.0)
 
+    def shortest_event_gap_s(self, service: str) -> float:
+        """Returns the shortest limit on pauses of a service's stream routes.
+
+        Args:
+            service: Name of the service.
+
+        Returns:
+            The time in seconds; 0 if no route of streams limits pauses.
+        """
+        return self._event_gaps_s.get(service, 0.0)
+
     def match(self, host: str, path: str) -> Route | None:
         """Finds the route with the longest matching path prefix.
 
--- a/packages/core/src/dotterelweir_core/gateway/waiting.py
+++ b/packages/core/src/dotterelweir_core/gateway/waiting.py
@@ -88,6 +88,8 @@
             ordered.
         repeated: Whether an equal request of the same caller waits in the
             queue and goes first.
+        deferred: Whether its last poll found capacity, but only at engines
+            that it passes over while it waits for a faster one.
     """
 
     arrived_s: float
@@ -99,6 +101,7 @@
         default=attrs.Factory(lambda self: self.arrived_s, takes_self=True)
     )
     repeated: bool = False
+    deferred: bool = False
 
     @property
     def due_s(self) -> float:
@@ -225,6 +228,10 @@
     def is_next(self, entry: QueueEntry, now_s: float) -> bool:
         """Whether a request is at the head of the queue.
 
+        In an ordered queue, the requests that pass over free capacity do not
+        block the others. Urgent ones that arrive one after another would
+        otherwise keep less urgent ones from engines that none of them uses.
+
         Args:
             entry: The request.
             now_s: Monotonic time, in seconds.
@@ -236,6 +243,8 @@
             if other is entry:
                 own_seen = True
                 continue
+            if other.deferred and self.order is not None:
+                continue
             rank = _rank(other, over_share, now_s)
             if rank < own or (rank == own and not own_seen):
                 return False
@@ -450,9 +459,11 @@
         Args:
             now_s: Monotonic time, in seconds.
             has_capacity: Returns whether an engine has capacity for the
-                request; called only if it is at the head of the queue.
+                request, and sets ``entry.deferred``; called only if it is at
+                the head of the queue.
         """
         seen_before = self.capacity_seen
+        self.entry.deferred = False
         self.capacity_seen = (
             self.queue.is_next(self.entry, now_s) and has_capacity()
         )
@@ -460,8 +471,8 @@
             return PollResult.ADMITTED
         if self.entry.is_expired(now_s):
             return PollResult.EXPIRED
-        if not self.capacity_seen and self.queue.is_hopeless(
-            self.entry, now_s
-        ):
+        if self.capacity_seen or self.entry.deferred:
+            return PollResult.WAIT
+        if self.queue.is_hopeless(self.entry, now_s):
             return PollResult.REFUSED
         return PollResult.WAIT
--- a/packages/core/tests/gateway/test_service_order.py
+++ b/packages/core/tests/gateway/test_service_order.py
@@ -170,6 +170,72 @@
     assert queue.expected_wait_s(4.5) < 4.0
 
 
+def defer(item):
+    """Returns a check that finds only an engine which is passed over."""
+
+    def has_capacity():
+        item.deferred = True
+        return False
+
+    return has_capacity
+
+
+def test_requests_that_pass_over_an_engine_do_not_block_others():
+    """Guards against engines that stay idle beside waiting requests.
+
+    The urgent request waits for a faster engine than the free one.
+    """
+    queue = ordered_queue()
+    urgent, less_urgent = entry(1.0), entry(0.0, LESS_URGENT)
+    for item in (less_urgent, urgent):
+        queue.add(item)
+    urgent_poll = waiting.AdmissionPoll(urgent, queue)
+    poll = waiting.AdmissionPoll(less_urgent, queue)
+    urgent_poll.poll(1.1, defer(urgent))
+    assert poll.poll(1.11, lambda: True) is waiting.PollResult.WAIT
+    assert poll.poll(1.2, lambda: True) is waiting.PollResult.ADMITTED
+    # It goes first again as soon as it would use what there is.
+    poll = waiting.AdmissionPoll(less_urgent, queue)
+    urgent_poll.poll(1.21, lambda: True)
+    poll.poll(1.22, lambda: True)
+    assert not poll.capacity_seen
+    # Without any capacity, it goes first as well.
+    urgent_poll.poll(1.25, defer(urgent))
+    urgent_poll.poll(1.3, lambda: False)
+    assert not queue.is_next(less_urgent, 1.31)
+
+
+def test_without_an_order_all_wait_for_the_first():
+    """Guards against other outcomes where no priorities are configured."""
+    queue = waiting.RequestQueue()
+    first, second = entry(0.0), entry(0.5)
+    for item in (first, second):
+        queue.add(item)
+    waiting.AdmissionPoll(first, queue).poll(0.6, defer(first))
+    assert first.deferred
+    assert not queue.is_next(second, 0.6)
+
+
+def test_a_request_that_passes_over_an_engine_is_not_refused():
+    """Guards against refusals for capacity while an engine has some.
+
+    The queue has had no capacity for long, so that it counts as hopeless.
+    """
+    queue = ordered_queue()
+    waiting_long = entry(0.0)
+    queue.add(waiting_long)
+    for _ in range(3):
+        queue.add(entry(40.0))
+    last = entry(40.0, LESS_URGENT)
+    queue.add(last)
+    for item in [item for item in queue._entries if item is not last]:
+        item.deferred = True
+    assert queue.is_hopeless(last, 40.1)
+    poll = waiting.AdmissionPoll(last, queue)
+    assert poll.poll(40.1, defer(last)) is waiting.PollResult.WAIT
+    assert poll.poll(40.2, lambda: False) is waiting.PollResult.REFUSED
+
+
 def test_the_priority_of_an_organisation_replaces_that_of_the_route():
     """Guards against a configured priority that has no effect."""
     routes = tuple(
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -109,6 +109,7 @@
             attempt_deadline_s = now_s + _EARLY_ATTEMPT_SHARE * (
                 exchange.deadline_s - now_s
             )
+        parts.speed_reporter.report_choice(exchange, choice)
         events.log(
             LOG,
             events.GATEWAY_TARGET_CHOSEN,
@@ -118,6 +119,8 @@
             candidates=choice.candidates,
             tables_version=exchange.tables_version,
         )
+        load = parts.loads.get(target.target_id)
+        in_slot = load.running + load.peer_running < max(1, target.slots)
         with attempts.track_load(parts, target):
             outcome = await attempts.call(
                 parts, exchange, target, attempt_deadline_s
@@ -130,8 +133,13 @@
                 exchange, target, begun=True
             )
         if isinstance(outcome, exchanges.Answered):
+            if in_slot and outcome.status < 400:
+                parts.loads.speeds.record_call(
+                    target, ended_s - now_s, ended_s
+                )
             parts.request_guard.report_answer(exchange)
         self._record_outcome(target.target_id, outcome, ended_s)
+        parts.pace.record_call(exchange, target, outcome, ended_s - now_s)
         return outcome
 
     def _record_outcome(
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -15,7 +15,9 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import admission
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load
+from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import reading
@@ -48,6 +50,8 @@
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import target_client
 from dotterelweird.gateway import trials
+from dotterelweird.gateway.sending import evacuating
+from dotterelweird.gateway.sending import pacing
 
 LOG = logging.getLogger(__name__)
 
@@ -121,6 +125,7 @@
         self._directory = targets.TargetDirectory()
         self._loads = load.LoadRegistry()
         pause_registry = pauses.PauseRegistry()
+        self._evacuations = evacuations.EvacuationRegistry()
         limiter = limiting.TargetLimiter(
             settings.instance_id,
             self._timers,
@@ -128,6 +133,15 @@
             self._send_to_peer,
             self._broadcast,
             self._view_peers,
+            pace.PaceRegistry(settings.pace),
+        )
+        self._pace = pacing.PaceKeeper(
+            limiter,
+            self._directory,
+            self._loads,
+            self._timers,
+            self._statistics,
+            lambda: self._followers[api.StoreStream.TARGETS].has_state,
         )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
@@ -148,6 +162,7 @@
                 self._rng,
                 pause_registry,
                 limiter.limits,
+                self._evacuations,
             ),
             admission.Admission(self._loads),
             self._statistics,
@@ -168,9 +183,10 @@
                 self._timers, self._statistics, self._rng, trial_turns
             ),
             end_detection.EndDetector(self._timers),
+            self._pace,
         )
         store = adapter.store(self._store_session)
-        self._tables = keepers.TablesKeeper(store)
+        self._tables = keepers.TablesKeeper(store, self._evacuations)
         self._targets = keepers.TargetsKeeper(
             store, self._directory, self._timers, settings.settle_s
         )
@@ -178,7 +194,17 @@
         self._targets.subscribe(self._parts.watch.notify)
         self._targets.subscribe(self._discard_removed_load)
         self._targets.subscribe(self._record_warm_up)
+        self._targets.subscribe(self._pace.apply_change)
+        self._targets.subscribe_registrations(self._pace.record_registration)
         self._tables.subscribe(self._record_tables_version)
+        self._evacuations.subscribe(self._notify_watchers)
+        self._evacuations.subscribe(self._pace_restored_targets)
+        self._evacuations.subscribe(
+            evacuating.EvacuationReporter(
+                self._evacuations, self._directory, self._statistics
+            ).report
+        )
+        self._tables.subscribe(self._pace.apply_tables)
         findings = finding_exchange.FindingExchange(
             self._timers,
             self._rng,
@@ -188,7 +214,9 @@
             limiter,
             self._send_to_peer,
             self._broadcast,
+            self._evacuations,
         )
+        self._tables.subscribe_evacuations(findings.send_finding)
         self._peers = peers.PeerExchange(
             settings,
             self._timers,
@@ -207,6 +235,7 @@
             self._targets,
             pause_registry,
             limiter,
+            self._pace,
             self._peers,
             self._timers,
             self._statistics,
@@ -252,6 +281,7 @@
         self._ordered_services: frozenset[str] = frozenset()
         self._follower_tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
+        self._pace_timer: core_timers.TimerHandle | None = None
         self._answers_timer: core_timers.TimerHandle | None = None
         self._callers = caller_server.CallerServer(self._parts, self._tables)
 
@@ -278,6 +308,9 @@
         events.log(
             LOG, events.GATEWAY_STARTED, instance_id=settings.instance_id
         )
+        self._pace_timer = self._timers.call_every(
+            pacing.PERIOD_S, self._pace.update
+        )
         self._follower_tasks = [
             asyncio.create_task(follower.run())
             for follower in self._followers.values()
@@ -314,6 +347,8 @@
             server.close()
         for follower in self._follower_tasks:
             follower.cancel()
+        if self._pace_timer is not None:
+            self._pace_timer.cancel()
         self._peers.close()
         self._lifecycle.stop()
         await self._drain_accepted()
@@ -354,8 +389,31 @@
 
     def _discard_removed_load(self, change: targets.TargetChange) -> None:
         if change.after is None:
+            self._loads.speeds.discard(change.target_id)
             self._loads.discard_if_unused(change.target_id)
 
+    def _notify_watchers(
+        self, evacuation: evacuations.Evacuation, change: evacuations.Change
+    ) -> None:
+        """Tells generations that a target of theirs was evacuated."""
+        if change is not evacuations.Change.EVACUATED:
+            return
+        for target in list(self._directory.targets.values()):
+            if target.zone == evacuation.zone:
+                self._parts.watch.notify(
+                    targets.TargetChange(target.target_id, target, target)
+                )
+
+    def _pace_restored_targets(
+        self, evacuation: evacuations.Evacuation, change: evacuations.Change
+    ) -> None:
+        """Takes the targets of a restored zone to be cold."""
+        if change is not evacuations.Change.RESTORED:
+            return
+        for target in list(self._directory.targets.values()):
+            if target.zone == evacuation.zone:
+                self._pace.begin_cold(target)
+
     def _record_warm_up(self, change: targets.TargetChange) -> None:
         target = change.after
         if target is not None and target.warm_up_left_s > 0:
@@ -440,7 +498,10 @@
                 stream.value: status.stream_row(follower)
                 for stream, follower in self._followers.items()
             },
-            'targets': status.target_rows(self._directory, self._loads, now_s),
+            'evacuated_zones': sorted(self._evacuations.zones),
+            'targets': status.target_rows(
+                self._directory, self._loads, self._parts.limiter.pace, now_s
+            ),
             'peers': self._peers.status_rows(),
             'queues': status.queue_rows(self._parts.queues, now_s),
         }
@@ -479,7 +540,8 @@
     def _reload(self) -> None:
         """Reads the settings again.
 
-        The grace time and the bounds of the retry budgets take effect.
+        The grace time, the bounds of the retry budgets and the settings of
+        the pace take effect.
         """
         try:
             settings = self._load_settings()
@@ -490,4 +552,5 @@
         if self._stop_plan.stopping:
             self._schedule_last_answers()
         self._parts.set_settings(settings)
+        self._pace.apply_settings(settings.pace)
         events.log(LOG, events.GATEWAY_RELOADED, grace_s=settings.grace_s)
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -17,6 +17,7 @@
 from dotterelweir_core.gateway import service_order
 from dotterelweir_core.gateway import service_queues
 from dotterelweir_core.gateway import tables
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import waiting
 from dotterelweird.gateway import answer_bodies
@@ -28,10 +29,13 @@
 from dotterelweird.gateway import releasing
 from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
+from dotterelweird.gateway import speed_reports
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import stopping
 from dotterelweird.gateway import watching
+from dotterelweird.gateway.sending import evacuating
 from dotterelweird.gateway.sending import gate as send_gate
+from dotterelweird.gateway.sending import pacing
 from dotterelweird.gateway.sharing import reporting
 
 
@@ -60,6 +64,7 @@
         request_guard: Keeps requests under which targets ended away from
             others.
         end_detector: Detects the ends of targets with requests in flight.
+        pace: Follows which targets must not be sent all their load yet.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         queues: Queues of generations that wait for an engine.
@@ -68,6 +73,8 @@
         departure_times: When targets began to leave.
         gate: Tells whether a target may be sent something now.
         releaser: Frees copies of runs that will not be used.
+        evacuator: Moves runs off evacuated zones.
+        speed_reporter: Reports the learned speeds of targets.
     """
 
     settings: gateway_settings.GatewaySettings
@@ -89,6 +96,7 @@
     limiter: limiting.TargetLimiter
     request_guard: request_guards.RequestGuard
     end_detector: end_detection.EndDetector
+    pace: pacing.PaceKeeper
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
@@ -105,6 +113,8 @@
     departure_times: watching.DepartureTimes = attrs.field(init=False)
     gate: send_gate.SendGate = attrs.field(init=False)
     releaser: releasing.CopyReleaser = attrs.field(init=False)
+    evacuator: evacuating.RunEvacuator = attrs.field(init=False)
+    speed_reporter: speed_reports.SpeedReporter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.waiting_reporter = reporting.WaitingReporter(
@@ -116,10 +126,17 @@
             self.placer.pause_registry,
             self.departure_times,
             self.timers,
+            self.placer.evacuation_registry,
+        )
+        self.speed_reporter = speed_reports.SpeedReporter(
+            self.timers, self.loads, self.statistics
         )
         self.releaser = releasing.CopyReleaser(
             self.run_control, self.gate, self.limiter
         )
+        self.evacuator = evacuating.RunEvacuator(
+            self.placer.evacuation_registry, self.timers, self.rng
+        )
 
     def choose(
         self, exchange: exchanges.Exchange, excluded: set[str]
@@ -142,16 +159,21 @@
                 now_s=self.timers.monotonic_s(),
             )
         return self.placer.choose(
-            *self._placement_arguments(exchange), excluded, admits
+            *self._placement_arguments(exchange),
+            excluded,
+            admits,
+            self._stream_needs(exchange),
         )
 
-    def has_capacity(self, exchange: exchanges.Exchange) -> bool:
-        """Whether an engine can admit a generation without a wait."""
+    def find_capacity(
+        self, exchange: exchanges.Exchange
+    ) -> admission.Capacity:
+        """Returns whether an engine can admit a generation without a wait."""
         now_s = self.timers.monotonic_s()
         usable = self.placer.usable(
             self.directory.of_service(exchange.service.name), now_s
         )
-        return self.admission.has_capacity(
+        return self.admission.find_capacity(
             usable, exchange.service, exchange.demand, now_s
         )
 
@@ -168,7 +190,9 @@
             The engine, or None if no backup should be kept.
         """
         return self.placer.choose_backup(
-            *self._placement_arguments(exchange), excluded
+            *self._placement_arguments(exchange),
+            excluded,
+            self._stream_needs(exchange),
         )
 
     def choose_takeover_target(
@@ -188,9 +212,19 @@
             The engine, or None if no suitable engine accepts requests.
         """
         return self.placer.choose_takeover_target(
-            *self._placement_arguments(exchange), source, excluded
+            *self._placement_arguments(exchange),
+            source,
+            excluded,
+            self._stream_needs(exchange),
         )
 
+    def _stream_needs(
+        self, exchange: exchanges.Exchange
+    ) -> target_speeds.StreamNeeds | None:
+        if exchange.service.engine is None:
+            return None
+        return self.admission.needs(exchange.service, exchange.demand)
+
     def check_stop(self, exchange: exchanges.Exchange) -> None:
         """Refuses a request that the stop of the process would cut off.
 
@@ -212,12 +246,20 @@
             retry_after_s=stopping.RETRY_AFTER_S,
         )
 
-    def has_retries(self, exchange: exchanges.Exchange, count: int) -> bool:
-        """Whether retries are left for a run that is lost without them."""
+    def has_retries(
+        self, exchange: exchanges.Exchange, count: int, urgent: bool = True
+    ) -> bool:
+        """Whether retries are left for a run.
+
+        Args:
+            exchange: The request.
+            count: Number of retries.
+            urgent: Whether the run is lost without them.
+        """
         count -= exchange.retries_ahead
         budget = self.budgets.for_service(exchange.service.name)
         return count <= 0 or budget.has_retry(
-            self.timers.monotonic_s(), urgent=True, count=count
+            self.timers.monotonic_s(), urgent=urgent, count=count
         )
 
     def take_retry_ahead(self, exchange: exchanges.Exchange) -> bool:
@@ -257,9 +299,9 @@
         )
 
     def is_limited(self, exchange: exchanges.Exchange) -> bool:
-        """Whether a ready target of a service limits its request rate."""
+        """Whether a ready target of a service is sent requests by turns."""
         return any(
-            self.limiter.limits.is_limited(target)
+            self.limiter.is_limited(target)
             for target in self.placer.ready(
                 self.directory.of_service(exchange.service.name)
             )
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -7,6 +7,7 @@
 import attrs
 
 from dotterelweir_core.gateway import event_stream
+from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import api
 from dotterelweird.gateway import attempts
@@ -28,6 +29,9 @@
 # Time without a first event, as a multiple of the objective, after which a
 # resumable request is sent to another engine unless its engine is alive.
 _FIRST_EVENT_TIMEOUT_FACTOR = 1.4
+# Time of a write to the caller above which the time of the next event is not
+# that of the engine, in seconds.
+_SLOW_WRITE_S = 0.005
 # Time since the last event of any stream within which an engine counts as
 # alive, in seconds. A busy engine sends one every few tens of milliseconds.
 _ALIVE_S = 1.0
@@ -90,6 +94,8 @@
         if run.calls is not None:
             run.calls.continue_with(self._record)
         self._move: moving.RunMove | None = None
+        # Whether the newest move was started to leave an evacuated zone.
+        self._evacuating = False
         # Monotonic time of the send; None if other prompts were queued for
         # their prefill, as the rate cannot be measured then.
         self._prefill_start_s: float | None = None
@@ -102,6 +108,8 @@
         self._sent_s = parts.timers.monotonic_s()
         self._delivered_before = stream.cursor.delivered
         self.head_s: float | None = None
+        # Prompt tokens that were pending at the engine before the send.
+        self._pending_tokens = 0.0
         self._answer_body: aiohttp.StreamReader | None = None
 
     @property
@@ -142,11 +150,14 @@
         """Sends the request and passes its events to the caller."""
         parts, exchange, run = self._parts, self._exchange, self._run
         prefill_tokens = exchange.demand.prompt_tokens
+        self._pending_tokens = self._load.pending_prefill_tokens
         if run.copy is not None:
             prefill_tokens = 0
         elif not self._load.pending_prefill_tokens:
             self._prefill_start_s = self._parts.timers.monotonic_s()
         prefill = attempts.PendingPrefill(self._load, prefill_tokens)
+        if run.backup is not None and parts.gate.is_evacuated(run.backup):
+            run.backup = None
         watched = [run.target.target_id]
         if run.backup is not None:
             watched.append(run.backup.target_id)
@@ -154,6 +165,7 @@
             attempts.track_load(parts, run.target, exchange.tokens),
             attempts.track_backup_load(parts, run.backup, exchange.tokens),
             parts.watch.watching(watched, self._handle_target_change),
+            parts.evacuator.following(self),
             prefill,
         ):
             return await self._send_and_pass_events(prefill)
@@ -193,15 +205,24 @@
         self.calls.close(self._handover.ways if self._handover else ())
 
     def _handle_target_change(self, change: targets.TargetChange) -> None:
-        """Reacts if the engine of the run or its backup drains or is lost."""
-        unusable = change.after is None or (
-            change.after.state is targets.TargetState.DRAINING
+        """Reacts if the engine of the run or its backup drains or is lost.
+
+        Also if the zone of one of them is evacuated.
+        """
+        after = change.after
+        evacuated = after is not None and self._parts.gate.is_evacuated(after)
+        unusable = (
+            after is None
+            or evacuated
+            or (after.state is targets.TargetState.DRAINING)
         )
         if not unusable:
             return
         backup = self._run.backup
         if backup is not None and change.target_id == backup.target_id:
             self._run.backup = None
+            if evacuated:
+                self._record.backup = None
         if self._find_move_reason() is not None:
             self._start_move()
 
@@ -228,14 +249,60 @@
             return moving.Reason.LEAVING, silent_s
         if silent_s >= _SILENCE_TIMEOUT_S:
             return moving.Reason.SILENT, silent_s
+        if (
+            self.is_evacuating
+            and self._run.backup is None
+            and self._parts.gate.is_evacuated(self._run.target)
+        ):
+            return moving.Reason.EVACUATED, silent_s
         return None
 
-    def _start_move(self) -> None:
-        """Starts to move the run, unless a move is in progress."""
+    @property
+    def zone(self) -> str:
+        """Availability zone of the engine."""
+        return self._run.target.zone
+
+    @property
+    def is_evacuating(self) -> bool:
+        """Whether the run is being moved off its zone."""
+        in_progress = self._move is not None and not self._move.ended
+        return self._evacuating and in_progress
+
+    def work_left_s(self) -> float:
+        """Returns the time until the expected end, in seconds.
+
+        Returns:
+            The time; 0 for a run that does not move off its zone: another
+            engine keeps its memory, it starts again if it is lost, or it has
+            not begun.
+        """
+        parts, exchange = self._parts, self._exchange
+        engine = exchange.service.engine
+        movable = engine is not None and engine.can_move
+        if exchange.route.resumable or not (self._stream.started and movable):
+            return 0.0
+        if self._run.backup is not None:
+            return 0.0
+        factor = parts.duration_factors.for_service(exchange.service.name)
+        duration_s = factor.value * exchange.expected_duration_s
+        end_s = min(exchange.arrived_s + duration_s, exchange.deadline_s)
+        return max(0.0, end_s - parts.timers.monotonic_s())
+
+    def evacuate(self) -> None:
+        """Starts to move the run off its zone."""
+        self._start_move(evacuates=True)
+
+    def _start_move(self, evacuates: bool = False) -> None:
+        """Starts to move the run, unless a move is in progress.
+
+        Args:
+            evacuates: Whether to move it because its zone is evacuated.
+        """
         if self._exchange.service.engine is None:
             return
         if self._move is not None and not self._move.ended:
             return
+        self._evacuating = evacuates
         self._record.backup = None
         if self._run.backup is not None:
             self._record.backup = self._backup_way(self._run.backup)
@@ -358,6 +425,9 @@
         cursor = self._stream.cursor
         silence_timeout_s = self._initial_silence_timeout_s()
         waiting_for_first = True
+        window = target_speeds.EventWindow(
+            self._parts.loads.speeds, self._run.target
+        )
         # Bytes that complete no event are no progress: an engine that sends
         # a byte now and then has stalled as much as a silent one.
         self._progress_s = checked_s = self._parts.timers.monotonic_s()
@@ -387,19 +457,28 @@
                 self._read_timeout = None
             if not chunk:
                 break
+            delivered = cursor.delivered
             event_bytes = cursor.feed(chunk)
             if not event_bytes:
                 continue
-            self._load.last_event_s = self._parts.timers.monotonic_s()
+            event_s = self._parts.timers.monotonic_s()
+            self._load.last_event_s = event_s
             self._source_lost = False
             await self._stream.begin(facts.headers)
             if waiting_for_first:
                 waiting_for_first = False
                 silence_timeout_s = _SILENCE_TIMEOUT_S
                 self._handle_first_event(prefill)
+            window.add(
+                cursor.delivered - delivered,
+                self._load.pending_prefill_tokens > 0,
+                event_s,
+            )
             await self._stream.write(event_bytes)
             # Time spent on a slow caller is no silence of the engine.
             self._progress_s = checked_s = self._parts.timers.monotonic_s()
+            if checked_s - event_s > _SLOW_WRITE_S:
+                window.restart()
         return await self._classify_end(answer, facts)
 
     def _handle_first_event(self, prefill: attempts.PendingPrefill) -> None:
@@ -407,6 +486,16 @@
         self._parts.loads.notify()
         self._parts.prompt_guard.report_sound(self._exchange)
         self._record_prefill_rate()
+        if self._run.copy is None:
+            self._parts.pace.record_first_event(
+                self._exchange,
+                self._run.target,
+                self._pending_tokens,
+                self._parts.admission.prefill_rate(
+                    self._exchange.service
+                ).tokens_per_s,
+                self._parts.timers.monotonic_s() - self._sent_s,
+            )
         self._release_other_copies()
         self._progress_s = self._parts.timers.monotonic_s()
         # The engine may have started to drain before the first event.
@@ -447,8 +536,12 @@
         if self._prefill_start_s is None:
             return
         now_s = self._parts.timers.monotonic_s()
-        self._parts.admission.prefill_rate(self._exchange.service).record(
-            self._exchange.demand.prompt_tokens, now_s - self._prefill_start_s
+        self._parts.admission.record_prefill(
+            self._run.target,
+            self._exchange.service,
+            self._exchange.demand.prompt_tokens,
+            now_s - self._prefill_start_s,
+            now_s,
         )
 
     def _handle_silence(self) -> exchanges.Interrupted | None:
--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -17,8 +17,13 @@
 # Time without an answer after which an engine is called again, in seconds.
 # The answer may have been lost; an engine that still copies says so.
 _REPEAT_DELAY_S = 2.5
-# The same once the link has ended: an engine that has stopped the run says
-# that it has no such run, whatever its copy waits for.
+# Longest time between two calls that copy a run while the first one is open
+# and the engine says that it works on it, in seconds. A copy may be queued for
+# several seconds; a lost answer is noticed within this time after the copy.
+_REPEAT_DELAY_MAX_S = 5.0
+# Time without an answer after which an engine is called again once the link
+# has ended, in seconds: an engine that has stopped the run says that it has no
+# such run, whatever its copy waits for.
 _REPEAT_DELAY_ENDED_S = 0.4
 # Time after the end of the link within which the answer to a call in progress
 # saves a further call, in seconds. Both may arrive at the same moment.
@@ -28,6 +33,10 @@
 _RETRY_DELAY_S = 0.1
 _RETRY_DELAY_MAX_S = 1.0
 _RETRY_DELAY_FACTOR = 1.5
+# Number of calls in a row that an engine answers with "works on an earlier
+# one" before that is logged. With a first call that stays open, the third such
+# answer comes 11 s after it.
+_BUSY_LOGGED_FROM = 3
 # Maximum number of calls about one run that are not answered yet.
 _OPEN_CALLS_MAX = 3
 # Time since the last event of any stream within which an engine that accepts
@@ -60,6 +69,11 @@
         self._record = record
         self._open_copies: set[asyncio.Task] = set()
         self._open_stops: set[asyncio.Task] = set()
+        # Answers in a row that the engine works on an earlier call, and
+        # whether they were logged.
+        self._busy_answers = 0
+        self._busy_logged = False
+        self._first_call_s: float | None = None
         # Handles of copies that are not freed; None while all may be needed.
         self._used_handles: set[str] | None = None
 
@@ -98,21 +112,34 @@
         """
         if len(self._open_copies) >= _OPEN_CALLS_MAX:
             return api.MoveResult.BUSY
-        if not await self._may_call():
+        if not await self._may_call(destination):
             return api.MoveResult.BUSY
         pending = {self._start(destination, False)}
+        repeat_delay_s = _REPEAT_DELAY_S
+        next_call_s = self._now_s() + repeat_delay_s
         while self._time_left_s() > 0:
+            wait_s = self._time_left_s()
+            if len(pending) < _OPEN_CALLS_MAX:
+                wait_s = min(wait_s, max(0.0, next_call_s - self._now_s()))
             done, pending = await asyncio.wait(
                 pending,
-                timeout=min(_REPEAT_DELAY_S, self._time_left_s()),
+                timeout=wait_s,
                 return_when=asyncio.FIRST_COMPLETED,
             )
             for task in done:
                 result = task.result().result
                 if result is not api.MoveResult.BUSY or not pending:
                     return result
-            if len(pending) < _OPEN_CALLS_MAX and await self._may_call():
-                pending.add(self._start(destination, False))
+            if done:
+                # The engine works on a call that is still open.
+                repeat_delay_s = min(
+                    _REPEAT_DELAY_MAX_S, _RETRY_DELAY_FACTOR * repeat_delay_s
+                )
+                next_call_s = self._now_s() + repeat_delay_s
+            elif self._now_s() >= next_call_s:
+                if await self._may_call(destination):
+                    pending.add(self._start(destination, False))
+                next_call_s = self._now_s() + repeat_delay_s
         return api.MoveResult.TIMED_OUT
 
     async def stop(
@@ -156,8 +183,10 @@
             if len(open_stops) < _OPEN_CALLS_MAX and (
                 self._now_s() >= next_call_s
             ):
-                if await self._may_call():
-                    self._start(destination, True)
+                may_call = await self._may_call()
+                holder = self._redirect(destination)
+                if may_call and holder is not None:
+                    self._start(holder, True)
                     calls += 1
                 elif not open_stops and (ended or not calls):
                     return
@@ -170,11 +199,17 @@
             done = await _wait_for_any(waited, max(0.0, wait_s))
             if link_end in done:
                 next_call_s = min(next_call_s, self._now_s() + _ANSWER_GRACE_S)
-            elif done and not open_stops:
-                next_call_s = min(next_call_s, self._now_s() + retry_delay_s)
-                retry_delay_s = min(
-                    _RETRY_DELAY_MAX_S, _RETRY_DELAY_FACTOR * retry_delay_s
-                )
+            elif done:
+                if not open_stops:
+                    retry_s = self._now_s() + retry_delay_s
+                    next_call_s = min(next_call_s, retry_s)
+                    retry_delay_s = min(
+                        _RETRY_DELAY_MAX_S, _RETRY_DELAY_FACTOR * retry_delay_s
+                    )
+                # The time of the next call may have passed while the maximum
+                # number of calls was open.
+                earliest_s = self._now_s() + _RETRY_DELAY_S
+                next_call_s = max(next_call_s, earliest_s)
 
     async def wait_for_open_stops(self) -> None:
         """Waits for the answers of open calls until the record is settled."""
@@ -226,6 +261,8 @@
             record.source.target_id, final, self._now_s()
         )
         self._exchange.run_calls.append(entry)
+        if self._first_call_s is None:
+            self._first_call_s = entry.began_s
         record.begin_call(final)
         link_had_ended = record.link_ended.is_set()
         outcome = await self._parts.run_control.move(
@@ -236,6 +273,7 @@
             timeout_s=self._time_left_s(),
         )
         entry.result = outcome.result.value
+        self._count_busy(outcome.result)
         if record is not self._record:
             # The run has returned to its engine; its link there is new.
             record, link_had_ended = self._record, False
@@ -259,13 +297,66 @@
                     self._release(way)
         return outcome
 
+    def _count_busy(self, result: api.MoveResult) -> None:
+        """Counts and reports an engine that works on an earlier call."""
+        if result is not api.MoveResult.BUSY:
+            self._busy_answers = 0
+            return
+        source_id = self._record.source.target_id
+        self._busy_answers += 1
+        self._parts.statistics.busy_moves.inc({'target': source_id})
+        if self._busy_answers < _BUSY_LOGGED_FROM or self._busy_logged:
+            return
+        self._busy_logged = True
+        events.log(
+            LOG,
+            events.COPY_IN_PROGRESS,
+            request_id=self._record.request_id,
+            source=source_id,
+            calls=self._busy_answers,
+            since_s=round(self._now_s() - self._first_call_s, 3),
+        )
+
     def _release(self, way: run_record.Way) -> None:
         if way.copy.handle in (self._used_handles or ()):
             return
         self._parts.releaser.release(self._record.source, way.target, way.copy)
 
-    async def _may_call(self) -> bool:
-        """Whether the engine may be called now, after a wait if necessary."""
+    def _redirect(self, destination: targets.Target) -> targets.Target | None:
+        """Returns the engine that gets the copy of a run that is stopped.
+
+        An engine in an evacuated zone gets none, and the run cannot continue
+        there.
+
+        Args:
+            destination: The engine that was chosen for the copy.
+
+        Returns:
+            The engine; None if there is none outside the evacuated zones.
+        """
+        parts, backup = self._parts, self._record.backup
+        if not parts.gate.is_evacuated(destination):
+            return destination
+        if backup is not None and parts.gate.accepts(backup.target):
+            return backup.target
+        return parts.choose_takeover_target(
+            self._exchange, self._record.source
+        )
+
+    async def _may_call(
+        self, destination: targets.Target | None = None
+    ) -> bool:
+        """Whether the engine may be called now, after a wait if necessary.
+
+        Args:
+            destination: The engine that gets a copy while the run goes on;
+                None for a call that stops the run.
+        """
+        if not await self._may_call_source():
+            return False
+        return destination is None or self._parts.gate.accepts(destination)
+
+    async def _may_call_source(self) -> bool:
         parts, source = self._parts, self._record.source
         if self._record.link_ended.is_set():
             may_call = await pausing.wait_for_target(
--- a/packages/daemon/src/dotterelweird/gateway/rooms.py
+++ b/packages/daemon/src/dotterelweird/gateway/rooms.py
@@ -4,6 +4,7 @@
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import service_order
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import waiting
@@ -36,7 +37,7 @@
     now_s = parts.timers.monotonic_s()
     queue = parts.request_queue(exchange)
     entry = _make_entry(exchange)
-    has_capacity = parts.has_capacity(exchange)
+    has_capacity = _has_capacity(parts, exchange, entry)
     if queue or not has_capacity:
         _identify(parts, exchange, entry, now_s)
     if has_capacity and queue.may_send_at_once(entry, now_s):
@@ -161,6 +162,17 @@
         )
 
 
+def _has_capacity(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    entry: waiting.QueueEntry,
+) -> bool:
+    """Whether a request may be sent now; updates ``entry.deferred``."""
+    capacity = parts.find_capacity(exchange)
+    entry.deferred = capacity is admission.Capacity.DEFERRED
+    return capacity is admission.Capacity.FREE
+
+
 async def _poll_until_decided(
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
@@ -189,6 +201,7 @@
         await timers.sleep(parts.timers, delay_s)
         parts.check_stop(exchange)
         result = admission_poll.poll(
-            parts.timers.monotonic_s(), lambda: parts.has_capacity(exchange)
+            parts.timers.monotonic_s(),
+            lambda: _has_capacity(parts, exchange, admission_poll.entry),
         )
     return result
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -25,6 +25,8 @@
         answer_s: Time to the end of an answer, in seconds.
         prompt_trials: Requests sent to an engine despite a blocked prompt.
         unstopped_runs: Runs that their engines did not stop when called to.
+        busy_moves: Calls to copy or stop a run that its engine refused, as it
+            worked on an earlier one, by engine.
         kept_runs: Runs that were not stopped for a move, by what stood against
             it.
         stopped_runs_lost: Streams lost after their engine was called to stop
@@ -33,9 +35,13 @@
             them, by reason.
         unused_copies: Copies not used, as their engine ended before the first
             event.
+        expected_pauses: Streams sent to an engine where a pause above the
+            limit is to be expected, by service.
         notices: Notices of targets about themselves, by kind.
         limit_turns: Decisions about turns at targets that limit their
             request rate, by decision.
+        cold_targets: Times that a target was cold, by origin.
+        pace_changes: Changes of learned paces of targets, by change.
         blocked_repeats: Requests kept from targets that several targets have
             ended under.
         target_ends: Ends of targets with requests in flight, by origin.
@@ -43,6 +49,8 @@
             observed, by stream.
         queue_length: Generations that wait for an engine, by service.
         queue_refusals: Generations refused for lack of capacity, by reason.
+        evacuations: Evacuations and restorations of zones, by change.
+        evacuated_zones: Zones that are evacuated.
         running: Requests of callers in flight.
         tables_version: Version of the tables in force.
     """
@@ -89,6 +97,11 @@
             'Runs that their engines did not stop when called to',
             registry=self._registry,
         )
+        self.busy_moves = aioprometheus.Counter(
+            'dotterelweir_gateway_busy_moves_total',
+            'Calls about a run whose engine worked on an earlier one',
+            registry=self._registry,
+        )
         self.kept_runs = aioprometheus.Counter(
             'dotterelweir_gateway_kept_runs_total',
             'Runs that were not stopped for a move, as it was not certain',
@@ -109,6 +122,11 @@
             'Copies not used, as their engine ended before the first event',
             registry=self._registry,
         )
+        self.expected_pauses = aioprometheus.Counter(
+            'dotterelweir_gateway_expected_pauses_total',
+            'Streams sent to an engine that may pause above the limit',
+            registry=self._registry,
+        )
         self.notices = aioprometheus.Counter(
             'dotterelweir_gateway_target_notices_total',
             'Targets that said that they leave, or asked for a pause',
@@ -119,6 +137,16 @@
             'Decisions about turns at targets that limit their request rate',
             registry=self._registry,
         )
+        self.cold_targets = aioprometheus.Counter(
+            'dotterelweir_gateway_cold_targets_total',
+            'Times that a target has started or said that it is cold',
+            registry=self._registry,
+        )
+        self.pace_changes = aioprometheus.Counter(
+            'dotterelweir_gateway_pace_changes_total',
+            'Learned paces of targets that began, fell or ended',
+            registry=self._registry,
+        )
         self.blocked_repeats = aioprometheus.Counter(
             'dotterelweir_gateway_blocked_repeats_total',
             'Requests kept from targets, as several targets ended under them',
@@ -134,6 +162,16 @@
             'Times that the store came back from an older copy',
             registry=self._registry,
         )
+        self.evacuations = aioprometheus.Counter(
+            'dotterelweir_gateway_zone_evacuations_total',
+            'Evacuations and restorations of zones',
+            registry=self._registry,
+        )
+        self.evacuated_zones = aioprometheus.Gauge(
+            'dotterelweir_gateway_evacuated_zones',
+            'Zones that are evacuated',
+            registry=self._registry,
+        )
         self.first_byte_s = aioprometheus.Histogram(
             'dotterelweir_gateway_first_byte_seconds',
             'Time to the first byte of an answer',
--- a/tests/adapter/test_foreign_bytes.py
+++ b/tests/adapter/test_foreign_bytes.py
@@ -17,6 +17,7 @@
 import pytest
 import yarl
 
+from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import service_order
 from dotterelweir_core.gateway import tables
@@ -27,6 +28,7 @@
 from dotterelweir_platform import wire
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
+from dotterelweird.gateway import settings as gateway_settings
 
 # Number of cases per test, set by ``make fuzz``, which draws other cases for
 # each of its seeds. Without it the cases are the same in every run.
@@ -298,8 +300,9 @@
         ('born', 1.5e15),
         ('born', 1_780_000_000_000.5),
         ('born', -1),
-        ('warmupLeftMs', 1e308),
-        ('warmupLeftMs', -1),
+        ('warmupLeftMs', 'soon'),
+        ('warmupLeftMs', None),
+        ('warmupLeftMs', True),
         ('slots', 1.5),
         ('seq', 'x'),
         ('zone', ''),
@@ -311,6 +314,29 @@
         registrations.decode('t1', encode_json(REGISTRATION | {name: value}))
 
 
+@pytest.mark.parametrize(
+    ('value', 'left_s'),
+    [(-1, 0.0), (-1e308, 0.0), (1e308, 86_400.0), (2**64, 86_400.0)],
+)
+def test_a_warm_up_out_of_range_is_clamped(value, left_s):
+    """Guards against a sound engine that is left out for an odd figure."""
+    target = registrations.decode(
+        'engine-1', encode_json(REGISTRATION | {'warmupLeftMs': value})
+    )
+    assert target.warm_up_left_s == left_s
+
+
+@pytest.mark.parametrize('name', ['warmupS', 'warmupPerS'])
+@pytest.mark.parametrize('value', [-1, 1e308, '25', None, True])
+def test_a_stated_pace_out_of_range_is_rejected(name, value):
+    """Guards against a pace at which a target gets nothing or everything."""
+    service = CONFIGURATION['services'][0] | {name: value}
+    with pytest.raises(api.RecordInvalid):
+        configuration.decode(
+            encode_json(CONFIGURATION | {'services': [service]})
+        )
+
+
 def test_the_usual_registrations_are_accepted():
     """Guards against checks that reject engines."""
     for change in (
@@ -565,6 +591,29 @@
         assert batch.end == 3 + len(batch.records)
 
 
+@CASES
+@hypothesis.given(
+    strategies.binary(max_size=40), strategies.binary(min_size=1, max_size=200)
+)
+@hypothesis.example(b'', b'{}')
+@hypothesis.example(b'a', b'[' * 200)
+def test_an_evacuation_is_valid_or_rejected(name, value):
+    """Guards against an operator's record that stops the follower."""
+    platform_store = store.PlatformStore(
+        None, gateway_settings.Address('127.0.0.1', 1)
+    )
+    key = (b'evacuate/' + name).decode(errors='surrogateescape')
+    record = api.Record(key, value, 3)
+    try:
+        zone = platform_store.evacuated_zone(record)
+        active = platform_store.decode_evacuation(record)
+    except api.RecordInvalid as exc:
+        assert len(str(exc)) <= 200
+        return
+    finding = evacuations.Evacuation(zone, active, 3, 0)
+    assert digests.decode(digests.encode(finding)) == finding
+
+
 DIGEST = {
     'i': 'i',
     'h': '10.0.0.1',
@@ -579,6 +628,20 @@
 }
 
 
+@CASES
+@hypothesis.given(mutated(DIGEST | {'f': [1, 2, 3]}))
+def test_a_datagram_with_checksums_is_valid_or_dropped(body):
+    """Guards against checksums that raise an undeclared error."""
+    check_datagram(encode_json(body))
+
+
+@CASES
+@hypothesis.given(mutated({'v': ['zone-a', 1, 3, 0]}))
+def test_an_evacuation_of_a_peer_is_valid_or_dropped(body):
+    """Guards against a finding that raises an undeclared error."""
+    check_datagram(encode_json(body))
+
+
 @CASES
 @hypothesis.given(mutated(DIGEST))
 def test_a_datagram_is_valid_or_dropped(body):
@@ -619,7 +682,7 @@
 
 
 @pytest.mark.parametrize('raw', EXTREME_VALUES, ids=range(len(EXTREME_VALUES)))
-@pytest.mark.parametrize('name', [*sorted(DIGEST), 'n', 'd', 'q', 'o'])
+@pytest.mark.parametrize('name', [*sorted(DIGEST), 'n', 'd', 'q', 'o', 'v'])
 def test_an_extreme_datagram_is_valid_or_dropped(name, raw):
     """Guards against one field of a datagram that raises another error."""
     report = b'{"targets":[' + raw + b',"c",' + raw + b',0]}'
