--- a/fakes/src/dotterelweir_fakes/experiment.py
+++ b/fakes/src/dotterelweir_fakes/experiment.py
@@ -84,10 +84,17 @@
 
 
 def _run_task(
-    task: tuple[str, crest_load.PeakLoad, crest.AdmissionRule, int, bool],
+    task: tuple[
+        str,
+        crest_load.PeakLoad,
+        crest.AdmissionRule,
+        int,
+        bool,
+        crest.ServiceRule,
+    ],
 ) -> dict[str, crest.Tally]:
-    _, load, rule, seed, learns_speeds = task
-    return crest.simulate(load, seed, rule, learns_speeds)
+    _, load, rule, seed, learns_speeds, service_rule = task
+    return crest.simulate(load, seed, rule, learns_speeds, service_rule)
 
 
 def run(
@@ -95,6 +102,7 @@
     seeds: int,
     workers: int,
     learns_speeds: bool = True,
+    service_rule: crest.ServiceRule = crest.ServiceRule.DUE_TIME,
 ) -> list[Row]:
     """Simulates every load with every rule and every seed.
 
@@ -103,12 +111,13 @@
         seeds: Number of seeds; the first seed is 1.
         workers: Number of worker processes.
         learns_speeds: Whether the instances learn the speeds of the engines.
+        service_rule: Order in which generations that wait get capacity.
 
     Returns:
         One row for each load, rule and kind of generation.
     """
     tasks = [
-        (name, load, rule, seed, learns_speeds)
+        (name, load, rule, seed, learns_speeds, service_rule)
         for name, load in loads.items()
         for rule in crest.AdmissionRule
         for seed in range(1, seeds + 1)
@@ -193,6 +202,13 @@
     show_default=True,
     help='Number of worker processes.',
 )
+@click.option(
+    '--order',
+    type=click.Choice([rule.name.lower() for rule in crest.ServiceRule]),
+    default='due_time',
+    show_default=True,
+    help='Order in which generations that wait get capacity.',
+)
 @click.option(
     '--plot',
     type=click.Path(path_type=pathlib.Path),
@@ -208,6 +224,7 @@
     file: pathlib.Path,
     seeds: int,
     workers: int,
+    order: str,
     plot: pathlib.Path | None,
     speeds: bool,
 ) -> None:
@@ -220,7 +237,8 @@
         loads = decode_loads(file.read_text())
     except ValueError as exc:
         raise click.ClickException(f'{file}: {exc}') from exc
-    rows = run(loads, seeds, workers, speeds)
+    service_rule = crest.ServiceRule[order.upper()]
+    rows = run(loads, seeds, workers, speeds, service_rule)
     click.echo(
         tabulate.tabulate(
             [
--- a/fakes/src/dotterelweir_fakes/measurement/crest.py
+++ b/fakes/src/dotterelweir_fakes/measurement/crest.py
@@ -17,6 +17,8 @@
 from dotterelweir_core.gateway import admission
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import placement
+from dotterelweir_core.gateway import service_order
+from dotterelweir_core.gateway import service_queues
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
@@ -38,6 +40,14 @@
     ADMISSION = 'when an engine admits it'
 
 
+class ServiceRule(enum.Enum):
+    """Order in which generations that wait get capacity."""
+
+    DUE_TIME = 'by due time, each instance for itself'
+    LOCAL = 'by priority and organisation, each instance for itself'
+    SHARED = 'by priority and organisation, at all instances'
+
+
 @attrs.define
 class Tally:
     """Numbers of requests of one kind, by outcome.
@@ -77,14 +87,14 @@
         loads: Loads of all targets, as this instance knows them.
         placer: Chooses the target of a generation.
         admission: Decides which targets admit a generation.
-        queues: Queued requests, by whether they are bound by their prefill.
+        queues: Queued requests.
     """
 
     name: str
     loads: gateway_load.LoadRegistry
     placer: placement.Placer
     admission: admission.Admission
-    queues: dict[bool, waiting.RequestQueue] = attrs.field(factory=dict)
+    queues: service_queues.ServiceQueues
 
 
 @attrs.define(eq=False)
@@ -135,6 +145,7 @@
     seed: int,
     rule: AdmissionRule,
     learns_speeds: bool = True,
+    service_rule: ServiceRule = ServiceRule.DUE_TIME,
 ) -> dict[str, Tally]:
     """Simulates a peak load and returns the outcomes by kind of generation.
 
@@ -143,8 +154,11 @@
         seed: Seed of the arrivals and of the choices among equal engines.
         rule: Condition under which a generation may be sent.
         learns_speeds: Whether the instances learn the speeds of the engines.
+        service_rule: Order in which generations that wait get capacity.
     """
-    simulation = _PeakSimulation(peak_load, seed, rule, learns_speeds)
+    simulation = _PeakSimulation(
+        peak_load, seed, rule, learns_speeds, service_rule
+    )
     simulation.run()
     return simulation.tallies
 
@@ -157,6 +171,7 @@
         seed: Seed of the random sources.
         rule: Condition under which a generation may be sent.
         learns_speeds: Whether the instances learn the speeds of the engines.
+        service_rule: Order in which generations that wait get capacity.
     """
 
     def __init__(
@@ -165,9 +180,11 @@
         seed: int,
         rule: AdmissionRule,
         learns_speeds: bool,
+        service_rule: ServiceRule,
     ) -> None:
         self._peak_load = peak_load
         self._rule = rule
+        self._service_rule = service_rule
         self._learns_speeds = learns_speeds
         self._fast_ids: set[str] = set()
         self._spell_rng = random.Random(f'{seed}-spells')
@@ -216,18 +233,28 @@
             loads,
             placement.Placer('a', loads, rng),
             admission.Admission(loads),
+            service_queues.ServiceQueues(service_order.ServiceOrder()),
         )
         loads.subscribe(lambda: self._send_digest(instance))
+        if self._service_rule is ServiceRule.SHARED:
+            instance.queues.subscribe(lambda: self._send_digest(instance))
         return instance
 
     def _send_digest(self, instance: _Instance) -> None:
         now_s = self._timers.monotonic_s()
         rows = instance.loads.own_rows(now_s)
+        state = None
+        if self._service_rule is ServiceRule.SHARED:
+            state = instance.queues.own_state(now_s)
 
         def receive() -> None:
+            received_s = self._timers.monotonic_s()
             for other in self._instances:
                 if other is not instance:
                     other.loads.set_peer(instance.name, rows, now_s)
+                    other.queues.order.set_peer(
+                        instance.name, state, received_s
+                    )
 
         self._timers.call_after(_DIGEST_DELAY_S, receive)
 
@@ -306,24 +333,42 @@
             self._timers.monotonic_s(),
             self._rng.choice(self._instances),
         )
-        if self._has_capacity(request):
+        now_s = request.arrived_s
+        queue_entry = waiting.QueueEntry(now_s, kind.objective_s)
+        if self._service_rule is not ServiceRule.DUE_TIME:
+            queue_entry.urgency = service_order.Urgency(kind.priority)
+            queue_entry.organisation = service_order.hash_name(
+                kind.organisation
+            )
+        request_queue = self._queue_of(request)
+        if self._has_capacity(
+            request, queue_entry
+        ) and request_queue.may_send_at_once(queue_entry, now_s):
+            self._record_use(request)
             self._send(request)
             return
-        queue_entry = waiting.QueueEntry(request.arrived_s, kind.objective_s)
-        request_queue = self._queue_of(request)
-        request_queue.add(queue_entry)
+        request.instance.queues.add(request_queue, queue_entry, now_s)
         self._schedule_poll(
             request, waiting.AdmissionPoll(queue_entry, request_queue)
         )
 
+    def _record_use(self, request: _Request) -> None:
+        request.instance.queues.order.record_use(
+            service_order.hash_name(request.kind.organisation),
+            self._demand(request).tokens,
+            self._timers.monotonic_s(),
+        )
+
     def _queue_of(self, request: _Request) -> waiting.RequestQueue:
         instance = request.instance
         rate = instance.admission.prefill_rate(self._service).tokens_per_s
         prefill_bound = self._demand(request).is_prefill_bound(rate)
         if self._rule is not AdmissionRule.ADMISSION:
             prefill_bound = False
-        return instance.queues.setdefault(
-            prefill_bound, waiting.RequestQueue()
+        return instance.queues.get(
+            _SERVICE,
+            prefill_bound,
+            self._service_rule is not ServiceRule.DUE_TIME,
         )
 
     def _schedule_poll(
@@ -334,13 +379,17 @@
         def poll_again() -> None:
             now_s = self._timers.monotonic_s()
             result = admission_poll.poll(
-                now_s, lambda: self._has_capacity(request)
+                now_s,
+                lambda: self._has_capacity(request, admission_poll.entry),
             )
             if result is waiting.PollResult.WAIT:
                 self._schedule_poll(request, admission_poll)
                 return
-            admission_poll.queue.remove(admission_poll.entry)
+            queue, entry = admission_poll.queue, admission_poll.entry
+            request.instance.queues.remove(queue, entry, now_s)
             if result is waiting.PollResult.ADMITTED:
+                queue.record_admission(entry, now_s)
+                self._record_use(request)
                 self._send(request)
             else:
                 self.tallies[request.kind.name].refused += 1
@@ -382,19 +431,25 @@
 
         return admits
 
-    def _has_capacity(self, request: _Request) -> bool:
+    def _has_capacity(
+        self, request: _Request, entry: waiting.QueueEntry
+    ) -> bool:
         ready = [
             target
             for target in self._directory.of_service(_SERVICE)
             if target.state is targets.TargetState.READY
         ]
         if self._rule is AdmissionRule.ADMISSION:
-            return bool(ready) and request.instance.admission.has_capacity(
+            if not ready:
+                return False
+            capacity = request.instance.admission.find_capacity(
                 ready,
                 self._service,
                 self._demand(request),
                 self._timers.monotonic_s(),
             )
+            entry.deferred = capacity is admission.Capacity.DEFERRED
+            return capacity is admission.Capacity.FREE
         admits = self._admission_predicate(request)
         return any(admits(target) for target in ready)
 
--- a/packages/core/src/dotterelweir_core/gateway/admission.py
+++ b/packages/core/src/dotterelweir_core/gateway/admission.py
@@ -8,6 +8,8 @@
 long ones.
 """
 
+import enum
+
 import attrs
 
 from dotterelweir_core.gateway import load as gateway_load
@@ -43,6 +45,14 @@
 _URGENT_FACTOR = 1.5
 
 
+class Capacity(enum.Enum):
+    """Capacity that a generation finds."""
+
+    NONE = 'no engine admits it'
+    DEFERRED = 'only slow engines admit it, and it waits for a faster one'
+    FREE = 'it may be sent now'
+
+
 @attrs.frozen
 class Demand:
     """Resources that a generation needs, and by when.
@@ -230,7 +240,25 @@
     ) -> bool:
         """Whether a generation may be sent now instead of being queued.
 
-        Also true if no engine is usable or all usable ones are avoided:
+        Args:
+            usable: Engines that accept requests now.
+            service: Service of the engines.
+            demand: Demand of the generation.
+            now_s: Monotonic time, in seconds.
+        """
+        capacity = self.find_capacity(usable, service, demand, now_s)
+        return capacity is Capacity.FREE
+
+    def find_capacity(
+        self,
+        usable: list[targets.Target],
+        service: tables.Service,
+        demand: Demand,
+        now_s: float,
+    ) -> Capacity:
+        """Returns whether a generation may be sent now.
+
+        Also ``FREE`` if no engine is usable or all usable ones are avoided:
         waiting would not help then, and an avoided engine may still serve
         the request.
 
@@ -245,12 +273,14 @@
             self._loads.get(target.target_id).is_avoided(now_s)
             for target in usable
         ):
-            return True
-        return any(
-            self.admits(target, service, demand, now_s)
-            and not self._is_deferred(target, service, demand, now_s)
-            for target in usable
-        )
+            return Capacity.FREE
+        capacity = Capacity.NONE
+        for target in usable:
+            if self.admits(target, service, demand, now_s):
+                if not self._is_deferred(target, service, demand, now_s):
+                    return Capacity.FREE
+                capacity = Capacity.DEFERRED
+        return capacity
 
     def _is_deferred(
         self,
--- a/packages/core/src/dotterelweir_core/gateway/tables.py
+++ b/packages/core/src/dotterelweir_core/gateway/tables.py
@@ -5,6 +5,8 @@
 
 import attrs
 
+from dotterelweir_core.gateway import service_order
+
 
 class RequestKind(enum.Enum):
     """Kind of a route's requests.
@@ -43,8 +45,7 @@
         timeout_s: Longest time in seconds that a caller is kept waiting.
         objective_s: Time from the arrival within which an answer, for
             streams the first event, is on time, in seconds.
-        priority: Priority of the requests; 0 is the most urgent. Not used by
-            the gateway.
+        priority: Priority of the requests; 0 is the most urgent.
         services: Services of the route; never empty.
         attempts_max: Maximum number of runs from the beginning of one request.
         public: Whether requests need no key.
@@ -139,14 +140,28 @@
 
     Attributes:
         name: Name of the organisation.
-        priority: Priority of its requests; None keeps the route's. Not used
-            by the gateway.
+        priority: Priority of its requests; None keeps the route's.
     """
 
     name: str
     priority: int | None = None
 
 
+def urgency(
+    route: Route, organisation: Organisation | None
+) -> service_order.Urgency:
+    """Returns the urgency of the requests of an organisation on a route.
+
+    Args:
+        route: The route.
+        organisation: The organisation; None without one.
+    """
+    priority = None if organisation is None else organisation.priority
+    if priority is None:
+        priority = route.priority
+    return service_order.Urgency(priority, route.priority)
+
+
 @attrs.frozen
 class CallerLimits:
     """Limits on the requests and connections of a caller.
@@ -175,6 +190,7 @@
         services: All services by name.
         organisations: Organisations by key; None if requests need no key.
         limits: Limits on callers.
+        ordered_services: Services whose generations differ in priority.
     """
 
     version: int
@@ -184,6 +200,7 @@
     limits: CallerLimits
     _by_host: dict[str, list[Route]] = attrs.field(init=False, eq=False)
     _objectives_s: dict[str, float] = attrs.field(init=False, eq=False)
+    ordered_services: frozenset[str] = attrs.field(init=False, eq=False)
     _event_gaps_s: dict[str, float] = attrs.field(init=False, eq=False)
 
     def __attrs_post_init__(self) -> None:
@@ -208,6 +225,29 @@
                     )
         object.__setattr__(self, '_objectives_s', objectives_s)
         object.__setattr__(self, '_event_gaps_s', event_gaps_s)
+        object.__setattr__(self, 'ordered_services', self._find_ordered())
+
+    def _find_ordered(self) -> frozenset[str]:
+        """Returns the services whose generations differ in priority."""
+        organisations = set((self.organisations or {}).values())
+        urgencies: dict[str, set[service_order.Urgency]] = {}
+        for route in self.routes:
+            if route.kind is not RequestKind.STREAM:
+                continue
+            callers: set[Organisation | None] = set(organisations)
+            if route.public or not organisations:
+                callers.add(None)
+            for service in route.services:
+                urgencies.setdefault(service.name, set()).update(
+                    urgency(route, caller) for caller in callers
+                )
+        return frozenset(
+            name for name, found in urgencies.items() if len(found) > 1
+        )
+
+    def is_ordered(self, service: str) -> bool:
+        """Whether the generations of a service differ in priority."""
+        return service in self.ordered_services
 
     def shortest_objective_s(self, service: str) -> float:
         """Returns the shortest objective among the stream routes of a service.
--- a/packages/core/tests/gateway/test_target_speeds.py
+++ b/packages/core/tests/gateway/test_target_speeds.py
@@ -297,6 +297,20 @@
     assert control.has_capacity(ALL, MODEL, without_limit, now_s)
 
 
+def test_a_passed_over_engine_is_told_from_no_capacity(loads):
+    """Guards against requests that block others while an engine is free."""
+    now_s = learn(loads.speeds)
+    control = admission.Admission(loads)
+    long = admission.Demand(3000, 744, 1.8, 1.5, now_s, 0.18)
+    loads.get('fast').tokens = 26_000
+    found = control.find_capacity(ALL, MODEL, long, now_s)
+    assert found is admission.Capacity.DEFERRED
+    for engine in ALL:
+        loads.get(engine.target_id).tokens = 26_000
+    found = control.find_capacity(ALL, MODEL, long, now_s)
+    assert found is admission.Capacity.NONE
+
+
 @pytest.mark.parametrize('needs', [LONG, SHORT, None])
 def test_choices_among_equal_engines_do_not_change(loads, needs):
     """Guards against other choices where speeds differ by up to 15 %.
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -340,6 +340,7 @@
             arrived_s + timeout_s,
             tables.shortest_objective_s(service.name),
             holding,
+            tables.is_ordered(service.name),
             shortest_event_gap_s=tables.shortest_event_gap_s(service.name),
         )
 
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -70,6 +70,8 @@
 _TARGETS_JITTER_MAX_S = 0.5
 # Interval of the checks whether a stopping process may exit, in seconds.
 _STOP_POLL_INTERVAL_S = 0.05
+# Maximum number of services in a line of the log.
+_SERVICES_LOGGED = 32
 # Time that the caller server gives requests in flight when it is shut down, in
 # seconds.
 _SHUTDOWN_TIMEOUT_S = 0.05
@@ -238,6 +240,7 @@
             self._collect_reports,
             self._handle_peer_reports,
             findings,
+            self._parts.queues,
         )
         self._notices = notices.NoticeHandler(
             self._targets,
@@ -250,6 +253,7 @@
         )
         self._loads.subscribe(self._peers.schedule_digest)
         self._parts.budgets.subscribe(self._peers.schedule_digest)
+        self._parts.queues.subscribe(self._peers.schedule_digest)
         self._parts.prompt_guard.subscribe(findings.send_finding)
         self._parts.request_guard.subscribe(findings.send_finding)
         self._parts.end_detector.subscribe(
@@ -285,6 +289,7 @@
                 ),
             )
         }
+        self._ordered_services: frozenset[str] = frozenset()
         self._follower_tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
         self._pace_timer: core_timers.TimerHandle | None = None
@@ -521,6 +526,7 @@
                 self._directory, self._loads, self._parts.limiter.pace, now_s
             ),
             'peers': self._peers.status_rows(),
+            'queues': status.queue_rows(self._parts.queues, now_s),
         }
 
     async def _answer_metrics(self, request: web.BaseRequest) -> web.Response:
@@ -548,6 +554,13 @@
         )
 
     def _record_tables_version(self, tables: gateway_tables.Tables) -> None:
+        if tables.ordered_services != self._ordered_services:
+            self._ordered_services = tables.ordered_services
+            events.log(
+                LOG,
+                events.SERVICE_ORDER_CHANGED,
+                services=sorted(tables.ordered_services)[:_SERVICES_LOGGED],
+            )
         self._statistics.tables_version.set({}, tables.version)
 
     def _reload(self) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -13,6 +13,9 @@
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import placement
 from dotterelweir_core.gateway import retry_budget
+from dotterelweir_core.gateway import returning
+from dotterelweir_core.gateway import service_order
+from dotterelweir_core.gateway import service_queues
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
@@ -34,6 +37,7 @@
 from dotterelweird.gateway.sending import evacuating
 from dotterelweird.gateway.sending import gate as send_gate
 from dotterelweird.gateway.sending import pacing
+from dotterelweird.gateway.sharing import reporting
 
 
 @attrs.define
@@ -65,6 +69,9 @@
         pace: Follows which targets must not be sent all their load yet.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
+        queues: Queues of generations that wait for an engine.
+        returning_callers: Refused requests whose callers may come back.
+        waiting_reporter: Counts and logs what happens to waiting requests.
         departure_times: When targets began to leave.
         gate: Tells whether a target may be sent something now.
         releaser: Frees copies of runs that will not be used.
@@ -97,9 +104,15 @@
         factory=durations.DurationFactors
     )
     watch: watching.TargetWatch = attrs.field(factory=watching.TargetWatch)
-    _request_queues: dict[tuple[str, bool], waiting.RequestQueue] = (
-        attrs.field(factory=dict)
+    queues: service_queues.ServiceQueues = attrs.field(
+        factory=lambda: service_queues.ServiceQueues(
+            service_order.ServiceOrder()
+        )
+    )
+    returning_callers: returning.ReturningCallers = attrs.field(
+        factory=returning.ReturningCallers
     )
+    waiting_reporter: reporting.WaitingReporter = attrs.field(init=False)
     departure_times: watching.DepartureTimes = attrs.field(init=False)
     gate: send_gate.SendGate = attrs.field(init=False)
     releaser: releasing.CopyReleaser = attrs.field(init=False)
@@ -107,6 +120,9 @@
     speed_reporter: speed_reports.SpeedReporter = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.waiting_reporter = reporting.WaitingReporter(
+            self.timers, self.statistics
+        )
         self.departure_times = watching.DepartureTimes(self.timers)
         self.gate = send_gate.SendGate(
             self.directory,
@@ -152,13 +168,15 @@
             self._stream_needs(exchange),
         )
 
-    def has_capacity(self, exchange: exchanges.Exchange) -> bool:
-        """Whether an engine can admit a generation without a wait."""
+    def find_capacity(
+        self, exchange: exchanges.Exchange
+    ) -> admission.Capacity:
+        """Returns whether an engine can admit a generation without a wait."""
         now_s = self.timers.monotonic_s()
         usable = self.placer.usable(
             self.directory.of_service(exchange.service.name), now_s
         )
-        return self.admission.has_capacity(
+        return self.admission.find_capacity(
             usable, exchange.service, exchange.demand, now_s
         )
 
@@ -314,8 +332,8 @@
         """
         service = exchange.service
         rate = self.admission.prefill_rate(service).tokens_per_s
-        key = (service.name, exchange.demand.is_prefill_bound(rate))
-        return self._request_queues.setdefault(key, waiting.RequestQueue())
+        prefill_bound = exchange.demand.is_prefill_bound(rate)
+        return self.queues.get(service.name, prefill_bound, exchange.ordered)
 
     def set_settings(self, settings: gateway_settings.GatewaySettings) -> None:
         """Replaces the settings and applies the bounds of the budgets."""
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -36,6 +36,7 @@
         shortest_objective_s: Shortest objective of any generation of the
             service, in seconds.
         holding: What the caller's connection holds.
+        ordered: Whether the generations of the service differ in priority.
         tried: Ids of targets to which sending was attempted.
         runs_started: Number of runs from the beginning that may have
             started.
@@ -68,6 +69,7 @@
     deadline_s: float
     shortest_objective_s: float
     holding: memory_account.Holding
+    ordered: bool = False
     tried: set[str] = attrs.field(factory=set)
     runs_started: int = 0
     may_have_run: bool = False
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -47,6 +47,8 @@
         target_ends: Ends of targets with requests in flight, by origin.
         rewinds: Restores of the store from an older copy that the instance
             observed, by stream.
+        queue_length: Generations that wait for an engine, by service.
+        queue_refusals: Generations refused for lack of capacity, by reason.
         evacuations: Evacuations and restorations of zones, by change.
         evacuated_zones: Zones that are evacuated.
         memory_refusals: Requests refused for lack of memory, by reason.
@@ -201,6 +203,16 @@
             'Bytes that callers hold by the account of the process',
             registry=self._registry,
         )
+        self.queue_length = aioprometheus.Gauge(
+            'dotterelweir_gateway_queue_length',
+            'Generations that wait for an engine',
+            registry=self._registry,
+        )
+        self.queue_refusals = aioprometheus.Counter(
+            'dotterelweir_gateway_queue_refusals_total',
+            'Generations refused for lack of capacity',
+            registry=self._registry,
+        )
         self.running = aioprometheus.Gauge(
             'dotterelweir_gateway_running_requests',
             'Requests in flight',
