--- a/packages/daemon/tests/gateway/test_pacing.py
+++ b/packages/daemon/tests/gateway/test_pacing.py
@@ -255,6 +255,25 @@
     assert sum(map(instance.is_paced, instance.targets)) == 2
 
 
+def test_a_service_that_starts_as_a_whole_is_not_paced():
+    """Guards against calls refused as every target has just started.
+
+    Instances that start before the targets of a service see all of them
+    register within a moment.
+    """
+    instance = LearningInstance()
+    started = [
+        instance.register(f'new-{n}', service='new', started_ms=STARTED_MS + n)
+        for n in range(1, 5)
+    ]
+    assert not any(map(instance.is_paced, started))
+    instance.timers.advance(6.0)
+    replaced = instance.register(
+        'new-5', service='new', started_ms=STARTED_MS + 5
+    )
+    assert instance.is_paced(replaced)
+
+
 def test_nothing_is_learned_where_nothing_is_configured():
     """Guards against a change of deployments that are served today."""
     instance = LearningInstance()
@@ -316,3 +335,23 @@
             await asyncio.sleep(0.02)
     assert status_of(deployment, 'shop-3')['pace_per_s'] == 2.0
     assert status_of(deployment, 'shop-1')['pace_per_s'] is None
+
+
+async def test_a_learned_pace_refuses_no_caller(deployment, monkeypatch):
+    """Guards against refusals while only learned paces limit the targets."""
+    parts = deployment.gateway._parts
+    parts.limiter.pace.settings = pace.PaceSettings(mode=pace.PaceMode.ON)
+    now_s = parts.timers.monotonic_s()
+    for target in parts.directory.of_service('plain'):
+        assert parts.limiter.pace.begin_learning(target, now_s)
+    refused = []
+
+    async def refuse(target, *unused, **options):
+        refused.append(target.target_id)
+        return False
+
+    monkeypatch.setattr(parts.limiter, 'acquire', refuse)
+    async with deployment.request('book') as answer:
+        await answer.read()
+    assert answer.status == 200
+    assert set(refused) == {'shop-1', 'shop-2'}
