Split the learned pace from the registry of paces

Cause: one module of 717 lines answered two questions: how the pace of one target is found, and which target has which pace. Ruled out: no behaviour changes; the constants moved with the code that reads them.

--- a/fakes/src/dotterelweir_fakes/measurement/pace_model.py
+++ b/fakes/src/dotterelweir_fakes/measurement/pace_model.py
@@ -15,7 +15,7 @@
 import attrs
 import click
 
-from dotterelweir_core.gateway import pace
+from dotterelweir_core.gateway import learned_pace
 
 # Length of a step, in seconds.
 _STEP_S = 0.01
@@ -51,7 +51,7 @@
 
     rate_per_s: float
 
-    def update(self, counts: pace.AttemptCounts, now_s: float) -> None:
+    def update(self, counts: learned_pace.AttemptCounts, now_s: float) -> None:
         """Applies the outcomes that all instances have counted."""
 
 
@@ -61,7 +61,7 @@
 
     rate_per_s: float = float('inf')
 
-    def update(self, counts: pace.AttemptCounts, now_s: float) -> None:
+    def update(self, counts: learned_pace.AttemptCounts, now_s: float) -> None:
         """Does nothing."""
 
 
@@ -71,7 +71,7 @@
 
     rate_per_s: float = 2.0
 
-    def update(self, counts: pace.AttemptCounts, now_s: float) -> None:
+    def update(self, counts: learned_pace.AttemptCounts, now_s: float) -> None:
         """Raises the rate."""
         self.rate_per_s = max(2.0, _SERVED_PER_S * now_s / 30.0)
         if now_s >= 30.0:
@@ -89,10 +89,10 @@
     factor: float
     summand: float
     rate_per_s: float = 2.0
-    _known: pace.AttemptCounts = pace.AttemptCounts()
+    _known: learned_pace.AttemptCounts = learned_pace.AttemptCounts()
     _updated_s: float = 0.0
 
-    def update(self, counts: pace.AttemptCounts, now_s: float) -> None:
+    def update(self, counts: learned_pace.AttemptCounts, now_s: float) -> None:
         """Raises the rate after a second without a loss, else halves it."""
         if now_s - self._updated_s < 1.0:
             return
@@ -119,7 +119,7 @@
     _updated_s: float = 0.0
     _served: float = 0.0
 
-    def update(self, counts: pace.AttemptCounts, now_s: float) -> None:
+    def update(self, counts: learned_pace.AttemptCounts, now_s: float) -> None:
         """Moves the rate once in half a second."""
         if now_s - self._updated_s < 0.5 or counts.served == self._served:
             return
@@ -133,7 +133,7 @@
     """The rule of the gateway, which ends by itself."""
 
     def __init__(self) -> None:
-        self._learned = pace.LearnedPace(0.0)
+        self._learned = learned_pace.LearnedPace(0.0)
 
     @property
     def rate_per_s(self) -> float:
@@ -141,7 +141,7 @@
         ended = self._learned.ended
         return float('inf') if ended else self._learned.rate_per_s
 
-    def update(self, counts: pace.AttemptCounts, now_s: float) -> None:
+    def update(self, counts: learned_pace.AttemptCounts, now_s: float) -> None:
         """Applies the outcomes in the periods of the gateway."""
         if not self._learned.ended:
             self._learned.update(counts, now_s)
@@ -205,8 +205,8 @@
     others = [_BACKLOG] * _OTHERS
     began_s = 0.0
     sent_s: collections.deque[float] = collections.deque()
-    counts = pace.AttemptCounts()
-    delayed: collections.deque[tuple[float, pace.AttemptCounts]]
+    counts = learned_pace.AttemptCounts()
+    delayed: collections.deque[tuple[float, learned_pace.AttemptCounts]]
     delayed = collections.deque()
     served_s: collections.deque[float] = collections.deque()
     turns = work = 0.0
@@ -269,7 +269,9 @@
             full_s = now_s
         if now_s >= next_update_s:
             next_update_s += 0.25
-            delayed.append((now_s, pace.AttemptCounts(served, failed, late)))
+            delayed.append(
+                (now_s, learned_pace.AttemptCounts(served, failed, late))
+            )
             while delayed and delayed[0][0] <= now_s - _DELAY_S:
                 counts = delayed.popleft()[1]
             rule.update(counts, now_s)
--- a/packages/core/tests/gateway/test_pace.py
+++ b/packages/core/tests/gateway/test_pace.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from dotterelweir_core.gateway import learned_pace
 from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import tables
@@ -116,14 +117,14 @@
 
     Returns the learned pace, and the failures and answers by second.
     """
-    learned = begun or pace.LearnedPace(0.0)
-    counts = pace.AttemptCounts()
+    learned = begun or learned_pace.LearnedPace(0.0)
+    counts = learned_pace.AttemptCounts()
     failed, served = [], []
     for step in range(seconds * 4):
         now_s = step / 4
         sent = min(demand_per_s, learned.rate_per_s) / 4
         good = min(sent, target_bears(now_s) / 4)
-        counts = pace.AttemptCounts(
+        counts = learned_pace.AttemptCounts(
             counts.served + good, counts.failed + sent - good, counts.late
         )
         learned.update(counts, now_s)
@@ -162,26 +163,28 @@
 
 def test_late_answers_lower_a_pace():
     """Guards against a queue at a target that is slow at first."""
-    learned = pace.LearnedPace(0.0, 40.0)
-    learned.update(pace.AttemptCounts(), 0.0)
-    assert learned.update(pace.AttemptCounts(10.0, 0.0, 6.0), 0.25)
+    learned = learned_pace.LearnedPace(0.0, 40.0)
+    learned.update(learned_pace.AttemptCounts(), 0.0)
+    assert learned.update(learned_pace.AttemptCounts(10.0, 0.0, 6.0), 0.25)
     assert learned.rate_per_s == 20.0
     # These were sent before the pace fell.
-    assert not learned.update(pace.AttemptCounts(20.0, 0.0, 16.0), 0.75)
+    assert not learned.update(
+        learned_pace.AttemptCounts(20.0, 0.0, 16.0), 0.75
+    )
 
 
 def test_all_instances_compute_the_same_pace(registry):
     """Guards against a coordinator that begins anew after another died."""
     registries = [registry, pace.PaceRegistry()]
     target = make_target('plain')
-    counts = pace.AttemptCounts()
+    counts = learned_pace.AttemptCounts()
     for each in registries:
         each.settings = pace.PaceSettings()
         each.set_services(SERVICES)
         each.record_start(target, 0.0)
         assert each.begin_learning(target, 0.0)
     for step in range(1, 9):
-        counts = pace.AttemptCounts(counts.served + 1.0)
+        counts = learned_pace.AttemptCounts(counts.served + 1.0)
         for number, each in enumerate(registries):
             # One hears of the outcomes later.
             now_s = step / 4 + 0.1 * number
@@ -201,11 +204,11 @@
 
 def test_calls_are_late_by_what_is_usual():
     """Guards against an evidence that a slow route distorts."""
-    durations = pace.UsualDurations()
+    durations = learned_pace.UsualDurations()
     for _ in range(30):
         assert not durations.record('read', 0.07)
         assert not durations.record('book', 0.5)
     assert durations.record('read', 0.3)
     assert not durations.record('book', 0.6)
-    assert not pace.is_late_first_event(6_000, 14_000.0, 0.8)
-    assert pace.is_late_first_event(3_000, 14_000.0, 0.8)
+    assert not learned_pace.is_late_first_event(6_000, 14_000.0, 0.8)
+    assert learned_pace.is_late_first_event(3_000, 14_000.0, 0.8)
--- a/packages/daemon/src/dotterelweird/gateway/sending/pacing.py
+++ b/packages/daemon/src/dotterelweird/gateway/sending/pacing.py
@@ -11,6 +11,7 @@
 
 from dotterelweir_core import events
 from dotterelweir_core import timers
+from dotterelweir_core.gateway import learned_pace
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import pace
 from dotterelweir_core.gateway import rate_limits
@@ -49,7 +50,9 @@
     timers: timers.TimerService
     statistics: statistics.Statistics
     has_state: Callable[[], bool]
-    durations: pace.UsualDurations = attrs.field(factory=pace.UsualDurations)
+    durations: learned_pace.UsualDurations = attrs.field(
+        factory=learned_pace.UsualDurations
+    )
     _logged_s: dict[str, float] = attrs.field(factory=dict)
 
     def apply_settings(self, settings: pace.PaceSettings) -> None:
@@ -137,7 +140,7 @@
                 paces.end_learning(target_id, started_ms, now_s)
                 continue
             load = self.loads.get(target_id)
-            counts = pace.AttemptCounts(
+            counts = learned_pace.AttemptCounts(
                 load.all_served, load.all_failed, load.all_late
             )
             change = paces.learn(target_id, started_ms, counts, now_s)
@@ -183,7 +186,7 @@
             tokens_per_s: Usual prefill rate of the service.
             taken_s: Time from the send to the event, in seconds.
         """
-        if self.limiter.pace.learns and pace.is_late_first_event(
+        if self.limiter.pace.learns and learned_pace.is_late_first_event(
             exchange.demand.prompt_tokens + int(pending_tokens),
             tokens_per_s,
             taken_s,
