Explain when a learned pace gives way

Cause: a reader could not tell why a refused target is chosen after all. Ruled out: no behaviour changes. Conclusion: a comment only.

--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -193,6 +193,8 @@
     while True:
         choice = parts.choose(exchange, exchange.tried | refused)
         if choice is None:
+            # Only learned paces are left as obstacles. They spare a target
+            # while others can serve, and refuse no caller.
             choice = parts.choose(
                 exchange, exchange.tried | (refused - advised)
             )
