--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -31,6 +31,8 @@
 PEERS_PORT = 7200
 # Interval of the heartbeats of servers, in seconds.
 BEAT_S = 1.2
+# Time without a heartbeat after which an entry is removed, in seconds.
+LAPSE_S = 3.0 * BEAT_S
 # Time within which a process must be ready, in seconds.
 READY_S = 12.0
 
@@ -145,8 +147,12 @@
         self.port = 0
         self.born = int(time.time() * 1000)
         self.seq = 0
+        # Monotonic time of its last heartbeat, in seconds.
+        self.beat_s = 0.0
         self.cold_until_s = 0.0
         self._transports: set[asyncio.Transport] = set()
+        # Sockets that keep its address while it is dark.
+        self._silent: list[socket.socket] = []
         self._listener: asyncio.Server | None = None
         self._beating: asyncio.Task | None = None
 
@@ -175,6 +181,7 @@
     def register(self) -> None:
         """Writes its entry."""
         self.seq += 1
+        self.beat_s = time.monotonic()
         self.fleet.store.write(
             'keyed.servers',
             self.server_id,
@@ -204,11 +211,51 @@
         self._listener.close()
         for transport in tuple(self._transports):
             transport.abort()
+        self.fleet.keep(asyncio.create_task(self._lapse()))
         if back_s is not None:
             self.fleet.keep(asyncio.create_task(self._return(back_s)))
 
+    async def _lapse(self) -> None:
+        """Removes the entry of a server that has ended for long enough."""
+        beat_s = self.beat_s
+        await asyncio.sleep(max(0.0, beat_s + LAPSE_S - time.monotonic()))
+        if self.beat_s == beat_s:
+            self.fleet.store.write('keyed.servers', self.server_id, None)
+
+    def go_dark(self, back_s: float) -> None:
+        """Ends as a machine without power, and starts again later.
+
+        Open connections get nothing more, and new ones are not answered. When
+        the server is back, its earlier connections are reset.
+
+        Args:
+            back_s: Time until it is back, in seconds.
+        """
+        if not self.up:
+            return
+        self.ends.append(time.monotonic())
+        self.fleet.record.write(f'server {self.server_id} goes dark')
+        self._listener.close()
+        self._silent = [socket.socket()]
+        self._silent[0].setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._silent[0].bind(('127.0.0.1', self.port))
+        self._silent[0].listen(0)
+        # With the queue of new connections full, further ones are dropped.
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(('127.0.0.1', self.port))
+            self._silent.append(filler)
+        self.fleet.keep(asyncio.create_task(self._lapse()))
+        self.fleet.keep(asyncio.create_task(self._return(back_s)))
+
     async def _return(self, back_s: float) -> None:
         await asyncio.sleep(back_s)
+        for transport in tuple(self._transports):
+            transport.abort()
+        for silent in self._silent:
+            silent.close()
+        self._silent = []
         self.born = int(time.time() * 1000)
         await self.start()
         self.register()
