--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -33,6 +33,8 @@
 BEAT_S = 1.2
 # Time without a heartbeat after which an entry is removed, in seconds.
 LAPSE_S = 3.0 * BEAT_S
+# Longest header that a server reads, in bytes.
+_HEADER_BYTES_MAX = 65_536
 # Time within which a process must be ready, in seconds.
 READY_S = 12.0
 
@@ -159,7 +161,10 @@
     async def start(self) -> None:
         """Listens and registers; also after it has ended."""
         handler = web.Server(
-            self._handle, access_log=None, handler_cancellation=True
+            self._handle,
+            access_log=None,
+            handler_cancellation=True,
+            max_field_size=_HEADER_BYTES_MAX,
         )
         self._listener = await asyncio.get_running_loop().create_server(
             handler, '127.0.0.1', self.port
