--- a/review/standins-2/fleet.py
+++ b/review/standins-2/fleet.py
@@ -317,21 +317,32 @@
         self.host = loopback(number)
         # Machines that its settings name as seeds; None for the first three.
         self.seeds: list[Machine] | None = None
+        # Whether the whole system starts for the first time.
+        self.bootstrap = True
         self.process: subprocess.Popen | None = None
         self.started_s = 0.0
 
+    @property
+    def settings(self) -> pathlib.Path:
+        """Its settings file."""
+        return self.fleet.directory / f'machine-{self.number}.conf'
+
+    def write_settings(self) -> None:
+        """Writes its settings file anew."""
+        lines = self.fleet.settings(self)
+        self.settings.write_text('\n'.join(lines) + '\n')
+
     def start(self) -> None:
         """Starts the process with the command of the deploy file."""
         fleet = self.fleet
-        settings = fleet.directory / f'machine-{self.number}.conf'
-        settings.write_text('\n'.join(fleet.settings(self)) + '\n')
+        self.write_settings()
         environment = {
             name: os.environ[name]
             for name in ('PATH', 'HOME', 'LANG')
             if name in os.environ
         }
         environment['PYTHONPATH'] = str(ROOT / 'target' / 'deps')
-        environment['DOTTERELWEIR_CONFIG'] = str(settings)
+        environment['DOTTERELWEIR_CONFIG'] = str(self.settings)
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles']['gateway']['run'].split()
         log = fleet.directory / f'machine-{self.number}.log'
@@ -423,7 +434,7 @@
             f'listen.control={machine.host}:{CONTROL_PORT}',
             f'internalPortRange={PEERS_PORT},{PEERS_PORT + 15}',
             f'seeds={seeds}',
-            'bootstrap=true',
+            f'bootstrap={str(machine.bootstrap).lower()}',
             'limits.memoryMb=150',
             'limits.maxFds=4100',
             'discovery=platform',
@@ -485,6 +496,7 @@
         self._numbers += 1
         machine = Machine(self, self._numbers)
         machine.seeds = seeds
+        machine.bootstrap = False
         _check_free(machine.host)
         self.machines.append(machine)
         machine.start()
