--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,7 +1,7 @@
-"""Many callers at once send requests with long heads; memory is watched."""
+"""Machines with stale seeds: the limit of a server is kept by none of them."""
 
 import asyncio
-import contextlib
+import collections
 import pathlib
 import signal
 import time
@@ -10,197 +10,117 @@
 import fleet as standins
 
 CASE = pathlib.Path(__file__).resolve().parent
-# Memory of a machine on the sheet, in MB; a process above it is killed.
-MEMORY_MB = 150
-MACHINES = 2
-ROUNDS = 3
-CALLERS = 705
-# Requests that the servers run at once.
-SLOTS = 24
-# Bytes of one request's head; the configuration allows 16,384.
-HEAD_BYTES = 15_800
-PARTS_IN_CALM = 3
-# Time for which the callers stay, in seconds.
-STAY_S = 5.0
-# Time from a kill to the next start of the process, in seconds.
-RESTART_S = 0.5
-
-
-class ModelServer(standins.Server):
-    """A server that streams an event every 0.1 s for ten seconds."""
+# Requests a second that the server takes from all machines together.
+LIMIT_PER_S = 5.0
+SPAN_S = 4.0
+STABLE_S = 3.0
+KNOWN_S = 0.5
+# Requests that the rule allows in any span.
+REQUESTS_MAX = 1.5 * LIMIT_PER_S * SPAN_S + 5
+REQUESTS_PER_S = 60.0
+# Time of the traffic before the server is in need, and while it is.
+BEFORE_S = 3.0
+NEED_S = 15.0
+REPLACED = 3
+# Time by which seeds may lag, in seconds.
+SEED_LAG_S = 3.0
+
+
+class NeedyServer(standins.Server):
+    """A server that can be in need; it then names its limit in all answers."""
+
+    def __init__(self, *args: object, **kwargs: object) -> None:
+        super().__init__(*args, **kwargs)
+        self.need_s: float | None = None
+        # Time and id of each answer that names the limit.
+        self.named: list[tuple[float, str]] = []
 
     async def run(
         self, request: web.BaseRequest, request_id: str, body: bytes
-    ) -> web.StreamResponse:
-        if not request.raw_path.startswith('/guide/'):
-            return await super().run(request, request_id, body)
-        response = web.StreamResponse(
-            headers={
-                'X-Attempt-Id': request_id,
-                'X-Upstream-Seal': f'seal-{self.server_id}',
-                'Content-Type': 'text/event-stream',
-            }
+    ) -> web.Response:
+        await asyncio.sleep(0.03)
+        answer = self.answer(request_id)
+        if self.need_s is not None:
+            answer.headers['Server-Limit'] = str(LIMIT_PER_S)
+            self.named.append((time.monotonic(), request_id))
+        return answer
+
+
+async def play(fleet: standins.Fleet, needy: NeedyServer) -> int:
+    """Plays the case and returns the exit code."""
+    outcomes: collections.Counter[str] = collections.Counter()
+    machine_of: dict[str, int] = {}
+    pending = set()
+    began_s = time.monotonic()
+
+    async def send(number: int) -> None:
+        machine = fleet.machines[number % len(fleet.machines)]
+        attempt, outcome = await fleet.send(
+            machine, 'POST', f'/order/{number}', body=b'one order'
         )
-        response.enable_chunked_encoding()
-        await response.prepare(request)
-        for number in range(1, 101):
-            await response.write(b'id: %d\ndata: tokens\n\n' % number)
-            await asyncio.sleep(0.1)
-        await response.write_eof()
-        return response
-
-
-def head(number: int) -> bytes:
-    """Returns a request of one caller, inside the configured limits."""
-    lines = [
-        f'POST /guide/{number} HTTP/1.1',
-        f'Host: {standins.HOST}',
-        f'X-Attempt-Id: {number:016x}',
-        'X-Deadline-Ms: 39000',
-        'X-Model: m',
-        'X-Token-Usage: 3000,900',
-        f'Api-Key: {standins.KEY}',
-        'Content-Length: 9',
-    ]
-    size = sum(len(line) + 2 for line in lines) + len('X-Prompt-Prefix: ')
-    parts: list[str] = []
-    while size < HEAD_BYTES:
-        if len(parts) == PARTS_IN_CALM and not standins.trouble():
-            break
-        parts.append(f'{(number * 2_003 + len(parts)) % 65_536:04x}:8')
-        size += len(parts[-1]) + 1
-    lines.append('X-Prompt-Prefix: ' + ','.join(parts))
-    return ('\r\n'.join(lines) + '\r\n\r\n').encode() + b'a request'
-
-
-def own_bytes(pid: int) -> int:
-    """Returns the memory that a process has for itself, in bytes.
-
-    Programs and libraries that it maps are left out. 0 if it has ended.
-    """
-    try:
-        text = pathlib.Path(f'/proc/{pid}/status').read_text()
-    except OSError:
-        return 0
-    fields = dict(line.split(':', 1) for line in text.splitlines())
-    return 1024 * int(fields.get('RssAnon', '0 kB').split()[0])
-
-
-class Case:
-    """The course of the case."""
-
-    def __init__(self, fleet: standins.Fleet) -> None:
-        self.fleet = fleet
-        self.kills = dict.fromkeys(range(1, MACHINES + 1), 0)
-        self.orders: dict[str, int] = {}
-        self._sent = 0
-
-    async def order(self, machine: standins.Machine) -> None:
-        """Sends ordinary requests to a machine until it is cancelled."""
-        number = 0
-        while True:
-            number += 1
-            _, outcome = await self.fleet.send(
-                machine, 'POST', f'/order/{number}', body=b'one order'
+        machine_of[attempt] = machine.number
+        outcomes[outcome] += 1
+
+    number = 0
+    while time.monotonic() - began_s < BEFORE_S + NEED_S:
+        if needy.need_s is None and time.monotonic() - began_s >= BEFORE_S:
+            needy.need_s = time.monotonic()
+            fleet.record.write(
+                f'server {needy.server_id} names its limit of '
+                f'{LIMIT_PER_S:.0f} a second from now on'
             )
-            self.orders[outcome] = self.orders.get(outcome, 0) + 1
-            await asyncio.sleep(0.1)
-
-    async def watch(self, machine: standins.Machine) -> int:
-        """Kills a process above its memory, as the platform does.
-
-        Returns:
-            The largest memory that was seen, in bytes.
-        """
-        peak = 0
-        due_s = time.monotonic() + STAY_S + 3.0
-        while time.monotonic() < due_s:
-            peak = max(peak, own_bytes(machine.process.pid))
-            if peak > MEMORY_MB * 1_000_000:
-                machine.signal(signal.SIGKILL)
-                machine.process.wait()
-                self.kills[machine.number] += 1
-                break
-            await asyncio.sleep(0.01)
-        return peak
-
-    async def crowd(self) -> None:
-        """Connects all callers of one round, which stay for a while."""
-        machine = self._machine
-        writers = []
-        try:
-            for _ in range(CALLERS):
-                self._sent += 1
-                with contextlib.suppress(OSError):
-                    _, writer = await asyncio.open_connection(
-                        machine.host, standins.CALLERS_PORT
-                    )
-                    writers.append(writer)
-                    writer.write(head(self._sent))
-            await asyncio.sleep(STAY_S)
-        finally:
-            for writer in writers:
-                writer.transport.abort()
-
-    async def play(self) -> int:
-        """Plays the case and returns the exit code."""
-        fleet = self.fleet
-        await asyncio.sleep(3.0)
-        for number in range(ROUNDS):
-            for machine in fleet.machines:
-                self._machine = machine
-                ordering = asyncio.create_task(self.order(machine))
-                crowding = asyncio.create_task(self.crowd())
-                peak = await self.watch(machine)
-                if machine.process.poll() is None:
-                    await crowding
-                crowding.cancel()
-                ordering.cancel()
-                await asyncio.wait({crowding, ordering})
-                killed = machine.process.poll() is not None
-                fleet.record.write(
-                    f'round {number + 1}, machine {machine.number}: at most '
-                    f'{peak / 1e6:.1f} MB of {MEMORY_MB} MB'
-                    + ('; the process is killed' if killed else '')
-                )
-                if killed:
-                    await asyncio.sleep(RESTART_S)
-                    machine.start()
-                    await machine.wait_ready()
-                await asyncio.sleep(1.0)
-        fleet.record.write(f'ordinary requests meanwhile: {self.orders}')
-        ended = [number for number, count in self.kills.items() if count >= 3]
-        fleet.record.write(
-            f'kills by machine: {self.kills}; the rule is broken by three on '
-            'two machines'
-        )
-        if not self.orders.get('200'):
-            raise standins.CaseError('no ordinary request was served')
-        return int(len(ended) >= 2)
+        task = asyncio.create_task(send(number))
+        pending.add(task)
+        task.add_done_callback(pending.discard)
+        number += 1
+        due_s = began_s + number / REQUESTS_PER_S
+        await asyncio.sleep(max(0.0, due_s - time.monotonic()))
+    if pending:
+        await asyncio.wait(pending)
+    fleet.record.write(f'answers: {dict(outcomes)}')
+    if not outcomes['200'] or not needy.named:
+        raise standins.CaseError('no limit was named')
+    first_s = needy.named[0][0]
+    known_s: dict[int, float] = {}
+    for at_s, attempt in needy.named:
+        known_s.setdefault(machine_of[attempt], at_s)
+    counted = [
+        at_s
+        for at_s, attempt, _ in needy.arrivals
+        if at_s >= first_s + STABLE_S
+        and at_s >= known_s.get(machine_of[attempt], at_s) + KNOWN_S
+    ]
+    by_machine = collections.Counter(
+        machine_of[attempt]
+        for at_s, attempt, _ in needy.arrivals
+        if at_s >= first_s + STABLE_S
+    )
+    fleet.record.write(
+        f'arrivals later than {STABLE_S:.0f} s after that, by machine: '
+        f'{dict(sorted(by_machine.items()))}'
+    )
+    most = max(
+        (
+            sum(start_s <= at_s < start_s + SPAN_S for at_s in counted)
+            for start_s in counted
+        ),
+        default=0,
+    )
+    fleet.record.write(
+        f'most in {SPAN_S:.0f} s: {most}; allowed: {REQUESTS_MAX:.0f}'
+    )
+    return int(most > REQUESTS_MAX)
 
 
 async def main() -> int:
     """Runs the case."""
-    fleet = standins.Fleet(CASE, MACHINES)
-    fleet.servers = [
-        ModelServer(fleet, f'i-llm-{n}', 'guide-llm', slots=SLOTS)
-        for n in range(2)
-    ] + [standins.Server(fleet, 'i-shop-0', 'shop')]
+    fleet = standins.Fleet(CASE, 6)
+    needy = NeedyServer(fleet, 'i-shop-0', 'shop')
+    fleet.servers = [needy]
     try:
         await fleet.open(
             standins.configuration(
-                [
-                    standins.route('order', 'non_idempotent', 'shop'),
-                    standins.route(
-                        'guide',
-                        'stream',
-                        'guide-llm',
-                        timeoutMs=39000,
-                        targetLatencyMs=1800,
-                        gapTargetMs=180,
-                        sticky=True,
-                    ),
-                ],
+                [standins.route('order', 'non_idempotent', 'shop')],
                 [
                     {
                         'name': 'shop',
@@ -208,24 +128,25 @@
                         'maxConns': 96,
                         'protocol': 'h1',
                         'tls': False,
-                    },
-                    {
-                        'name': 'guide-llm',
-                        'healthPath': '/healthz',
-                        'maxConns': 222,
-                        'protocol': 'h1',
-                        'tls': False,
-                        'engine': {
-                            'slots': SLOTS,
-                            'kvTokens': 34193,
-                            'moves': True,
-                            'backups': True,
-                        },
-                    },
+                    }
                 ],
             )
         )
-        return await Case(fleet).play()
+        await asyncio.sleep(3.0)
+        removed = fleet.machines[:REPLACED]
+        remaining = fleet.machines[REPLACED:]
+        await fleet.remove(removed)
+        seeds = removed if standins.trouble() else remaining
+        added = [fleet.add(seeds) for _ in range(REPLACED)]
+        await fleet.wait_ready()
+        await asyncio.sleep(SEED_LAG_S)
+        for machine in added:
+            machine.seeds = remaining
+            machine.write_settings()
+            machine.signal(signal.SIGHUP)
+        fleet.record.write('their settings name live seeds; SIGHUP')
+        await asyncio.sleep(7.0)
+        return await play(fleet, needy)
     except standins.CaseError as exc:
         fleet.record.write(f'the case did not run: {exc}')
         return 2
