Log which software version serves a stream, and count streams of two

Entries of targets are now read with their software version, requests with the attempt that they resume; events 222 and 225 name the version, 271 and a counter tell of a stream that goes on at another one, 272 of a stream that a caller takes up. Nothing is decided by them yet. An entry whose version is not text counts as that of another writer.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -179,6 +179,7 @@
             every order to copy a run without a copy.
         flooded_bytes: Total size of the floods that it sent, in bytes.
         started_ms: Wall time of its start, in milliseconds.
+        software_version: Version of its software.
         address: Its host and port.
         zone: Its availability zone.
     """
@@ -198,6 +199,7 @@
         self.copies: fleet_copies.EngineCopies | None = None
         self.flooded_bytes = 0
         self.started_ms = 0
+        self.software_version = 'v1'
         self._stop_events: dict[str, asyncio.Event] = {}
         # Ids of the last events of runs with a stream.
         self._events_made: dict[str, int] = {}
@@ -313,7 +315,7 @@
             'service': service,
             'addr': self.address,
             'zone': self.zone,
-            'version': 'v1',
+            'version': self.software_version,
             'slots': 8,
             'state': state,
             'warmupLeftMs': 0,
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -211,6 +211,20 @@
     logging.WARNING,
     'No engine could take over a run from a draining engine.',
 )
+STREAM_VERSION_CHANGED = _event(
+    271,
+    'stream-version-changed',
+    logging.ERROR,
+    'A stream goes on with events of an engine of another software version '
+    'than the one that began it.',
+)
+STREAM_TAKEN_UP = _event(
+    272,
+    'stream-taken-up',
+    logging.INFO,
+    'A caller takes up a stream that broke off; `origin` states how this '
+    'instance knows the software version that began it.',
+)
 REPEAT_BUDGET_EMPTY = _event(
     228,
     'repeat-budget-empty',
--- a/packages/core/src/dotterelweir_core/gateway/targets.py
+++ b/packages/core/src/dotterelweir_core/gateway/targets.py
@@ -43,6 +43,8 @@
             shrinks with each heartbeat and is left out of comparisons, so
             that a heartbeat alone is no change.
         started_ms: Wall time of its start, in milliseconds; 0 if unknown.
+        software_version: Version of its software, not of its weights; empty
+            if unknown.
     """
 
     target_id: str
@@ -54,6 +56,7 @@
     state: TargetState
     warm_up_left_s: float = attrs.field(default=0.0, eq=False)
     started_ms: int = 0
+    software_version: str = ''
 
     @property
     def address(self) -> str:
@@ -157,6 +160,7 @@
             rows = sorted(
                 (target.target_id, target.state.value, target.started_ms)
                 + (target.service, target.address, target.zone, target.slots)
+                + (target.software_version,)
                 for newest_record in self._newest_records.values()
                 if (target := newest_record.target) is not None
             )
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -197,6 +197,8 @@
             None if the request resumes no stream.
         shared_parts: Ids of the parts of the prompt that other requests may
             share; empty if the request states none.
+        resumed_id: Id of the request that brought the first event of the
+            stream that is resumed; empty if the caller does not name it.
     """
 
     request_id: str
@@ -212,6 +214,7 @@
     output_tokens_hint: int = 0
     last_event_id: int | None = None
     shared_parts: tuple[str, ...] = ()
+    resumed_id: str = ''
 
     @property
     def path(self) -> str:
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -58,6 +58,8 @@
         run_calls: Calls to engines about runs of the request, in order.
         shortest_event_gap_s: Shortest limit on the time between two events
             of any generation of the service, in seconds; 0 for none.
+        stream_version: Software version of the engines whose events the
+            caller's stream holds; None before its first event.
     """
 
     request: api.CallerRequest
@@ -82,6 +84,7 @@
     retries_ahead: int = 0
     run_calls: list['RunCall'] = attrs.field(factory=list)
     shortest_event_gap_s: float = 0.0
+    stream_version: str | None = None
 
     @property
     def stop_called(self) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -88,6 +88,7 @@
         budget = self._parts.budgets.for_service(exchange.service.name)
         budget.record_request(self._parts.timers.monotonic_s())
         self._check_blocks()
+        self._report_resumption()
         await rooms.wait_for_admission(self._parts, exchange)
         run = await self._place()
         last_outcome: exchanges.StreamOutcome | None = None
@@ -130,6 +131,20 @@
                     break
         return self._give_up(last_outcome)
 
+    def _report_resumption(self) -> None:
+        request = self._exchange.request
+        if request.last_event_id is None:
+            return
+        events.log(
+            LOG,
+            events.STREAM_TAKEN_UP,
+            request_id=request.request_id,
+            resumed_id=request.resumed_id,
+            last_event_id=request.last_event_id,
+            service=self._exchange.service.name,
+            origin='not looked up',
+        )
+
     async def _wait_for_retry(self) -> bool:
         """Takes a retry for a run that is lost without it, and waits for it.
 
@@ -233,6 +248,7 @@
             events.GATEWAY_TARGET_CHOSEN,
             request_id=exchange.request.request_id,
             target_id=choice.target.target_id,
+            software_version=choice.target.software_version,
             cost=round(choice.cost, 2),
             candidates=choice.candidates,
             expected_pause_s=round(choice.pause_s, 4),
@@ -498,6 +514,7 @@
             request_id=self._exchange.request.request_id,
             source=run.target.target_id,
             target_id=way.target.target_id,
+            software_version=way.target.software_version,
             way=origin,
             reason=reason,
             last_event_id=self._stream.cursor.last_id,
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -1,11 +1,13 @@
 """Link of a generation: its connection to one engine."""
 
 import asyncio
+import logging
 
 import aiohttp
 from aiohttp import hdrs
 import attrs
 
+from dotterelweir_core import events
 from dotterelweir_core.gateway import event_stream
 from dotterelweir_core.gateway import target_speeds
 from dotterelweir_core.gateway import targets
@@ -20,6 +22,8 @@
 from dotterelweird.gateway import run_record
 from dotterelweird.gateway import target_client
 
+LOG = logging.getLogger(__name__)
+
 # Silence within a stream after which its engine is called to stop the run, in
 # seconds: several times the pause of a preempted or slowed run.
 _SILENCE_TIMEOUT_S = 1.0
@@ -481,7 +485,26 @@
                 window.restart()
         return await self._classify_end(answer, facts)
 
+    def _record_version(self) -> None:
+        """Records the software version whose events the stream holds."""
+        exchange, target = self._exchange, self._run.target
+        if exchange.stream_version is None:
+            exchange.stream_version = target.software_version
+        if exchange.stream_version == target.software_version:
+            return
+        self._parts.statistics.mixed_streams.inc({'service': target.service})
+        events.log(
+            LOG,
+            events.STREAM_VERSION_CHANGED,
+            request_id=exchange.request.request_id,
+            target_id=target.target_id,
+            software_version=target.software_version,
+            stream_version=exchange.stream_version,
+            has_copy=self._run.copy is not None,
+        )
+
     def _handle_first_event(self, prefill: attempts.PendingPrefill) -> None:
+        self._record_version()
         prefill.end()
         self._parts.loads.notify()
         self._parts.prompt_guard.report_sound(self._exchange)
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -20,6 +20,8 @@
         blocked_requests: Requests kept from the engines because of their
             prompt.
         recoveries: Streams that continued at another target, by way.
+        mixed_streams: Streams that hold events of engines of two software
+            versions, by service.
         first_byte_s: Time to the first byte of a streamed answer, in seconds,
             by route.
         answer_s: Time to the end of an answer, in seconds.
@@ -96,6 +98,11 @@
             'Streams that went on at another target',
             registry=self._registry,
         )
+        self.mixed_streams = aioprometheus.Counter(
+            'dotterelweir_gateway_mixed_streams_total',
+            'Streams with events of engines of two software versions',
+            registry=self._registry,
+        )
         self.unstopped_runs = aioprometheus.Counter(
             'dotterelweir_gateway_unstopped_runs_total',
             'Runs that their engines did not stop when called to',
--- a/packages/daemon/src/dotterelweird/gateway/status.py
+++ b/packages/daemon/src/dotterelweird/gateway/status.py
@@ -40,6 +40,7 @@
                 'target_id': target.target_id,
                 'service': target.service,
                 'zone': target.zone,
+                'software_version': target.software_version,
                 'state': target.state.value,
                 'running': load.running + load.peer_running,
                 'tokens': load.tokens + load.backup_tokens + load.peer_tokens,
--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -109,7 +109,10 @@
 CLAMPED = (b'1e308', b'9' * 400, b'18446744073709551616', b'-1')
 ODD_ENTRIES = [
     (name, raw)
-    for name in ('addr', 'born', 'service', 'slots', 'state', 'warmupLeftMs')
+    for name in (
+        *('addr', 'born', 'service', 'slots', 'state', 'version'),
+        'warmupLeftMs',
+    )
     for raw in (
         DEEP,
         b'[' * 100_000,
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -26,11 +26,13 @@
         (b'X-Length-Hint', b'64.5'),
         (b'X-Deadline-Ms', b'1500'),
         (b'Last-Event-Id', b'17'),
+        (b'Resumes', b'attempt-0'),
     )
     assert (request.prompt_tokens, request.output_tokens_max) == (1460, 80)
     assert request.output_tokens_expected == 64
     assert request.timeout_s == 1.5
     assert request.last_event_id == 17
+    assert request.resumed_id == 'attempt-0'
     assert request.path == '/a/b'
 
 
