--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -359,6 +359,7 @@
         method: str = 'POST',
         body: bytes = b'body',
         deadline_ms: int = 2000,
+        gateway: composition.Gateway | None = None,
         **headers: str,
     ) -> aiohttp.client._RequestContextManager:
         """Sends a request on a route.
@@ -369,6 +370,7 @@
             method: HTTP method.
             body: Body of the request.
             deadline_ms: Deadline of the request, in milliseconds.
+            gateway: The gateway; None for the first one.
             **headers: Further headers, with underscores for hyphens.
 
         Returns:
@@ -378,9 +380,13 @@
         fields.update(
             {name.replace('_', '-'): v for name, v in headers.items()}
         )
+        address = f'{self.host}:{self.callers_port}'
+        if gateway is not None:
+            callers = gateway._settings.callers
+            address = f'{callers.host}:{callers.port}'
         return self.session.request(
             method,
-            f'http://{self.host}:{self.callers_port}/{route}/x?y=1',
+            f'http://{address}/{route}/x?y=1',
             headers=fields,
             data=body,
         )
