Continue a stream only at engines of the version that began it

Cause: a choice that rests on what a target is called, its service, and not on what it is. Every choice of a second engine (backup, copy of a move, restart of a resumable stream, destination at the stop of a run) took all engines of the service as equal. Staleness was ruled out for the traced streams: both entries had named their versions for seconds.

A request keeps the version of its first event. All candidates come from one method, which leaves out other versions, also for copies of a run that has no event yet; the gate that is asked before each send, copy and backup looks at the newest entry again, so that an engine that returned at another version counts as that.

--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -145,7 +145,9 @@
     exchange.tried.add(target.target_id)
     # What the choice of the target rested on may have changed since.
     obstacle = parts.gate.find_obstacle(
-        target, resumes=options.copy is not None
+        target,
+        resumes=options.copy is not None,
+        stream_version=exchange.stream_version,
     )
     if obstacle is not None:
         reason = obstacle.value
@@ -158,7 +160,9 @@
             reason=reason,
         )
         raise WithheldError(reason)
-    if options.backup is not None and parts.gate.is_evacuated(options.backup):
+    if options.backup is not None and not parts.gate.may_keep(
+        target, options.backup
+    ):
         options = attrs.evolve(options, backup=None)
     exchange.sending = send_state
     send_state.request_id = request.request_id
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -141,6 +141,35 @@
             self.placer.evacuation_registry, self.timers, self.rng
         )
 
+    def candidates(
+        self,
+        exchange: exchanges.Exchange,
+        source: targets.Target | None = None,
+    ) -> list[targets.Target]:
+        """Returns the targets at which a request may run or go on.
+
+        Engines of several software versions may serve side by side. What two
+        versions write does not fit together, so a stream with an event goes
+        on only at the version that began it, and a run is copied only to
+        engines that can continue it.
+
+        Args:
+            exchange: The request.
+            source: The engine of the run that is to be copied; None for a
+                request that is sent.
+        """
+        registered = self.directory.of_service(exchange.service.name)
+        version = exchange.stream_version
+        if source is not None:
+            version = source.software_version
+        if version is None:
+            return registered
+        return [
+            target
+            for target in registered
+            if target.software_version == version
+        ]
+
     def choose(
         self, exchange: exchanges.Exchange, excluded: set[str]
     ) -> placement.Choice | None:
@@ -173,28 +202,30 @@
     ) -> admission.Capacity:
         """Returns whether an engine can admit a generation without a wait."""
         now_s = self.timers.monotonic_s()
-        usable = self.placer.usable(
-            self.directory.of_service(exchange.service.name), now_s
-        )
+        usable = self.placer.usable(self.candidates(exchange), now_s)
         return self.admission.find_capacity(
             usable, exchange.service, exchange.demand, now_s
         )
 
     def choose_backup(
-        self, exchange: exchanges.Exchange, excluded: set[str]
+        self,
+        exchange: exchanges.Exchange,
+        source: targets.Target,
+        excluded: frozenset[str] | set[str] = frozenset(),
     ) -> targets.Target | None:
         """Chooses the engine that keeps a backup of a run's memory.
 
         Args:
             exchange: The request.
-            excluded: Ids of targets that must not be used.
+            source: The engine that runs it.
+            excluded: Ids of further targets that must not be used.
 
         Returns:
             The engine, or None if no backup should be kept.
         """
         return self.placer.choose_backup(
-            *self._placement_arguments(exchange),
-            excluded,
+            *self._placement_arguments(exchange, source),
+            {source.target_id, *excluded},
             self._stream_needs(exchange),
         )
 
@@ -215,7 +246,7 @@
             The engine, or None if no suitable engine accepts requests.
         """
         return self.placer.choose_takeover_target(
-            *self._placement_arguments(exchange),
+            *self._placement_arguments(exchange, source),
             source,
             excluded,
             self._stream_needs(exchange),
@@ -305,17 +336,17 @@
         """Whether a ready target of a service is sent requests by turns."""
         return any(
             self.limiter.is_limited(target)
-            for target in self.placer.ready(
-                self.directory.of_service(exchange.service.name)
-            )
+            for target in self.placer.ready(self.candidates(exchange))
         )
 
     def _placement_arguments(
-        self, exchange: exchanges.Exchange
+        self,
+        exchange: exchanges.Exchange,
+        source: targets.Target | None = None,
     ) -> tuple[list[targets.Target], tables.Service, int, float]:
         """Returns the first arguments of each choose method of the placer."""
         return (
-            self.directory.of_service(exchange.service.name),
+            self.candidates(exchange, source),
             exchange.service,
             exchange.tokens,
             self.timers.monotonic_s(),
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -269,7 +269,7 @@
         if self._exchange.route.resumable:
             # A resumable generation is cheap to generate again.
             return None
-        return self._parts.choose_backup(self._exchange, {target.target_id})
+        return self._parts.choose_backup(self._exchange, target)
 
     async def _follow(
         self, link: links.Link, run: links.RunPlacement
@@ -468,7 +468,11 @@
         """Whether an engine that was not sent the run accepts it now."""
         return any(
             way.target.target_id not in self._unsent
-            and self._parts.gate.find_obstacle(way.target, resumes=True)
+            and self._parts.gate.find_obstacle(
+                way.target,
+                resumes=True,
+                stream_version=self._exchange.stream_version,
+            )
             is None
             for way in ways
         )
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -160,7 +160,9 @@
         elif not self._load.pending_prefill_tokens:
             self._prefill_start_s = self._parts.timers.monotonic_s()
         prefill = attempts.PendingPrefill(self._load, prefill_tokens)
-        if run.backup is not None and parts.gate.is_evacuated(run.backup):
+        if run.backup is not None and not parts.gate.may_keep(
+            run.target, run.backup
+        ):
             run.backup = None
         watched = [run.target.target_id]
         if run.backup is not None:
@@ -214,18 +216,15 @@
         Also if the zone of one of them is evacuated.
         """
         after = change.after
-        evacuated = after is not None and self._parts.gate.is_evacuated(after)
-        unusable = (
-            after is None
-            or evacuated
-            or (after.state is targets.TargetState.DRAINING)
+        kept = after is not None and self._parts.gate.may_keep(
+            self._run.target, after
         )
-        if not unusable:
+        if kept and after.state is not targets.TargetState.DRAINING:
             return
         backup = self._run.backup
         if backup is not None and change.target_id == backup.target_id:
             self._run.backup = None
-            if evacuated:
+            if after is not None and not kept:
                 self._record.backup = None
         if self._find_move_reason() is not None:
             self._start_move()
--- a/packages/daemon/src/dotterelweird/gateway/move_calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/move_calls.py
@@ -337,7 +337,9 @@
         parts, backup = self._parts, self._record.backup
         if not parts.gate.is_evacuated(destination):
             return destination
-        if backup is not None and parts.gate.accepts(backup.target):
+        if backup is not None and parts.gate.accepts_copy(
+            self._record.source, backup.target
+        ):
             return backup.target
         return parts.choose_takeover_target(
             self._exchange, self._record.source
@@ -354,7 +356,9 @@
         """
         if not await self._may_call_source():
             return False
-        return destination is None or self._parts.gate.accepts(destination)
+        return destination is None or self._parts.gate.accepts_copy(
+            self._record.source, destination
+        )
 
     async def _may_call_source(self) -> bool:
         parts, source = self._parts, self._record.source
--- a/packages/daemon/src/dotterelweird/gateway/moving.py
+++ b/packages/daemon/src/dotterelweird/gateway/moving.py
@@ -327,14 +327,16 @@
         if reason is Reason.EVACUATED:
             # Only where memory is free that no other run is about to need.
             return self._parts.choose_backup(
-                self._exchange, {self._record.source.target_id, *refused}
+                self._exchange, self._record.source, refused
             )
         backup = self._record.backup
         if (
             reason is Reason.SILENT
             and backup is not None
             and backup.target.target_id not in refused
-            and self._parts.gate.accepts(backup.target)
+            and self._parts.gate.accepts_copy(
+                self._record.source, backup.target
+            )
         ):
             return backup.target
         return self._parts.choose_takeover_target(
@@ -404,7 +406,7 @@
                 if reason is Reason.SILENT:
                     return Obstacle.MOVED_BEFORE
             return None
-        if not parts.gate.accepts(destination):
+        if not parts.gate.accepts_copy(self._record.source, destination):
             events.log(
                 LOG,
                 events.DESTINATION_LEFT,
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -41,9 +41,7 @@
         request, in seconds; 0 if such a target accepts it now, or if there
         is none.
     """
-    ready = parts.placer.ready(
-        parts.directory.of_service(exchange.service.name), exchange.tried
-    )
+    ready = parts.placer.ready(parts.candidates(exchange), exchange.tried)
     if not ready:
         return 0.0
     accepted_s = min(
@@ -120,7 +118,11 @@
         usable = [
             way
             for way in ways
-            if parts.gate.find_lasting_obstacle(way.target, resumes=True)
+            if parts.gate.find_lasting_obstacle(
+                way.target,
+                resumes=True,
+                stream_version=exchange.stream_version,
+            )
             is None
         ]
         pauses_s = [
@@ -244,7 +246,7 @@
         Whether it waited, so that a target may accept the request now.
     """
     pause_end_s = parts.placer.paused_until_s(
-        parts.directory.of_service(exchange.service.name), exchange.tried
+        parts.candidates(exchange), exchange.tried
     )
     if pause_end_s is None:
         return False
