Find the version of a stream that its caller takes up again

Cause: what a choice must know lived in the process that had begun the stream only, and its absence was taken for a new stream.

Each instance now records at which version its resumable streams began. While a service has one version, nothing is sent. Otherwise a stream's origin goes to four holders, ranked by the id of the attempt, and streams of before are sent when a second version appears. An instance that does not know a stream asks up to eight. Where nobody knows and more than one version served within twice the route's time-out, the request is refused as not run; an instance that has just started takes the only version for granted if others vouch for it, or if no engine started lately. Silence of the store alone changes nothing while all instances are reached; an instance that has lost both vouches for nothing.

Sending origins to all instances was ruled out (29 KB a second at 370), and so was the platform's log (a call for each batch of streams).

--- a/packages/cli/src/dotterelweir_cli/fleet/losses.py
+++ b/packages/cli/src/dotterelweir_cli/fleet/losses.py
@@ -65,6 +65,7 @@
     LATE_HANDOVER = 'late: pause at a handover'
     LATE_PAUSE = 'late: pause of the engine'
     LATE_TARGET = 'late: slow target'
+    STREAM_ORIGIN_UNKNOWN = 'version that began the stream not known'
     PROMPT_BLOCKED = 'engines have crashed on a part of the prompt'
     INSTANCE_ENDED = 'instance ended with the request'
     UNKNOWN = 'not attributed'
@@ -78,6 +79,7 @@
     'request-timeout': Cause.TIMED_OUT,
     'queue-timeout': Cause.NO_CAPACITY,
     'prompt-blocked': Cause.PROMPT_BLOCKED,
+    'stream-origin-unknown': Cause.STREAM_ORIGIN_UNKNOWN,
     'shutting-down': Cause.INSTANCE_STOPPING,
     'not-ready': Cause.INSTANCE_STOPPING,
 }
--- a/packages/core/src/dotterelweir_core/errors.py
+++ b/packages/core/src/dotterelweir_core/errors.py
@@ -39,6 +39,7 @@
     TARGET_LIMITED = 'target-limited'
     TARGET_FAILED = 'target-failed'
     GENERATION_LOST = 'generation-lost'
+    STREAM_ORIGIN_UNKNOWN = 'stream-origin-unknown'
     RESUME_INVALID = 'resume-invalid'
     RESUME_FORBIDDEN = 'resume-forbidden'
     RESUME_EXPIRED = 'resume-expired'
@@ -132,6 +133,9 @@
     ErrorKind.GENERATION_LOST: ErrorResponse(
         502, 'The generation ended before its answer was complete', True
     ),
+    ErrorKind.STREAM_ORIGIN_UNKNOWN: ErrorResponse(
+        503, 'The software version that began the stream is not known', True
+    ),
     ErrorKind.RESUME_INVALID: ErrorResponse(400, 'The event id is not valid'),
     ErrorKind.RESUME_FORBIDDEN: ErrorResponse(
         403, 'The event id belongs to another organisation'
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -342,6 +342,11 @@
             holding,
             tables.is_ordered(service.name),
             shortest_event_gap_s=tables.shortest_event_gap_s(service.name),
+            services=tuple(
+                tables.services[weighted.name]
+                for weighted in route.services
+                if weighted.name in tables.services
+            ),
         )
 
     def _build_response(self, answered: exchanges.Answered) -> web.Response:
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import logging
+import math
 import random
 import signal
 import sys
@@ -40,6 +41,7 @@
 from dotterelweird.gateway import keepers
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import notices
+from dotterelweird.gateway import origins
 from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import peers
@@ -153,6 +155,14 @@
             self._statistics,
             lambda: self._followers[api.StoreStream.TARGETS].has_state,
         )
+        self._origins = origins.StreamOrigins(
+            self._timers,
+            self._statistics,
+            self._directory,
+            self._targets_age_s,
+            self._send_to_peer,
+            self._view_peers,
+        )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
         trial_turns = trials.TrialTurns(
@@ -195,6 +205,7 @@
             ),
             end_detection.EndDetector(self._timers),
             self._pace,
+            self._origins,
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store, self._evacuations)
@@ -206,6 +217,8 @@
         self._targets.subscribe(self._discard_removed_load)
         self._targets.subscribe(self._record_warm_up)
         self._targets.subscribe(self._pace.apply_change)
+        self._targets.subscribe(self._origins.apply_change)
+        self._targets.subscribe_snapshots(self._origins.begin)
         self._targets.subscribe_registrations(self._pace.record_registration)
         self._tables.subscribe(self._record_tables_version)
         self._evacuations.subscribe(self._notify_watchers)
@@ -223,6 +236,7 @@
             self._parts.prompt_guard,
             self._parts.request_guard,
             limiter,
+            self._origins,
             self._send_to_peer,
             self._broadcast,
             self._evacuations,
@@ -432,6 +446,11 @@
             now_s = self._timers.monotonic_s()
             target_load.warm_until_s = now_s + target.warm_up_left_s
 
+    def _targets_age_s(self) -> float:
+        """Returns the time since the targets were confirmed, in seconds."""
+        report = self._followers[api.StoreStream.TARGETS].report
+        return report.age_s if report is not None else math.inf
+
     def _collect_reports(self) -> peers.Reports:
         return {
             stream: report
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -25,6 +25,7 @@
 from dotterelweird.gateway import end_detection
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import limiting
+from dotterelweird.gateway import origins as gateway_origins
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import releasing
 from dotterelweird.gateway import request_guard as request_guards
@@ -67,6 +68,7 @@
             others.
         end_detector: Detects the ends of targets with requests in flight.
         pace: Follows which targets must not be sent all their load yet.
+        origins: Finds the software version of streams that are taken up.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         queues: Queues of generations that wait for an engine.
@@ -100,6 +102,7 @@
     request_guard: request_guards.RequestGuard
     end_detector: end_detection.EndDetector
     pace: pacing.PaceKeeper
+    origins: gateway_origins.StreamOrigins
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -60,6 +60,7 @@
             of any generation of the service, in seconds; 0 for none.
         stream_version: Software version of the engines whose events the
             caller's stream holds; None before its first event.
+        services: All services to which the route's requests may go.
     """
 
     request: api.CallerRequest
@@ -85,6 +86,7 @@
     run_calls: list['RunCall'] = attrs.field(factory=list)
     shortest_event_gap_s: float = 0.0
     stream_version: str | None = None
+    services: tuple[tables.Service, ...] = ()
 
     @property
     def stop_called(self) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/finding_codec.py
+++ b/packages/daemon/src/dotterelweird/gateway/finding_codec.py
@@ -14,6 +14,7 @@
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import request_quarantine
+from dotterelweir_core.gateway import stream_origins
 from dotterelweir_core.gateway import turns
 from dotterelweird.gateway import datagram_fields
 
@@ -39,6 +40,9 @@
     | turns.TurnRequest
     | turns.TurnAnswer
     | evacuations.Evacuation
+    | stream_origins.OriginNews
+    | stream_origins.OriginQuery
+    | stream_origins.OriginAnswer
 )
 
 
@@ -88,6 +92,24 @@
         case evacuations.Evacuation():
             row = [finding.zone, int(finding.active)]
             return {'v': [*row, finding.offset, finding.era]}
+        case stream_origins.OriginNews():
+            rows = [
+                [
+                    statement.request_id,
+                    *_encode_origin(statement.origin),
+                    statement.lifetime_s,
+                ]
+                for statement in finding.statements
+            ]
+            return {'j': rows}
+        case stream_origins.OriginQuery():
+            row = [finding.number, finding.request_id]
+            return {'jq': [*row, finding.service, finding.lifetime_s]}
+        case stream_origins.OriginAnswer():
+            origin = finding.origin
+            row = [finding.number, int(finding.is_complete)]
+            row += [_encode_origin(origin) if origin else None]
+            return {'ja': [*row, *sorted(finding.versions)]}
 
 
 def decode(body: dict[str, Any]) -> Finding | None:
@@ -167,9 +189,45 @@
             datagram_fields.decode_integer(offset, lowest=-1),
             datagram_fields.decode_integer(era),
         )
+    if 'j' in body:
+        return stream_origins.OriginNews(
+            tuple(
+                stream_origins.OriginStatement(
+                    str(request_id),
+                    _decode_origin(origin),
+                    datagram_fields.decode_duration_s(lifetime_s),
+                )
+                for request_id, *origin, lifetime_s in body['j']
+            )
+        )
+    if 'jq' in body:
+        number, request_id, service, lifetime_s = body['jq']
+        return stream_origins.OriginQuery(
+            datagram_fields.decode_integer(number),
+            str(request_id),
+            str(service),
+            datagram_fields.decode_duration_s(lifetime_s),
+        )
+    if 'ja' in body:
+        number, is_complete, origin, *versions = body['ja']
+        return stream_origins.OriginAnswer(
+            datagram_fields.decode_integer(number),
+            None if origin is None else _decode_origin(origin),
+            frozenset(map(str, versions)),
+            bool(is_complete),
+        )
     return None
 
 
+def _encode_origin(origin: stream_origins.StreamOrigin) -> list[str]:
+    return [origin.service, origin.software_version]
+
+
+def _decode_origin(row: list[Any]) -> stream_origins.StreamOrigin:
+    service, software_version = row
+    return stream_origins.StreamOrigin(str(service), str(software_version))
+
+
 def _decode_zone(value: object) -> str:
     """Returns a value that must be the name of a zone.
 
--- a/packages/daemon/src/dotterelweird/gateway/findings.py
+++ b/packages/daemon/src/dotterelweird/gateway/findings.py
@@ -19,11 +19,13 @@
 from dotterelweir_core.gateway import quarantine
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import request_quarantine
+from dotterelweir_core.gateway import stream_origins
 from dotterelweir_core.gateway import targets
 from dotterelweir_core.gateway import turns
 from dotterelweird.gateway import digests
 from dotterelweird.gateway import finding_codec
 from dotterelweird.gateway import limiting
+from dotterelweird.gateway import origins as gateway_origins
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import request_guard as request_guards
 
@@ -69,6 +71,7 @@
         request_guard: Holds what is known of requests under which targets
             ended.
         limiter: Keeps requests within the limits of targets.
+        origins: Finds the software version of streams that are taken up.
         send: Sends a message to the instance at an IP address.
         send_to_all: Sends a message to all instances.
         evacuation_registry: The evacuated zones.
@@ -80,6 +83,7 @@
     prompt_guard: prompt_guards.PromptGuard
     request_guard: request_guards.RequestGuard
     limiter: limiting.TargetLimiter
+    origins: gateway_origins.StreamOrigins
     send: Callable[[str, digests.Message], None]
     send_to_all: Callable[[digests.Message], None]
     evacuation_registry: evacuations.EvacuationRegistry = attrs.field(
@@ -123,6 +127,12 @@
                 self.limiter.handle_message(message, host)
             case evacuations.Evacuation():
                 self.evacuation_registry.apply(message)
+            case (
+                stream_origins.OriginNews()
+                | stream_origins.OriginQuery()
+                | stream_origins.OriginAnswer()
+            ):
+                self.origins.handle_message(message, host)
 
     def send_to_started(self, host: str, instance_count: int) -> None:
         """Sends what an instance that has started cannot know.
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -85,10 +85,10 @@
                 the caller has disconnected.
         """
         exchange = self._exchange
+        await self._find_origin()
         budget = self._parts.budgets.for_service(exchange.service.name)
         budget.record_request(self._parts.timers.monotonic_s())
         self._check_blocks()
-        self._report_resumption()
         await rooms.wait_for_admission(self._parts, exchange)
         run = await self._place()
         last_outcome: exchanges.StreamOutcome | None = None
@@ -131,19 +131,23 @@
                     break
         return self._give_up(last_outcome)
 
-    def _report_resumption(self) -> None:
-        request = self._exchange.request
-        if request.last_event_id is None:
+    async def _find_origin(self) -> None:
+        """Finds the version at which a stream began that is taken up.
+
+        Raises:
+            DotterelweirError: The stream cannot go on at that version.
+        """
+        exchange = self._exchange
+        if exchange.request.last_event_id is None:
             return
-        events.log(
-            LOG,
-            events.STREAM_TAKEN_UP,
-            request_id=request.request_id,
-            resumed_id=request.resumed_id,
-            last_event_id=request.last_event_id,
-            service=self._exchange.service.name,
-            origin='not looked up',
-        )
+        origin = await self._parts.origins.find(exchange)
+        for service in exchange.services:
+            if service.name == origin.service:
+                exchange.service = service
+                exchange.stream_version = origin.software_version
+                return
+        # The tables have moved the route to other services.
+        raise errors.DotterelweirError(errors.ErrorKind.POOL_EMPTY)
 
     async def _wait_for_retry(self) -> bool:
         """Takes a retry for a run that is lost without it, and waits for it.
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -250,6 +250,7 @@
         self._registration_listeners: list[
             Callable[[gateway_targets.Target], None]
         ] = []
+        self._snapshot_listeners: list[Callable[[], None]] = []
 
     def subscribe(
         self, listener: Callable[[gateway_targets.TargetChange], None]
@@ -273,6 +274,14 @@
         """
         self._registration_listeners.append(listener)
 
+    def subscribe_snapshots(self, listener: Callable[[], None]) -> None:
+        """Registers a function that is called after each snapshot.
+
+        Args:
+            listener: Called once all registered targets are known.
+        """
+        self._snapshot_listeners.append(listener)
+
     position = None
 
     @property
@@ -363,6 +372,8 @@
             self._notify_listeners(change)
         for _, decoded in decoded_batch.valid:
             self._notify_registered(decoded)
+        for listener in self._snapshot_listeners:
+            listener()
 
     def apply(self, batch: api.Batch) -> list[api.Record]:
         """Applies further records.
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -489,6 +489,7 @@
         exchange, target = self._exchange, self._run.target
         if exchange.stream_version is None:
             exchange.stream_version = target.software_version
+        self._parts.origins.record_begin(exchange, target)
         if exchange.stream_version == target.software_version:
             return
         self._parts.statistics.mixed_streams.inc({'service': target.service})
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -20,6 +20,8 @@
         blocked_requests: Requests kept from the engines because of their
             prompt.
         recoveries: Streams that continued at another target, by way.
+        taken_up_streams: Streams that callers take up, by how the instance
+            knows the software version that began them.
         mixed_streams: Streams that hold events of engines of two software
             versions, by service.
         first_byte_s: Time to the first byte of a streamed answer, in seconds,
@@ -98,6 +100,11 @@
             'Streams that went on at another target',
             registry=self._registry,
         )
+        self.taken_up_streams = aioprometheus.Counter(
+            'dotterelweir_gateway_taken_up_streams_total',
+            'Broken streams that callers took up again',
+            registry=self._registry,
+        )
         self.mixed_streams = aioprometheus.Counter(
             'dotterelweir_gateway_mixed_streams_total',
             'Streams with events of engines of two software versions',
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -22,6 +22,7 @@
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import findings as finding_exchange
 from dotterelweird.gateway import limiting
+from dotterelweird.gateway import origins
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import request_guard as request_guards
@@ -74,6 +75,7 @@
     prompt_guard: prompt_guards.PromptGuard = attrs.field(init=False)
     limiter: limiting.TargetLimiter = attrs.field(init=False)
     request_guard: request_guards.RequestGuard = attrs.field(init=False)
+    stream_origins: origins.StreamOrigins = attrs.field(init=False)
     findings: finding_exchange.FindingExchange = attrs.field(init=False)
     exchange: peers.PeerExchange = attrs.field(init=False)
     closed: bool = False
@@ -104,6 +106,14 @@
             random.Random(self.host),
             trial_turns,
         )
+        self.stream_origins = origins.StreamOrigins(
+            self.network.timers,
+            statistics.Statistics(),
+            targets.TargetDirectory(),
+            lambda: 0.0,
+            lambda host, message: self.exchange.send_to(host, message),
+            lambda: self.exchange.view(),
+        )
         self.findings = finding_exchange.FindingExchange(
             self.network.timers,
             random.Random(self.host),
@@ -111,6 +121,7 @@
             self.prompt_guard,
             self.request_guard,
             self.limiter,
+            self.stream_origins,
             lambda host, message: self.exchange.send_to(host, message),
             lambda message: self.exchange.send_to_all(message),
         )
--- a/packages/daemon/tests/gateway/test_stream_versions.py
+++ b/packages/daemon/tests/gateway/test_stream_versions.py
@@ -101,10 +101,10 @@
     )
 
 
-def slow_down(deployment):
+def slow_down(deployment, events=20):
     for engine in deployment.engines.values():
         engine.behaviour.event_s = 0.03
-        engine.behaviour.events = 20
+        engine.behaviour.events = events
 
 
 def ran(deployment, request_id):
@@ -147,10 +147,10 @@
 
 async def test_a_run_is_moved_to_an_engine_of_its_version(versions):
     """Guards against a copy at an engine that can never continue the run."""
-    slow_down(versions)
+    slow_down(versions, events=80)
     for name in ('engine-1', 'engine-2', 'engine-3'):
         versions.gateway._loads.get(name).tokens += 28_000
-    async with versions.request('guide') as answer:
+    async with versions.request('guide', deadline_ms=3000) as answer:
         await answer.content.readany()
         await versions.register('engine-1', 'model', 'draining')
         await answer.read()
@@ -289,8 +289,8 @@
 ):
     """Guards against a backup taken for one of the version that made it."""
     first, third = versions.engines['engine-1'], versions.engines['engine-3']
-    slow_down(versions)
-    async with versions.request('guide') as answer:
+    slow_down(versions, events=200)
+    async with versions.request('guide', deadline_ms=3000) as answer:
         await answer.content.readany()
         await set_versions(versions, {'engine-3': 'v3'}, LONG_AGO_MS + 1)
         first.crash()
