Log when an instance reaches no target, and tell the others

The results of new connections are now recorded: events 273 and 274 and a gauge tell when none is made and when one is made again, with the number of instances that make some by their own word, which digests carry while it is not so. Open connections count for nothing, as they may live on. Nothing is decided by it yet; a digest is 7 bytes longer while targets are lost.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -225,6 +225,19 @@
     'A caller takes up a stream that broke off; `origin` states how this '
     'instance knows the software version that began it.',
 )
+TARGETS_LOST = _event(
+    273,
+    'targets-lost',
+    logging.WARNING,
+    'No connection to any target is made; `reaching_peers` is the number of '
+    'instances that make some.',
+)
+TARGETS_REACHED_AGAIN = _event(
+    274,
+    'targets-reached-again',
+    logging.INFO,
+    'A connection to a target was made after all had failed.',
+)
 REPEAT_BUDGET_EMPTY = _event(
     228,
     'repeat-budget-empty',
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -167,34 +167,45 @@
     exchange.sending = send_state
     send_state.request_id = request.request_id
     send_state.started_s = parts.timers.elapsed_s()
-    return await parts.session.request(
-        request.method,
-        _build_url(target, request.raw_path),
-        headers=parts.dialect.attempt_headers(request, options),
-        data=bodies.outgoing(request.body),
-        allow_redirects=False,
-        trace_request_ctx=send_state,
-    )
+    send_state.on_connected = parts.reach.record_connected
+    url = build_url(target.address, request.raw_path)
+    try:
+        return await parts.session.request(
+            request.method,
+            url,
+            headers=parts.dialect.attempt_headers(request, options),
+            data=bodies.outgoing(request.body),
+            allow_redirects=False,
+            trace_request_ctx=send_state,
+        )
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError):
+        if not send_state.sent:
+            parts.reach.record_failed(target)
+        raise
 
 
-def _build_url(target: targets.Target, raw_path: str) -> yarl.URL:
-    """Returns the URL of a path at a target.
+def build_url(address: str, raw_path: str) -> yarl.URL:
+    """Returns the URL of a path at an address.
+
+    Args:
+        address: The address, as ``host:port``.
+        raw_path: Path and query as sent.
 
     Raises:
-        aiohttp.InvalidURL: The address of the target cannot be used.
+        aiohttp.InvalidURL: The address cannot be used.
     """
     try:
         # Parsing the path would drop an empty query and a fragment.
         url = yarl.URL.build(
             scheme='http',
-            authority=target.address,
+            authority=address,
             path=raw_path,
             encoded=True,
         )
         # An encoded address is parsed at the first access to a part of it.
         url.raw_user  # noqa: B018
     except ValueError as exc:
-        raise aiohttp.InvalidURL(target.address) from exc
+        raise aiohttp.InvalidURL(address) from exc
     return url
 
 
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -46,6 +46,7 @@
 from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import peers
 from dotterelweird.gateway import prompt_guard
+from dotterelweird.gateway import reaching
 from dotterelweird.gateway import request_guard
 from dotterelweird.gateway import settings as gateway_settings
 from dotterelweird.gateway import statistics
@@ -163,6 +164,13 @@
             self._send_to_peer,
             self._view_peers,
         )
+        self._reach = reaching.ReachKeeper(
+            self._timers,
+            self._rng,
+            self._directory,
+            self._statistics,
+            lambda: self._peers.view().reaching_count,
+        )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
         trial_turns = trials.TrialTurns(
@@ -206,6 +214,7 @@
             end_detection.EndDetector(self._timers),
             self._pace,
             self._origins,
+            self._reach,
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store, self._evacuations)
@@ -255,6 +264,7 @@
             self._handle_peer_reports,
             findings,
             self._parts.queues,
+            lambda: self._reach.is_lost,
         )
         self._notices = notices.NoticeHandler(
             self._targets,
@@ -266,6 +276,7 @@
             self._statistics,
         )
         self._loads.subscribe(self._peers.schedule_digest)
+        self._reach.subscribe(self._peers.schedule_digest)
         self._parts.budgets.subscribe(self._peers.schedule_digest)
         self._parts.queues.subscribe(self._peers.schedule_digest)
         self._parts.prompt_guard.subscribe(findings.send_finding)
@@ -375,6 +386,7 @@
         if self._pace_timer is not None:
             self._pace_timer.cancel()
         self._peers.close()
+        self._reach.close()
         self._lifecycle.stop()
         await self._drain_accepted()
         if self._answers_timer is not None:
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -27,6 +27,7 @@
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import origins as gateway_origins
 from dotterelweird.gateway import prompt_guard as prompt_guards
+from dotterelweird.gateway import reaching
 from dotterelweird.gateway import releasing
 from dotterelweird.gateway import request_guard as request_guards
 from dotterelweird.gateway import settings as gateway_settings
@@ -69,6 +70,7 @@
         end_detector: Detects the ends of targets with requests in flight.
         pace: Follows which targets must not be sent all their load yet.
         origins: Finds the software version of streams that are taken up.
+        reach: Follows whether this instance reaches any target.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         queues: Queues of generations that wait for an engine.
@@ -103,6 +105,7 @@
     end_detector: end_detection.EndDetector
     pace: pacing.PaceKeeper
     origins: gateway_origins.StreamOrigins
+    reach: reaching.ReachKeeper
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -62,6 +62,7 @@
         leaving: Whether the instance stops now.
         waiting: Generations that wait at the instance; None if none does, or
             if their order does not concern others.
+        targets_lost: Whether the instance reaches no target.
     """
 
     instance_id: str
@@ -79,6 +80,7 @@
     wants_findings: bool = False
     leaving: bool = False
     waiting: service_order.WaitingState | None = None
+    targets_lost: bool = False
 
 
 @attrs.frozen
@@ -178,6 +180,8 @@
                 body['x'] = 1
             if message.waiting is not None:
                 body['y'] = waiting_codec.encode(message.waiting)
+            if message.targets_lost:
+                body['el'] = 1
             return orjson.dumps(body)
         case _:
             return orjson.dumps(finding_codec.encode(message))
@@ -256,6 +260,7 @@
             wants_findings=bool(body.get('g')),
             leaving=bool(body.get('x')),
             waiting=(waiting_codec.decode(body['y']) if 'y' in body else None),
+            targets_lost=bool(body.get('el')),
         )
     except api.DECODE_ERRORS as exc:
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
--- a/packages/daemon/src/dotterelweird/gateway/peer_view.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_view.py
@@ -10,10 +10,14 @@
     Attributes:
         instance_id: Id of the instance.
         host: Its IP address.
+        zone: Its availability zone.
+        reaches_targets: Whether it reaches targets, by its own word.
     """
 
     instance_id: str
     host: str
+    zone: str = ''
+    reaches_targets: bool = True
 
 
 @attrs.frozen
@@ -34,3 +38,8 @@
     peers: tuple[Peer, ...] = ()
     reachable_share: float = 1.0
     paced_share: float = 1.0
+
+    @property
+    def reaching_count(self) -> int:
+        """Number of reachable instances that reach targets."""
+        return sum(peer.reaches_targets for peer in self.peers)
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -24,6 +24,7 @@
             knows the software version that began them.
         mixed_streams: Streams that hold events of engines of two software
             versions, by service.
+        targets_lost: 1 while the instance reaches no target, else 0.
         first_byte_s: Time to the first byte of a streamed answer, in seconds,
             by route.
         answer_s: Time to the end of an answer, in seconds.
@@ -110,6 +111,11 @@
             'Streams with events of engines of two software versions',
             registry=self._registry,
         )
+        self.targets_lost = aioprometheus.Gauge(
+            'dotterelweir_gateway_targets_lost',
+            'Whether the instance reaches no target',
+            registry=self._registry,
+        )
         self.unstopped_runs = aioprometheus.Counter(
             'dotterelweir_gateway_unstopped_runs_total',
             'Runs that their engines did not stop when called to',
--- a/packages/daemon/src/dotterelweird/gateway/target_client.py
+++ b/packages/daemon/src/dotterelweird/gateway/target_client.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+from collections.abc import Callable
 import functools
 import logging
 import types
@@ -36,11 +37,23 @@
         request_id: Id of the request, for logs.
         started_s: Time at which the attempt began, in seconds, by a clock
             that counts suspensions; None before that.
+        on_connected: Called once the connection is made, if set.
     """
 
     sent: bool = False
     request_id: str = ''
     started_s: float | None = None
+    on_connected: Callable[[], None] | None = None
+
+
+async def _record_connected(
+    session: aiohttp.ClientSession,
+    context: types.SimpleNamespace,
+    parameters: aiohttp.TraceConnectionCreateEndParams,
+) -> None:
+    send_state = context.trace_request_ctx
+    if isinstance(send_state, SendState) and send_state.on_connected:
+        send_state.on_connected()
 
 
 async def _record_head_sent(
@@ -178,6 +191,7 @@
 def open_session() -> aiohttp.ClientSession:
     """Opens the client session for targets; needs a running event loop."""
     tracing = aiohttp.TraceConfig()
+    tracing.on_connection_create_end.append(_record_connected)
     tracing.on_request_headers_sent.append(_record_head_sent)
     return aiohttp.ClientSession(
         connector=_SingleUseConnector(asyncio.get_running_loop()),
--- a/packages/daemon/src/dotterelweird/probing.py
+++ b/packages/daemon/src/dotterelweird/probing.py
@@ -3,6 +3,23 @@
 import asyncio
 
 
+async def accepts_connections(host: str, port: int, timeout_s: float) -> bool:
+    """Whether a target accepts a connection; closes it at once.
+
+    Args:
+        host: IP address of the target.
+        port: Port of the target.
+        timeout_s: Timeout of the connection, in seconds.
+    """
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, writer = await asyncio.open_connection(host, port)
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    return True
+
+
 async def refuses_connections(host: str, port: int, timeout_s: float) -> bool:
     """Whether a target refuses a connection, as one that has ended does.
 
