Test further targets before none counts as reached

The targets of one service may all be down, and a caller's route may lead to two targets only; neither tells whether an instance has lost its links. The targets count as lost once connections to three of them, of two services, have failed in a row. From the second failure on, connections without a request go to targets of other services first, until one is accepted or that is certain. Only log, gauge and digests depend on it so far.

--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -20,6 +20,7 @@
 ORGANISATION = 'org-1'
 # Time from the start of a shutdown to the end of a gateway, in seconds.
 _GRACE_S = 2
+_PORT_MAX = 65_535
 
 
 def own_address(number: int = 1) -> str:
@@ -60,7 +61,7 @@
             'zone=zone-a',
             f'listen.front={host}:{callers_port}',
             f'listen.ready={host}:{ready_port}',
-            f'internalPortRange={peers_port},{peers_port}',
+            f'internalPortRange={peers_port},{peers_port + 1}',
             'seeds=' + ','.join(f'{seed}:1' for seed in seeds),
             f'platform.addr={store_address}',
             f'bounds.graceS={grace_s}',
@@ -115,6 +116,25 @@
         return ports
 
 
+def free_peers_port(host: str, taken: list[int]) -> int:
+    """Returns the first of two free ports in a row for other gateways.
+
+    Args:
+        host: IP address that the ports belong to.
+        taken: Ports that are in use for something else.
+    """
+    while True:
+        [port] = free_ports(host, 1)
+        if {port, port + 1} & {*taken} or port == _PORT_MAX:
+            continue
+        with contextlib.closing(socket.socket()) as probe:
+            try:
+                probe.bind((host, port + 1))
+            except OSError:
+                continue
+        return port
+
+
 def configuration(version: int = 1, **changes: object) -> dict:
     """Returns a configuration with one route of each kind.
 
@@ -253,11 +273,11 @@
         self._store_address = store_address
         # The store listens already. If it started later, it could bind one
         # of these ports, because it binds any free port.
-        *ports, metrics = free_ports(self.host, 4)
+        callers, ready, metrics = free_ports(self.host, 3)
+        peers = free_peers_port(self.host, [callers, ready, metrics])
+        ports = (callers, ready, peers)
         self.callers_port, self.ready_port, self.peers_port = ports
-        decoded = self._decode_settings(
-            'gateway-1', self.host, tuple(ports), metrics
-        )
+        decoded = self._decode_settings('gateway-1', self.host, ports, metrics)
         self.gateway = composition.Gateway(
             decoded.gateway,
             adapter.PlatformAdapter(decoded.store),
--- a/packages/core/src/dotterelweir_core/gateway/reachability.py
+++ b/packages/core/src/dotterelweir_core/gateway/reachability.py
@@ -13,9 +13,16 @@
 
 import attrs
 
-# Number of different targets that must have failed in a row; all of them where
-# fewer are registered.
+from dotterelweir_core.gateway import targets
+
+# Number of different targets, and of their services, that must have failed in
+# a row; all of them where fewer are registered. All targets of one service may
+# be down at once.
 _FAILED_TARGETS_MIN = 3
+_FAILED_SERVICES_MIN = 2
+# Number of different targets that failed in a row from which on further ones
+# are tested.
+_SUSPECTED_MIN = 2
 # Maximum number of requests in flight over one other instance. It bounds what
 # a partitioned instance adds to the load of another one.
 _FORWARDED_PER_PEER_MAX = 64
@@ -34,7 +41,8 @@
 
     def __init__(self) -> None:
         self.lost_since_s: float | None = None
-        self._failed: set[str] = set()
+        # Services of the targets that failed since a connection was made.
+        self._failed: dict[str, str] = {}
 
     @property
     def failed_targets(self) -> tuple[str, ...]:
@@ -53,25 +61,64 @@
         return was_lost
 
     def record_failed(
-        self, target_id: str, registered_count: int, now_s: float
+        self,
+        target: targets.Target,
+        registered: Collection[targets.Target],
+        now_s: float,
     ) -> bool:
         """Records that no connection to a target was made.
 
         Args:
-            target_id: Id of the target.
-            registered_count: Number of registered targets.
+            target: The target.
+            registered: All registered targets.
             now_s: Monotonic time, in seconds.
 
         Returns:
             Whether the targets are lost, which they were not before.
         """
-        self._failed.add(target_id)
-        needed = min(_FAILED_TARGETS_MIN, max(1, registered_count))
-        if self.lost_since_s is not None or len(self._failed) < needed:
+        self._failed[target.target_id] = target.service
+        services = {one.service for one in registered}
+        if self.lost_since_s is not None or (
+            len(self._failed) < min(_FAILED_TARGETS_MIN, len(registered))
+            or len(set(self._failed.values()))
+            < min(_FAILED_SERVICES_MIN, len(services))
+        ):
             return False
         self.lost_since_s = now_s
         return True
 
+    def is_suspected(self, registered: Collection[targets.Target]) -> bool:
+        """Whether a test of further targets is to show if all are lost.
+
+        Args:
+            registered: All registered targets.
+        """
+        return len(self._failed) >= min(_SUSPECTED_MIN, len(registered))
+
+    def choose_test(
+        self, registered: Collection[targets.Target], rng: random.Random
+    ) -> targets.Target | None:
+        """Chooses the target whose connection tells most.
+
+        Args:
+            registered: All registered targets.
+            rng: Random source.
+
+        Returns:
+            The target, one of a service without a failure if there is one;
+            None if none is registered.
+        """
+        services = set(self._failed.values())
+        return min(
+            registered,
+            key=lambda target: (
+                target.service in services,
+                target.target_id in self._failed,
+                rng.random(),
+            ),
+            default=None,
+        )
+
 
 @attrs.frozen
 class ForwardingPeer:
--- a/packages/daemon/src/dotterelweird/gateway/reaching.py
+++ b/packages/daemon/src/dotterelweird/gateway/reaching.py
@@ -10,6 +10,7 @@
 from dotterelweir_core.gateway import reachability
 from dotterelweir_core.gateway import targets
 from dotterelweird import probing
+from dotterelweird import timers as loop_timers
 from dotterelweird.gateway import statistics
 from dotterelweird.gateway import target_client
 
@@ -17,7 +18,9 @@
 
 # Time between two attempts to connect to a target while none is reached, in
 # seconds.
-_PROBE_INTERVAL_S = 0.5
+_TEST_INTERVAL_S = 0.5
+# The same while it is not certain that none is reached, in seconds.
+_SUSPECT_INTERVAL_S = 0.02
 
 
 class ReachKeeper:
@@ -30,6 +33,10 @@
         process_statistics: Counters of the process.
         count_reaching_peers: Returns the number of other instances that
             reach targets by their own word.
+
+    Attributes:
+        accepts_connections: Tells whether a connection to a host and port is
+            made within a time in seconds.
     """
 
     def __init__(
@@ -48,6 +55,7 @@
         self._reach = reachability.TargetReach()
         self._listeners: list[Callable[[], None]] = []
         self._probe: asyncio.Task | None = None
+        self.accepts_connections = probing.accepts_connections
 
     @property
     def is_lost(self) -> bool:
@@ -86,38 +94,44 @@
         Args:
             target: The target.
         """
-        if not self._reach.record_failed(
-            target.target_id,
-            len(self._directory.targets),
-            self._timers.monotonic_s(),
-        ):
-            return
-        self._statistics.targets_lost.set({}, 1)
-        events.log(
-            LOG,
-            events.TARGETS_LOST,
-            failed=self._reach.failed_targets,
-            registered=len(self._directory.targets),
-            reaching_peers=self._count_reaching_peers(),
+        registered = self._directory.targets.values()
+        lost = self._reach.record_failed(
+            target, registered, self._timers.monotonic_s()
         )
-        self._notify()
-        self._timers.call_after(_PROBE_INTERVAL_S, self._start_probe)
+        if lost:
+            self._statistics.targets_lost.set({}, 1)
+            events.log(
+                LOG,
+                events.TARGETS_LOST,
+                failed=self._reach.failed_targets,
+                registered=len(registered),
+                reaching_peers=self._count_reaching_peers(),
+            )
+            self._notify()
+        if self._probe is None and self._reach.is_suspected(registered):
+            self._probe = asyncio.create_task(self._test_targets())
 
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
 
-    def _start_probe(self) -> None:
-        if self.is_lost:
-            self._probe = asyncio.create_task(self._connect())
-
-    async def _connect(self) -> None:
-        """Connects to a random target, without a request."""
-        registered = list(self._directory.targets.values())
-        if registered:
-            target = self._rng.choice(registered)
-            if await probing.accepts_connections(
-                target.host, target.port, target_client.CONNECT_TIMEOUT_S
-            ):
-                self.record_connected()
-        self._timers.call_after(_PROBE_INTERVAL_S, self._start_probe)
+    async def _test_targets(self) -> None:
+        """Connects to targets, without a request, until one accepts."""
+        try:
+            while self._reach.failed_targets:
+                registered = self._directory.targets.values()
+                target = self._reach.choose_test(registered, self._rng)
+                if target is None:
+                    return
+                if await self.accepts_connections(
+                    target.host, target.port, target_client.CONNECT_TIMEOUT_S
+                ):
+                    self.record_connected()
+                    return
+                self.record_failed(target)
+                if self.is_lost:
+                    await loop_timers.sleep(self._timers, _TEST_INTERVAL_S)
+                else:
+                    await loop_timers.sleep(self._timers, _SUSPECT_INTERVAL_S)
+        finally:
+            self._probe = None
