Pass requests to another instance while no target is reached

Cause: a conclusion that was never drawn. Each failure counted against one target, nothing asked what all of them together mean, and there was no other way for a request that had arrived; the readiness said 200 all the while.

While no target is reached and another instance reaches some by its own word, requests that have not run go to it as the caller sent them, on the second of the internal ports, and their answers come back as they arrive: it asks for key, limits, pace, blocks, evacuation, budget and deadline as for any request. It does not pass them on again. Streams that may be resumed go on over it from their last event. The instance leaves the rotation meanwhile; a balancer that has to use it nevertheless finds it serving. A call that may have run is not passed on, and one whose connection to the other instance broke off is answered 502. A connection without a request tests the targets every 0.5 s and ends this.

Leaving the rotation alone was ruled out: open connections stay, and of a zone that is cut off as a whole the balancer uses all.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -238,6 +238,12 @@
     logging.INFO,
     'A connection to a target was made after all had failed.',
 )
+REQUEST_FORWARDED = _event(
+    275,
+    'request-forwarded',
+    logging.INFO,
+    'A request was passed to another instance, as no target is reached here.',
+)
 REPEAT_BUDGET_EMPTY = _event(
     228,
     'repeat-budget-empty',
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -199,6 +199,7 @@
             share; empty if the request states none.
         resumed_id: Id of the request that brought the first event of the
             stream that is resumed; empty if the caller does not name it.
+        raw_headers: Headers as the caller sent them.
     """
 
     request_id: str
@@ -215,6 +216,7 @@
     last_event_id: int | None = None
     shared_parts: tuple[str, ...] = ()
     resumed_id: str = ''
+    raw_headers: Sequence[tuple[bytes, bytes]] = ()
 
     @property
     def path(self) -> str:
@@ -367,6 +369,24 @@
             options: Parameters of the attempt.
         """
 
+    @abc.abstractmethod
+    def forwarded_headers(
+        self,
+        request: CallerRequest,
+        time_left_s: float,
+        last_event_id: int | None = None,
+    ) -> Headers:
+        """Returns the headers of a request passed to another instance.
+
+        They are those that the caller sent, with the time that is left.
+
+        Args:
+            request: The caller's request.
+            time_left_s: Time until the request expires, in seconds.
+            last_event_id: Id of the last event that the caller has got, of a
+                stream that goes on; None for a request as it was sent.
+        """
+
     @abc.abstractmethod
     def decode_answer(
         self,
--- a/packages/daemon/src/dotterelweird/gateway/caller_server.py
+++ b/packages/daemon/src/dotterelweird/gateway/caller_server.py
@@ -201,6 +201,7 @@
                 exchange = self._create_exchange(
                     request, arrived_s, http_request.protocol.holding
                 )
+                exchange.is_forwarded = self._is_forwarded(http_request)
                 pending.exchange = exchange
                 response = await self._answer(http_request, exchange)
             outcome = str(response.status)
@@ -229,6 +230,13 @@
             self._log_end(request, exchange, outcome, arrived_s)
         return response
 
+    def _is_forwarded(self, http_request: web.BaseRequest) -> bool:
+        """Whether another instance passed a request on."""
+        transport = http_request.transport
+        address = transport.get_extra_info('sockname') if transport else None
+        port = self._parts.settings.forwarding_port
+        return address is not None and address[1] == port
+
     async def _decode(
         self, http_request: web.BaseRequest
     ) -> api.CallerRequest:
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -40,6 +40,27 @@
         Returns:
             The answer of a target, which may be an error of its own.
 
+        Raises:
+            DotterelweirError: No target answered the call.
+        """
+        answered = await self._forward_to_peer(exchange)
+        if answered is None:
+            answered = await self._call_targets(exchange)
+        return answered
+
+    async def _forward_to_peer(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.Answered | None:
+        """Passes a call to an instance that reaches targets, if need be."""
+        if not self._parts.forwarder.is_needed(exchange):
+            return None
+        return await self._parts.forwarder.call(exchange)
+
+    async def _call_targets(
+        self, exchange: exchanges.Exchange
+    ) -> exchanges.Answered:
+        """Sends a call to targets, one after the other.
+
         Raises:
             DotterelweirError: No target answered the call.
         """
@@ -56,6 +77,9 @@
                 break
             if reached_target and not budgets.take(service, now_s):
                 break
+            answered = await self._forward_to_peer(exchange)
+            if answered is not None:
+                return answered
             error = self._parts.request_guard.find_error(exchange)
             if error is not None:
                 if failed_answer is not None:
@@ -88,6 +112,11 @@
                 break
         if failed_answer is not None:
             return failed_answer
+        if isinstance(last_outcome, exchanges.NeverSent):
+            await self._parts.reach.settle()
+            answered = await self._forward_to_peer(exchange)
+            if answered is not None:
+                return answered
         raise refusing.error_for_outcome(self._parts, exchange, last_outcome)
 
     async def _attempt(
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -42,6 +42,7 @@
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import notices
 from dotterelweird.gateway import origins
+from dotterelweird.gateway import peer_forwarding
 from dotterelweird.gateway import peer_state
 from dotterelweird.gateway import peer_view
 from dotterelweird.gateway import peers
@@ -125,6 +126,7 @@
         self._statistics = statistics.Statistics()
         self._session = target_client.open_session()
         self._store_session = target_client.open_store_session()
+        self._peer_session = target_client.open_session()
         self._directory = targets.TargetDirectory()
         self._loads = load.LoadRegistry()
         self._caller_memory = caller_memory.CallerMemory(
@@ -176,6 +178,19 @@
         trial_turns = trials.TrialTurns(
             settings.instance_id, self._timers, self._view_peers
         )
+        memory = answer_bodies.AnswerMemory(self._caller_memory)
+        self._forwarder = peer_forwarding.PeerForwarder(
+            settings.zone,
+            settings.forwarding_port,
+            self._timers,
+            self._rng,
+            self._peer_session,
+            dialect,
+            memory,
+            self._reach,
+            self._view_peers,
+            self._statistics,
+        )
         self._parts = dependencies.Forwarding(
             settings,
             self._timers,
@@ -200,7 +215,7 @@
                 settings.repeat_burst,
                 settings.repeat_window_s,
             ),
-            answer_bodies.AnswerMemory(self._caller_memory),
+            memory,
             self._caller_memory,
             self._handle_notice,
             self._stop_plan,
@@ -215,6 +230,7 @@
             self._pace,
             self._origins,
             self._reach,
+            self._forwarder,
         )
         store = adapter.store(self._store_session)
         self._tables = keepers.TablesKeeper(store, self._evacuations)
@@ -366,6 +382,15 @@
                 self._answer_peer,
             ),
         ]
+        if settings.forwarding_port is not None:
+            self._servers.append(
+                await listening.listen(
+                    self._callers.server,
+                    settings.callers.host,
+                    settings.forwarding_port,
+                    self._caller_memory.account.connections_max,
+                )
+            )
         if settings.metrics is not None:
             self._servers.append(
                 await self._start_http_server(
@@ -405,6 +430,7 @@
         self._callers.server.close_idle()
         await self._callers.server.shutdown(_SHUTDOWN_TIMEOUT_S)
         await self._session.close()
+        await self._peer_session.close()
         await self._store_session.close()
 
     async def _drain_accepted(self) -> None:
@@ -504,7 +530,11 @@
     async def _answer_ready(self, request: web.BaseRequest) -> web.Response:
         if request.path != self._ready_path:
             return web.Response(status=404)
-        ready = self._is_ready() and self._has_memory()
+        ready = (
+            self._is_ready()
+            and self._has_memory()
+            and not self._forwarder.is_possible
+        )
         return web.Response(status=200 if ready else 503)
 
     def _has_memory(self) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/dependencies.py
+++ b/packages/daemon/src/dotterelweird/gateway/dependencies.py
@@ -26,6 +26,7 @@
 from dotterelweird.gateway import exchange as exchanges
 from dotterelweird.gateway import limiting
 from dotterelweird.gateway import origins as gateway_origins
+from dotterelweird.gateway import peer_forwarding
 from dotterelweird.gateway import prompt_guard as prompt_guards
 from dotterelweird.gateway import reaching
 from dotterelweird.gateway import releasing
@@ -71,6 +72,7 @@
         pace: Follows which targets must not be sent all their load yet.
         origins: Finds the software version of streams that are taken up.
         reach: Follows whether this instance reaches any target.
+        forwarder: Passes requests to instances that reach targets.
         duration_factors: How long requests take at each service.
         watch: Notifies generations of changes of their targets.
         queues: Queues of generations that wait for an engine.
@@ -106,6 +108,7 @@
     pace: pacing.PaceKeeper
     origins: gateway_origins.StreamOrigins
     reach: reaching.ReachKeeper
+    forwarder: peer_forwarding.PeerForwarder
     duration_factors: durations.DurationFactors = attrs.field(
         factory=durations.DurationFactors
     )
--- a/packages/daemon/src/dotterelweird/gateway/exchange.py
+++ b/packages/daemon/src/dotterelweird/gateway/exchange.py
@@ -61,6 +61,7 @@
         stream_version: Software version of the engines whose events the
             caller's stream holds; None before its first event.
         services: All services to which the route's requests may go.
+        is_forwarded: Whether another instance passed the request on.
     """
 
     request: api.CallerRequest
@@ -87,6 +88,7 @@
     shortest_event_gap_s: float = 0.0
     stream_version: str | None = None
     services: tuple[tables.Service, ...] = ()
+    is_forwarded: bool = False
 
     @property
     def stop_called(self) -> bool:
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -10,10 +10,12 @@
 from collections.abc import Sequence
 import logging
 
+import aiohttp
 from aiohttp import web
 
 from dotterelweir_core import errors
 from dotterelweir_core import events
+from dotterelweir_core.gateway import event_stream
 from dotterelweir_core.gateway import targets
 from dotterelweird import timers
 from dotterelweird.gateway import attempts
@@ -24,6 +26,7 @@
 from dotterelweird.gateway import links
 from dotterelweird.gateway import move_calls
 from dotterelweird.gateway import pausing
+from dotterelweird.gateway import peer_forwarding
 from dotterelweird.gateway import refusing
 from dotterelweird.gateway import rooms
 from dotterelweird.gateway import run_record
@@ -78,6 +81,82 @@
         Returns:
             The finished response, or a target's answer that is no stream.
 
+        Raises:
+            DotterelweirError: No target gave an answer, and nothing was sent
+                to the caller.
+            GenerationLost: The answer has begun and cannot be completed, or
+                the caller has disconnected.
+        """
+        result = await self._forward_to_peer()
+        if result is None:
+            result = await self._forward_to_engines()
+        return result
+
+    async def _forward_to_peer(
+        self,
+    ) -> web.StreamResponse | exchanges.Answered | None:
+        """Passes the generation to an instance that reaches engines.
+
+        Returns:
+            The finished response, or an answer that is no stream; None if
+            there is no need, or no instance that takes the generation.
+
+        Raises:
+            DotterelweirError: The other instance did not answer.
+            GenerationLost: The answer has begun and cannot be completed, or
+                the caller has disconnected.
+        """
+        parts, exchange, stream = self._parts, self._exchange, self._stream
+        if not parts.forwarder.is_needed(exchange):
+            return None
+        began_s = parts.timers.monotonic_s()
+        last_event_id = stream.cursor.last_id if stream.started else None
+        opened = await parts.forwarder.open(exchange, last_event_id)
+        if opened is None:
+            return None
+        try:
+            if opened.is_stream:
+                await self._pass_events(opened)
+                return await stream.finish()
+            if stream.started:
+                return None
+            return await parts.forwarder.read(exchange, opened)
+        except caller_stream.CallerLostError as exc:
+            raise GenerationLost from exc
+        finally:
+            parts.forwarder.close(exchange, opened, began_s)
+
+    async def _pass_events(self, opened: peer_forwarding.PeerAnswer) -> None:
+        """Passes the events of another instance on as they arrive.
+
+        Raises:
+            CallerLostError: The caller closed its connection.
+            GenerationLost: The stream ended early.
+        """
+        cursor = self._stream.cursor
+        cursor.discard_partial_event()
+        left_s = self._exchange.deadline_s - self._parts.timers.monotonic_s()
+        try:
+            async with asyncio.timeout(left_s):
+                await self._stream.begin(opened.headers)
+                async for chunk in opened.answer.content.iter_any():
+                    event_bytes = cursor.feed(chunk)
+                    if event_bytes:
+                        await self._stream.write(event_bytes)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            event_stream.EventStreamError,
+        ) as exc:
+            raise GenerationLost from exc
+        if not cursor.at_boundary:
+            raise GenerationLost
+
+    async def _forward_to_engines(
+        self,
+    ) -> web.StreamResponse | exchanges.Answered:
+        """Forwards the generation to engines, one after the other.
+
         Raises:
             DotterelweirError: No target gave an answer, and nothing was sent
                 to the caller.
@@ -107,6 +186,10 @@
                         return last_outcome
                     case exchanges.Interrupted():
                         exchange.may_have_run = True
+                    case exchanges.NeverSent():
+                        result = await self._forward_to_peer()
+                        if result is not None:
+                            return result
                 run = await self._next_run(link, run, last_outcome)
             except caller_stream.CallerLostError as exc:
                 raise GenerationLost from exc
@@ -129,6 +212,11 @@
                 if not self._parts.take_retry(exchange, urgent=False):
                     self._report_empty_budget()
                     break
+        if isinstance(last_outcome, exchanges.NeverSent):
+            await self._parts.reach.settle()
+            result = await self._forward_to_peer()
+            if result is not None:
+                return result
         return self._give_up(last_outcome)
 
     async def _find_origin(self) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/reaching.py
+++ b/packages/daemon/src/dotterelweird/gateway/reaching.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 import logging
 import random
 
@@ -21,6 +22,8 @@
 _TEST_INTERVAL_S = 0.5
 # The same while it is not certain that none is reached, in seconds.
 _SUSPECT_INTERVAL_S = 0.02
+# Longest wait of a request for such a test, in seconds.
+_SETTLE_S = 0.5
 
 
 class ReachKeeper:
@@ -55,6 +58,7 @@
         self._reach = reachability.TargetReach()
         self._listeners: list[Callable[[], None]] = []
         self._probe: asyncio.Task | None = None
+        self._decided = asyncio.Event()
         self.accepts_connections = probing.accepts_connections
 
     @property
@@ -78,7 +82,9 @@
     def record_connected(self) -> None:
         """Records a connection to a target."""
         since_s = self._reach.lost_since_s
-        if not self._reach.record_connected():
+        was_lost = self._reach.record_connected()
+        self._decided.set()
+        if not was_lost:
             return
         self._statistics.targets_lost.set({}, 0)
         events.log(
@@ -99,6 +105,7 @@
             target, registered, self._timers.monotonic_s()
         )
         if lost:
+            self._decided.set()
             self._statistics.targets_lost.set({}, 1)
             events.log(
                 LOG,
@@ -108,8 +115,27 @@
                 reaching_peers=self._count_reaching_peers(),
             )
             self._notify()
-        if self._probe is None and self._reach.is_suspected(registered):
-            self._probe = asyncio.create_task(self._test_targets())
+        if self._reach.is_suspected(registered):
+            self._start_test()
+
+    def _start_test(self) -> None:
+        if self._probe is not None:
+            return
+        if not self.is_lost:
+            self._decided.clear()
+        self._probe = asyncio.create_task(self._test_targets())
+
+    async def settle(self) -> None:
+        """Waits until it is known whether any target is reached.
+
+        For a request that no target of its service could be sent.
+        """
+        if self.is_lost or not self._reach.failed_targets:
+            return
+        self._start_test()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(_SETTLE_S):
+                await self._decided.wait()
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/packages/daemon/src/dotterelweird/gateway/settings.py
+++ b/packages/daemon/src/dotterelweird/gateway/settings.py
@@ -42,6 +42,8 @@
         memory_bytes: Memory that the process may use, in bytes.
         fds_max: Descriptors that the process may open.
         pace: Pace of targets that have started or recovered.
+        forwarding_port: Port at which instances take requests that another
+            one cannot send; None to neither take nor pass any.
     """
 
     instance_id: str
@@ -59,3 +61,4 @@
     memory_bytes: int
     fds_max: int
     pace: gateway_pace.PaceSettings = gateway_pace.PaceSettings()
+    forwarding_port: int | None = None
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -24,6 +24,7 @@
             knows the software version that began them.
         mixed_streams: Streams that hold events of engines of two software
             versions, by service.
+        forwarded_requests: Requests passed to other instances, by end.
         targets_lost: 1 while the instance reaches no target, else 0.
         first_byte_s: Time to the first byte of a streamed answer, in seconds,
             by route.
@@ -111,6 +112,11 @@
             'Streams with events of engines of two software versions',
             registry=self._registry,
         )
+        self.forwarded_requests = aioprometheus.Counter(
+            'dotterelweir_gateway_forwarded_requests_total',
+            'Requests passed to other instances',
+            registry=self._registry,
+        )
         self.targets_lost = aioprometheus.Gauge(
             'dotterelweir_gateway_targets_lost',
             'Whether the instance reaches no target',
--- a/tests/adapter/test_settings_file.py
+++ b/tests/adapter/test_settings_file.py
@@ -37,10 +37,17 @@
     assert gateway.repeat_burst == 52.0
     assert gateway.grace_s == 8.0
     assert gateway.seed_hosts == ('10.1.0.19', '10.2.0.13')
-    assert gateway.peers_port == 7200
+    assert (gateway.peers_port, gateway.forwarding_port) == (7200, 7201)
     assert decoded.store.port == 8742
 
 
+def test_one_internal_port_is_none_to_forward_requests():
+    """Guards against a port outside of the range of the instance."""
+    lines = 'internalPortRange=7200,7200'
+    gateway = settings_file.decode(SETTINGS_TEXT + lines).gateway
+    assert gateway.forwarding_port is None
+
+
 @pytest.mark.parametrize(
     ('line', 'problem'),
     [
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -101,6 +101,49 @@
     }
 
 
+HEADERS = (
+    (b'Host', b'shop.example'),
+    (b'X-Attempt-Id', b'r2'),
+    (b'Api-Key', b'key-1'),
+    (b'X-Deadline-Ms', b'1500'),
+    (b'Connection', b'close, X-Private'),
+    (b'X-Private', b'1'),
+    (b'Content-Length', b'4'),
+    (b'Last-Event-Id', b'3'),
+    (b'Resumes', b'r1'),
+)
+FORWARDED = {
+    'Host': 'shop.example',
+    'X-Attempt-Id': 'r2',
+    'Api-Key': 'key-1',
+    'X-Deadline-Ms': '750',
+    'Last-Event-Id': '3',
+    'Resumes': 'r1',
+}
+
+
+@pytest.mark.parametrize(
+    ('headers', 'last_event_id', 'forwarded'),
+    [
+        (HEADERS, None, FORWARDED),
+        (HEADERS, 7, FORWARDED | {'Last-Event-Id': '7'}),
+        (
+            HEADERS[:-2],
+            7,
+            FORWARDED | {'Last-Event-Id': '7', 'Resumes': 'r2'},
+        ),
+    ],
+)
+def test_a_forwarded_request_is_that_of_the_caller(
+    headers, last_event_id, forwarded
+):
+    """Guards against another key, deadline or event at the instance."""
+    request = request_with(*headers)
+    rows = DIALECT.forwarded_headers(request, 0.75, last_event_id)
+    assert len(rows) == len(forwarded)
+    assert dict(rows) == forwarded
+
+
 @pytest.mark.parametrize(
     ('status', 'headers', 'not_run', 'own'),
     [
