Take a lost link of this instance for no end of its targets

An instance that is cut off by resets finds every target refusing connections and tells all others that they have ended under its requests in flight: three such ends block a popular request, or a shared part of a prompt, for everybody.

An end now counts only if a connection to any target was made since, or tests show that not all targets are lost here, or no other instance reaches any.

--- a/fakes/src/dotterelweir_fakes/fleet/target_links.py
+++ b/fakes/src/dotterelweir_fakes/fleet/target_links.py
@@ -33,6 +33,9 @@
         reach = gateway._reach
         self._probe = reach.accepts_connections
         reach.accepts_connections = self._accepts_connections
+        detector = gateway._parts.end_detector
+        self._refuses = detector.refuses_connections
+        detector.refuses_connections = self._refuses_connections
         self._cut: Cut | None = None
 
     def cut(self, cut: Cut) -> None:
@@ -80,3 +83,12 @@
         if self._cut is not None:
             return False
         return await self._probe(host, port, timeout_s)
+
+    async def _refuses_connections(
+        self, host: str, port: int, timeout_s: float
+    ) -> bool:
+        if self._cut is None:
+            return await self._refuses(host, port, timeout_s)
+        if self._cut is Cut.HANG:
+            await asyncio.sleep(timeout_s)
+        return self._cut is not Cut.HANG
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -226,7 +226,7 @@
             request_guard.RequestGuard(
                 self._timers, self._statistics, self._rng, trial_turns
             ),
-            end_detection.EndDetector(self._timers),
+            end_detection.EndDetector(self._timers, self._reach),
             self._pace,
             self._origins,
             self._reach,
--- a/packages/daemon/src/dotterelweird/gateway/end_detection.py
+++ b/packages/daemon/src/dotterelweird/gateway/end_detection.py
@@ -10,6 +10,7 @@
 from dotterelweird import probing
 from dotterelweird import timers as loop_timers
 from dotterelweird.gateway import exchange as exchanges
+from dotterelweird.gateway import reaching
 from dotterelweird.gateway import target_client
 
 # Delays of the attempts to connect to a target that closed a connection, in
@@ -57,12 +58,23 @@
     A target that goes on accepts or resets a further connection, one that has
     ended refuses it.
 
+    So does a link that this instance alone has lost, which ends no target.
+
     Args:
         timer_service: The timer service.
+        reach: Follows whether this instance reaches any target.
+
+    Attributes:
+        refuses_connections: Tells whether a host and port refuse a connection
+            within a time in seconds.
     """
 
-    def __init__(self, timer_service: timers.TimerService) -> None:
+    def __init__(
+        self, timer_service: timers.TimerService, reach: reaching.ReachKeeper
+    ) -> None:
         self._timers = timer_service
+        self._reach = reach
+        self.refuses_connections = probing.refuses_connections
         self._listeners: list[Listener] = []
         self._suspicions: dict[str, _Suspicion] = {}
         # The event loop itself keeps only weak references to tasks.
@@ -99,11 +111,15 @@
 
     async def _probe(self, suspicion: _Suspicion) -> None:
         target = suspicion.target
+        lost_s = self._timers.monotonic_s()
         for delay_s in _PROBE_DELAYS_S:
             await loop_timers.sleep(self._timers, delay_s)
-            if await probing.refuses_connections(
+            if await self.refuses_connections(
                 target.host, target.port, target_client.CONNECT_TIMEOUT_S
             ):
+                self._reach.record_failed(target)
+                if await self._reach.is_cut_off(lost_s):
+                    break
                 suspicion.ended = True
                 self._notify(target, tuple(suspicion.requests))
                 await loop_timers.sleep(self._timers, _SAME_END_S)
--- a/packages/daemon/src/dotterelweird/gateway/reaching.py
+++ b/packages/daemon/src/dotterelweird/gateway/reaching.py
@@ -57,6 +57,7 @@
         self._count_reaching_peers = count_reaching_peers
         self._reach = reachability.TargetReach()
         self._listeners: list[Callable[[], None]] = []
+        self._connected_s = float('-inf')
         self._probe: asyncio.Task | None = None
         self._decided = asyncio.Event()
         self.accepts_connections = probing.accepts_connections
@@ -81,6 +82,7 @@
 
     def record_connected(self) -> None:
         """Records a connection to a target."""
+        self._connected_s = self._timers.monotonic_s()
         since_s = self._reach.lost_since_s
         was_lost = self._reach.record_connected()
         self._decided.set()
@@ -137,6 +139,20 @@
             async with asyncio.timeout(_SETTLE_S):
                 await self._decided.wait()
 
+    async def is_cut_off(self, since_s: float) -> bool:
+        """Whether this instance alone reaches no target.
+
+        Waits for a test if that is not known.
+
+        Args:
+            since_s: Monotonic time from which on a connection shows that
+                targets are reached, in seconds.
+        """
+        if self._connected_s >= since_s:
+            return False
+        await self.settle()
+        return self.is_lost and self._count_reaching_peers() > 0
+
     def _notify(self) -> None:
         for listener in self._listeners:
             listener()
--- a/packages/daemon/tests/gateway/test_partitioned_instance.py
+++ b/packages/daemon/tests/gateway/test_partitioned_instance.py
@@ -221,3 +221,48 @@
     assert (await send(deployment, 'read', 'request-1'))[0] == 503
     links.heal()
     assert (await send(deployment, 'read', 'request-2'))[0] == 200
+
+
+async def test_a_lost_link_is_no_end_of_its_target(pair, links):
+    """Guards against requests that are blocked everywhere after a cut."""
+    ends = []
+    detector = pair.gateway._parts.end_detector
+    detector.subscribe(lambda target, requests: ends.append(target.target_id))
+    for engine in pair.engines.values():
+        engine.behaviour.hang = True
+    calls = [
+        asyncio.create_task(send(pair, 'read', f'request-{number}'))
+        for number in range(6)
+    ]
+    async with asyncio.timeout(2):
+        while not all(pair.engines[f'shop-{n}'].ran for n in (1, 2)):
+            await asyncio.sleep(0.01)
+    links.cut(target_links.Cut.RESET)
+    for engine in pair.engines.values():
+        engine.behaviour.hang = False
+    await asyncio.gather(*calls)
+    async with asyncio.timeout(5):
+        while detector._suspicions:
+            await asyncio.sleep(0.01)
+    assert not ends
+
+
+async def test_the_end_of_a_target_is_still_noticed(pair, links):
+    """Guards against deadly requests that nobody counts any more."""
+    ends = []
+    pair.gateway._parts.end_detector.subscribe(
+        lambda target, requests: ends.append(target.target_id)
+    )
+    shops = [pair.engines[name] for name in ('shop-1', 'shop-2')]
+    for shop in shops:
+        shop.behaviour.hang = True
+    call = asyncio.create_task(send(pair, 'book', 'request-1'))
+    async with asyncio.timeout(2):
+        while not any(shop.ran for shop in shops):
+            await asyncio.sleep(0.01)
+    [ended] = [shop for shop in shops if shop.ran]
+    ended.crash()
+    await call
+    async with asyncio.timeout(2):
+        while ends != [ended.target_id]:
+            await asyncio.sleep(0.01)
