Answer 502 in place of a status that does not exist

An engine in trouble that answers 600 or 999, sealed and with the id of the request, had this status passed on to the caller, on plain calls and on streams that may not be resumed; 000 and 099 were answered 502 before. A status above 599 is now one of no answer, like one below 200: repeatable requests go to another target, others are answered 502.

Of 19 new tests, the 8 with 600 and 999 failed before; all pass.

--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -24,6 +24,10 @@
 # An answer of a target with one of these statuses must not reach the caller
 # unless the target itself states that the request did not run.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# Lowest status of an answer that is not an interim one, and highest status
+# (RFC 9110, section 15).
+_FINAL_STATUS_MIN = 200
+_STATUS_MAX = 599
 # Status with which a target refuses a malformed request.
 _MALFORMED_STATUS = 400
 
@@ -336,8 +340,10 @@
         return exchanges.Broken('answer without a signature')
     if facts.encoded:
         return exchanges.Broken('answer with an encoding')
-    if status in NOT_RUN_STATUSES or status < 200:
+    if status in NOT_RUN_STATUSES:
         return exchanges.Broken(f'status {status} without a not-run statement')
+    if not _FINAL_STATUS_MIN <= status <= _STATUS_MAX:
+        return exchanges.Broken(f'status {status} is none of an answer')
     return exchanges.Answered(status, facts.headers, body)
 
 
--- a/packages/daemon/tests/gateway/test_broken_answers.py
+++ b/packages/daemon/tests/gateway/test_broken_answers.py
@@ -182,3 +182,26 @@
     set_raw(deployment, ['shop-1', 'shop-2'], b'')
     async with deployment.request('book', 'request-2') as answer:
         assert await answer.read() == b'answer to request-2 body'
+
+
+@pytest.mark.parametrize('route', ['read', 'book', 'guide', 'check'])
+@pytest.mark.parametrize('status', [b'000', b'099', b'600', b'999'])
+async def test_a_status_that_does_not_exist_reaches_no_caller(
+    deployment, route, status
+):
+    """Guards against an engine in trouble whose status looks like one."""
+    for engine in deployment.engines.values():
+        engine.behaviour.raw = HEAD.replace(b'200 OK', status + b' X') + BODY
+    async with deployment.request(route) as answer:
+        assert answer.status == 502
+        assert 'X-Upstream-Seal' not in answer.headers
+
+
+@pytest.mark.parametrize('status', [200, 404, 599])
+async def test_a_status_of_a_target_is_passed_on(deployment, status):
+    """Guards against proper answers that are replaced."""
+    for engine in deployment.engines.values():
+        engine.behaviour.raw = HEAD.replace(b'200 OK', b'%d X' % status) + BODY
+    async with deployment.request('book') as answer:
+        assert answer.status == status
+        assert answer.headers['X-Upstream-Seal'] == 's'
