Let the soak mix versions, take streams up and cut instances off

The new parts had tests of single gateways only. The command partitions cuts some of several real processes off and counts first attempts by the users' rule. Faults of earlier seeds stay as they were, as the new ones have random sources of their own.

--- a/fakes/src/dotterelweir_fakes/__main__.py
+++ b/fakes/src/dotterelweir_fakes/__main__.py
@@ -17,6 +17,7 @@
 from dotterelweir_fakes.soak import crashes
 from dotterelweir_fakes.soak import limits
 from dotterelweir_fakes.soak import moves
+from dotterelweir_fakes.soak import partitions
 from dotterelweir_fakes.soak import stops
 
 
@@ -35,6 +36,7 @@
 main.add_command(moves.moves)
 main.add_command(pace_model.command)
 main.add_command(pages_command.docs)
+main.add_command(partitions.partitions)
 main.add_command(platform_command.platform)
 main.add_command(relay_cost.relay_cost)
 main.add_command(service.command)
--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -180,6 +180,7 @@
         flooded_bytes: Total size of the floods that it sent, in bytes.
         started_ms: Wall time of its start, in milliseconds.
         software_version: Version of its software.
+        names_version: Whether its events name that version.
         address: Its host and port.
         zone: Its availability zone.
     """
@@ -200,6 +201,7 @@
         self.flooded_bytes = 0
         self.started_ms = 0
         self.software_version = 'v1'
+        self.names_version = False
         self._stop_events: dict[str, asyncio.Event] = {}
         # Ids of the last events of runs with a stream.
         self._events_made: dict[str, int] = {}
@@ -548,6 +550,9 @@
         stopped = self._stop_events[request_id] = asyncio.Event()
         self._events_made[request_id] = first - 1
         self._stream_transports[request_id] = request.transport
+        suffix = b'x' * behaviour.event_bytes
+        if self.names_version:
+            suffix += b' ' + self.software_version.encode()
         end_kept = None
         is_complete = False
         try:
@@ -572,9 +577,8 @@
                     await stopped.wait()
                     request.transport.abort()
                     raise ConnectionResetError
-                padding = b'x' * behaviour.event_bytes
                 await response.write(
-                    b'id: %d\ndata: token-%d%b\n\n' % (number, number, padding)
+                    b'id: %d\ndata: token-%d%b\n\n' % (number, number, suffix)
                 )
                 self._events_made[request_id] = number
                 if self.copies is None:
--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -25,7 +25,10 @@
 from dotterelweir_fakes.soak import faults
 from dotterelweir_fakes.soak import guarantees
 from dotterelweir_fakes.soak import instances
+from dotterelweir_fakes.soak import linked_gateway
+from dotterelweir_fakes.soak import partitions
 from dotterelweir_fakes.soak import proxies
+from dotterelweir_fakes.soak import taken_up
 
 _ROUTES = ('book', 'read', 'guide', 'check')
 # The kind of a route, not the method, states what may be repeated.
@@ -45,6 +48,8 @@
 # Id of a shared part of prompts.
 _SHARED_PART = 'a1'
 _DEADLY_SHARE = 0.05
+# Maximum number of attempts of a caller at a stream that may be resumed.
+_ATTEMPTS_MAX = 3
 # Limit of the memory of a process on the platform, in bytes.
 _MEMORY_BYTES_MAX = 150_000_000
 # An instance without disturbance for this time is in touch, in seconds.
@@ -80,6 +85,9 @@
             counted, with ``check`` also judged.
         crowd: Number of connections of callers that send no whole request;
             0 for none.
+        mixed: Whether further engines of another software version serve,
+            callers take up streams that broke off, and instances lose their
+            links to all targets at times.
         ledger: Runs and answers of all requests.
         rules: Rules of the proxies before engines and the store.
         store: Stand-in for the store.
@@ -94,6 +102,7 @@
     directory: pathlib.Path
     deadly_part: str = 'none'
     crowd: int = 0
+    mixed: bool = False
     ledger: guarantees.Ledger = attrs.field(factory=guarantees.Ledger)
     rules: links_rules.Rules = attrs.field(factory=links_rules.Rules)
     store: fleet_store.FakeStore = attrs.field(factory=fleet_store.FakeStore)
@@ -167,23 +176,27 @@
             'evacuated_latest_s': round(self._evacuations.latest_s, 3),
             'deadly_crashes': len(self._crash_times_s),
             'late_deadly_runs': late,
+            'taken_up': self.ledger.taken_up,
+            'taken_up_whole': self.ledger.taken_up_whole,
         }
 
     async def _start_processes(self, store_port: int) -> None:
         await self.store.write_json(
             'keyed.op', 'config', fleet.configuration()
         )
-        for number in range(3):
-            for kind in ('model', 'plain'):
+        for number in range(6 if self.mixed else 3):
+            for kind in ('model', 'plain') if number < 3 else ('model',):
                 name = f'{kind}-{number}'
                 engine = self.engines[name] = soak_engines.SoakEngine(
                     name,
                     self.ledger,
                     functools.partial(self._crash, name),
                 )
+                engine.software_version = 'v1' if number < 3 else 'v2'
+                engine.names_version = self.mixed
                 engine.sender = self._find_sender
                 engine.evacuations = self._evacuations
-                engine.zone = evacuations.ZONES[number]
+                engine.zone = evacuations.ZONES[number % 3]
                 await engine.start()
                 host, _, port = engine.address.rpartition(':')
                 await self._open_proxy(name, host, int(port))
@@ -214,6 +227,12 @@
             )
             for n in range(4 * self.instance_count)
         ]
+        # With a random source of its own, the faults of a seed stay the same.
+        cutting = partitions.LinkCuts(
+            self.nodes, random.Random(f'{self.seed}-links'), self._trace
+        )
+        if self.mixed:
+            callers.append(asyncio.create_task(cutting.run()))
         if self.crowd:
             crowd_rng = random.Random(rng.random())
             callers.append(asyncio.create_task(self._run_crowds(crowd_rng)))
@@ -225,6 +244,7 @@
         for caller in callers:
             caller.cancel()
         await asyncio.gather(*callers, return_exceptions=True)
+        cutting.heal()
         await asyncio.sleep(_SETTLE_S)
 
     async def _run_crowds(self, rng: random.Random) -> None:
@@ -321,6 +341,9 @@
                     rng.randrange(2), f'{soak_engines.DEADLY_PART}:30'
                 )
             headers['X-Prompt-Prefix'] = ','.join(parts)
+        if self.mixed and route in ('guide', 'check'):
+            await self._send_stream(session, node, method, route, headers)
+            return
         body = b''
         expected = f'answer to {request_id} x'.encode()
         if route in ('guide', 'check'):
@@ -343,6 +366,34 @@
             return
         self.ledger.record_answer(request_id, answer.status, body, expected)
 
+    async def _send_stream(
+        self,
+        session: aiohttp.ClientSession,
+        node: instances.Instance,
+        method: str,
+        route: str,
+        headers: dict[str, str],
+    ) -> None:
+        """Reads a stream; takes it up elsewhere if it breaks and may."""
+        stream = taken_up.CallerStream(
+            headers,
+            soak_engines.EVENTS_PER_ANSWER,
+            _ATTEMPTS_MAX if route == 'check' else 1,
+        )
+        rng = random.Random(f'{self.seed}-{stream.request_id}')
+        while True:
+            self._receivers[stream.attempt_id] = node
+            await stream.attempt(
+                session,
+                method,
+                f'http://{node.host}:{instances.CALLERS_PORT}/{route}/x',
+            )
+            if not stream.may_continue:
+                break
+            node = rng.choice(self.nodes)
+            await asyncio.sleep(rng.uniform(0.0, 0.5))
+        stream.record(self.ledger)
+
 
 @click.command()
 @click.option('--seed', type=int, required=True)
@@ -367,6 +418,12 @@
     default=0,
     help='Adds connections of callers that send no whole request.',
 )
+@click.option(
+    '--mixed',
+    is_flag=True,
+    help='Adds engines of another version, streams that are taken up, and '
+    'instances that lose all targets.',
+)
 @click.option('--directory', type=click.Path(path_type=pathlib.Path))
 def soak(
     seed: int,
@@ -375,6 +432,7 @@
     without_guard: str | None,
     deadly_part: str,
     crowd: int,
+    mixed: bool,
     directory: pathlib.Path | None,
 ) -> None:
     """Runs gateway processes under random faults and checks guarantees.
@@ -382,6 +440,8 @@
     The last line is one JSON object. Exit code 1 if a guarantee was violated.
     """
     module = 'dotterelweir_platform'
+    if mixed:
+        module = linked_gateway.__name__
     if without_guard:
         module = 'dotterelweir_fakes.soak.broken_gateway'
         os.environ[broken_gateway.GUARD_VARIABLE] = without_guard
@@ -397,6 +457,7 @@
                 output_directory,
                 deadly_part,
                 crowd,
+                mixed,
             ).run()
         )
     click.echo(orjson.dumps(result).decode())
--- a/fakes/src/dotterelweir_fakes/soak/guarantees.py
+++ b/fakes/src/dotterelweir_fakes/soak/guarantees.py
@@ -71,6 +71,8 @@
         violations: Violated guarantees, one line each.
         overlaps: Number of runs that started while another target still ran
             the request.
+        taken_up: Number of streams that callers took up.
+        taken_up_whole: Number of those that were complete in the end.
     """
 
     requests: int = 0
@@ -78,6 +80,8 @@
     refused: int = 0
     violations: list[str] = attrs.field(factory=list)
     overlaps: int = 0
+    taken_up: int = 0
+    taken_up_whole: int = 0
     _runs: dict[str, list[Run]] = attrs.field(factory=dict)
     _reported_not_run: set[str] = attrs.field(factory=set)
     _at_most_once: set[str] = attrs.field(factory=set)
@@ -193,6 +197,18 @@
                 f'{request_id}: partial answer with foreign bytes'
             )
 
+    def record_versions(self, request_id: str, versions: set[str]) -> None:
+        """Checks the software versions whose events a stream holds.
+
+        Args:
+            request_id: The request, or the first one of several attempts.
+            versions: The versions.
+        """
+        if len(versions) > 1:
+            self._add_violation(
+                f'{request_id}: events of versions {sorted(versions)}'
+            )
+
     def check(self) -> None:
         """Checks runs and pauses; called at the end of the soak."""
         for (target_id, instance), pauses in self._pauses.items():
--- a/fakes/src/dotterelweir_fakes/soak/trials.py
+++ b/fakes/src/dotterelweir_fakes/soak/trials.py
@@ -113,6 +113,7 @@
         make_engine: Creates an engine from its id.
         service_fields: Fields of the configuration of the service.
         settings: Further lines of the settings file of every process.
+        module: Python module that the processes run.
 
     Attributes:
         engines: Engines by id.
@@ -133,8 +134,10 @@
         ] = fleet_engine.FakeEngine,
         service_fields: dict[str, object] | None = None,
         settings: tuple[str, ...] = (),
+        module: str = 'dotterelweir_platform',
     ) -> None:
         self._settings = settings
+        self._module = module
         self._directory = directory
         self._instance_count = instance_count
         self._service = service
@@ -182,7 +185,11 @@
         address = f'127.0.0.1:{self._runner.addresses[0][1]}'
         for number in range(1, self._instance_count + 1):
             node = instances.Instance(
-                number, self._directory, address, settings=self._settings
+                number,
+                self._directory,
+                address,
+                self._module,
+                settings=self._settings,
             )
             self.nodes.append(node)
             node.start()
