Refuse nothing as not run that ran before it was passed on

A request whose engine had begun it, and whose repeat was then passed to another instance, got that instance's 503 when engines there refused it: true there, and a false promise to the caller (REFUSED).

Cause: one instance's answer taken for what is known of the whole request. A refusal of the other instance that states "not run" is now answered 502 if the request may have run here.

--- a/packages/daemon/src/dotterelweird/gateway/peer_forwarding.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_forwarding.py
@@ -162,14 +162,22 @@
             opened: The answer.
 
         Raises:
-            DotterelweirError: The answer ended early, or was too late.
+            DotterelweirError: The answer ended early, was too late, or states
+                that the request has not run, which may have run before it
+                was passed on.
         """
         try:
             async with asyncio.timeout(self._time_left_s(exchange)):
                 body = await self._memory.read(opened.answer, exchange.holding)
         except (aiohttp.ClientError, TimeoutError) as exc:
             raise _unknown_error(exc) from exc
-        return exchanges.Answered(opened.answer.status, opened.headers, body)
+        status = opened.answer.status
+        if exchange.may_have_run and status in attempts.NOT_RUN_STATUSES:
+            raise errors.DotterelweirError(
+                errors.ErrorKind.TARGET_FAILED,
+                execution=errors.Execution.UNKNOWN,
+            )
+        return exchanges.Answered(status, opened.headers, body)
 
     async def open(
         self,
--- a/packages/daemon/tests/gateway/test_partitioned_instance.py
+++ b/packages/daemon/tests/gateway/test_partitioned_instance.py
@@ -266,3 +266,21 @@
     async with asyncio.timeout(2):
         while ends != [ended.target_id]:
             await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize('route', ['read', 'check'])
+async def test_a_request_that_has_run_here_is_not_refused_as_not_run(
+    pair, links, route
+):
+    """Guards against "not run" from an instance that knows only its part."""
+    for engine in pair.engines.values():
+        engine.behaviour.hang = True
+    call = asyncio.create_task(send(pair, route, 'request-1'))
+    async with asyncio.timeout(2):
+        while not arrivals(pair, 'request-1'):
+            await asyncio.sleep(0.01)
+    for engine in pair.engines.values():
+        engine.behaviour.refuse = True
+    links.cut(target_links.Cut.RESET)
+    status, _ = await call
+    assert status in (502, 504)
