Send brittle targets no more than they run at once

Their places are now dealt to the instances by rank, so that old or missing news of others cannot overfill them; beyond its own places an instance sends one request at a time to a target that seems half empty, and none for a while after a refusal. Calls wait for a place as they wait for a pause, generations in their queue; what is too late is refused. It holds for all targets of a service once one answer states it, until a later request is answered without it.

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -20,6 +20,9 @@
 _HANDLE_PATH = '/-/kv-handle/'
 # Interval at which a departing engine looks for work in progress.
 _DEPARTURE_POLL_S = 0.005
+# Time after which an engine that ended because it was brittle is back, in
+# seconds.
+_FALL_S = 2.0
 
 
 @attrs.define
@@ -92,6 +95,11 @@
         copy_full_share: Share of the copies that it refuses to hold for lack
             of room.
         copy_slots: Number of copies that it can hold; None for any number.
+        slots_max: Number of requests that it runs at once; it refuses others.
+            None for no maximum.
+        brittle: Value of the header ``Server-Brittle`` of its responses: the
+            number of refusals for lack of a slot in a second above which it
+            ends. Empty for none.
         crash_part: Part of a prompt that ends the engine as it begins to
             write an answer; empty for none.
         crash_bytes: Part of an answer that it writes before that, as a share
@@ -139,6 +147,8 @@
     copy_s: tuple[float, float] = (0.0, 0.0)
     copy_full_share: float = 0.0
     copy_slots: int | None = None
+    slots_max: int | None = None
+    brittle: str = ''
     crash_part: str = ''
     crash_bytes: float = 1.0
 
@@ -177,6 +187,7 @@
             seconds, by request.
         copies: Its link and the copies that it holds; None if it answers
             every order to copy a run without a copy.
+        falls: How often it ended because it was brittle.
         flooded_bytes: Total size of the floods that it sent, in bytes.
         started_ms: Wall time of its start, in milliseconds.
         software_version: Version of its software.
@@ -199,6 +210,9 @@
         self.stopped_runs: dict[str, float] = {}
         self.copies: fleet_copies.EngineCopies | None = None
         self.flooded_bytes = 0
+        self.falls = 0
+        # Monotonic times of refusals for lack of a slot, in seconds.
+        self._turned_away_s: list[float] = []
         self.started_ms = 0
         self.software_version = 'v1'
         self.names_version = False
@@ -367,6 +381,11 @@
             return self._add_notices(
                 web.Response(status=400, headers={'X-Not-Executed': '1'})
             )
+        if behaviour.slots_max is not None and (
+            self._work_in_progress >= behaviour.slots_max
+        ):
+            self._turn_away()
+            return self._add_notices(_refusal(503, request_id))
         if behaviour.refuse or copy_missing or not self._take_copy(headers):
             return self._add_notices(_refusal(503, request_id))
         self.ran.append(request_id)
@@ -379,6 +398,25 @@
         finally:
             self._work_in_progress -= 1
 
+    def _turn_away(self) -> None:
+        """Counts a refusal; ends for some seconds after too many."""
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        self._turned_away_s = [
+            turned_s
+            for turned_s in self._turned_away_s
+            if now_s - turned_s < 1
+        ] + [now_s]
+        brittle = self.behaviour.brittle
+        if brittle and len(self._turned_away_s) > int(brittle):
+            self.falls += 1
+            self._turned_away_s.clear()
+            self.crash()
+            self._restart = loop.call_later(
+                _FALL_S, lambda: asyncio.ensure_future(self.start_again())
+            )
+            raise ConnectionResetError
+
     def _take_copy(self, headers: dict[str, str]) -> bool:
         """Returns whether the copy that a request names, if any, is here."""
         if self.copies is None or 'kv-from' not in headers:
@@ -489,6 +527,8 @@
             response.headers['Server-Leaving'] = '1'
         if self.behaviour.limit:
             response.headers['Server-Limit'] = self.behaviour.limit
+        if self.behaviour.brittle:
+            response.headers['Server-Brittle'] = self.behaviour.brittle
         if self.behaviour.retry_after and response.status == 503:
             response.headers['Retry-After'] = self.behaviour.retry_after
         return response
@@ -499,6 +539,8 @@
             headers['Server-Leaving'] = '1'
         if self.behaviour.limit:
             headers['Server-Limit'] = self.behaviour.limit
+        if self.behaviour.brittle:
+            headers['Server-Brittle'] = self.behaviour.brittle
         if self.behaviour.sealed:
             headers['X-Upstream-Seal'] = f'seal-{self.target_id}'
         if self.behaviour.echo_id:
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -244,6 +244,12 @@
     logging.INFO,
     'A request was passed to another instance, as no target is reached here.',
 )
+SERVICE_BRITTLE = _event(
+    276,
+    'service-brittle',
+    logging.WARNING,
+    'The targets of a service state that they are brittle, or no longer do.',
+)
 REPEAT_BUDGET_EMPTY = _event(
     228,
     'repeat-budget-empty',
--- a/packages/core/src/dotterelweir_core/gateway/placement.py
+++ b/packages/core/src/dotterelweir_core/gateway/placement.py
@@ -12,6 +12,7 @@
 
 import attrs
 
+from dotterelweir_core.gateway import brittleness
 from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import pauses
@@ -102,6 +103,9 @@
         pause_registry: Pauses that targets requested from this instance.
         limits: Limits on the request rates of targets.
         evacuation_registry: The evacuated zones; no target there is chosen.
+        brittle: Services whose targets must not be overfilled.
+        deal: Returns the places of a brittle target that are dealt to this
+            instance.
     """
 
     zone: str
@@ -116,6 +120,12 @@
     evacuation_registry: evacuations.EvacuationRegistry = attrs.field(
         factory=evacuations.EvacuationRegistry
     )
+    brittle: brittleness.BrittleServices = attrs.field(
+        factory=brittleness.BrittleServices
+    )
+    deal: Callable[[targets.Target], brittleness.Places] = attrs.field(
+        default=lambda target: brittleness.Places(target.slots, 1.0)
+    )
 
     def choose(
         self,
@@ -150,9 +160,10 @@
             return None
         speeds = self.loads.speeds.view(candidates, service.name, now_s)
         if admits is not None:
-            usable = [
-                candidate for candidate in usable if admits(candidate)
-            ] or usable
+            admitted = [candidate for candidate in usable if admits(candidate)]
+            if not admitted and self.brittle.is_brittle(service.name):
+                return None
+            usable = admitted or usable
         costs = [
             (
                 self._cost(target, service, tokens, now_s, speeds, needs),
@@ -229,7 +240,8 @@
         """Returns the targets that accept requests now.
 
         A paused target gets no requests at all, whatever the load of the
-        others; a pause is not part of the cost.
+        others; a pause is not part of the cost. Nor does a brittle one that
+        may be full.
 
         Args:
             candidates: Targets of the service.
@@ -240,8 +252,16 @@
             target
             for target in self.ready(candidates, excluded)
             if not self.pause_registry.is_paused(target, now_s)
+            and self._has_place(target, now_s)
         ]
 
+    def _has_place(self, target: targets.Target, now_s: float) -> bool:
+        if not self.brittle.is_brittle(target.service):
+            return True
+        return self.brittle.accepts(
+            target, self.loads.get(target.target_id), self.deal(target), now_s
+        )
+
     def choose_backup(
         self,
         candidates: list[targets.Target],
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -281,12 +281,16 @@
             limit, None if the answer says nothing about a limit.
         cold_left_s: Time for which the target is still cold, in seconds; 0
             if the answer does not say so.
+        refusals_max_per_s: Requests that the target may turn away in a second
+            before it ends; infinite if the answer shows that it is not
+            brittle, None if the answer says nothing about that.
     """
 
     leaving: bool = False
     pause_s: float = 0.0
     limit_per_s: float | None = None
     cold_left_s: float = 0.0
+    refusals_max_per_s: float | None = None
 
 
 NO_NOTICE = TargetNotice()
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -61,14 +61,16 @@
     load = parts.loads.get(target.target_id)
     load.running += 1
     load.tokens += tokens
-    if tokens:
+    # Of plain calls, the others learn in time if it matters to them.
+    notifies = tokens > 0 or parts.placer.brittle.is_brittle(target.service)
+    if notifies:
         parts.loads.notify()
     try:
         yield
     finally:
         load.running -= 1
         load.tokens -= tokens
-        if tokens:
+        if notifies:
             parts.loads.notify()
 
 
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -3,6 +3,7 @@
 import logging
 
 from dotterelweir_core import events
+from dotterelweir_core.gateway import targets
 from dotterelweird.gateway import attempts
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import exchange as exchanges
@@ -167,17 +168,17 @@
                     target, ended_s - now_s, ended_s
                 )
             parts.request_guard.report_answer(exchange)
-        self._record_outcome(target.target_id, outcome, ended_s)
+        self._record_outcome(target, outcome, ended_s)
         parts.pace.record_call(exchange, target, outcome, ended_s - now_s)
         return outcome
 
     def _record_outcome(
         self,
-        target_id: str,
+        target: targets.Target,
         outcome: exchanges.Outcome,
         now_s: float,
     ) -> None:
-        load = self._parts.loads.get(target_id)
+        load = self._parts.loads.get(target.target_id)
         match outcome:
             case exchanges.Answered(status=status) if status < 500:
                 load.record_success(now_s)
@@ -187,6 +188,7 @@
                 pass
             case exchanges.NotRun():
                 load.record_refusal(now_s)
+                self._parts.placer.brittle.record_refusal(target, now_s)
             case exchanges.NeverSent() | exchanges.TimedOut():
                 load.record_unreachable(now_s)
             case exchanges.Broken():
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -16,6 +16,7 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import admission
+from dotterelweir_core.gateway import brittleness
 from dotterelweir_core.gateway import evacuations
 from dotterelweir_core.gateway import load
 from dotterelweir_core.gateway import memory_account
@@ -26,6 +27,7 @@
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import tables as gateway_tables
 from dotterelweir_core.gateway import targets
+from dotterelweir_core.gateway import turns
 from dotterelweird import lifecycle
 from dotterelweird import log_output
 from dotterelweird import logs
@@ -140,6 +142,7 @@
         )
         self._readiness = memory_account.ReadinessLimiter()
         pause_registry = pauses.PauseRegistry()
+        brittle = brittleness.BrittleServices()
         self._evacuations = evacuations.EvacuationRegistry()
         limiter = limiting.TargetLimiter(
             settings.instance_id,
@@ -206,6 +209,8 @@
                 pause_registry,
                 limiter.limits,
                 self._evacuations,
+                brittle,
+                self._deal_places,
             ),
             admission.Admission(self._loads),
             self._statistics,
@@ -288,6 +293,7 @@
             limiter,
             self._pace,
             self._peers,
+            brittle,
             self._timers,
             self._statistics,
         )
@@ -484,6 +490,18 @@
             now_s = self._timers.monotonic_s()
             target_load.warm_until_s = now_s + target.warm_up_left_s
 
+    def _deal_places(self, target: targets.Target) -> brittleness.Places:
+        """Returns the places of a brittle target for this instance."""
+        view = self._peers.view()
+        others = [peer.instance_id for peer in view.peers]
+        return brittleness.deal_places(
+            target.slots,
+            (len(others) + 1) / view.reachable_share,
+            turns.rank_of(
+                self._settings.instance_id, others, target.target_id
+            ),
+        )
+
     def _targets_age_s(self) -> float:
         """Returns the time since the targets were confirmed, in seconds."""
         report = self._followers[api.StoreStream.TARGETS].report
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -387,6 +387,7 @@
                 load.record_failure(now_s)
             case exchanges.NotRun() if run.copy is None:
                 load.record_refusal(now_s)
+                self._parts.placer.brittle.record_refusal(run.target, now_s)
             case exchanges.NeverSent():
                 load.record_unreachable(now_s)
             case (
--- a/packages/daemon/src/dotterelweird/gateway/notices.py
+++ b/packages/daemon/src/dotterelweird/gateway/notices.py
@@ -7,6 +7,7 @@
 
 from dotterelweir_core import events
 from dotterelweir_core import timers
+from dotterelweir_core.gateway import brittleness
 from dotterelweir_core.gateway import pauses
 from dotterelweir_core.gateway import rate_limits
 from dotterelweir_core.gateway import targets
@@ -30,6 +31,7 @@
         limiter: Keeps requests within the limits of targets.
         pace_keeper: Holds which targets are cold.
         peer_exchange: Sends departures to the other instances.
+        brittle: Services whose targets are brittle.
         timers: The timer service.
         statistics: Metrics of the process.
     """
@@ -39,6 +41,7 @@
     limiter: limiting.TargetLimiter
     pace_keeper: pacing.PaceKeeper
     peer_exchange: peers.PeerExchange
+    brittle: brittleness.BrittleServices
     timers: timers.TimerService
     statistics: statistics.Statistics
 
@@ -68,12 +71,38 @@
                 target_id=target.target_id,
                 pause_s=notice.pause_s,
             )
-
+        if notice.refusals_max_per_s is not None:
+            self._handle_brittleness(target, notice.refusals_max_per_s, sent_s)
         if notice.limit_per_s is not None:
             self._handle_limit(target, notice.limit_per_s, sent_s)
         if notice.cold_left_s:
             self.pace_keeper.record_stated(target, notice.cold_left_s)
 
+    def _handle_brittleness(
+        self,
+        target: targets.Target,
+        refusals_max_per_s: float,
+        sent_s: float | None,
+    ) -> None:
+        now_s = self.timers.elapsed_s()
+        is_brittle = math.isfinite(refusals_max_per_s)
+        if not self.brittle.apply(
+            target.service,
+            refusals_max_per_s if is_brittle else None,
+            -math.inf if sent_s is None else sent_s,
+            now_s,
+        ):
+            return
+        self.statistics.notices.inc({'kind': 'brittle'})
+        events.log(
+            LOG,
+            events.SERVICE_BRITTLE,
+            service=target.service,
+            target_id=target.target_id,
+            brittle=is_brittle,
+            refusals_max_per_s=refusals_max_per_s if is_brittle else None,
+        )
+
     def _handle_limit(
         self, target: targets.Target, rate_per_s: float, sent_s: float | None
     ) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/pausing.py
+++ b/packages/daemon/src/dotterelweird/gateway/pausing.py
@@ -25,6 +25,8 @@
 # Longest time after which the pause of a target that is waited for is looked
 # at again, in seconds.
 _PAUSE_CHECK_S = 0.1
+# Time between two looks for a place at brittle targets, in seconds.
+_PLACE_CHECK_S = 0.01
 
 
 def blocked_remaining_s(
@@ -172,6 +174,29 @@
             parts, exchange, _wait_max_s(parts, exchange)
         )
         parts.check_stop(exchange)
+    if choice is None and parts.placer.brittle.is_brittle(
+        exchange.service.name
+    ):
+        choice = await _wait_for_place(parts, exchange)
+        parts.check_stop(exchange)
+    return choice
+
+
+async def _wait_for_place(
+    parts: dependencies.Forwarding, exchange: exchanges.Exchange
+) -> placement.Choice | None:
+    """Waits until a brittle target has a place, unless that is too late.
+
+    Returns:
+        The choice; None if no target has a place in time.
+    """
+    until_s = parts.timers.monotonic_s() + _wait_max_s(parts, exchange)
+    choice = None
+    while choice is None and parts.timers.monotonic_s() < until_s:
+        if not parts.placer.ready(parts.candidates(exchange), exchange.tried):
+            return None
+        await timers.sleep(parts.timers, _PLACE_CHECK_S)
+        choice = await _choose_with_turn(parts, exchange)
     return choice
 
 
--- a/tests/adapter/test_wire.py
+++ b/tests/adapter/test_wire.py
@@ -78,6 +78,27 @@
         request_with((b'X-Deadline-Ms', value))
 
 
+@pytest.mark.parametrize(
+    ('status', 'headers', 'expected'),
+    [
+        (200, [(b'Server-Brittle', b'3')], 3.0),
+        (503, [(b'Server-Brittle', b'0'), (b'X-Not-Executed', b'1')], 0.0),
+        (200, [(b'Server-Brittle', b'x')], None),
+        (200, [], math.inf),
+        (503, [(b'X-Not-Executed', b'1')], None),
+        (421, [(b'Server-Brittle', b'3')], None),
+    ],
+)
+def test_brittleness_is_decoded(status, headers, expected):
+    """Guards against a refusal that is taken for the end of a statement."""
+    if status == 200:
+        headers = [*headers, (b'X-Upstream-Seal', b's')]
+    facts = DIALECT.decode_answer(
+        'r1', status, [(b'X-Attempt-Id', b'r1'), *headers]
+    )
+    assert facts.notice.refusals_max_per_s == expected
+
+
 def test_attempt_headers():
     """Guards against an attempt without deadline, target or organisation."""
     request = request_with(
