Pass no requests to instances that stop or have no state yet

An instance that got SIGTERM refuses what it is not expected to finish, and one that has just started knows no routes; a partitioned instance passed requests to both. They now tell the others at once that they send nothing for them.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -285,7 +285,7 @@
             self._handle_peer_reports,
             findings,
             self._parts.queues,
-            lambda: self._reach.is_lost,
+            lambda: self._reach.is_lost or not self._is_ready(),
         )
         self._notices = notices.NoticeHandler(
             self._targets,
@@ -622,6 +622,7 @@
         if not self._stop_plan.stopping:
             self._stop_plan.stop_requested_s = self._timers.monotonic_s()
             self._lifecycle.drain()
+            self._peers.schedule_digest()
             self._schedule_last_answers()
 
     def _schedule_last_answers(self) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -62,7 +62,8 @@
         leaving: Whether the instance stops now.
         waiting: Generations that wait at the instance; None if none does, or
             if their order does not concern others.
-        targets_lost: Whether the instance reaches no target.
+        targets_lost: Whether the instance sends targets nothing for others: it
+            reaches none, has no state yet, or stops.
     """
 
     instance_id: str
--- a/packages/daemon/src/dotterelweird/gateway/peer_view.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_view.py
@@ -11,7 +11,8 @@
         instance_id: Id of the instance.
         host: Its IP address.
         zone: Its availability zone.
-        reaches_targets: Whether it reaches targets, by its own word.
+        reaches_targets: Whether it sends targets requests for others, by its
+            own word.
     """
 
     instance_id: str
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -76,7 +76,8 @@
         last_digest_order: Start time in milliseconds and sequence number of
             its last digest.
         last_digest_s: Monotonic time of this digest, in seconds.
-        reaches_targets: Whether it reaches targets, by this digest.
+        reaches_targets: Whether it sends targets requests for others, by this
+            digest.
     """
 
     member: broadcast.Member
@@ -101,7 +102,8 @@
         handle_reports: Handles a peer's reports; called with its address.
         findings: Exchanges what one instance has found and all must know.
         queues: Queues of the generations that wait at this instance.
-        are_targets_lost: Returns whether this instance reaches no target.
+        are_targets_lost: Returns whether this instance sends targets nothing
+            for others.
     """
 
     def __init__(
--- a/packages/daemon/tests/gateway/test_partitioned_instance.py
+++ b/packages/daemon/tests/gateway/test_partitioned_instance.py
@@ -284,3 +284,13 @@
     links.cut(target_links.Cut.RESET)
     status, _ = await call
     assert status in (502, 504)
+
+
+async def test_an_instance_that_stops_is_passed_nothing(pair, links):
+    """Guards against requests passed to an instance that refuses them."""
+    await lose_targets(pair, links, target_links.Cut.REFUSED)
+    pair._second_gateway.begin_stop()
+    async with asyncio.timeout(1):
+        while pair.gateway._peers.view().reaching_count:
+            await asyncio.sleep(0.01)
+    assert await pair.ready_status() == 200
