Deny no run of a request that another instance sends during a stop

A request that was passed on and in progress when its instance gave its last answers was answered 503, not run, while the other instance's target ran it (REFUSED).

Cause: the state that says that something was sent was cleared by the interruption of the wait, before the answer was chosen. It is now cleared only if nothing was sent.

The two new tests failed before (503 for 504) and pass; 33 tests of partitioned instances pass.

--- a/packages/daemon/src/dotterelweird/gateway/peer_forwarding.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_forwarding.py
@@ -224,9 +224,9 @@
                     exchange.may_have_run = True
                     raise _unknown_error(exc) from exc
                 self._record(exchange, peer.instance_id, 'never sent')
+                exchange.sending = None
             finally:
                 if answer is None:
-                    exchange.sending = None
                     self._release(peer.instance_id)
             if answer is not None:
                 return PeerAnswer(
@@ -242,6 +242,8 @@
     ) -> None:
         """Closes an answer, whether it was read to its end or not.
 
+        The request still counts as sent, as a stop may interrupt it.
+
         Args:
             exchange: The request.
             opened: The answer.
@@ -250,7 +252,6 @@
         """
         opened.answer.close()
         self._release(opened.peer_id)
-        exchange.sending = None
         self._record(
             exchange,
             opened.peer_id,
--- a/packages/daemon/tests/gateway/test_partitioned_instance.py
+++ b/packages/daemon/tests/gateway/test_partitioned_instance.py
@@ -294,3 +294,18 @@
         while pair.gateway._peers.view().reaching_count:
             await asyncio.sleep(0.01)
     assert await pair.ready_status() == 200
+
+
+@pytest.mark.parametrize('route', ['book', 'guide'])
+async def test_a_stop_denies_no_run_of_a_passed_request(pair, links, route):
+    """Guards against "not run" for what another instance has sent."""
+    await lose_targets(pair, links, target_links.Cut.REFUSED)
+    for engine in pair.engines.values():
+        engine.behaviour.hang = True
+    call = asyncio.create_task(send(pair, route, 'request-1'))
+    async with asyncio.timeout(2):
+        while not arrivals(pair, 'request-1'):
+            await asyncio.sleep(0.01)
+    pair.gateway._callers.answer_pending()
+    status, _ = await call
+    assert status == 504
