--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 PYTEST_ARGS ?= -n 4
 CASES ?= 10000
 
-.PHONY: install lint format test ci demo measure experiment soak stops moves limits crashes fuzz docs clean
+.PHONY: install lint format test ci demo measure experiment soak stops moves limits crashes partitions fuzz docs clean
 
 install: $(VENV)/.installed
 
@@ -60,6 +60,9 @@
 crashes: install
 	$(BIN)/python -m dotterelweir_fakes crashes --seed $(SEED)
 
+partitions: install
+	$(BIN)/python -m dotterelweir_fakes partitions --seed $(SEED)
+
 docs: install
 	$(BIN)/python -m dotterelweir_fakes docs
 
