Name what instances tell each other about requests and versions

A reader met `targets_lost` for "stops" and `is_possible` for "passes on", and answers that were made up to ask for the known versions.

--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -229,8 +229,8 @@
     273,
     'targets-lost',
     logging.WARNING,
-    'No connection to any target is made; `reaching_peers` is the number of '
-    'instances that make some.',
+    'No connection to any target is made; `taking_peers` is the number of '
+    'instances that send requests of others.',
 )
 TARGETS_REACHED_AGAIN = _event(
     274,
--- a/packages/core/src/dotterelweir_core/gateway/stream_origins.py
+++ b/packages/core/src/dotterelweir_core/gateway/stream_origins.py
@@ -91,6 +91,26 @@
     lifetime_s: float
 
 
+@attrs.frozen
+class KnownVersions:
+    """Versions of a service in the time in which a stream can have begun.
+
+    Attributes:
+        versions: The versions, as far as an instance knows.
+        is_complete: Whether the instance knows all of them.
+    """
+
+    versions: frozenset[str] = frozenset()
+    is_complete: bool = False
+
+    @property
+    def only(self) -> str | None:
+        """The only version; None if there may be others."""
+        if self.is_complete and len(self.versions) == 1:
+            return next(iter(self.versions))
+        return None
+
+
 @attrs.frozen
 class OriginAnswer:
     """Answers such a query.
@@ -98,21 +118,17 @@
     Attributes:
         number: Number of the query.
         origin: Where the stream began; None if the instance does not know.
-        versions: Versions of the service in the time in which the stream can
-            have begun, as far as the instance knows.
-        is_complete: Whether the instance knows all of them.
+        known: What the instance knows of the versions of the service.
     """
 
     number: int
     origin: StreamOrigin | None
-    versions: frozenset[str] = frozenset()
-    is_complete: bool = False
+    known: KnownVersions = KnownVersions()
 
     @property
     def is_sufficient(self) -> bool:
         """Whether the answer tells the version by itself."""
-        only = self.is_complete and len(self.versions) == 1
-        return self.origin is not None or only
+        return self.origin is not None or self.known.only is not None
 
 
 @attrs.define
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -174,7 +174,7 @@
             self._rng,
             self._directory,
             self._statistics,
-            lambda: self._peers.view().reaching_count,
+            lambda: self._peers.view().taking_count,
         )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
@@ -285,7 +285,7 @@
             self._handle_peer_reports,
             findings,
             self._parts.queues,
-            lambda: self._reach.is_lost or not self._is_ready(),
+            lambda: self._is_ready() and not self._reach.is_lost,
         )
         self._notices = notices.NoticeHandler(
             self._targets,
@@ -551,7 +551,7 @@
         ready = (
             self._is_ready()
             and self._has_memory()
-            and not self._forwarder.is_possible
+            and not self._forwarder.is_active
         )
         return web.Response(status=200 if ready else 503)
 
--- a/packages/daemon/src/dotterelweird/gateway/digests.py
+++ b/packages/daemon/src/dotterelweird/gateway/digests.py
@@ -62,8 +62,8 @@
         leaving: Whether the instance stops now.
         waiting: Generations that wait at the instance; None if none does, or
             if their order does not concern others.
-        targets_lost: Whether the instance sends targets nothing for others: it
-            reaches none, has no state yet, or stops.
+        takes_requests: Whether the instance sends requests of others: it
+            reaches targets, has its state, and does not stop.
     """
 
     instance_id: str
@@ -81,7 +81,7 @@
     wants_findings: bool = False
     leaving: bool = False
     waiting: service_order.WaitingState | None = None
-    targets_lost: bool = False
+    takes_requests: bool = True
 
 
 @attrs.frozen
@@ -181,7 +181,7 @@
                 body['x'] = 1
             if message.waiting is not None:
                 body['y'] = waiting_codec.encode(message.waiting)
-            if message.targets_lost:
+            if not message.takes_requests:
                 body['el'] = 1
             return orjson.dumps(body)
         case _:
@@ -261,7 +261,7 @@
             wants_findings=bool(body.get('g')),
             leaving=bool(body.get('x')),
             waiting=(waiting_codec.decode(body['y']) if 'y' in body else None),
-            targets_lost=bool(body.get('el')),
+            takes_requests=not body.get('el'),
         )
     except api.DECODE_ERRORS as exc:
         raise DatagramInvalid(f'{type(exc).__name__}: {exc}') from exc
--- a/packages/daemon/src/dotterelweird/gateway/finding_codec.py
+++ b/packages/daemon/src/dotterelweird/gateway/finding_codec.py
@@ -107,9 +107,9 @@
             return {'jq': [*row, finding.service, finding.lifetime_s]}
         case stream_origins.OriginAnswer():
             origin = finding.origin
-            row = [finding.number, int(finding.is_complete)]
+            row = [finding.number, int(finding.known.is_complete)]
             row += [_encode_origin(origin) if origin else None]
-            return {'ja': [*row, *sorted(finding.versions)]}
+            return {'ja': [*row, *sorted(finding.known.versions)]}
 
 
 def decode(body: dict[str, Any]) -> Finding | None:
@@ -213,8 +213,9 @@
         return stream_origins.OriginAnswer(
             datagram_fields.decode_integer(number),
             None if origin is None else _decode_origin(origin),
-            frozenset(map(str, versions)),
-            bool(is_complete),
+            stream_origins.KnownVersions(
+                frozenset(map(str, versions)), bool(is_complete)
+            ),
         )
     return None
 
--- a/packages/daemon/src/dotterelweird/gateway/origins.py
+++ b/packages/daemon/src/dotterelweird/gateway/origins.py
@@ -148,8 +148,8 @@
         )
         now_s = self._timers.monotonic_s()
         self._registry.record(statement, now_s, is_own=True)
-        own = self._answer(0, '', target.service, statement.lifetime_s)
-        if not own.is_sufficient:
+        known = self._known_versions(target.service, statement.lifetime_s)
+        if known.only is None:
             self._send_news((statement,))
 
     async def find(
@@ -195,23 +195,23 @@
         origin = self._registry.find(request_id, now_s)
         if origin is not None:
             return origin, Knowledge.OWN
-        own = self._answer(0, request_id, service, lifetime_s)
-        if own.is_sufficient:
-            version = min(own.versions)
-            origin = stream_origins.StreamOrigin(service, version)
+        own = self._known_versions(service, lifetime_s)
+        if own.only is not None:
+            origin = stream_origins.StreamOrigin(service, own.only)
             return origin, Knowledge.ONLY_VERSION
         answers = await self._ask(request_id, service, lifetime_s)
         for answer in answers:
             if answer.origin is not None:
                 return answer.origin, Knowledge.PEER
-        versions = own.versions.union(*(one.versions for one in answers))
-        if len(versions) == 1 and (
-            any(answer.is_complete for answer in answers)
+        known = stream_origins.KnownVersions(
+            own.versions.union(*(one.known.versions for one in answers)),
+            any(answer.known.is_complete for answer in answers)
             or self._history.is_calm(
                 service, lifetime_s, self._timers.wall_s()
-            )
-        ):
-            origin = stream_origins.StreamOrigin(service, min(versions))
+            ),
+        )
+        if known.only is not None:
+            origin = stream_origins.StreamOrigin(service, known.only)
             return origin, Knowledge.ONLY_VERSION
         return None, Knowledge.NONE
 
@@ -222,17 +222,16 @@
             message: The message.
             host: IP address of the instance.
         """
+        now_s = self._timers.monotonic_s()
         match message:
             case stream_origins.OriginNews(statements=statements):
-                now_s = self._timers.monotonic_s()
                 for statement in statements:
                     self._registry.record(statement, now_s)
             case stream_origins.OriginQuery():
-                answer = self._answer(
+                answer = stream_origins.OriginAnswer(
                     message.number,
-                    message.request_id,
-                    message.service,
-                    message.lifetime_s,
+                    self._registry.find(message.request_id, now_s),
+                    self._known_versions(message.service, message.lifetime_s),
                 )
                 self._send(host, answer)
             case stream_origins.OriginAnswer():
@@ -240,14 +239,11 @@
                 if pending is not None:
                     pending.add(message, host)
 
-    def _answer(
-        self, number: int, request_id: str, service: str, lifetime_s: float
-    ) -> stream_origins.OriginAnswer:
-        """Returns what this instance knows of a stream and its service."""
+    def _known_versions(
+        self, service: str, lifetime_s: float
+    ) -> stream_origins.KnownVersions:
         now_s = self._timers.monotonic_s()
-        return stream_origins.OriginAnswer(
-            number,
-            self._registry.find(request_id, now_s),
+        return stream_origins.KnownVersions(
             frozenset(self._history.versions(service, lifetime_s, now_s)),
             self._is_informed()
             and self._history.is_complete(lifetime_s, now_s),
--- a/packages/daemon/src/dotterelweird/gateway/peer_forwarding.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_forwarding.py
@@ -102,12 +102,12 @@
         self._in_flight: collections.Counter[str] = collections.Counter()
 
     @property
-    def is_possible(self) -> bool:
-        """Whether no target is reached here, but by another instance."""
+    def is_active(self) -> bool:
+        """Whether requests are passed on: only others reach targets."""
         return (
             self._reach.is_lost
             and self._port is not None
-            and self._view().reaching_count > 0
+            and self._view().taking_count > 0
         )
 
     def is_needed(self, exchange: exchanges.Exchange) -> bool:
@@ -119,7 +119,7 @@
         Args:
             exchange: The request.
         """
-        if exchange.is_forwarded or not self.is_possible:
+        if exchange.is_forwarded or not self.is_active:
             return False
         may_run_again = (
             exchange.route.repeatable
@@ -285,7 +285,7 @@
         return [
             reachability.ForwardingPeer(peer.instance_id, peer.host, peer.zone)
             for peer in self._view().peers
-            if peer.reaches_targets
+            if peer.takes_requests
         ]
 
     def _release(self, peer_id: str) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/peer_view.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_view.py
@@ -11,14 +11,13 @@
         instance_id: Id of the instance.
         host: Its IP address.
         zone: Its availability zone.
-        reaches_targets: Whether it sends targets requests for others, by its
-            own word.
+        takes_requests: Whether it sends requests of others, by its own word.
     """
 
     instance_id: str
     host: str
     zone: str = ''
-    reaches_targets: bool = True
+    takes_requests: bool = True
 
 
 @attrs.frozen
@@ -41,6 +40,6 @@
     paced_share: float = 1.0
 
     @property
-    def reaching_count(self) -> int:
-        """Number of reachable instances that reach targets."""
-        return sum(peer.reaches_targets for peer in self.peers)
+    def taking_count(self) -> int:
+        """Number of reachable instances that send requests of others."""
+        return sum(peer.takes_requests for peer in self.peers)
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -76,14 +76,13 @@
         last_digest_order: Start time in milliseconds and sequence number of
             its last digest.
         last_digest_s: Monotonic time of this digest, in seconds.
-        reaches_targets: Whether it sends targets requests for others, by this
-            digest.
+        takes_requests: Whether it sends requests of others, by this digest.
     """
 
     member: broadcast.Member
     last_digest_order: tuple[int, int]
     last_digest_s: float
-    reaches_targets: bool = True
+    takes_requests: bool = True
 
 
 class PeerExchange(asyncio.DatagramProtocol, stream_api.Peers):
@@ -102,8 +101,8 @@
         handle_reports: Handles a peer's reports; called with its address.
         findings: Exchanges what one instance has found and all must know.
         queues: Queues of the generations that wait at this instance.
-        are_targets_lost: Returns whether this instance sends targets nothing
-            for others.
+        takes_requests: Returns whether this instance sends requests of
+            others.
     """
 
     def __init__(
@@ -120,7 +119,7 @@
         handle_reports: Callable[[str, Reports], None],
         findings: finding_exchange.FindingExchange,
         queues: service_queues.ServiceQueues,
-        are_targets_lost: Callable[[], bool] = lambda: False,
+        takes_requests: Callable[[], bool] = lambda: True,
     ) -> None:
         self._settings = settings
         self._timers = timer_service
@@ -134,7 +133,7 @@
         self._handle_reports = handle_reports
         self._findings = findings
         self._queues = queues
-        self._are_targets_lost = are_targets_lost
+        self._takes_requests = takes_requests
         # Monotonic times at which instances became silent, in seconds.
         self._silenced_s: dict[str, float] = {}
         self._visible_peers: tuple[peer_view.Peer, ...] = ()
@@ -188,7 +187,7 @@
                 instance_id,
                 peer.member.host,
                 peer.member.zone,
-                peer.reaches_targets,
+                peer.takes_requests,
             )
             for instance_id, peer in self._peers.items()
         )
@@ -337,8 +336,9 @@
             self._loads.drop_peer(instance_id)
             self._budgets.drop_peer(instance_id)
         member = broadcast.Member(instance_id, host, digest.zone)
-        reaches_targets = not digest.targets_lost
-        self._peers[instance_id] = Peer(member, order, now_s, reaches_targets)
+        self._peers[instance_id] = Peer(
+            member, order, now_s, digest.takes_requests
+        )
         self._broadcast_groups.add(member)
         self._loads.set_peer(instance_id, digest.loads, now_s)
         self._budgets.set_peer(instance_id, digest.counts, now_s)
@@ -348,7 +348,7 @@
         if peer is None or peer.member != member:
             self._silenced_s.pop(instance_id, None)
             self._update_visible_peers()
-        elif peer.reaches_targets != reaches_targets:
+        elif peer.takes_requests != digest.takes_requests:
             self._update_visible_peers()
         if digest.known_hosts:
             self._contact_new_hosts(digest.known_hosts)
@@ -486,7 +486,7 @@
             wants_findings,
             leaving,
             self._queues.own_state(now_s),
-            self._are_targets_lost(),
+            self._takes_requests(),
         )
 
     def _broadcast(self, message: digests.Message) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/reaching.py
+++ b/packages/daemon/src/dotterelweird/gateway/reaching.py
@@ -34,8 +34,8 @@
         rng: Random source.
         directory: The registered targets.
         process_statistics: Counters of the process.
-        count_reaching_peers: Returns the number of other instances that
-            reach targets by their own word.
+        count_taking_peers: Returns the number of other instances that send
+            requests of others, by their own word.
 
     Attributes:
         accepts_connections: Tells whether a connection to a host and port is
@@ -48,13 +48,13 @@
         rng: random.Random,
         directory: targets.TargetDirectory,
         process_statistics: statistics.Statistics,
-        count_reaching_peers: Callable[[], int],
+        count_taking_peers: Callable[[], int],
     ) -> None:
         self._timers = timer_service
         self._rng = rng
         self._directory = directory
         self._statistics = process_statistics
-        self._count_reaching_peers = count_reaching_peers
+        self._count_taking_peers = count_taking_peers
         self._reach = reachability.TargetReach()
         self._listeners: list[Callable[[], None]] = []
         self._connected_s = float('-inf')
@@ -114,7 +114,7 @@
                 events.TARGETS_LOST,
                 failed=self._reach.failed_targets,
                 registered=len(registered),
-                reaching_peers=self._count_reaching_peers(),
+                taking_peers=self._count_taking_peers(),
             )
             self._notify()
         if self._reach.is_suspected(registered):
@@ -151,7 +151,7 @@
         if self._connected_s >= since_s:
             return False
         await self.settle()
-        return self.is_lost and self._count_reaching_peers() > 0
+        return self.is_lost and self._count_taking_peers() > 0
 
     def _notify(self) -> None:
         for listener in self._listeners:
--- a/packages/daemon/tests/gateway/test_origins.py
+++ b/packages/daemon/tests/gateway/test_origins.py
@@ -17,7 +17,11 @@
         (stream_origins.OriginStatement('request-1', ORIGIN, 12.0),)
     ),
     stream_origins.OriginQuery(7, 'request-1', 'model', 12.0),
-    stream_origins.OriginAnswer(7, ORIGIN, frozenset({'v1', 'v1.1'}), True),
+    stream_origins.OriginAnswer(
+        7,
+        ORIGIN,
+        stream_origins.KnownVersions(frozenset({'v1', 'v1.1'}), True),
+    ),
     stream_origins.OriginAnswer(7, None),
 ]
 
--- a/packages/daemon/tests/gateway/test_partitioned_instance.py
+++ b/packages/daemon/tests/gateway/test_partitioned_instance.py
@@ -131,7 +131,7 @@
     assert not pair.gateway._reach.is_lost
 
 
-async def test_an_instance_stays_ready_if_nobody_reaches_targets(pair, links):
+async def test_an_instance_stays_ready_if_nobody_takes_requests(pair, links):
     """Guards against a deployment that leaves the rotation as a whole."""
     second = target_links.TargetLinks(pair._second_gateway)
     second.cut(target_links.Cut.REFUSED)
@@ -139,7 +139,7 @@
         await send(pair, 'read', f's-{number}', gateway=pair._second_gateway)
     await lose_targets(pair, links, target_links.Cut.REFUSED)
     async with asyncio.timeout(5):
-        while pair.gateway._peers.view().reaching_count:
+        while pair.gateway._peers.view().taking_count:
             await asyncio.sleep(0.01)
     assert await pair.ready_status() == 200
     began_s = asyncio.get_running_loop().time()
@@ -291,7 +291,7 @@
     await lose_targets(pair, links, target_links.Cut.REFUSED)
     pair._second_gateway.begin_stop()
     async with asyncio.timeout(1):
-        while pair.gateway._peers.view().reaching_count:
+        while pair.gateway._peers.view().taking_count:
             await asyncio.sleep(0.01)
     assert await pair.ready_status() == 200
 
--- a/packages/daemon/tests/gateway/test_stream_versions.py
+++ b/packages/daemon/tests/gateway/test_stream_versions.py
@@ -194,14 +194,20 @@
             await asyncio.sleep(0.01)
 
 
-async def test_a_stream_is_taken_up_at_another_instance(versions):
-    """Guards against an instance that takes any engine for a new stream."""
+async def start_second(versions):
+    """Starts an instance that would choose the engine of another version."""
     slow_down(versions)
     second = await versions.start_second()
     names = {'engine-1': 'v1', 'engine-2': 'v2', 'engine-3': 'v1'}
     await wait_for_versions(second, names)
     await wait_for_peers(versions.gateway, second)
     set_costs(second, 'engine-2', 'engine-1', 'engine-3')
+    return second
+
+
+async def test_a_stream_is_taken_up_at_another_instance(versions):
+    """Guards against an instance that takes any engine for a new stream."""
+    second = await start_second(versions)
     last_id = await break_off(versions)
     status, received, complete = await take_up(
         versions, last_id, gateway=second
@@ -213,12 +219,7 @@
 
 async def test_a_killed_instance_leaves_the_versions_of_its_streams(versions):
     """Guards against a version that only the instance that ended knew."""
-    slow_down(versions)
-    second = await versions.start_second()
-    names = {'engine-1': 'v1', 'engine-2': 'v2', 'engine-3': 'v1'}
-    await wait_for_versions(second, names)
-    await wait_for_peers(versions.gateway, second)
-    set_costs(second, 'engine-2', 'engine-1', 'engine-3')
+    second = await start_second(versions)
     last_id = await break_off(versions)
     await versions.gateway.close()
     status, received, complete = await take_up(
