End the wait for a test of the links at the deadline of the request

A call that no target could be sent may wait 0.5 s for the test that shows whether any target is reached, also past its caller's deadline. The wait now ends there, and the request is refused as not run. By reading; the tests of partitioned instances and calls pass.

--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -114,7 +114,7 @@
         if failed_answer is not None:
             return failed_answer
         if isinstance(last_outcome, exchanges.NeverSent):
-            await self._parts.reach.settle()
+            await self._parts.reach.settle(exchange.deadline_s)
             answered = await self._forward_to_peer(exchange)
             if answered is not None:
                 return answered
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -213,7 +213,7 @@
                     self._report_empty_budget()
                     break
         if isinstance(last_outcome, exchanges.NeverSent):
-            await self._parts.reach.settle()
+            await self._parts.reach.settle(self._exchange.deadline_s)
             result = await self._forward_to_peer()
             if result is not None:
                 return result
--- a/packages/daemon/src/dotterelweird/gateway/reaching.py
+++ b/packages/daemon/src/dotterelweird/gateway/reaching.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import contextlib
 import logging
+import math
 import random
 
 from dotterelweir_core import events
@@ -127,16 +128,20 @@
             self._decided.clear()
         self._probe = asyncio.create_task(self._test_targets())
 
-    async def settle(self) -> None:
+    async def settle(self, until_s: float = math.inf) -> None:
         """Waits until it is known whether any target is reached.
 
         For a request that no target of its service could be sent.
+
+        Args:
+            until_s: Monotonic time at which the wait ends, in seconds.
         """
         if self.is_lost or not self._reach.failed_targets:
             return
+        left_s = until_s - self._timers.monotonic_s()
         self._start_test()
         with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(_SETTLE_S):
+            async with asyncio.timeout(min(_SETTLE_S, left_s)):
                 await self._decided.wait()
 
     async def is_cut_off(self, since_s: float) -> bool:
