Count no pause against an instance that passes its requests on

The traces show that another instance had sent them, which had not been asked: the ledger takes the instance that a caller chose for the sender. While an instance may pass requests on, from a cut until 1.5 s after its end, the sender now counts as unknown.

--- a/fakes/src/dotterelweir_fakes/soak/command.py
+++ b/fakes/src/dotterelweir_fakes/soak/command.py
@@ -114,6 +114,7 @@
     _crash_times_s: list[float] = attrs.field(factory=list)
     _receivers: dict[str, instances.Instance] = attrs.field(factory=dict)
     _late_deadly_runs: int = 0
+    _link_cuts: partitions.LinkCuts | None = None
 
     async def run(self) -> dict[str, object]:
         """Runs the soak test.
@@ -228,7 +229,7 @@
             for n in range(4 * self.instance_count)
         ]
         # With a random source of its own, the faults of a seed stay the same.
-        cutting = partitions.LinkCuts(
+        cutting = self._link_cuts = partitions.LinkCuts(
             self.nodes, random.Random(f'{self.seed}-links'), self._trace
         )
         if self.mixed:
@@ -287,9 +288,18 @@
         self._injector.start(self._injector.crash(name))
 
     def _find_sender(self, request_id: str) -> tuple[str, float] | None:
-        """Returns the instance that a request was sent to."""
+        """Returns the instance that sends a request to engines.
+
+        Returns:
+            Name of the instance that its caller sent it to, and the time of
+            its last disturbance in seconds; None if that is not known, or if
+            the instance may have passed the request on.
+        """
         node = self._receivers.get(request_id)
-        return None if node is None else (node.name, node.disturbed_s)
+        cuts = self._link_cuts
+        if node is None or (cuts is not None and cuts.may_forward(node)):
+            return None
+        return node.name, node.disturbed_s
 
     def _trace(self, text: str) -> None:
         """Writes a line with both clocks to the log of faults."""
--- a/fakes/src/dotterelweir_fakes/soak/partitions.py
+++ b/fakes/src/dotterelweir_fakes/soak/partitions.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import pathlib
 import random
 import sys
@@ -25,6 +26,8 @@
 # of a cut, in seconds.
 _INTERVAL_S = (0.5, 3.0)
 _DURATION_S = (0.5, 4.0)
+# Longest time after the end of a cut until an instance notices it, in seconds.
+_NOTICED_S = 1.5
 # Routes whose requests may run once at most.
 _ONCE = frozenset({'book', 'guide'})
 # Share of the served first attempts of the other instances that those at cut
@@ -53,6 +56,18 @@
         self._nodes = nodes
         self._rng = rng
         self._trace = trace
+        # Monotonic times until which instances may pass requests on, in
+        # seconds.
+        self._until_s: dict[str, float] = {}
+
+    def may_forward(self, node: instances.Instance) -> bool:
+        """Whether another instance may send what an instance receives.
+
+        Args:
+            node: The instance.
+        """
+        now_s = asyncio.get_running_loop().time()
+        return now_s < self._until_s.get(node.name, 0.0)
 
     async def run(self) -> None:
         """Cuts some instances, or all, for a time, again and again."""
@@ -62,13 +77,18 @@
             cut = self._rng.choice([*target_links.Cut])
             for node in self._rng.sample(self._nodes, count):
                 self._trace(f'{node.name}: links {cut.name}')
+                self._until_s[node.name] = math.inf
                 write_links(node, cut.name)
             await asyncio.sleep(self._rng.uniform(*_DURATION_S))
             self.heal()
 
     def heal(self) -> None:
         """Ends the cuts of all instances."""
+        noticed_s = asyncio.get_running_loop().time() + _NOTICED_S
         for node in self._nodes:
+            if node.name in self._until_s:
+                until_s = min(self._until_s[node.name], noticed_s)
+                self._until_s[node.name] = until_s
             write_links(node, '')
 
 
