Find other instances in spite of stale seeds, and know when none was sought

Callers and engines saw: an engine that names a limit of 5 requests a second got 81 in 4 s (35 allowed) after three of six instances were replaced by ones with stale seeds, by way of four instances that each gave out the whole limit.

Cause: seeds were read at the start alone, and an address that a peer left was dropped, so that instances could stay in groups that know nobody in common. And an instance that heard nobody took that for proof that it is alone: the share of a limit counted only instances that had been heard before.

Change: a book of addresses keeps the seeds for as long as the settings name them, takes up changed ones at SIGHUP or within 2 s without a signal, and keeps the addresses of instances that left or fell silent for a while. Instances enter a few of each group into a topic of the store and read it now and then. Until an instance has heard another one, or has read the topic with its own entry in it, it gives turns at the lowest rank and an eighth of the rate; addresses that were named and not heard yet count as instances. Silent ones count until the roster was read. The paced share is the same as the share of limits now.

Ruled out: coordinators that are ranked differently, and news that get lost: the new instances logged no peer at all, and each request had a turn.

--- a/fakes/src/dotterelweir_fakes/fleet/deployment.py
+++ b/fakes/src/dotterelweir_fakes/fleet/deployment.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from aiohttp import web
+import attrs
 
 from dotterelweir_fakes.fleet import engine as fleet_engine
 from dotterelweir_fakes.fleet import store as fleet_store
@@ -188,6 +189,18 @@
     }
 
 
+def with_seeds(
+    settings: gateway_settings.GatewaySettings, seeds: tuple[str, ...]
+) -> gateway_settings.GatewaySettings:
+    """Returns settings that name other seeds.
+
+    Args:
+        settings: The settings.
+        seeds: IP addresses of the seeds.
+    """
+    return attrs.evolve(settings, seed_hosts=seeds)
+
+
 class Deployment:
     """A gateway, a store and engines.
 
@@ -248,13 +261,24 @@
         entry = self.engines[target_id].entry(service, state)
         await self.store.write_json('keyed.servers', target_id, entry)
 
-    async def start_second(self) -> composition.Gateway:
-        """Starts another gateway that has the first one as its seed."""
+    async def start_second(
+        self, seeds: tuple[str, ...] | None = None
+    ) -> composition.Gateway:
+        """Starts another gateway.
+
+        Args:
+            seeds: IP addresses that its settings name; None for the first
+                gateway alone.
+        """
         host = own_address(2)
         callers, ready, metrics = free_ports(host, 3)
         ports = (callers, ready, self.peers_port)
         decoded = self._decode_settings(
-            'gateway-2', host, ports, metrics, (self.host,)
+            'gateway-2',
+            host,
+            ports,
+            metrics,
+            (self.host,) if seeds is None else seeds,
         )
         self._second_gateway = composition.Gateway(
             decoded.gateway,
@@ -313,6 +337,12 @@
             while await self.ready_status() != status:
                 await asyncio.sleep(0.01)
 
+    async def wait_informed(self) -> None:
+        """Waits until the gateway knows whether there are others."""
+        async with asyncio.timeout(5):
+            while not self.gateway._peers.view().is_informed:
+                await asyncio.sleep(0.01)
+
     async def ready_status(self) -> int:
         """Returns the HTTP status of the readiness check."""
         url = f'http://{self.host}:{self.ready_port}/-/readyz'
--- a/fakes/src/dotterelweir_fakes/fleet/followers.py
+++ b/fakes/src/dotterelweir_fakes/fleet/followers.py
@@ -12,6 +12,7 @@
 
 from dotterelweir_core import timers as core_timers
 from dotterelweir_core.gateway import reading
+from dotterelweir_core.gateway import roster
 from dotterelweir_core.gateway import targets
 from dotterelweird import timers
 from dotterelweird.gateway import api
@@ -90,6 +91,15 @@
     async def read(self, stream: api.StoreStream, offset: int) -> api.Batch:
         raise NotImplementedError
 
+    async def read_roster(self) -> tuple[roster.Entry, ...]:
+        raise NotImplementedError
+
+    async def write_roster_entry(self, entry: roster.Entry) -> None:
+        raise NotImplementedError
+
+    async def remove_roster_entry(self, instance_id: str) -> None:
+        raise NotImplementedError
+
     def decode_tables(self, record: api.Record) -> None:
         raise NotImplementedError
 
--- a/fakes/src/dotterelweir_fakes/fleet/store.py
+++ b/fakes/src/dotterelweir_fakes/fleet/store.py
@@ -7,6 +7,9 @@
 from aiohttp import web
 import orjson
 
+# Topics that instances may not write to.
+_FOREIGN_TOPICS = frozenset({'keyed.op', 'keyed.servers'})
+
 
 class FakeStore:
     """Stores the records of topics and responds to reads.
@@ -15,6 +18,7 @@
         failing: Whether it responds to every call with status 503.
         silent: Whether it delays the responses to all calls until this is
             reset.
+        refuses_appends: Whether it refuses the writes of instances.
         era: Era in the header of every response; None for no header.
         calls: Number of calls received, by name of the call.
         reads: Number of successful reads, by topic.
@@ -27,6 +31,7 @@
         self._changed = asyncio.Condition()
         self.failing = False
         self.silent = False
+        self.refuses_appends = False
         self.era: int | None = None
         # Number of records of each topic in the backup.
         self._backup_ends: dict[str, int] = {}
@@ -36,6 +41,7 @@
         self.app.on_response_prepare.append(self._add_era_header)
         self.app.router.add_get('/-/log-newest', self._newest)
         self.app.router.add_get('/-/log-read', self._read)
+        self.app.router.add_post('/-/log-append', self._append)
 
     async def write(self, topic: str, key: str, value: bytes) -> int:
         """Appends a record.
@@ -105,6 +111,22 @@
             await asyncio.sleep(0.05)
         return web.Response(status=503) if self.failing else None
 
+    async def _append(self, request: web.Request) -> web.Response:
+        refusal = await self._begin_call('append')
+        if refusal is not None:
+            return refusal
+        body, topic = await request.read(), request.query['topic']
+        if self.refuses_appends or topic in _FOREIGN_TOPICS:
+            return web.Response(status=403)
+        offset, position = -1, 0
+        while position < len(body):
+            (size,) = struct.unpack_from('>I', body, position)
+            content = body[position + 4 : position + 4 + size]
+            position += 4 + size
+            key = content[1 : 1 + content[0]].decode(errors='surrogateescape')
+            offset = await self.write(topic, key, content[1 + content[0] :])
+        return web.json_response({'offset': offset, 'end': offset + 1})
+
     async def _newest(self, request: web.Request) -> web.Response:
         refusal = await self._begin_call('newest')
         if refusal is not None:
--- a/fakes/src/dotterelweir_fakes/fleet/turn_network.py
+++ b/fakes/src/dotterelweir_fakes/fleet/turn_network.py
@@ -67,7 +67,6 @@
                 if other != host
             ),
             share,
-            share,
         )
 
     def deliver(
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -523,6 +523,32 @@
     logging.INFO,
     'Another gateway was discovered, left or timed out.',
 )
+GATEWAY_FLEET_KNOWN = _event(
+    277,
+    'gateway-fleet-known',
+    logging.INFO,
+    'What a gateway knows of the number of gateways changed: whether it heard '
+    'any or read the roster, and how many it hears, lost or never heard.',
+)
+GATEWAY_SEEDS_CHANGED = _event(
+    278,
+    'gateway-seeds-changed',
+    logging.INFO,
+    'The settings name other gateways to contact.',
+)
+ROSTER_ANSWERS_CHANGED = _event(
+    279,
+    'roster-answers-changed',
+    logging.WARNING,
+    'The roster of gateways in the store can no longer be read or written, or '
+    'can be again.',
+)
+ROSTER_ENTRY_REMOVED = _event(
+    280,
+    'roster-entry-removed',
+    logging.INFO,
+    'The entry of a gateway that was not heard was removed from the roster.',
+)
 # 3xx: configuration.
 EDIT_ACCEPTED = _event(
     300, 'edit-accepted', logging.INFO, 'An edit of the tables took effect.'
--- a/packages/daemon/src/dotterelweird/gateway/api.py
+++ b/packages/daemon/src/dotterelweird/gateway/api.py
@@ -11,6 +11,7 @@
 import aiohttp
 import attrs
 
+from dotterelweir_core.gateway import roster
 from dotterelweir_core.gateway import tables
 from dotterelweir_core.gateway import targets
 
@@ -94,7 +95,7 @@
 
 
 class Store(abc.ABC):
-    """Client of the platform's store, limited to what the gateway reads."""
+    """Client of the platform's store, limited to what the gateway needs."""
 
     @abc.abstractmethod
     async def read_snapshot(self, stream: StoreStream) -> Batch:
@@ -120,6 +121,36 @@
             RecordsExpired: The store no longer has these records.
         """
 
+    @abc.abstractmethod
+    async def read_roster(self) -> tuple[roster.Entry, ...]:
+        """Reads the roster of instances; invalid entries are left out.
+
+        Raises:
+            StoreUnavailable: The store did not answer, or refused the call.
+        """
+
+    @abc.abstractmethod
+    async def write_roster_entry(self, entry: roster.Entry) -> None:
+        """Enters an instance into the roster; its offset is not written.
+
+        Args:
+            entry: The entry.
+
+        Raises:
+            StoreUnavailable: The store did not answer, or refused the call.
+        """
+
+    @abc.abstractmethod
+    async def remove_roster_entry(self, instance_id: str) -> None:
+        """Removes the entry of an instance from the roster.
+
+        Args:
+            instance_id: Id of the instance.
+
+        Raises:
+            StoreUnavailable: The store did not answer, or refused the call.
+        """
+
     @abc.abstractmethod
     def decode_tables(self, record: Record) -> tables.Tables | None:
         """Decodes the tables in a record.
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -37,6 +37,7 @@
 from dotterelweird.gateway import caller_server
 from dotterelweird.gateway import dependencies
 from dotterelweird.gateway import digests
+from dotterelweird.gateway import discovery
 from dotterelweird.gateway import end_detection
 from dotterelweird.gateway import findings as finding_exchange
 from dotterelweird.gateway import following
@@ -74,6 +75,9 @@
 _TABLES_JITTER_MAX_S = 0.6
 _TARGETS_INTERVAL_MIN_S = 0.15
 _TARGETS_JITTER_MAX_S = 0.5
+# Interval of the checks whether the settings have changed without a signal, in
+# seconds.
+_SETTINGS_CHECK_S = 2.0
 # Interval of the checks whether a stopping process may exit, in seconds.
 _STOP_POLL_INTERVAL_S = 0.05
 # Maximum number of services in a line of the log.
@@ -287,6 +291,15 @@
             self._parts.queues,
             lambda: self._is_ready() and not self._reach.is_lost,
         )
+        self._discovery = discovery.Discovery(
+            settings.instance_id,
+            settings.callers.host,
+            store,
+            self._timers,
+            self._rng,
+            self._peers,
+            self._statistics,
+        )
         self._notices = notices.NoticeHandler(
             self._targets,
             pause_registry,
@@ -340,6 +353,8 @@
         self._follower_tasks: list[asyncio.Task] = []
         self._servers: list[asyncio.Server] = []
         self._pace_timer: core_timers.TimerHandle | None = None
+        self._settings_timer: core_timers.TimerHandle | None = None
+        self._reload_problem = ''
         self._answers_timer: core_timers.TimerHandle | None = None
         self._callers = caller_server.CallerServer(self._parts, self._tables)
 
@@ -369,10 +384,14 @@
         self._pace_timer = self._timers.call_every(
             pacing.PERIOD_S, self._pace.update
         )
+        self._settings_timer = self._timers.call_every(
+            _SETTINGS_CHECK_S, self._check_settings
+        )
         self._follower_tasks = [
             asyncio.create_task(follower.run())
             for follower in self._followers.values()
         ]
+        self._follower_tasks.append(self._discovery.start())
         self._servers = [
             await listening.listen(
                 self._callers.server,
@@ -414,8 +433,9 @@
             server.close()
         for follower in self._follower_tasks:
             follower.cancel()
-        if self._pace_timer is not None:
-            self._pace_timer.cancel()
+        for timer in (self._pace_timer, self._settings_timer):
+            if timer is not None:
+                timer.cancel()
         self._peers.close()
         self._reach.close()
         self._lifecycle.stop()
@@ -622,6 +642,9 @@
         if not self._stop_plan.stopping:
             self._stop_plan.stop_requested_s = self._timers.monotonic_s()
             self._lifecycle.drain()
+            self._follower_tasks.append(
+                asyncio.create_task(self._discovery.leave())
+            )
             self._peers.schedule_digest()
             self._schedule_last_answers()
 
@@ -643,20 +666,42 @@
             )
         self._statistics.tables_version.set({}, tables.version)
 
-    def _reload(self) -> None:
-        """Reads the settings again.
+    def _check_settings(self) -> None:
+        """Applies settings that have changed without a signal."""
+        try:
+            settings = self._load_settings()
+        except errors.DotterelweirError as exc:
+            if exc.detail != self._reload_problem:
+                self._reload_problem = exc.detail
+                events.log(
+                    LOG, events.GATEWAY_RELOAD_FAILED, reason=exc.detail
+                )
+            return
+        self._reload_problem = ''
+        if settings != self._parts.settings:
+            self._apply_settings(settings)
 
-        The grace time, the bounds of the retry budgets and the settings of
-        the pace take effect.
-        """
+    def _reload(self) -> None:
+        """Reads the settings again."""
         try:
             settings = self._load_settings()
         except errors.DotterelweirError as exc:
             events.log(LOG, events.GATEWAY_RELOAD_FAILED, reason=exc.detail)
             return
+        self._apply_settings(settings)
+
+    def _apply_settings(
+        self, settings: gateway_settings.GatewaySettings
+    ) -> None:
+        """Applies changed settings.
+
+        The grace time, the bounds of the retry budgets, the settings of the
+        pace and the seeds take effect.
+        """
         self._stop_plan.grace_s = settings.grace_s
         if self._stop_plan.stopping:
             self._schedule_last_answers()
         self._parts.set_settings(settings)
         self._pace.apply_settings(settings.pace)
+        self._peers.set_seeds(settings.seed_hosts)
         events.log(LOG, events.GATEWAY_RELOADED, grace_s=settings.grace_s)
--- a/packages/daemon/src/dotterelweird/gateway/limiting.py
+++ b/packages/daemon/src/dotterelweird/gateway/limiting.py
@@ -501,11 +501,13 @@
         limit_per_s = min(known.rate_per_s, pace_per_s)
         if limit_per_s == rate_limits.UNLIMITED:
             return turns.TurnAnswer(request.number, True, 0.0, known)
-        rank = self._own_rank(statement.target_id)
         view = self._view()
+        rank = None
+        if view.is_informed:
+            rank = self._own_rank(statement.target_id)
         share, burst_s = view.reachable_share, turns.BURST_S
         if pace_per_s < rate_limits.UNLIMITED:
-            share, burst_s = view.paced_share, turns.PACED_BURST_S
+            burst_s = turns.PACED_BURST_S
         rate_per_s = share * turns.turn_rate_per_s(limit_per_s, rank)
         entry = self._target(key)
         if entry.schedule is None:
--- a/packages/daemon/src/dotterelweird/gateway/peer_view.py
+++ b/packages/daemon/src/dotterelweird/gateway/peer_view.py
@@ -27,17 +27,19 @@
     Attributes:
         peers: The reachable ones.
         reachable_share: Reachable instances, this one included, as a share
-            of these and of those that have become silent lately. A part of
-            the deployment that is cut off uses its share of the limits.
-        paced_share: The same, with the addresses among those that the
-            instance was started with at which it has not heard any instance
-            yet. An instance that starts while it is cut off must not give
-            the turns of all others.
+            of these, of those that have become silent lately, and of the
+            addresses at which an instance may be that was not heard yet. A
+            part of the deployment that is cut off uses its share of the
+            limits.
+        is_informed: Whether this instance has heard another one, or has read
+            in the store that there is none. Until then it does not know how
+            many there are, and that it hears nobody is no sign that it is
+            alone.
     """
 
     peers: tuple[Peer, ...] = ()
     reachable_share: float = 1.0
-    paced_share: float = 1.0
+    is_informed: bool = True
 
     @property
     def taking_count(self) -> int:
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -18,6 +18,7 @@
 from dotterelweir_core import events
 from dotterelweir_core import timers
 from dotterelweir_core.gateway import broadcast
+from dotterelweir_core.gateway import contacts
 from dotterelweir_core.gateway import load as gateway_load
 from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import service_queues
@@ -55,14 +56,17 @@
 # Maximum number of records in a datagram; a record has up to about 300 bytes.
 _RECORDS_PER_DATAGRAM = 4
 # Time for which an instance that has become silent may still serve its callers
-# elsewhere in a divided network, in seconds.
+# elsewhere in a divided network, in seconds: if the roster in the store was
+# read since, and otherwise.
 _SILENCED_S = 60.0
-# Time after the start for which an address that the instance was started with
-# counts as that of an instance that was not heard yet, in seconds. Some of
-# these addresses may be out of date.
-_UNHEARD_S = 60.0
+_SILENCED_UNREAD_S = 600.0
+# Number of instances that may share the limits of targets with one that does
+# not know how many there are.
+_ASSUMED_INSTANCES = retry_budget.DEFAULT_INSTANCES
 # Reason for the removal of a peer that sends no digests.
 _SILENT = 'silent'
+# Reason for the removal of a peer that said that it stops.
+_LEAVING = 'leaving'
 
 Reports = dict[api.StoreStream, stream_api.ReadReport]
 
@@ -137,16 +141,20 @@
         # Monotonic times at which instances became silent, in seconds.
         self._silenced_s: dict[str, float] = {}
         self._visible_peers: tuple[peer_view.Peer, ...] = ()
+        self._view = peer_view.PeerView(is_informed=False)
+        self._fleet_logged: dict[str, Any] = {}
+        # Monotonic time of the newest read of the roster that had this
+        # instance's own entry, in seconds.
+        self._roster_read_s = float('-inf')
         self._peers: dict[str, Peer] = {}
         self._broadcast_groups = broadcast.BroadcastGroups()
         # Every instance ever seen: one that is silent now may still serve its
         # callers and use its share of the retry budgets.
         self._ever_seen: set[str] = set()
-        # Addresses of instances that are not reachable yet, or no longer.
-        self._candidates = set(settings.seed_hosts)
-        self._candidates.discard(settings.callers.host)
-        self._unheard_hosts = set(self._candidates)
-        self._created_s = timer_service.monotonic_s()
+        self._contacts = contacts.ContactBook(settings.callers.host)
+        self._contacts.set_seeds(
+            settings.seed_hosts, timer_service.monotonic_s()
+        )
         self._started_ms = int(timer_service.wall_s() * 1000)
         self._sequence = 0
         self._last_broadcast_s = float('-inf')
@@ -166,20 +174,48 @@
         """Number of reachable instances, including this one."""
         return len(self._peers) + 1
 
+    @property
+    def heard_ids(self) -> frozenset[str]:
+        """Ids of the other instances that are reachable."""
+        return frozenset(self._peers)
+
+    @property
+    def has_contacts(self) -> bool:
+        """Whether there are addresses at which others may be heard."""
+        return bool(self._contacts.hosts(self._timers.monotonic_s()))
+
     def view(self) -> peer_view.PeerView:
         """Returns the other instances for the coordination of limits."""
-        since_s = self._timers.monotonic_s() - _SILENCED_S
-        silenced = sum(
-            silenced_s > since_s for silenced_s in self._silenced_s.values()
+        return self._view
+
+    def _update_view(self) -> None:
+        now_s = self._timers.monotonic_s()
+        self._silenced_s = {
+            instance_id: silenced_s
+            for instance_id, silenced_s in self._silenced_s.items()
+            if now_s - silenced_s
+            <= (
+                _SILENCED_S
+                if self._roster_read_s > silenced_s
+                else _SILENCED_UNREAD_S
+            )
+        }
+        silenced = len(self._silenced_s)
+        unheard = self._contacts.unheard_count(now_s)
+        is_informed = bool(self._ever_seen) or self._roster_read_s > float(
+            '-inf'
         )
-        others = self.instance_count + silenced
-        if since_s > self._created_s - _SILENCED_S + _UNHEARD_S:
-            self._unheard_hosts.clear()
-        return peer_view.PeerView(
-            self._visible_peers,
-            self.instance_count / others,
-            self.instance_count / (others + len(self._unheard_hosts)),
+        count = self.instance_count + silenced + unheard
+        if is_informed:
+            instance_counts = self._budgets.instance_counts
+            instance_counts.ever_seen = len(self._ever_seen) + 1 + unheard
+            instance_counts.reachable = self.instance_count
+        else:
+            count = max(count, _ASSUMED_INSTANCES)
+        self._view = peer_view.PeerView(
+            self._visible_peers, self.instance_count / count, is_informed
         )
+        self._log_fleet(is_informed, silenced, unheard)
 
     def _update_visible_peers(self) -> None:
         self._visible_peers = tuple(
@@ -191,6 +227,69 @@
             )
             for instance_id, peer in self._peers.items()
         )
+        self._update_view()
+
+    def _log_fleet(
+        self, is_informed: bool, silenced: int, unheard: int
+    ) -> None:
+        known = {
+            'informed': is_informed,
+            'heard_any': bool(self._ever_seen),
+            'roster_read': self._roster_read_s > float('-inf'),
+            'silent': silenced,
+            'unheard': unheard,
+        }
+        if known != self._fleet_logged:
+            self._fleet_logged = known
+            events.log(
+                LOG,
+                events.GATEWAY_FLEET_KNOWN,
+                instances=self.instance_count,
+                **known,
+            )
+
+    def record_roster_read(self, read_s: float) -> None:
+        """Records a read of the roster that had this instance's own entry.
+
+        Args:
+            read_s: Monotonic time at which the read began, in seconds.
+        """
+        self._roster_read_s = read_s
+        self._update_view()
+
+    def set_seeds(self, hosts: tuple[str, ...]) -> None:
+        """Replaces the addresses that the settings name.
+
+        Args:
+            hosts: IP addresses of the instances.
+        """
+        now_s = self._timers.monotonic_s()
+        new = self._contacts.set_seeds(hosts, now_s)
+        if not new:
+            return
+        events.log(LOG, events.GATEWAY_SEEDS_CHANGED, hosts=sorted(new))
+        for host in new:
+            if host in self._broadcast_groups.hosts:
+                self._contacts.record_heard(host)
+            else:
+                self._greet(host)
+        self._update_view()
+
+    def contact(self, host: str) -> None:
+        """Contacts an instance that the store names.
+
+        Args:
+            host: IP address of the instance.
+        """
+        if host in self._broadcast_groups.hosts:
+            return
+        is_new = self._contacts.add(host, self._timers.monotonic_s())
+        if is_new:
+            self._greet(host)
+        self._update_view()
+
+    def _greet(self, host: str) -> None:
+        self._send_digest(host, self._digest(known_hosts=self._sample_hosts()))
 
     def status_rows(self) -> list[dict[str, Any]]:
         """Returns one row for each reachable peer, for the status document."""
@@ -327,8 +426,7 @@
         ):
             return
         if digest.leaving:
-            self._remove_peer(instance_id, 'leaving')
-            self._candidates.discard(host)
+            self._remove_peer(instance_id, _LEAVING)
             return
         if peer is not None and peer.last_digest_order[0] != digest.started_ms:
             # The peer has restarted: discard the load and counts of its
@@ -342,9 +440,9 @@
         self._broadcast_groups.add(member)
         self._loads.set_peer(instance_id, digest.loads, now_s)
         self._budgets.set_peer(instance_id, digest.counts, now_s)
+        self._ever_seen.add(instance_id)
         self._queues.order.set_peer(instance_id, digest.waiting, now_s)
-        self._candidates.discard(host)
-        self._unheard_hosts.discard(host)
+        self._contacts.record_heard(host)
         if peer is None or peer.member != member:
             self._silenced_s.pop(instance_id, None)
             self._update_visible_peers()
@@ -381,17 +479,12 @@
 
     def _contact_new_hosts(self, hosts: tuple[str, ...]) -> None:
         """Sends a digest to instances that only a peer knew so far."""
-        new = set(hosts) - self._broadcast_groups.hosts - self._candidates
-        new.discard(self._settings.callers.host)
-        for host in new:
-            self._candidates.add(host)
-            self._send_digest(
-                host, self._digest(known_hosts=self._sample_hosts())
-            )
+        now_s = self._timers.monotonic_s()
+        for host in set(hosts) - self._broadcast_groups.hosts:
+            if self._contacts.add(host, now_s):
+                self._greet(host)
 
     def _handle_new_peer(self, instance_id: str, host: str) -> None:
-        self._ever_seen.add(instance_id)
-        self._update_instance_counts()
         self._log_change(instance_id, 'heard')
         self._send_digest(
             host,
@@ -406,13 +499,15 @@
         if peer is None:
             return
         self._broadcast_groups.remove(instance_id)
-        self._update_visible_peers()
+        now_s = self._timers.monotonic_s()
         if reason == _SILENT:
-            self._silenced_s[instance_id] = self._timers.monotonic_s()
-        self._candidates.add(peer.member.host)
+            self._silenced_s[instance_id] = now_s
+        self._contacts.record_lost(
+            peer.member.host, now_s, left=reason == _LEAVING
+        )
+        self._update_visible_peers()
         self._loads.drop_peer(instance_id)
         self._queues.order.drop_peer(instance_id)
-        self._update_instance_counts()
         self._log_change(instance_id, reason)
 
     def _log_change(self, instance_id: str, state: str) -> None:
@@ -424,11 +519,6 @@
             instances=self.instance_count,
         )
 
-    def _update_instance_counts(self) -> None:
-        instance_counts = self._budgets.instance_counts
-        instance_counts.ever_seen = len(self._ever_seen) + 1
-        instance_counts.reachable = self.instance_count
-
     def _run_tick(self) -> None:
         if self._transport is None:
             return
@@ -446,8 +536,9 @@
             reports=self._own_reports(),
             checksums=self._findings.checksums(),
         )
-        for host in list(self._candidates):
+        for host in self._contacts.hosts(now_s):
             self._send_digest(host, regular)
+        self._update_view()
         if now_s - self._last_broadcast_s >= 0.9 * self.period_s:
             self._broadcast(regular)
 
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -55,6 +55,8 @@
             observed, by stream.
         queue_length: Generations that wait for an engine, by service.
         queue_refusals: Generations refused for lack of capacity, by reason.
+        roster_reads: Reads of the roster of instances in the store, by
+            outcome.
         evacuations: Evacuations and restorations of zones, by change.
         evacuated_zones: Zones that are evacuated.
         memory_refusals: Requests refused for lack of memory, by reason.
@@ -197,6 +199,11 @@
             'Evacuations and restorations of zones',
             registry=self._registry,
         )
+        self.roster_reads = aioprometheus.Counter(
+            'dotterelweir_gateway_roster_reads_total',
+            'Reads of the roster of instances in the store',
+            registry=self._registry,
+        )
         self.evacuated_zones = aioprometheus.Gauge(
             'dotterelweir_gateway_evacuated_zones',
             'Zones that are evacuated',
--- a/packages/daemon/src/dotterelweird/gateway/trials.py
+++ b/packages/daemon/src/dotterelweird/gateway/trials.py
@@ -7,6 +7,7 @@
 
 from dotterelweir_core import bounded_map
 from dotterelweir_core import timers
+from dotterelweir_core.gateway import retry_budget
 from dotterelweir_core.gateway import turns
 from dotterelweird.gateway import peer_view
 
@@ -60,7 +61,11 @@
         Args:
             subject: What is blocked.
         """
-        others = [peer.instance_id for peer in self.view().peers]
+        view = self.view()
+        if not view.is_informed:
+            # Any of the others may try before.
+            return retry_budget.DEFAULT_INSTANCES
+        others = [peer.instance_id for peer in view.peers]
         return turns.rank_of(self.instance_id, others, subject)
 
     def record(self, subject: str) -> None:
--- a/packages/daemon/tests/gateway/conftest.py
+++ b/packages/daemon/tests/gateway/conftest.py
@@ -22,6 +22,7 @@
         await running.add_engine(target_id, 'plain')
     await running.start(address)
     await running.wait_ready()
+    await running.wait_informed()
     try:
         yield running
     finally:
--- a/packages/daemon/tests/gateway/test_odd_entries.py
+++ b/packages/daemon/tests/gateway/test_odd_entries.py
@@ -246,7 +246,8 @@
         while second.tables_version is None or exchange.instance_count < 2:
             await asyncio.sleep(0.02)
     assert exchange._transport is not None
-    assert exchange._candidates <= {'127.0.0.9'}
+    contacts = exchange._contacts.hosts(exchange._timers.monotonic_s())
+    assert set(contacts) <= {'127.0.0.9'}
 
 
 @pytest.mark.parametrize(
--- a/packages/daemon/tests/gateway/test_pacing.py
+++ b/packages/daemon/tests/gateway/test_pacing.py
@@ -141,7 +141,7 @@
     network = ColdNetwork(60)
     for number, host in enumerate(network.hosts):
         network.sides[host] = number
-        network.views[host] = peer_view.PeerView((), 1.0, 1.0 / 60)
+        network.views[host] = peer_view.PeerView((), 1.0 / 60)
     await network.run(12.0, load_per_s=600.0)
     assert network.sent_in_worst_second() <= ALLOWED
 
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -15,6 +15,7 @@
 from dotterelweir_core.gateway import service_order
 from dotterelweir_core.gateway import service_queues
 from dotterelweir_core.gateway import targets
+from dotterelweir_core.gateway import turns
 from dotterelweir_core.gateway import waiting
 from dotterelweird.gateway import api
 from dotterelweird.gateway import digests
@@ -33,7 +34,7 @@
 from dotterelweird.gateway.sharing import waiting_codec
 
 
-def make_settings(name, host):
+def make_settings(name, host, seeds=('10.0.0.1',)):
     return gateway_settings.GatewaySettings(
         instance_id=name,
         zone='a',
@@ -41,7 +42,7 @@
         ready=gateway_settings.Address(host, 81),
         metrics=None,
         peers_port=7200,
-        seed_hosts=('10.0.0.1',),
+        seed_hosts=seeds,
         grace_s=8.0,
         repeat_ratio=0.2,
         repeat_burst=50.0,
@@ -58,6 +59,7 @@
 
     network: 'Network'
     host: str
+    seeds: tuple = ('10.0.0.1',)
     loads: load.LoadRegistry = attrs.field(factory=load.LoadRegistry)
     budgets: retry_budget.BudgetRegistry = attrs.field(
         factory=lambda: retry_budget.BudgetRegistry(0.2, 50.0, 10.0)
@@ -126,7 +128,7 @@
             lambda message: self.exchange.send_to_all(message),
         )
         self.exchange = peers.PeerExchange(
-            make_settings(f'node-{self.host}', self.host),
+            make_settings(f'node-{self.host}', self.host, self.seeds),
             self.network.timers,
             random.Random(self.host),
             self.loads,
@@ -160,11 +162,22 @@
         self.cut = set()
         self.datagrams = []
 
-    def add(self, host):
-        node = self.nodes[host] = Node(self, host)
+    def add(self, host, seeds=('10.0.0.1',)):
+        node = self.nodes[host] = Node(self, host, seeds)
         node.exchange.connection_made(node)
         return node
 
+    def remove(self, *hosts):
+        """Stops instances as a planned stop does."""
+        for host in hosts:
+            exchange = self.nodes.pop(host).exchange
+            exchange.close()
+            exchange.connection_lost(None)
+
+    def counts(self):
+        """Returns how many instances each one knows, itself included."""
+        return [node.exchange.instance_count for node in self.nodes.values()]
+
     def deliver(self, sender, data, host):
         self.datagrams.append(data)
         receiver = self.nodes.get(host)
@@ -189,6 +202,70 @@
     ] == [3, 3, 3]
 
 
+def test_seeds_of_changed_settings_are_contacted_at_once(network):
+    """Guards against instances with stale seeds that never find the others."""
+    new = [network.add(f'10.0.1.{n}', ('10.0.9.1',)) for n in (1, 2, 3)]
+    network.timers.advance(5.0)
+    assert network.counts() == [3, 3, 3, 1, 1, 1]
+    for node in new:
+        node.exchange.set_seeds(('10.0.0.2', '10.0.0.3'))
+    assert network.counts() == [6] * 6
+    assert {n.exchange.view().is_informed for n in new} == {True}
+
+
+def test_instances_that_return_at_their_addresses_are_found(network):
+    """Guards against a deployment that stays in two parts after a restart."""
+    for number in (4, 5, 6):
+        network.add(f'10.0.0.{number}')
+    network.timers.advance(1.0)
+    for node in network.nodes.values():
+        node.exchange.set_seeds(('10.0.0.1', '10.0.0.2', '10.0.0.3'))
+    seeds = ('10.0.0.1', '10.0.0.2', '10.0.0.3')
+    network.remove(*seeds)
+    network.timers.advance(120.0)
+    assert network.counts() == [3, 3, 3]
+    for host in seeds:
+        network.add(host, seeds)
+    network.timers.advance(1.0)
+    assert network.counts() == [6] * 6
+
+
+def test_an_instance_that_hears_nobody_is_not_known_to_be_alone(network):
+    """Guards against a whole limit at each of several cut-off instances."""
+    new = [network.add(f'10.0.1.{n}', ('10.0.9.1',)) for n in range(1, 6)]
+    network.timers.advance(90.0)
+    statement = limit_statement(5.0)
+    sent = 0
+    for node in new:
+        assert not node.exchange.view().is_informed
+        node.limiter.report(statement)
+    for _ in range(400):
+        network.timers.advance(0.01)
+        for node in new:
+            request = turns.TurnRequest(1, statement, 0.0)
+            sent += node.limiter._answer(request).granted
+    assert sent <= len(new)
+
+
+def test_silent_instances_count_until_the_roster_was_read(network):
+    """Guards against silence that is taken for the end of an instance."""
+    first = network.nodes['10.0.0.1']
+    network.cut |= {'10.0.0.2', '10.0.0.3'}
+    network.timers.advance(120.0)
+    assert first.exchange.view().reachable_share == pytest.approx(1 / 3)
+    first.exchange.record_roster_read(network.timers.monotonic_s())
+    assert first.exchange.view().reachable_share == 1.0
+
+
+def test_an_unheard_address_shares_the_limits(network):
+    """Guards against a whole limit in a part that knows of others."""
+    first = network.nodes['10.0.0.1']
+    first.exchange.contact('10.0.9.1')
+    assert first.exchange.view().reachable_share == pytest.approx(3 / 4)
+    network.timers.advance(61.0)
+    assert first.exchange.view().reachable_share == 1.0
+
+
 def test_loads_are_summed_over_peers(network):
     """Guards against loaded engines that look idle to other instances."""
     first, second, third = network.nodes.values()
