Notice engines that go dark under a request

Cause: an end was known by one sign alone, a connection that is closed and then refused. A request that timed out, or whose caller had left, was forgotten, and neither the removal of the engine's entry nor another start under its id was related to what had been there.

Change: a request that ends without an answer is remembered for 15 s with the start of its engine. Another start of it shows an end by itself; the removal of its entry does so if it accepts no connection, or another engine has its address, and if this instance reaches targets. While the store does not answer, silence for three seconds does, if others of its zone are reached. A planned departure and an engine that answers later are no ends. An engine that registers again as it was (it had lost the store or its zone) is given back, here and at all instances, in both records of ends. Answers here clear a request before they are stated to the others.

Ruled out: ends with different keys (no end was logged at all), and ends known too late on the return of the engines (the attempts had ended by then).

--- a/fakes/src/dotterelweir_fakes/fleet/engine.py
+++ b/fakes/src/dotterelweir_fakes/fleet/engine.py
@@ -153,6 +153,14 @@
     crash_bytes: float = 1.0
 
 
+# Connections that fill the queue of a socket that accepts none.
+_FULL_QUEUE = 2
+
+
+def _discard(data: object) -> None:
+    """Takes the place of a write to a connection of a dark engine."""
+
+
 def _make_request(message, payload, protocol, writer, task) -> web.BaseRequest:
     return web.BaseRequest(
         message,
@@ -226,6 +234,9 @@
         self._web_server: web.Server | None = None
         # Connections with a request in progress.
         self._transports: set[asyncio.BaseTransport] = set()
+        # Connections and sockets that it holds while it is dark.
+        self._dark_transports: list[asyncio.Transport] = []
+        self._dark_sockets: list[socket.socket] = []
         # Connections of streams, by request.
         self._stream_transports: dict[str, asyncio.Transport] = {}
         # Number of runs and of orders to copy a run that are unanswered.
@@ -255,6 +266,8 @@
 
     async def stop(self) -> None:
         """Closes the listening socket."""
+        for dark_socket in self._dark_sockets:
+            dark_socket.close()
         if self._server is not None:
             self._server.close()
 
@@ -275,6 +288,39 @@
         for transport in tuple(self._transports):
             transport.abort()
 
+    def go_dark(self) -> None:
+        """Ends as a machine without power: nothing is sent any more.
+
+        Open connections stay open, and new ones are not made.
+        """
+        port = int(self.address.rpartition(':')[2])
+        self._server.close()
+        for connection in self._web_server.connections:
+            transport = connection.transport
+            if transport is not None:
+                transport.write = transport.writelines = _discard
+                self._dark_transports.append(transport)
+        listener = socket.socket()
+        listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listener.bind(('127.0.0.1', port))
+        listener.listen(0)
+        self._dark_sockets = [listener]
+        # With a full queue of new connections, further ones are not made.
+        for _ in range(_FULL_QUEUE):
+            waiting = socket.socket()
+            waiting.setblocking(False)
+            waiting.connect_ex(('127.0.0.1', port))
+            self._dark_sockets.append(waiting)
+
+    async def return_from_dark(self) -> None:
+        """Starts again at its address and resets its earlier connections."""
+        for transport in self._dark_transports:
+            transport.abort()
+        for dark_socket in self._dark_sockets:
+            dark_socket.close()
+        self._dark_transports, self._dark_sockets = [], []
+        await self.start_again()
+
     async def depart(self, grace_s: float | None) -> None:
         """Serves on for a while and then ends with all its connections.
 
--- a/fakes/src/dotterelweir_fakes/soak/crashing.py
+++ b/fakes/src/dotterelweir_fakes/soak/crashing.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 import pathlib
 import random
+import time
 
 from aiohttp import web
 
@@ -25,6 +26,10 @@
 COUNTED_AFTER_S = trials.STABLE_S
 
 
+# Time after which the entry of a silent engine is removed, in seconds.
+_LAPSE_S = 3.6
+
+
 class CrashingEngine(fleet_engine.FakeEngine):
     """An engine that ends when it has begun to run a certain request.
 
@@ -35,6 +40,8 @@
         crash_after_s: Time for which it runs the request, in seconds.
         crash_events: Events that it writes before it ends; None if it does
             not even write the head of an answer.
+        dark: Whether it ends as a machine without power does.
+        keeps_id: Whether it starts again under its id, or under a new one.
         register: Writes its registry entry, or removes the one of an id.
         ends_s: Monotonic times of its ends under the request, in seconds.
     """
@@ -44,8 +51,11 @@
         self.back_s = 1.5
         self.crash_after_s = 0.03
         self.crash_events: int | None = None
+        self.dark = False
+        self.keeps_id = False
         self.register: Callable[[str, bool], Awaitable[None]] | None = None
         self.ends_s: list[float] = []
+        self.started_ms = int(time.time() * 1000)
         self._first_id = target_id
         self._starts = 0
         self._tasks: set[asyncio.Task] = set()
@@ -82,16 +92,31 @@
         if not self.is_up:
             return
         self._starts += 1
-        self.crash()
+        if self.dark:
+            self.go_dark()
+        else:
+            self.crash()
         task = asyncio.create_task(self._start_again())
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
     async def _start_again(self) -> None:
-        await asyncio.sleep(self.back_s)
-        await self.register(self.target_id, False)
-        self.target_id = f'{self._first_id}-{self._starts}'
-        await self.start_again()
+        if self.dark:
+            lapse_s = min(self.back_s, _LAPSE_S)
+            await asyncio.sleep(lapse_s)
+            if self.back_s > _LAPSE_S:
+                await self.register(self.target_id, False)
+            await asyncio.sleep(self.back_s - lapse_s)
+            self.started_ms = max(self.started_ms + 1, int(time.time() * 1000))
+            if not self.keeps_id:
+                await self.register(self.target_id, False)
+                self.target_id = f'{self._first_id}-{self._starts}'
+            await self.return_from_dark()
+        else:
+            await asyncio.sleep(self.back_s)
+            await self.register(self.target_id, False)
+            self.target_id = f'{self._first_id}-{self._starts}'
+            await self.start_again()
         await self.register(self.target_id, True)
 
     async def stop(self) -> None:
--- a/packages/core/src/dotterelweir_core/events.py
+++ b/packages/core/src/dotterelweir_core/events.py
@@ -549,6 +549,18 @@
     logging.INFO,
     'The entry of a gateway that was not heard was removed from the roster.',
 )
+REQUEST_UNANSWERED = _event(
+    281,
+    'request-unanswered',
+    logging.INFO,
+    'A request ended without an answer at a target that may have ended.',
+)
+TARGET_END_DETECTED = _event(
+    282,
+    'target-end-detected',
+    logging.WARNING,
+    'A target with requests in flight ended, and the sign that shows it.',
+)
 # 3xx: configuration.
 EDIT_ACCEPTED = _event(
     300, 'edit-accepted', logging.INFO, 'An edit of the tables took effect.'
--- a/packages/core/src/dotterelweir_core/gateway/engine_ends.py
+++ b/packages/core/src/dotterelweir_core/gateway/engine_ends.py
@@ -7,9 +7,12 @@
 
 from collections.abc import Iterator
 import hashlib
+import math
 
 import attrs
 
+from dotterelweir_core import bounded_map
+
 # Size of the key of a request, in bytes.
 _KEY_BYTES = 12
 # Two reports about one start of a target that are closer are about the same
@@ -91,6 +94,11 @@
 
     def __init__(self) -> None:
         self._ends: list[TargetEnd] = []
+        # Times at which targets whose end was reported turned out to live, in
+        # seconds, by id and start.
+        self._lived_s: bounded_map.BoundedMap[tuple[str, int], float] = (
+            bounded_map.BoundedMap(_ENDS_MAX)
+        )
 
     def apply(self, report: EndReport, now_s: float) -> bool:
         """Applies a report of any instance.
@@ -106,6 +114,9 @@
         ended_s = now_s - report.age_s
         if not report.keys or ended_s + _RETENTION_S <= now_s:
             return False
+        start = (report.target_id, report.started_ms)
+        if ended_s <= self._lived_s.get(start, -math.inf):
+            return False
         for end in self._ends:
             if (end.target_id, end.started_ms) == (
                 report.target_id,
@@ -118,6 +129,27 @@
         del self._ends[:-_ENDS_MAX]
         return True
 
+    def retract(self, target_id: str, started_ms: int, now_s: float) -> bool:
+        """Forgets the ends of a start of a target that has not ended.
+
+        Args:
+            target_id: Id of the target.
+            started_ms: Wall time of its start, in milliseconds.
+            now_s: Time, in seconds.
+
+        Returns:
+            Whether an end was known.
+        """
+        self._lived_s.put((target_id, started_ms), now_s)
+        kept = [
+            end
+            for end in self._ends
+            if (end.target_id, end.started_ms) != (target_id, started_ms)
+        ]
+        changed = len(kept) < len(self._ends)
+        self._ends = kept
+        return changed
+
     def _add_keys(self, end: TargetEnd, keys: frozenset[str]) -> bool:
         suspected = set().union(*(other.keys for other in self._ends))
         # A request that was at another end goes first.
--- a/packages/core/src/dotterelweir_core/gateway/quarantine.py
+++ b/packages/core/src/dotterelweir_core/gateway/quarantine.py
@@ -124,6 +124,25 @@
             bounded_map.BoundedMap(_WRITTEN_MAX)
         )
         self._blocks: tuple[Block, ...] = ()
+        # Times at which targets whose end was reported turned out to live, in
+        # seconds, by id.
+        self._lived_s: bounded_map.BoundedMap[str, float] = (
+            bounded_map.BoundedMap(_CRASHES_MAX)
+        )
+
+    def retract_end(self, target_id: str, now_s: float) -> None:
+        """Forgets the end of a target that has not ended.
+
+        Args:
+            target_id: Id of the target.
+            now_s: Time, in seconds.
+        """
+        self._lived_s.put(target_id, now_s)
+        retracted = [key for key in self._suspicions if key[1] == target_id]
+        for key in retracted:
+            del self._suspicions[key]
+        if retracted:
+            self._judge()
 
     def suspected_parts(self, parts: Iterable[str]) -> frozenset[str]:
         """Returns the parts of a prompt that an end is held against.
@@ -172,6 +191,8 @@
         ended_s = now_s - crash.age_s
         if not crash.parts or ended_s + _RETENTION_S <= now_s:
             return False
+        if ended_s <= self._lived_s.get(crash.target_id, -math.inf):
+            return False
         self._suspicions.put(key, _Suspicion(crash, ended_s, crash.parts))
         return True
 
--- a/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
+++ b/packages/core/src/dotterelweir_core/gateway/request_quarantine.py
@@ -102,6 +102,19 @@
             self._judge()
         return changed
 
+    def retract_end(
+        self, target_id: str, started_ms: int, now_s: float
+    ) -> None:
+        """Forgets the end of a target that has not ended.
+
+        Args:
+            target_id: Id of the target.
+            started_ms: Wall time of its start, in milliseconds.
+            now_s: Time, in seconds.
+        """
+        if self._ends.retract(target_id, started_ms, now_s):
+            self._judge()
+
     def record_answer(self, key: str, now_s: float) -> None:
         """Records that a target has answered a request of this instance.
 
@@ -110,6 +123,8 @@
             now_s: Time, in seconds.
         """
         self._answered_s.put(key, now_s)
+        if key in self._blocks:
+            self._judge()
 
     def unstated_answer(self, key: str, now_s: float) -> SoundRequest | None:
         """Returns an answer that the other instances should know of.
@@ -195,7 +210,7 @@
         ends = list(self._ends)
         for index, end in enumerate(ends):
             for key in end.keys:
-                if end.ended_s > self._stated_s.get(key, -math.inf):
+                if end.ended_s > self._last_answered_s(key):
                     unexplained.setdefault(key, set()).add(index)
         self._blocks = {}
         while unexplained:
@@ -221,6 +236,13 @@
                 if not indices:
                     del unexplained[key]
 
+    def _last_answered_s(self, key: str) -> float:
+        """Returns the time of the last known answer to a request."""
+        return max(
+            self._answered_s.get(key, -math.inf),
+            self._stated_s.get(key, -math.inf),
+        )
+
     def _block(
         self, ends: list[engine_ends.TargetEnd], was_answered: bool
     ) -> Block:
--- a/packages/core/tests/gateway/test_request_quarantine.py
+++ b/packages/core/tests/gateway/test_request_quarantine.py
@@ -41,6 +41,27 @@
     assert not blocked(quarantine, 9.0, 'popular')
 
 
+def test_an_answer_here_counts_before_it_is_stated(quarantine):
+    """Guards against popular requests that are refused for a moment."""
+    for number in range(3):
+        end(quarantine, 2.0, f'shop-{number}', 'popular')
+    quarantine.record_answer('popular', 2.5)
+    assert not blocked(quarantine, 3.0, 'popular')
+
+
+def test_the_end_of_a_target_that_lives_is_forgotten(quarantine):
+    """Guards against requests that are blamed for a partition."""
+    for number in range(3):
+        end(quarantine, 2.0, f'shop-{number}', 'sound')
+    assert blocked(quarantine, 3.0, 'sound') == ['sound']
+    quarantine.retract_end('shop-0', 0, 4.0)
+    assert not blocked(quarantine, 4.0, 'sound')
+    # Another instance reports it again, as it has not learned of it yet.
+    late = engine_ends.EndReport('shop-0', 0, frozenset(['sound']), 3.0)
+    quarantine.apply(late, 5.0)
+    assert not blocked(quarantine, 5.0, 'sound')
+
+
 def test_an_earlier_answer_tells_two_requests_apart(quarantine):
     """Guards against a popular request that is blamed with the guilty one."""
     quarantine.apply(request_quarantine.SoundRequest('popular'), 1.0)
--- a/packages/daemon/src/dotterelweird/gateway/attempts.py
+++ b/packages/daemon/src/dotterelweird/gateway/attempts.py
@@ -349,6 +349,60 @@
     return exchanges.Answered(status, facts.headers, body)
 
 
+def record_silence(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    target: targets.Target,
+    outcome: exchanges.StreamOutcome,
+    heard_s: float,
+    begun: bool,
+) -> None:
+    """Records whether a target answered, as one that has ended does not.
+
+    Args:
+        parts: Dependencies shared by all requests.
+        exchange: The request.
+        target: The target of the attempt.
+        outcome: How the attempt ended.
+        heard_s: Time of the send, or at which the target was heard last on
+            its connection, in seconds, by a clock that counts suspensions.
+        begun: Whether no part of the prompt is suspected.
+    """
+    match outcome:
+        case (
+            exchanges.TimedOut()
+            | exchanges.Interrupted()
+            | exchanges.CallerLost()
+            | exchanges.Broken(connection_lost=True)
+        ):
+            parts.end_detector.report_unanswered(
+                exchange, target, heard_s, begun
+            )
+        case exchanges.Complete() | exchanges.Answered() | exchanges.NotRun():
+            parts.end_detector.record_answer(target)
+
+
+def record_abandoned(
+    parts: dependencies.Forwarding,
+    exchange: exchanges.Exchange,
+    target: targets.Target,
+    heard_s: float,
+    begun: bool = True,
+) -> None:
+    """Records an attempt that ended because its caller has left.
+
+    Args:
+        parts: Dependencies shared by all requests.
+        exchange: The request.
+        target: The target of the attempt.
+        heard_s: Time of the send, or at which the target was heard last on
+            its connection, in seconds, by a clock that counts suspensions.
+        begun: Whether no part of the prompt is suspected.
+    """
+    if exchange.sending is not None and exchange.sending.sent:
+        parts.end_detector.report_unanswered(exchange, target, heard_s, begun)
+
+
 def record_end(
     parts: dependencies.Forwarding,
     exchange: exchanges.Exchange,
--- a/packages/daemon/src/dotterelweird/gateway/calls.py
+++ b/packages/daemon/src/dotterelweird/gateway/calls.py
@@ -1,5 +1,6 @@
 """Forwards plain calls, with retries of those that are repeatable."""
 
+import asyncio
 import logging
 
 from dotterelweir_core import events
@@ -151,10 +152,16 @@
         )
         load = parts.loads.get(target.target_id)
         in_slot = load.running + load.peer_running < max(1, target.slots)
-        with attempts.track_load(parts, target):
-            outcome = await attempts.call(
-                parts, exchange, target, attempt_deadline_s
-            )
+        sent_s = parts.timers.elapsed_s()
+        try:
+            with attempts.track_load(parts, target):
+                outcome = await attempts.call(
+                    parts, exchange, target, attempt_deadline_s
+                )
+        except asyncio.CancelledError:
+            # The caller has left.
+            attempts.record_abandoned(parts, exchange, target, sent_s)
+            raise
         ended_s = parts.timers.monotonic_s()
         attempts.record_end(parts, exchange, target, outcome, ended_s - now_s)
         if isinstance(outcome, exchanges.Broken) and outcome.connection_lost:
@@ -162,6 +169,7 @@
             parts.end_detector.report_lost_connection(
                 exchange, target, begun=True
             )
+        attempts.record_silence(parts, exchange, target, outcome, sent_s, True)
         if isinstance(outcome, exchanges.Answered):
             if in_slot and outcome.status < 400:
                 parts.loads.speeds.record_call(
--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -235,7 +235,15 @@
             request_guard.RequestGuard(
                 self._timers, self._statistics, self._rng, trial_turns
             ),
-            end_detection.EndDetector(self._timers, self._reach),
+            end_detection.EndDetector(
+                self._timers,
+                self._reach,
+                self._statistics,
+                self._directory,
+                lambda: (
+                    self._followers[api.StoreStream.TARGETS].store_available
+                ),
+            ),
             self._pace,
             self._origins,
             self._reach,
@@ -252,6 +260,7 @@
         self._targets.subscribe(self._record_warm_up)
         self._targets.subscribe(self._pace.apply_change)
         self._targets.subscribe(self._origins.apply_change)
+        self._targets.subscribe(self._parts.end_detector.apply_change)
         self._targets.subscribe_snapshots(self._origins.begin)
         self._targets.subscribe_registrations(self._pace.record_registration)
         self._tables.subscribe(self._record_tables_version)
@@ -320,6 +329,12 @@
             self._parts.request_guard.report_end
         )
         self._parts.end_detector.subscribe(self._parts.prompt_guard.report_end)
+        self._parts.end_detector.subscribe_returns(
+            self._parts.request_guard.retract_end
+        )
+        self._parts.end_detector.subscribe_returns(
+            self._parts.prompt_guard.retract_end
+        )
         self._followers = {
             stream: following.StreamFollower(
                 store,
--- a/packages/daemon/src/dotterelweird/gateway/generations.py
+++ b/packages/daemon/src/dotterelweird/gateway/generations.py
@@ -368,7 +368,18 @@
     ) -> exchanges.StreamOutcome:
         """Follows one link and records the outcome for its engine."""
         sent_s = self._parts.timers.monotonic_s()
-        outcome = await link.follow()
+        try:
+            outcome = await link.follow()
+        except asyncio.CancelledError:
+            # The caller has left.
+            attempts.record_abandoned(
+                self._parts,
+                self._exchange,
+                run.target,
+                link.heard_s,
+                self._stream.started or link.has_begun,
+            )
+            raise
         now_s = self._parts.timers.monotonic_s()
         load = self._parts.loads.get(run.target.target_id)
         if link.has_begun and not link.events:
@@ -379,6 +390,15 @@
                 run.target,
                 begun=self._stream.started or link.has_begun,
             )
+        if not link.end_expected:
+            attempts.record_silence(
+                self._parts,
+                self._exchange,
+                run.target,
+                outcome,
+                link.heard_s,
+                self._stream.started or link.has_begun,
+            )
         match outcome:
             case exchanges.Complete():
                 load.record_success(now_s)
--- a/packages/daemon/src/dotterelweird/gateway/links.py
+++ b/packages/daemon/src/dotterelweird/gateway/links.py
@@ -74,6 +74,8 @@
     Attributes:
         head_s: Time from the send to the head of a generation, in seconds;
             None before it.
+        heard_s: Time of the send or of the newest event, in seconds, by a
+            clock that counts suspensions.
         calls: Calls to the engine about the run.
     """
 
@@ -112,6 +114,7 @@
         self._sent_s = parts.timers.monotonic_s()
         self._delivered_before = stream.cursor.delivered
         self.head_s: float | None = None
+        self.heard_s = parts.timers.elapsed_s()
         # Prompt tokens that were pending at the engine before the send.
         self._pending_tokens = 0.0
         self._answer_body: aiohttp.StreamReader | None = None
@@ -466,6 +469,7 @@
                 continue
             event_s = self._parts.timers.monotonic_s()
             self._load.last_event_s = event_s
+            self.heard_s = self._parts.timers.elapsed_s()
             self._source_lost = False
             await self._stream.begin(facts.headers)
             if waiting_for_first:
--- a/packages/daemon/src/dotterelweird/gateway/prompt_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/prompt_guard.py
@@ -64,31 +64,29 @@
         """Returns the newest crashes, at most the given number."""
         return self._quarantine.crashes(count, self._timers.elapsed_s())
 
-    def report_end(
-        self,
-        target: targets.Target,
-        requests: tuple[end_detection.InFlight, ...],
-    ) -> None:
+    def report_end(self, end: end_detection.End) -> None:
         """Records the end of a target.
 
         Args:
-            target: The target.
-            requests: Requests that were in flight there.
+            end: The end.
         """
-        for request in requests:
-            if not request.begun:
-                self._report_crash(request.exchange, target)
+        for request in end.requests:
+            if request.begun:
+                continue
+            crash = quarantine.PromptCrash(
+                _printable_id(request.request_id),
+                end.target.target_id,
+                self._quarantine.suspected_parts(request.shared_parts),
+                end.age_s,
+            )
+            if self._apply(crash, _OWN):
+                self._notify(crash)
 
-    def _report_crash(
-        self, exchange: exchanges.Exchange, engine: targets.Target
-    ) -> None:
-        crash = quarantine.PromptCrash(
-            _printable_id(exchange.request.request_id),
-            engine.target_id,
-            self._quarantine.suspected_parts(exchange.request.shared_parts),
+    def retract_end(self, target: targets.Target) -> None:
+        """Forgets the end of a target that turns out not to have ended."""
+        self._quarantine.retract_end(
+            target.target_id, self._timers.elapsed_s()
         )
-        if self._apply(crash, _OWN):
-            self._notify(crash)
 
     def report_sound(self, exchange: exchanges.Exchange) -> None:
         """Records that an engine has written an event for a request."""
--- a/packages/daemon/src/dotterelweird/gateway/request_guard.py
+++ b/packages/daemon/src/dotterelweird/gateway/request_guard.py
@@ -171,26 +171,28 @@
         for listener in self._listeners:
             listener(finding)
 
-    def report_end(
-        self,
-        target: targets.Target,
-        requests: tuple[end_detection.InFlight, ...],
-    ) -> None:
+    def report_end(self, end: end_detection.End) -> None:
         """Records the end of a target.
 
         Args:
-            target: The target.
-            requests: Requests that were in flight there.
+            end: The end.
         """
         report = engine_ends.EndReport(
-            target.target_id,
-            target.started_ms,
-            frozenset(request.exchange.key for request in requests),
+            end.target.target_id,
+            end.target.started_ms,
+            frozenset(request.key for request in end.requests),
+            end.age_s,
         )
         for part in report.split():
             if self._apply(part, _OWN):
                 self._notify(part)
 
+    def retract_end(self, target: targets.Target) -> None:
+        """Forgets the end of a target that turns out not to have ended."""
+        self._quarantine.retract_end(
+            target.target_id, target.started_ms, self._timers.elapsed_s()
+        )
+
     def apply_finding(
         self, finding: request_quarantine.Finding, host: str
     ) -> None:
--- a/packages/daemon/src/dotterelweird/gateway/statistics.py
+++ b/packages/daemon/src/dotterelweird/gateway/statistics.py
@@ -51,6 +51,7 @@
         blocked_repeats: Requests kept from targets that several targets have
             ended under.
         target_ends: Ends of targets with requests in flight, by origin.
+        end_signs: Ends of targets that this instance detected, by sign.
         rewinds: Restores of the store from an older copy that the instance
             observed, by stream.
         queue_length: Generations that wait for an engine, by service.
@@ -204,6 +205,11 @@
             'Reads of the roster of instances in the store',
             registry=self._registry,
         )
+        self.end_signs = aioprometheus.Counter(
+            'dotterelweir_gateway_end_signs_total',
+            'Ends of targets that this instance detected',
+            registry=self._registry,
+        )
         self.evacuated_zones = aioprometheus.Gauge(
             'dotterelweir_gateway_evacuated_zones',
             'Zones that are evacuated',
--- a/packages/daemon/tests/gateway/test_crash_process.py
+++ b/packages/daemon/tests/gateway/test_crash_process.py
@@ -20,6 +20,8 @@
     back_s: float = 1.5
     duration_s: float = 12.0
     crash_events: int | None = None
+    dark: bool = False
+    keeps_id: bool = True
 
 
 async def play(directory, case):
@@ -29,6 +31,7 @@
     ) as trial:
         for engine in trial.engines.values():
             engine.crash_events = case.crash_events
+            engine.dark, engine.keeps_id = case.dark, case.keeps_id
         rng = random.Random(11)
         await asyncio.gather(
             trial.send_crashes(
@@ -67,6 +70,45 @@
     assert trial.served_share('sound', counted_s) >= 0.95
 
 
+@pytest.mark.parametrize(
+    'case',
+    [
+        Case('read', 2.0, 8, 3, 4.0, 24.0, dark=True),
+        Case('book', 2.0, 8, 3, 4.0, 24.0, dark=True, keeps_id=False),
+        Case('book', 2.0, 8, 3, 1.0, 24.0, dark=True),
+        Case('guide', 3.0, 8, 3, 4.0, 24.0, dark=True),
+    ],
+    ids=lambda case: f'{case.route}-{case.back_s}-{case.keeps_id}',
+)
+async def test_a_request_under_which_engines_go_dark_is_refused(
+    tmp_path, case
+):
+    """Guards against ends that show neither in a reset nor in a refusal."""
+    trial = await play(tmp_path, case)
+    third_end_s = trial.third_end_s()
+    assert third_end_s < float('inf')
+    assert trial.late_sends() <= crashing.LATE_SENDS_MAX
+    counted_s = third_end_s + crashing.COUNTED_AFTER_S
+    assert trial.served_share('sound', counted_s) >= 0.95
+
+
+async def test_sound_requests_are_served_while_engines_go_dark(tmp_path):
+    """Guards against blame for engines that go dark by themselves."""
+    async with crashing.CrashTrial(tmp_path, 3, 8, 'read', 4.0) as trial:
+        for engine in trial.engines.values():
+            engine.dark = engine.keeps_id = True
+            engine.behaviour.delay_s = 0.1
+        load = asyncio.create_task(
+            trial.send_repeats(20.0, 20.0, random.Random(3))
+        )
+        for engine in list(trial.engines.values())[:6]:
+            await asyncio.sleep(1.5)
+            engine.end()
+        await load
+        await trial.wait_answers()
+    assert trial.served_share('popular', 0.0) == 1.0
+
+
 async def test_a_popular_request_is_served_after_all_engines_ended(tmp_path):
     """Guards against blame for ends that the request did not cause."""
     async with crashing.CrashTrial(tmp_path, 3, 3, 'read') as trial:
--- a/packages/daemon/tests/gateway/test_partitioned_instance.py
+++ b/packages/daemon/tests/gateway/test_partitioned_instance.py
@@ -227,7 +227,7 @@
     """Guards against requests that are blocked everywhere after a cut."""
     ends = []
     detector = pair.gateway._parts.end_detector
-    detector.subscribe(lambda target, requests: ends.append(target.target_id))
+    detector.subscribe(lambda end: ends.append(end.target.target_id))
     for engine in pair.engines.values():
         engine.behaviour.hang = True
     calls = [
@@ -251,7 +251,7 @@
     """Guards against deadly requests that nobody counts any more."""
     ends = []
     pair.gateway._parts.end_detector.subscribe(
-        lambda target, requests: ends.append(target.target_id)
+        lambda end: ends.append(end.target.target_id)
     )
     shops = [pair.engines[name] for name in ('shop-1', 'shop-2')]
     for shop in shops:
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -583,8 +583,8 @@
             8,
             targets.TargetState.READY,
         )
-        request = end_detection.InFlight(exchange_with('bad', 'a'))
-        node.prompt_guard.report_end(engine, (request,))
+        request = end_detection.InFlight.of(exchange_with('bad', 'a'))
+        node.prompt_guard.report_end(end_detection.End(engine, (request,)))
         if number == 0:
             # Ends at the same moment count once.
             network.timers.advance(0.5)
@@ -639,8 +639,8 @@
         engine = targets.Target(
             f't{number}', 's', 'h', 80, 'a', 8, targets.TargetState.READY
         )
-        request = end_detection.InFlight(exchange_with(*parts))
-        node.prompt_guard.report_end(engine, (request,))
+        request = end_detection.InFlight.of(exchange_with(*parts))
+        node.prompt_guard.report_end(end_detection.End(engine, (request,)))
         network.timers.advance(0.5)
     new_node = network.add('10.0.0.4')
     network.timers.advance(1.0)
