Take only what is newer than the request for evidence of one version

Callers saw, by the users' test: a stream of a new version is taken up at an instance that is out of step and goes on at the old version.

Cause: the instance knew one version and asked nobody. Its targets counted as known up to 1.5 s after a read of any instance, and for as long as no peer counted as silent; one peer that said the same was enough. A stream may begin and break in less time than that, and ages stand still with the process.

Change: for a stream that is taken up, the instance reads the targets itself, after the request came, if it knows one version only. While the store fails, all holders that are asked must answer, and every known instance must be heard. A read within two seconds of an outage or a restore of the store is no evidence. New streams wait for nothing, and nothing changes on the wire: an answer of an older build counts for the past, as any other.

Ruled out: the share of instances that are reached alone would not help, as the time until a peer counts as silent grows with their number.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -75,6 +75,9 @@
 _TABLES_JITTER_MAX_S = 0.6
 _TARGETS_INTERVAL_MIN_S = 0.15
 _TARGETS_JITTER_MAX_S = 0.5
+# Longest wait of a stream that a caller takes up for a read of the targets, in
+# seconds. A slow store answers within 0.4 s.
+_CONFIRM_TIMEOUT_S = 0.5
 # Interval of the checks whether the settings have changed without a signal, in
 # seconds.
 _SETTINGS_CHECK_S = 2.0
@@ -170,6 +173,7 @@
             self._statistics,
             self._directory,
             self._targets_age_s,
+            self._confirm_targets,
             self._send_to_peer,
             self._view_peers,
         )
@@ -542,6 +546,11 @@
         report = self._followers[api.StoreStream.TARGETS].report
         return report.age_s if report is not None else math.inf
 
+    async def _confirm_targets(self, since_s: float) -> bool:
+        """Waits for a read of the targets that began after a time."""
+        follower = self._followers[api.StoreStream.TARGETS]
+        return await follower.confirm(since_s, _CONFIRM_TIMEOUT_S)
+
     def _collect_reports(self) -> peers.Reports:
         return {
             stream: report
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -29,6 +29,10 @@
 # first instance that the store answers reports to the others.
 _INSTANCES_PER_RETRY = 12
 _RETRY_FACTOR_MAX = 4.0
+# Shortest time between two reads that are asked for as evidence, for each
+# reachable instance, in seconds. It bounds the reads of a large deployment
+# whose callers all take their streams up.
+_CONFIRM_INTERVAL_S = 0.001
 # Time within which the record notice of a change usually arrives after the
 # report of the instance that read it, in seconds. The reads of instances that
 # missed the notice are spread over the same time again.
@@ -113,9 +117,50 @@
         # Monotonic time at which the newest outage began for this instance, in
         # seconds.
         self._outage_began_s = float('-inf')
+        # Monotonic time at which the newest own read began that reached the
+        # end of the stream, and the same of the newest one that failed, in
+        # seconds.
+        self._own_read_s = float('-inf')
+        self._failed_read_s = float('-inf')
+        self._read_ended = asyncio.Event()
         self.store_available = False
         self.has_state = False
 
+    async def confirm(self, since_s: float, timeout_s: float) -> bool:
+        """Waits for a read by this instance that began after a time.
+
+        What another instance reports of its reads is no such evidence: the
+        report may have waited in the socket while this process stood still.
+
+        Args:
+            since_s: Monotonic time, in seconds.
+            timeout_s: Longest wait, in seconds.
+
+        Returns:
+            Whether there is one that shows all that is there; False as soon
+            as one has failed.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                while self._own_read_s < since_s:
+                    if self._failed_read_s >= since_s:
+                        return False
+                    self._schedule.hasten(
+                        self._timers.monotonic_s(), self._confirm_delay_s()
+                    )
+                    self._wake_event.set()
+                    self._read_ended.clear()
+                    await self._read_ended.wait()
+        except TimeoutError:
+            return False
+        return self._keeper.is_settled(self._own_read_s)
+
+    def _confirm_delay_s(self) -> float:
+        """Returns the time until another read may be asked for, in seconds."""
+        interval_s = _CONFIRM_INTERVAL_S * self._peers.instance_count
+        due_s = self._own_read_s + interval_s
+        return max(0.0, due_s - self._timers.monotonic_s())
+
     @property
     def report(self) -> stream_api.ReadReport | None:
         """Report of the state; None if no read has confirmed the state."""
@@ -216,6 +261,7 @@
         await self._wait_until_due()
         if self._has_caught_up():
             return
+        began_s = self._timers.monotonic_s()
         try:
             await self._read()
         except api.RecordsExpired:
@@ -233,6 +279,8 @@
                 )
             self._offset = None
         except api.StoreUnavailable as exc:
+            self._failed_read_s = began_s
+            self._read_ended.set()
             self._mark_unavailable(str(exc))
             await self._read_from_peer()
             self._schedule.defer(
@@ -295,6 +343,8 @@
         if batch.has_more:
             return
         self._keeper.on_read_completed(began_s)
+        self._own_read_s = began_s
+        self._read_ended.set()
         await self._compare_with_newer_report()
         self._schedule.record_read(began_s, self._peers.instance_count)
         self._peers.send_reports()
--- a/packages/daemon/src/dotterelweird/gateway/keepers.py
+++ b/packages/daemon/src/dotterelweird/gateway/keepers.py
@@ -110,6 +110,10 @@
     def on_read_completed(self, began_s: float) -> None:
         """Does nothing, as no change of the tables is deferred."""
 
+    def is_settled(self, began_s: float) -> bool:
+        """Tables have a version, so that a missing one is noticed."""
+        return True
+
     def on_store_rewound(self) -> None:
         """Does nothing; a snapshot of the new era follows.
 
@@ -314,9 +318,12 @@
         Args:
             began_s: Monotonic time at which the read began, in seconds.
         """
-        if began_s >= self._settled_at_s:
+        if self.is_settled(began_s):
             self._apply_deferred()
 
+    def is_settled(self, began_s: float) -> bool:
+        return began_s >= self._settled_at_s
+
     def on_store_rewound(self) -> None:
         """Begins another era, as the store was restored from an older copy.
 
--- a/packages/daemon/src/dotterelweird/gateway/origins.py
+++ b/packages/daemon/src/dotterelweird/gateway/origins.py
@@ -1,11 +1,13 @@
 """Finds the software version of streams that callers take up again."""
 
 import asyncio
+from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
 import enum
 import itertools
 import logging
+import math
 
 import attrs
 
@@ -59,7 +61,7 @@
 
     Attributes:
         unanswered: Addresses of the instances that have not answered.
-        decided: Set once an answer suffices or all have answered.
+        decided: Set once an answer names the origin or all have answered.
         answers: The answers.
     """
 
@@ -73,7 +75,7 @@
             return
         self.unanswered.discard(host)
         self.answers.append(answer)
-        if answer.is_sufficient or not self.unanswered:
+        if answer.origin is not None or not self.unanswered:
             self.decided.set()
 
 
@@ -86,6 +88,9 @@
         directory: The registered targets.
         targets_age_s: Returns the time since the registered targets were
             confirmed, in seconds.
+        confirm_targets: Waits for a read of the targets by this instance that
+            began after the given monotonic time, in seconds; returns whether
+            there is one.
         send: Sends a message to the instance at an IP address.
         view: Returns the other instances.
     """
@@ -96,12 +101,14 @@
         process_statistics: statistics.Statistics,
         directory: targets.TargetDirectory,
         targets_age_s: Callable[[], float],
+        confirm_targets: Callable[[float], Awaitable[bool]],
         send: Callable[[str, OriginMessage], None],
         view: Callable[[], peer_view.PeerView],
     ) -> None:
         self._timers = timer_service
         self._statistics = process_statistics
         self._targets_age_s = targets_age_s
+        self._confirm_targets = confirm_targets
         self._send = send
         self._view = view
         self._registry = stream_origins.OriginRegistry()
@@ -165,9 +172,10 @@
                 service has or had several.
         """
         began_s = self._timers.monotonic_s()
+        targets_age_s = self._targets_age_s()
         request, service = exchange.request, exchange.service.name
         origin, knowledge = await self._find(
-            request.resumed_id, service, _lifetime_s(exchange.route)
+            request.resumed_id, service, _lifetime_s(exchange.route), began_s
         )
         self._statistics.taken_up_streams.inc({'origin': knowledge.value})
         events.log(
@@ -179,6 +187,9 @@
             service=service,
             origin=knowledge.value,
             software_version=origin.software_version if origin else None,
+            targets_age_s=round(targets_age_s, 3)
+            if math.isfinite(targets_age_s)
+            else None,
             taken_s=round(self._timers.monotonic_s() - began_s, 4),
         )
         if origin is None:
@@ -189,31 +200,92 @@
         return origin
 
     async def _find(
-        self, request_id: str, service: str, lifetime_s: float
+        self,
+        request_id: str,
+        service: str,
+        lifetime_s: float,
+        arrived_s: float,
     ) -> tuple[stream_origins.StreamOrigin | None, Knowledge]:
-        now_s = self._timers.monotonic_s()
-        origin = self._registry.find(request_id, now_s)
+        """Finds where a stream began.
+
+        That only one version is known here is no evidence by itself: engines
+        of another one may have joined, and begun the stream, while this
+        instance was out of step. Nor is it at a peer, which may be so too.
+        Evidence is newer than the caller's request: a read of the store, or,
+        while that fails, the answers of all that may know.
+
+        Args:
+            request_id: Id of the attempt that brought its first event.
+            service: Name of the service that the request is routed to.
+            lifetime_s: Longest time since the stream began, in seconds.
+            arrived_s: Monotonic time from which on evidence counts, in
+                seconds.
+        """
+        origin = self._find_own(request_id)
         if origin is not None:
             return origin, Knowledge.OWN
-        own = self._known_versions(service, lifetime_s)
-        if own.only is not None:
-            origin = stream_origins.StreamOrigin(service, own.only)
-            return origin, Knowledge.ONLY_VERSION
-        answers = await self._ask(request_id, service, lifetime_s)
+        is_read = False
+        if len(self._versions(service, lifetime_s)) <= 1:
+            is_read = await self._confirm_targets(arrived_s)
+            origin = self._find_own(request_id)
+            if origin is not None:
+                return origin, Knowledge.OWN
+        now_s = self._timers.monotonic_s()
+        versions = self._versions(service, lifetime_s)
+        if (
+            is_read
+            and len(versions) == 1
+            and self._history.is_complete(lifetime_s, now_s)
+        ):
+            return _only(service, versions), Knowledge.ONLY_VERSION
+        answers, all_answered = await self._ask(
+            request_id, service, lifetime_s
+        )
         for answer in answers:
             if answer.origin is not None:
                 return answer.origin, Knowledge.PEER
-        known = stream_origins.KnownVersions(
-            own.versions.union(*(one.known.versions for one in answers)),
-            any(answer.known.is_complete for answer in answers)
+        versions = self._versions(service, lifetime_s).union(
+            *(answer.known.versions for answer in answers)
+        )
+        present_known = is_read or (all_answered and self._is_in_touch())
+        if (
+            len(versions) == 1
+            and present_known
+            and self._is_past_known(service, lifetime_s, answers)
+        ):
+            return _only(service, versions), Knowledge.ONLY_VERSION
+        return None, Knowledge.NONE
+
+    def _find_own(self, request_id: str) -> stream_origins.StreamOrigin | None:
+        return self._registry.find(request_id, self._timers.monotonic_s())
+
+    def _versions(self, service: str, lifetime_s: float) -> frozenset[str]:
+        return frozenset(
+            self._history.versions(
+                service, lifetime_s, self._timers.monotonic_s()
+            )
+        )
+
+    def _is_in_touch(self) -> bool:
+        """Whether no instance is known that is not heard."""
+        view = self._view()
+        return view.is_informed and view.reachable_share >= 1.0
+
+    def _is_past_known(
+        self,
+        service: str,
+        lifetime_s: float,
+        answers: list[stream_origins.OriginAnswer],
+    ) -> bool:
+        """Whether all versions that a service had lately are known."""
+        now_s = self._timers.monotonic_s()
+        return (
+            self._history.is_complete(lifetime_s, now_s)
+            or any(answer.known.is_complete for answer in answers)
             or self._history.is_calm(
                 service, lifetime_s, self._timers.wall_s()
-            ),
+            )
         )
-        if known.only is not None:
-            origin = stream_origins.StreamOrigin(service, known.only)
-            return origin, Knowledge.ONLY_VERSION
-        return None, Knowledge.NONE
 
     def handle_message(self, message: OriginMessage, host: str) -> None:
         """Handles a message of another instance.
@@ -259,15 +331,16 @@
 
     async def _ask(
         self, request_id: str, service: str, lifetime_s: float
-    ) -> list[stream_origins.OriginAnswer]:
+    ) -> tuple[list[stream_origins.OriginAnswer], bool]:
         """Asks the instances that may know where a stream began.
 
         Returns:
-            The answers up to the first one that suffices.
+            The answers up to the first one that names the origin, and whether
+            all that were asked have answered.
         """
         hosts = self._holder_hosts(request_id, stream_origins.ASKED)
         if not hosts:
-            return []
+            return [], True
         number = next(self._numbers)
         query = stream_origins.OriginQuery(
             number, request_id, service, lifetime_s
@@ -283,7 +356,7 @@
                         break
         finally:
             del self._pending[number]
-        return pending.answers
+        return pending.answers, not pending.unanswered
 
     def _send_news(
         self, statements: tuple[stream_origins.OriginStatement, ...]
@@ -306,6 +379,14 @@
         return [hosts[instance_id] for instance_id in ranked]
 
 
+def _only(
+    service: str, versions: frozenset[str]
+) -> stream_origins.StreamOrigin:
+    """Returns the origin of a stream of a service with one version."""
+    (version,) = versions
+    return stream_origins.StreamOrigin(service, version)
+
+
 def _lifetime_s(route: tables.Route) -> float:
     """Returns the longest age of a stream that a caller takes up, in s."""
     return _LIFETIME_FACTOR * route.timeout_s
--- a/packages/daemon/src/dotterelweird/gateway/stream_api.py
+++ b/packages/daemon/src/dotterelweird/gateway/stream_api.py
@@ -81,6 +81,17 @@
             began_s: Monotonic time at which the read began, in seconds.
         """
 
+    @abc.abstractmethod
+    def is_settled(self, began_s: float) -> bool:
+        """Whether a read shows all that is there.
+
+        After an outage or a restore from an older copy, entries of targets
+        that are alive may be missing for a while.
+
+        Args:
+            began_s: Monotonic time at which the read began, in seconds.
+        """
+
     @abc.abstractmethod
     def on_store_rewound(self) -> None:
         """Called when the store was restored from an older copy.
--- a/packages/daemon/tests/gateway/test_origins.py
+++ b/packages/daemon/tests/gateway/test_origins.py
@@ -63,11 +63,16 @@
         self.timers = timers.VirtualTimerService()
         self.sent = []
         self.age_s = age_s
+        # Engines that the store has and this instance has not read, by id,
+        # and whether the store answers it.
+        self.unread = {}
+        self.reads = True
         self.origins = origins.StreamOrigins(
             self.timers,
             statistics.Statistics(),
             self.directory,
             lambda: self.age_s,
+            self.confirm,
             lambda host, message: self.sent.append((host, message)),
             lambda: peer_view.PeerView(
                 tuple(peer_view.Peer(host, host) for host in hosts),
@@ -77,6 +82,16 @@
         self.origins.begin()
         self.timers.advance(30.0)
 
+    async def confirm(self, since_s):
+        """Reads the targets; what is new there is registered first."""
+        for target_id, version in self.unread.items():
+            self.register(target_id, version)
+        return self.reads
+
+    async def find(self, request_id='request-1'):
+        """Returns where a stream began, and how that is known."""
+        return await self.origins._find(request_id, 'model', 12.0, 0.0)
+
     def register(self, target_id, version):
         target = targets.Target(
             *(target_id, 'model', '10.0.0.1', 80, 'zone-a', 8),
@@ -131,3 +146,53 @@
     """Guards against a status that tells the caller not to come back."""
     kind = errors.ErrorKind.STREAM_ORIGIN_UNKNOWN
     assert errors.RESPONSES[kind].status == 503
+
+
+async def test_a_version_that_was_not_read_yet_is_found():
+    """Guards against streams joined to the only version known here."""
+    instance = Instance(age_s=1.3)
+    instance.register('engine-1', 'v1')
+    instance.unread = {'engine-2': 'v2'}
+    assert await instance.find() == (None, origins.Knowledge.NONE)
+
+
+async def test_without_a_read_and_peers_that_answer_nothing_is_known():
+    """Guards against silence that is taken for an answer."""
+    instance = Instance(['10.1.0.1'], age_s=0.0)
+    instance.register('engine-1', 'v1')
+    instance.reads = False
+    assert await instance.find() == (None, origins.Knowledge.NONE)
+
+
+async def test_the_only_version_is_known_by_a_read():
+    """Guards against refusals where no second version has served."""
+    instance = Instance(['10.1.0.1'], age_s=0.0)
+    instance.register('engine-1', 'v1')
+    origin, knowledge = await instance.find()
+    assert origin.software_version == 'v1'
+    assert knowledge is origins.Knowledge.ONLY_VERSION
+    # Nobody had to be asked.
+    assert not instance.sent
+
+
+@pytest.mark.parametrize('versions', [('v1',), ('v1', 'v2')])
+@pytest.mark.parametrize('silent', [False, True])
+async def test_without_the_store_all_peers_must_answer(versions, silent):
+    """Guards against one peer out of step that vouches for all."""
+    hosts = [f'10.1.0.{number}' for number in range(1, 4)]
+    instance = Instance(hosts)
+    instance.register('engine-1', 'v1')
+    instance.reads = False
+    known = stream_origins.KnownVersions(frozenset({'v1'}), True)
+    other = stream_origins.KnownVersions(frozenset(versions), True)
+
+    def send(host, query):
+        if host == hosts[2] and silent:
+            return
+        row = other if host == hosts[1] else known
+        answer = stream_origins.OriginAnswer(query.number, None, row)
+        instance.origins.handle_message(answer, host)
+
+    instance.origins._send = send
+    origin, _ = await instance.find()
+    assert (origin is not None) == (versions == ('v1',) and not silent)
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -113,6 +113,7 @@
             statistics.Statistics(),
             targets.TargetDirectory(),
             lambda: 0.0,
+            None,
             lambda host, message: self.exchange.send_to(host, message),
             lambda: self.exchange.view(),
         )
--- a/packages/daemon/tests/gateway/test_stream_versions.py
+++ b/packages/daemon/tests/gateway/test_stream_versions.py
@@ -6,6 +6,8 @@
 import aiohttp
 import pytest
 
+from dotterelweird.gateway import api
+
 # Wall time of the start of an engine that has served for long, in
 # milliseconds.
 LONG_AGO_MS = 1_700_000_000_000
@@ -304,3 +306,85 @@
             await answer.read()
     assert not third.ran
     assert not versions.engines['engine-2'].ran
+
+
+@pytest.fixture
+async def out_of_step(deployment):
+    """Runs two instances, of which one no longer hears store or peer.
+
+    An engine of another version joins meanwhile.
+    """
+    await set_versions(deployment, {'engine-1': 'v1'})
+    second = await deployment.start_second()
+    await wait_for_versions(second, {'engine-1': 'v1'})
+    await wait_for_peers(deployment.gateway, second)
+    slow_down(deployment)
+    # Streams are taken up long after its start.
+    second._origins._history._complete_since_s -= 60.0
+    store = second._followers[api.StoreStream.TARGETS]._store
+    readers = store.read, store.read_snapshot
+    receive = second._peers.datagram_received
+
+    async def fail(*unused):
+        raise api.StoreUnavailable('cut off')
+
+    store.read = store.read_snapshot = fail
+    second._peers.datagram_received = lambda data, address: None
+
+    def reconnect():
+        store.read, store.read_snapshot = readers
+        second._peers.datagram_received = receive
+
+    deployment.reconnect = reconnect
+    await set_versions(deployment, {'engine-2': 'v2'})
+    set_costs(deployment.gateway, 'engine-2', 'engine-1')
+    return second
+
+
+async def test_an_instance_out_of_step_joins_no_stream(
+    deployment, out_of_step
+):
+    """Guards against the only version that an instance has heard of."""
+    last_id = await break_off(deployment)
+    assert ran(deployment, 'request-1') == ['v2']
+    known = out_of_step._directory.targets['engine-2']
+    assert known.software_version == 'v1'
+    status, _, _ = await take_up(deployment, last_id, gateway=out_of_step)
+    assert status == 503
+    assert not ran(deployment, 'request-2')
+
+
+async def test_an_instance_that_is_in_step_again_goes_on_at_the_version(
+    deployment, out_of_step
+):
+    """Guards against conclusions from what was read before a standstill."""
+    last_id = await break_off(deployment)
+    deployment.reconnect()
+    status, received, complete = await take_up(
+        deployment, last_id, gateway=out_of_step
+    )
+    assert (status, complete) == (200, True)
+    assert received == expected_events(last_id + 1, 20)
+    assert ran(deployment, 'request-2') == ['v2']
+
+
+async def test_new_streams_wait_for_no_read(deployment, out_of_step):
+    """Guards against new streams that wait for evidence of versions."""
+    status, _, complete = await read_stream(
+        deployment, 'check', gateway=out_of_step
+    )
+    assert (status, complete) == (200, True)
+
+
+@pytest.mark.parametrize('settled', [True, False])
+async def test_a_restored_store_shows_no_absence(
+    deployment, out_of_step, settled
+):
+    """Guards against a copy of the store without the newest engines."""
+    keeper = out_of_step._targets
+    now_s = out_of_step._timers.monotonic_s()
+    follower = out_of_step._followers[api.StoreStream.TARGETS]
+    deployment.reconnect()
+    if not settled:
+        keeper.on_store_recovered(now_s + 1.0)
+    assert await follower.confirm(now_s, 0.5) is settled
