--- a/fakes/src/dotterelweir_fakes/soak/crashes.py
+++ b/fakes/src/dotterelweir_fakes/soak/crashes.py
@@ -18,6 +18,9 @@
 # engine starts again, in seconds.
 _INTERVAL_S = (0.2, 2.0)
 _BACK_S = (1.0, 3.0)
+# The same for engines that go dark, and how many more of these there are.
+_DARK_S = (1.0, 6.0)
+_DARK_ENGINES = 4
 # Range of the time between two engines that end by themselves, in seconds.
 _OWN_ENDS_S = (3.0, 9.0)
 # Sound requests of each instance per second.
@@ -36,12 +39,14 @@
         duration_s: Duration of the load, in seconds.
         instance_count: Number of gateway processes.
         directory: Directory for settings and logs of the processes.
+        dark: Whether engines end as machines without power do.
     """
 
     seed: int
     duration_s: float
     instance_count: int
     directory: pathlib.Path
+    dark: bool = False
 
     async def run(self) -> dict[str, object]:
         """Runs the soak test.
@@ -56,13 +61,19 @@
         async with crashing.CrashTrial(
             self.directory,
             self.instance_count,
-            rng.randint(3, 6),
+            rng.randint(3, 6) + (_DARK_ENGINES if self.dark else 0),
             route,
             rng.uniform(*_BACK_S),
         ) as trial:
             if route in ('guide', 'check'):
                 for engine in trial.engines.values():
                     engine.crash_events = crash_events
+            dark_rng = random.Random(self.seed)
+            for engine in trial.engines.values():
+                engine.dark = self.dark
+                engine.keeps_id = dark_rng.random() < 0.5
+                if self.dark:
+                    engine.back_s = dark_rng.uniform(*_DARK_S)
             faults = instance_faults.InstanceFaults(
                 trial, random.Random(rng.random())
             )
@@ -131,11 +142,13 @@
 @click.option(
     '--instances', 'instance_count', type=int, default=3, show_default=True
 )
+@click.option('--dark', is_flag=True)
 @click.option('--directory', type=click.Path(path_type=pathlib.Path))
 def crashes(
     seed: int,
     seconds: float,
     instance_count: int,
+    dark: bool,
     directory: pathlib.Path | None,
 ) -> None:
     """Runs gateway processes with a request that ends engines.
@@ -147,7 +160,9 @@
         output_directory = directory or pathlib.Path(temporary)
         output_directory.mkdir(parents=True, exist_ok=True)
         result = asyncio.run(
-            CrashSoak(seed, seconds, instance_count, output_directory).run()
+            CrashSoak(
+                seed, seconds, instance_count, output_directory, dark
+            ).run()
         )
     click.echo(orjson.dumps(result).decode())
     sys.exit(1 if result['violations'] else 0)
--- a/fakes/src/dotterelweir_fakes/soak/instance_faults.py
+++ b/fakes/src/dotterelweir_fakes/soak/instance_faults.py
@@ -13,6 +13,11 @@
 # one, in seconds; faults overlap.
 _INTERVAL_S = (0.5, 3.0)
 _DURATION_S = (0.3, 2.5)
+# Number of an instance that does not exist, those of seeds that do, and the
+# time by which seeds may lag, in seconds.
+_STALE_SEED = 200
+_LIVE_SEEDS = (1, 2)
+_SEED_LAG_S = 3.0
 # Time without faults at the start, in seconds.
 _CALM_S = 4.0
 
@@ -24,11 +29,14 @@
     Attributes:
         trial: The trial that runs the processes.
         rng: Random source; its seed determines the sequence of faults.
+        seeds_rng: Random source of the seeds that processes start again with;
+            None if these are never stale.
         counts: Number of faults by kind.
     """
 
     trial: trials.Trial
     rng: random.Random
+    seeds_rng: random.Random | None = None
     counts: dict[str, int] = attrs.field(factory=dict)
     _tasks: set[asyncio.Task] = attrs.field(factory=set)
 
@@ -68,9 +76,44 @@
         self, node: instances.Instance, after_s: float
     ) -> None:
         await asyncio.sleep(after_s)
-        if not node.running:
-            node.start()
-            await node.wait_ready()
+        if node.running:
+            return
+        if self.seeds_rng is not None:
+            self._draw_seeds(node, self.seeds_rng)
+        node.start()
+        await node.wait_ready()
+
+    def _draw_seeds(
+        self, node: instances.Instance, rng: random.Random
+    ) -> None:
+        """Lets the settings of an instance name seeds that may be stale.
+
+        The settings name live ones later, with or without a signal, or never.
+        """
+        node.seed_numbers = (_STALE_SEED,)
+        change = rng.choice(('none', 'stale', 'signal', 'silent'))
+        self.counts[f'seeds {change}'] = (
+            self.counts.get(f'seeds {change}', 0) + 1
+        )
+        if change == 'none':
+            node.seed_numbers = _LIVE_SEEDS
+        elif change != 'stale':
+            task = asyncio.create_task(
+                self._name_live_seeds(
+                    node, rng.uniform(0.0, _SEED_LAG_S), change == 'signal'
+                )
+            )
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+
+    async def _name_live_seeds(
+        self, node: instances.Instance, after_s: float, signals: bool
+    ) -> None:
+        await asyncio.sleep(after_s)
+        node.seed_numbers = _LIVE_SEEDS
+        node.write_settings()
+        if signals:
+            node.send_signal(signal.SIGHUP)
 
     async def _freeze(self, node: instances.Instance, for_s: float) -> None:
         with self.trial.disturbing(node):
--- a/fakes/src/dotterelweir_fakes/soak/instances.py
+++ b/fakes/src/dotterelweir_fakes/soak/instances.py
@@ -33,6 +33,7 @@
         module: Python module that the process runs.
         grace_s: Time from SIGTERM to the end of the process, in seconds.
         settings: Further lines of its settings file.
+        seed_numbers: Numbers of the instances that its settings name.
         process: The newest process; None before the first start.
         disturbed_s: Monotonic time of the newest disturbance, in seconds.
     """
@@ -43,6 +44,7 @@
     module: str = 'dotterelweir_platform'
     grace_s: int = attrs.field(factory=lambda: GRACE_S)
     settings: tuple[str, ...] = ()
+    seed_numbers: tuple[int, ...] = (1, 2)
     process: subprocess.Popen | None = None
     disturbed_s: float = 0.0
 
@@ -78,6 +80,23 @@
         """Log file of its processes."""
         return self.directory / f'{self.name}.log'
 
+    def write_settings(self) -> pathlib.Path:
+        """Writes its settings file and returns the path of it."""
+        path = self.directory / f'{self.name}.conf'
+        text = fleet.settings_text(
+            self.name,
+            self.host,
+            (CALLERS_PORT, READY_PORT, PEERS_PORT),
+            self.store_address,
+            self.grace_s,
+            tuple(map(fleet.own_address, self.seed_numbers)),
+        )
+        # The process may read the file at any time.
+        written = path.with_suffix('.new')
+        written.write_text('\n'.join((text, *self.settings)))
+        written.replace(path)
+        return path
+
     def start(self, skew_s: float = 0.0) -> None:
         """Writes the settings and starts the process.
 
@@ -93,16 +112,7 @@
                 skewed_gateway.MODULE_VARIABLE: module,
             }
             module = skewed_gateway.__name__
-        settings = self.directory / f'{self.name}.conf'
-        text = fleet.settings_text(
-            self.name,
-            self.host,
-            (CALLERS_PORT, READY_PORT, PEERS_PORT),
-            self.store_address,
-            self.grace_s,
-            (fleet.own_address(1), fleet.own_address(2)),
-        )
-        settings.write_text('\n'.join((text, *self.settings)))
+        settings = self.write_settings()
         self.disturbed_s = time.monotonic()
         with self.log.open('ab') as log:
             self.process = subprocess.Popen(
--- a/fakes/src/dotterelweir_fakes/soak/limits.py
+++ b/fakes/src/dotterelweir_fakes/soak/limits.py
@@ -58,12 +58,14 @@
         duration_s: Duration of the load, in seconds.
         instance_count: Number of gateway processes.
         directory: Directory for settings and logs of the processes.
+        stale_seeds: Whether processes start again with seeds that are stale.
     """
 
     seed: int
     duration_s: float
     instance_count: int
     directory: pathlib.Path
+    stale_seeds: bool = False
     _named: dict[str, list[NamedLimit]] = attrs.field(factory=dict)
     # Monotonic time of the newest start of each engine that was cold.
     _started_s: dict[str, float] = attrs.field(factory=dict)
@@ -88,7 +90,9 @@
             },
         ) as trial:
             faults = instance_faults.InstanceFaults(
-                trial, random.Random(rng.random())
+                trial,
+                random.Random(rng.random()),
+                random.Random(self.seed) if self.stale_seeds else None,
             )
             background = [
                 asyncio.create_task(faults.run()),
@@ -231,11 +235,13 @@
 @click.option(
     '--instances', 'instance_count', type=int, default=3, show_default=True
 )
+@click.option('--stale-seeds', is_flag=True)
 @click.option('--directory', type=click.Path(path_type=pathlib.Path))
 def limits(
     seed: int,
     seconds: float,
     instance_count: int,
+    stale_seeds: bool,
     directory: pathlib.Path | None,
 ) -> None:
     """Runs gateway processes with engines that name limits or are cold.
@@ -247,7 +253,9 @@
         output_directory = directory or pathlib.Path(temporary)
         output_directory.mkdir(parents=True, exist_ok=True)
         result = asyncio.run(
-            LimitSoak(seed, seconds, instance_count, output_directory).run()
+            LimitSoak(
+                seed, seconds, instance_count, output_directory, stale_seeds
+            ).run()
         )
     click.echo(orjson.dumps(result).decode())
     sys.exit(1 if result['violations'] else 0)
--- a/fakes/tests/soak/test_crashes.py
+++ b/fakes/tests/soak/test_crashes.py
@@ -10,3 +10,10 @@
     result = await crashes.CrashSoak(1, 16.0, 3, tmp_path).run()
     assert result['violations'] == []
     assert result['ends'] >= 3
+
+
+async def test_a_request_under_which_engines_go_dark_is_blocked(tmp_path):
+    """Guards against ends that only show in what is missing."""
+    result = await crashes.CrashSoak(2, 22.0, 3, tmp_path, dark=True).run()
+    assert result['violations'] == []
+    assert result['ends'] >= 3
--- a/fakes/tests/soak/test_limits.py
+++ b/fakes/tests/soak/test_limits.py
@@ -12,3 +12,11 @@
     assert result['violations'] == []
     assert result['statuses']['200'] > 0
     assert sum(result['cold'].values()) > 0
+
+
+async def test_limits_are_kept_while_seeds_are_stale(tmp_path):
+    """Guards against instances that give out a limit each."""
+    soak = limits.LimitSoak(3, 20.0, 5, tmp_path, stale_seeds=True)
+    result = await soak.run()
+    assert result['violations'] == []
+    assert result['statuses']['200'] > 0
