--- a/packages/core/src/dotterelweir_core/gateway/roster.py
+++ b/packages/core/src/dotterelweir_core/gateway/roster.py
@@ -50,11 +50,13 @@
 
     Attributes:
         contacts: Addresses of instances that are not heard.
+        is_found: Whether other groups find this one by the entries.
         enter: Whether this instance should enter itself.
         remove: Ids whose entries should be removed.
     """
 
     contacts: tuple[str, ...]
+    is_found: bool
     enter: bool
     remove: tuple[str, ...]
 
@@ -117,6 +119,7 @@
         in_group = len(by_id) - len(unheard) + self.is_entered
         return Plan(
             contacts=tuple(entry.host for entry in unheard.values()),
+            is_found=in_group > 0,
             enter=not self.is_entered
             and (own is not None or in_group < _GROUP_ENTRIES),
             remove=tuple(
--- a/packages/daemon/src/dotterelweird/gateway/discovery.py
+++ b/packages/daemon/src/dotterelweird/gateway/discovery.py
@@ -101,8 +101,8 @@
         )
         for host in plan.contacts:
             self._peers.contact(host)
-        if self._roster.is_entered:
-            # The others would have found this entry, and it theirs.
+        if plan.is_found:
+            # Other groups find this one, as it finds theirs.
             self._peers.record_roster_read(began_s)
         if plan.enter:
             await self._store.write_roster_entry(self._entry)
--- a/packages/daemon/src/dotterelweird/gateway/peers.py
+++ b/packages/daemon/src/dotterelweird/gateway/peers.py
@@ -56,10 +56,10 @@
 # Maximum number of records in a datagram; a record has up to about 300 bytes.
 _RECORDS_PER_DATAGRAM = 4
 # Time for which an instance that has become silent may still serve its callers
-# elsewhere in a divided network, in seconds: if the roster in the store was
-# read since, and otherwise.
+# elsewhere in a divided network, in seconds: usually, and at an instance that
+# hears nobody and has not read the roster in the store since.
 _SILENCED_S = 60.0
-_SILENCED_UNREAD_S = 600.0
+_ALONE_SILENCED_S = 600.0
 # Number of instances that may share the limits of targets with one that does
 # not know how many there are.
 _ASSUMED_INSTANCES = retry_budget.DEFAULT_INSTANCES
@@ -143,8 +143,8 @@
         self._visible_peers: tuple[peer_view.Peer, ...] = ()
         self._view = peer_view.PeerView(is_informed=False)
         self._fleet_logged: dict[str, Any] = {}
-        # Monotonic time of the newest read of the roster that had this
-        # instance's own entry, in seconds.
+        # Monotonic time of the newest read of the roster by which others
+        # would find this instance, in seconds.
         self._roster_read_s = float('-inf')
         self._peers: dict[str, Peer] = {}
         self._broadcast_groups = broadcast.BroadcastGroups()
@@ -193,12 +193,7 @@
         self._silenced_s = {
             instance_id: silenced_s
             for instance_id, silenced_s in self._silenced_s.items()
-            if now_s - silenced_s
-            <= (
-                _SILENCED_S
-                if self._roster_read_s > silenced_s
-                else _SILENCED_UNREAD_S
-            )
+            if now_s - silenced_s <= self._silenced_max_s(silenced_s)
         }
         silenced = len(self._silenced_s)
         unheard = self._contacts.unheard_count(now_s)
@@ -217,6 +212,16 @@
         )
         self._log_fleet(is_informed, silenced, unheard)
 
+    def _silenced_max_s(self, silenced_s: float) -> float:
+        """Returns for how long a silent instance counts, in seconds.
+
+        Args:
+            silenced_s: Monotonic time at which it became silent, in seconds.
+        """
+        if self._peers or self._roster_read_s > silenced_s:
+            return _SILENCED_S
+        return _ALONE_SILENCED_S
+
     def _update_visible_peers(self) -> None:
         self._visible_peers = tuple(
             peer_view.Peer(
@@ -249,7 +254,7 @@
             )
 
     def record_roster_read(self, read_s: float) -> None:
-        """Records a read of the roster that had this instance's own entry.
+        """Records a read of the roster by which others find this instance.
 
         Args:
             read_s: Monotonic time at which the read began, in seconds.
--- a/packages/daemon/tests/gateway/test_peers.py
+++ b/packages/daemon/tests/gateway/test_peers.py
@@ -258,6 +258,16 @@
     assert first.exchange.view().reachable_share == 1.0
 
 
+def test_silent_instances_of_a_group_are_forgotten_soon(network):
+    """Guards against limits that stay unused after a machine is lost."""
+    network.cut.add('10.0.0.3')
+    network.timers.advance(10.0)
+    first = network.nodes['10.0.0.1'].exchange
+    assert first.view().reachable_share == pytest.approx(2 / 3)
+    network.timers.advance(60.0)
+    assert first.view().reachable_share == 1.0
+
+
 def test_an_unheard_address_shares_the_limits(network):
     """Guards against a whole limit in a part that knows of others."""
     first = network.nodes['10.0.0.1']
