Bound the memory of requests without an answer

A caller names the id and the parts of a prompt, and each may have 16 KB. Of a request that ended without an answer 64 characters of the id and 32 parts are kept, none for a request that had begun, of 32 requests at each of 128 targets: 14 MB at most, calculated.

--- a/packages/core/src/dotterelweir_core/gateway/unanswered.py
+++ b/packages/core/src/dotterelweir_core/gateway/unanswered.py
@@ -22,9 +22,11 @@
 # Time after an answer of a target within which another start of it may still
 # become known, in seconds. The answer may come from that start.
 _START_LAG_S = 2.0
-# Maximum number of targets, and of requests at each, that are remembered.
-_TARGETS_MAX = 1_024
-_REQUESTS_MAX = 128
+# Maximum number of targets, and of requests at each, that are remembered; the
+# oldest targets are evicted first. They bound the memory that callers take
+# whose requests get no answer.
+_TARGETS_MAX = 128
+_REQUESTS_MAX = 32
 
 R = TypeVar('R')
 
--- a/packages/daemon/src/dotterelweird/gateway/end_detection.py
+++ b/packages/daemon/src/dotterelweird/gateway/end_detection.py
@@ -32,6 +32,11 @@
 _SILENCE_PROBE_INTERVAL_S = 0.5
 _SILENCE_PROBES = 6
 
+# Maximum length of an id, and number of parts of a prompt, that are remembered
+# of a request without an answer. Both come from its caller.
+_FIELD_CHARS_MAX = 64
+_PARTS_MAX = 32
+
 
 @attrs.frozen
 class InFlight:
@@ -67,6 +72,17 @@
             begun,
         )
 
+    def without_excess(self) -> 'InFlight':
+        """Returns the request with what takes a bounded amount of memory."""
+        parts = [
+            part for part in self.shared_parts if len(part) <= _FIELD_CHARS_MAX
+        ]
+        return attrs.evolve(
+            self,
+            request_id=self.request_id[:_FIELD_CHARS_MAX],
+            shared_parts=() if self.begun else tuple(parts[:_PARTS_MAX]),
+        )
+
 
 @attrs.frozen
 class End:
@@ -240,7 +256,7 @@
         """
         now_s = self._timers.elapsed_s()
         request = unanswered.Unanswered(
-            InFlight.of(exchange, begun), sent_s, now_s
+            InFlight.of(exchange, begun).without_excess(), sent_s, now_s
         )
         sign = self._unanswered.record(
             target,
--- a/packages/daemon/tests/gateway/test_end_detection.py
+++ b/packages/daemon/tests/gateway/test_end_detection.py
@@ -182,3 +182,14 @@
     detection.accepting.clear()
     detection.give_up()
     assert await detection.end_signs() == []
+
+
+async def test_requests_without_an_answer_take_little_memory(detection):
+    """Guards against callers that fill the memory with what they send."""
+    parts = ('x' * 65, *(f'{number:032x}' for number in range(200)))
+    request = end_detection.InFlight('key', 'r' * 16_000, parts)
+    kept = request.without_excess()
+    assert len(kept.request_id) == 64
+    assert kept.shared_parts == parts[1:33]
+    begun = attrs.evolve(request, begun=True).without_excess()
+    assert begun.shared_parts == ()
