Make a read that is wanted as evidence whatever is reported meanwhile

A report of a peer postponed the read that a stream that is taken up waits for, and a newer state that record notices had supplied made it needless: the stream then waited for up to 0.5 s and was decided by the answers of the peers. Such a read now has a due time of its own, and is not made while the store is known not to answer. Two new tests; the first fails without this by reading, not by a run.

A property that only tests used is gone; they ask for the only version itself.

--- a/packages/core/src/dotterelweir_core/gateway/roster.py
+++ b/packages/core/src/dotterelweir_core/gateway/roster.py
@@ -81,6 +81,9 @@
     Args:
         instance_id: Id of this instance.
         host: Its IP address.
+
+    Attributes:
+        is_entered: Whether the roster has this instance at its address.
     """
 
     def __init__(self, instance_id: str, host: str) -> None:
--- a/packages/core/src/dotterelweir_core/gateway/stream_origins.py
+++ b/packages/core/src/dotterelweir_core/gateway/stream_origins.py
@@ -125,11 +125,6 @@
     origin: StreamOrigin | None
     known: KnownVersions = KnownVersions()
 
-    @property
-    def is_sufficient(self) -> bool:
-        """Whether the answer tells the version by itself."""
-        return self.origin is not None or self.known.only is not None
-
 
 @attrs.define
 class _Entry:
--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -29,10 +29,10 @@
 # first instance that the store answers reports to the others.
 _INSTANCES_PER_RETRY = 12
 _RETRY_FACTOR_MAX = 4.0
-# Shortest time between two reads that are asked for as evidence, for each
+# Shortest time between two reads that are made as evidence, for each
 # reachable instance, in seconds. It bounds the reads of a large deployment
 # whose callers all take their streams up.
-_CONFIRM_INTERVAL_S = 0.001
+_EVIDENCE_INTERVAL_S = 0.001
 # Time within which the record notice of a change usually arrives after the
 # report of the instance that read it, in seconds. The reads of instances that
 # missed the notice are spread over the same time again.
@@ -118,11 +118,12 @@
         # seconds.
         self._outage_began_s = float('-inf')
         # Monotonic time at which the newest own read began that reached the
-        # end of the stream, and the same of the newest one that failed, in
-        # seconds.
+        # end of the stream, in seconds.
         self._own_read_s = float('-inf')
-        self._failed_read_s = float('-inf')
         self._read_ended = asyncio.Event()
+        # Monotonic time at which a read that is wanted as evidence is due, in
+        # seconds; infinite if none is wanted.
+        self._evidence_due_s = math.inf
         self.store_available = False
         self.has_state = False
 
@@ -138,15 +139,15 @@
 
         Returns:
             Whether there is one that shows all that is there; False as soon
-            as one has failed.
+            as the store does not answer.
         """
         try:
             async with asyncio.timeout(timeout_s):
                 while self._own_read_s < since_s:
-                    if self._failed_read_s >= since_s:
+                    if not self.store_available:
                         return False
-                    self._schedule.hasten(
-                        self._timers.monotonic_s(), self._confirm_delay_s()
+                    self._evidence_due_s = min(
+                        self._evidence_due_s, self._next_evidence_s()
                     )
                     self._wake_event.set()
                     self._read_ended.clear()
@@ -155,11 +156,10 @@
             return False
         return self._keeper.is_settled(self._own_read_s)
 
-    def _confirm_delay_s(self) -> float:
-        """Returns the time until another read may be asked for, in seconds."""
-        interval_s = _CONFIRM_INTERVAL_S * self._peers.instance_count
-        due_s = self._own_read_s + interval_s
-        return max(0.0, due_s - self._timers.monotonic_s())
+    def _next_evidence_s(self) -> float:
+        """Returns when another read may be made as evidence, in seconds."""
+        interval_s = _EVIDENCE_INTERVAL_S * self._peers.instance_count
+        return max(self._timers.monotonic_s(), self._own_read_s + interval_s)
 
     @property
     def report(self) -> stream_api.ReadReport | None:
@@ -259,9 +259,9 @@
 
     async def _read_when_due(self) -> None:
         await self._wait_until_due()
-        if self._has_caught_up():
+        if math.isinf(self._evidence_due_s) and self._has_caught_up():
             return
-        began_s = self._timers.monotonic_s()
+        self._evidence_due_s = math.inf
         try:
             await self._read()
         except api.RecordsExpired:
@@ -279,9 +279,8 @@
                 )
             self._offset = None
         except api.StoreUnavailable as exc:
-            self._failed_read_s = began_s
-            self._read_ended.set()
             self._mark_unavailable(str(exc))
+            self._read_ended.set()
             await self._read_from_peer()
             self._schedule.defer(
                 self._timers.monotonic_s(), self._retry_delay_s()
@@ -309,7 +308,8 @@
 
     async def _wait_until_due(self) -> None:
         while True:
-            remaining_s = self._schedule.due_s - self._timers.monotonic_s()
+            due_s = min(self._schedule.due_s, self._evidence_due_s)
+            remaining_s = due_s - self._timers.monotonic_s()
             if remaining_s <= 0:
                 return
             self._wake_event.clear()
--- a/packages/daemon/tests/gateway/test_following.py
+++ b/packages/daemon/tests/gateway/test_following.py
@@ -254,3 +254,22 @@
         while new_instance._directory.takes_work('shop-2'):
             await asyncio.sleep(0.02)
     assert new_instance._directory.takes_work('shop-1')
+
+
+async def test_evidence_is_a_read_that_began_later(deployment):
+    """Guards against what was read, or reported, before it was wanted."""
+    follower = deployment.gateway._followers[api.StoreStream.TARGETS]
+    now_s = follower._timers.monotonic_s()
+    # A peer has read just now, so that no read is due here.
+    follower._schedule.record_read(now_s + 60.0, 1)
+    assert await follower.confirm(now_s, 1.0)
+    assert follower._own_read_s >= now_s
+
+
+async def test_a_store_that_fails_gives_no_evidence(deployment):
+    """Guards against streams that wait for a store that is away."""
+    follower = deployment.gateway._followers[api.StoreStream.TARGETS]
+    deployment.store.failing = True
+    now_s = follower._timers.monotonic_s()
+    assert not await follower.confirm(now_s, 1.0)
+    assert not follower.store_available
--- a/packages/daemon/tests/gateway/test_origins.py
+++ b/packages/daemon/tests/gateway/test_origins.py
@@ -113,18 +113,18 @@
     """Guards against a version that it cannot have heard of."""
     instance = Instance(age_s=2.0, reachable_share=0.5)
     instance.register('engine-1', 'v1')
-    assert not instance.answer().is_sufficient
+    assert instance.answer().known.only is None
     instance.age_s = 1.0
-    assert instance.answer().is_sufficient
+    assert instance.answer().known.only == 'v1'
 
 
 def test_an_outage_of_the_store_alone_refuses_no_stream():
     """Guards against refusals while all instances know the same."""
     instance = Instance(age_s=60.0)
     instance.register('engine-1', 'v1')
-    assert instance.answer().is_sufficient
+    assert instance.answer().known.only == 'v1'
     instance.register('engine-2', 'v2')
-    assert not instance.answer().is_sufficient
+    assert instance.answer().known.only is None
 
 
 def test_streams_of_before_a_second_version_are_stated_then():
