Blame no target for an instance's own links before it knows of others

An instance that had heard nobody, and reached no target, took all targets for ended, as no other instance was there to reach them: the same conclusion from silence as in the limits of targets. Until it has heard one or read the roster it holds no end against requests then.

--- a/packages/daemon/src/dotterelweird/gateway/composition.py
+++ b/packages/daemon/src/dotterelweird/gateway/composition.py
@@ -183,6 +183,7 @@
             self._directory,
             self._statistics,
             lambda: self._peers.view().taking_count,
+            lambda: self._peers.view().is_informed,
         )
         dialect = adapter.dialect()
         self._ready_path = dialect.ready_path
--- a/packages/daemon/src/dotterelweird/gateway/reaching.py
+++ b/packages/daemon/src/dotterelweird/gateway/reaching.py
@@ -37,6 +37,7 @@
         process_statistics: Counters of the process.
         count_taking_peers: Returns the number of other instances that send
             requests of others, by their own word.
+        knows_others: Returns whether this instance knows if there are others.
 
     Attributes:
         accepts_connections: Tells whether a connection to a host and port is
@@ -50,12 +51,14 @@
         directory: targets.TargetDirectory,
         process_statistics: statistics.Statistics,
         count_taking_peers: Callable[[], int],
+        knows_others: Callable[[], bool] = lambda: True,
     ) -> None:
         self._timers = timer_service
         self._rng = rng
         self._directory = directory
         self._statistics = process_statistics
         self._count_taking_peers = count_taking_peers
+        self._knows_others = knows_others
         self._reach = reachability.TargetReach()
         self._listeners: list[Callable[[], None]] = []
         self._connected_s = float('-inf')
@@ -145,9 +148,10 @@
                 await self._decided.wait()
 
     async def is_cut_off(self, since_s: float) -> bool:
-        """Whether this instance alone reaches no target.
+        """Whether this instance alone may reach no target.
 
-        Waits for a test if that is not known.
+        Waits for a test if that is not known. One that does not know of
+        others cannot tell whether they reach targets.
 
         Args:
             since_s: Monotonic time from which on a connection shows that
@@ -156,7 +160,9 @@
         if self._connected_s >= since_s:
             return False
         await self.settle()
-        return self.is_lost and self._count_taking_peers() > 0
+        if not self.is_lost:
+            return False
+        return self._count_taking_peers() > 0 or not self._knows_others()
 
     def _notify(self) -> None:
         for listener in self._listeners:
