Count a later read of a peer as evidence while the store rejects an instance

A stream that is taken up at an instance that the store rejects was refused for a minute after any instance had been lost, though the others read the store. The report of a read that began 0.1 s after the request now counts there: what had waited in the socket of a stopped process is handled by then.

--- a/packages/daemon/src/dotterelweird/gateway/following.py
+++ b/packages/daemon/src/dotterelweird/gateway/following.py
@@ -33,6 +33,9 @@
 # reachable instance, in seconds. It bounds the reads of a large deployment
 # whose callers all take their streams up.
 _EVIDENCE_INTERVAL_S = 0.001
+# Time within which reports that had waited in the socket are handled, in
+# seconds.
+_REPORT_LAG_MAX_S = 0.1
 # Time within which the record notice of a change usually arrives after the
 # report of the instance that read it, in seconds. The reads of instances that
 # missed the notice are spread over the same time again.
@@ -120,7 +123,8 @@
         # Monotonic time at which the newest own read began that reached the
         # end of the stream, in seconds.
         self._own_read_s = float('-inf')
-        self._read_ended = asyncio.Event()
+        # Set when a read by any instance becomes known, or one has failed.
+        self._read_known = asyncio.Event()
         # Monotonic time at which a read that is wanted as evidence is due, in
         # seconds; infinite if none is wanted.
         self._evidence_due_s = math.inf
@@ -128,10 +132,11 @@
         self.has_state = False
 
     async def confirm(self, since_s: float, timeout_s: float) -> bool:
-        """Waits for a read by this instance that began after a time.
+        """Waits for a read that began after a time.
 
-        What another instance reports of its reads is no such evidence: the
-        report may have waited in the socket while this process stood still.
+        While the store does not answer this instance, the report of a read
+        by another one counts. It may have waited in the socket while this
+        process stood still, so that it must be of a somewhat later read.
 
         Args:
             since_s: Monotonic time, in seconds.
@@ -139,22 +144,37 @@
 
         Returns:
             Whether there is one that shows all that is there; False as soon
-            as the store does not answer.
+            as the store answers no instance.
         """
         try:
             async with asyncio.timeout(timeout_s):
-                while self._own_read_s < since_s:
-                    if not self.store_available:
+                while not self._is_confirmed(since_s):
+                    if self.store_available:
+                        self._evidence_due_s = min(
+                            self._evidence_due_s, self._next_evidence_s()
+                        )
+                        self._wake_event.set()
+                    elif self._is_store_down():
                         return False
-                    self._evidence_due_s = min(
-                        self._evidence_due_s, self._next_evidence_s()
-                    )
-                    self._wake_event.set()
-                    self._read_ended.clear()
-                    await self._read_ended.wait()
+                    self._read_known.clear()
+                    await self._read_known.wait()
         except TimeoutError:
             return False
-        return self._keeper.is_settled(self._own_read_s)
+        read_s = self._own_read_s
+        if read_s < since_s:
+            read_s = self._schedule.last_read_s
+        return self._keeper.is_settled(read_s)
+
+    def _is_confirmed(self, since_s: float) -> bool:
+        if self._own_read_s >= since_s:
+            return True
+        reported_s = self._schedule.last_read_s - _REPORT_LAG_MAX_S
+        return not self.store_available and reported_s >= since_s
+
+    def _is_store_down(self) -> bool:
+        """Whether no instance has reported a read for some time."""
+        age_s = self._timers.monotonic_s() - self._schedule.last_read_s
+        return age_s > _OUTAGE_S
 
     def _next_evidence_s(self) -> float:
         """Returns when another read may be made as evidence, in seconds."""
@@ -202,6 +222,7 @@
                 # The records up to the peer's offset change nothing here.
                 self._offset = max(self._offset, report.position)
             self._schedule.record_read(read_s, self._peers.instance_count)
+            self._read_known.set()
             return
         if self._is_newer(report):
             self._newer_report = _NewerReport(host, report, read_s)
@@ -280,7 +301,7 @@
             self._offset = None
         except api.StoreUnavailable as exc:
             self._mark_unavailable(str(exc))
-            self._read_ended.set()
+            self._read_known.set()
             await self._read_from_peer()
             self._schedule.defer(
                 self._timers.monotonic_s(), self._retry_delay_s()
@@ -344,9 +365,9 @@
             return
         self._keeper.on_read_completed(began_s)
         self._own_read_s = began_s
-        self._read_ended.set()
         await self._compare_with_newer_report()
         self._schedule.record_read(began_s, self._peers.instance_count)
+        self._read_known.set()
         self._peers.send_reports()
 
     async def _compare_with_newer_report(self) -> None:
