Send no signal to a process of the soak before it can handle it

Traced by the kept logs: SIGHUP came while the interpreter started, and its default ended the process, which nothing in the soak starts again.

--- a/fakes/src/dotterelweir_fakes/soak/instance_faults.py
+++ b/fakes/src/dotterelweir_fakes/soak/instance_faults.py
@@ -29,8 +29,9 @@
     Attributes:
         trial: The trial that runs the processes.
         rng: Random source; its seed determines the sequence of faults.
-        seeds_rng: Random source of the seeds that processes start again with;
-            None if these are never stale.
+        seeds_rng: Random source of the seeds that processes start again with.
+            They may be stale; the settings name live ones later, with or
+            without a signal, or never. None if they are never stale.
         counts: Number of faults by kind.
     """
 
@@ -78,26 +79,20 @@
         await asyncio.sleep(after_s)
         if node.running:
             return
-        if self.seeds_rng is not None:
-            self._draw_seeds(node, self.seeds_rng)
+        rng = self.seeds_rng
+        if rng is None:
+            node.start()
+            await node.wait_ready()
+            return
+        change = rng.choice(('none', 'stale', 'signal', 'silent'))
+        name = f'seeds {change}'
+        self.counts[name] = self.counts.get(name, 0) + 1
+        is_stale = change != 'none'
+        node.seed_numbers = (_STALE_SEED,) if is_stale else _LIVE_SEEDS
         node.start()
+        # A signal before the interpreter runs would end the process.
         await node.wait_ready()
-
-    def _draw_seeds(
-        self, node: instances.Instance, rng: random.Random
-    ) -> None:
-        """Lets the settings of an instance name seeds that may be stale.
-
-        The settings name live ones later, with or without a signal, or never.
-        """
-        node.seed_numbers = (_STALE_SEED,)
-        change = rng.choice(('none', 'stale', 'signal', 'silent'))
-        self.counts[f'seeds {change}'] = (
-            self.counts.get(f'seeds {change}', 0) + 1
-        )
-        if change == 'none':
-            node.seed_numbers = _LIVE_SEEDS
-        elif change != 'stale':
+        if change in ('signal', 'silent'):
             task = asyncio.create_task(
                 self._name_live_seeds(
                     node, rng.uniform(0.0, _SEED_LAG_S), change == 'signal'
